--- /dev/null
+++ b/include/cassia/base/digest.h
@@ -0,0 +1,25 @@
+/// SHA-256, random ids and stable hashes.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace cassia {
+
+/// SHA-256 of `data` in lower-case hexadecimal.
+std::string sha256_hex(std::string_view data);
+
+/// A hash that is the same in every process and build; not for secrets.
+std::uint64_t stable_hash(std::string_view data);
+
+/// 64 random bits from the operating system.
+std::uint64_t random_bits();
+
+/// `prefix` followed by 16 random hexadecimal digits.
+std::string random_name(std::string_view prefix);
+
+/// Compares without telling by its duration where the first difference is.
+bool equal_secrets(std::string_view a, std::string_view b);
+
+} // namespace cassia
--- /dev/null
+++ b/include/cassia/base/log.h
@@ -0,0 +1,46 @@
+/// Logs: one line of key=value pairs for each event.
+#pragma once
+
+#include <concepts>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace cassia {
+
+enum class log_level { debug, info, warning, error };
+
+/// Where lines go and which are written. Called once, before the first event.
+/// \param process name that every line carries.
+/// \param file path to append to; standard error if empty.
+/// \returns false if the file can't be opened.
+bool start_logs(const std::string& process, log_level least, const std::string& file);
+
+/// One event, written when the object goes away. Values are quoted where needed.
+class log_event {
+public:
+    log_event(log_level level, std::string_view event);
+    log_event(const log_event&) = delete;
+    log_event& operator=(const log_event&) = delete;
+    ~log_event();
+
+    log_event& with(std::string_view key, std::string_view value);
+    log_event& with(std::string_view key, const char* value) {
+        return with(key, std::string_view(value));
+    }
+    template <std::integral Number>
+    log_event& with(std::string_view key, Number value) {
+        return with(key, std::string_view(std::to_string(value)));
+    }
+
+private:
+    log_level level_;
+    std::string line_;
+};
+
+inline log_event log_debug(std::string_view event) { return {log_level::debug, event}; }
+inline log_event log_info(std::string_view event) { return {log_level::info, event}; }
+inline log_event log_warning(std::string_view event) { return {log_level::warning, event}; }
+inline log_event log_error(std::string_view event) { return {log_level::error, event}; }
+
+} // namespace cassia
--- /dev/null
+++ b/include/cassia/keeper/founding.h
@@ -0,0 +1,46 @@
+/// How keepers form a cluster once, and what a leader changes to replace a member whose disk is
+/// gone. Pure.
+#pragma once
+
+#include "cassia/base/clock.h"
+#include "cassia/consensus/raft_group.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cassia::keeper {
+
+/// What a keeper last said of itself.
+struct keeper_sighting {
+    std::string node;
+    disk_id disk;
+    std::string address;
+    bool empty = false; ///< its disk holds no group
+    instant seen{};
+};
+
+class founding {
+public:
+    /// \param founders nodes that found the cluster, from settings.
+    explicit founding(std::vector<std::string> founders);
+
+    void saw(const keeper_sighting& sighting);
+
+    /// The first members, once every founder has said lately that its disk is empty. A cluster
+    /// never forms from fewer: those missing may hold promises.
+    std::optional<consensus::member_list> first_members(instant now) const;
+
+    /// The next change of one group's members that its leader should propose, or nothing.
+    std::optional<consensus::member_list> next_change(const consensus::raft_group& group,
+                                                      instant now) const;
+
+private:
+    bool is_recent(const keeper_sighting& one, instant now) const;
+
+    std::vector<std::string> founders_;
+    std::map<std::string, keeper_sighting> seen_; ///< by node
+};
+
+} // namespace cassia::keeper
--- /dev/null
+++ b/include/cassia/net/peer_hub.h
@@ -0,0 +1,49 @@
+/// Messages between the system's own processes: ZeroMQ with CURVE, one protobuf envelope a frame.
+/// One-way and unreliable: whoever needs an answer asks again.
+#pragma once
+
+#include "cassia/base/ids.h"
+#include "cassia/net/error.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cassia::schema {
+class envelope;
+}
+
+namespace cassia::net {
+
+class task;
+
+struct peer_hub_settings {
+    std::string name;      ///< of this process, sent with each envelope
+    peer_address address;  ///< where this process is reached
+    std::string secret;    ///< the cluster's CURVE secret key, Z85
+};
+
+class peer_hub {
+public:
+    using handler = std::function<void(schema::envelope&)>;
+
+    peer_hub(task& owner, peer_hub_settings settings, handler on_message);
+    ~peer_hub();
+
+    /// Binds the socket and begins to receive.
+    result<void> open();
+    /// Queues the envelope for a peer; dropped if the peer's queue is full.
+    void send(const peer_address& to, schema::envelope& message);
+    /// Drops the connection to a peer that is no longer wanted.
+    void forget(const peer_address& to);
+
+    struct state;
+
+private:
+    std::unique_ptr<state> state_;
+};
+
+/// A new CURVE secret key, Z85.
+std::string make_cluster_secret();
+
+} // namespace cassia::net
--- /dev/null
+++ b/include/cassia/policy/batch_schedule.h
@@ -0,0 +1,45 @@
+/// Which batch job runs next: fair shares between customers, nearest deadline within one.
+#pragma once
+
+#include "cassia/base/ids.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace cassia::policy {
+
+/// A job with items that could be leased now.
+struct job_candidate {
+    job_id job;
+    customer_id customer;
+    std::uint64_t deadline = 0; ///< Unix ms, 0 for none
+    std::uint64_t created = 0;
+    std::uint32_t waiting = 0; ///< items that could be leased
+};
+
+/// A number of items to lease from a job.
+struct lease_choice {
+    job_id job;
+    std::uint32_t items = 0;
+};
+
+/// Weighted fair queueing by virtual time: each leased item moves its customer's clock on by
+/// 1/weight, and the customer whose clock is furthest back goes next.
+class batch_schedule {
+public:
+    void set_weight(const customer_id& customer, double weight);
+
+    /// Splits up to `limit` items among the candidates and charges the customers for them.
+    std::vector<lease_choice> choose(std::vector<job_candidate> candidates, std::uint32_t limit);
+
+private:
+    double weight_of(const customer_id& customer) const;
+
+    std::map<customer_id, double> weights_;
+    std::map<customer_id, double> clocks_;
+    double now_ = 0; ///< the clock of the customer served last
+};
+
+} // namespace cassia::policy
--- /dev/null
+++ b/include/cassia/settings/catalog.h
@@ -0,0 +1,65 @@
+/// The operators' two lists, checked and ready for look-ups.
+#pragma once
+
+#include "cassia/base/ids.h"
+#include "cassia/settings/error.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cassia::settings {
+
+struct model_allowance {
+    std::set<std::string> versions; ///< empty: any
+    std::set<std::string> adapters; ///< empty: any
+};
+
+struct plan {
+    customer_id customer;
+    double weight = 1;
+    double rate = 0;  ///< online requests a second
+    double burst = 0; ///< requests above the rate at once
+    double share = 1; ///< largest part of the fleet
+    std::uint64_t retention_ms = 0;
+    bool prefers_online_tail = false;
+    std::map<service_id, model_allowance> models;
+    std::set<service_id> services;
+};
+
+struct service_rules {
+    std::set<std::string> repeatable_methods;
+    std::set<std::string> unrepeatable_methods;
+};
+
+/// One accepted version of the two lists. Immutable; tasks share it by pointer.
+class catalog {
+public:
+    std::uint64_t version() const { return version_; }
+    /// The plan that names the key, or null.
+    const plan* find_by_key(const std::string& key) const;
+    const plan* find(const customer_id& customer) const;
+    const std::map<customer_id, plan>& plans() const { return plans_; }
+
+    /// Whether a call of the method may be run twice, where the caller doesn't say.
+    bool is_repeatable(const service_id& service, const std::string& method) const;
+    bool has_service(const service_id& service) const { return services_.count(service) > 0; }
+
+    /// Reads both lists and reports every fault in either.
+    static result<std::shared_ptr<const catalog>> parse(std::uint64_t version,
+                                                        const std::string& plans_name,
+                                                        const std::string& plans,
+                                                        const std::string& allowances_name,
+                                                        const std::string& allowances);
+
+private:
+    std::uint64_t version_ = 0;
+    std::map<customer_id, plan> plans_;
+    std::map<std::string, customer_id> customers_by_key_; ///< by the key's SHA-256
+    std::map<service_id, service_rules> services_;
+};
+
+} // namespace cassia::settings
--- /dev/null
+++ b/lib/keeper/founding.cpp
@@ -0,0 +1,92 @@
+#include "cassia/keeper/founding.h"
+
+#include <algorithm>
+
+namespace cassia::keeper {
+
+namespace {
+constexpr milliseconds sighting_age(3000);
+} // namespace
+
+founding::founding(std::vector<std::string> founders) : founders_(std::move(founders)) {
+    std::sort(founders_.begin(), founders_.end());
+}
+
+void founding::saw(const keeper_sighting& sighting) { seen_[sighting.node] = sighting; }
+
+bool founding::is_recent(const keeper_sighting& one, instant now) const {
+    return now - one.seen < sighting_age;
+}
+
+std::optional<consensus::member_list> founding::first_members(instant now) const {
+    consensus::member_list members;
+    for (const std::string& node : founders_) {
+        auto found = seen_.find(node);
+        if (found == seen_.end() || !found->second.empty || !is_recent(found->second, now))
+            return std::nullopt;
+        members.push_back({found->second.disk, node, found->second.address, true});
+    }
+    return members;
+}
+
+static consensus::member* find_disk(consensus::member_list& members, disk_id disk) {
+    auto found = std::find_if(members.begin(), members.end(),
+                              [disk](const consensus::member& one) { return one.disk == disk; });
+    return found == members.end() ? nullptr : &*found;
+}
+
+static bool has_node(const consensus::member_list& members, const std::string& node) {
+    return std::any_of(members.begin(), members.end(),
+                       [&node](const consensus::member& one) { return one.node == node; });
+}
+
+// A disk that was wiped comes back under a new identity: it has lost its promises, so it may not
+// act as the old member. It joins as a learner, is promoted once it holds all that is committed,
+// and only then the old identity goes. Counting an empty disk towards a quorum would let an
+// acknowledged record be forgotten when a second VM is lost just after.
+std::optional<consensus::member_list> founding::next_change(const consensus::raft_group& group,
+                                                            instant now) const {
+    consensus::member_list members = group.log().members();
+    for (const std::pair<const std::string, keeper_sighting>& one : seen_) {
+        const keeper_sighting& sighting = one.second;
+        if (!is_recent(sighting, now) || find_disk(members, sighting.disk) != nullptr)
+            continue;
+        const bool idle_voter = std::any_of(members.begin(), members.end(),
+                                            [&group, now](const consensus::member& member) {
+                                                return member.voter &&
+                                                       member.disk != group.self() &&
+                                                       !group.is_active(member.disk, now);
+                                            });
+        const bool replaces_itself = has_node(members, sighting.node);
+        if (!replaces_itself && !idle_voter)
+            continue;
+        members.push_back({sighting.disk, sighting.node, sighting.address, false});
+        return members;
+    }
+    for (consensus::member& one : members) {
+        if (one.voter || !group.is_active(one.disk, now) || !group.caught_up(one.disk))
+            continue;
+        one.voter = true;
+        return members;
+    }
+    for (auto one = members.begin(); one != members.end(); ++one) {
+        const bool silent = one->disk != group.self() && !group.is_active(one->disk, now);
+        const bool superseded = std::any_of(
+            members.begin(), members.end(), [&one, &group, now](const consensus::member& other) {
+                return other.node == one->node && other.disk != one->disk &&
+                       (other.voter || !one->voter) && group.is_active(other.disk, now);
+            });
+        const bool spare_in_place =
+            one->voter && std::count_if(members.begin(), members.end(),
+                                        [](const consensus::member& other) {
+                                            return other.voter;
+                                        }) > static_cast<std::ptrdiff_t>(founders_.size());
+        if (silent && (superseded || spare_in_place)) {
+            members.erase(one);
+            return members;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace cassia::keeper
--- /dev/null
+++ b/lib/keeper/service_requests.cpp
@@ -0,0 +1,324 @@
+// A keeper's conversations with entries and other keepers.
+
+#include "cassia/keeper/service.h"
+
+#include "cassia/base/log.h"
+#include "cassia/settings/catalog.h"
+
+#include <boost/json.hpp>
+
+#include <utility>
+
+namespace cassia::keeper {
+
+namespace {
+constexpr group_id control_group(0);
+constexpr milliseconds entry_forgotten_after(60000);
+constexpr milliseconds entry_alive(3000);
+} // namespace
+
+void service::on_message(schema::envelope& message) {
+    const instant now = monotonic_now();
+    switch (message.body_case()) {
+    case schema::envelope::kRaft:
+        for (const schema::raft_message& one : message.raft().messages()) {
+            auto host = hosts_.find(group_id(one.group()));
+            if (host != hosts_.end())
+                host->second->receive(one, now);
+        }
+        schedule_pump();
+        break;
+    case schema::envelope::kRequest:
+        on_request(message.request(), message.reply_to());
+        break;
+    case schema::envelope::kHello:
+        on_entry_hello(message.hello());
+        break;
+    case schema::envelope::kKeeper:
+        on_keeper_hello(message.keeper(), message.reply_to());
+        break;
+    default:
+        break;
+    }
+}
+
+std::string service::leader_node(const group_host& host) const {
+    for (const consensus::member& member : host.raft().log().members()) {
+        if (member.disk == host.raft().leader())
+            return member.node;
+    }
+    return "";
+}
+
+void service::on_request(const schema::keeper_request& request, const std::string& reply_to) {
+    const group_id group(request.group());
+    auto host = hosts_.find(group);
+    if (host == hosts_.end())
+        return;
+    const std::uint64_t id = request.id();
+    const group_host::reply_function reply = [this, id, group,
+                                              reply_to](schema::keeper_reply answer) {
+        answer.set_id(id);
+        answer.set_group(static_cast<std::uint32_t>(group.value()));
+        if (answer.result() != schema::keeper_reply::done)
+            answer.set_leader(leader_node(*hosts_.at(group)));
+        schema::envelope envelope;
+        *envelope.mutable_reply() = std::move(answer);
+        hub_->send(peer_address(reply_to), envelope);
+    };
+    const instant now = monotonic_now();
+    metrics_.count("requests");
+    // An answer from the state counts only while no other member can lead, and proposals are left
+    // to the leader; the lease covers both.
+    if (!host->second->raft().leads() || !host->second->raft().may_read(now)) {
+        schema::keeper_reply refused;
+        refused.set_result(host->second->raft().leads() ? schema::keeper_reply::unavailable
+                                                        : schema::keeper_reply::not_leader);
+        reply(std::move(refused));
+        return;
+    }
+    switch (request.request_case()) {
+    case schema::keeper_request::kControl:
+        host->second->propose(request.control().SerializeAsString(), reply, now);
+        break;
+    case schema::keeper_request::kHistory:
+        serve_history(request, reply);
+        break;
+    default:
+        serve_work(request, reply);
+        break;
+    }
+}
+
+void service::serve_history(const schema::keeper_request&, group_host::reply_function reply) {
+    schema::keeper_reply answer;
+    for (const schema::change_record& change : control_.history()) {
+        schema::change_record* listed = answer.add_history();
+        listed->set_version(change.version());
+        listed->set_change_id(change.change_id());
+        listed->set_at(change.at());
+        listed->set_digest(change.digest());
+    }
+    if (answer.history_size() > 0) {
+        schema::change_record* newest = answer.mutable_history(answer.history_size() - 1);
+        newest->set_plans(control_.current()->plans());
+        newest->set_allowances(control_.current()->allowances());
+    }
+    reply(std::move(answer));
+}
+
+void service::serve_work(const schema::keeper_request& request, group_host::reply_function reply) {
+    const group_id id(request.group());
+    auto group = work_.find(id);
+    if (group == work_.end())
+        return;
+    const instant now = monotonic_now();
+    const state::work_state::record_reader read = [this](const storage::position& at) {
+        return store_.read_command(at);
+    };
+    switch (request.request_case()) {
+    case schema::keeper_request::kWork:
+        if (request.work().has_cancel())
+            group->second.leader->cancel(request.work(), std::move(reply), now);
+        else if (request.work().has_claim())
+            propose_claim(request.work(), id, std::move(reply));
+        else
+            hosts_.at(id)->propose(request.work().SerializeAsString(), std::move(reply), now);
+        break;
+    case schema::keeper_request::kQuery: {
+        schema::keeper_reply answer;
+        *answer.mutable_work() = group->second.state.query(request.query(), read);
+        reply(std::move(answer));
+        break;
+    }
+    case schema::keeper_request::kLease:
+        group->second.leader->lease(request.lease(), std::move(reply));
+        break;
+    case schema::keeper_request::kHeld:
+        group->second.leader->reconcile(request.held(), now);
+        break;
+    default:
+        break;
+    }
+}
+
+void service::propose_claim(const schema::work_command& command, group_id group,
+                            group_host::reply_function reply) {
+    const std::string customer = command.claim().customer();
+    const std::string key = command.claim().key();
+    hosts_.at(group)->propose(
+        command.SerializeAsString(),
+        [this, group, customer, key, reply](schema::keeper_reply answer) {
+            if (answer.work().result() == schema::work_reply::replay) {
+                const state::result<void> filled = work_.at(group).state.fill_answer(
+                    *answer.mutable_work(), customer, key,
+                    [this](const storage::position& at) { return store_.read_command(at); });
+                if (!filled)
+                    answer.set_result(schema::keeper_reply::unavailable);
+            }
+            reply(std::move(answer));
+        },
+        monotonic_now());
+}
+
+void service::on_entry_hello(const schema::entry_hello& hello) {
+    const instant now = monotonic_now();
+    known_entry& entry = entries_[hello.entry()];
+    if (hello.incarnation() < entry.hello.incarnation())
+        return;
+    entry.hello = hello;
+    entry.seen = now;
+    const std::string holder = hello.entry() + "/" + std::to_string(hello.incarnation());
+    for (std::pair<const group_id, work_group>& group : work_) {
+        if (hosts_.at(group.first)->raft().leads())
+            group.second.leader->holder_seen(holder, now);
+    }
+    send_beacon(entry);
+    for (auto one = entries_.begin(); one != entries_.end();)
+        one = now - one->second.seen > entry_forgotten_after ? entries_.erase(one) : std::next(one);
+}
+
+void service::send_beacon(const known_entry& entry) {
+    const instant now = monotonic_now();
+    schema::envelope envelope;
+    schema::keeper_beacon* beacon = envelope.mutable_beacon();
+    beacon->set_keeper(settings_.name());
+    beacon->set_sent_at_us(entry.hello.sent_at_us());
+    beacon->set_keeper_clock_us(to_us(now));
+    const consensus::raft_group& control = hosts_.at(control_group)->raft();
+    beacon->set_beacon_term(control.term().value());
+    // The beacon says that a quorum stood behind this leader just now. Without the lease a leader
+    // that is cut off would go on vouching for lists that others have replaced.
+    if (control.may_read(now)) {
+        beacon->set_leads_control(true);
+        beacon->set_beacon(beacon_);
+        beacon->set_config_version(control_.version());
+        if (entry.hello.config_version() < control_.version())
+            *beacon->mutable_config() = *control_.current();
+    }
+    const std::string holder =
+        entry.hello.entry() + "/" + std::to_string(entry.hello.incarnation());
+    for (const std::pair<const group_id, work_group>& group : work_) {
+        if (!hosts_.at(group.first)->raft().may_read(now))
+            continue;
+        beacon->add_leads(static_cast<std::uint32_t>(group.first.value()));
+        for (const state::item_key& key : group.second.state.leases_of(holder)) {
+            auto job = group.second.state.jobs().find(key.first);
+            const bool stopping = job != group.second.state.jobs().end() &&
+                                  job->second.status == state::job_status::cancelling;
+            const int listed = beacon->cancelled_jobs_size();
+            const bool known =
+                listed > 0 && beacon->cancelled_jobs(listed - 1) == key.first.str();
+            if (stopping && !known)
+                beacon->add_cancelled_jobs(key.first.str());
+        }
+    }
+    for (const std::pair<const std::string, known_entry>& one : entries_) {
+        if (now - one.second.seen < entry_alive)
+            *beacon->add_entries() = one.second.hello;
+    }
+    hub_->send(peer_address(entry.hello.peer_address()), envelope);
+}
+
+void service::on_config_applied() {
+    const schema::change_record* current = control_.current();
+    if (current == nullptr)
+        return;
+    settings::result<std::shared_ptr<const settings::catalog>> parsed = settings::catalog::parse(
+        current->version(), "plans", current->plans(), "allowances", current->allowances());
+    if (parsed) {
+        for (std::pair<const group_id, work_group>& group : work_) {
+            for (const std::pair<const customer_id, settings::plan>& plan :
+                 parsed.value()->plans())
+                group.second.leader->set_weight(plan.first, plan.second.weight);
+        }
+    }
+    log_info("config_applied").with("version", current->version());
+    // Pushed at once; the entries' hellos, which name their version, make up for what gets lost.
+    task_.post([this] {
+        for (const std::pair<const std::string, known_entry>& entry : entries_)
+            send_beacon(entry.second);
+    });
+}
+
+void service::on_job_cancelled(const job_id&) {
+    task_.post([this] {
+        for (const std::pair<const std::string, known_entry>& entry : entries_)
+            send_beacon(entry.second);
+    });
+}
+
+void service::send_keeper_hello(const peer_address& to, bool reply) {
+    schema::envelope envelope;
+    schema::keeper_hello* hello = envelope.mutable_keeper();
+    hello->set_node(settings_.name());
+    hello->set_disk(recovered_.disk.value());
+    hello->set_address(settings_.peer_address());
+    hello->set_empty(!hosts_.at(control_group)->founded());
+    hello->set_reply(reply);
+    if (hosts_.at(control_group)->founded())
+        *hello->mutable_founders() = consensus::members_to_proto(founders_);
+    hub_->send(to, envelope);
+}
+
+void service::on_keeper_hello(const schema::keeper_hello& hello, const std::string&) {
+    founding_.saw({hello.node(), disk_id(hello.disk()), hello.address(), hello.empty(),
+                   monotonic_now()});
+    // A founder that missed the moment learns here what the others decided.
+    const bool founded = hosts_.at(control_group)->founded();
+    if (!founded && hello.founders().members_size() > 0)
+        founders_ = consensus::members_from_proto(hello.founders());
+}
+
+std::string service::dump() const {
+    const instant now = monotonic_now();
+    boost::json::object out;
+    out["keeper"] = settings_.name();
+    out["zone"] = settings_.zone();
+    out["disk"] = recovered_.disk.value();
+    out["config_version"] = control_.version();
+    out["beacon"] = beacon_;
+    out["log_bytes"] = store_.log().bytes_on_disk();
+    boost::json::array groups;
+    for (const std::pair<const group_id, std::unique_ptr<group_host>>& host : hosts_) {
+        const consensus::raft_group& raft = host.second->raft();
+        boost::json::object group;
+        group["group"] = host.first.value();
+        group["leads"] = raft.leads();
+        group["may_read"] = raft.may_read(now);
+        group["leader"] = leader_node(*host.second);
+        group["term"] = raft.term().value();
+        group["commit"] = raft.commit_index();
+        group["applied"] = raft.applied_index();
+        group["log_base"] = raft.log().base_index();
+        boost::json::array members;
+        for (const consensus::member& member : raft.log().members())
+            members.push_back({{"node", member.node},
+                               {"disk", member.disk.value()},
+                               {"voter", member.voter},
+                               {"active", member.disk == raft.self() ||
+                                              raft.is_active(member.disk, now)}});
+        group["members"] = std::move(members);
+        auto work = work_.find(host.first);
+        if (work != work_.end()) {
+            group["jobs"] = work->second.state.jobs().size();
+            group["keys"] = work->second.state.key_count();
+            boost::json::array holders;
+            for (const std::string& holder : work->second.state.holders())
+                holders.push_back(boost::json::string(holder));
+            group["holders"] = std::move(holders);
+        }
+        groups.push_back(std::move(group));
+    }
+    out["groups"] = std::move(groups);
+    boost::json::array entries;
+    for (const std::pair<const std::string, known_entry>& entry : entries_)
+        entries.push_back({{"entry", entry.first},
+                           {"incarnation", entry.second.hello.incarnation()},
+                           {"config_version", entry.second.hello.config_version()},
+                           {"silent_ms", (now - entry.second.seen).count() / 1000}});
+    out["entries"] = std::move(entries);
+    return boost::json::serialize(out);
+}
+
+} // namespace cassia::keeper
--- /dev/null
+++ b/lib/net/peer_hub.cpp
@@ -0,0 +1,261 @@
+#include "cassia/net/peer_hub.h"
+
+#include "cassia/base/log.h"
+#include "cassia/net/task.h"
+#include "cassia/schema/messages.pb.h"
+
+#include <glib.h>
+#include <zmq.h>
+
+#include <array>
+#include <cstring>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace cassia::net {
+
+namespace {
+constexpr std::size_t z85_key_chars = 40;
+constexpr std::size_t key_bytes = 32;
+constexpr int queue_messages = 4000;
+constexpr std::int64_t most_message_bytes = 64 * 1024 * 1024;
+// A connection that lost its state on the way stays open at both ends and delivers nothing.
+// Without these heartbeats the messages to that peer vanish for good; with them ZeroMQ closes the
+// connection after the timeout and makes a new one, which works.
+constexpr int heartbeat_interval_ms = 400;
+constexpr int heartbeat_timeout_ms = 1200;
+constexpr int most_frames_at_once = 256;
+
+using key_text = std::array<char, z85_key_chars + 1>;
+
+struct socket_source {
+    GSource source;
+    void* socket;
+    std::function<void()>* on_ready;
+};
+} // namespace
+
+struct peer_hub::state {
+    task* owner = nullptr;
+    peer_hub_settings settings;
+    handler on_message;
+    key_text public_key{};
+    void* context = nullptr;
+    void* router = nullptr;
+    void* authenticator = nullptr;
+    std::map<peer_address, void*> peers;
+    std::vector<GSource*> sources;
+    std::function<void()> read_router;
+    std::function<void()> read_authenticator;
+};
+
+// ZeroMQ's file descriptor signals changes only, so readiness is asked of the socket itself
+// before and after each poll.
+static bool is_readable(void* socket) {
+    int events = 0;
+    std::size_t size = sizeof events;
+    zmq_getsockopt(socket, ZMQ_EVENTS, &events, &size);
+    return (static_cast<unsigned>(events) & static_cast<unsigned>(ZMQ_POLLIN)) != 0;
+}
+
+static int prepare_source(GSource* source, int* timeout) {
+    *timeout = -1;
+    return is_readable(reinterpret_cast<socket_source*>(source)->socket) ? TRUE : FALSE;
+}
+
+static int check_source(GSource* source) {
+    return is_readable(reinterpret_cast<socket_source*>(source)->socket) ? TRUE : FALSE;
+}
+
+static int dispatch_source(GSource* source, GSourceFunc, void*) {
+    (*reinterpret_cast<socket_source*>(source)->on_ready)();
+    return G_SOURCE_CONTINUE;
+}
+
+static GSourceFuncs source_functions = {prepare_source, check_source, dispatch_source,
+                                        nullptr,        nullptr,      nullptr};
+
+static GSource* watch_socket(task& owner, void* socket, std::function<void()>* on_ready) {
+    GSource* source = g_source_new(&source_functions, sizeof(socket_source));
+    reinterpret_cast<socket_source*>(source)->socket = socket;
+    reinterpret_cast<socket_source*>(source)->on_ready = on_ready;
+    int descriptor = -1;
+    std::size_t size = sizeof descriptor;
+    zmq_getsockopt(socket, ZMQ_FD, &descriptor, &size);
+    g_source_add_unix_fd(source, descriptor, G_IO_IN);
+    g_source_attach(source, owner.context());
+    return source;
+}
+
+static bool receive_frame(void* socket, std::string& frame) {
+    zmq_msg_t message;
+    zmq_msg_init(&message);
+    const bool received = zmq_msg_recv(&message, socket, ZMQ_DONTWAIT) >= 0;
+    if (received)
+        frame.assign(static_cast<const char*>(zmq_msg_data(&message)), zmq_msg_size(&message));
+    zmq_msg_close(&message);
+    return received;
+}
+
+static bool has_more(void* socket) {
+    int more = 0;
+    std::size_t size = sizeof more;
+    zmq_getsockopt(socket, ZMQ_RCVMORE, &more, &size);
+    return more != 0;
+}
+
+static bool receive_frames(void* socket, std::vector<std::string>& frames) {
+    frames.clear();
+    std::string frame;
+    if (!receive_frame(socket, frame))
+        return false;
+    frames.push_back(std::move(frame));
+    while (has_more(socket) && receive_frame(socket, frame))
+        frames.push_back(std::move(frame));
+    return true;
+}
+
+static void set_option(void* socket, int option, int value) {
+    zmq_setsockopt(socket, option, &value, sizeof value);
+}
+
+static void set_common_options(void* socket) {
+    set_option(socket, ZMQ_LINGER, 0);
+    set_option(socket, ZMQ_SNDHWM, queue_messages);
+    set_option(socket, ZMQ_RCVHWM, queue_messages);
+    set_option(socket, ZMQ_HEARTBEAT_IVL, heartbeat_interval_ms);
+    set_option(socket, ZMQ_HEARTBEAT_TIMEOUT, heartbeat_timeout_ms);
+    zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &most_message_bytes, sizeof most_message_bytes);
+}
+
+// CURVE by itself admits whoever knows the server's public key. The authenticator also asks that
+// the client prove possession of the cluster's own key pair.
+static void answer_authentication(peer_hub::state* hub) {
+    constexpr std::size_t credentials_frame = 6;
+    std::vector<std::string> request;
+    while (receive_frames(hub->authenticator, request)) {
+        const std::string version = request.empty() ? std::string() : request[0];
+        const std::string id = request.size() > 1 ? request[1] : std::string();
+        std::array<std::uint8_t, key_bytes> expected{};
+        zmq_z85_decode(expected.data(), hub->public_key.data());
+        const bool known = request.size() > credentials_frame &&
+                           request[credentials_frame].size() == key_bytes &&
+                           std::memcmp(request[credentials_frame].data(), expected.data(),
+                                       key_bytes) == 0;
+        if (!known)
+            log_warning("peer_refused").with("reason", "unknown key");
+        const std::array<std::string, 6> reply = {
+            version, id, known ? "200" : "400", known ? "OK" : "unknown key", "", ""};
+        for (std::size_t i = 0; i < reply.size(); ++i) {
+            const int flags = i + 1 < reply.size() ? ZMQ_SNDMORE : 0;
+            zmq_send(hub->authenticator, reply[i].data(), reply[i].size(), flags);
+        }
+    }
+}
+
+static void receive_messages(peer_hub::state* hub) {
+    std::vector<std::string> frames;
+    for (int i = 0; i < most_frames_at_once && receive_frames(hub->router, frames); ++i) {
+        schema::envelope message;
+        constexpr std::size_t identity_and_body = 2;
+        if (frames.size() != identity_and_body || !message.ParseFromString(frames[1]) ||
+            message.body_case() == schema::envelope::BODY_NOT_SET) {
+            log_warning("frame_refused").with("bytes", frames.back().size());
+            continue;
+        }
+        hub->on_message(message);
+    }
+}
+
+peer_hub::peer_hub(task& owner, peer_hub_settings settings, handler on_message)
+    : state_(std::make_unique<state>()) {
+    state_->owner = &owner;
+    state_->settings = std::move(settings);
+    state_->on_message = std::move(on_message);
+    state_->context = zmq_ctx_new();
+    state* hub = state_.get();
+    state_->read_router = [hub] { receive_messages(hub); };
+    state_->read_authenticator = [hub] { answer_authentication(hub); };
+}
+
+peer_hub::~peer_hub() {
+    for (GSource* source : state_->sources) {
+        g_source_destroy(source);
+        g_source_unref(source);
+    }
+    for (const std::pair<const peer_address, void*>& peer : state_->peers)
+        zmq_close(peer.second);
+    if (state_->router != nullptr)
+        zmq_close(state_->router);
+    if (state_->authenticator != nullptr)
+        zmq_close(state_->authenticator);
+    zmq_ctx_term(state_->context);
+}
+
+result<void> peer_hub::open() {
+    const std::string& secret = state_->settings.secret;
+    if (secret.size() != z85_key_chars ||
+        zmq_curve_public(state_->public_key.data(), secret.c_str()) != 0)
+        return failure(error{errc::bad_secret, "the cluster secret is no CURVE secret key"});
+    state_->authenticator = zmq_socket(state_->context, ZMQ_REP);
+    set_option(state_->authenticator, ZMQ_LINGER, 0);
+    zmq_bind(state_->authenticator, "inproc://zeromq.zap.01");
+    state_->router = zmq_socket(state_->context, ZMQ_ROUTER);
+    set_common_options(state_->router);
+    set_option(state_->router, ZMQ_ROUTER_HANDOVER, 1);
+    set_option(state_->router, ZMQ_CURVE_SERVER, 1);
+    zmq_setsockopt(state_->router, ZMQ_CURVE_SECRETKEY, secret.c_str(), z85_key_chars + 1);
+    zmq_setsockopt(state_->router, ZMQ_ZAP_DOMAIN, "cassia", std::strlen("cassia"));
+    const std::string where = "tcp://" + state_->settings.address.str();
+    if (zmq_bind(state_->router, where.c_str()) != 0)
+        return failure(error{errc::cannot_listen, "cannot listen on " +
+                                                      state_->settings.address.str() + ": " +
+                                                      zmq_strerror(zmq_errno())});
+    state_->sources.push_back(
+        watch_socket(*state_->owner, state_->authenticator, &state_->read_authenticator));
+    state_->sources.push_back(watch_socket(*state_->owner, state_->router, &state_->read_router));
+    return success();
+}
+
+static void* connect_peer(peer_hub::state* hub, const peer_address& to) {
+    void* socket = zmq_socket(hub->context, ZMQ_DEALER);
+    set_common_options(socket);
+    const std::string& secret = hub->settings.secret;
+    zmq_setsockopt(socket, ZMQ_CURVE_SERVERKEY, hub->public_key.data(), z85_key_chars + 1);
+    zmq_setsockopt(socket, ZMQ_CURVE_PUBLICKEY, hub->public_key.data(), z85_key_chars + 1);
+    zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, secret.c_str(), z85_key_chars + 1);
+    constexpr int longest_reconnect_ms = 1000;
+    set_option(socket, ZMQ_RECONNECT_IVL_MAX, longest_reconnect_ms);
+    zmq_connect(socket, ("tcp://" + to.str()).c_str());
+    return socket;
+}
+
+void peer_hub::send(const peer_address& to, schema::envelope& message) {
+    auto found = state_->peers.find(to);
+    if (found == state_->peers.end())
+        found = state_->peers.emplace(to, connect_peer(state_.get(), to)).first;
+    message.set_from(state_->settings.name);
+    message.set_reply_to(state_->settings.address.str());
+    std::string bytes;
+    message.SerializeToString(&bytes);
+    if (zmq_send(found->second, bytes.data(), bytes.size(), ZMQ_DONTWAIT) < 0)
+        log_debug("message_dropped").with("to", to.str());
+}
+
+void peer_hub::forget(const peer_address& to) {
+    auto found = state_->peers.find(to);
+    if (found == state_->peers.end())
+        return;
+    zmq_close(found->second);
+    state_->peers.erase(found);
+}
+
+std::string make_cluster_secret() {
+    key_text public_key{};
+    key_text secret_key{};
+    zmq_curve_keypair(public_key.data(), secret_key.data());
+    return secret_key.data();
+}
+
+} // namespace cassia::net
--- /dev/null
+++ b/lib/policy/batch_schedule.cpp
@@ -0,0 +1,69 @@
+#include "cassia/policy/batch_schedule.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace cassia::policy {
+
+namespace {
+// Customers take turns in runs of this many items, so that a lease reads neighbouring bodies.
+constexpr std::uint32_t items_per_turn = 8;
+} // namespace
+
+void batch_schedule::set_weight(const customer_id& customer, double weight) {
+    weights_[customer] = weight;
+}
+
+double batch_schedule::weight_of(const customer_id& customer) const {
+    auto found = weights_.find(customer);
+    return found == weights_.end() ? 1.0 : found->second;
+}
+
+static bool is_more_urgent(const job_candidate& a, const job_candidate& b) {
+    const std::uint64_t never = UINT64_MAX;
+    return std::make_tuple(a.deadline == 0 ? never : a.deadline, a.created, a.job) <
+           std::make_tuple(b.deadline == 0 ? never : b.deadline, b.created, b.job);
+}
+
+std::vector<lease_choice> batch_schedule::choose(std::vector<job_candidate> candidates,
+                                                 std::uint32_t limit) {
+    std::sort(candidates.begin(), candidates.end(), is_more_urgent);
+    std::map<customer_id, std::vector<job_candidate*>> queues;
+    for (job_candidate& candidate : candidates) {
+        if (candidate.waiting > 0)
+            queues[candidate.customer].push_back(&candidate);
+    }
+    // A customer that comes back from a pause starts level with the others: time without work
+    // earns no claim on later work.
+    for (const std::pair<const customer_id, std::vector<job_candidate*>>& queue : queues) {
+        double& clock = clocks_[queue.first];
+        clock = std::max(clock, now_);
+    }
+    std::map<job_id, std::uint32_t> chosen;
+    std::vector<job_id> order;
+    while (limit > 0 && !queues.empty()) {
+        auto next = std::min_element(queues.begin(), queues.end(),
+                                     [this](const auto& a, const auto& b) {
+                                         return clocks_.at(a.first) < clocks_.at(b.first);
+                                     });
+        job_candidate& job = *next->second.front();
+        const std::uint32_t items = std::min({limit, job.waiting, items_per_turn});
+        if (chosen.count(job.job) == 0)
+            order.push_back(job.job);
+        chosen[job.job] += items;
+        job.waiting -= items;
+        limit -= items;
+        now_ = clocks_.at(next->first);
+        clocks_.at(next->first) += items / weight_of(next->first);
+        if (job.waiting == 0)
+            next->second.erase(next->second.begin());
+        if (next->second.empty())
+            queues.erase(next);
+    }
+    std::vector<lease_choice> choices;
+    for (const job_id& job : order)
+        choices.push_back({job, chosen.at(job)});
+    return choices;
+}
+
+} // namespace cassia::policy
--- /dev/null
+++ b/lib/settings/catalog.cpp
@@ -0,0 +1,144 @@
+#include "cassia/settings/catalog.h"
+
+#include "cassia/base/digest.h"
+#include "cassia/schema/settings.pb.h"
+#include "cassia/settings/reader.h"
+
+#include <algorithm>
+
+namespace cassia::settings {
+
+namespace {
+constexpr std::uint64_t ms_per_hour = 3600ULL * 1000;
+constexpr std::size_t sha256_digits = 64;
+} // namespace
+
+const plan* catalog::find_by_key(const std::string& key) const {
+    auto found = customers_by_key_.find(sha256_hex(key));
+    return found == customers_by_key_.end() ? nullptr : find(found->second);
+}
+
+const plan* catalog::find(const customer_id& customer) const {
+    auto found = plans_.find(customer);
+    return found == plans_.end() ? nullptr : &found->second;
+}
+
+bool catalog::is_repeatable(const service_id& service, const std::string& method) const {
+    auto found = services_.find(service);
+    if (found != services_.end()) {
+        if (found->second.unrepeatable_methods.count(method) > 0)
+            return false;
+        if (found->second.repeatable_methods.count(method) > 0)
+            return true;
+    }
+    return method == "GET" || method == "HEAD" || method == "PUT" || method == "DELETE";
+}
+
+static bool is_sha256(const std::string& text) {
+    return text.size() == sha256_digits && std::all_of(text.begin(), text.end(), [](char c) {
+               return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
+           });
+}
+
+static void add_problem(problem_list& problems, const std::string& file, const std::string& key,
+                        const std::string& text) {
+    problems.push_back({file, 0, 0, key, text});
+}
+
+static void read_allowance(const schema::allowance_entry& allowance, plan& out) {
+    out.share = allowance.share();
+    for (const schema::allowed_model& model : allowance.model()) {
+        model_allowance& allowed = out.models[service_id(model.name())];
+        allowed.versions.insert(model.version().begin(), model.version().end());
+        allowed.adapters.insert(model.adapter().begin(), model.adapter().end());
+    }
+    for (const std::string& service : allowance.service())
+        out.services.insert(service_id(service));
+}
+
+static plan make_plan(const schema::plan_entry& entry) {
+    plan made;
+    made.customer = customer_id(entry.name());
+    made.weight = entry.weight();
+    made.rate = entry.rate();
+    made.burst = entry.burst() > 0 ? entry.burst() : std::max(1.0, entry.rate());
+    made.retention_ms = entry.result_retention_hours() * ms_per_hour;
+    made.prefers_online_tail = entry.prefers() == "online_tail";
+    return made;
+}
+
+static std::map<std::string, const schema::allowance_entry*>
+index_allowances(const schema::allowances_list& list, const std::string& file,
+                 problem_list& problems) {
+    std::map<std::string, const schema::allowance_entry*> by_name;
+    for (int i = 0; i < list.allowance_size(); ++i) {
+        const schema::allowance_entry& allowance = list.allowance(i);
+        const std::string key = "allowance[" + std::to_string(i) + "]";
+        if (!by_name.emplace(allowance.name(), &allowance).second)
+            add_problem(problems, file, key + ".name",
+                        "expected a name used once, got '" + allowance.name() + "' again");
+        if (allowance.share() <= 0 || allowance.share() > 1)
+            add_problem(problems, file, key + ".share", "expected a number above 0, at most 1");
+    }
+    return by_name;
+}
+
+result<std::shared_ptr<const catalog>>
+catalog::parse(std::uint64_t version, const std::string& plans_name, const std::string& plans,
+               const std::string& allowances_name, const std::string& allowances) {
+    schema::plans_list plan_list;
+    schema::allowances_list allowance_list;
+    problem_list problems;
+    const result<void> plans_read = read({{plans_name, plans}}, plan_list);
+    if (!plans_read)
+        problems = plans_read.error();
+    const result<void> allowances_read = read({{allowances_name, allowances}}, allowance_list);
+    if (!allowances_read)
+        problems.insert(problems.end(), allowances_read.error().begin(),
+                        allowances_read.error().end());
+    if (!problems.empty())
+        return failure(std::move(problems));
+
+    std::shared_ptr<catalog> made = std::make_shared<catalog>();
+    made->version_ = version;
+    for (const schema::service_entry& service : allowance_list.service()) {
+        service_rules& rules = made->services_[service_id(service.name())];
+        rules.repeatable_methods.insert(service.repeatable_methods().begin(),
+                                        service.repeatable_methods().end());
+        rules.unrepeatable_methods.insert(service.unrepeatable_methods().begin(),
+                                          service.unrepeatable_methods().end());
+    }
+    const std::map<std::string, const schema::allowance_entry*> by_name =
+        index_allowances(allowance_list, allowances_name, problems);
+    for (int i = 0; i < plan_list.plan_size(); ++i) {
+        const schema::plan_entry& entry = plan_list.plan(i);
+        const std::string key = "plan[" + std::to_string(i) + "]";
+        plan one = make_plan(entry);
+        auto allowance = by_name.find(entry.allowance());
+        if (allowance == by_name.end())
+            add_problem(problems, plans_name, key + ".allowance",
+                        "expected a name in " + allowances_name + ", got '" + entry.allowance() +
+                            "'");
+        else
+            read_allowance(*allowance->second, one);
+        if (entry.weight() <= 0)
+            add_problem(problems, plans_name, key + ".weight", "expected a number above 0");
+        for (const std::string& hash : entry.key_sha256()) {
+            if (!is_sha256(hash))
+                add_problem(problems, plans_name, key + ".key_sha256",
+                            "expected 64 lower-case hexadecimal digits");
+            else if (!made->customers_by_key_.emplace(hash, one.customer).second)
+                add_problem(problems, plans_name, key + ".key_sha256",
+                            "expected a key that no other plan names");
+        }
+        const customer_id customer = one.customer;
+        if (!made->plans_.emplace(customer, std::move(one)).second)
+            add_problem(problems, plans_name, key + ".name",
+                        "expected a name used once, got '" + customer.str() + "' again");
+    }
+    if (!problems.empty())
+        return failure(std::move(problems));
+    return std::shared_ptr<const catalog>(std::move(made));
+}
+
+} // namespace cassia::settings
--- /dev/null
+++ b/lib/state/control_state.cpp
@@ -0,0 +1,112 @@
+#include "cassia/state/control_state.h"
+
+#include "cassia/base/digest.h"
+#include "cassia/schema/messages.pb.h"
+
+namespace cassia::state {
+
+namespace {
+// Texts are large and only recent ones are ever sent; the digests of many more are kept, so that
+// an operator who resends a change after days still gets its first answer.
+constexpr std::size_t versions_with_text = 8;
+constexpr std::size_t versions_remembered = 50000;
+} // namespace
+
+control_state::control_state() = default;
+control_state::~control_state() = default;
+control_state::control_state(control_state&&) noexcept = default;
+control_state& control_state::operator=(control_state&&) noexcept = default;
+
+std::uint64_t control_state::version() const {
+    return changes_.empty() ? 0 : changes_.back().version();
+}
+
+const schema::change_record* control_state::current() const {
+    return changes_.empty() ? nullptr : &changes_.back();
+}
+
+static std::string content_digest(const schema::change_command& change) {
+    return sha256_hex(sha256_hex(change.plans()) + sha256_hex(change.allowances()));
+}
+
+schema::control_reply control_state::apply(const schema::control_command& command) {
+    if (command.has_change())
+        return apply_change(command.change());
+    schema::control_reply reply;
+    reply.set_version(version());
+    if (command.has_fence())
+        reply.set_fence(++fence_);
+    return reply;
+}
+
+schema::control_reply control_state::apply_change(const schema::change_command& change) {
+    schema::control_reply reply;
+    const std::string digest = content_digest(change);
+    auto known = versions_by_change_.find(change.change_id());
+    if (known != versions_by_change_.end()) {
+        const std::uint64_t first = changes_.front().version();
+        const schema::change_record& record = changes_[known->second - first];
+        const bool same = record.digest() == digest;
+        reply.set_result(same ? schema::control_reply::replayed
+                              : schema::control_reply::change_id_reused);
+        reply.set_version(record.version());
+        return reply;
+    }
+    if (change.base() != version()) {
+        reply.set_result(schema::control_reply::conflict);
+        reply.set_version(version());
+        const bool in_history = !changes_.empty() && change.base() + 1 >= changes_.front().version() &&
+                                change.base() < version();
+        if (in_history)
+            reply.set_winner(changes_[change.base() + 1 - changes_.front().version()].change_id());
+        return reply;
+    }
+    schema::change_record record;
+    record.set_version(version() + 1);
+    record.set_change_id(change.change_id());
+    record.set_plans(change.plans());
+    record.set_allowances(change.allowances());
+    record.set_at(change.at());
+    record.set_digest(digest);
+    versions_by_change_[change.change_id()] = record.version();
+    changes_.push_back(std::move(record));
+    trim();
+    reply.set_result(schema::control_reply::accepted);
+    reply.set_version(version());
+    return reply;
+}
+
+void control_state::trim() {
+    if (changes_.size() > versions_with_text) {
+        schema::change_record& old = changes_[changes_.size() - versions_with_text - 1];
+        old.clear_plans();
+        old.clear_allowances();
+    }
+    if (changes_.size() > versions_remembered) {
+        versions_by_change_.erase(changes_.front().change_id());
+        changes_.erase(changes_.begin());
+    }
+}
+
+std::string control_state::save() const {
+    schema::control_state_image image;
+    for (const schema::change_record& change : changes_)
+        *image.add_changes() = change;
+    image.set_fence(fence_);
+    return image.SerializeAsString();
+}
+
+result<control_state> control_state::load(const std::string& bytes) {
+    schema::control_state_image image;
+    if (!image.ParseFromString(bytes))
+        return failure(error{errc::bad_image, "unreadable image of the control group"});
+    control_state loaded;
+    for (const schema::change_record& change : image.changes()) {
+        loaded.versions_by_change_[change.change_id()] = change.version();
+        loaded.changes_.push_back(change);
+    }
+    loaded.fence_ = image.fence();
+    return loaded;
+}
+
+} // namespace cassia::state
--- /dev/null
+++ b/lib/state/work_image.cpp
@@ -0,0 +1,168 @@
+// The work group's state as a snapshot.
+
+#include "cassia/schema/messages.pb.h"
+#include "cassia/state/work_state.h"
+
+#include <algorithm>
+
+namespace cassia::state {
+
+static void write_position(const storage::position& place, schema::record_position& out) {
+    out.set_segment(place.segment);
+    out.set_offset(place.offset);
+}
+
+static storage::position read_position(const schema::record_position& in) {
+    return {in.segment(), in.offset()};
+}
+
+static void write_item(const batch_item& item, schema::item_image& out) {
+    out.set_status(item.status);
+    out.set_attempts(item.attempts);
+    out.set_strikes(item.strikes);
+    write_position(item.body, *out.mutable_body());
+    out.set_body_ordinal(item.body_ordinal);
+    if (item.result != storage::position())
+        write_position(item.result, *out.mutable_result());
+    out.set_result_ordinal(item.result_ordinal);
+    out.set_repeatable(item.repeatable);
+    out.set_custom_hash(item.custom_hash);
+    out.set_service(item.service);
+}
+
+static batch_item read_item(const schema::item_image& in) {
+    batch_item item;
+    item.status = static_cast<std::uint8_t>(in.status());
+    item.attempts = static_cast<std::uint16_t>(in.attempts());
+    item.strikes = static_cast<std::uint8_t>(in.strikes());
+    item.body = read_position(in.body());
+    item.body_ordinal = in.body_ordinal();
+    item.result = read_position(in.result());
+    item.result_ordinal = in.result_ordinal();
+    item.repeatable = in.repeatable();
+    item.custom_hash = in.custom_hash();
+    item.service = static_cast<std::uint16_t>(in.service());
+    return item;
+}
+
+std::string work_state::save() const {
+    schema::work_state_image image;
+    std::map<item_key, const std::string*> holders;
+    for (const std::pair<const std::string, std::set<item_key>>& one : leases_) {
+        for (const item_key& key : one.second)
+            holders[key] = &one.first;
+    }
+    for (const std::pair<const job_id, batch_job>& one : jobs_) {
+        const batch_job& job = one.second;
+        schema::job_image* out = image.add_jobs();
+        out->set_job(job.id.str());
+        out->set_customer(job.customer.str());
+        out->set_fingerprint(job.fingerprint);
+        out->set_deadline(job.deadline);
+        out->set_created(job.created);
+        out->set_ended(job.ended);
+        out->set_retention_ms(job.retention_ms);
+        out->set_status(static_cast<std::uint32_t>(job.status));
+        out->set_loaded(job.loaded);
+        for (const std::string& service : job.services)
+            out->add_services(service);
+        for (std::uint32_t i = 0; i < job.items.size(); ++i) {
+            schema::item_image* item = out->add_items();
+            write_item(job.items[i], *item);
+            auto holder = holders.find({job.id, i});
+            if (holder != holders.end())
+                item->set_holder(*holder->second);
+        }
+        // The order of what waits is state too: members must lease alike.
+        for (const std::deque<std::uint32_t>& queue : job.pending) {
+            schema::pending_image* waiting = out->add_pending();
+            for (const std::uint32_t ordinal : queue)
+                waiting->add_ordinals(ordinal);
+        }
+    }
+    for (const std::pair<const key_name, idempotency_key>& one : keys_) {
+        schema::key_image* out = image.add_keys();
+        out->set_customer(one.first.first);
+        out->set_key(one.first.second);
+        out->set_fingerprint(one.second.fingerprint);
+        out->set_holder(one.second.holder);
+        out->set_request(one.second.request);
+        out->set_repeatable(one.second.repeatable);
+        out->set_status(static_cast<std::uint32_t>(one.second.status));
+        out->set_at(one.second.at);
+        out->set_retention_ms(one.second.retention_ms);
+        write_position(one.second.answer, *out->mutable_answer());
+    }
+    return image.SerializeAsString();
+}
+
+static void count_item(batch_job& job, const batch_item& item) {
+    switch (item.status) {
+    case schema::leased:
+        ++job.counts.running;
+        break;
+    case schema::completed:
+        ++job.counts.completed;
+        break;
+    case schema::failed:
+        ++job.counts.failed;
+        break;
+    case schema::unknown:
+        ++job.counts.unknown;
+        break;
+    case schema::cancelled:
+        ++job.counts.cancelled;
+        break;
+    default:
+        break;
+    }
+}
+
+void work_state::load_job(const schema::job_image& in) {
+    batch_job job;
+    job.id = job_id(in.job());
+    job.customer = customer_id(in.customer());
+    job.fingerprint = in.fingerprint();
+    job.deadline = in.deadline();
+    job.created = in.created();
+    job.ended = in.ended();
+    job.retention_ms = in.retention_ms();
+    job.status = static_cast<job_status>(in.status());
+    job.loaded = in.loaded();
+    job.services.assign(in.services().begin(), in.services().end());
+    for (const schema::pending_image& queue : in.pending())
+        job.pending.emplace_back(queue.ordinals().begin(), queue.ordinals().end());
+    job.pending.resize(job.services.size());
+    job.items.reserve(static_cast<std::size_t>(in.items_size()));
+    for (const schema::item_image& one : in.items()) {
+        job.items.push_back(read_item(one));
+        count_item(job, job.items.back());
+        if (!one.holder().empty())
+            leases_[one.holder()].insert(
+                {job.id, static_cast<std::uint32_t>(job.items.size() - 1)});
+    }
+    jobs_[job.id] = std::move(job);
+}
+
+result<work_state> work_state::load(const std::string& bytes) {
+    schema::work_state_image image;
+    if (!image.ParseFromString(bytes))
+        return failure(error{errc::bad_image, "unreadable image of a work group"});
+    work_state loaded;
+    for (const schema::job_image& job : image.jobs())
+        loaded.load_job(job);
+    for (const schema::key_image& in : image.keys()) {
+        idempotency_key& key = loaded.keys_[{in.customer(), in.key()}];
+        key.fingerprint = in.fingerprint();
+        key.holder = in.holder();
+        key.request = in.request();
+        key.repeatable = in.repeatable();
+        key.status = static_cast<key_status>(in.status());
+        key.at = in.at();
+        key.retention_ms = in.retention_ms();
+        key.answer = read_position(in.answer());
+    }
+    return loaded;
+}
+
+} // namespace cassia::state
--- /dev/null
+++ b/lib/state/work_query.cpp
@@ -0,0 +1,153 @@
+// Reading jobs, items and results.
+
+#include "cassia/base/digest.h"
+#include "cassia/schema/messages.pb.h"
+#include "cassia/state/work_state.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace cassia::state {
+
+namespace {
+
+/// Reads commands of the log; neighbouring items mostly share one, so the last is kept.
+class command_cache {
+public:
+    explicit command_cache(const work_state::record_reader& read) : read_(read) {}
+
+    const schema::work_command* at(const storage::position& place) {
+        if (place == place_)
+            return &command_;
+        storage::result<std::string> record = read_(place);
+        if (!record || !command_.ParseFromString(record.value())) {
+            place_ = storage::position();
+            return nullptr;
+        }
+        place_ = place;
+        return &command_;
+    }
+
+private:
+    const work_state::record_reader& read_;
+    storage::position place_;
+    schema::work_command command_;
+};
+
+} // namespace
+
+static const schema::item_body* find_body(const batch_item& item, command_cache& bodies) {
+    const schema::work_command* command = bodies.at(item.body);
+    if (command == nullptr || !command->has_items() ||
+        item.body_ordinal >= static_cast<std::uint32_t>(command->items().items_size()))
+        return nullptr;
+    return &command->items().items(static_cast<int>(item.body_ordinal));
+}
+
+static const schema::item_end* find_end(const batch_item& item, command_cache& results) {
+    if (item.result == storage::position())
+        return nullptr;
+    const schema::work_command* command = results.at(item.result);
+    if (command == nullptr || !command->has_ends() ||
+        item.result_ordinal >= static_cast<std::uint32_t>(command->ends().ends_size()))
+        return nullptr;
+    return &command->ends().ends(static_cast<int>(item.result_ordinal));
+}
+
+static void write_result(const batch_item& item, std::uint32_t ordinal, command_cache& bodies,
+                         command_cache& results, schema::item_result& out) {
+    out.set_ordinal(ordinal);
+    out.set_status(static_cast<schema::item_status>(item.status));
+    out.set_attempts(item.attempts);
+    if (const schema::item_body* body = find_body(item, bodies))
+        out.set_custom_id(body->custom_id());
+    if (const schema::item_end* end = find_end(item, results)) {
+        out.set_http_status(end->http_status());
+        out.set_content_type(end->content_type());
+        out.set_body(end->body());
+    }
+}
+
+static void list_results(const batch_job& job, const schema::work_query& query,
+                         command_cache& bodies, command_cache& results,
+                         schema::work_reply& reply) {
+    // Bounded by bytes too, so that one answer never holds up the group's other work.
+    constexpr std::size_t most_bytes = 4 << 20;
+    std::size_t bytes = 0;
+    std::uint32_t added = 0;
+    for (std::uint32_t i = query.from(); i < job.items.size(); ++i) {
+        const std::uint8_t status = job.items[i].status;
+        if (status == schema::pending || status == schema::leased)
+            continue;
+        if (added >= query.limit() || bytes >= most_bytes)
+            return;
+        schema::item_result* one = reply.add_results();
+        write_result(job.items[i], i, bodies, results, *one);
+        bytes += one->ByteSizeLong();
+        ++added;
+    }
+}
+
+static std::optional<std::uint32_t> find_custom(const batch_job& job, const std::string& custom_id,
+                                                command_cache& bodies) {
+    const std::uint64_t wanted = stable_hash(custom_id);
+    for (std::uint32_t i = 0; i < job.items.size(); ++i) {
+        if (job.items[i].custom_hash != wanted)
+            continue;
+        const schema::item_body* body = find_body(job.items[i], bodies);
+        if (body != nullptr && body->custom_id() == custom_id)
+            return i;
+    }
+    return std::nullopt;
+}
+
+schema::work_reply work_state::query(const schema::work_query& query,
+                                     const record_reader& read) const {
+    schema::work_reply reply;
+    if (query.kind() == schema::work_query::jobs_of_customer) {
+        for (const std::pair<const job_id, batch_job>& one : jobs_) {
+            const bool own = one.second.customer.str() == query.customer();
+            if (own && one.second.status != job_status::loading)
+                write_view(one.second, *reply.add_jobs());
+        }
+        return reply;
+    }
+    auto found = jobs_.find(job_id(query.job()));
+    const bool visible = found != jobs_.end() && found->second.status != job_status::loading &&
+                         found->second.customer.str() == query.customer();
+    if (!visible) {
+        reply.set_result(schema::work_reply::missing);
+        return reply;
+    }
+    const batch_job& job = found->second;
+    write_view(job, *reply.mutable_job());
+    command_cache bodies(read);
+    command_cache results(read);
+    if (query.kind() == schema::work_query::results)
+        list_results(job, query, bodies, results, reply);
+    if (query.kind() == schema::work_query::one_item) {
+        const std::optional<std::uint32_t> ordinal = find_custom(job, query.custom_id(), bodies);
+        if (!ordinal) {
+            reply.set_result(schema::work_reply::missing);
+            return reply;
+        }
+        write_result(job.items[*ordinal], *ordinal, bodies, results, *reply.add_results());
+    }
+    return reply;
+}
+
+result<void> work_state::fill_leased(schema::work_reply& reply, const record_reader& read) const {
+    command_cache bodies(read);
+    for (schema::leased_item& leased : *reply.mutable_leased()) {
+        auto found = jobs_.find(job_id(leased.job()));
+        if (found == jobs_.end())
+            return failure(error{errc::lost_body, "job " + leased.job()});
+        const schema::item_body* body = find_body(found->second.items[leased.ordinal()], bodies);
+        if (body == nullptr)
+            return failure(error{errc::lost_body, "item of job " + leased.job()});
+        *leased.mutable_item() = *body;
+    }
+    return success();
+}
+
+} // namespace cassia::state
--- /dev/null
+++ b/lib/storage/disk.cpp
@@ -0,0 +1,96 @@
+#include "cassia/storage/disk.h"
+
+#include "cassia/base/file.h"
+
+#include <fcntl.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+
+namespace cassia::storage {
+
+static int write_all_at(int file, std::string_view bytes, std::uint64_t offset) {
+    std::size_t done = 0;
+    while (done < bytes.size()) {
+        const ssize_t count = pwrite(file, bytes.data() + done, bytes.size() - done,
+                                     static_cast<off_t>(offset + done));
+        if (count < 0 && errno == EINTR)
+            continue;
+        if (count < 0)
+            return errno;
+        done += static_cast<std::size_t>(count);
+    }
+    return 0;
+}
+
+static int sync_file(int file) { return fdatasync(file) == 0 ? 0 : errno; }
+
+disk_hooks system_disk() { return {write_all_at, sync_file}; }
+
+static error write_error(const std::string& path, int number) {
+    return {errc::cannot_write, path + ": " + std::strerror(number)};
+}
+
+static result<void> sync_folder(const disk_hooks& disk, const std::string& folder) {
+    const int descriptor = open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (descriptor < 0)
+        return failure(write_error(folder, errno));
+    const int problem = disk.sync(descriptor);
+    close(descriptor);
+    if (problem != 0)
+        return failure(write_error(folder, problem));
+    return success();
+}
+
+result<void> write_file(const disk_hooks& disk, const std::string& folder, const std::string& name,
+                        std::string_view content) {
+    const std::string path = folder + "/" + name;
+    const std::string temporary = path + ".tmp";
+    const int descriptor = open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+    if (descriptor < 0)
+        return failure(write_error(temporary, errno));
+    int problem = disk.write_at(descriptor, content, 0);
+    if (problem == 0)
+        problem = disk.sync(descriptor);
+    close(descriptor);
+    if (problem != 0)
+        return failure(write_error(temporary, problem));
+    if (g_rename(temporary.c_str(), path.c_str()) != 0)
+        return failure(write_error(path, errno));
+    return sync_folder(disk, folder);
+}
+
+result<std::string> read_file(const std::string& path) {
+    outcome<std::string, file_error> content = read_text_file(path);
+    if (content)
+        return std::move(content.value());
+    const errc code = content.error().code == file_errc::missing ? errc::missing : errc::cannot_read;
+    return failure(error{code, content.error().text});
+}
+
+result<void> make_folder(const std::string& folder) {
+    constexpr int owner_only = 0700;
+    if (g_mkdir_with_parents(folder.c_str(), owner_only) != 0)
+        return failure(error{errc::cannot_open, folder + ": " + std::strerror(errno)});
+    return success();
+}
+
+std::vector<std::string> list_files(const std::string& folder, std::string_view prefix) {
+    std::vector<std::string> names;
+    GDir* directory = g_dir_open(folder.c_str(), 0, nullptr);
+    if (directory == nullptr)
+        return names;
+    while (const char* name = g_dir_read_name(directory)) {
+        if (std::string_view(name).substr(0, prefix.size()) == prefix)
+            names.emplace_back(name);
+    }
+    g_dir_close(directory);
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
+} // namespace cassia::storage
--- /dev/null
+++ b/lib/storage/write_ahead_log.cpp
@@ -0,0 +1,237 @@
+#include "cassia/storage/write_ahead_log.h"
+
+#include "cassia/base/log.h"
+#include "cassia/storage/record.h"
+
+#include <fcntl.h>
+#include <glib/gstdio.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <optional>
+#include <utility>
+
+namespace cassia::storage {
+
+namespace {
+constexpr std::string_view segment_prefix = "log-";
+constexpr std::size_t most_open_readers = 64;
+} // namespace
+
+write_ahead_log::write_ahead_log(std::string folder, std::uint64_t segment_bytes, disk_hooks disk)
+    : folder_(std::move(folder)), segment_bytes_(segment_bytes), disk_(std::move(disk)) {
+    next_.segment = 1;
+}
+
+write_ahead_log::~write_ahead_log() {
+    for (const std::pair<const std::uint32_t, int>& reader : readers_)
+        close(reader.second);
+    if (writer_ >= 0)
+        close(writer_);
+}
+
+std::string write_ahead_log::segment_path(std::uint32_t segment) const {
+    char name[32];
+    std::snprintf(name, sizeof name, "log-%08u", segment);
+    return folder_ + "/" + name;
+}
+
+static std::vector<std::uint32_t> segment_numbers(const std::string& folder) {
+    std::vector<std::uint32_t> numbers;
+    for (const std::string& name : list_files(folder, segment_prefix)) {
+        const char* digits = name.c_str() + segment_prefix.size();
+        numbers.push_back(static_cast<std::uint32_t>(std::strtoul(digits, nullptr, 10)));
+    }
+    return numbers;
+}
+
+result<void> write_ahead_log::recover(std::uint32_t first_segment,
+                                      const record_handler& on_record) {
+    const std::vector<std::uint32_t> numbers = segment_numbers(folder_);
+    std::uint32_t expected = 0;
+    next_.segment = std::max(first_segment, next_.segment);
+    for (const std::uint32_t number : numbers) {
+        if (number < first_segment)
+            continue;
+        if (expected != 0 && number != expected)
+            return failure(error{errc::corrupt, "missing " + segment_path(expected)});
+        expected = number + 1;
+        result<void> recovered =
+            recover_segment(number, number == numbers.back(), on_record);
+        if (!recovered)
+            return recovered;
+    }
+    return success();
+}
+
+// Tells a torn tail from damage. The next batch is only written once the one before is synced, so
+// a whole frame of a later batch behind the bad one proves that the bad one had been synced: it
+// was acknowledged, and cutting it would break a promise. Without such a frame the bad one belongs
+// to the last batch, which was never acknowledged.
+static bool was_synced(std::string_view behind, std::uint64_t last_batch) {
+    const std::optional<record_frame> frame = find_frame(behind);
+    if (!frame)
+        return false;
+    if (frame->batch > last_batch + 1)
+        return true;
+    return frame->batch == last_batch + 1 && frame->first_of_batch;
+}
+
+result<void> write_ahead_log::recover_segment(std::uint32_t segment, bool last,
+                                              const record_handler& on_record) {
+    result<std::string> content = read_file(segment_path(segment));
+    if (!content)
+        return failure(content.error());
+    const std::string_view bytes = content.value();
+    std::uint64_t offset = 0;
+    std::uint64_t last_batch = batch_number_ - 1;
+    while (offset < bytes.size()) {
+        const std::optional<record_frame> frame = read_frame(bytes.substr(offset));
+        if (!frame)
+            break;
+        on_record(position{segment, offset}, frame->payload);
+        offset += frame->frame_bytes;
+        last_batch = frame->batch;
+    }
+    batch_number_ = last_batch + 1;
+    next_.segment = segment;
+    next_.offset = offset;
+    if (offset == bytes.size())
+        return success();
+    if (!last || was_synced(bytes.substr(offset + 1), last_batch))
+        return failure(error{errc::corrupt, segment_path(segment) + ": damaged record at offset " +
+                                                std::to_string(offset)});
+    log_warning("torn_tail_cut")
+        .with("file", segment_path(segment))
+        .with("offset", offset)
+        .with("bytes", bytes.size() - offset);
+    return cut_tail(segment, offset);
+}
+
+result<void> write_ahead_log::cut_tail(std::uint32_t segment, std::uint64_t size) {
+    const std::string path = segment_path(segment);
+    const int file = open(path.c_str(), O_WRONLY | O_CLOEXEC);
+    const bool cut = file >= 0 && ftruncate(file, static_cast<off_t>(size)) == 0 &&
+                     disk_.sync(file) == 0;
+    const int problem = errno;
+    if (file >= 0)
+        close(file);
+    if (!cut)
+        return failure(error{errc::cannot_write, path + ": " + std::strerror(problem)});
+    return success();
+}
+
+position write_ahead_log::append(std::string_view payload) {
+    // A segment is closed between batches only, so that one sync covers each batch.
+    if (next_.bytes.empty() && next_.offset >= segment_bytes_) {
+        ++next_.segment;
+        next_.offset = 0;
+    }
+    const position at{next_.segment, next_.offset + next_.bytes.size()};
+    append_frame(next_.bytes, payload, batch_number_, next_.bytes.empty());
+    return at;
+}
+
+log_batch write_ahead_log::take_batch() {
+    log_batch batch = std::move(next_);
+    next_.segment = batch.segment;
+    next_.offset = batch.offset + batch.bytes.size();
+    next_.bytes.clear();
+    ++batch_number_;
+    return batch;
+}
+
+result<void> write_ahead_log::write(const log_batch& batch) {
+    const std::string path = segment_path(batch.segment);
+    if (writer_ < 0 || writer_segment_ != batch.segment) {
+        if (writer_ >= 0)
+            close(writer_);
+        writer_ = open(path.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, 0600);
+        if (writer_ < 0)
+            return failure(error{errc::cannot_write, path + ": " + std::strerror(errno)});
+        writer_segment_ = batch.segment;
+        // The file's name must be as durable as its content.
+        const int folder = open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+        const int problem = folder < 0 ? errno : disk_.sync(folder);
+        if (folder >= 0)
+            close(folder);
+        if (problem != 0)
+            return failure(error{errc::cannot_write, folder_ + ": " + std::strerror(problem)});
+    }
+    int problem = disk_.write_at(writer_, batch.bytes, batch.offset);
+    if (problem == 0)
+        problem = disk_.sync(writer_);
+    if (problem != 0)
+        return failure(error{errc::cannot_write, path + ": " + std::strerror(problem)});
+    return success();
+}
+
+result<std::string> write_ahead_log::read(const position& at) {
+    auto found = readers_.find(at.segment);
+    if (found == readers_.end()) {
+        if (readers_.size() >= most_open_readers) {
+            close(readers_.begin()->second);
+            readers_.erase(readers_.begin());
+        }
+        const int file = open(segment_path(at.segment).c_str(), O_RDONLY | O_CLOEXEC);
+        if (file < 0)
+            return failure(error{errc::missing, segment_path(at.segment) + ": " +
+                                                    std::strerror(errno)});
+        found = readers_.emplace(at.segment, file).first;
+    }
+    // Most records are small: one read fetches the header and the payload of nearly all.
+    constexpr std::size_t first_read = 16384;
+    std::string bytes(first_read, '\0');
+    const ssize_t got = pread(found->second, bytes.data(), bytes.size(),
+                              static_cast<off_t>(at.offset));
+    if (got < static_cast<ssize_t>(frame_header_bytes))
+        return failure(error{errc::corrupt, segment_path(at.segment) + ": no record at offset " +
+                                                std::to_string(at.offset)});
+    bytes.resize(static_cast<std::size_t>(got));
+    std::uint32_t length = 0;
+    std::memcpy(&length, bytes.data() + sizeof length, sizeof length);
+    const std::size_t whole = frame_header_bytes + std::min(length, most_payload_bytes);
+    if (whole > bytes.size() && bytes.size() == first_read) {
+        bytes.resize(whole);
+        const ssize_t rest = pread(found->second, bytes.data() + first_read, whole - first_read,
+                                   static_cast<off_t>(at.offset + first_read));
+        bytes.resize(first_read + static_cast<std::size_t>(std::max<ssize_t>(rest, 0)));
+    }
+    const std::optional<record_frame> frame = read_frame(bytes);
+    if (!frame)
+        return failure(error{errc::corrupt, segment_path(at.segment) +
+                                                ": damaged record at offset " +
+                                                std::to_string(at.offset)});
+    return std::string(frame->payload);
+}
+
+void write_ahead_log::remove_before(std::uint32_t segment) {
+    for (const std::uint32_t number : segment_numbers(folder_)) {
+        if (number >= segment)
+            return;
+        auto reader = readers_.find(number);
+        if (reader != readers_.end()) {
+            close(reader->second);
+            readers_.erase(reader);
+        }
+        g_unlink(segment_path(number).c_str());
+        log_info("segment_removed").with("segment", number);
+    }
+}
+
+std::uint64_t write_ahead_log::bytes_on_disk() const {
+    std::uint64_t total = 0;
+    for (const std::uint32_t number : segment_numbers(folder_)) {
+        struct stat status {};
+        if (stat(segment_path(number).c_str(), &status) == 0)
+            total += static_cast<std::uint64_t>(status.st_size);
+    }
+    return total;
+}
+
+} // namespace cassia::storage
