Add policy, membership and the entry process

Cause: callers need a way to endpoints, and batch items one that gives way to them. Ruled out: slots handed to entries as short leases. One steward entry for each endpoint sends all batch items to it, so no two entries ever count on the same slot and a yield is one message. Change: entry with three tasks (control, front, batch) and the pure decisions under policy/.

--- /dev/null
+++ b/include/cassia/entry/announce_api.h
@@ -0,0 +1,21 @@
+/// Endpoints' announcements: POST /v1/announce.
+#pragma once
+
+#include "cassia/entry/front_task.h"
+
+#include <string>
+
+namespace cassia::entry {
+
+class announce_api {
+public:
+    explicit announce_api(front_context& context) : context_(context) {}
+
+    void serve(exchange_id exchange, const net::http_request& request,
+               const std::string& request_id);
+
+private:
+    front_context& context_;
+};
+
+} // namespace cassia::entry
--- /dev/null
+++ b/include/cassia/entry/batch_task.h
@@ -0,0 +1,123 @@
+/// Runs batch items on the endpoints that this entry is the steward of, in the slots that online
+/// calls leave. A task of its own, with its own connections: nothing online waits behind it.
+#pragma once
+
+#include "cassia/base/metrics.h"
+#include "cassia/entry/control_task.h"
+#include "cassia/entry/fleet_view.h"
+#include "cassia/entry/front_task.h"
+#include "cassia/entry/request_text.h"
+#include "cassia/net/http_client.h"
+#include "cassia/net/task.h"
+#include "cassia/policy/strikes.h"
+#include "cassia/schema/messages.pb.h"
+#include "cassia/schema/settings.pb.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cassia::entry {
+
+class batch_task {
+public:
+    /// \param on_uses gets what runs where, on the batch task.
+    batch_task(const schema::entry_settings& settings, control_task& control,
+               std::function<void(std::vector<endpoint_use>)> on_uses);
+    ~batch_task();
+
+    void start();
+    void stop();
+
+    // These may be called from any task.
+    void set_view(view_pointer view);
+    void set_offers(batch_offers offers);
+    /// Online calls want slots of an endpoint: batch items there stop at once.
+    void yield(const endpoint_id& endpoint, std::uint32_t slots);
+    void cancel_jobs(const std::vector<job_id>& jobs);
+    /// Takes no further items and gives back those it holds.
+    void drain();
+    void dump(net::task& home, std::function<void(std::string)> done);
+
+private:
+    using item_id = std::pair<job_id, std::uint32_t>;
+    struct item {
+        schema::leased_item lease;
+        service_id service;
+        cassia::fingerprint print;
+        bool engine = true;
+        std::vector<std::string> tokens; ///< kept over a yield, so that the stream can go on
+        int runs = 0;
+        std::set<endpoint_id> failed_at;
+
+        // The run under way.
+        bool running = false;
+        bool suspect = false;
+        endpoint_id endpoint;
+        call_id upstream;
+        net::http_head head;
+        std::string answer;
+        event_splitter events;
+        bool done_seen = false;
+        std::string finish_reason;
+        std::string request_id;
+    };
+    struct seat {
+        batch_offer offer;
+        std::vector<item_id> running; ///< newest last
+        instant paused_until{};
+    };
+
+    // Leases and ends (batch_leases.cpp).
+    void request_leases();
+    std::map<service_id, std::uint32_t> wanted_items() const;
+    void on_leased(const schema::keeper_reply& reply, instant asked_at);
+    void tell_held();
+    void end_item(const item_id& id, schema::item_end end);
+    void give_back(const item_id& id);
+    void flush_ends();
+
+    // Running items (batch_items.cpp).
+    void place_items();
+    bool may_start(const item& one, instant now) const;
+    const policy::endpoint_facts* find_facts(const endpoint_id& endpoint) const;
+    void start_item(const item_id& id, const policy::endpoint_facts& facts);
+    std::string upstream_body(const item& one) const;
+    void shrink(seat& at, std::uint32_t to, const char* reason);
+    void stop_run(item& one);
+    void on_piece(const item_id& id, std::string_view piece);
+    void on_end(const item_id& id);
+    void on_failure(const item_id& id, const net::http_failure& failed);
+    void decide_after_failure(const item_id& id, const net::http_failure& failed, bool died);
+    void blame_death(const endpoint_id& endpoint);
+    void complete(const item_id& id);
+    std::string assembled_body(const item& one) const;
+    void report_uses();
+    void tick();
+
+    schema::entry_settings settings_;
+    control_task& control_;
+    std::function<void(std::vector<endpoint_use>)> on_uses_;
+    net::task task_;
+    net::http_client client_;
+    metrics metrics_;
+    policy::strike_list strikes_;
+    view_pointer view_;
+    std::map<endpoint_id, seat> seats_;
+    std::map<item_id, item> items_;
+    std::map<service_id, std::deque<item_id>> ready_;
+    std::map<group_id, std::vector<std::pair<item_id, schema::item_end>>> ends_;
+    std::map<group_id, bool> flushing_;
+    std::set<group_id> leasing_;
+    std::map<endpoint_id, instant> deaths_;
+    std::uint32_t next_group_ = 0;
+    instant next_lease_at_{};
+    bool draining_ = false;
+    bool uses_changed_ = false;
+};
+
+} // namespace cassia::entry
--- /dev/null
+++ b/include/cassia/entry/refusal.h
@@ -0,0 +1,52 @@
+/// Refusals and failures as callers get them.
+#pragma once
+
+#include "cassia/base/clock.h"
+#include "cassia/net/http_server.h"
+
+#include <string>
+
+namespace cassia::entry {
+
+/// Whether the request was run. `no` is a promise: no endpoint was ever sent it.
+enum class run_state { no, maybe, yes };
+
+enum class refusal_code {
+    bad_request,     ///< 400
+    unauthorized,    ///< 401
+    not_allowed,     ///< 403
+    not_found,       ///< 404
+    bad_method,      ///< 405
+    in_progress,     ///< 409
+    conflict,        ///< 409
+    too_large,       ///< 413
+    key_reused,      ///< 422
+    quarantined,     ///< 422
+    over_share,      ///< 429
+    header_too_large, ///< 431
+    outcome_unknown, ///< 502
+    endpoint_failed, ///< 502
+    no_endpoint,     ///< 503
+    draining,        ///< 503
+    stale,           ///< 503
+    no_quorum,       ///< 503
+    deadline,        ///< 504
+};
+
+struct refusal {
+    refusal_code code = refusal_code::bad_request;
+    std::string message;
+    run_state run = run_state::no;
+    milliseconds retry_after{0}; ///< zero: trying again makes no sense
+};
+
+int status_of(refusal_code code);
+const char* code_name(refusal_code code);
+const char* run_name(run_state run);
+
+net::http_response to_response(const refusal& refused, const std::string& request_id);
+
+/// The same as one event of a stream that has already begun.
+std::string to_event(const refusal& refused, const std::string& request_id);
+
+} // namespace cassia::entry
--- /dev/null
+++ b/include/cassia/membership/directory.h
@@ -0,0 +1,51 @@
+/// Which endpoints live, from announcements to any entry and what entries tell each other. Pure.
+#pragma once
+
+#include "cassia/base/clock.h"
+#include "cassia/base/ids.h"
+#include "cassia/schema/messages.pb.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cassia::membership {
+
+struct directory_settings {
+    milliseconds silent_after{3000};  ///< no announcement: no new work
+    milliseconds forget_after{60000};
+};
+
+/// An endpoint as last announced.
+struct endpoint_entry {
+    schema::endpoint_record record;
+    instant heard{};       ///< when it last announced itself to any entry
+    instant own_heard{};   ///< when it last announced itself to this one
+    bool leaving = false;  ///< once set it holds for the incarnation
+};
+
+class directory {
+public:
+    explicit directory(directory_settings settings) : settings_(settings) {}
+
+    /// The endpoint announced itself to this entry. \returns whether anything but its load changed.
+    bool announced(const schema::endpoint_record& record, instant now);
+    /// Another entry heard the endpoint, `record.age_ms` before it sent this.
+    bool told(const schema::endpoint_record& record, instant now);
+
+    /// Endpoints that may get new work.
+    std::vector<const endpoint_entry*> serving(instant now) const;
+    /// What this entry heard itself, with ages, to tell the others.
+    std::vector<schema::endpoint_record> own_records(instant now) const;
+    const std::map<endpoint_id, endpoint_entry>& all() const { return endpoints_; }
+
+    void forget_old(instant now);
+
+private:
+    bool merge(const schema::endpoint_record& record, instant heard);
+
+    directory_settings settings_;
+    std::map<endpoint_id, endpoint_entry> endpoints_;
+};
+
+} // namespace cassia::membership
--- /dev/null
+++ b/include/cassia/policy/router.h
@@ -0,0 +1,103 @@
+/// Which endpoint an online call goes to. Pure: it is told of calls and endpoints and the time.
+#pragma once
+
+#include "cassia/policy/endpoint.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <vector>
+
+namespace cassia::policy {
+
+struct router_settings {
+    zone_id own_zone;
+    /// Consecutive failures after which an endpoint is left out for a while.
+    std::uint32_t ejection_failures = 3;
+    milliseconds ejection{2000};
+    milliseconds longest_ejection{30000};
+    /// Most prompt prefixes remembered for each endpoint.
+    std::size_t remembered_prefixes = 512;
+};
+
+struct pick_request {
+    service_demand demand;
+    std::uint64_t prefix = 0;    ///< hash of the prompt's start, 0 for none
+    bool suspect = false;        ///< may have crashed an endpoint: only beside no other suspect
+    std::set<endpoint_id> avoid; ///< endpoints that failed this request before
+};
+
+/// Why an endpoint was picked, for the explanation.
+enum class pick_reason { least_cost, prefix, other_zone };
+const char* pick_reason_name(pick_reason reason);
+
+struct pick {
+    endpoint_id endpoint;
+    pick_reason reason = pick_reason::least_cost;
+    microseconds expected_first_token{};
+    /// Batch items to stop so that this call finds a free slot at once.
+    std::uint32_t yield = 0;
+};
+
+enum class call_result { finished, failed, cancelled };
+
+class router {
+public:
+    router(router_settings settings, std::uint64_t seed);
+
+    /// Takes over what membership knows now; calls under way keep their counts.
+    void set_endpoints(const std::vector<endpoint_facts>& endpoints);
+
+    /// Whether any endpoint could ever serve it as things are.
+    bool can_serve(const service_demand& demand) const;
+    /// The endpoint to send the request to, or nothing while all are full.
+    std::optional<pick> choose(const pick_request& request, instant now);
+
+    void started(const endpoint_id& endpoint, std::uint64_t prefix, bool suspect);
+    void first_token(const endpoint_id& endpoint, microseconds after, instant now);
+    void ended(const endpoint_id& endpoint, bool suspect, call_result result, instant now);
+    /// Batch items of this entry under way at an endpoint.
+    void set_own_batch(const endpoint_id& endpoint, std::uint32_t items);
+    /// The endpoint refused a connection or died: left out at once.
+    void eject(const endpoint_id& endpoint, instant now);
+
+    std::uint32_t own_online(const endpoint_id& endpoint) const;
+    std::uint32_t own_suspects(const endpoint_id& endpoint) const;
+    /// Online calls under way there, of all entries as far as known.
+    std::uint32_t online(const endpoint_id& endpoint) const;
+    /// Share of the slots for the service that online calls hold, 0 to 1.
+    double utilization(const service_demand& demand) const;
+    std::vector<endpoint_id> ejected(instant now) const;
+
+private:
+    struct tracked {
+        endpoint_facts facts;
+        std::uint32_t own_online = 0;
+        std::uint32_t own_batch = 0;
+        std::uint32_t own_suspects = 0;
+        std::uint32_t failures = 0;  ///< in a row
+        std::uint32_t ejections = 0; ///< in a row
+        instant ejected_until{};
+        double first_token_us = 0; ///< moving average, 0 while unknown
+        instant measured_at{};
+        std::map<std::uint64_t, std::uint64_t> prefixes; ///< hash to order of use
+        std::uint64_t prefix_uses = 0;
+    };
+
+    bool is_open(const tracked& one, const pick_request& request, instant now) const;
+    std::uint32_t running(const tracked& one) const;
+    std::uint32_t free_for_online(const tracked& one) const;
+    double cost(const tracked& one, const pick_request& request, instant now) const;
+    const tracked* better_of_two(const std::vector<const tracked*>& open,
+                                 const pick_request& request, instant now);
+    pick make_pick(const tracked& one, const pick_request& request, bool own_zone,
+                   instant now) const;
+
+    router_settings settings_;
+    std::map<endpoint_id, tracked> endpoints_;
+    std::mt19937_64 random_;
+};
+
+} // namespace cassia::policy
--- /dev/null
+++ b/lib/entry/front_task.cpp
@@ -0,0 +1,244 @@
+#include "cassia/entry/front_task.h"
+
+#include "cassia/base/digest.h"
+#include "cassia/base/log.h"
+#include "cassia/entry/announce_api.h"
+#include "cassia/entry/batch_api.h"
+#include "cassia/entry/online_calls.h"
+#include "cassia/entry/operator_api.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <utility>
+
+namespace cassia::entry {
+
+namespace {
+constexpr milliseconds tick_interval(10);
+constexpr milliseconds drained_check_interval(50);
+constexpr milliseconds come_back_soon(1000);
+constexpr std::size_t decisions_kept = 20000;
+constexpr std::string_view bearer = "Bearer ";
+} // namespace
+
+void front_context::refuse(exchange_id exchange, const refusal& refused,
+                           const std::string& request_id) {
+    server->respond(exchange, to_response(refused, request_id));
+}
+
+static bool starts_with(const std::string& text, std::string_view prefix) {
+    return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+front_task::front_task(const schema::entry_settings& settings, control_task& control,
+                       front_hooks hooks)
+    : settings_(settings), hooks_(std::move(hooks)), task_("front"), decisions_(decisions_kept),
+      context_{settings_, task_, control, metrics_, decisions_, nullptr, nullptr, false} {
+    context_.view = std::make_shared<fleet_view>();
+}
+
+front_task::~front_task() = default;
+
+std::string front_task::open() {
+    net::http_limits limits;
+    limits.header_bytes = settings_.max_header_bytes();
+    limits.body_bytes = [this](const std::string&, const std::string& path) -> std::size_t {
+        return path == "/v1/batches" ? settings_.max_batch_bytes() : settings_.max_body_bytes();
+    };
+    net::http_server_hooks hooks;
+    hooks.on_request = [this](exchange_id exchange, net::http_request request) {
+        on_request(exchange, std::move(request));
+    };
+    hooks.on_gone = [this](exchange_id exchange) { online_->gone(exchange); };
+    hooks.on_refused = [this](int status) {
+        const bool header = status == status_of(refusal_code::header_too_large);
+        const std::string limit = std::to_string(header ? settings_.max_header_bytes()
+                                                        : settings_.max_body_bytes());
+        const refusal refused{header ? refusal_code::header_too_large : refusal_code::too_large,
+                              header ? "headers are over " + limit + " bytes"
+                                     : "the body is over the limit"};
+        return to_response(refused, random_name("r-"));
+    };
+    server_ = std::make_unique<net::http_server>(task_, std::move(limits), std::move(hooks));
+    context_.server = server_.get();
+    online_ = std::make_unique<online_calls>(
+        context_, [this](batch_offers offers) { hooks_.on_batch_offers(std::move(offers)); });
+    batch_ = std::make_unique<batch_api>(context_);
+    operators_ = std::make_unique<operator_api>(context_, [this] { drain(); });
+    announcements_ = std::make_unique<announce_api>(context_);
+    const net::result<void> listening = server_->listen(http_address(settings_.http_address()));
+    if (!listening)
+        return listening.error().text;
+    task_.every(tick_interval, [this] {
+        online_->tick(monotonic_now());
+        if (context_.draining)
+            check_drained();
+    });
+    net::on_signal(task_, SIGTERM, [this] { drain(); });
+    net::on_signal(task_, SIGINT, [this] { drain(); });
+    net::on_signal(task_, SIGUSR1, [this] { on_signal_dump(); });
+    return "";
+}
+
+void front_task::run() { task_.run(); }
+
+void front_task::set_view(view_pointer view) {
+    task_.post([this, view = std::move(view)] {
+        context_.view = view;
+        online_->view_changed();
+    });
+}
+
+void front_task::set_batch_uses(std::vector<endpoint_use> uses) {
+    task_.post([this, uses = std::move(uses)] { online_->set_batch_uses(uses); });
+}
+
+// Callers may use a list of entries for as long as it said. So this entry leaves the list first,
+// serves on until every list that names it has run out, and stops once its requests are done.
+void front_task::drain() {
+    task_.post([this] {
+        if (context_.draining)
+            return;
+        context_.draining = true;
+        draining_since_ = monotonic_now();
+        log_info("draining").with("open", server_->open_exchanges());
+        context_.control.set_draining();
+        hooks_.drain_batch();
+    });
+}
+
+void front_task::check_drained() {
+    const microseconds since = monotonic_now() - draining_since_;
+    const bool lists_ran_out = since >= milliseconds(settings_.entries_max_age_ms());
+    if (!lists_ran_out)
+        return;
+    server_->stop_listening();
+    const bool done = server_->open_exchanges() == 0;
+    const bool impatient = since >= milliseconds(settings_.drain_timeout_ms());
+    if (!done && !impatient)
+        return;
+    log_info("drained").with("cut_off", server_->open_exchanges());
+    hooks_.on_drained();
+    task_.quit();
+}
+
+void front_task::on_request(exchange_id exchange, net::http_request request) {
+    const std::string request_id = random_name("r-");
+    metrics_.count("requests");
+    const std::string& path = request.path;
+    if (path == "/v1/announce") {
+        announcements_->serve(exchange, request, request_id);
+        return;
+    }
+    if (path == "/v1/entries") {
+        serve_entries(exchange, request_id);
+        return;
+    }
+    if (path == "/debug/dump") {
+        serve_dump(exchange);
+        return;
+    }
+    if (path == "/metrics") {
+        serve_metrics(exchange);
+        return;
+    }
+    if (starts_with(path, "/v1/operator/")) {
+        operators_->serve(exchange, request, request_id);
+        return;
+    }
+    const bool model = path == "/v1/completions" || path == "/v1/chat/completions";
+    const bool service = starts_with(path, "/v1/services/");
+    const bool batch = path == "/v1/batches" || starts_with(path, "/v1/batches/");
+    if (!model && !service && !batch) {
+        context_.refuse(exchange, {refusal_code::not_found, "no such path"}, request_id);
+        return;
+    }
+    const bool lists_ran_out =
+        context_.draining && monotonic_now() - draining_since_ >=
+                                 milliseconds(settings_.entries_max_age_ms());
+    if (lists_ran_out) {
+        context_.refuse(exchange,
+                        {refusal_code::draining, "this entry is leaving", run_state::no,
+                         come_back_soon},
+                        request_id);
+        return;
+    }
+    const std::optional<caller> from = authenticate(exchange, request, request_id);
+    if (!from)
+        return;
+    if (model)
+        online_->serve_model(exchange, std::move(request), *from, request_id);
+    else if (service)
+        online_->serve_service(exchange, std::move(request), *from, request_id);
+    else
+        batch_->serve(exchange, std::move(request), *from, request_id);
+}
+
+std::optional<caller> front_task::authenticate(exchange_id exchange,
+                                               const net::http_request& request,
+                                               const std::string& request_id) {
+    if (context_.view->catalog == nullptr) {
+        // Without the lists nobody's key is known; that is this entry's fault and not the caller's.
+        context_.refuse(exchange,
+                        {refusal_code::stale, "this entry has no configuration yet",
+                         run_state::no, come_back_soon},
+                        request_id);
+        return std::nullopt;
+    }
+    const std::string& header = request.header("authorization");
+    caller from;
+    from.catalog = context_.view->catalog;
+    if (starts_with(header, bearer))
+        from.plan = from.catalog->find_by_key(header.substr(bearer.size()));
+    if (from.plan != nullptr)
+        return from;
+    context_.refuse(exchange, {refusal_code::unauthorized, "unknown key"}, request_id);
+    return std::nullopt;
+}
+
+void front_task::serve_entries(exchange_id exchange, const std::string& request_id) {
+    boost::json::array entries;
+    for (const listed_entry& one : context_.view->entries)
+        entries.push_back({{"address", one.address}, {"zone", one.zone.str()}, {"weight", 1}});
+    const boost::json::object body = {{"entries", std::move(entries)},
+                                      {"max_age", settings_.entries_max_age_ms()},
+                                      {"version", context_.view->entries_version}};
+    net::http_response response;
+    response.body = boost::json::serialize(body);
+    constexpr unsigned ms_per_second = 1000;
+    response.headers["Cache-Control"] =
+        "max-age=" + std::to_string(settings_.entries_max_age_ms() / ms_per_second);
+    response.headers["Cassia-Request-Id"] = request_id;
+    server_->respond(exchange, std::move(response));
+}
+
+void front_task::serve_dump(exchange_id exchange) {
+    const std::string online = boost::json::serialize(online_->dump(monotonic_now()));
+    context_.control.dump(task_, [this, exchange, online](const std::string& control) {
+        hooks_.dump_batch([this, exchange, online, control](const std::string& batch) {
+            net::http_response response;
+            response.body = "{\"entry\":\"" + settings_.name() + "\",\"zone\":\"" +
+                            settings_.zone() + "\",\"control\":" + control +
+                            ",\"online\":" + online + ",\"batch\":" + batch + "}";
+            server_->respond(exchange, std::move(response));
+        });
+    });
+}
+
+void front_task::serve_metrics(exchange_id exchange) {
+    net::http_response response;
+    response.content_type = "text/plain; version=0.0.4";
+    response.body = metrics_.to_text("cassia_entry_");
+    server_->respond(exchange, std::move(response));
+}
+
+void front_task::on_signal_dump() {
+    const std::string online = boost::json::serialize(online_->dump(monotonic_now()));
+    context_.control.dump(task_, [online](const std::string& control) {
+        log_info("state_dump").with("control", control).with("online", online);
+    });
+}
+
+} // namespace cassia::entry
--- /dev/null
+++ b/lib/entry/online_answers.cpp
@@ -0,0 +1,167 @@
+// Answers of online calls: delivered whole, and stored first where a key asks for it.
+
+#include "cassia/entry/online_calls.h"
+
+#include "cassia/base/log.h"
+
+#include <boost/json.hpp>
+
+#include <utility>
+
+namespace cassia::entry {
+
+void online_calls::note_first_token(call& one) {
+    if (one.first_token_seen)
+        return;
+    one.first_token_seen = true;
+    if (!one.streams)
+        return;
+    const instant now = monotonic_now();
+    const microseconds after = now - one.sent_at;
+    router_.first_token(one.endpoint, after, now);
+    auto slots = slots_.find(one.endpoint);
+    if (slots != slots_.end())
+        slots->second.first_token(after, one.beside_batch);
+    context_.counters.observe("first_token", now - one.arrived);
+}
+
+void online_calls::finish(call& one) {
+    explain(decision_kind::ended, one, one.endpoint.str(),
+            "status " + std::to_string(one.head.status));
+    context_.counters.observe("online_call", monotonic_now() - one.arrived);
+    if (one.claimed)
+        store_answer(one);
+    else
+        deliver(one);
+}
+
+void online_calls::deliver(call& one) {
+    const exchange_id exchange = one.exchange;
+    if (one.head_sent) {
+        context_.server->stream(exchange, "data: [DONE]\n\n");
+        context_.server->end_stream(exchange);
+        remove(exchange);
+        return;
+    }
+    net::http_response response;
+    response.status = one.head.status;
+    response.content_type = one.head.content_type;
+    response.body = std::move(one.answer);
+    response.headers["Cassia-Request-Id"] = one.request_id;
+    response.headers["Cassia-Run"] = run_name(run_state::yes);
+    if (one.streams && one.head.status == 200)
+        response.body = "data: [DONE]\n\n";
+    context_.server->respond(exchange, std::move(response));
+    remove(exchange);
+}
+
+// Stored before the caller gets it: a caller that loses the answer then finds it under its key.
+void online_calls::store_answer(call& one) {
+    schema::keeper_request request;
+    request.set_group(static_cast<std::uint32_t>(key_group(one).value()));
+    schema::key_finish* finished = request.mutable_work()->mutable_finish();
+    finished->set_customer(one.from.plan->customer.str());
+    finished->set_key(one.key);
+    finished->set_holder(context_.control.holder());
+    finished->set_request(one.request_id);
+    finished->set_at(to_unix_ms(wall_now()));
+    finished->mutable_answer()->set_status(static_cast<std::uint32_t>(one.head.status));
+    finished->mutable_answer()->set_content_type(one.head.content_type);
+    finished->mutable_answer()->set_body(one.head_sent ? one.answer + "data: [DONE]\n\n"
+                                                       : one.answer);
+    const exchange_id exchange = one.exchange;
+    context_.control.ask(std::move(request), ask_options(), context_.task,
+                         [this, exchange](const schema::keeper_reply& reply) {
+                             call* kept = find(exchange);
+                             if (kept == nullptr)
+                                 return;
+                             // The answer is real even if it couldn't be stored; the key then
+                             // ends as unknown, so the request still never runs twice.
+                             if (reply.result() != schema::keeper_reply::done)
+                                 log_warning("answer_not_stored").with("request", kept->request_id);
+                             deliver(*kept);
+                         });
+}
+
+void online_calls::release_key(const call& one, bool outcome_unknown) {
+    schema::keeper_request request;
+    request.set_group(static_cast<std::uint32_t>(key_group(one).value()));
+    schema::key_finish* finished = request.mutable_work()->mutable_finish();
+    finished->set_customer(one.from.plan->customer.str());
+    finished->set_key(one.key);
+    finished->set_holder(context_.control.holder());
+    finished->set_request(one.request_id);
+    finished->set_at(to_unix_ms(wall_now()));
+    finished->set_release(!outcome_unknown);
+    finished->set_outcome_unknown(outcome_unknown);
+    context_.control.ask(std::move(request), ask_options(), context_.task,
+                         [](const schema::keeper_reply&) {});
+}
+
+void online_calls::explain(decision_kind kind, const call& one, const std::string& object,
+                           const std::string& reason) {
+    context_.decisions.add(kind, one.request_id, object, reason);
+}
+
+void online_calls::publish_batch_offers() {
+    batch_offers offers;
+    const instant now = monotonic_now();
+    for (const policy::endpoint_facts& facts : context_.view->endpoints) {
+        if (facts.steward.str() != context_.settings.name())
+            continue;
+        policy::batch_slots_settings wanted;
+        wanted.least_reserve = context_.settings.online_reserve();
+        auto slots = slots_.emplace(facts.id, policy::batch_slots(wanted)).first;
+        batch_offer& offer = offers[facts.id];
+        offer.slots = slots->second.allowed(facts.max_running, router_.online(facts.id), now);
+        offer.suspect_running = router_.own_suspects(facts.id) + facts.others_suspects > 0;
+    }
+    on_batch_offers_(std::move(offers));
+}
+
+void online_calls::report_uses() {
+    std::vector<endpoint_use> uses;
+    for (const policy::endpoint_facts& facts : context_.view->endpoints) {
+        endpoint_use use;
+        use.endpoint = facts.id;
+        use.online = router_.own_online(facts.id);
+        use.suspects = router_.own_suspects(facts.id);
+        if (use.online > 0)
+            uses.push_back(std::move(use));
+    }
+    const instant now = monotonic_now();
+    std::map<customer_id, double> rates;
+    constexpr double least_told = 0.5;
+    for (const std::pair<const customer_id, policy::rate_limiter>& one : rates_) {
+        const double rate = one.second.own_rate(now);
+        if (rate >= least_told)
+            rates[one.first] = rate;
+    }
+    context_.control.report_online(std::move(uses), std::move(rates));
+}
+
+boost::json::object online_calls::dump(instant now) const {
+    boost::json::object out;
+    out["open_calls"] = calls_.size();
+    out["waiting"] = waiting_.size();
+    out["ends_per_second"] = ends_per_second_;
+    boost::json::array ejected;
+    for (const endpoint_id& one : router_.ejected(now))
+        ejected.push_back(boost::json::string(one.str()));
+    out["ejected"] = std::move(ejected);
+    boost::json::array endpoints;
+    for (const policy::endpoint_facts& facts : context_.view->endpoints) {
+        boost::json::object one;
+        one["id"] = facts.id.str();
+        one["own_online"] = router_.own_online(facts.id);
+        one["online"] = router_.online(facts.id);
+        auto slots = slots_.find(facts.id);
+        if (slots != slots_.end())
+            one["batch_reserve"] = slots->second.reserve();
+        endpoints.push_back(std::move(one));
+    }
+    out["endpoints"] = std::move(endpoints);
+    return out;
+}
+
+} // namespace cassia::entry
--- /dev/null
+++ b/lib/entry/operator_api.cpp
@@ -0,0 +1,184 @@
+#include "cassia/entry/operator_api.h"
+
+#include "cassia/base/digest.h"
+#include "cassia/base/log.h"
+#include "cassia/entry/request_text.h"
+#include "cassia/schema/messages.pb.h"
+
+#include <boost/json.hpp>
+
+#include <utility>
+
+namespace cassia::entry {
+
+namespace {
+constexpr milliseconds come_back_soon(1000);
+constexpr std::string_view bearer = "Bearer ";
+} // namespace
+
+static void respond_json(front_context& context, exchange_id exchange, int status,
+                         const boost::json::object& body) {
+    net::http_response response;
+    response.status = status;
+    response.body = boost::json::serialize(body);
+    context.server->respond(exchange, std::move(response));
+}
+
+void operator_api::serve(exchange_id exchange, const net::http_request& request,
+                         const std::string& request_id) {
+    const std::string& header = request.header("authorization");
+    const bool known = header.compare(0, bearer.size(), bearer) == 0 &&
+                       equal_secrets(sha256_hex(header.substr(bearer.size())),
+                                     context_.settings.operator_token_sha256());
+    if (!known) {
+        context_.refuse(exchange, {refusal_code::unauthorized, "unknown operator token"},
+                        request_id);
+        return;
+    }
+    const std::string what = request.path.substr(std::string_view("/v1/operator/").size());
+    if (what == "apply" && request.method == "POST") {
+        apply(exchange, request, request_id);
+    } else if (what == "history" && request.method == "GET") {
+        history(exchange, request_id);
+    } else if (what == "explain" && request.method == "GET") {
+        explain(exchange, request.parameter("subject"));
+    } else if (what == "status" && request.method == "GET") {
+        status(exchange);
+    } else if (what == "drain" && request.method == "POST") {
+        drain_();
+        respond_json(context_, exchange, 202, {{"state", "draining"}});
+    } else {
+        context_.refuse(exchange, {refusal_code::not_found, "no such path"}, request_id);
+    }
+}
+
+static boost::json::array problems_json(const settings::problem_list& problems) {
+    boost::json::array out;
+    for (const settings::problem& one : problems)
+        out.push_back(boost::json::string(settings::to_text(one)));
+    return out;
+}
+
+static const char* result_name(schema::control_reply::outcome result) {
+    switch (result) {
+    case schema::control_reply::accepted:
+    case schema::control_reply::replayed:
+        return "accepted";
+    case schema::control_reply::conflict:
+        return "conflict";
+    default:
+        return "change_id_reused";
+    }
+}
+
+void operator_api::apply(exchange_id exchange, const net::http_request& request,
+                         const std::string& request_id) {
+    const json_text parsed = parse_json(request.body);
+    const boost::json::object* body =
+        parsed.value && parsed.value->is_object() ? &parsed.value->as_object() : nullptr;
+    schema::change_command change;
+    bool complete = body != nullptr;
+    const auto text = [&body, &complete](const char* name) {
+        const boost::json::value* member = complete ? body->if_contains(name) : nullptr;
+        complete = member != nullptr && member->is_string();
+        return complete ? std::string(member->as_string()) : std::string();
+    };
+    change.set_change_id(text("change_id"));
+    change.set_plans(text("plans"));
+    change.set_allowances(text("allowances"));
+    const boost::json::value* base = complete ? body->if_contains("base") : nullptr;
+    if (base == nullptr || !base->is_int64() || base->as_int64() < 0 ||
+        change.change_id().empty()) {
+        context_.refuse(exchange,
+                        {refusal_code::bad_request,
+                         "expected base (a version), change_id, plans and allowances"},
+                        request_id);
+        return;
+    }
+    change.set_base(static_cast<std::uint64_t>(base->as_int64()));
+    change.set_at(to_unix_ms(wall_now()));
+    const settings::result<std::shared_ptr<const settings::catalog>> checked =
+        settings::catalog::parse(0, "plans.toml", change.plans(), "allowances.toml",
+                                 change.allowances());
+    if (!checked) {
+        respond_json(context_, exchange, 400,
+                     {{"result", "invalid"}, {"problems", problems_json(checked.error())}});
+        return;
+    }
+    schema::keeper_request ask;
+    *ask.mutable_control()->mutable_change() = change;
+    context_.control.ask(
+        std::move(ask), ask_options{milliseconds(10000), true}, context_.task,
+        [this, exchange, request_id, id = change.change_id()](const schema::keeper_reply& reply) {
+            if (reply.result() != schema::keeper_reply::done) {
+                context_.refuse(exchange,
+                                {refusal_code::no_quorum,
+                                 "the outcome is unknown; resend with the same change-id",
+                                 run_state::maybe, come_back_soon},
+                                request_id);
+                return;
+            }
+            const schema::control_reply& control = reply.control();
+            log_info("change_answered")
+                .with("change_id", id)
+                .with("result", result_name(control.result()))
+                .with("version", control.version());
+            const bool accepted = control.result() == schema::control_reply::accepted ||
+                                  control.result() == schema::control_reply::replayed;
+            respond_json(context_, exchange, accepted ? 200 : 409,
+                         {{"result", result_name(control.result())},
+                          {"version", control.version()},
+                          {"winner", control.winner()}});
+        });
+}
+
+void operator_api::history(exchange_id exchange, const std::string& request_id) {
+    schema::keeper_request ask;
+    ask.set_history(true);
+    context_.control.ask(
+        std::move(ask), ask_options(), context_.task,
+        [this, exchange, request_id](const schema::keeper_reply& reply) {
+            if (reply.result() != schema::keeper_reply::done) {
+                context_.refuse(exchange,
+                                {refusal_code::no_quorum, "the durable state can't be reached",
+                                 run_state::no, come_back_soon},
+                                request_id);
+                return;
+            }
+            boost::json::array changes;
+            for (const schema::change_record& one : reply.history())
+                changes.push_back({{"version", one.version()},
+                                   {"change_id", one.change_id()},
+                                   {"at", format_time(from_unix_ms(one.at()))},
+                                   {"digest", one.digest()}});
+            boost::json::object body{{"changes", std::move(changes)}};
+            if (reply.history_size() > 0) {
+                const schema::change_record& newest = reply.history(reply.history_size() - 1);
+                body["plans"] = newest.plans();
+                body["allowances"] = newest.allowances();
+            }
+            respond_json(context_, exchange, 200, body);
+        });
+}
+
+void operator_api::explain(exchange_id exchange, const std::string& subject) {
+    boost::json::array decisions;
+    for (const decision& one : context_.decisions.about(subject))
+        decisions.push_back({{"at", to_unix_ms(one.at)},
+                             {"entry", context_.settings.name()},
+                             {"kind", decision_name(one.kind)},
+                             {"subject", one.subject},
+                             {"object", one.object},
+                             {"reason", one.reason}});
+    respond_json(context_, exchange, 200, {{"decisions", std::move(decisions)}});
+}
+
+void operator_api::status(exchange_id exchange) {
+    context_.control.dump(context_.task, [this, exchange](const std::string& text) {
+        net::http_response response;
+        response.body = text;
+        context_.server->respond(exchange, std::move(response));
+    });
+}
+
+} // namespace cassia::entry
--- /dev/null
+++ b/lib/entry/request_text.cpp
@@ -0,0 +1,120 @@
+#include "cassia/entry/request_text.h"
+
+#include <boost/json.hpp>
+#include <glib.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace cassia::entry {
+
+namespace {
+constexpr std::size_t deepest_nesting = 64;
+} // namespace
+
+json_text parse_json(std::string_view text) {
+    boost::json::parse_options options;
+    options.max_depth = deepest_nesting;
+    boost::json::error_code problem;
+    boost::json::value value =
+        boost::json::parse(boost::json::string_view(text.data(), text.size()), problem, {}, options);
+    if (problem)
+        return {std::nullopt, problem.message()};
+    return {std::move(value), ""};
+}
+
+static void append_canonical(const boost::json::value& value, std::string& out) {
+    if (const boost::json::array* array = value.if_array()) {
+        out.push_back('[');
+        for (const boost::json::value& one : *array) {
+            append_canonical(one, out);
+            out.push_back(',');
+        }
+        out.push_back(']');
+        return;
+    }
+    const boost::json::object* object = value.if_object();
+    if (object == nullptr) {
+        out.append(boost::json::serialize(value));
+        return;
+    }
+    std::vector<boost::json::string_view> names;
+    for (const boost::json::key_value_pair& member : *object)
+        names.push_back(member.key());
+    std::sort(names.begin(), names.end());
+    out.push_back('{');
+    for (const boost::json::string_view name : names) {
+        out.append(boost::json::serialize(boost::json::string(name)));
+        out.push_back(':');
+        append_canonical(object->at(name), out);
+        out.push_back(',');
+    }
+    out.push_back('}');
+}
+
+std::string canonical(const boost::json::value& value) {
+    std::string out;
+    append_canonical(value, out);
+    return out;
+}
+
+std::string canonical_body(std::string_view body) {
+    const json_text parsed = parse_json(body);
+    return parsed.value ? canonical(*parsed.value) : std::string(body);
+}
+
+std::optional<std::string> event_splitter::next() {
+    const std::size_t end = buffer_.find("\n\n");
+    if (end == std::string::npos)
+        return std::nullopt;
+    std::string event = buffer_.substr(0, end + 2);
+    buffer_.erase(0, end + 2);
+    return event;
+}
+
+std::string_view event_data(std::string_view event) {
+    constexpr std::string_view label = "data:";
+    const std::size_t at = event.find(label);
+    if (at == std::string_view::npos)
+        return {};
+    std::string_view data = event.substr(at + label.size());
+    while (!data.empty() && data.front() == ' ')
+        data.remove_prefix(1);
+    while (!data.empty() && (data.back() == '\n' || data.back() == '\r'))
+        data.remove_suffix(1);
+    return data;
+}
+
+std::optional<wall_time> parse_time(const std::string& text) {
+    GTimeZone* utc = g_time_zone_new_utc();
+    GDateTime* time = g_date_time_new_from_iso8601(text.c_str(), utc);
+    g_time_zone_unref(utc);
+    if (time == nullptr)
+        return std::nullopt;
+    constexpr std::int64_t ms_per_second = 1000;
+    constexpr std::int64_t us_per_ms = 1000;
+    const std::int64_t ms = g_date_time_to_unix(time) * ms_per_second +
+                            g_date_time_get_microsecond(time) / us_per_ms;
+    g_date_time_unref(time);
+    return wall_time(milliseconds(ms));
+}
+
+std::string format_time(wall_time time) {
+    constexpr std::int64_t ms_per_second = 1000;
+    GDateTime* utc = g_date_time_new_from_unix_utc(
+        static_cast<gint64>(to_unix_ms(time)) / ms_per_second);
+    char* text = g_date_time_format(utc, "%Y-%m-%dT%H:%M:%SZ");
+    std::string out(text);
+    g_free(text);
+    g_date_time_unref(utc);
+    return out;
+}
+
+std::string escape_path(const std::string& path) {
+    char* escaped = g_uri_escape_string(path.c_str(), "/", FALSE);
+    std::string out(escaped);
+    g_free(escaped);
+    return out;
+}
+
+} // namespace cassia::entry
--- a/lib/keeper/service.cpp
+++ b/lib/keeper/service.cpp
@@ -1,6 +1,7 @@
 #include "cassia/keeper/service.h"
 
 #include "cassia/base/log.h"
+#include "cassia/state/sharding.h"
 #include "cassia/settings/catalog.h"
 
 #include <csignal>
@@ -9,7 +10,7 @@
 namespace cassia::keeper {
 
 namespace {
-constexpr group_id control_group(0);
+using state::control_group;
 constexpr milliseconds tick_interval(25);
 constexpr milliseconds hello_interval(300);
 constexpr milliseconds repair_interval(500);
--- a/lib/keeper/service_requests.cpp
+++ b/lib/keeper/service_requests.cpp
@@ -3,6 +3,7 @@
 #include "cassia/keeper/service.h"
 
 #include "cassia/base/log.h"
+#include "cassia/state/sharding.h"
 #include "cassia/settings/catalog.h"
 
 #include <boost/json.hpp>
@@ -12,7 +13,7 @@
 namespace cassia::keeper {
 
 namespace {
-constexpr group_id control_group(0);
+using state::control_group;
 constexpr milliseconds entry_forgotten_after(60000);
 constexpr milliseconds entry_alive(3000);
 } // namespace
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -5,6 +5,7 @@
 #include <libsoup/soup.h>
 
 #include <charconv>
+#include <set>
 #include <utility>
 
 namespace cassia::net {
@@ -15,6 +16,8 @@
     http_server_hooks hooks;
     SoupServer* server = nullptr;
     std::map<exchange_id, SoupServerMessage*> open;
+    std::set<exchange_id> answered;  ///< wholly handed over
+    std::set<exchange_id> streaming; ///< begun and not ended
     std::map<SoupServerMessage*, exchange_id> ids;
     std::uint64_t last_id = 0;
 
@@ -127,6 +130,8 @@
     const exchange_id id = found->second;
     state->ids.erase(found);
     state->open.erase(id);
+    state->answered.erase(id);
+    state->streaming.erase(id);
     g_signal_handlers_disconnect_by_data(message, state);
     state->hooks.on_gone(id);
     g_object_unref(message);
@@ -214,6 +219,13 @@
     SoupServerMessage* message = state_->find(id);
     if (message == nullptr)
         return;
+    // A failure behind the head of a stream can't be answered any more, only shown by a cut.
+    if (state_->streaming.count(id) > 0) {
+        abort_stream(id);
+        return;
+    }
+    if (!state_->answered.insert(id).second)
+        return;
     write_whole(message, response);
     soup_server_message_unpause(message);
 }
@@ -222,6 +234,7 @@
     SoupServerMessage* message = state_->find(id);
     if (message == nullptr)
         return;
+    state_->streaming.insert(id);
     write_head(message, head);
     soup_message_headers_set_encoding(soup_server_message_get_response_headers(message),
                                       SOUP_ENCODING_CHUNKED);
@@ -242,6 +255,8 @@
     SoupServerMessage* message = state_->find(id);
     if (message == nullptr)
         return;
+    state_->streaming.erase(id);
+    state_->answered.insert(id);
     soup_message_body_complete(soup_server_message_get_response_body(message));
     soup_server_message_unpause(message);
 }
--- a/lib/state/key_commands.cpp
+++ b/lib/state/key_commands.cpp
@@ -48,7 +48,8 @@
     schema::work_reply reply;
     auto found = keys_.find({finish.customer(), finish.key()});
     const bool held = found != keys_.end() && found->second.status == key_status::running &&
-                      found->second.holder == finish.holder();
+                      found->second.holder == finish.holder() &&
+                      found->second.request == finish.request();
     if (!held) {
         reply.set_result(schema::work_reply::missing);
         return reply;
