--- a/include/cassia/base/ids.h
+++ b/include/cassia/base/ids.h
@@ -48,7 +48,7 @@
 using zone_id = string_id<struct zone_tag>;
 using customer_id = string_id<struct customer_tag>; ///< the plan's name
 using job_id = string_id<struct job_tag>;
-using fingerprint = string_id<struct fingerprint_tag>; ///< SHA-256 in hexadecimal
+using fingerprint = string_id<struct fingerprint_tag>;   ///< SHA-256 in hexadecimal
 using peer_address = string_id<struct peer_address_tag>; ///< IP:PORT of a ZeroMQ socket
 using http_address = string_id<struct http_address_tag>; ///< IP:PORT of an HTTP socket
 
--- a/include/cassia/base/log.h
+++ b/include/cassia/base/log.h
@@ -38,9 +38,17 @@
     std::string line_;
 };
 
-inline log_event log_debug(std::string_view event) { return {log_level::debug, event}; }
-inline log_event log_info(std::string_view event) { return {log_level::info, event}; }
-inline log_event log_warning(std::string_view event) { return {log_level::warning, event}; }
-inline log_event log_error(std::string_view event) { return {log_level::error, event}; }
+inline log_event log_debug(std::string_view event) {
+    return {log_level::debug, event};
+}
+inline log_event log_info(std::string_view event) {
+    return {log_level::info, event};
+}
+inline log_event log_warning(std::string_view event) {
+    return {log_level::warning, event};
+}
+inline log_event log_error(std::string_view event) {
+    return {log_level::error, event};
+}
 
 } // namespace cassia
--- a/include/cassia/base/outcome.h
+++ b/include/cassia/base/outcome.h
@@ -11,8 +11,8 @@
 /// Either a T or an E. Reading the side that isn't there ends the process: it is a programming
 /// error, and nothing here throws.
 template <class T, class E>
-using outcome = BOOST_OUTCOME_V2_NAMESPACE::basic_result<
-    T, E, BOOST_OUTCOME_V2_NAMESPACE::policy::terminate>;
+using outcome =
+    BOOST_OUTCOME_V2_NAMESPACE::basic_result<T, E, BOOST_OUTCOME_V2_NAMESPACE::policy::terminate>;
 
 using BOOST_OUTCOME_V2_NAMESPACE::failure;
 using BOOST_OUTCOME_V2_NAMESPACE::success;
--- a/include/cassia/consensus/raft_group.h
+++ b/include/cassia/consensus/raft_group.h
@@ -96,10 +96,10 @@
     struct progress {
         std::uint64_t match = 0;
         std::uint64_t next = 1;
-        bool probing = true;    ///< one message at a time until the logs are known to agree
-        bool snapshot = false;  ///< waits for a snapshot
+        bool probing = true;   ///< one message at a time until the logs are known to agree
+        bool snapshot = false; ///< waits for a snapshot
         std::uint64_t sent_commit = 0;
-        instant last_answer{};  ///< when this leader heard from it
+        instant last_answer{};   ///< when this leader heard from it
         instant acked_sent_at{}; ///< send time of the last append it answered
         instant last_sent{};
     };
--- a/include/cassia/entry/keeper_client.h
+++ b/include/cassia/entry/keeper_client.h
@@ -32,8 +32,7 @@
     keeper_client(std::vector<keeper_address> keepers, send_function send);
 
     /// `done` gets the reply, or one with the result `unavailable` when patience ends.
-    void ask(schema::keeper_request request, ask_options options, reply_function done,
-             instant now);
+    void ask(schema::keeper_request request, ask_options options, reply_function done, instant now);
     void receive(schema::keeper_reply reply, instant now);
     /// A keeper said that it leads the group.
     void leads(group_id group, const std::string& node);
--- a/include/cassia/entry/online_calls.h
+++ b/include/cassia/entry/online_calls.h
@@ -20,8 +20,7 @@
 
 class online_calls {
 public:
-    online_calls(front_context& context,
-                 std::function<void(batch_offers)> on_batch_offers);
+    online_calls(front_context& context, std::function<void(batch_offers)> on_batch_offers);
     ~online_calls();
 
     /// A call of a model: /v1/completions or /v1/chat/completions.
--- a/include/cassia/entry/refusal.h
+++ b/include/cassia/entry/refusal.h
@@ -12,25 +12,25 @@
 enum class run_state { no, maybe, yes };
 
 enum class refusal_code {
-    bad_request,     ///< 400
-    unauthorized,    ///< 401
-    not_allowed,     ///< 403
-    not_found,       ///< 404
-    bad_method,      ///< 405
-    in_progress,     ///< 409
-    conflict,        ///< 409
-    too_large,       ///< 413
-    key_reused,      ///< 422
-    quarantined,     ///< 422
-    over_share,      ///< 429
+    bad_request,      ///< 400
+    unauthorized,     ///< 401
+    not_allowed,      ///< 403
+    not_found,        ///< 404
+    bad_method,       ///< 405
+    in_progress,      ///< 409
+    conflict,         ///< 409
+    too_large,        ///< 413
+    key_reused,       ///< 422
+    quarantined,      ///< 422
+    over_share,       ///< 429
     header_too_large, ///< 431
-    outcome_unknown, ///< 502
-    endpoint_failed, ///< 502
-    no_endpoint,     ///< 503
-    draining,        ///< 503
-    stale,           ///< 503
-    no_quorum,       ///< 503
-    deadline,        ///< 504
+    outcome_unknown,  ///< 502
+    endpoint_failed,  ///< 502
+    no_endpoint,      ///< 503
+    draining,         ///< 503
+    stale,            ///< 503
+    no_quorum,        ///< 503
+    deadline,         ///< 504
 };
 
 struct refusal {
--- a/include/cassia/entry/request_text.h
+++ b/include/cassia/entry/request_text.h
@@ -38,7 +38,9 @@
 
 /// The data of an event, without "data: " and line ends.
 std::string_view event_data(std::string_view event);
-inline bool is_done(std::string_view event) { return event_data(event) == "[DONE]"; }
+inline bool is_done(std::string_view event) {
+    return event_data(event) == "[DONE]";
+}
 
 /// Unix time of an RFC 3339 text.
 std::optional<wall_time> parse_time(const std::string& text);
--- a/include/cassia/keeper/group_host.h
+++ b/include/cassia/keeper/group_host.h
@@ -47,9 +47,8 @@
 
     /// \param log_writer writes the log, and whatever must follow it in order.
     /// \param snapshot_writer writes snapshots, which would hold up the log.
-    group_host(group_settings settings, state_machine machine, store& disk,
-               disk_writer& log_writer, disk_writer& snapshot_writer,
-               std::function<void()> on_actions);
+    group_host(group_settings settings, state_machine machine, store& disk, disk_writer& log_writer,
+               disk_writer& snapshot_writer, std::function<void()> on_actions);
     ~group_host();
 
     /// Continues from what the disk holds.
--- a/include/cassia/keeper/snapshot_transfer.h
+++ b/include/cassia/keeper/snapshot_transfer.h
@@ -22,8 +22,7 @@
 /// The leader's side, for one member.
 class snapshot_sender {
 public:
-    using command_reader =
-        std::function<storage::result<std::string>(const storage::position& at)>;
+    using command_reader = std::function<storage::result<std::string>(const storage::position& at)>;
 
     snapshot_sender(consensus::log_base base, std::string state,
                     std::vector<storage::position> places);
--- a/include/cassia/membership/directory.h
+++ b/include/cassia/membership/directory.h
@@ -12,16 +12,16 @@
 namespace cassia::membership {
 
 struct directory_settings {
-    milliseconds silent_after{3000};  ///< no announcement: no new work
+    milliseconds silent_after{3000}; ///< no announcement: no new work
     milliseconds forget_after{60000};
 };
 
 /// An endpoint as last announced.
 struct endpoint_entry {
     schema::endpoint_record record;
-    instant heard{};       ///< when it last announced itself to any entry
-    instant own_heard{};   ///< when it last announced itself to this one
-    bool leaving = false;  ///< once set it holds for the incarnation
+    instant heard{};      ///< when it last announced itself to any entry
+    instant own_heard{};  ///< when it last announced itself to this one
+    bool leaving = false; ///< once set it holds for the incarnation
 };
 
 class directory {
--- a/include/cassia/net/http_server.h
+++ b/include/cassia/net/http_server.h
@@ -58,7 +58,8 @@
     /// Accepts no further connection; those open go on.
     void stop_listening();
 
-    /// Answers in one piece; a second answer is ignored, and one to a stream that has begun cuts it.
+    /// Answers in one piece; a second answer is ignored, and one to a stream that has begun cuts
+    /// it.
     void respond(exchange_id id, http_response response);
     /// Answers in pieces: the head, any number of pieces, the end.
     void begin_stream(exchange_id id, const http_response& head);
--- a/include/cassia/net/peer_hub.h
+++ b/include/cassia/net/peer_hub.h
@@ -18,9 +18,9 @@
 class task;
 
 struct peer_hub_settings {
-    std::string name;      ///< of this process, sent with each envelope
-    peer_address address;  ///< where this process is reached
-    std::string secret;    ///< the cluster's CURVE secret key, Z85
+    std::string name;     ///< of this process, sent with each envelope
+    peer_address address; ///< where this process is reached
+    std::string secret;   ///< the cluster's CURVE secret key, Z85
 };
 
 class peer_hub {
--- a/include/cassia/settings/catalog.h
+++ b/include/cassia/settings/catalog.h
@@ -49,11 +49,9 @@
     bool has_service(const service_id& service) const { return services_.count(service) > 0; }
 
     /// Reads both lists and reports every fault in either.
-    static result<std::shared_ptr<const catalog>> parse(std::uint64_t version,
-                                                        const std::string& plans_name,
-                                                        const std::string& plans,
-                                                        const std::string& allowances_name,
-                                                        const std::string& allowances);
+    static result<std::shared_ptr<const catalog>>
+    parse(std::uint64_t version, const std::string& plans_name, const std::string& plans,
+          const std::string& allowances_name, const std::string& allowances);
 
 private:
     std::uint64_t version_ = 0;
--- a/include/cassia/settings/command_line.h
+++ b/include/cassia/settings/command_line.h
@@ -17,7 +17,7 @@
 struct program_info {
     std::string name;
     std::string summary;
-    std::string usage; ///< behind the options; empty if it takes no arguments
+    std::string usage;          ///< behind the options; empty if it takes no arguments
     std::string default_config; ///< settings to start from where no --config is given
 };
 
--- a/lib/base/digest.cpp
+++ b/lib/base/digest.cpp
@@ -38,8 +38,7 @@
 
 std::string random_name(std::string_view prefix) {
     char digits[17];
-    std::snprintf(digits, sizeof digits, "%016llx",
-                  static_cast<unsigned long long>(random_bits()));
+    std::snprintf(digits, sizeof digits, "%016llx", static_cast<unsigned long long>(random_bits()));
     return std::string(prefix) + digits;
 }
 
--- a/lib/base/log.cpp
+++ b/lib/base/log.cpp
@@ -69,11 +69,10 @@
     sink->locked_backend()->add_stream(stream);
     sink->locked_backend()->auto_flush(true);
     namespace expr = blog::expressions;
-    sink->set_formatter(expr::stream
-                        << "time="
-                        << expr::format_date_time<boost::posix_time::ptime>(
-                               "TimeStamp", "%Y-%m-%dT%H:%M:%S.%fZ")
-                        << " process=" << process << ' ' << expr::smessage);
+    sink->set_formatter(expr::stream << "time="
+                                     << expr::format_date_time<boost::posix_time::ptime>(
+                                            "TimeStamp", "%Y-%m-%dT%H:%M:%S.%fZ")
+                                     << " process=" << process << ' ' << expr::smessage);
     blog::core::get()->remove_all_sinks();
     blog::core::get()->add_sink(sink);
     blog::core::get()->add_global_attribute("TimeStamp", blog::attributes::utc_clock());
--- a/lib/consensus/raft_election.cpp
+++ b/lib/consensus/raft_election.cpp
@@ -75,9 +75,8 @@
     const bool sticks = hears_leader(now) && !message.forced();
     if (!preliminary && !sticks && term > vote_.term)
         become_follower(term, disk_id(), now);
-    const bool up_to_date =
-        std::make_pair(message.index_term(), message.index()) >=
-        std::make_pair(log_.last_term().value(), log_.last_index());
+    const bool up_to_date = std::make_pair(message.index_term(), message.index()) >=
+                            std::make_pair(log_.last_term().value(), log_.last_index());
     const bool free_to_vote = preliminary ? term > vote_.term
                                           : term == vote_.term && (vote_.voted_for == disk_id() ||
                                                                    vote_.voted_for == candidate);
--- a/lib/consensus/raft_group.cpp
+++ b/lib/consensus/raft_group.cpp
@@ -94,7 +94,9 @@
     }
 }
 
-raft_actions raft_group::take_actions() { return std::exchange(actions_, raft_actions()); }
+raft_actions raft_group::take_actions() {
+    return std::exchange(actions_, raft_actions());
+}
 
 bool raft_group::may_read(instant now) const {
     if (role_ != raft_role::leader || applied_ < term_start_)
@@ -108,7 +110,9 @@
             continue;
         const bool own = one.disk == self_;
         auto found = progress_.find(one.disk);
-        acked.push_back(own ? now : found == progress_.end() ? instant() : found->second.acked_sent_at);
+        acked.push_back(own                        ? now
+                        : found == progress_.end() ? instant()
+                                                   : found->second.acked_sent_at);
     }
     if (acked.empty())
         return false;
@@ -136,10 +140,9 @@
 }
 
 bool raft_group::is_voter(disk_id member) const {
-    return std::any_of(log_.members().begin(), log_.members().end(),
-                       [member](const consensus::member& one) {
-                           return one.disk == member && one.voter;
-                       });
+    return std::any_of(
+        log_.members().begin(), log_.members().end(),
+        [member](const consensus::member& one) { return one.disk == member && one.voter; });
 }
 
 std::size_t raft_group::quorum() const {
--- a/lib/consensus/raft_log.cpp
+++ b/lib/consensus/raft_log.cpp
@@ -27,7 +27,9 @@
 
 raft_log::raft_log(log_base base) : base_(std::move(base)) {}
 
-term_number raft_log::last_term() const { return term_at(last_index()); }
+term_number raft_log::last_term() const {
+    return term_at(last_index());
+}
 
 term_number raft_log::term_at(std::uint64_t index) const {
     assert(index >= base_.index && index <= last_index() && "entry is not in the log");
--- a/lib/consensus/raft_replication.cpp
+++ b/lib/consensus/raft_replication.cpp
@@ -93,7 +93,8 @@
     const bool full = !peer.probing && peer.next > peer.match + most_in_flight;
     std::size_t bytes = 0;
     std::uint64_t next = peer.next;
-    while (!peer.snapshot && !silent && !full && next <= log_.last_index() && bytes < settings_.append_bytes) {
+    while (!peer.snapshot && !silent && !full && next <= log_.last_index() &&
+           bytes < settings_.append_bytes) {
         const entry_pointer& entry = log_.at(next);
         bytes += entry->payload().size();
         *message.add_entries() = *entry;
@@ -113,10 +114,10 @@
         make_message(schema::raft_message::append_reply, disk_id(message.from()));
     reply.set_sent_at_us(message.sent_at_us());
     const std::uint64_t previous = message.index();
-    const bool agrees = previous <= log_.base_index()
-                            ? previous + static_cast<std::uint64_t>(message.entries_size()) >=
-                                  log_.base_index()
-                            : log_.holds(previous, term_number(message.index_term()));
+    const bool agrees =
+        previous <= log_.base_index()
+            ? previous + static_cast<std::uint64_t>(message.entries_size()) >= log_.base_index()
+            : log_.holds(previous, term_number(message.index_term()));
     if (!agrees || log_.members().empty()) {
         // Where to try next: behind the last entry, or the start of the term that disagrees.
         std::uint64_t hint = std::min(previous == 0 ? 0 : previous - 1, log_.last_index());
@@ -150,11 +151,10 @@
             stable_ = std::min(stable_, keep);
             actions_.cut_after = std::min(actions_.cut_after.value_or(keep), keep);
             std::vector<entry_pointer>& pending = actions_.append;
-            pending.erase(std::remove_if(pending.begin(), pending.end(),
-                                         [keep](const entry_pointer& one) {
-                                             return one->index() > keep;
-                                         }),
-                          pending.end());
+            pending.erase(
+                std::remove_if(pending.begin(), pending.end(),
+                               [keep](const entry_pointer& one) { return one->index() > keep; }),
+                pending.end());
         }
         entry_pointer added = std::make_shared<const schema::log_entry>(entry);
         log_.append(added);
--- a/lib/entry/announce_api.cpp
+++ b/lib/entry/announce_api.cpp
@@ -63,8 +63,7 @@
 };
 } // namespace
 
-static void read_names(const boost::json::object& in, const char* name,
-                       announcement_reader& reader,
+static void read_names(const boost::json::object& in, const char* name, announcement_reader& reader,
                        google::protobuf::RepeatedPtrField<std::string>& out) {
     const boost::json::value* list = in.if_contains(name);
     if (list == nullptr)
@@ -144,10 +143,9 @@
 void announce_api::serve(exchange_id exchange, const net::http_request& request,
                          const std::string& request_id) {
     const std::string& header = request.header("authorization");
-    const bool known =
-        header.compare(0, bearer.size(), bearer) == 0 &&
-        equal_secrets(sha256_hex(header.substr(bearer.size())),
-                      context_.settings.endpoint_token_sha256());
+    const bool known = header.compare(0, bearer.size(), bearer) == 0 &&
+                       equal_secrets(sha256_hex(header.substr(bearer.size())),
+                                     context_.settings.endpoint_token_sha256());
     if (!known) {
         context_.refuse(exchange, {refusal_code::unauthorized, "unknown endpoint token"},
                         request_id);
@@ -170,8 +168,8 @@
     for (const listed_entry& one : context_.view->entries)
         entries.push_back({{"address", one.address}, {"zone", one.zone.str()}, {"weight", 1}});
     net::http_response response;
-    response.body = boost::json::serialize(boost::json::object{
-        {"interval", announce_interval_ms}, {"entries", std::move(entries)}});
+    response.body = boost::json::serialize(
+        boost::json::object{{"interval", announce_interval_ms}, {"entries", std::move(entries)}});
     context_.server->respond(exchange, std::move(response));
 }
 
--- a/lib/entry/batch_api.cpp
+++ b/lib/entry/batch_api.cpp
@@ -24,12 +24,10 @@
     boost::json::object out;
     out["id"] = job.job();
     out["status"] = job.status();
-    out["counts"] = {{"total", job.counts().total()},
-                     {"completed", job.counts().completed()},
-                     {"failed", job.counts().failed()},
-                     {"unknown", job.counts().unknown()},
-                     {"cancelled", job.counts().cancelled()},
-                     {"running", job.counts().running()}};
+    out["counts"] = {
+        {"total", job.counts().total()},         {"completed", job.counts().completed()},
+        {"failed", job.counts().failed()},       {"unknown", job.counts().unknown()},
+        {"cancelled", job.counts().cancelled()}, {"running", job.counts().running()}};
     if (job.deadline() == 0)
         out["deadline"] = nullptr;
     else
@@ -205,14 +203,14 @@
     command.mutable_cancel()->set_job(job);
     command.mutable_cancel()->set_customer(from.plan->customer.str());
     command.mutable_cancel()->set_at(to_unix_ms(wall_now()));
-    ask_work(exchange, request_id, group_of(job), command,
-             [this, exchange, request_id](const schema::work_reply& reply) {
-                 if (reply.result() == schema::work_reply::missing)
-                     context_.refuse(exchange, {refusal_code::not_found, "no such job"},
-                                     request_id);
-                 else
-                     answer_job(exchange, request_id, 200, reply.job());
-             });
+    ask_work(
+        exchange, request_id, group_of(job), command,
+        [this, exchange, request_id](const schema::work_reply& reply) {
+            if (reply.result() == schema::work_reply::missing)
+                context_.refuse(exchange, {refusal_code::not_found, "no such job"}, request_id);
+            else
+                answer_job(exchange, request_id, 200, reply.job());
+        });
 }
 
 void batch_api::stream_results(exchange_id exchange, const std::string& job,
--- a/lib/entry/batch_items.cpp
+++ b/lib/entry/batch_items.cpp
@@ -26,9 +26,9 @@
 } // namespace
 
 const policy::endpoint_facts* batch_task::find_facts(const endpoint_id& endpoint) const {
-    auto found = std::find_if(
-        view_->endpoints.begin(), view_->endpoints.end(),
-        [&endpoint](const policy::endpoint_facts& one) { return one.id == endpoint; });
+    auto found =
+        std::find_if(view_->endpoints.begin(), view_->endpoints.end(),
+                     [&endpoint](const policy::endpoint_facts& one) { return one.id == endpoint; });
     return found == view_->endpoints.end() ? nullptr : &*found;
 }
 
@@ -76,20 +76,17 @@
                 candidate.suspect = strikes_.is_suspect(candidate.print, now);
                 const bool other_suspect =
                     at.offer.suspect_running ||
-                    std::any_of(at.running.begin(), at.running.end(), [this](const item_id& other) {
-                        return items_.at(other).suspect;
-                    });
-                const bool fits = policy::serves(facts, demand_of(candidate.lease.item(),
-                                                                  queue.first)) &&
-                                  candidate.failed_at.count(facts.id) == 0 &&
-                                  !(candidate.suspect && other_suspect) &&
-                                  may_start(candidate, now);
+                    std::any_of(at.running.begin(), at.running.end(),
+                                [this](const item_id& other) { return items_.at(other).suspect; });
+                const bool fits =
+                    policy::serves(facts, demand_of(candidate.lease.item(), queue.first)) &&
+                    candidate.failed_at.count(facts.id) == 0 &&
+                    !(candidate.suspect && other_suspect) && may_start(candidate, now);
                 if (!fits) {
                     ++passed_by;
                     continue;
                 }
-                queue.second.erase(queue.second.begin() +
-                                   static_cast<std::ptrdiff_t>(passed_by));
+                queue.second.erase(queue.second.begin() + static_cast<std::ptrdiff_t>(passed_by));
                 start_item(id, facts);
             }
         }
@@ -119,8 +116,8 @@
     one.events = event_splitter();
     one.done_seen = false;
     ++one.runs;
-    one.request_id =
-        id.first.str() + "/" + std::to_string(id.second) + "/" + std::to_string(one.lease.attempt());
+    one.request_id = id.first.str() + "/" + std::to_string(id.second) + "/" +
+                     std::to_string(one.lease.attempt());
     net::http_call out;
     out.method = "POST";
     out.to = facts.address;
@@ -193,8 +190,8 @@
     item& one = items_.at(id);
     const bool whole = !one.engine || one.head.status != 200 || one.done_seen;
     if (!whole) {
-        on_failure(id, {{net::errc::connection_lost, "the stream ended before its last event"},
-                        true});
+        on_failure(id,
+                   {{net::errc::connection_lost, "the stream ended before its last event"}, true});
         return;
     }
     const bool again = one.head.status >= first_server_error && one.lease.item().repeatable() &&
@@ -232,9 +229,9 @@
             continue;
         const boost::json::object& choice = choices->as_array()[0].as_object();
         const boost::json::value* delta = choice.if_contains("delta");
-        const boost::json::value* piece =
-            delta != nullptr && delta->is_object() ? delta->as_object().if_contains("content")
-                                                   : choice.if_contains("text");
+        const boost::json::value* piece = delta != nullptr && delta->is_object()
+                                              ? delta->as_object().if_contains("content")
+                                              : choice.if_contains("text");
         if (piece != nullptr && piece->is_string())
             text += std::string(piece->as_string());
         const boost::json::value* reason = choice.if_contains("finish_reason");
--- a/lib/entry/batch_leases.cpp
+++ b/lib/entry/batch_leases.cpp
@@ -180,7 +180,8 @@
                          if (reply.result() != schema::keeper_reply::done)
                              return;
                          auto& list = ends_[id];
-                         list.erase(list.begin(), list.begin() + static_cast<std::ptrdiff_t>(count));
+                         list.erase(list.begin(),
+                                    list.begin() + static_cast<std::ptrdiff_t>(count));
                          metrics_.count("items_ended", count);
                          flush_ends();
                      });
--- a/lib/entry/batch_submission.cpp
+++ b/lib/entry/batch_submission.cpp
@@ -91,8 +91,7 @@
     const std::string target =
         model ? string_member(body->as_object(), "model") : rest.substr(0, rest.find('/'));
     out.item.set_service(target);
-    const bool by_default =
-        model || from.catalog->is_repeatable(service_id(target), "POST");
+    const bool by_default = model || from.catalog->is_repeatable(service_id(target), "POST");
     out.item.set_repeatable(repeatable != nullptr ? repeatable->as_bool() : by_default);
     const bool allowed = model ? model_allowed(*from.plan, body->as_object())
                                : from.plan->services.count(service_id(target)) > 0;
@@ -124,8 +123,8 @@
         if (one.problem.empty() && !custom_ids.insert(one.item.custom_id()).second)
             one.problem = "custom_id: '" + one.item.custom_id() + "' stands twice";
         if (!one.problem.empty()) {
-            out.refused = refusal{one.code, "line " + std::to_string(line_number) + ": " +
-                                                one.problem};
+            out.refused =
+                refusal{one.code, "line " + std::to_string(line_number) + ": " + one.problem};
             return out;
         }
         digests += sha256_hex(canonical_body(line));
@@ -218,19 +217,19 @@
     *request.mutable_work() = command;
     ask_options options;
     options.patience = milliseconds(10000);
-    context_.control.ask(
-        std::move(request), options, context_.task,
-        [this, exchange, request_id, done](const schema::keeper_reply& reply) {
-            if (reply.result() == schema::keeper_reply::done) {
-                done(reply.work());
-                return;
-            }
-            context_.refuse(exchange,
-                            {refusal_code::no_quorum,
-                             "the durable state can't be reached; a resend is the same job",
-                             run_state::maybe, come_back_soon},
-                            request_id);
-        });
+    context_.control.ask(std::move(request), options, context_.task,
+                         [this, exchange, request_id, done](const schema::keeper_reply& reply) {
+                             if (reply.result() == schema::keeper_reply::done) {
+                                 done(reply.work());
+                                 return;
+                             }
+                             context_.refuse(
+                                 exchange,
+                                 {refusal_code::no_quorum,
+                                  "the durable state can't be reached; a resend is the same job",
+                                  run_state::maybe, come_back_soon},
+                                 request_id);
+                         });
 }
 
 void batch_api::send_begin(const submission_pointer& one) {
@@ -240,10 +239,10 @@
     ask_work(one->exchange, one->request_id, group_of(one->begin.job()), command,
              [this, one](const schema::work_reply& reply) {
                  if (reply.result() == schema::work_reply::key_reused)
-                     context_.refuse(one->exchange,
-                                     {refusal_code::key_reused,
-                                      "this key belongs to another submission"},
-                                     one->request_id);
+                     context_.refuse(
+                         one->exchange,
+                         {refusal_code::key_reused, "this key belongs to another submission"},
+                         one->request_id);
                  else if (reply.result() == schema::work_reply::replay)
                      answer_job(one->exchange, one->request_id, 202, reply.job());
                  else
--- a/lib/entry/batch_task.cpp
+++ b/lib/entry/batch_task.cpp
@@ -28,10 +28,16 @@
     task_.every(held_interval, [this] { tell_held(); });
 }
 
-batch_task::~batch_task() { task_.stop(); }
+batch_task::~batch_task() {
+    task_.stop();
+}
 
-void batch_task::start() { task_.start(); }
-void batch_task::stop() { task_.stop(); }
+void batch_task::start() {
+    task_.start();
+}
+void batch_task::stop() {
+    task_.stop();
+}
 
 void batch_task::set_view(view_pointer view) {
     task_.post([this, view = std::move(view)] {
@@ -139,9 +145,9 @@
         for (const auto& group : ends_)
             ends += group.second.size();
         out["ends_waiting"] = ends;
-        for (const char* name : {"items_leased", "items_started", "items_ended",
-                                 "items_stopped_for_online", "items_stopped_for_reserve",
-                                 "items_failed_runs"})
+        for (const char* name :
+             {"items_leased", "items_started", "items_ended", "items_stopped_for_online",
+              "items_stopped_for_reserve", "items_failed_runs"})
             out[name] = metrics_.counter(name);
         boost::json::array seats;
         for (const std::pair<const endpoint_id, seat>& at : seats_)
--- a/lib/entry/control_task.cpp
+++ b/lib/entry/control_task.cpp
@@ -28,14 +28,15 @@
 control_task::control_task(const schema::entry_settings& settings, control_hooks hooks)
     : settings_(settings), hooks_(std::move(hooks)), incarnation_(to_unix_ms(wall_now())),
       holder_(settings.name() + "/" + std::to_string(incarnation_)), task_("control"),
-      keepers_(keeper_addresses(settings),
-               [this](const peer_address& to, schema::envelope& message) {
-                   hub_->send(to, message);
-               }),
+      keepers_(
+          keeper_addresses(settings),
+          [this](const peer_address& to, schema::envelope& message) { hub_->send(to, message); }),
       directory_(membership::directory_settings()), entries_(others_silent_after),
       freshness_(milliseconds(settings.stale_after_ms())), strikes_(strike_memory) {}
 
-control_task::~control_task() { task_.stop(); }
+control_task::~control_task() {
+    task_.stop();
+}
 
 std::string control_task::open() {
     hub_ = std::make_unique<net::peer_hub>(
@@ -54,8 +55,12 @@
     return "";
 }
 
-void control_task::start() { task_.start(); }
-void control_task::stop() { task_.stop(); }
+void control_task::start() {
+    task_.start();
+}
+void control_task::stop() {
+    task_.stop();
+}
 
 void control_task::ask(schema::keeper_request request, ask_options options, net::task& home,
                        keeper_client::reply_function done) {
@@ -119,10 +124,10 @@
             hooks_.on_yield(endpoint, slots);
             return;
         }
-        auto holder = std::find_if(alive.begin(), alive.end(),
-                                   [&steward](const schema::entry_hello* one) {
-                                       return one->entry() == steward.str();
-                                   });
+        auto holder =
+            std::find_if(alive.begin(), alive.end(), [&steward](const schema::entry_hello* one) {
+                return one->entry() == steward.str();
+            });
         if (holder == alive.end())
             return;
         schema::envelope envelope;
--- a/lib/entry/decision_log.cpp
+++ b/lib/entry/decision_log.cpp
@@ -49,10 +49,9 @@
 
 std::vector<decision> decision_log::about(const std::string& text) const {
     std::vector<decision> found;
-    std::copy_if(ring_.begin(), ring_.end(), std::back_inserter(found),
-                 [&text](const decision& one) {
-                     return one.subject == text || one.object == text;
-                 });
+    std::copy_if(
+        ring_.begin(), ring_.end(), std::back_inserter(found),
+        [&text](const decision& one) { return one.subject == text || one.object == text; });
     return found;
 }
 
--- a/lib/entry/front_task.cpp
+++ b/lib/entry/front_task.cpp
@@ -34,8 +34,9 @@
 
 front_task::front_task(const schema::entry_settings& settings, control_task& control,
                        front_hooks hooks)
-    : settings_(settings), hooks_(std::move(hooks)), task_("front"), decisions_(decisions_kept),
-      context_{settings_, task_, control, metrics_, decisions_, nullptr, nullptr, false} {
+    : settings_(settings), hooks_(std::move(hooks)), task_("front"),
+      decisions_(decisions_kept), context_{settings_,  task_,   control, metrics_,
+                                           decisions_, nullptr, nullptr, false} {
     context_.view = std::make_shared<fleet_view>();
 }
 
@@ -54,8 +55,8 @@
     hooks.on_gone = [this](exchange_id exchange) { online_->gone(exchange); };
     hooks.on_refused = [this](int status) {
         const bool header = status == status_of(refusal_code::header_too_large);
-        const std::string limit = std::to_string(header ? settings_.max_header_bytes()
-                                                        : settings_.max_body_bytes());
+        const std::string limit =
+            std::to_string(header ? settings_.max_header_bytes() : settings_.max_body_bytes());
         const refusal refused{header ? refusal_code::header_too_large : refusal_code::too_large,
                               header ? "headers are over " + limit + " bytes"
                                      : "the body is over the limit"};
@@ -82,7 +83,9 @@
     return "";
 }
 
-void front_task::run() { task_.run(); }
+void front_task::run() {
+    task_.run();
+}
 
 void front_task::set_view(view_pointer view) {
     task_.post([this, view = std::move(view)] {
@@ -156,13 +159,13 @@
         return;
     }
     const bool lists_ran_out =
-        context_.draining && monotonic_now() - draining_since_ >=
-                                 milliseconds(settings_.entries_max_age_ms());
+        context_.draining &&
+        monotonic_now() - draining_since_ >= milliseconds(settings_.entries_max_age_ms());
     if (lists_ran_out) {
-        context_.refuse(exchange,
-                        {refusal_code::draining, "this entry is leaving", run_state::no,
-                         come_back_soon},
-                        request_id);
+        context_.refuse(
+            exchange,
+            {refusal_code::draining, "this entry is leaving", run_state::no, come_back_soon},
+            request_id);
         return;
     }
     const std::optional<caller> from = authenticate(exchange, request, request_id);
@@ -182,8 +185,8 @@
     if (context_.view->catalog == nullptr) {
         // Without the lists nobody's key is known; that is this entry's fault and not the caller's.
         context_.refuse(exchange,
-                        {refusal_code::stale, "this entry has no configuration yet",
-                         run_state::no, come_back_soon},
+                        {refusal_code::stale, "this entry has no configuration yet", run_state::no,
+                         come_back_soon},
                         request_id);
         return std::nullopt;
     }
--- a/lib/entry/keeper_client.cpp
+++ b/lib/entry/keeper_client.cpp
@@ -28,10 +28,10 @@
 const keeper_address& keeper_client::target(open_request& one) {
     auto leader = leaders_.find(group_id(one.request.group()));
     if (leader != leaders_.end()) {
-        auto found = std::find_if(keepers_.begin(), keepers_.end(),
-                                  [&leader](const keeper_address& keeper) {
-                                      return keeper.node == leader->second;
-                                  });
+        auto found =
+            std::find_if(keepers_.begin(), keepers_.end(), [&leader](const keeper_address& keeper) {
+                return keeper.node == leader->second;
+            });
         if (found != keepers_.end())
             return *found;
     }
@@ -64,7 +64,9 @@
     found->second.resend_at = now + pause_after_refusal;
 }
 
-void keeper_client::leads(group_id group, const std::string& node) { leaders_[group] = node; }
+void keeper_client::leads(group_id group, const std::string& node) {
+    leaders_[group] = node;
+}
 
 void keeper_client::tick(instant now) {
     std::vector<open_request> due;
--- a/lib/entry/online_calls.cpp
+++ b/lib/entry/online_calls.cpp
@@ -51,8 +51,8 @@
     context_.refuse(one.exchange, refused, one.request_id);
 }
 
-void online_calls::serve_model(exchange_id exchange, net::http_request request,
-                               const caller& from, const std::string& request_id) {
+void online_calls::serve_model(exchange_id exchange, net::http_request request, const caller& from,
+                               const std::string& request_id) {
     call one;
     one.exchange = exchange;
     one.request_id = request_id;
@@ -161,10 +161,10 @@
         return false;
     const std::set<std::string>& versions = allowed->second.versions;
     const std::set<std::string>& adapters = allowed->second.adapters;
-    const bool version = one.demand.version.empty() || versions.empty() ||
-                         versions.count(one.demand.version) > 0;
-    const bool adapter = one.demand.adapter.empty() || adapters.empty() ||
-                         adapters.count(one.demand.adapter) > 0;
+    const bool version =
+        one.demand.version.empty() || versions.empty() || versions.count(one.demand.version) > 0;
+    const bool adapter =
+        one.demand.adapter.empty() || adapters.empty() || adapters.count(one.demand.adapter) > 0;
     return version && adapter;
 }
 
@@ -177,16 +177,16 @@
     const milliseconds wait = found->second.admit(one.arrived);
     if (wait.count() == 0)
         return true;
-    refuse_early(one, {refusal_code::over_share, "the plan's rate is used up", run_state::no,
-                       wait});
+    refuse_early(one,
+                 {refusal_code::over_share, "the plan's rate is used up", run_state::no, wait});
     return false;
 }
 
 void online_calls::admit(call one) {
     if (!is_allowed(one)) {
-        refuse_early(one, {refusal_code::not_allowed,
-                           "the plan doesn't allow '" + one.demand.service.str() +
-                               "' in this version or with this adapter"});
+        refuse_early(
+            one, {refusal_code::not_allowed, "the plan doesn't allow '" + one.demand.service.str() +
+                                                 "' in this version or with this adapter"});
         return;
     }
     if (context_.view->stale) {
@@ -196,9 +196,9 @@
     }
     if (!within_rate(one))
         return;
-    one.print = cassia::fingerprint(
-        sha256_hex(one.from.plan->customer.str() + "\n" + one.request.method + "\n" +
-                   one.request.path + "\n" + canonical_body(one.request.body)));
+    one.print = cassia::fingerprint(sha256_hex(one.from.plan->customer.str() + "\n" +
+                                               one.request.method + "\n" + one.request.path + "\n" +
+                                               canonical_body(one.request.body)));
     if (strikes_.is_quarantined(one.print, one.arrived)) {
         refuse_early(one, {refusal_code::quarantined, "this request crashed endpoints"});
         return;
@@ -226,10 +226,9 @@
     claimed->set_at(to_unix_ms(wall_now()));
     claimed->set_retention_ms(one.from.plan->retention_ms);
     const exchange_id exchange = one.exchange;
-    context_.control.ask(std::move(request), ask_options(), context_.task,
-                         [this, exchange](const schema::keeper_reply& reply) {
-                             on_claimed(exchange, reply);
-                         });
+    context_.control.ask(
+        std::move(request), ask_options(), context_.task,
+        [this, exchange](const schema::keeper_reply& reply) { on_claimed(exchange, reply); });
 }
 
 void online_calls::on_claimed(exchange_id exchange, const schema::keeper_reply& reply) {
@@ -271,9 +270,9 @@
                {refusal_code::key_reused, "this key belongs to another request", run_state::no});
         return;
     default:
-        refuse(exchange, {refusal_code::outcome_unknown,
-                          "an earlier run of this request was lost; it won't run again",
-                          run_state::maybe});
+        refuse(exchange,
+               {refusal_code::outcome_unknown,
+                "an earlier run of this request was lost; it won't run again", run_state::maybe});
         return;
     }
 }
@@ -289,20 +288,19 @@
 
 void online_calls::enqueue(call& one) {
     if (!router_.can_serve(one.demand)) {
-        refuse(one.exchange, {refusal_code::no_endpoint,
-                              "no endpoint serves '" + one.demand.service.str() + "'",
-                              run_state::no, come_back_soon});
+        refuse(one.exchange,
+               {refusal_code::no_endpoint, "no endpoint serves '" + one.demand.service.str() + "'",
+                run_state::no, come_back_soon});
         return;
     }
     if (!can_make_deadline(one)) {
         const double wait_s = static_cast<double>(waiting_.size()) / ends_per_second_;
-        refuse(one.exchange, {refusal_code::deadline, "the deadline would pass while it waits",
-                              run_state::no,
-                              milliseconds(static_cast<std::int64_t>(wait_s * 1000))});
+        refuse(one.exchange,
+               {refusal_code::deadline, "the deadline would pass while it waits", run_state::no,
+                milliseconds(static_cast<std::int64_t>(wait_s * 1000))});
         return;
     }
-    const instant patience =
-        one.arrived + milliseconds(context_.settings.queue_wait_ms());
+    const instant patience = one.arrived + milliseconds(context_.settings.queue_wait_ms());
     one.waiting = waiting_.add({one.exchange, one.from.plan->customer, one.from.plan->weight,
                                 std::min(patience, one.deadline)});
     if (!one.waiting) {
@@ -343,7 +341,9 @@
     remove(exchange);
 }
 
-void online_calls::remove(exchange_id exchange) { calls_.erase(exchange); }
+void online_calls::remove(exchange_id exchange) {
+    calls_.erase(exchange);
+}
 
 void online_calls::gone(exchange_id exchange) {
     call* one = find(exchange);
@@ -389,8 +389,8 @@
         }
         one->second.configure(plan->rate, plan->burst);
         auto others = context_.view->others_rates.find(one->first);
-        one->second.set_others_rate(
-            others == context_.view->others_rates.end() ? 0 : others->second);
+        one->second.set_others_rate(others == context_.view->others_rates.end() ? 0
+                                                                                : others->second);
         ++one;
     }
     (void)now;
--- a/lib/entry/online_dispatch.cpp
+++ b/lib/entry/online_dispatch.cpp
@@ -6,8 +6,8 @@
 
 #include <boost/json.hpp>
 
-#include <array>
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace cassia::entry {
@@ -33,10 +33,10 @@
         call* one = find(exchange);
         if (one == nullptr)
             return true;
-        const bool plain = !strikes_.is_suspect(one->print, monotonic_now()) &&
-                           one->failed_at.empty();
-        const std::string kind = one->demand.service.str() + "\n" + one->demand.version + "\n" +
-                                 one->demand.adapter;
+        const bool plain =
+            !strikes_.is_suspect(one->print, monotonic_now()) && one->failed_at.empty();
+        const std::string kind =
+            one->demand.service.str() + "\n" + one->demand.version + "\n" + one->demand.adapter;
         if (plain && full.count(kind) > 0)
             return false;
         const bool gone = try_dispatch(exchange);
@@ -228,13 +228,13 @@
     out.path = "/health";
     out.fresh_connection = true;
     out.progress_timeout = probe_timeout;
-    net::fetch(client_, out,
-               [this, exchange, failed](const outcome<net::http_answer, net::http_failure>& answer) {
-                   const bool refused =
-                       !answer && answer.error().cause.code == net::errc::cannot_connect;
-                   if (find(exchange) != nullptr)
-                       decide_after_failure(exchange, failed, refused);
-               });
+    net::fetch(
+        client_, out,
+        [this, exchange, failed](const outcome<net::http_answer, net::http_failure>& answer) {
+            const bool refused = !answer && answer.error().cause.code == net::errc::cannot_connect;
+            if (find(exchange) != nullptr)
+                decide_after_failure(exchange, failed, refused);
+        });
 }
 
 void online_calls::blame_death(const endpoint_id& endpoint) {
@@ -269,21 +269,20 @@
     one.failed_at.insert(one.endpoint);
     end_attempt(one, policy::call_result::failed);
     if (strikes_.is_quarantined(one.print, monotonic_now())) {
-        refuse(exchange, {refusal_code::quarantined, "this request crashed endpoints",
-                          run_state::yes});
+        refuse(exchange,
+               {refusal_code::quarantined, "this request crashed endpoints", run_state::yes});
         return;
     }
     const bool may_run_again = one.repeatable || !failed.sent;
     if (!may_run_again) {
-        refuse(exchange, {refusal_code::outcome_unknown,
-                          "the endpoint was lost while it ran: " + failed.cause.text,
-                          run_state::maybe});
+        refuse(exchange,
+               {refusal_code::outcome_unknown,
+                "the endpoint was lost while it ran: " + failed.cause.text, run_state::maybe});
         return;
     }
     if (one.attempts >= most_attempts || (failed.sent && !retries_.take())) {
-        refuse(exchange, {refusal_code::endpoint_failed,
-                          "endpoints failed: " + failed.cause.text, run_state::no,
-                          come_back_soon});
+        refuse(exchange, {refusal_code::endpoint_failed, "endpoints failed: " + failed.cause.text,
+                          run_state::no, come_back_soon});
         return;
     }
     retry(one, failed.cause.text);
--- a/lib/entry/refusal.cpp
+++ b/lib/entry/refusal.cpp
@@ -42,8 +42,12 @@
     return codes[0];
 }
 
-int status_of(refusal_code code) { return facts_of(code).status; }
-const char* code_name(refusal_code code) { return facts_of(code).name; }
+int status_of(refusal_code code) {
+    return facts_of(code).status;
+}
+const char* code_name(refusal_code code) {
+    return facts_of(code).name;
+}
 
 const char* run_name(run_state run) {
     switch (run) {
--- a/lib/entry/request_text.cpp
+++ b/lib/entry/request_text.cpp
@@ -16,8 +16,8 @@
     boost::json::parse_options options;
     options.max_depth = deepest_nesting;
     boost::json::error_code problem;
-    boost::json::value value =
-        boost::json::parse(boost::json::string_view(text.data(), text.size()), problem, {}, options);
+    boost::json::value value = boost::json::parse(
+        boost::json::string_view(text.data(), text.size()), problem, {}, options);
     if (problem)
         return {std::nullopt, problem.message()};
     return {std::move(value), ""};
@@ -93,16 +93,16 @@
         return std::nullopt;
     constexpr std::int64_t ms_per_second = 1000;
     constexpr std::int64_t us_per_ms = 1000;
-    const std::int64_t ms = g_date_time_to_unix(time) * ms_per_second +
-                            g_date_time_get_microsecond(time) / us_per_ms;
+    const std::int64_t ms =
+        g_date_time_to_unix(time) * ms_per_second + g_date_time_get_microsecond(time) / us_per_ms;
     g_date_time_unref(time);
     return wall_time(milliseconds(ms));
 }
 
 std::string format_time(wall_time time) {
     constexpr std::int64_t ms_per_second = 1000;
-    GDateTime* utc = g_date_time_new_from_unix_utc(
-        static_cast<gint64>(to_unix_ms(time)) / ms_per_second);
+    GDateTime* utc =
+        g_date_time_new_from_unix_utc(static_cast<gint64>(to_unix_ms(time)) / ms_per_second);
     char* text = g_date_time_format(utc, "%Y-%m-%dT%H:%M:%SZ");
     std::string out(text);
     g_free(text);
--- a/lib/entry/service.cpp
+++ b/lib/entry/service.cpp
@@ -7,25 +7,24 @@
 namespace cassia::entry {
 
 service::service(const schema::entry_settings& settings)
-    : control_(settings,
-               control_hooks{
-                   [this](const view_pointer& view) {
-                       front_.set_view(view);
-                       batch_.set_view(view);
-                   },
-                   [this](const endpoint_id& endpoint, std::uint32_t slots) {
-                       batch_.yield(endpoint, slots);
-                   },
-                   [this](const std::vector<job_id>& jobs) { batch_.cancel_jobs(jobs); }}),
+    : control_(settings, control_hooks{[this](const view_pointer& view) {
+                                           front_.set_view(view);
+                                           batch_.set_view(view);
+                                       },
+                                       [this](const endpoint_id& endpoint, std::uint32_t slots) {
+                                           batch_.yield(endpoint, slots);
+                                       },
+                                       [this](const std::vector<job_id>& jobs) {
+                                           batch_.cancel_jobs(jobs);
+                                       }}),
       front_(settings, control_,
              front_hooks{[this](batch_offers offers) { batch_.set_offers(std::move(offers)); },
                          [this](std::function<void(std::string)> done) {
                              batch_.dump(front_.home(), std::move(done));
                          },
                          [this] { batch_.drain(); }, [] {}}),
-      batch_(settings, control_, [this](std::vector<endpoint_use> uses) {
-          front_.set_batch_uses(std::move(uses));
-      }) {}
+      batch_(settings, control_,
+             [this](std::vector<endpoint_use> uses) { front_.set_batch_uses(std::move(uses)); }) {}
 
 std::string service::open() {
     const std::string control = control_.open();
--- a/lib/keeper/disk_writer.cpp
+++ b/lib/keeper/disk_writer.cpp
@@ -7,9 +7,13 @@
 disk_writer::disk_writer(net::task& owner, std::function<void(const storage::error&)> on_failure)
     : owner_(owner), thread_("disk"), on_failure_(std::move(on_failure)) {}
 
-disk_writer::~disk_writer() { thread_.stop(); }
+disk_writer::~disk_writer() {
+    thread_.stop();
+}
 
-void disk_writer::start() { thread_.start(); }
+void disk_writer::start() {
+    thread_.start();
+}
 
 void disk_writer::submit(work write, std::function<void()> done) {
     thread_.post([this, write = std::move(write), done = std::move(done)] {
--- a/lib/keeper/founding.cpp
+++ b/lib/keeper/founding.cpp
@@ -12,7 +12,9 @@
     std::sort(founders_.begin(), founders_.end());
 }
 
-void founding::saw(const keeper_sighting& sighting) { seen_[sighting.node] = sighting; }
+void founding::saw(const keeper_sighting& sighting) {
+    seen_[sighting.node] = sighting;
+}
 
 bool founding::is_recent(const keeper_sighting& one, instant now) const {
     return now - one.seen < sighting_age;
@@ -51,12 +53,11 @@
         const keeper_sighting& sighting = one.second;
         if (!is_recent(sighting, now) || find_disk(members, sighting.disk) != nullptr)
             continue;
-        const bool idle_voter = std::any_of(members.begin(), members.end(),
-                                            [&group, now](const consensus::member& member) {
-                                                return member.voter &&
-                                                       member.disk != group.self() &&
-                                                       !group.is_active(member.disk, now);
-                                            });
+        const bool idle_voter = std::any_of(
+            members.begin(), members.end(), [&group, now](const consensus::member& member) {
+                return member.voter && member.disk != group.self() &&
+                       !group.is_active(member.disk, now);
+            });
         const bool replaces_itself = has_node(members, sighting.node);
         if (!replaces_itself && !idle_voter)
             continue;
@@ -77,10 +78,10 @@
                        (other.voter || !one->voter) && group.is_active(other.disk, now);
             });
         const bool spare_in_place =
-            one->voter && std::count_if(members.begin(), members.end(),
-                                        [](const consensus::member& other) {
-                                            return other.voter;
-                                        }) > static_cast<std::ptrdiff_t>(founders_.size());
+            one->voter &&
+            std::count_if(members.begin(), members.end(), [](const consensus::member& other) {
+                return other.voter;
+            }) > static_cast<std::ptrdiff_t>(founders_.size());
         if (silent && (superseded || spare_in_place)) {
             members.erase(one);
             return members;
--- a/lib/keeper/group_host.cpp
+++ b/lib/keeper/group_host.cpp
@@ -17,7 +17,9 @@
 constexpr std::uint32_t most_replayed_segments = 4;
 } // namespace
 
-bool awaiting_sync::empty() const { return messages.empty() && persisted.empty(); }
+bool awaiting_sync::empty() const {
+    return messages.empty() && persisted.empty();
+}
 
 group_host::group_host(group_settings settings, state_machine machine, store& disk,
                        disk_writer& log_writer, disk_writer& snapshot_writer,
@@ -44,9 +46,8 @@
     snapshot_index_ = snapshot.index();
     replay_segment_ = snapshot.replay_segment();
     oldest_segment_ = snapshot.oldest_segment();
-    raft_ = std::make_unique<consensus::raft_group>(settings_.group, settings_.self,
-                                                    settings_.raft, found.vote, std::move(log),
-                                                    random_bits(), now);
+    raft_ = std::make_unique<consensus::raft_group>(settings_.group, settings_.self, settings_.raft,
+                                                    found.vote, std::move(log), random_bits(), now);
     founded_ = true;
     return true;
 }
@@ -113,7 +114,9 @@
         on_actions_();
 }
 
-void group_host::hand_over(instant now) { raft_->hand_over(now); }
+void group_host::hand_over(instant now) {
+    raft_->hand_over(now);
+}
 
 // What was proposed may still be committed by the next leader, so nobody is told it failed: the
 // asker resends to that leader, and every command is idempotent.
@@ -170,7 +173,9 @@
     std::move(actions.synced.begin(), actions.synced.end(), std::back_inserter(awaiting.messages));
 }
 
-void group_host::persisted(std::uint64_t index, term_number term) { raft_->persisted(index, term); }
+void group_host::persisted(std::uint64_t index, term_number term) {
+    raft_->persisted(index, term);
+}
 
 void group_host::apply(const consensus::entry_pointer& entry) {
     schema::keeper_reply reply;
--- a/lib/keeper/group_snapshots.cpp
+++ b/lib/keeper/group_snapshots.cpp
@@ -29,8 +29,8 @@
         .with("index", index)
         .with("records", places.size());
     senders_.erase(member);
-    senders_.emplace(member, snapshot_sender(std::move(base), machine_.save(),
-                                             {places.begin(), places.end()}));
+    senders_.emplace(
+        member, snapshot_sender(std::move(base), machine_.save(), {places.begin(), places.end()}));
 }
 
 void group_host::continue_transfers(instant now, std::vector<schema::raft_message>& out) {
@@ -85,8 +85,8 @@
     if (installing_)
         return;
     // A member that already holds all of it, because the answer to the last part got lost.
-    const bool known = message.part().index() <= raft_->applied_index() &&
-                       !raft_->log().members().empty();
+    const bool known =
+        message.part().index() <= raft_->applied_index() && !raft_->log().members().empty();
     if (known) {
         acknowledge();
         return;
@@ -119,9 +119,9 @@
     founded_ = true;
     std::shared_ptr<schema::group_snapshot> snapshot =
         std::make_shared<schema::group_snapshot>(make_snapshot());
-    const std::uint32_t first_body =
-        receiver_.places().empty() ? snapshot->replay_segment()
-                                   : receiver_.places().begin()->second.segment;
+    const std::uint32_t first_body = receiver_.places().empty()
+                                         ? snapshot->replay_segment()
+                                         : receiver_.places().begin()->second.segment;
     snapshot->set_oldest_segment(std::min(snapshot->oldest_segment(), first_body));
     // Everything appended so far must be written before the snapshot names it.
     std::shared_ptr<storage::log_batch> batch =
--- a/lib/keeper/service.cpp
+++ b/lib/keeper/service.cpp
@@ -1,8 +1,8 @@
 #include "cassia/keeper/service.h"
 
 #include "cassia/base/log.h"
-#include "cassia/state/sharding.h"
 #include "cassia/settings/catalog.h"
+#include "cassia/state/sharding.h"
 
 #include <csignal>
 #include <utility>
@@ -31,8 +31,7 @@
 
 service::service(schema::keeper_settings settings)
     : settings_(std::move(settings)), task_("keeper"),
-      store_(settings_.data_dir(), settings_.segment_mib() * bytes_per_mib,
-             storage::system_disk()),
+      store_(settings_.data_dir(), settings_.segment_mib() * bytes_per_mib, storage::system_disk()),
       founding_(founder_names(settings_)) {}
 
 service::~service() = default;
@@ -303,9 +302,9 @@
             return;
         founders_ = std::move(*members);
     }
-    const bool one_of_them = std::any_of(
-        founders_.begin(), founders_.end(),
-        [this](const consensus::member& one) { return one.disk == recovered_.disk; });
+    const bool one_of_them =
+        std::any_of(founders_.begin(), founders_.end(),
+                    [this](const consensus::member& one) { return one.disk == recovered_.disk; });
     if (!one_of_them) {
         // This disk is not one of the first: it waits until a leader takes it in.
         founders_.clear();
@@ -324,8 +323,7 @@
     if (!noted)
         on_disk_failure(noted.error());
     for (const std::pair<const group_id, std::unique_ptr<group_host>>& host : hosts_) {
-        const storage::result<void> written =
-            store_.write_snapshot(host.second->make_snapshot());
+        const storage::result<void> written = store_.write_snapshot(host.second->make_snapshot());
         if (!written)
             on_disk_failure(written.error());
     }
--- a/lib/keeper/service_requests.cpp
+++ b/lib/keeper/service_requests.cpp
@@ -3,8 +3,8 @@
 #include "cassia/keeper/service.h"
 
 #include "cassia/base/log.h"
-#include "cassia/state/sharding.h"
 #include "cassia/settings/catalog.h"
+#include "cassia/state/sharding.h"
 
 #include <boost/json.hpp>
 
@@ -208,8 +208,7 @@
             const bool stopping = job != group.second.state.jobs().end() &&
                                   job->second.status == state::job_status::cancelling;
             const int listed = beacon->cancelled_jobs_size();
-            const bool known =
-                listed > 0 && beacon->cancelled_jobs(listed - 1) == key.first.str();
+            const bool known = listed > 0 && beacon->cancelled_jobs(listed - 1) == key.first.str();
             if (stopping && !known)
                 beacon->add_cancelled_jobs(key.first.str());
         }
@@ -229,8 +228,7 @@
         current->version(), "plans", current->plans(), "allowances", current->allowances());
     if (parsed) {
         for (std::pair<const group_id, work_group>& group : work_) {
-            for (const std::pair<const customer_id, settings::plan>& plan :
-                 parsed.value()->plans())
+            for (const std::pair<const customer_id, settings::plan>& plan : parsed.value()->plans())
                 group.second.leader->set_weight(plan.first, plan.second.weight);
         }
     }
@@ -263,8 +261,8 @@
 }
 
 void service::on_keeper_hello(const schema::keeper_hello& hello, const std::string&) {
-    founding_.saw({hello.node(), disk_id(hello.disk()), hello.address(), hello.empty(),
-                   monotonic_now()});
+    founding_.saw(
+        {hello.node(), disk_id(hello.disk()), hello.address(), hello.empty(), monotonic_now()});
     // A founder that missed the moment learns here what the others decided.
     const bool founded = hosts_.at(control_group)->founded();
     if (!founded && hello.founders().members_size() > 0)
@@ -294,11 +292,11 @@
         group["log_base"] = raft.log().base_index();
         boost::json::array members;
         for (const consensus::member& member : raft.log().members())
-            members.push_back({{"node", member.node},
-                               {"disk", member.disk.value()},
-                               {"voter", member.voter},
-                               {"active", member.disk == raft.self() ||
-                                              raft.is_active(member.disk, now)}});
+            members.push_back(
+                {{"node", member.node},
+                 {"disk", member.disk.value()},
+                 {"voter", member.voter},
+                 {"active", member.disk == raft.self() || raft.is_active(member.disk, now)}});
         group["members"] = std::move(members);
         auto work = work_.find(host.first);
         if (work != work_.end()) {
--- a/lib/keeper/store.cpp
+++ b/lib/keeper/store.cpp
@@ -89,22 +89,22 @@
             cut_to(record.entry().index() - 1);
             if (record.entry().index() != base + state.entries.size() + 1)
                 return;
-            state.entries.push_back(std::make_shared<const schema::log_entry>(
-                std::move(*record.mutable_entry())));
+            state.entries.push_back(
+                std::make_shared<const schema::log_entry>(std::move(*record.mutable_entry())));
             state.positions.push_back(at);
         });
     if (!replayed)
         return failure(replayed.error());
     if (unreadable)
-        return failure(storage::error{storage::errc::corrupt, "log holds a record of no known form"});
+        return failure(
+            storage::error{storage::errc::corrupt, "log holds a record of no known form"});
     return found;
 }
 
 storage::result<disk_id> store::load_identity() {
     const storage::result<std::string> content = storage::read_file(folder_ + "/" + identity_file);
     if (content) {
-        const std::uint64_t number =
-            std::strtoull(content.value().c_str(), nullptr, hexadecimal);
+        const std::uint64_t number = std::strtoull(content.value().c_str(), nullptr, hexadecimal);
         if (number == 0)
             return failure(storage::error{storage::errc::corrupt, "unreadable disk identity"});
         return disk_id(number);
@@ -137,8 +137,7 @@
         if (!readable)
             return failure(storage::error{storage::errc::corrupt, "damaged snapshot " + name});
         recovered_group& group = found.groups[group_id(snapshot->group())];
-        group.vote = {term_number(snapshot->hard().term()),
-                      disk_id(snapshot->hard().voted_for())};
+        group.vote = {term_number(snapshot->hard().term()), disk_id(snapshot->hard().voted_for())};
         group.snapshot = std::move(snapshot);
     }
     return success();
--- a/lib/keeper/work_leader.cpp
+++ b/lib/keeper/work_leader.cpp
@@ -68,8 +68,8 @@
     std::vector<policy::job_candidate> found;
     for (const std::pair<const job_id, state::batch_job>& one : state_.jobs()) {
         const state::batch_job& job = one.second;
-        const bool open = job.status == state::job_status::queued ||
-                          job.status == state::job_status::running;
+        const bool open =
+            job.status == state::job_status::queued || job.status == state::job_status::running;
         if (!open)
             continue;
         auto place = std::find(job.services.begin(), job.services.end(), service);
--- a/lib/membership/directory.cpp
+++ b/lib/membership/directory.cpp
@@ -70,8 +70,8 @@
             continue;
         schema::endpoint_record record = one.second.record;
         record.set_leaving(one.second.leaving);
-        record.set_age_ms(static_cast<std::uint32_t>(
-            std::chrono::duration_cast<milliseconds>(age).count()));
+        record.set_age_ms(
+            static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(age).count()));
         out.push_back(std::move(record));
     }
     return out;
--- a/lib/membership/freshness.cpp
+++ b/lib/membership/freshness.cpp
@@ -15,7 +15,9 @@
     }
 }
 
-bool freshness::is_stale(instant now) const { return !ever_ || now - seen_at_ > stale_after_; }
+bool freshness::is_stale(instant now) const {
+    return !ever_ || now - seen_at_ > stale_after_;
+}
 
 milliseconds freshness::age(instant now) const {
     if (!ever_)
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -162,10 +162,14 @@
     constexpr unsigned most_connections = 20000;
     constexpr unsigned idle_seconds = 30;
     state_->owner = &owner;
+    // libsoup works on the context that is the thread's default when it is called, and callers may
+    // call before their task runs.
+    g_main_context_push_thread_default(owner.context());
     state_->session = soup_session_new_with_options(
         "max-conns", most_connections, "max-conns-per-host", connections, "idle-timeout",
         idle_seconds, "timeout", 0U, nullptr);
     soup_session_set_proxy_resolver(state_->session, nullptr);
+    g_main_context_pop_thread_default(owner.context());
 }
 
 http_client::~http_client() {
@@ -204,8 +208,10 @@
         soup_message_add_flags(active.message, SOUP_MESSAGE_NEW_CONNECTION);
     g_signal_connect(active.message, "starting", G_CALLBACK(on_starting), state_.get());
     arm_progress_timer(state_.get(), id);
-    soup_session_send_async(state_->session, active.message, G_PRIORITY_DEFAULT,
-                            active.cancellable, on_head, new call_reference{state_, id});
+    g_main_context_push_thread_default(state_->owner->context());
+    soup_session_send_async(state_->session, active.message, G_PRIORITY_DEFAULT, active.cancellable,
+                            on_head, new call_reference{state_, id});
+    g_main_context_pop_thread_default(state_->owner->context());
     return id;
 }
 
@@ -220,7 +226,9 @@
     g_object_unref(cancellable);
 }
 
-std::size_t http_client::open_calls() const { return state_->calls.size(); }
+std::size_t http_client::open_calls() const {
+    return state_->calls.size();
+}
 
 call_id fetch(http_client& client, const http_call& call,
               std::function<void(outcome<http_answer, http_failure>)> done) {
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -62,8 +62,8 @@
 
 static void add_size(const char* name, const char* value, void* data) {
     constexpr std::size_t separators = 4;
-    *static_cast<std::size_t*>(data) += std::char_traits<char>::length(name) +
-                                        std::char_traits<char>::length(value) + separators;
+    *static_cast<std::size_t*>(data) +=
+        std::char_traits<char>::length(name) + std::char_traits<char>::length(value) + separators;
 }
 
 static void write_head(SoupServerMessage* message, const http_response& response) {
@@ -271,6 +271,8 @@
     soup_server_message_unpause(message);
 }
 
-std::size_t http_server::open_exchanges() const { return state_->open.size(); }
+std::size_t http_server::open_exchanges() const {
+    return state_->open.size();
+}
 
 } // namespace cassia::net
--- a/lib/net/peer_hub.cpp
+++ b/lib/net/peer_hub.cpp
@@ -139,10 +139,9 @@
         const std::string id = request.size() > 1 ? request[1] : std::string();
         std::array<std::uint8_t, key_bytes> expected{};
         zmq_z85_decode(expected.data(), hub->public_key.data());
-        const bool known = request.size() > credentials_frame &&
-                           request[credentials_frame].size() == key_bytes &&
-                           std::memcmp(request[credentials_frame].data(), expected.data(),
-                                       key_bytes) == 0;
+        const bool known =
+            request.size() > credentials_frame && request[credentials_frame].size() == key_bytes &&
+            std::memcmp(request[credentials_frame].data(), expected.data(), key_bytes) == 0;
         if (!known)
             log_warning("peer_refused").with("reason", "unknown key");
         const std::array<std::string, 6> reply = {
--- a/lib/net/task.cpp
+++ b/lib/net/task.cpp
@@ -70,8 +70,7 @@
 void task::post(std::function<void()> message) {
     GSource* source = g_idle_source_new();
     g_source_set_priority(source, G_PRIORITY_DEFAULT);
-    g_source_set_callback(source, run_message,
-                          new std::function<void()>(std::move(message)),
+    g_source_set_callback(source, run_message, new std::function<void()>(std::move(message)),
                           delete_data<std::function<void()>>);
     g_source_attach(source, context_);
     g_source_unref(source);
@@ -112,7 +111,9 @@
     return G_SOURCE_REMOVE;
 }
 
-void task::forget_timer(timer_id id) { timers_.erase(id); }
+void task::forget_timer(timer_id id) {
+    timers_.erase(id);
+}
 
 void task::cancel(timer_id id) {
     auto found = timers_.find(id);
--- a/lib/policy/admission.cpp
+++ b/lib/policy/admission.cpp
@@ -122,7 +122,9 @@
     }
 }
 
-void retry_budget::request_started() { left_ = std::min(reserve_, left_ + ratio_); }
+void retry_budget::request_started() {
+    left_ = std::min(reserve_, left_ + ratio_);
+}
 
 bool retry_budget::take() {
     if (left_ < 1)
--- a/lib/policy/batch_schedule.cpp
+++ b/lib/policy/batch_schedule.cpp
@@ -42,10 +42,10 @@
     std::map<job_id, std::uint32_t> chosen;
     std::vector<job_id> order;
     while (limit > 0 && !queues.empty()) {
-        auto next = std::min_element(queues.begin(), queues.end(),
-                                     [this](const auto& a, const auto& b) {
-                                         return clocks_.at(a.first) < clocks_.at(b.first);
-                                     });
+        auto next =
+            std::min_element(queues.begin(), queues.end(), [this](const auto& a, const auto& b) {
+                return clocks_.at(a.first) < clocks_.at(b.first);
+            });
         job_candidate& job = *next->second.front();
         const std::uint32_t items = std::min({limit, job.waiting, items_per_turn});
         if (chosen.count(job.job) == 0)
--- a/lib/policy/endpoint.cpp
+++ b/lib/policy/endpoint.cpp
@@ -8,10 +8,8 @@
     auto model = endpoint.models.find(demand.service);
     if (model == endpoint.models.end())
         return false;
-    const bool version =
-        demand.version.empty() || model->second.versions.count(demand.version) > 0;
-    const bool adapter =
-        demand.adapter.empty() || model->second.adapters.count(demand.adapter) > 0;
+    const bool version = demand.version.empty() || model->second.versions.count(demand.version) > 0;
+    const bool adapter = demand.adapter.empty() || model->second.adapters.count(demand.adapter) > 0;
     return version && adapter;
 }
 
--- a/lib/policy/router.cpp
+++ b/lib/policy/router.cpp
@@ -154,8 +154,9 @@
     one.prefixes[prefix] = ++one.prefix_uses;
     if (one.prefixes.size() <= settings_.remembered_prefixes)
         return;
-    auto oldest = std::min_element(one.prefixes.begin(), one.prefixes.end(),
-                                   [](const auto& a, const auto& b) { return a.second < b.second; });
+    auto oldest =
+        std::min_element(one.prefixes.begin(), one.prefixes.end(),
+                         [](const auto& a, const auto& b) { return a.second < b.second; });
     one.prefixes.erase(oldest);
 }
 
@@ -237,9 +238,8 @@
 
 std::uint32_t router::online(const endpoint_id& endpoint) const {
     auto found = endpoints_.find(endpoint);
-    return found == endpoints_.end()
-               ? 0
-               : found->second.own_online + found->second.facts.others_online;
+    return found == endpoints_.end() ? 0
+                                     : found->second.own_online + found->second.facts.others_online;
 }
 
 double router::utilization(const service_demand& demand) const {
--- a/lib/standin/announcer.cpp
+++ b/lib/standin/announcer.cpp
@@ -77,17 +77,16 @@
     call.headers["Authorization"] = "Bearer " + settings_.endpoint_token();
     call.body = body();
     call.progress_timeout = answer_timeout;
-    net::fetch(client_, call,
-               [this](const outcome<net::http_answer, net::http_failure>& answer) {
-                   if (answer && answer.value().head.status == 200) {
-                       on_answer(answer.value().body);
-                       return;
-                   }
-                   // The next entry hears it soon: three seconds of silence end the work.
-                   ++current_;
-                   constexpr milliseconds soon(100);
-                   task_.after(soon, [this] { announce(); });
-               });
+    net::fetch(client_, call, [this](const outcome<net::http_answer, net::http_failure>& answer) {
+        if (answer && answer.value().head.status == 200) {
+            on_answer(answer.value().body);
+            return;
+        }
+        // The next entry hears it soon: three seconds of silence end the work.
+        ++current_;
+        constexpr milliseconds soon(100);
+        task_.after(soon, [this] { announce(); });
+    });
 }
 
 void announcer::on_answer(const std::string& text) {
--- a/lib/standin/engine.cpp
+++ b/lib/standin/engine.cpp
@@ -2,6 +2,7 @@
 
 #include "cassia/base/digest.h"
 #include "cassia/base/log.h"
+#include "cassia/standin/answer_text.h"
 
 #include <boost/json.hpp>
 
@@ -36,8 +37,7 @@
     constexpr std::size_t body_limit = 64 << 20;
     server_ = std::make_unique<net::http_server>(
         task_,
-        net::http_limits{65536,
-                         [](const std::string&, const std::string&) { return body_limit; }},
+        net::http_limits{65536, [](const std::string&, const std::string&) { return body_limit; }},
         std::move(hooks));
     const net::result<void> listening = server_->listen(http_address(settings_.address()));
     if (!listening)
@@ -116,8 +116,7 @@
     one.exchange = exchange;
     one.request_id = request.header("cassia-request-id");
     one.prompt = prompt_of(body);
-    if (!settings_.poison().empty() &&
-        one.prompt.find(settings_.poison()) != std::string::npos) {
+    if (!settings_.poison().empty() && one.prompt.find(settings_.poison()) != std::string::npos) {
         log_error("crashed").with("request", one.request_id);
         std::_Exit(exit_crashed);
     }
@@ -143,19 +142,17 @@
 
 microseconds engine::first_token_time(const stream& one) const {
     const double others = running_.empty() ? 0 : static_cast<double>(running_.size() - 1);
-    const double factor = (1 + settings_.slowdown() * others) * slower_ *
-                          (one.cached ? cached_prefix_factor : 1.0);
+    const double factor =
+        (1 + settings_.slowdown() * others) * slower_ * (one.cached ? cached_prefix_factor : 1.0);
     return microseconds(static_cast<std::int64_t>(settings_.first_token_us() * factor));
 }
 
 bool engine::remember_prefix(const std::string& prompt) {
-    const std::uint64_t prefix =
-        stable_hash(std::string_view(prompt).substr(0, prefix_chars));
+    const std::uint64_t prefix = stable_hash(std::string_view(prompt).substr(0, prefix_chars));
     const bool known = prefixes_.count(prefix) > 0;
     prefix_hits_ += known ? 1 : 0;
     prefixes_[prefix] = ++prefix_uses_;
-    if (!known && prefix_uses_ % lost_cache_event != 0 &&
-        cache_events_.size() < most_cache_events)
+    if (!known && prefix_uses_ % lost_cache_event != 0 && cache_events_.size() < most_cache_events)
         cache_events_.push_back({{"stored", prefix}, {"sequence", prefix_uses_}});
     if (prefixes_.size() > settings_.prefix_cache_entries()) {
         auto oldest =
@@ -177,12 +174,6 @@
     most_running_ = std::max(most_running_, static_cast<std::uint32_t>(running_.size()));
 }
 
-static std::string token_text(const std::string& prompt, std::uint32_t token) {
-    constexpr std::uint64_t words = 9973;
-    const std::uint64_t word = stable_hash(prompt + "#" + std::to_string(token)) % words;
-    return "w" + std::to_string(word) + " ";
-}
-
 std::string engine::event_of(const stream& one, std::uint32_t token) const {
     const std::string text = token_text(one.prompt, token);
     boost::json::object choice{{"index", 0}};
--- a/lib/standin/plain_service.cpp
+++ b/lib/standin/plain_service.cpp
@@ -18,8 +18,7 @@
 } // namespace
 
 static std::unique_ptr<net::http_server>
-make_server(net::task& task,
-            std::function<void(exchange_id, const net::http_request&)> on_request,
+make_server(net::task& task, std::function<void(exchange_id, const net::http_request&)> on_request,
             std::function<void(exchange_id)> on_gone) {
     net::http_server_hooks hooks;
     hooks.on_request = std::move(on_request);
@@ -27,8 +26,7 @@
     hooks.on_refused = [](int status) { return net::http_response{status, "text/plain", {}, ""}; };
     return std::make_unique<net::http_server>(
         task,
-        net::http_limits{65536,
-                         [](const std::string&, const std::string&) { return body_limit; }},
+        net::http_limits{65536, [](const std::string&, const std::string&) { return body_limit; }},
         std::move(hooks));
 }
 
--- a/lib/state/control_state.cpp
+++ b/lib/state/control_state.cpp
@@ -55,7 +55,8 @@
     if (change.base() != version()) {
         reply.set_result(schema::control_reply::conflict);
         reply.set_version(version());
-        const bool in_history = !changes_.empty() && change.base() + 1 >= changes_.front().version() &&
+        const bool in_history = !changes_.empty() &&
+                                change.base() + 1 >= changes_.front().version() &&
                                 change.base() < version();
         if (in_history)
             reply.set_winner(changes_[change.base() + 1 - changes_.front().version()].change_id());
--- a/lib/state/key_commands.cpp
+++ b/lib/state/key_commands.cpp
@@ -69,8 +69,7 @@
 // it again would run it twice.
 void work_state::lose_holder_keys(const std::string& holder) {
     for (auto one = keys_.begin(); one != keys_.end();) {
-        const bool lost =
-            one->second.status == key_status::running && one->second.holder == holder;
+        const bool lost = one->second.status == key_status::running && one->second.holder == holder;
         if (lost && one->second.repeatable) {
             one = keys_.erase(one);
             continue;
--- a/lib/state/work_query.cpp
+++ b/lib/state/work_query.cpp
@@ -69,8 +69,7 @@
 }
 
 static void list_results(const batch_job& job, const schema::work_query& query,
-                         command_cache& bodies, command_cache& results,
-                         schema::work_reply& reply) {
+                         command_cache& bodies, command_cache& results, schema::work_reply& reply) {
     // Bounded by bytes too, so that one answer never holds up the group's other work.
     constexpr std::size_t most_bytes = 4 << 20;
     std::size_t bytes = 0;
--- a/lib/storage/disk.cpp
+++ b/lib/storage/disk.cpp
@@ -27,9 +27,13 @@
     return 0;
 }
 
-static int sync_file(int file) { return fdatasync(file) == 0 ? 0 : errno; }
+static int sync_file(int file) {
+    return fdatasync(file) == 0 ? 0 : errno;
+}
 
-disk_hooks system_disk() { return {write_all_at, sync_file}; }
+disk_hooks system_disk() {
+    return {write_all_at, sync_file};
+}
 
 static error write_error(const std::string& path, int number) {
     return {errc::cannot_write, path + ": " + std::strerror(number)};
@@ -68,7 +72,8 @@
     outcome<std::string, file_error> content = read_text_file(path);
     if (content)
         return std::move(content.value());
-    const errc code = content.error().code == file_errc::missing ? errc::missing : errc::cannot_read;
+    const errc code =
+        content.error().code == file_errc::missing ? errc::missing : errc::cannot_read;
     return failure(error{code, content.error().text});
 }
 
--- a/lib/storage/record.cpp
+++ b/lib/storage/record.cpp
@@ -34,8 +34,8 @@
     std::string head;
     append_number(head, length, sizeof length);
     append_number(head, batch, sizeof batch);
-    uLong crc = crc32(0, reinterpret_cast<const Bytef*>(head.data()),
-                      static_cast<uInt>(head.size()));
+    uLong crc =
+        crc32(0, reinterpret_cast<const Bytef*>(head.data()), static_cast<uInt>(head.size()));
     crc = crc32(crc, reinterpret_cast<const Bytef*>(payload.data()),
                 static_cast<uInt>(payload.size()));
     return static_cast<std::uint32_t>(crc);
--- a/lib/storage/write_ahead_log.cpp
+++ b/lib/storage/write_ahead_log.cpp
@@ -61,8 +61,7 @@
         if (expected != 0 && number != expected)
             return failure(error{errc::corrupt, "missing " + segment_path(expected)});
         expected = number + 1;
-        result<void> recovered =
-            recover_segment(number, number == numbers.back(), on_record);
+        result<void> recovered = recover_segment(number, number == numbers.back(), on_record);
         if (!recovered)
             return recovered;
     }
@@ -116,8 +115,8 @@
 result<void> write_ahead_log::cut_tail(std::uint32_t segment, std::uint64_t size) {
     const std::string path = segment_path(segment);
     const int file = open(path.c_str(), O_WRONLY | O_CLOEXEC);
-    const bool cut = file >= 0 && ftruncate(file, static_cast<off_t>(size)) == 0 &&
-                     disk_.sync(file) == 0;
+    const bool cut =
+        file >= 0 && ftruncate(file, static_cast<off_t>(size)) == 0 && disk_.sync(file) == 0;
     const int problem = errno;
     if (file >= 0)
         close(file);
@@ -180,15 +179,15 @@
         }
         const int file = open(segment_path(at.segment).c_str(), O_RDONLY | O_CLOEXEC);
         if (file < 0)
-            return failure(error{errc::missing, segment_path(at.segment) + ": " +
-                                                    std::strerror(errno)});
+            return failure(
+                error{errc::missing, segment_path(at.segment) + ": " + std::strerror(errno)});
         found = readers_.emplace(at.segment, file).first;
     }
     // Most records are small: one read fetches the header and the payload of nearly all.
     constexpr std::size_t first_read = 16384;
     std::string bytes(first_read, '\0');
-    const ssize_t got = pread(found->second, bytes.data(), bytes.size(),
-                              static_cast<off_t>(at.offset));
+    const ssize_t got =
+        pread(found->second, bytes.data(), bytes.size(), static_cast<off_t>(at.offset));
     if (got < static_cast<ssize_t>(frame_header_bytes))
         return failure(error{errc::corrupt, segment_path(at.segment) + ": no record at offset " +
                                                 std::to_string(at.offset)});
--- a/tools/cassia-entry.cpp
+++ b/tools/cassia-entry.cpp
@@ -7,8 +7,8 @@
 
 int main(int argc, char** argv) {
     cassia::schema::entry_settings settings;
-    const cassia::settings::program_info program{
-        "cassia-entry", "routes callers' requests to endpoints", "", ""};
+    const cassia::settings::program_info program{"cassia-entry",
+                                                 "routes callers' requests to endpoints", "", ""};
     const cassia::settings::command_line line =
         cassia::settings::read_command_line(argc, argv, program, settings);
     if (line.exit)
--- a/tools/cassia-keeper.cpp
+++ b/tools/cassia-keeper.cpp
@@ -9,8 +9,8 @@
 
 int main(int argc, char** argv) {
     cassia::schema::keeper_settings settings;
-    const cassia::settings::program_info program{
-        "cassia-keeper", "keeps the replicated durable state", "", ""};
+    const cassia::settings::program_info program{"cassia-keeper",
+                                                 "keeps the replicated durable state", "", ""};
     const cassia::settings::command_line line =
         cassia::settings::read_command_line(argc, argv, program, settings);
     if (line.exit)
