Mend a member that got no entries any more after one lost message

Cause: a follower's refusal names the index to go on from, stepping back over a whole term; the leader took a hint below what the member was known to hold for an old answer and dropped it, each time. Ruled out: lost acknowledgements of unsynced entries; the member's disk and log agreed. Change: the leader goes on behind the larger of the two.

--- a/lib/consensus/raft_replication.cpp
+++ b/lib/consensus/raft_replication.cpp
@@ -174,11 +174,11 @@
     if (peer.snapshot)
         return;
     if (message.reject()) {
-        // An answer to an older append: the member has more by now.
-        if (message.index() < peer.match)
-            return;
+        // The hint may lie below what the member is known to hold, since it steps back over a whole
+        // term. Taken for an old answer and dropped, it left a member that lost one message without
+        // entries until its next restart.
         peer.probing = true;
-        peer.next = std::min(message.index() + 1, log_.last_index() + 1);
+        peer.next = std::min(std::max(peer.match, message.index()) + 1, log_.last_index() + 1);
         send_append(found->first, now);
         return;
     }
