--- a/include/cassia/net/http_client.h
+++ b/include/cassia/net/http_client.h
@@ -52,7 +52,8 @@
 class http_client {
 public:
     /// \param connections most connections to one address.
-    http_client(task& owner, unsigned connections);
+    /// \param own_ip IP number to connect from; any if empty.
+    http_client(task& owner, unsigned connections, const std::string& own_ip = "");
     ~http_client();
 
     call_id start(const http_call& call, http_call_hooks hooks);
--- a/include/cassia/net/peer_hub.h
+++ b/include/cassia/net/peer_hub.h
@@ -20,6 +20,7 @@
 struct peer_hub_settings {
     std::string name;     ///< of this process, sent with each envelope
     peer_address address; ///< where this process is reached
+    peer_address bind;    ///< where it listens; `address` if empty
     std::string secret;   ///< the cluster's CURVE secret key, Z85
 };
 
--- a/lib/entry/batch_task.cpp
+++ b/lib/entry/batch_task.cpp
@@ -19,10 +19,15 @@
 constexpr milliseconds strike_memory(600000);
 } // namespace
 
+static std::string own_ip(const schema::entry_settings& settings) {
+    const std::string& address = settings.http_address();
+    return address.substr(0, address.rfind(':'));
+}
+
 batch_task::batch_task(const schema::entry_settings& settings, control_task& control,
                        std::function<void(std::vector<endpoint_use>)> on_uses)
     : settings_(settings), control_(control), on_uses_(std::move(on_uses)), task_("batch"),
-      client_(task_, connections_to_an_endpoint), strikes_(strike_memory),
+      client_(task_, connections_to_an_endpoint, own_ip(settings)), strikes_(strike_memory),
       view_(std::make_shared<fleet_view>()) {
     task_.every(tick_interval, [this] { tick(); });
     task_.every(held_interval, [this] { tell_held(); });
--- a/lib/entry/online_calls.cpp
+++ b/lib/entry/online_calls.cpp
@@ -24,10 +24,15 @@
 constexpr std::string_view services_path = "/v1/services/";
 } // namespace
 
+static std::string own_ip(const schema::entry_settings& settings) {
+    const std::string& address = settings.http_address();
+    return address.substr(0, address.rfind(':'));
+}
+
 online_calls::online_calls(front_context& context,
                            std::function<void(batch_offers)> on_batch_offers)
     : context_(context), on_batch_offers_(std::move(on_batch_offers)),
-      client_(context.task, connections_to_an_endpoint),
+      client_(context.task, connections_to_an_endpoint, own_ip(context.settings)),
       router_(policy::router_settings{zone_id(context.settings.zone())}, random_bits()),
       waiting_(context.settings.max_queue()), retries_(retry_ratio, retry_reserve),
       strikes_(strike_memory) {}
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -158,16 +158,22 @@
         client->calls.at(found->second).sent = true;
 }
 
-http_client::http_client(task& owner, unsigned connections) : state_(std::make_shared<state>()) {
+http_client::http_client(task& owner, unsigned connections, const std::string& own_ip)
+    : state_(std::make_shared<state>()) {
     constexpr unsigned most_connections = 20000;
     constexpr unsigned idle_seconds = 30;
     state_->owner = &owner;
     // libsoup works on the context that is the thread's default when it is called, and callers may
     // call before their task runs.
     g_main_context_push_thread_default(owner.context());
+    GInetSocketAddress* local =
+        own_ip.empty() ? nullptr
+                       : G_INET_SOCKET_ADDRESS(
+                             g_inet_socket_address_new_from_string(own_ip.c_str(), 0));
     state_->session = soup_session_new_with_options(
-        "max-conns", most_connections, "max-conns-per-host", connections, "idle-timeout",
+        "local-address", local, "max-conns", most_connections, "max-conns-per-host", connections, "idle-timeout",
         idle_seconds, "timeout", 0U, nullptr);
+    g_clear_object(&local);
     soup_session_set_proxy_resolver(state_->session, nullptr);
     g_main_context_pop_thread_default(owner.context());
 }
--- a/lib/net/peer_hub.cpp
+++ b/lib/net/peer_hub.cpp
@@ -206,10 +206,12 @@
     set_option(state_->router, ZMQ_CURVE_SERVER, 1);
     zmq_setsockopt(state_->router, ZMQ_CURVE_SECRETKEY, secret.c_str(), z85_key_chars + 1);
     zmq_setsockopt(state_->router, ZMQ_ZAP_DOMAIN, "cassia", std::strlen("cassia"));
-    const std::string where = "tcp://" + state_->settings.address.str();
+    if (state_->settings.bind.empty())
+        state_->settings.bind = state_->settings.address;
+    const std::string where = "tcp://" + state_->settings.bind.str();
     if (zmq_bind(state_->router, where.c_str()) != 0)
         return failure(error{errc::cannot_listen, "cannot listen on " +
-                                                      state_->settings.address.str() + ": " +
+                                                      state_->settings.bind.str() + ": " +
                                                       zmq_strerror(zmq_errno())});
     state_->sources.push_back(
         watch_socket(*state_->owner, state_->authenticator, &state_->read_authenticator));
@@ -226,7 +228,10 @@
     zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, secret.c_str(), z85_key_chars + 1);
     constexpr int longest_reconnect_ms = 1000;
     set_option(socket, ZMQ_RECONNECT_IVL_MAX, longest_reconnect_ms);
-    zmq_connect(socket, ("tcp://" + to.str()).c_str());
+    // From the own IP number, so that a VM with several is known by the one in its settings.
+    const std::string& own = hub->settings.bind.str();
+    const std::string source = own.substr(0, own.rfind(':')) + ":0;";
+    zmq_connect(socket, ("tcp://" + source + to.str()).c_str());
     return socket;
 }
 
--- /dev/null
+++ b/test/runner/relay.h
@@ -0,0 +1,63 @@
+/// A relay between processes that cuts, delays or goes silent, by pairs and one way.
+///
+/// Each process is reached at an address of the relay, which passes bytes on to the address where
+/// it really listens. Processes connect from their own IP number, so the relay knows both ends.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace cassia::scenario {
+
+class relay {
+public:
+    relay();
+    ~relay();
+
+    /// Passes on what arrives at `from` to `to`; both IP:PORT.
+    void add_route(const std::string& from, const std::string& to);
+    void start();
+
+    /// Bytes from one IP number to another vanish; connections stay open and new ones, too, seem
+    /// to work. Sides are IP numbers.
+    void cut(const std::string& from_ip, const std::string& to_ip);
+    void heal(const std::string& from_ip, const std::string& to_ip);
+    /// Connections open now between the two go silent for good; new ones work.
+    void silence(const std::string& from_ip, const std::string& to_ip);
+
+private:
+    struct route {
+        int listener = -1;
+        std::string to;
+        std::string to_ip;
+    };
+    struct link {
+        int caller = -1;
+        int callee = -1;
+        std::string caller_ip;
+        std::string callee_ip;
+        bool silent = false;
+    };
+
+    void run();
+    void accept_link(const route& at);
+    bool pass(link& one, bool to_callee);
+    bool is_cut(const std::string& from_ip, const std::string& to_ip);
+
+    std::vector<route> routes_;
+    std::vector<link> links_;
+    std::set<std::pair<std::string, std::string>> cuts_;
+    std::set<std::pair<std::string, std::string>> to_silence_;
+    std::mutex mutex_;
+    std::atomic<bool> stopping_{false};
+    std::thread thread_;
+};
+
+} // namespace cassia::scenario
--- /dev/null
+++ b/test/runner/verbs.cpp
@@ -0,0 +1,314 @@
+#include "verbs.h"
+
+#include "json_to_lua.h"
+
+#include <boost/json.hpp>
+#include <lua.hpp>
+#include <signal.h>
+
+#include <chrono>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+namespace cassia::scenario {
+
+namespace {
+constexpr unsigned connections = 512;
+constexpr lua_Integer usual_timeout_ms = 20000;
+} // namespace
+
+asker::asker() : task_("asker"), client_(std::make_unique<net::http_client>(task_, connections)) {
+    task_.start();
+}
+
+asker::~asker() {
+    task_.post([this] { client_.reset(); });
+    task_.stop();
+}
+
+std::uint64_t asker::begin(const net::http_call& call) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const std::uint64_t id = ++last_;
+    calls_[id];
+    task_.post([this, id, call] {
+        net::http_call_hooks hooks;
+        const auto update = [this, id](const std::function<void(pending&)>& change) {
+            const std::lock_guard<std::mutex> guard(mutex_);
+            change(calls_.at(id));
+            changed_.notify_all();
+        };
+        hooks.on_head = [update](const net::http_head& head) {
+            update([&head](pending& one) {
+                one.got.head = head;
+                one.got.status = head.status;
+            });
+        };
+        hooks.on_piece = [update](std::string_view piece) {
+            update([piece](pending& one) { one.got.body.append(piece); });
+        };
+        hooks.on_end = [update] {
+            update([](pending& one) {
+                one.got.whole = true;
+                one.done = true;
+            });
+        };
+        hooks.on_failure = [update](const net::http_failure& failed) {
+            update([&failed](pending& one) {
+                one.got.problem = failed.cause.text;
+                one.done = true;
+            });
+        };
+        const call_id started = client_->start(call, std::move(hooks));
+        update([started](pending& one) { one.call = started; });
+    });
+    return id;
+}
+
+asker::result asker::wait(std::uint64_t id) {
+    std::unique_lock<std::mutex> lock(mutex_);
+    changed_.wait(lock, [this, id] { return calls_.at(id).done; });
+    return calls_.at(id).got;
+}
+
+bool asker::is_done(std::uint64_t id) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return calls_.at(id).done;
+}
+
+void asker::abandon(std::uint64_t id) {
+    task_.post([this, id] {
+        call_id call;
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            call = calls_.at(id).call;
+            calls_.at(id).done = true;
+        }
+        client_->cancel(call);
+        changed_.notify_all();
+    });
+}
+
+static scenario_context& context_of(lua_State* lua) {
+    return *static_cast<scenario_context*>(lua_touserdata(lua, lua_upvalueindex(1)));
+}
+
+static std::string text_field(lua_State* lua, int table, const char* name) {
+    lua_getfield(lua, table, name);
+    const std::string text = lua_isstring(lua, -1) != 0 ? lua_tostring(lua, -1) : "";
+    lua_pop(lua, 1);
+    return text;
+}
+
+static std::map<std::string, std::string> map_field(lua_State* lua, int table, const char* name) {
+    std::map<std::string, std::string> out;
+    lua_getfield(lua, table, name);
+    if (lua_istable(lua, -1)) {
+        lua_pushnil(lua);
+        while (lua_next(lua, -2) != 0) {
+            const std::string key = lua_tostring(lua, -2);
+            out[key] = luaL_tolstring(lua, -1, nullptr);
+            lua_pop(lua, 2);
+        }
+    }
+    lua_pop(lua, 1);
+    return out;
+}
+
+static int number_field(lua_State* lua, int table, const char* name, int otherwise) {
+    lua_getfield(lua, table, name);
+    const int number = lua_isinteger(lua, -1) != 0 ? static_cast<int>(lua_tointeger(lua, -1))
+                                                   : otherwise;
+    lua_pop(lua, 1);
+    return number;
+}
+
+static int verb_make(lua_State* lua) {
+    fleet_shape shape;
+    shape.keepers = number_field(lua, 1, "keepers", shape.keepers);
+    shape.entries = number_field(lua, 1, "entries", shape.entries);
+    shape.engines = number_field(lua, 1, "engines", shape.engines);
+    shape.services = number_field(lua, 1, "services", shape.services);
+    shape.zones = number_field(lua, 1, "zones", shape.zones);
+    shape.relayed_engines = text_field(lua, 1, "relayed_engines") == "yes";
+    shape.keeper_sets = map_field(lua, 1, "keeper");
+    shape.entry_sets = map_field(lua, 1, "entry");
+    shape.engine_sets = map_field(lua, 1, "engine");
+    fleet& made = context_of(lua).processes;
+    made.make(shape);
+    const std::vector<std::string> names = made.names();
+    lua_newtable(lua);
+    for (std::size_t i = 0; i < names.size(); ++i) {
+        lua_pushstring(lua, names[i].c_str());
+        lua_rawseti(lua, -2, static_cast<lua_Integer>(i + 1));
+    }
+    return 1;
+}
+
+static int verb_start(lua_State* lua) {
+    context_of(lua).processes.start(luaL_checkstring(lua, 1));
+    return 0;
+}
+
+static int verb_signal(lua_State* lua) {
+    context_of(lua).processes.signal(luaL_checkstring(lua, 1),
+                                     static_cast<int>(luaL_checkinteger(lua, 2)));
+    return 0;
+}
+
+static int verb_wait_exit(lua_State* lua) {
+    lua_pushinteger(lua, context_of(lua).processes.wait(luaL_checkstring(lua, 1)));
+    return 1;
+}
+
+static int verb_is_running(lua_State* lua) {
+    lua_pushboolean(lua, context_of(lua).processes.is_running(luaL_checkstring(lua, 1)) ? 1 : 0);
+    return 1;
+}
+
+static int verb_wipe_disk(lua_State* lua) {
+    context_of(lua).processes.wipe_disk(luaL_checkstring(lua, 1));
+    return 0;
+}
+
+static int verb_data_dir(lua_State* lua) {
+    lua_pushstring(lua,
+                   context_of(lua).processes.find(luaL_checkstring(lua, 1)).data_dir.c_str());
+    return 1;
+}
+
+static int verb_address(lua_State* lua) {
+    lua_pushstring(lua, context_of(lua).processes.find(luaL_checkstring(lua, 1)).address.c_str());
+    return 1;
+}
+
+enum class link_change { cut, heal, silence };
+
+template <link_change change>
+static int verb_link(lua_State* lua) {
+    fleet& made = context_of(lua).processes;
+    const std::string from = made.find(luaL_checkstring(lua, 1)).ip;
+    const std::string to = made.find(luaL_checkstring(lua, 2)).ip;
+    if (change == link_change::cut)
+        made.links().cut(from, to);
+    else if (change == link_change::heal)
+        made.links().heal(from, to);
+    else
+        made.links().silence(from, to);
+    return 0;
+}
+
+static int verb_begin_ask(lua_State* lua) {
+    net::http_call call;
+    call.method = text_field(lua, 1, "method");
+    const std::string to = text_field(lua, 1, "to");
+    call.to = http_address(to.find(':') == std::string::npos
+                               ? context_of(lua).processes.find(to).address
+                               : to);
+    call.path = text_field(lua, 1, "path");
+    call.body = text_field(lua, 1, "body");
+    call.headers = map_field(lua, 1, "headers");
+    call.progress_timeout =
+        milliseconds(number_field(lua, 1, "timeout_ms", static_cast<int>(usual_timeout_ms)));
+    lua_pushinteger(lua, static_cast<lua_Integer>(context_of(lua).calls.begin(call)));
+    return 1;
+}
+
+static int verb_wait_ask(lua_State* lua) {
+    const asker::result got =
+        context_of(lua).calls.wait(static_cast<std::uint64_t>(luaL_checkinteger(lua, 1)));
+    lua_newtable(lua);
+    lua_pushinteger(lua, got.status);
+    lua_setfield(lua, -2, "status");
+    lua_pushlstring(lua, got.body.data(), got.body.size());
+    lua_setfield(lua, -2, "body");
+    lua_pushstring(lua, got.problem.c_str());
+    lua_setfield(lua, -2, "problem");
+    lua_pushboolean(lua, got.whole ? 1 : 0);
+    lua_setfield(lua, -2, "whole");
+    lua_newtable(lua);
+    for (const std::pair<const std::string, std::string>& header : got.head.headers) {
+        lua_pushstring(lua, header.second.c_str());
+        lua_setfield(lua, -2, header.first.c_str());
+    }
+    lua_setfield(lua, -2, "headers");
+    return 1;
+}
+
+static int verb_is_done(lua_State* lua) {
+    lua_pushboolean(
+        lua, context_of(lua).calls.is_done(static_cast<std::uint64_t>(luaL_checkinteger(lua, 1)))
+                 ? 1
+                 : 0);
+    return 1;
+}
+
+static int verb_abandon(lua_State* lua) {
+    context_of(lua).calls.abandon(static_cast<std::uint64_t>(luaL_checkinteger(lua, 1)));
+    return 0;
+}
+
+static int verb_decode(lua_State* lua) {
+    boost::json::error_code problem;
+    const boost::json::value value = boost::json::parse(luaL_checkstring(lua, 1), problem);
+    if (problem)
+        lua_pushnil(lua);
+    else
+        push_json(lua, value);
+    return 1;
+}
+
+static int verb_encode(lua_State* lua) {
+    const std::string text = boost::json::serialize(read_json(lua, 1));
+    lua_pushlstring(lua, text.data(), text.size());
+    return 1;
+}
+
+static int verb_sleep(lua_State* lua) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(luaL_checkinteger(lua, 1)));
+    return 0;
+}
+
+static int verb_now(lua_State* lua) {
+    lua_pushinteger(lua, monotonic_now().time_since_epoch().count() / 1000);
+    return 1;
+}
+
+static int verb_log_of(lua_State* lua) {
+    fleet& made = context_of(lua).processes;
+    std::ifstream file(made.state() + "/" + luaL_checkstring(lua, 1) + ".log");
+    std::stringstream text;
+    text << file.rdbuf();
+    lua_pushstring(lua, text.str().c_str());
+    return 1;
+}
+
+void register_verbs(lua_State* lua, scenario_context& context) {
+    const luaL_Reg verbs[] = {{"make_processes", verb_make},
+                              {"start_process", verb_start},
+                              {"send_signal", verb_signal},
+                              {"wait_exit", verb_wait_exit},
+                              {"is_running", verb_is_running},
+                              {"wipe_disk", verb_wipe_disk},
+                              {"data_dir", verb_data_dir},
+                              {"address", verb_address},
+                              {"cut_one_way", verb_link<link_change::cut>},
+                              {"heal_one_way", verb_link<link_change::heal>},
+                              {"silence_one_way", verb_link<link_change::silence>},
+                              {"begin_ask", verb_begin_ask},
+                              {"wait_ask", verb_wait_ask},
+                              {"is_done", verb_is_done},
+                              {"abandon", verb_abandon},
+                              {"decode", verb_decode},
+                              {"encode", verb_encode},
+                              {"sleep", verb_sleep},
+                              {"now", verb_now},
+                              {"log_of", verb_log_of}};
+    for (const luaL_Reg& verb : verbs) {
+        lua_pushlightuserdata(lua, &context);
+        lua_pushcclosure(lua, verb.func, 1);
+        lua_setglobal(lua, verb.name);
+    }
+}
+
+} // namespace cassia::scenario
--- /dev/null
+++ b/test/scenarios/endpoint_leaves.lua
@@ -0,0 +1,24 @@
+-- Story: an engine that is about to go still gets calls, and cuts off those that run.
+fleet({ keepers = 1, entries = 3, engines = 2, zones = 1,
+  engine = { token_us = 10000, max_running = 64 } })
+
+local running = {}
+for i = 1, 24 do
+  running[i] = ask_later(complete({ to = "entry-" .. (i % 3 + 1), prompt = "long " .. i,
+    max_tokens = 250, stream = true }))
+end
+eventually(3000, "calls run at engine-1", function() return stats("engine-1").running > 3 end)
+stop("engine-1")
+sleep(2000)
+local started = stats("engine-1").started
+for i = 1, 30 do
+  local got = ask(complete({ to = "entry-" .. (i % 3 + 1), prompt = "after " .. i }))
+  expect(got.status == 200, "served elsewhere")
+end
+expect(not is_running("engine-1") or stats("engine-1").started == started,
+  "no new work after two seconds")
+for i = 1, 24 do
+  local got = answer(running[i])
+  expect(got.status == 200 and got.body:match("%[DONE%]"), "call " .. i .. " ends in full")
+end
+expect(wait_exit("engine-1") == 0, "the engine stops once nothing runs")
--- /dev/null
+++ b/test/scenarios/unrepeatable_runs_once.lua
@@ -0,0 +1,56 @@
+-- Story: organisers get a digest twice. The service dies before, during or after the call, or the
+-- answer is lost, and the caller sends it again through another entry with the same key.
+fleet({ keepers = 3, entries = 3, engines = 1, services = 2 })
+
+local function digest(to, text, key)
+  return ask({ to = to, path = "/v1/services/records/digest", body = text,
+    headers = { ["Idempotency-Key"] = key } })
+end
+local function total(text)
+  return runs_of({ "service-1", "service-2" }, "bodies", text)
+end
+
+-- Answered: the same answer again, from any entry.
+local first = digest("entry-1", '{"n":1}', "k1")
+expect(first.status == 200, "the digest is sent, not " .. first.status .. first.body)
+local second = digest("entry-2", '{"n":1}', "k1")
+expect(second.body == first.body, "the resend gets the first answer")
+expect(second.headers["cassia-replayed"] == "true", "it says so")
+expect(digest("entry-3", '{"n":2}', "k1").status == 422, "another digest under the key is refused")
+expect(total('{"n":1}') == 1 and total('{"n":2}') == 0, "it ran once")
+
+-- The caller goes away, and both send it at once.
+local calls = {}
+for i = 1, 6 do
+  calls[i] = ask_later({ to = "entry-" .. (i % 3 + 1), path = "/v1/services/records/digest",
+    body = '{"n":3}', headers = { ["Idempotency-Key"] = "k3" } })
+end
+abandon(calls[1])
+for i = 2, 6 do
+  local got = answer(calls[i])
+  expect(got.status == 200 or got.status == 409, "run or in progress, not " .. got.status)
+end
+expect(total('{"n":3}') == 1, "it ran once, not " .. total('{"n":3}'))
+
+-- The service dies after it ran the call.
+ask({ to = "service-1", path = "/faults", body = "die_after", key = false })
+ask({ to = "service-2", path = "/faults", body = "die_after", key = false })
+local lost = digest("entry-1", '{"n":4}', "k4")
+expect(lost.status == 502, "the outcome is unknown, not " .. lost.status .. lost.body)
+expect(lost.json.error.code == "outcome_unknown" and lost.json.error.run == "maybe", "it says so")
+local again = digest("entry-2", '{"n":4}', "k4")
+expect(again.status == 502 and again.json.error.run == "maybe", "a resend doesn't run it")
+local survivor = is_running("service-1") and "service-1" or "service-2"
+expect(runs_of({ survivor }, "bodies", '{"n":4}') == 0, "the other service never saw it")
+
+-- Nobody left to run it: a promise that it didn't run.
+kill(survivor)
+sleep(3300)
+local refused = digest("entry-3", '{"n":5}', "k5")
+expect(refused.status == 503 and refused.json.error.run == "no", "not run, not " .. refused.status)
+expect(refused.headers["retry-after"] ~= nil, "it says when to come back")
+start("service-1")
+eventually(5000, "the service is back", function()
+  return digest("entry-3", '{"n":5}', "k5").status == 200
+end)
+expect(total('{"n":5}') == 1, "it ran once")
--- a/unittests/net/peer_hub_test.cpp
+++ b/unittests/net/peer_hub_test.cpp
@@ -18,7 +18,7 @@
 
 struct hub_under_test {
     hub_under_test(task& owner, const std::string& address, const std::string& secret)
-        : hub(owner, {address, peer_address(address), secret},
+        : hub(owner, {address, peer_address(address), peer_address(), secret},
               [this](schema::envelope& message) { received.push_back(message.from()); }) {}
     std::vector<std::string> received;
     peer_hub hub;
