Mend joining members, stranded items, blame for deaths, silent handshakes

Cause and change, each first seen in a scenario: - A member that joins knows no members yet, so its answers to the leader had no address and were dropped: no disk was ever replaced (lost_disk, damaged_disk). Keepers' own words now name it. - An entry kept leased items whose only engine was gone: the job never ended (job_survives_deaths, 12 items held for 60 s). Items that wait 1.5 s go back to their group. - Innocent calls beside a poisonous one were quarantined (poison). Blame goes to requests that the engine had not begun to answer; an entry with none of these waits for another's word; suspects run only where the entry is the steward. - A peer connection made during a cut kept its handshake open for 30 s (cut_off); now 1 s. - A long answer in one piece looked like a silent connection (silent_connections); engines are always asked to stream and the answer is assembled.

--- a/include/cassia/entry/batch_task.h
+++ b/include/cassia/entry/batch_task.h
@@ -52,6 +52,7 @@
         bool engine = true;
         std::vector<std::string> tokens; ///< kept over a yield, so that the stream can go on
         int runs = 0;
+        instant ready_since{}; ///< when it began to wait for a slot here
         std::set<endpoint_id> failed_at;
 
         // The run under way.
@@ -63,7 +64,7 @@
         std::string answer;
         event_splitter events;
         bool done_seen = false;
-        std::string finish_reason;
+        bool has_output = false; ///< a token came in this run
         std::string request_id;
     };
     struct seat {
@@ -79,6 +80,8 @@
     void tell_held();
     void end_item(const item_id& id, schema::item_end end);
     void give_back(const item_id& id);
+    void give_back_stranded();
+    void make_ready(const item_id& id, bool first);
     void flush_ends();
 
     // Running items (batch_items.cpp).
@@ -94,6 +97,8 @@
     void on_failure(const item_id& id, const net::http_failure& failed);
     void decide_after_failure(const item_id& id, const net::http_failure& failed, bool died);
     void blame_death(const endpoint_id& endpoint);
+    void strike(const std::vector<cassia::fingerprint>& prints, const endpoint_id& endpoint,
+                instant at);
     void complete(const item_id& id);
     std::string assembled_body(const item& one) const;
     void report_uses();
@@ -113,7 +118,7 @@
     std::map<group_id, std::vector<std::pair<item_id, schema::item_end>>> ends_;
     std::map<group_id, bool> flushing_;
     std::set<group_id> leasing_;
-    std::map<endpoint_id, instant> deaths_;
+    std::map<endpoint_id, instant> deaths_; ///< deaths that have been blamed already
     std::uint32_t next_group_ = 0;
     instant next_lease_at_{};
     bool draining_ = false;
--- a/include/cassia/entry/online_calls.h
+++ b/include/cassia/entry/online_calls.h
@@ -65,6 +65,7 @@
         call_id upstream;
         bool running = false;
         bool suspect = false;
+        bool has_output = false; ///< the endpoint began to answer
         instant sent_at{};
         bool beside_batch = false;
         bool ever_sent = false; ///< some endpoint may have seen the request
@@ -73,7 +74,7 @@
         net::http_head head;
         std::string answer;
         event_splitter events;
-        std::uint32_t tokens = 0; ///< events passed on
+        std::vector<std::string> tokens; ///< data of the events so far, over all attempts
         bool head_sent = false;
         bool first_token_seen = false;
         bool done_seen = false;
@@ -100,17 +101,21 @@
     std::string upstream_body(const call& one) const;
     void on_head(exchange_id exchange, const net::http_head& head);
     void on_piece(exchange_id exchange, std::string_view piece);
-    void forward_events(call& one);
+    static bool is_event_stream(const call& one);
+    void take_events(call& one);
     void on_end(exchange_id exchange);
     void on_failure(exchange_id exchange, const net::http_failure& failed);
     void decide_after_failure(exchange_id exchange, const net::http_failure& failed, bool died);
     void end_attempt(call& one, policy::call_result result);
     void probe(exchange_id exchange, const net::http_failure& failed);
     void blame_death(const endpoint_id& endpoint);
+    void strike(const std::vector<cassia::fingerprint>& prints, const endpoint_id& endpoint,
+                instant at);
     void retry(call& one, const std::string& reason);
 
     // Answers (online_answers.cpp).
     void note_first_token(call& one);
+    std::string whole_stream(const call& one) const;
     void finish(call& one);
     void deliver(call& one);
     void store_answer(call& one);
--- a/include/cassia/entry/request_text.h
+++ b/include/cassia/entry/request_text.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cassia::entry {
 
@@ -42,6 +43,10 @@
     return event_data(event) == "[DONE]";
 }
 
+/// The answer in one piece that an engine's stream of events amounts to.
+/// \param events data of the events, without the last, [DONE].
+std::string assemble_answer(const std::vector<std::string>& events, bool chat);
+
 /// Unix time of an RFC 3339 text.
 std::optional<wall_time> parse_time(const std::string& text);
 std::string format_time(wall_time time);
--- a/include/cassia/keeper/founding.h
+++ b/include/cassia/keeper/founding.h
@@ -27,6 +27,8 @@
     explicit founding(std::vector<std::string> founders);
 
     void saw(const keeper_sighting& sighting);
+    /// Where the keeper with this disk is reached; empty if it never said so.
+    peer_address address_of(disk_id disk) const;
 
     /// The first members, once every founder has said lately that its disk is empty. A cluster
     /// never forms from fewer: those missing may hold promises.
--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -50,6 +50,7 @@
     void schedule_pump();
     void pump();
     void flush_log();
+    peer_address address_of(const schema::raft_message& message) const;
     void send_raft(std::vector<schema::raft_message> messages);
     void tick();
     void try_to_found();
--- a/include/cassia/policy/router.h
+++ b/include/cassia/policy/router.h
@@ -14,6 +14,7 @@
 
 struct router_settings {
     zone_id own_zone;
+    entry_id own_name;
     /// Consecutive failures after which an endpoint is left out for a while.
     std::uint32_t ejection_failures = 3;
     milliseconds ejection{2000};
@@ -56,10 +57,12 @@
     std::optional<pick> choose(const pick_request& request, instant now);
 
     void started(const endpoint_id& endpoint, std::uint64_t prefix, bool suspect);
+    /// A suspect got through what crashed an endpoint before: another may run beside it.
+    void release_suspect(const endpoint_id& endpoint);
     void first_token(const endpoint_id& endpoint, microseconds after, instant now);
     void ended(const endpoint_id& endpoint, bool suspect, call_result result, instant now);
-    /// Batch items of this entry under way at an endpoint.
-    void set_own_batch(const endpoint_id& endpoint, std::uint32_t items);
+    /// Batch items of this entry under way at an endpoint, and how many of them are suspects.
+    void set_own_batch(const endpoint_id& endpoint, std::uint32_t items, std::uint32_t suspects);
     /// The endpoint refused a connection or died: left out at once.
     void eject(const endpoint_id& endpoint, instant now);
 
@@ -76,6 +79,7 @@
         endpoint_facts facts;
         std::uint32_t own_online = 0;
         std::uint32_t own_batch = 0;
+        std::uint32_t own_batch_suspects = 0;
         std::uint32_t own_suspects = 0;
         std::uint32_t failures = 0;  ///< in a row
         std::uint32_t ejections = 0; ///< in a row
@@ -87,6 +91,7 @@
     };
 
     bool is_open(const tracked& one, const pick_request& request, instant now) const;
+    bool takes_suspect(const tracked& one, const service_demand& demand) const;
     std::uint32_t running(const tracked& one) const;
     std::uint32_t free_for_online(const tracked& one) const;
     double cost(const tracked& one, const pick_request& request, instant now) const;
--- a/include/cassia/policy/strikes.h
+++ b/include/cassia/policy/strikes.h
@@ -16,15 +16,30 @@
     instant at;
 };
 
+/// A request that ran at an endpoint when it died.
+struct running_request {
+    fingerprint request;
+    bool has_output = false; ///< the endpoint had begun to answer it
+};
+
+/// Whom a death is blamed on.
+struct death_blame {
+    std::vector<fingerprint> certain; ///< struck at once
+    /// Struck after blame_delay, unless another entry has blamed the same death by then.
+    std::vector<fingerprint> likely;
+};
+
+inline constexpr milliseconds blame_delay(500);
+
 class strike_list {
 public:
     explicit strike_list(milliseconds memory) : memory_(memory) {}
 
     /// \returns whether the strike was new.
     bool add(const strike& one);
-    /// The requests that an endpoint's death is blamed on: the suspect among them if there is just
-    /// one, else all.
-    std::vector<fingerprint> blame(const std::vector<fingerprint>& running, instant now) const;
+    death_blame blame(const std::vector<running_request>& running, instant now) const;
+    /// Whether anybody has blamed a death of the endpoint at or after this time.
+    bool knows_death(const endpoint_id& endpoint, instant since) const;
 
     bool is_suspect(const fingerprint& request, instant now) const;
     bool is_quarantined(const fingerprint& request, instant now) const;
--- a/lib/entry/batch_items.cpp
+++ b/lib/entry/batch_items.cpp
@@ -115,6 +115,7 @@
     one.answer.clear();
     one.events = event_splitter();
     one.done_seen = false;
+    one.has_output = false;
     ++one.runs;
     one.request_id = id.first.str() + "/" + std::to_string(id.second) + "/" +
                      std::to_string(one.lease.attempt());
@@ -156,6 +157,9 @@
             one.done_seen = true;
         else
             one.tokens.emplace_back(event_data(*event));
+        // What crashes an engine mostly does so before its first token.
+        one.suspect = false;
+        one.has_output = true;
     }
 }
 
@@ -181,7 +185,7 @@
         if (!one.lease.item().repeatable())
             continue;
         stop_run(one);
-        ready_[one.service].push_front(*id);
+        make_ready(*id, true);
         metrics_.count(std::string("items_stopped_") + reason);
     }
 }
@@ -199,7 +203,7 @@
     stop_run(one);
     if (again) {
         one.failed_at.insert(one.endpoint);
-        ready_[one.service].push_back(id);
+        make_ready(id, false);
         return;
     }
     complete(id);
@@ -210,43 +214,7 @@
 std::string batch_task::assembled_body(const item& one) const {
     if (!one.engine || one.head.status != 200)
         return one.answer;
-    const bool chat = one.lease.item().url() == "/v1/chat/completions";
-    std::string text;
-    boost::json::object body;
-    std::string finish_reason = "stop";
-    for (const std::string& token : one.tokens) {
-        const json_text event = parse_json(token);
-        if (!event.value || !event.value->is_object())
-            continue;
-        const boost::json::object& object = event.value->as_object();
-        for (const char* name : {"id", "model"}) {
-            if (const boost::json::value* member = object.if_contains(name))
-                body[name] = *member;
-        }
-        const boost::json::value* choices = object.if_contains("choices");
-        if (choices == nullptr || !choices->is_array() || choices->as_array().empty() ||
-            !choices->as_array()[0].is_object())
-            continue;
-        const boost::json::object& choice = choices->as_array()[0].as_object();
-        const boost::json::value* delta = choice.if_contains("delta");
-        const boost::json::value* piece = delta != nullptr && delta->is_object()
-                                              ? delta->as_object().if_contains("content")
-                                              : choice.if_contains("text");
-        if (piece != nullptr && piece->is_string())
-            text += std::string(piece->as_string());
-        const boost::json::value* reason = choice.if_contains("finish_reason");
-        if (reason != nullptr && reason->is_string())
-            finish_reason = std::string(reason->as_string());
-    }
-    boost::json::object choice{{"index", 0}, {"finish_reason", finish_reason}};
-    if (chat)
-        choice["message"] = {{"role", "assistant"}, {"content", text}};
-    else
-        choice["text"] = text;
-    body["object"] = chat ? "chat.completion" : "text_completion";
-    body["choices"] = boost::json::array{std::move(choice)};
-    body["usage"] = {{"completion_tokens", one.tokens.size()}};
-    return boost::json::serialize(body);
+    return assemble_answer(one.tokens, one.lease.item().url() == "/v1/chat/completions");
 }
 
 void batch_task::complete(const item_id& id) {
@@ -292,14 +260,26 @@
     if (known != deaths_.end() && now - known->second < one_death)
         return;
     deaths_[endpoint] = now;
-    std::vector<cassia::fingerprint> running;
+    std::vector<policy::running_request> running;
     for (const std::pair<const item_id, item>& one : items_) {
         if (one.second.running && one.second.endpoint == endpoint)
-            running.push_back(one.second.print);
+            running.push_back({one.second.print, one.second.has_output});
     }
-    for (const cassia::fingerprint& print : strikes_.blame(running, now)) {
-        strikes_.add({print, endpoint, now});
-        control_.add_strike({print, endpoint, now});
+    const policy::death_blame blame = strikes_.blame(running, now);
+    strike(blame.certain, endpoint, now);
+    if (blame.likely.empty())
+        return;
+    task_.after(policy::blame_delay, [this, likely = blame.likely, endpoint, now] {
+        if (!strikes_.knows_death(endpoint, now - policy::blame_delay))
+            strike(likely, endpoint, now);
+    });
+}
+
+void batch_task::strike(const std::vector<cassia::fingerprint>& prints, const endpoint_id& endpoint,
+                        instant at) {
+    for (const cassia::fingerprint& print : prints) {
+        strikes_.add({print, endpoint, at});
+        control_.add_strike({print, endpoint, at});
     }
 }
 
@@ -342,7 +322,7 @@
                                      });
     if (!untried)
         one.failed_at.clear();
-    ready_[one.service].push_back(id);
+    make_ready(id, false);
     place_items();
 }
 
--- a/lib/entry/batch_leases.cpp
+++ b/lib/entry/batch_leases.cpp
@@ -18,6 +18,7 @@
 constexpr milliseconds idle_pause(100);
 constexpr std::size_t most_ends_at_once = 256;
 constexpr milliseconds end_patience(20000);
+constexpr milliseconds longest_wait(1500);
 } // namespace
 
 static cassia::fingerprint print_of(const schema::leased_item& lease) {
@@ -99,7 +100,7 @@
         one.service = service_id(lease.item().service());
         one.print = print_of(lease);
         one.engine = lease.item().url().compare(0, 13, "/v1/services/") != 0;
-        ready_[one.service].push_back(id);
+        make_ready(id, false);
         metrics_.count("items_leased");
     }
     place_items();
@@ -158,6 +159,31 @@
     end_item(id, std::move(end));
 }
 
+// An item that finds no slot here goes back to its group, where any entry may take it. Kept, it
+// would wait for as long as this entry lives: the only engine it could run on may be gone for good.
+void batch_task::give_back_stranded() {
+    const instant now = monotonic_now();
+    std::vector<item_id> stranded;
+    for (const std::pair<const item_id, item>& one : items_) {
+        if (!one.second.running && now - one.second.ready_since > longest_wait)
+            stranded.push_back(one.first);
+    }
+    for (const item_id& id : stranded) {
+        metrics_.count("items_given_back");
+        give_back(id);
+    }
+}
+
+void batch_task::make_ready(const item_id& id, bool first) {
+    item& one = items_.at(id);
+    one.ready_since = monotonic_now();
+    std::deque<item_id>& queue = ready_[one.service];
+    if (first)
+        queue.push_front(id);
+    else
+        queue.push_back(id);
+}
+
 // Ends are sent until a majority has them, a batch at a time for each group. Sent twice they count
 // once: the lease that they name is gone after the first.
 void batch_task::flush_ends() {
--- a/lib/entry/batch_task.cpp
+++ b/lib/entry/batch_task.cpp
@@ -138,6 +138,7 @@
         report_uses();
     flush_ends();
     place_items();
+    give_back_stranded();
     request_leases();
 }
 
--- a/lib/entry/control_task.cpp
+++ b/lib/entry/control_task.cpp
@@ -42,8 +42,7 @@
     hub_ = std::make_unique<net::peer_hub>(
         task_,
         net::peer_hub_settings{settings_.name(), peer_address(settings_.peer_address()),
-                               peer_address(settings_.peer_bind()),
-                               settings_.cluster().secret()},
+                               peer_address(settings_.peer_bind()), settings_.cluster().secret()},
         [this](schema::envelope& message) { on_message(message); });
     const net::result<void> opened = hub_->open();
     if (!opened)
--- a/lib/entry/online_answers.cpp
+++ b/lib/entry/online_answers.cpp
@@ -11,10 +11,14 @@
 namespace cassia::entry {
 
 void online_calls::note_first_token(call& one) {
+    one.has_output = true;
+    // What crashes an engine mostly does so before its first token.
+    if (std::exchange(one.suspect, false))
+        router_.release_suspect(one.endpoint);
     if (one.first_token_seen)
         return;
     one.first_token_seen = true;
-    if (!one.streams)
+    if (!one.engine)
         return;
     const instant now = monotonic_now();
     const microseconds after = now - one.sent_at;
@@ -25,7 +29,21 @@
     context_.counters.observe("first_token", now - one.arrived);
 }
 
+// The stream as its caller saw it, for a replay.
+std::string online_calls::whole_stream(const call& one) const {
+    std::string out;
+    for (const std::string& data : one.tokens)
+        out += "data: " + data + "\n\n";
+    return out + "data: [DONE]\n\n";
+}
+
 void online_calls::finish(call& one) {
+    if (is_event_stream(one) && one.streams)
+        one.answer = whole_stream(one);
+    else if (is_event_stream(one))
+        one.answer = assemble_answer(one.tokens, one.request.path == "/v1/chat/completions");
+    if (is_event_stream(one) && !one.streams)
+        one.head.content_type = "application/json";
     explain(decision_kind::ended, one, one.endpoint.str(),
             "status " + std::to_string(one.head.status));
     context_.counters.observe("online_call", monotonic_now() - one.arrived);
@@ -49,8 +67,6 @@
     response.body = std::move(one.answer);
     response.headers["Cassia-Request-Id"] = one.request_id;
     response.headers["Cassia-Run"] = run_name(run_state::yes);
-    if (one.streams && one.head.status == 200)
-        response.body = "data: [DONE]\n\n";
     context_.server->respond(exchange, response);
     remove(exchange);
 }
@@ -67,8 +83,7 @@
     finished->set_at(to_unix_ms(wall_now()));
     finished->mutable_answer()->set_status(static_cast<std::uint32_t>(one.head.status));
     finished->mutable_answer()->set_content_type(one.head.content_type);
-    finished->mutable_answer()->set_body(one.head_sent ? one.answer + "data: [DONE]\n\n"
-                                                       : one.answer);
+    finished->mutable_answer()->set_body(one.answer);
     const exchange_id exchange = one.exchange;
     context_.control.ask(std::move(request), ask_options(), context_.task,
                          [this, exchange](const schema::keeper_reply& reply) {
--- a/lib/entry/online_calls.cpp
+++ b/lib/entry/online_calls.cpp
@@ -33,7 +33,9 @@
                            std::function<void(batch_offers)> on_batch_offers)
     : context_(context), on_batch_offers_(std::move(on_batch_offers)),
       client_(context.task, connections_to_an_endpoint, own_ip(context.settings)),
-      router_(policy::router_settings{zone_id(context.settings.zone())}, random_bits()),
+      router_(policy::router_settings{zone_id(context.settings.zone()),
+                                      entry_id(context.settings.name())},
+              random_bits()),
       waiting_(context.settings.max_queue()), retries_(retry_ratio, retry_reserve),
       strikes_(strike_memory) {}
 
@@ -305,7 +307,13 @@
                 milliseconds(static_cast<std::int64_t>(wait_s * 1000))});
         return;
     }
-    const instant patience = one.arrived + milliseconds(context_.settings.queue_wait_ms());
+    // A suspect waits for its turn alone; refused as soon as the others it would share the fate of
+    // the request that crashed the endpoint.
+    constexpr int suspect_patience = 10;
+    const instant now = monotonic_now();
+    const milliseconds usual(context_.settings.queue_wait_ms());
+    const bool suspect = strikes_.is_suspect(one.print, now);
+    const instant patience = now + (suspect ? usual * suspect_patience : usual);
     one.waiting = waiting_.add({one.exchange, one.from.plan->customer, one.from.plan->weight,
                                 std::min(patience, one.deadline)});
     if (!one.waiting) {
@@ -378,7 +386,7 @@
     for (const policy::strike& one : context_.view->strikes)
         strikes_.add(one);
     for (const std::pair<const endpoint_id, endpoint_use>& use : batch_uses_)
-        router_.set_own_batch(use.first, use.second.batch);
+        router_.set_own_batch(use.first, use.second.batch, use.second.suspects);
     refresh_rates(now);
     offer_waiting();
 }
@@ -403,11 +411,11 @@
 
 void online_calls::set_batch_uses(const std::vector<endpoint_use>& uses) {
     for (const std::pair<const endpoint_id, endpoint_use>& old : batch_uses_)
-        router_.set_own_batch(old.first, 0);
+        router_.set_own_batch(old.first, 0, 0);
     batch_uses_.clear();
     for (const endpoint_use& use : uses) {
         batch_uses_[use.endpoint] = use;
-        router_.set_own_batch(use.endpoint, use.batch);
+        router_.set_own_batch(use.endpoint, use.batch, use.suspects);
     }
 }
 
--- a/lib/entry/online_dispatch.cpp
+++ b/lib/entry/online_dispatch.cpp
@@ -99,6 +99,7 @@
 
     one.endpoint = chosen.endpoint;
     one.running = true;
+    one.has_output = false;
     one.sent_at = now;
     one.head = net::http_head();
     one.events = event_splitter();
@@ -126,12 +127,16 @@
     one.upstream = client_.start(out, std::move(hooks));
 }
 
-// A stream that broke off goes on behind the tokens that its caller already has.
+// Engines are always asked to stream. A caller that wants one piece gets it assembled here: without
+// the tokens a long answer looks the same as a connection that went silent, and could only be begun
+// anew when it breaks. A stream that broke off goes on behind the tokens that are here already.
 std::string online_calls::upstream_body(const call& one) const {
-    if (one.tokens == 0)
+    if (!one.engine || (one.streams && one.tokens.empty()))
         return one.request.body;
     boost::json::object body = one.body;
-    body["resume_from"] = one.tokens;
+    body["stream"] = true;
+    if (!one.tokens.empty())
+        body["resume_from"] = one.tokens.size();
     return boost::json::serialize(body);
 }
 
@@ -143,27 +148,30 @@
 
 void online_calls::on_piece(exchange_id exchange, std::string_view piece) {
     call& one = *find(exchange);
-    const bool forwards = one.streams && one.head.status == 200;
     note_first_token(one);
-    if (!forwards) {
+    if (!is_event_stream(one)) {
         one.answer.append(piece);
         return;
     }
     one.events.add(piece);
-    forward_events(one);
+    take_events(one);
 }
 
-void online_calls::forward_events(call& one) {
+bool online_calls::is_event_stream(const call& one) {
+    return one.engine && one.head.status == 200;
+}
+
+void online_calls::take_events(call& one) {
     std::string out;
     while (std::optional<std::string> event = one.events.next()) {
         if (is_done(*event)) {
             one.done_seen = true;
             continue;
         }
-        ++one.tokens;
+        one.tokens.emplace_back(event_data(*event));
         out += *event;
     }
-    if (out.empty())
+    if (out.empty() || !one.streams)
         return;
     if (!one.head_sent) {
         one.head_sent = true;
@@ -172,8 +180,6 @@
         head.headers["Cassia-Request-Id"] = one.request_id;
         context_.server->begin_stream(one.exchange, head);
     }
-    if (!one.key.empty())
-        one.answer += out;
     context_.server->stream(one.exchange, out);
 }
 
@@ -185,8 +191,7 @@
 
 void online_calls::on_end(exchange_id exchange) {
     call& one = *find(exchange);
-    const bool forwards = one.streams && one.head.status == 200;
-    if (forwards && !one.done_seen) {
+    if (is_event_stream(one) && !one.done_seen) {
         on_failure(exchange,
                    {{net::errc::connection_lost, "the stream ended before its last event"}, true});
         return;
@@ -243,20 +248,32 @@
     if (known != deaths_.end() && now - known->second < one_death)
         return;
     deaths_[endpoint] = now;
-    std::vector<cassia::fingerprint> running;
+    std::vector<policy::running_request> running;
     for (const std::pair<const exchange_id, call>& one : calls_) {
         if (one.second.running && one.second.endpoint == endpoint)
-            running.push_back(one.second.print);
+            running.push_back({one.second.print, one.second.has_output});
     }
-    for (const cassia::fingerprint& print : strikes_.blame(running, now)) {
-        const policy::strike hit{print, endpoint, now};
+    const policy::death_blame blame = strikes_.blame(running, now);
+    strike(blame.certain, endpoint, now);
+    if (!blame.likely.empty()) {
+        context_.task.after(policy::blame_delay, [this, likely = blame.likely, endpoint, now] {
+            if (!strikes_.knows_death(endpoint, now - policy::blame_delay))
+                strike(likely, endpoint, now);
+        });
+    }
+    router_.eject(endpoint, now);
+    context_.decisions.add(decision_kind::ejected, endpoint.str(), "", "it died");
+}
+
+void online_calls::strike(const std::vector<cassia::fingerprint>& prints,
+                          const endpoint_id& endpoint, instant at) {
+    for (const cassia::fingerprint& print : prints) {
+        const policy::strike hit{print, endpoint, at};
         strikes_.add(hit);
         context_.control.add_strike(hit);
         context_.decisions.add(decision_kind::struck, print.str(), endpoint.str(),
                                "the endpoint died while it ran");
     }
-    router_.eject(endpoint, now);
-    context_.decisions.add(decision_kind::ejected, endpoint.str(), "", "it died");
 }
 
 void online_calls::decide_after_failure(exchange_id exchange, const net::http_failure& failed,
@@ -289,11 +306,11 @@
 }
 
 void online_calls::retry(call& one, const std::string& reason) {
-    one.answer = one.head_sent ? one.answer : std::string();
+    one.answer.clear();
     one.done_seen = false;
-    explain(one.tokens > 0 ? decision_kind::resumed : decision_kind::retried, one,
+    explain(!one.tokens.empty() ? decision_kind::resumed : decision_kind::retried, one,
             one.endpoint.str(), reason);
-    context_.counters.count(one.tokens > 0 ? "resumed" : "retried");
+    context_.counters.count(!one.tokens.empty() ? "resumed" : "retried");
     // With every endpoint tried, one of them is better than none.
     policy::pick_request wanted{one.demand, 0, false, one.failed_at};
     if (!router_.choose(wanted, monotonic_now()))
--- a/lib/entry/request_text.cpp
+++ b/lib/entry/request_text.cpp
@@ -85,6 +85,55 @@
     return data;
 }
 
+// The piece of text in an event's only choice.
+static const boost::json::value* text_of(const boost::json::object& choice) {
+    const boost::json::value* delta = choice.if_contains("delta");
+    if (delta == nullptr)
+        return choice.if_contains("text");
+    return delta->is_object() ? delta->as_object().if_contains("content") : nullptr;
+}
+
+static const boost::json::object* only_choice(const boost::json::object& event) {
+    const boost::json::value* choices = event.if_contains("choices");
+    const bool there = choices != nullptr && choices->is_array() && !choices->as_array().empty() &&
+                       choices->as_array()[0].is_object();
+    return there ? &choices->as_array()[0].as_object() : nullptr;
+}
+
+std::string assemble_answer(const std::vector<std::string>& events, bool chat) {
+    std::string text;
+    std::string finish_reason = "stop";
+    boost::json::object body;
+    for (const std::string& data : events) {
+        const json_text event = parse_json(data);
+        if (!event.value || !event.value->is_object())
+            continue;
+        const boost::json::object& object = event.value->as_object();
+        for (const char* name : {"id", "model"}) {
+            if (const boost::json::value* member = object.if_contains(name))
+                body[name] = *member;
+        }
+        const boost::json::object* choice = only_choice(object);
+        if (choice == nullptr)
+            continue;
+        const boost::json::value* piece = text_of(*choice);
+        if (piece != nullptr && piece->is_string())
+            text += std::string(piece->as_string());
+        const boost::json::value* reason = choice->if_contains("finish_reason");
+        if (reason != nullptr && reason->is_string())
+            finish_reason = std::string(reason->as_string());
+    }
+    boost::json::object choice{{"index", 0}, {"finish_reason", finish_reason}};
+    if (chat)
+        choice["message"] = {{"role", "assistant"}, {"content", text}};
+    else
+        choice["text"] = text;
+    body["object"] = chat ? "chat.completion" : "text_completion";
+    body["choices"] = boost::json::array{std::move(choice)};
+    body["usage"] = {{"completion_tokens", events.size()}};
+    return boost::json::serialize(body);
+}
+
 std::optional<wall_time> parse_time(const std::string& text) {
     GTimeZone* utc = g_time_zone_new_utc();
     GDateTime* time = g_date_time_new_from_iso8601(text.c_str(), utc);
--- a/lib/keeper/founding.cpp
+++ b/lib/keeper/founding.cpp
@@ -16,6 +16,14 @@
     seen_[sighting.node] = sighting;
 }
 
+peer_address founding::address_of(disk_id disk) const {
+    for (const std::pair<const std::string, keeper_sighting>& one : seen_) {
+        if (one.second.disk == disk)
+            return peer_address(one.second.address);
+    }
+    return peer_address();
+}
+
 bool founding::is_recent(const keeper_sighting& one, instant now) const {
     return now - one.seen < sighting_age;
 }
--- a/lib/keeper/service.cpp
+++ b/lib/keeper/service.cpp
@@ -48,8 +48,7 @@
     hub_ = std::make_unique<net::peer_hub>(
         task_,
         net::peer_hub_settings{settings_.name(), peer_address(settings_.peer_address()),
-                               peer_address(settings_.peer_bind()),
-                               settings_.cluster().secret()},
+                               peer_address(settings_.peer_bind()), settings_.cluster().secret()},
         [this](schema::envelope& message) { on_message(message); });
     net::http_server_hooks hooks;
     hooks.on_request = [this](exchange_id id, const net::http_request& request) {
@@ -274,18 +273,24 @@
         });
 }
 
+// A member that is just joining knows no members yet and still has to answer its leader, so disks
+// are also known by what keepers say of themselves.
+peer_address service::address_of(const schema::raft_message& message) const {
+    const disk_id disk(message.to());
+    for (const consensus::member& member :
+         hosts_.at(group_id(message.group()))->raft().log().members()) {
+        if (member.disk == disk)
+            return peer_address(member.address);
+    }
+    return founding_.address_of(disk);
+}
+
 void service::send_raft(std::vector<schema::raft_message> messages) {
     std::map<peer_address, schema::envelope> outbox;
     for (schema::raft_message& message : messages) {
-        const consensus::member_list& members =
-            hosts_.at(group_id(message.group()))->raft().log().members();
-        for (const consensus::member& member : members) {
-            if (member.disk != disk_id(message.to()))
-                continue;
-            *outbox[peer_address(member.address)].mutable_raft()->add_messages() =
-                std::move(message);
-            break;
-        }
+        const peer_address to = address_of(message);
+        if (!to.empty())
+            *outbox[to].mutable_raft()->add_messages() = std::move(message);
     }
     for (std::pair<const peer_address, schema::envelope>& one : outbox)
         hub_->send(one.first, one.second);
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -167,12 +167,12 @@
     // call before their task runs.
     g_main_context_push_thread_default(owner.context());
     GInetSocketAddress* local =
-        own_ip.empty() ? nullptr
-                       : G_INET_SOCKET_ADDRESS(
-                             g_inet_socket_address_new_from_string(own_ip.c_str(), 0));
+        own_ip.empty()
+            ? nullptr
+            : G_INET_SOCKET_ADDRESS(g_inet_socket_address_new_from_string(own_ip.c_str(), 0));
     state_->session = soup_session_new_with_options(
-        "local-address", local, "max-conns", most_connections, "max-conns-per-host", connections, "idle-timeout",
-        idle_seconds, "timeout", 0U, nullptr);
+        "local-address", local, "max-conns", most_connections, "max-conns-per-host", connections,
+        "idle-timeout", idle_seconds, "timeout", 0U, nullptr);
     g_clear_object(&local);
     soup_session_set_proxy_resolver(state_->session, nullptr);
     g_main_context_pop_thread_default(owner.context());
--- a/lib/net/peer_hub.cpp
+++ b/lib/net/peer_hub.cpp
@@ -25,6 +25,9 @@
 // connection after the timeout and makes a new one, which works.
 constexpr int heartbeat_interval_ms = 400;
 constexpr int heartbeat_timeout_ms = 1200;
+// A connection that was made while the way was cut never completes its handshake, and ZeroMQ's own
+// limit of 30 s would keep the peers apart for as long after the way is whole again.
+constexpr int handshake_limit_ms = 1000;
 constexpr int most_frames_at_once = 256;
 
 using key_text = std::array<char, z85_key_chars + 1>;
@@ -126,6 +129,7 @@
     set_option(socket, ZMQ_RCVHWM, queue_messages);
     set_option(socket, ZMQ_HEARTBEAT_IVL, heartbeat_interval_ms);
     set_option(socket, ZMQ_HEARTBEAT_TIMEOUT, heartbeat_timeout_ms);
+    set_option(socket, ZMQ_HANDSHAKE_IVL, handshake_limit_ms);
     zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &most_message_bytes, sizeof most_message_bytes);
 }
 
--- a/lib/policy/router.cpp
+++ b/lib/policy/router.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace cassia::policy {
 
@@ -80,7 +81,22 @@
         return false;
     if (one.ejected_until > now || free_for_online(one) == 0)
         return false;
-    return !request.suspect || one.own_suspects + one.facts.others_suspects == 0;
+    return !request.suspect || takes_suspect(one, request.demand);
+}
+
+// Entries learn of each other's suspects too late to keep two off the same endpoint, so each runs
+// its own only where it is the steward. An entry that is nobody's steward has to go by what it
+// heard.
+bool router::takes_suspect(const tracked& one, const service_demand& demand) const {
+    if (one.own_suspects + one.own_batch_suspects + one.facts.others_suspects > 0)
+        return false;
+    if (one.facts.steward == settings_.own_name)
+        return true;
+    return std::none_of(endpoints_.begin(), endpoints_.end(),
+                        [this, &demand](const std::pair<const endpoint_id, tracked>& other) {
+                            return other.second.facts.steward == settings_.own_name &&
+                                   serves(other.second.facts, demand);
+                        });
 }
 
 double router::cost(const tracked& one, const pick_request& request, instant now) const {
@@ -160,6 +176,12 @@
     one.prefixes.erase(oldest);
 }
 
+void router::release_suspect(const endpoint_id& endpoint) {
+    auto found = endpoints_.find(endpoint);
+    if (found != endpoints_.end() && found->second.own_suspects > 0)
+        --found->second.own_suspects;
+}
+
 void router::first_token(const endpoint_id& endpoint, microseconds after, instant now) {
     auto found = endpoints_.find(endpoint);
     if (found == endpoints_.end())
@@ -182,8 +204,8 @@
     tracked& one = found->second;
     if (one.own_online > 0)
         --one.own_online;
-    if (suspect && one.own_suspects > 0)
-        --one.own_suspects;
+    if (suspect)
+        release_suspect(endpoint);
     if (result == call_result::cancelled)
         return;
     if (result == call_result::finished) {
@@ -220,10 +242,12 @@
     one.failures = 0;
 }
 
-void router::set_own_batch(const endpoint_id& endpoint, std::uint32_t items) {
+void router::set_own_batch(const endpoint_id& endpoint, std::uint32_t items,
+                           std::uint32_t suspects) {
     auto found = endpoints_.find(endpoint);
     if (found != endpoints_.end())
-        found->second.own_batch = items;
+        std::tie(found->second.own_batch, found->second.own_batch_suspects) =
+            std::make_tuple(items, suspects);
 }
 
 std::uint32_t router::own_online(const endpoint_id& endpoint) const {
--- a/lib/policy/strikes.cpp
+++ b/lib/policy/strikes.cpp
@@ -32,14 +32,34 @@
     return count(request, now) >= quarantine_strikes;
 }
 
-// Without this, the innocent requests beside a poisonous one collect as many strikes as it does,
-// and are quarantined with it. A suspect runs beside no other, so the second death is its own.
-std::vector<fingerprint> strike_list::blame(const std::vector<fingerprint>& running,
-                                            instant now) const {
+// What crashes an endpoint mostly does so at once, so the blame goes to those it had not begun to
+// answer; among these to the suspect, if there is just one. Without this the innocent requests
+// beside a poisonous one collect as many strikes as it does, and are quarantined with it. An entry
+// that has none of these waits for the word of the one that has.
+death_blame strike_list::blame(const std::vector<running_request>& running, instant now) const {
+    death_blame blame;
     std::vector<fingerprint> suspects;
-    std::copy_if(running.begin(), running.end(), std::back_inserter(suspects),
-                 [this, now](const fingerprint& one) { return is_suspect(one, now); });
-    return suspects.size() == 1 ? suspects : running;
+    for (const running_request& one : running) {
+        if (one.has_output) {
+            blame.likely.push_back(one.request);
+            continue;
+        }
+        blame.certain.push_back(one.request);
+        if (is_suspect(one.request, now))
+            suspects.push_back(one.request);
+    }
+    if (suspects.size() == 1)
+        blame.certain = suspects;
+    if (!blame.certain.empty())
+        blame.likely.clear();
+    return blame;
+}
+
+bool strike_list::knows_death(const endpoint_id& endpoint, instant since) const {
+    return std::any_of(strikes_.begin(), strikes_.end(), [&endpoint, since](const auto& one) {
+        auto hit = one.second.find(endpoint);
+        return hit != one.second.end() && hit->second >= since;
+    });
 }
 
 std::vector<strike> strike_list::all(instant now) const {
--- a/lib/standin/engine.cpp
+++ b/lib/standin/engine.cpp
@@ -39,8 +39,8 @@
         task_,
         net::http_limits{65536, [](const std::string&, const std::string&) { return body_limit; }},
         std::move(hooks));
-    const net::result<void> listening = server_->listen(http_address(
-        settings_.bind().empty() ? settings_.address() : settings_.bind()));
+    const net::result<void> listening = server_->listen(
+        http_address(settings_.bind().empty() ? settings_.address() : settings_.bind()));
     if (!listening)
         return listening.error().text;
     task_.every(step_interval, [this] { step(); });
--- a/lib/standin/plain_service.cpp
+++ b/lib/standin/plain_service.cpp
@@ -50,8 +50,8 @@
             on_request(exchange, request);
         },
         [this](exchange_id exchange) { running_.erase(exchange); });
-    const net::result<void> listening = server_->listen(http_address(
-        settings_.bind().empty() ? settings_.address() : settings_.bind()));
+    const net::result<void> listening = server_->listen(
+        http_address(settings_.bind().empty() ? settings_.address() : settings_.bind()));
     if (!listening)
         return listening.error().text;
     announcer_.start();
@@ -119,8 +119,8 @@
             on_request(exchange, request);
         },
         [](exchange_id) {});
-    const net::result<void> listening = server_->listen(http_address(
-        settings_.bind().empty() ? settings_.address() : settings_.bind()));
+    const net::result<void> listening = server_->listen(
+        http_address(settings_.bind().empty() ? settings_.address() : settings_.bind()));
     return listening ? "" : listening.error().text;
 }
 
--- a/test/runner/fleet.cpp
+++ b/test/runner/fleet.cpp
@@ -81,15 +81,15 @@
         cluster << "[[cluster.keeper]]\nname = \"keeper-" << i << "\"\naddress = \""
                 << ip_of(relay_kind + keeper_kind, i) << ":7000\"\n";
     const std::string keeper = write_file("keeper.toml", cluster.str());
-    const std::string entry = write_file(
-        "entry.toml", "endpoint_token_sha256 = \"" + sha256_hex(endpoint_token) +
-                          "\"\noperator_token_sha256 = \"" + sha256_hex(operator_token) + "\"\n" +
-                          cluster.str());
+    const std::string entry =
+        write_file("entry.toml", "endpoint_token_sha256 = \"" + sha256_hex(endpoint_token) +
+                                     "\"\noperator_token_sha256 = \"" + sha256_hex(operator_token) +
+                                     "\"\n" + cluster.str());
     std::string entries;
     for (int i = 1; i <= shape.entries; ++i)
         entries += (i > 1 ? ", \"" : "\"") + ip_of(entry_kind, i) + ":8080\"";
-    const std::string endpoint = "entry = [" + entries + "]\nendpoint_token = \"" +
-                                 endpoint_token + "\"\n";
+    const std::string endpoint =
+        "entry = [" + entries + "]\nendpoint_token = \"" + endpoint_token + "\"\n";
     const std::string engine = write_file(
         "engine.toml", "kind = \"engine\"\nservice = \"model\"\nversion = [\"v1\"]\n" + endpoint);
     const std::string service =
@@ -210,6 +210,8 @@
     return found->second;
 }
 
-std::vector<std::string> fleet::names() const { return order_; }
+std::vector<std::string> fleet::names() const {
+    return order_;
+}
 
 } // namespace cassia::scenario
--- a/test/runner/fleet.h
+++ b/test/runner/fleet.h
@@ -27,8 +27,8 @@
     std::string name;
     std::string program;
     std::vector<std::string> arguments;
-    std::string ip;        ///< where it really listens
-    std::string address;   ///< HTTP, as others reach it
+    std::string ip;      ///< where it really listens
+    std::string address; ///< HTTP, as others reach it
     std::string data_dir;
     pid_t pid = 0;
 };
--- a/test/runner/relay.cpp
+++ b/test/runner/relay.cpp
@@ -52,9 +52,9 @@
     const int on = 1;
     setsockopt(one.listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     const sockaddr_in address = socket_address(from);
-    const bool bound = bind(one.listener, reinterpret_cast<const sockaddr*>(&address),
-                            sizeof address) == 0 &&
-                       listen(one.listener, backlog) == 0;
+    const bool bound =
+        bind(one.listener, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0 &&
+        listen(one.listener, backlog) == 0;
     if (!bound) {
         std::fprintf(stderr, "relay: cannot listen on %s\n", from.c_str());
         std::exit(1);
@@ -88,7 +88,8 @@
 void relay::accept_link(const route& at) {
     sockaddr_in peer{};
     socklen_t size = sizeof peer;
-    const int caller = accept4(at.listener, reinterpret_cast<sockaddr*>(&peer), &size, SOCK_CLOEXEC);
+    const int caller =
+        accept4(at.listener, reinterpret_cast<sockaddr*>(&peer), &size, SOCK_CLOEXEC);
     if (caller < 0)
         return;
     std::array<char, INET_ADDRSTRLEN> text{};
@@ -127,8 +128,8 @@
     }
     ssize_t sent = 0;
     while (sent < got) {
-        const ssize_t count = send(to, buffer.data() + sent, static_cast<std::size_t>(got - sent),
-                                   MSG_NOSIGNAL);
+        const ssize_t count =
+            send(to, buffer.data() + sent, static_cast<std::size_t>(got - sent), MSG_NOSIGNAL);
         if (count < 0 && errno == EAGAIN) {
             pollfd writable{to, POLLOUT, 0};
             poll(&writable, 1, poll_ms);
--- a/test/runner/verbs.cpp
+++ b/test/runner/verbs.cpp
@@ -117,8 +117,8 @@
 
 static int number_field(lua_State* lua, int table, const char* name, int otherwise) {
     lua_getfield(lua, table, name);
-    const int number = lua_isinteger(lua, -1) != 0 ? static_cast<int>(lua_tointeger(lua, -1))
-                                                   : otherwise;
+    const int number =
+        lua_isinteger(lua, -1) != 0 ? static_cast<int>(lua_tointeger(lua, -1)) : otherwise;
     lua_pop(lua, 1);
     return number;
 }
@@ -172,8 +172,7 @@
 }
 
 static int verb_data_dir(lua_State* lua) {
-    lua_pushstring(lua,
-                   context_of(lua).processes.find(luaL_checkstring(lua, 1)).data_dir.c_str());
+    lua_pushstring(lua, context_of(lua).processes.find(luaL_checkstring(lua, 1)).data_dir.c_str());
     return 1;
 }
 
@@ -202,9 +201,8 @@
     net::http_call call;
     call.method = text_field(lua, 1, "method");
     const std::string to = text_field(lua, 1, "to");
-    call.to = http_address(to.find(':') == std::string::npos
-                               ? context_of(lua).processes.find(to).address
-                               : to);
+    call.to = http_address(
+        to.find(':') == std::string::npos ? context_of(lua).processes.find(to).address : to);
     call.path = text_field(lua, 1, "path");
     call.body = text_field(lua, 1, "body");
     call.headers = map_field(lua, 1, "headers");
--- a/test/scenarios/cut_off.lua
+++ b/test/scenarios/cut_off.lua
@@ -33,8 +33,9 @@
   return got.status == 503 and got.json.error.code == "stale" and got.json.error.run == "no"
 end)
 print("entry-2 refuses " .. now() - entry_cut .. " ms after the cut")
-local listed = ask({ to = "entry-1", path = "/v1/entries" }).json
-expect(#listed.entries == 2, "the others list it no more")
+eventually(4000, "the others list it no more", function()
+  return #ask({ to = "entry-1", path = "/v1/entries" }).json.entries == 2
+end)
 isolate("entry-2", heal)
 eventually(10000, "entry-2 serves again", function()
   return ask(complete({ to = "entry-2", prompt = "hello" })).status == 200
--- a/test/scenarios/lost_disk.lua
+++ b/test/scenarios/lost_disk.lua
@@ -9,6 +9,10 @@
 local _, before = results(id)
 expect(apply({ base = 1, change_id = "second" }).status == 200, "accepted")
 
+local function new_disk()
+  local state = dump("keeper-3")
+  return state and state.disk
+end
 kill("keeper-3")
 wipe_disk("keeper-3")
 local returned = now()
@@ -24,6 +28,7 @@
     if not group or #group.members ~= 3 then return false end
     for _, member in ipairs(group.members) do
       if not member.voter or not member.active then return false end
+      if member.node == "keeper-3" and member.disk ~= new_disk() then return false end
     end
   end
   return true
--- a/unittests/policy/policy_test.cpp
+++ b/unittests/policy/policy_test.cpp
@@ -34,7 +34,7 @@
 }
 
 router make_router() {
-    return router({zone_id("a")}, 1);
+    return router({zone_id("a"), entry_id("self")}, 1);
 }
 
 } // namespace
@@ -66,7 +66,7 @@
 TEST_CASE("slots that batch holds count as free for online calls", "[policy]") {
     router one = make_router();
     one.set_endpoints({engine("near", "a", 4)});
-    one.set_own_batch(endpoint_id("near"), 4);
+    one.set_own_batch(endpoint_id("near"), 4, 0);
     const std::optional<pick> chosen = one.choose(for_model(), start);
     REQUIRE(chosen);
     CHECK(chosen->yield == 1);
@@ -169,11 +169,11 @@
     strike_list list(std::chrono::minutes(10));
     const fingerprint poison("poison");
     const fingerprint innocent("innocent");
-    for (const fingerprint& one : list.blame({poison, innocent}, start))
+    for (const fingerprint& one : list.blame({{poison, false}, {innocent, false}}, start).certain)
         list.add({one, endpoint_id("x"), start});
     CHECK(list.is_suspect(innocent, start));
     const fingerprint other("other");
-    for (const fingerprint& one : list.blame({poison, other}, start))
+    for (const fingerprint& one : list.blame({{poison, false}, {other, false}}, start).certain)
         list.add({one, endpoint_id("y"), start});
     CHECK(list.is_quarantined(poison, start));
     CHECK_FALSE(list.is_quarantined(innocent, start));
@@ -181,6 +181,21 @@
     CHECK_FALSE(list.is_quarantined(poison, start + std::chrono::minutes(11)));
 }
 
+TEST_CASE("those that were being answered are blamed last", "[policy]") {
+    strike_list list(std::chrono::minutes(10));
+    const fingerprint poison("poison");
+    const fingerprint innocent("innocent");
+    const death_blame here = list.blame({{poison, false}, {innocent, true}}, start);
+    CHECK(here.certain == std::vector<fingerprint>{poison});
+    CHECK(here.likely.empty());
+    const death_blame elsewhere = list.blame({{innocent, true}}, start);
+    CHECK(elsewhere.certain.empty());
+    CHECK(elsewhere.likely == std::vector<fingerprint>{innocent});
+    list.add({poison, endpoint_id("x"), start});
+    CHECK(list.knows_death(endpoint_id("x"), start));
+    CHECK_FALSE(list.knows_death(endpoint_id("x"), start + milliseconds(1)));
+}
+
 TEST_CASE("batch items are shared by weight, nearest deadline first", "[policy]") {
     batch_schedule schedule;
     schedule.set_weight(customer_id("heavy"), 3);
