Mend the body limit, which took each chunk twice

Cause: the size check added the chunk to a body that already held it, so bodies over half the limit were refused with 413.

--- a/include/cassia/net/http_server.h
+++ b/include/cassia/net/http_server.h
@@ -20,6 +20,7 @@
     std::map<std::string, std::string> query;
     std::map<std::string, std::string> headers; ///< names in lower case
     std::string body;
+    std::string remote; ///< IP:PORT of the caller's end of the connection
 
     /// The header's value, or an empty string.
     const std::string& header(const std::string& lower_case_name) const;
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -210,8 +210,8 @@
         g_bytes_unref(body);
     }
     soup_message_add_flags(active.message, SOUP_MESSAGE_NO_REDIRECT);
-    // libsoup sends a POST over a kept connection only if it may be repeated; else it opens a new one
-    // for each and keeps them all, and every turn of the main loop then polls hundreds of them.
+    // libsoup sends a POST over a kept connection only if it may be repeated; else it opens a new
+    // one for each and keeps them all, and every turn of the main loop then polls hundreds of them.
     if (call.fresh_connection) {
         soup_message_add_flags(active.message, SOUP_MESSAGE_NEW_CONNECTION);
         soup_message_headers_replace(headers, "Connection", "close");
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -92,13 +92,13 @@
     return state->limits.body_bytes(method, path);
 }
 
-static void on_chunk(SoupServerMessage* message, GBytes* chunk, void* data) {
+static void on_chunk(SoupServerMessage* message, GBytes*, void* data) {
     http_server::state* state = static_cast<http_server::state*>(data);
     if (soup_server_message_get_status(message) != SOUP_STATUS_NONE)
         return;
-    SoupMessageBody* body = soup_server_message_get_request_body(message);
-    const std::size_t size = static_cast<std::size_t>(body->length) + g_bytes_get_size(chunk);
-    if (size > body_limit(state, message))
+    // The body holds the chunk already.
+    const goffset size = soup_server_message_get_request_body(message)->length;
+    if (static_cast<std::size_t>(size) > body_limit(state, message))
         refuse(state, message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE);
 }
 
@@ -137,12 +137,23 @@
     g_object_unref(message);
 }
 
+static std::string remote_of(SoupServerMessage* message) {
+    GSocketAddress* address = soup_server_message_get_remote_address(message);
+    if (address == nullptr || !G_IS_INET_SOCKET_ADDRESS(address))
+        return "";
+    char* text = g_socket_connectable_to_string(G_SOCKET_CONNECTABLE(address));
+    std::string remote(text);
+    g_free(text);
+    return remote;
+}
+
 static void on_request(SoupServer*, SoupServerMessage* message, const char* path, GHashTable* query,
                        void* data) {
     http_server::state* state = static_cast<http_server::state*>(data);
     http_request request;
     request.method = soup_server_message_get_method(message);
     request.path = path;
+    request.remote = remote_of(message);
     soup_message_headers_foreach(soup_server_message_get_request_headers(message), add_header,
                                  &request.headers);
     if (query != nullptr) {
