--- a/lib/entry/control_task.cpp
+++ b/lib/entry/control_task.cpp
@@ -189,7 +189,7 @@
     if (beacon.leads_control())
         keepers_.leads(group_id(0), beacon.keeper());
     for (const schema::entry_hello& entry : beacon.entries())
-        entries_.saw(entry, milliseconds(0), now);
+        entries_.saw(entry, milliseconds(entry.age_ms()), now);
     if (beacon.has_config())
         take_config(beacon.config());
     std::vector<job_id> cancelled;
--- a/test/runner/fleet.cpp
+++ b/test/runner/fleet.cpp
@@ -6,6 +6,7 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -148,7 +149,7 @@
     relay_.start();
 }
 
-void fleet::start(const std::string& name) {
+void fleet::start(const std::string& name, std::uint64_t most_file_bytes) {
     process& one = processes_.at(name);
     std::vector<char*> arguments;
     for (std::string& argument : one.arguments)
@@ -163,6 +164,11 @@
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (getppid() != parent)
         _exit(1);
+    if (most_file_bytes > 0) {
+        ::signal(SIGXFSZ, SIG_IGN);
+        const rlimit limit{most_file_bytes, most_file_bytes};
+        setrlimit(RLIMIT_FSIZE, &limit);
+    }
     const int file = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     dup2(file, STDERR_FILENO);
     execv(arguments[0], arguments.data());
--- a/test/runner/fleet.h
+++ b/test/runner/fleet.h
@@ -3,6 +3,7 @@
 
 #include "relay.h"
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -39,7 +40,9 @@
     ~fleet();
 
     void make(const fleet_shape& shape);
-    void start(const std::string& name);
+    /// \param most_file_bytes a write that makes a file larger fails, as on a full disk; 0: no
+    /// limit
+    void start(const std::string& name, std::uint64_t most_file_bytes = 0);
     void signal(const std::string& name, int number);
     /// Waits until the process has ended. \returns its exit code, or 128 and its signal's number.
     int wait(const std::string& name);
--- a/test/runner/prelude.lua
+++ b/test/runner/prelude.lua
@@ -74,7 +74,8 @@
       stream = call.stream or false } }
 end
 
-function start(name) start_process(name) end
+-- With a limit, writes that make a file larger fail, as on a full disk.
+function start(name, most_file_bytes) start_process(name, most_file_bytes) end
 function kill(name) send_signal(name, SIGKILL); wait_exit(name) end
 function stop(name) send_signal(name, SIGTERM) end
 function freeze(name) send_signal(name, SIGSTOP) end
--- a/test/runner/verbs.cpp
+++ b/test/runner/verbs.cpp
@@ -146,7 +146,8 @@
 }
 
 static int verb_start(lua_State* lua) {
-    context_of(lua).processes.start(luaL_checkstring(lua, 1));
+    context_of(lua).processes.start(luaL_checkstring(lua, 1),
+                                    static_cast<std::uint64_t>(luaL_optinteger(lua, 2, 0)));
     return 0;
 }
 
--- a/tools/cassia-load.cpp
+++ b/tools/cassia-load.cpp
@@ -2,6 +2,7 @@
 
 #include "cassia/base/digest.h"
 #include "cassia/entry/request_text.h"
+#include "cassia/load/announce_phase.h"
 #include "cassia/load/batch_phase.h"
 #include "cassia/load/online_phase.h"
 #include "cassia/load/report.h"
@@ -21,9 +22,10 @@
 namespace {
 constexpr unsigned connections = 4;
 constexpr const char* usage =
-    "[run | compare]\n"
+    "[run | compare | announce]\n"
     "  run      online calls and, beside them, one batch if batch_items is above 0 (default)\n"
-    "  compare  online calls alone, then the batch alone, then both together\n";
+    "  compare  online calls alone, then the batch alone, then both together\n"
+    "  announce made-up endpoints announce themselves, nothing else\n";
 
 struct finished_phase {
     std::string name;
@@ -90,6 +92,16 @@
     return phase;
 }
 
+static int run_announcements(cassia::net::task& task, const cassia::schema::load_settings& settings,
+                             const std::vector<std::string>& targets) {
+    cassia::load::announce_phase phase(task, settings, targets);
+    phase.start([&task] { task.quit(); });
+    task.run();
+    std::cout << settings.endpoints() << " endpoints, " << phase.accepted() << " accepted, "
+              << phase.refused() << " refused\n";
+    return phase.refused() == 0 ? cassia::settings::exit_fine : cassia::settings::exit_failed;
+}
+
 static void write_text(const std::string& path, const std::string& text) {
     if (path.empty())
         return;
@@ -118,8 +130,9 @@
     if (!cassia::settings::start_logs("cassia-load", settings.log()))
         return cassia::settings::exit_failed;
     const std::string mode = line.arguments.empty() ? "run" : line.arguments.front();
-    if ((mode != "run" && mode != "compare") || line.arguments.size() > 1) {
-        std::cerr << "cassia-load: expected run or compare; see --help\n";
+    const bool known = mode == "run" || mode == "compare" || mode == "announce";
+    if (!known || line.arguments.size() > 1) {
+        std::cerr << "cassia-load: expected run, compare or announce; see --help\n";
         return cassia::settings::exit_usage;
     }
     cassia::net::task task("load");
@@ -128,6 +141,8 @@
         std::cerr << "cassia-load: no entry answers\n";
         return cassia::settings::exit_failed;
     }
+    if (mode == "announce")
+        return run_announcements(task, settings, targets);
     std::vector<finished_phase> phases;
     if (!settings.direct().empty())
         phases.push_back(
