Read as a newcomer: split long files, one place for blame, tokens and constants

Cause: online_calls.cpp and control_task.cpp had grown beyond 400 lines; the probe of a dead endpoint and the blame for its death stood in both the online and the batch task; bearer tokens were read in three places, waiting times named in five. Change: crash_blame, authentication, online_arrival, control_view; no behaviour changed. Before and after: the same tests pass.

--- a/include/cassia/entry/batch_task.h
+++ b/include/cassia/entry/batch_task.h
@@ -4,12 +4,12 @@
 
 #include "cassia/base/metrics.h"
 #include "cassia/entry/control_task.h"
+#include "cassia/entry/crash_blame.h"
 #include "cassia/entry/fleet_view.h"
 #include "cassia/entry/front_task.h"
 #include "cassia/entry/request_text.h"
 #include "cassia/net/http_client.h"
 #include "cassia/net/task.h"
-#include "cassia/policy/strikes.h"
 #include "cassia/schema/messages.pb.h"
 #include "cassia/schema/settings.pb.h"
 
@@ -97,8 +97,6 @@
     void on_failure(const item_id& id, const net::http_failure& failed);
     void decide_after_failure(const item_id& id, const net::http_failure& failed, bool died);
     void blame_death(const endpoint_id& endpoint);
-    void strike(const std::vector<cassia::fingerprint>& prints, const endpoint_id& endpoint,
-                instant at);
     void complete(const item_id& id);
     std::string assembled_body(const item& one) const;
     void report_uses();
@@ -110,7 +108,7 @@
     net::task task_;
     net::http_client client_;
     metrics metrics_;
-    policy::strike_list strikes_;
+    crash_blame blame_;
     view_pointer view_;
     std::map<endpoint_id, seat> seats_;
     std::map<item_id, item> items_;
@@ -118,7 +116,6 @@
     std::map<group_id, std::vector<std::pair<item_id, schema::item_end>>> ends_;
     std::map<group_id, bool> flushing_;
     std::set<group_id> leasing_;
-    std::map<endpoint_id, instant> deaths_; ///< deaths that have been blamed already
     std::uint32_t next_group_ = 0;
     instant next_lease_at_{};
     bool draining_ = false;
--- a/include/cassia/entry/control_task.h
+++ b/include/cassia/entry/control_task.h
@@ -35,6 +35,9 @@
     std::function<void(const std::vector<job_id>&)> on_cancelled;
 };
 
+/// An entry that has said nothing for this long is taken for gone.
+inline constexpr milliseconds others_silent_after(3000);
+
 class control_task {
 public:
     control_task(const schema::entry_settings& settings, control_hooks hooks);
--- a/include/cassia/entry/online_calls.h
+++ b/include/cassia/entry/online_calls.h
@@ -2,12 +2,12 @@
 /// go on at another endpoint.
 #pragma once
 
+#include "cassia/entry/crash_blame.h"
 #include "cassia/entry/front_task.h"
 #include "cassia/entry/request_text.h"
 #include "cassia/policy/admission.h"
 #include "cassia/policy/batch_slots.h"
 #include "cassia/policy/router.h"
-#include "cassia/policy/strikes.h"
 
 #include <boost/json/object.hpp>
 
@@ -80,7 +80,7 @@
         bool done_seen = false;
     };
 
-    // Arrival (online_calls.cpp).
+    // Arrival (online_arrival.cpp).
     bool read_model_body(call& one);
     bool read_headers(call& one);
     bool is_allowed(const call& one) const;
@@ -90,10 +90,13 @@
     void on_claimed(exchange_id exchange, const schema::keeper_reply& reply);
     void enqueue(call& one);
     bool can_make_deadline(const call& one) const;
-    void refuse(exchange_id exchange, refusal refused);
     void refuse_early(const call& one, const refusal& refused);
+
+    // Upkeep (online_calls.cpp).
+    void refuse(exchange_id exchange, refusal refused);
     void remove(exchange_id exchange);
-    void refresh_rates(instant now);
+    void refresh_rates();
+    void count_ends(instant now);
 
     // Dispatch (online_dispatch.cpp).
     bool try_dispatch(exchange_id exchange);
@@ -107,10 +110,7 @@
     void on_failure(exchange_id exchange, const net::http_failure& failed);
     void decide_after_failure(exchange_id exchange, const net::http_failure& failed, bool died);
     void end_attempt(call& one, policy::call_result result);
-    void probe(exchange_id exchange, const net::http_failure& failed);
     void blame_death(const endpoint_id& endpoint);
-    void strike(const std::vector<cassia::fingerprint>& prints, const endpoint_id& endpoint,
-                instant at);
     void retry(call& one, const std::string& reason);
 
     // Answers (online_answers.cpp).
@@ -118,7 +118,8 @@
     std::string whole_stream(const call& one) const;
     void finish(call& one);
     void deliver(call& one);
-    void store_answer(call& one);
+    void store_answer(const call& one);
+    schema::keeper_request finish_request(const call& one) const;
     void release_key(const call& one, bool outcome_unknown);
     void explain(decision_kind kind, const call& one, const std::string& object,
                  const std::string& reason);
@@ -135,12 +136,11 @@
     policy::router router_;
     policy::waiting_room waiting_;
     policy::retry_budget retries_;
-    policy::strike_list strikes_;
+    crash_blame blame_;
     std::map<customer_id, policy::rate_limiter> rates_;
     std::map<endpoint_id, policy::batch_slots> slots_;
     std::map<endpoint_id, endpoint_use> batch_uses_;
     std::map<exchange_id, call> calls_;
-    std::map<endpoint_id, instant> deaths_; ///< deaths that have been blamed already
     double ends_per_second_ = 0;
     std::uint64_t ends_ = 0;
     instant ends_counted_at_{};
--- a/include/cassia/entry/refusal.h
+++ b/include/cassia/entry/refusal.h
@@ -40,6 +40,9 @@
     milliseconds retry_after{0}; ///< zero: trying again makes no sense
 };
 
+/// What callers are told to wait where nothing better is known.
+inline constexpr milliseconds come_back_soon(1000);
+
 int status_of(refusal_code code);
 const char* code_name(refusal_code code);
 const char* run_name(run_state run);
--- a/include/cassia/net/http_server.h
+++ b/include/cassia/net/http_server.h
@@ -85,4 +85,7 @@
 };
 result<ip_and_port> parse_address(const std::string& address);
 
+/// The IP number of IP:PORT.
+std::string ip_of(const std::string& address);
+
 } // namespace cassia::net
--- a/include/cassia/policy/strikes.h
+++ b/include/cassia/policy/strikes.h
@@ -31,6 +31,9 @@
 
 inline constexpr milliseconds blame_delay(500);
 
+/// How long a strike counts.
+inline constexpr milliseconds strike_memory(600000);
+
 class strike_list {
 public:
     explicit strike_list(milliseconds memory) : memory_(memory) {}
--- a/lib/entry/announce_api.cpp
+++ b/lib/entry/announce_api.cpp
@@ -1,6 +1,6 @@
 #include "cassia/entry/announce_api.h"
 
-#include "cassia/base/digest.h"
+#include "cassia/entry/authentication.h"
 #include "cassia/entry/request_text.h"
 #include "cassia/net/http_server.h"
 
@@ -12,7 +12,6 @@
 
 namespace {
 constexpr std::uint32_t announce_interval_ms = 1000;
-constexpr std::string_view bearer = "Bearer ";
 constexpr std::uint64_t most_slots = 1000000;
 
 /// Reads members of an announcement and keeps the first fault.
@@ -142,11 +141,7 @@
 
 void announce_api::serve(exchange_id exchange, const net::http_request& request,
                          const std::string& request_id) {
-    const std::string& header = request.header("authorization");
-    const bool known = header.compare(0, bearer.size(), bearer) == 0 &&
-                       equal_secrets(sha256_hex(header.substr(bearer.size())),
-                                     context_.settings.endpoint_token_sha256());
-    if (!known) {
+    if (!has_token(request, context_.settings.endpoint_token_sha256())) {
         context_.refuse(exchange, {refusal_code::unauthorized, "unknown endpoint token"},
                         request_id);
         return;
--- a/lib/entry/batch_api.cpp
+++ b/lib/entry/batch_api.cpp
@@ -11,7 +11,6 @@
 namespace cassia::entry {
 
 namespace {
-constexpr milliseconds come_back_soon(1000);
 constexpr std::uint32_t results_a_page = 1000;
 constexpr std::string_view jobs_path = "/v1/batches/";
 } // namespace
--- a/lib/entry/batch_items.cpp
+++ b/lib/entry/batch_items.cpp
@@ -17,8 +17,6 @@
 // An entry that hears nothing from a group's leader may have missed a cancellation; it starts no
 // item of that group. The leader's answer to the canceller waits longer than this.
 constexpr milliseconds leader_silence(3000);
-constexpr milliseconds probe_timeout(400);
-constexpr milliseconds one_death(1000);
 constexpr int first_server_error = 500;
 constexpr int quarantined_status = 422;
 constexpr int bad_gateway_status = 502;
@@ -73,7 +71,7 @@
                     continue;
                 }
                 item& candidate = one->second;
-                candidate.suspect = strikes_.is_suspect(candidate.print, now);
+                candidate.suspect = blame_.is_suspect(candidate.print);
                 const bool other_suspect =
                     at.offer.suspect_running ||
                     std::any_of(at.running.begin(), at.running.end(),
@@ -239,48 +237,20 @@
         decide_after_failure(id, failed, true);
         return;
     }
-    net::http_call out;
-    out.to = facts->address;
-    out.path = "/health";
-    out.fresh_connection = true;
-    out.progress_timeout = probe_timeout;
-    net::fetch(client_, out,
-               [this, id, failed](const outcome<net::http_answer, net::http_failure>& answer) {
-                   const bool refused =
-                       !answer && answer.error().cause.code == net::errc::cannot_connect;
-                   auto one = items_.find(id);
-                   if (one != items_.end() && one->second.running)
-                       decide_after_failure(id, failed, refused);
-               });
+    blame_.probe(facts->address, [this, id, failed](bool dead) {
+        auto one = items_.find(id);
+        if (one != items_.end() && one->second.running)
+            decide_after_failure(id, failed, dead);
+    });
 }
 
 void batch_task::blame_death(const endpoint_id& endpoint) {
-    const instant now = monotonic_now();
-    auto known = deaths_.find(endpoint);
-    if (known != deaths_.end() && now - known->second < one_death)
-        return;
-    deaths_[endpoint] = now;
     std::vector<policy::running_request> running;
     for (const std::pair<const item_id, item>& one : items_) {
         if (one.second.running && one.second.endpoint == endpoint)
             running.push_back({one.second.print, one.second.has_output});
     }
-    const policy::death_blame blame = strikes_.blame(running, now);
-    strike(blame.certain, endpoint, now);
-    if (blame.likely.empty())
-        return;
-    task_.after(policy::blame_delay, [this, likely = blame.likely, endpoint, now] {
-        if (!strikes_.knows_death(endpoint, now - policy::blame_delay))
-            strike(likely, endpoint, now);
-    });
-}
-
-void batch_task::strike(const std::vector<cassia::fingerprint>& prints, const endpoint_id& endpoint,
-                        instant at) {
-    for (const cassia::fingerprint& print : prints) {
-        strikes_.add({print, endpoint, at});
-        control_.add_strike({print, endpoint, at});
-    }
+    blame_.died(endpoint, running);
 }
 
 void batch_task::decide_after_failure(const item_id& id, const net::http_failure& failed,
@@ -294,7 +264,7 @@
     schema::item_end end;
     end.set_content_type("application/json");
     end.set_endpoint(one.endpoint.str());
-    if (strikes_.is_quarantined(one.print, monotonic_now())) {
+    if (blame_.is_quarantined(one.print)) {
         end.set_status(schema::failed);
         end.set_http_status(quarantined_status);
         end.set_body(R"({"error":{"code":"quarantined","message":"this item crashed endpoints"}})");
--- a/lib/entry/batch_submission.cpp
+++ b/lib/entry/batch_submission.cpp
@@ -17,7 +17,6 @@
 namespace cassia::entry {
 
 namespace {
-constexpr milliseconds come_back_soon(1000);
 constexpr std::size_t part_items = 512;
 constexpr std::size_t part_bytes = 256UL * 1024;
 constexpr std::size_t longest_custom_id = 256;
--- a/lib/entry/batch_task.cpp
+++ b/lib/entry/batch_task.cpp
@@ -16,19 +16,13 @@
 constexpr milliseconds held_interval(2000);
 // Slots given back to a burst stay free for a while: it comes as many calls, not one.
 constexpr milliseconds yield_pause(300);
-constexpr milliseconds strike_memory(600000);
 } // namespace
 
-static std::string own_ip(const schema::entry_settings& settings) {
-    const std::string& address = settings.http_address();
-    return address.substr(0, address.rfind(':'));
-}
-
 batch_task::batch_task(const schema::entry_settings& settings, control_task& control,
                        std::function<void(std::vector<endpoint_use>)> on_uses)
     : settings_(settings), control_(control), on_uses_(std::move(on_uses)), task_("batch"),
-      client_(task_, connections_to_an_endpoint, own_ip(settings)), strikes_(strike_memory),
-      view_(std::make_shared<fleet_view>()) {
+      client_(task_, connections_to_an_endpoint, net::ip_of(settings.http_address())),
+      blame_(task_, client_, control, {}), view_(std::make_shared<fleet_view>()) {
     task_.every(tick_interval, [this] { tick(); });
     task_.every(held_interval, [this] { tell_held(); });
 }
@@ -47,8 +41,7 @@
 void batch_task::set_view(view_pointer view) {
     task_.post([this, view = std::move(view)] {
         view_ = view;
-        for (const policy::strike& one : view_->strikes)
-            strikes_.add(one);
+        blame_.learn(view_->strikes);
     });
 }
 
--- a/lib/entry/control_task.cpp
+++ b/lib/entry/control_task.cpp
@@ -2,7 +2,6 @@
 
 #include "cassia/base/log.h"
 
-#include <boost/json.hpp>
 #include <malloc.h>
 
 #include <algorithm>
@@ -15,8 +14,6 @@
 constexpr milliseconds hello_interval(400);
 constexpr milliseconds gossip_interval(200);
 constexpr milliseconds view_interval(100);
-constexpr milliseconds others_silent_after(3000);
-constexpr milliseconds strike_memory(600000);
 } // namespace
 
 static std::vector<keeper_address> keeper_addresses(const schema::entry_settings& settings) {
@@ -33,7 +30,7 @@
           keeper_addresses(settings),
           [this](const peer_address& to, schema::envelope& message) { hub_->send(to, message); }),
       directory_(membership::directory_settings()), entries_(others_silent_after),
-      freshness_(milliseconds(settings.stale_after_ms())), strikes_(strike_memory) {}
+      freshness_(milliseconds(settings.stale_after_ms())), strikes_(policy::strike_memory) {}
 
 control_task::~control_task() {
     task_.stop();
@@ -319,72 +316,6 @@
     }
 }
 
-std::vector<policy::endpoint_facts> control_task::endpoint_facts(instant now) const {
-    const std::vector<const schema::entry_hello*> alive = entries_.alive(now);
-    std::map<std::string, endpoint_use> uses;
-    for (const std::pair<const entry_id, other_entry>& other : others_) {
-        if (now - other.second.heard > others_silent_after)
-            continue;
-        for (const schema::endpoint_use& one : other.second.rumor.uses()) {
-            endpoint_use& sum = uses[one.endpoint()];
-            sum.online += one.online();
-            sum.batch += one.batch();
-            sum.suspects += one.suspects();
-        }
-    }
-    std::vector<policy::endpoint_facts> out;
-    for (const membership::endpoint_entry* one : directory_.serving(now)) {
-        const schema::endpoint_record& record = one->record;
-        policy::endpoint_facts facts;
-        facts.id = endpoint_id(record.id());
-        facts.incarnation = record.incarnation();
-        facts.address = http_address(record.address());
-        facts.zone = zone_id(record.zone());
-        facts.service = service_id(record.service());
-        facts.engine = record.engine();
-        facts.max_running = record.max_running();
-        facts.reported_running = record.load().running();
-        facts.reported_waiting = record.load().waiting();
-        for (const schema::endpoint_model& model : record.models()) {
-            policy::served_model& served = facts.models[service_id(model.model())];
-            served.versions.insert(model.versions().begin(), model.versions().end());
-            served.adapters.insert(model.adapters().begin(), model.adapters().end());
-        }
-        auto used = uses.find(record.id());
-        if (used != uses.end()) {
-            facts.others_online = used->second.online;
-            facts.others_batch = used->second.batch;
-            facts.others_suspects = used->second.suspects;
-        }
-        facts.steward = membership::steward_of(facts.id, record.zone(), alive);
-        out.push_back(std::move(facts));
-    }
-    return out;
-}
-
-void control_task::publish_view() {
-    const instant now = monotonic_now();
-    std::shared_ptr<fleet_view> view = std::make_shared<fleet_view>();
-    view->endpoints = endpoint_facts(now);
-    view->entries_version = entries_.version(now);
-    view->live_entries = std::max<std::size_t>(1, entries_.alive(now).size());
-    for (const schema::entry_hello* one : entries_.open(now))
-        view->entries.push_back(
-            {entry_id(one->entry()), one->http_address(), zone_id(one->zone())});
-    view->catalog = catalog_;
-    view->stale = freshness_.is_stale(now);
-    view->strikes = strikes_.all(now);
-    view->leader_contacts = leader_contacts_;
-    view->keeper_clocks = keeper_clocks_;
-    for (const std::pair<const entry_id, other_entry>& other : others_) {
-        if (now - other.second.heard > others_silent_after)
-            continue;
-        for (const schema::customer_rate& rate : other.second.rumor.rates())
-            view->others_rates[customer_id(rate.customer())] += rate.per_second();
-    }
-    hooks_.on_view(std::move(view));
-}
-
 void control_task::tick() {
     const instant now = monotonic_now();
     keepers_.tick(now);
@@ -393,44 +324,4 @@
     strikes_.forget_old(now);
 }
 
-std::string control_task::dump_text() const {
-    const instant now = monotonic_now();
-    boost::json::object out;
-    out["holder"] = holder_;
-    out["config_version"] = config_.version();
-    out["stale"] = freshness_.is_stale(now);
-    out["beacon_age_ms"] = freshness_.age(now).count();
-    out["draining"] = draining_;
-    out["open_keeper_requests"] = keepers_.open_requests();
-    boost::json::array endpoints;
-    const std::vector<const schema::entry_hello*> alive = entries_.alive(now);
-    for (const std::pair<const endpoint_id, membership::endpoint_entry>& one : directory_.all()) {
-        const schema::endpoint_record& record = one.second.record;
-        endpoints.push_back(
-            {{"id", record.id()},
-             {"address", record.address()},
-             {"zone", record.zone()},
-             {"state", one.second.leaving ? "leaving" : "serving"},
-             {"silent_ms", (now - one.second.heard).count() / 1000},
-             {"running", record.load().running()},
-             {"max_running", record.max_running()},
-             {"steward", membership::steward_of(one.first, record.zone(), alive).str()}});
-    }
-    out["endpoints"] = std::move(endpoints);
-    boost::json::array entries;
-    for (const schema::entry_hello* one : alive)
-        entries.push_back({{"entry", one->entry()},
-                           {"address", one->http_address()},
-                           {"zone", one->zone()},
-                           {"config_version", one->config_version()},
-                           {"draining", one->draining()},
-                           {"stale", one->stale()}});
-    out["entries"] = std::move(entries);
-    boost::json::array strikes;
-    for (const policy::strike& one : strikes_.all(now))
-        strikes.push_back({{"fingerprint", one.request.str()}, {"endpoint", one.endpoint.str()}});
-    out["strikes"] = std::move(strikes);
-    return boost::json::serialize(out);
-}
-
 } // namespace cassia::entry
--- a/lib/entry/front_task.cpp
+++ b/lib/entry/front_task.cpp
@@ -3,6 +3,7 @@
 #include "cassia/base/digest.h"
 #include "cassia/base/log.h"
 #include "cassia/entry/announce_api.h"
+#include "cassia/entry/authentication.h"
 #include "cassia/entry/batch_api.h"
 #include "cassia/entry/online_calls.h"
 #include "cassia/entry/operator_api.h"
@@ -19,9 +20,7 @@
 namespace {
 constexpr milliseconds tick_interval(20);
 constexpr milliseconds drained_check_interval(50);
-constexpr milliseconds come_back_soon(1000);
 constexpr std::size_t decisions_kept = 20000;
-constexpr std::string_view bearer = "Bearer ";
 } // namespace
 
 void front_context::refuse(exchange_id exchange, const refusal& refused,
@@ -198,11 +197,9 @@
                         request_id);
         return std::nullopt;
     }
-    const std::string& header = request.header("authorization");
     caller from;
     from.catalog = context_.view->catalog;
-    if (starts_with(header, bearer))
-        from.plan = from.catalog->find_by_key(header.substr(bearer.size()));
+    from.plan = from.catalog->find_by_key(bearer_token(request));
     if (from.plan != nullptr)
         return from;
     context_.refuse(exchange, {refusal_code::unauthorized, "unknown key"}, request_id);
--- a/lib/entry/online_answers.cpp
+++ b/lib/entry/online_answers.cpp
@@ -71,8 +71,7 @@
     remove(exchange);
 }
 
-// Stored before the caller gets it: a caller that loses the answer then finds it under its key.
-void online_calls::store_answer(call& one) {
+schema::keeper_request online_calls::finish_request(const call& one) const {
     schema::keeper_request request;
     request.set_group(static_cast<std::uint32_t>(key_group(one).value()));
     schema::key_finish* finished = request.mutable_work()->mutable_finish();
@@ -81,9 +80,16 @@
     finished->set_holder(context_.control.holder());
     finished->set_request(one.request_id);
     finished->set_at(to_unix_ms(wall_now()));
-    finished->mutable_answer()->set_status(static_cast<std::uint32_t>(one.head.status));
-    finished->mutable_answer()->set_content_type(one.head.content_type);
-    finished->mutable_answer()->set_body(one.answer);
+    return request;
+}
+
+// Stored before the caller gets it: a caller that loses the answer then finds it under its key.
+void online_calls::store_answer(const call& one) {
+    schema::keeper_request request = finish_request(one);
+    schema::stored_answer* answer = request.mutable_work()->mutable_finish()->mutable_answer();
+    answer->set_status(static_cast<std::uint32_t>(one.head.status));
+    answer->set_content_type(one.head.content_type);
+    answer->set_body(one.answer);
     const exchange_id exchange = one.exchange;
     context_.control.ask(std::move(request), ask_options(), context_.task,
                          [this, exchange](const schema::keeper_reply& reply) {
@@ -99,16 +105,9 @@
 }
 
 void online_calls::release_key(const call& one, bool outcome_unknown) {
-    schema::keeper_request request;
-    request.set_group(static_cast<std::uint32_t>(key_group(one).value()));
-    schema::key_finish* finished = request.mutable_work()->mutable_finish();
-    finished->set_customer(one.from.plan->customer.str());
-    finished->set_key(one.key);
-    finished->set_holder(context_.control.holder());
-    finished->set_request(one.request_id);
-    finished->set_at(to_unix_ms(wall_now()));
-    finished->set_release(!outcome_unknown);
-    finished->set_outcome_unknown(outcome_unknown);
+    schema::keeper_request request = finish_request(one);
+    request.mutable_work()->mutable_finish()->set_release(!outcome_unknown);
+    request.mutable_work()->mutable_finish()->set_outcome_unknown(outcome_unknown);
     context_.control.ask(std::move(request), ask_options(), context_.task,
                          [](const schema::keeper_reply&) {});
 }
--- a/lib/entry/online_dispatch.cpp
+++ b/lib/entry/online_dispatch.cpp
@@ -14,9 +14,6 @@
 
 namespace {
 constexpr int most_attempts = 4;
-constexpr milliseconds probe_timeout(400);
-constexpr milliseconds one_death(1000);
-constexpr milliseconds come_back_soon(1000);
 constexpr int first_server_error = 500;
 constexpr std::array<std::string_view, 10> own_headers = {
     "authorization",     "host",   "connection", "content-length", "content-type",
@@ -33,8 +30,7 @@
         call* one = find(exchange);
         if (one == nullptr)
             return true;
-        const bool plain =
-            !strikes_.is_suspect(one->print, monotonic_now()) && one->failed_at.empty();
+        const bool plain = !blame_.is_suspect(one->print) && one->failed_at.empty();
         const std::string kind =
             one->demand.service.str() + "\n" + one->demand.version + "\n" + one->demand.adapter;
         if (plain && full.count(kind) > 0)
@@ -52,7 +48,7 @@
     policy::pick_request wanted;
     wanted.demand = one.demand;
     wanted.prefix = one.prefix;
-    wanted.suspect = strikes_.is_suspect(one.print, now);
+    wanted.suspect = blame_.is_suspect(one.print);
     wanted.avoid = one.failed_at;
     const std::optional<policy::pick> chosen = router_.choose(wanted, now);
     if (!chosen)
@@ -210,72 +206,36 @@
     call& one = *find(exchange);
     one.ever_sent = one.ever_sent || failed.sent;
     context_.counters.count("attempts_failed");
-    if (failed.cause.code == net::errc::connection_lost && failed.sent) {
-        probe(exchange, failed);
-        return;
-    }
-    decide_after_failure(exchange, failed, false);
-}
-
-// A lost connection may mean that the endpoint died, perhaps of this very request, or only that
-// the connection broke. A second connection tells: a dead endpoint refuses it.
-void online_calls::probe(exchange_id exchange, const net::http_failure& failed) {
-    const call& one = *find(exchange);
     auto facts = std::find_if(
         context_.view->endpoints.begin(), context_.view->endpoints.end(),
         [&one](const policy::endpoint_facts& other) { return other.id == one.endpoint; });
-    if (facts == context_.view->endpoints.end()) {
+    const bool may_be_dead = failed.cause.code == net::errc::connection_lost && failed.sent;
+    if (may_be_dead && facts == context_.view->endpoints.end()) {
         decide_after_failure(exchange, failed, true);
         return;
     }
-    net::http_call out;
-    out.to = facts->address;
-    out.path = "/health";
-    out.fresh_connection = true;
-    out.progress_timeout = probe_timeout;
-    net::fetch(
-        client_, out,
-        [this, exchange, failed](const outcome<net::http_answer, net::http_failure>& answer) {
-            const bool refused = !answer && answer.error().cause.code == net::errc::cannot_connect;
+    if (may_be_dead) {
+        blame_.probe(facts->address, [this, exchange, failed](bool dead) {
             if (find(exchange) != nullptr)
-                decide_after_failure(exchange, failed, refused);
+                decide_after_failure(exchange, failed, dead);
         });
+        return;
+    }
+    decide_after_failure(exchange, failed, false);
 }
 
 void online_calls::blame_death(const endpoint_id& endpoint) {
-    const instant now = monotonic_now();
-    auto known = deaths_.find(endpoint);
-    if (known != deaths_.end() && now - known->second < one_death)
-        return;
-    deaths_[endpoint] = now;
     std::vector<policy::running_request> running;
     for (const std::pair<const exchange_id, call>& one : calls_) {
         if (one.second.running && one.second.endpoint == endpoint)
             running.push_back({one.second.print, one.second.has_output});
     }
-    const policy::death_blame blame = strikes_.blame(running, now);
-    strike(blame.certain, endpoint, now);
-    if (!blame.likely.empty()) {
-        context_.task.after(policy::blame_delay, [this, likely = blame.likely, endpoint, now] {
-            if (!strikes_.knows_death(endpoint, now - policy::blame_delay))
-                strike(likely, endpoint, now);
-        });
-    }
-    router_.eject(endpoint, now);
+    if (!blame_.died(endpoint, running))
+        return;
+    router_.eject(endpoint, monotonic_now());
     context_.decisions.add(decision_kind::ejected, endpoint.str(), "", "it died");
 }
 
-void online_calls::strike(const std::vector<cassia::fingerprint>& prints,
-                          const endpoint_id& endpoint, instant at) {
-    for (const cassia::fingerprint& print : prints) {
-        const policy::strike hit{print, endpoint, at};
-        strikes_.add(hit);
-        context_.control.add_strike(hit);
-        context_.decisions.add(decision_kind::struck, print.str(), endpoint.str(),
-                               "the endpoint died while it ran");
-    }
-}
-
 void online_calls::decide_after_failure(exchange_id exchange, const net::http_failure& failed,
                                         bool died) {
     call& one = *find(exchange);
@@ -285,7 +245,7 @@
         router_.eject(one.endpoint, monotonic_now());
     one.failed_at.insert(one.endpoint);
     end_attempt(one, policy::call_result::failed);
-    if (strikes_.is_quarantined(one.print, monotonic_now())) {
+    if (blame_.is_quarantined(one.print)) {
         refuse(exchange,
                {refusal_code::quarantined, "this request crashed endpoints", run_state::yes});
         return;
--- a/lib/entry/operator_api.cpp
+++ b/lib/entry/operator_api.cpp
@@ -1,7 +1,7 @@
 #include "cassia/entry/operator_api.h"
 
-#include "cassia/base/digest.h"
 #include "cassia/base/log.h"
+#include "cassia/entry/authentication.h"
 #include "cassia/entry/request_text.h"
 #include "cassia/schema/messages.pb.h"
 
@@ -11,11 +11,6 @@
 
 namespace cassia::entry {
 
-namespace {
-constexpr milliseconds come_back_soon(1000);
-constexpr std::string_view bearer = "Bearer ";
-} // namespace
-
 static void respond_json(front_context& context, exchange_id exchange, int status,
                          const boost::json::object& body) {
     net::http_response response;
@@ -26,11 +21,7 @@
 
 void operator_api::serve(exchange_id exchange, const net::http_request& request,
                          const std::string& request_id) {
-    const std::string& header = request.header("authorization");
-    const bool known = header.compare(0, bearer.size(), bearer) == 0 &&
-                       equal_secrets(sha256_hex(header.substr(bearer.size())),
-                                     context_.settings.operator_token_sha256());
-    if (!known) {
+    if (!has_token(request, context_.settings.operator_token_sha256())) {
         context_.refuse(exchange, {refusal_code::unauthorized, "unknown operator token"},
                         request_id);
         return;
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -54,6 +54,10 @@
     return parsed;
 }
 
+std::string ip_of(const std::string& address) {
+    return address.substr(0, address.rfind(':'));
+}
+
 static void add_header(const char* name, const char* value, void* data) {
     char* lower = g_ascii_strdown(name, -1);
     (*static_cast<std::map<std::string, std::string>*>(data))[lower] = value;
