Never free the key of a request that may have reached its endpoint

Cause: a call whose deadline passed while its endpoint was silent counted as not sent, since no answer had begun; its key was freed, and a resend ran it a second time. Ruled out: the keepers; the claim was released by the entry itself. Change: an attempt under way counts as one that may have run.

--- a/lib/entry/online_calls.cpp
+++ b/lib/entry/online_calls.cpp
@@ -48,16 +48,19 @@
     call* one = find(exchange);
     if (one == nullptr)
         return;
+    // An attempt under way may have reached its endpoint although no answer has begun. Taken for not
+    // run, its key would be freed, and a resend would run it a second time.
+    const bool maybe_ran = one->ever_sent || one->running;
     if (one->running) {
         client_.cancel(one->upstream);
         end_attempt(*one, policy::call_result::cancelled);
     }
     if (one->waiting)
         waiting_.remove(exchange);
-    if (one->ever_sent && refused.run == run_state::no)
+    if (maybe_ran && refused.run == run_state::no)
         refused.run = run_state::maybe;
     if (one->claimed)
-        release_key(*one, one->ever_sent && !one->repeatable);
+        release_key(*one, maybe_ran && !one->repeatable);
     explain(decision_kind::refused, *one, code_name(refused.code), refused.message);
     context_.counters.count(std::string("refused_") + code_name(refused.code));
     if (one->head_sent) {
@@ -82,6 +85,7 @@
     const bool wants_answer_later = one->claimed && !one->repeatable;
     if (wants_answer_later)
         return;
+    const bool maybe_ran = one->ever_sent || one->running;
     if (one->running) {
         client_.cancel(one->upstream);
         end_attempt(*one, policy::call_result::cancelled);
@@ -89,7 +93,7 @@
     if (one->waiting)
         waiting_.remove(exchange);
     if (one->claimed)
-        release_key(*one, one->ever_sent && !one->repeatable);
+        release_key(*one, maybe_ran && !one->repeatable);
     explain(decision_kind::ended, *one, "abandoned", "the caller went away");
     remove(exchange);
     offer_waiting();
--- a/test/scenarios/unrepeatable_runs_once.lua
+++ b/test/scenarios/unrepeatable_runs_once.lua
@@ -32,6 +32,20 @@
 end
 expect(total('{"n":3}') == 1, "it ran once, not " .. total('{"n":3}'))
 
+-- The deadline passes while the service runs the call: it may have run, so it never runs again.
+for _, name in ipairs({ "service-1", "service-2" }) do
+  ask({ to = name, path = "/faults", body = "silent", key = false })
+end
+local late = ask({ to = "entry-1", path = "/v1/services/records/digest", body = '{"n":6}',
+  headers = { ["Idempotency-Key"] = "k6", ["Cassia-Deadline"] = "400" } })
+expect(late.status == 504 and late.json.error.run == "maybe", "late, not " .. late.status .. late.body)
+for _, name in ipairs({ "service-1", "service-2" }) do
+  ask({ to = name, path = "/faults", body = "none", key = false })
+end
+local resent = digest("entry-2", '{"n":6}', "k6")
+expect(total('{"n":6}') == 1, "it ran once, not " .. total('{"n":6}'))
+expect(resent.status == 502 and resent.json.error.run == "maybe", "unknown, not " .. resent.status)
+
 -- The service dies after it ran the call.
 ask({ to = "service-1", path = "/faults", body = "die_after", key = false })
 ask({ to = "service-2", path = "/faults", body = "die_after", key = false })
