--- a/lib/entry/online_calls.cpp
+++ b/lib/entry/online_calls.cpp
@@ -48,8 +48,8 @@
     call* one = find(exchange);
     if (one == nullptr)
         return;
-    // An attempt under way may have reached its endpoint although no answer has begun. Taken for not
-    // run, its key would be freed, and a resend would run it a second time.
+    // An attempt under way may have reached its endpoint although no answer has begun. Taken for
+    // not run, its key would be freed, and a resend would run it a second time.
     const bool maybe_ran = one->ever_sent || one->running;
     if (one->running) {
         client_.cancel(one->upstream);
