Explain jobs; drop what nobody calls

Cause: cassiactl explain JOB remembered nothing, since only online calls were recorded; reading the code showed functions and fields without a caller. Unused functions went.

--- a/include/cassia/entry/batch_task.h
+++ b/include/cassia/entry/batch_task.h
@@ -5,6 +5,7 @@
 #include "cassia/base/metrics.h"
 #include "cassia/entry/control_task.h"
 #include "cassia/entry/crash_blame.h"
+#include "cassia/entry/decision_log.h"
 #include "cassia/entry/fleet_view.h"
 #include "cassia/entry/front_task.h"
 #include "cassia/entry/request_text.h"
@@ -23,11 +24,17 @@
 
 namespace cassia::entry {
 
+/// Run on the batch task.
+struct batch_hooks {
+    /// What runs where now.
+    std::function<void(std::vector<endpoint_use>)> on_uses;
+    /// Something worth explaining later.
+    std::function<void(decision)> on_decision;
+};
+
 class batch_task {
 public:
-    /// \param on_uses gets what runs where, on the batch task.
-    batch_task(const schema::entry_settings& settings, control_task& control,
-               std::function<void(std::vector<endpoint_use>)> on_uses);
+    batch_task(const schema::entry_settings& settings, control_task& control, batch_hooks hooks);
     ~batch_task();
 
     void start();
@@ -100,11 +107,13 @@
     void complete(const item_id& id);
     std::string assembled_body(const item& one) const;
     void report_uses();
+    void explain(decision_kind kind, const std::string& subject, const std::string& object,
+                 const std::string& reason);
     void tick();
 
     schema::entry_settings settings_;
     control_task& control_;
-    std::function<void(std::vector<endpoint_use>)> on_uses_;
+    batch_hooks hooks_;
     net::task task_;
     net::http_client client_;
     metrics metrics_;
--- a/include/cassia/entry/fleet_view.h
+++ b/include/cassia/entry/fleet_view.h
@@ -26,7 +26,6 @@
     std::vector<policy::endpoint_facts> endpoints; ///< those that may get new work
     std::vector<listed_entry> entries;             ///< those that take new requests
     std::uint64_t entries_version = 0;
-    std::size_t live_entries = 1;
     std::shared_ptr<const settings::catalog> catalog; ///< null before the first configuration
     bool stale = true;
     std::vector<policy::strike> strikes;
--- a/include/cassia/entry/front_task.h
+++ b/include/cassia/entry/front_task.h
@@ -76,6 +76,8 @@
     // These may be called from any task.
     void set_view(view_pointer view);
     void set_batch_uses(std::vector<endpoint_use> uses);
+    /// Keeps a decision of another task for the explanations.
+    void note(decision one);
     net::task& home() { return task_; }
     void drain();
 
--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -70,10 +70,10 @@
     std::string leader_node(const group_host& host) const;
     void on_entry_hello(const schema::entry_hello& hello);
     void send_beacon(const known_entry& entry);
-    void on_keeper_hello(const schema::keeper_hello& hello, const std::string& reply_to);
-    void send_keeper_hello(const peer_address& to, bool reply);
+    void on_keeper_hello(const schema::keeper_hello& hello);
+    void send_keeper_hello(const peer_address& to);
     void on_config_applied();
-    void on_job_cancelled(const job_id& job);
+    void send_beacons_soon();
     std::string dump() const;
 
     schema::keeper_settings settings_;
--- a/include/cassia/net/peer_hub.h
+++ b/include/cassia/net/peer_hub.h
@@ -35,8 +35,6 @@
     result<void> open();
     /// Queues the envelope for a peer; dropped if the peer's queue is full.
     void send(const peer_address& to, schema::envelope& message);
-    /// Drops the connection to a peer that is no longer wanted.
-    void forget(const peer_address& to);
 
     struct state;
 
--- a/include/cassia/policy/router.h
+++ b/include/cassia/policy/router.h
@@ -70,8 +70,6 @@
     std::uint32_t own_suspects(const endpoint_id& endpoint) const;
     /// Online calls under way there, of all entries as far as known.
     std::uint32_t online(const endpoint_id& endpoint) const;
-    /// Share of the slots for the service that online calls hold, 0 to 1.
-    double utilization(const service_demand& demand) const;
     std::vector<endpoint_id> ejected(instant now) const;
 
 private:
--- a/include/cassia/settings/catalog.h
+++ b/include/cassia/settings/catalog.h
@@ -54,7 +54,6 @@
 
     /// Whether a call of the method may be run twice, where the caller doesn't say.
     bool is_repeatable(const service_id& service, const std::string& method) const;
-    bool has_service(const service_id& service) const { return services_.count(service) > 0; }
 
     /// Reads both lists and reports every fault in either.
     static result<std::shared_ptr<const catalog>>
--- a/include/cassia/state/work_state.h
+++ b/include/cassia/state/work_state.h
@@ -121,8 +121,6 @@
     std::vector<std::string> holders() const;
     /// Items that a holder has leased.
     std::set<item_key> leases_of(const std::string& holder) const;
-    /// Holders with leases on items of the job.
-    std::vector<std::string> holders_of(const job_id& job) const;
     /// Whether an expire command at this time would remove anything.
     bool has_expired(std::uint64_t at) const;
 
--- a/lib/entry/batch_leases.cpp
+++ b/lib/entry/batch_leases.cpp
@@ -92,7 +92,9 @@
             next_lease_at_ = now + idle_pause;
         return;
     }
+    std::map<std::string, std::size_t> leased;
     for (const schema::leased_item& lease : reply.work().leased()) {
+        ++leased[lease.job()];
         const item_id id{job_id(lease.job()), lease.ordinal()};
         item& one = items_[id];
         one = item();
@@ -103,6 +105,10 @@
         make_ready(id, false);
         metrics_.count("items_leased");
     }
+    // A line a lease and not an item: a large job would push everything else out of the memory.
+    for (const std::pair<const std::string, std::size_t>& job : leased)
+        explain(decision_kind::item_leased, job.first, control_.holder(),
+                std::to_string(job.second) + " items, by fair share and deadline");
     place_items();
     request_leases();
 }
@@ -144,6 +150,11 @@
     auto found = items_.find(id);
     if (found == items_.end())
         return;
+    if (end.status() == schema::failed || end.status() == schema::unknown)
+        explain(decision_kind::item_ended, id.first.str(), end.endpoint(),
+                "item " + std::to_string(id.second) +
+                    (end.status() == schema::failed ? " failed" : " may have run") + ", status " +
+                    std::to_string(end.http_status()));
     end.set_job(id.first.str());
     end.set_ordinal(id.second);
     end.set_attempt(found->second.lease.attempt());
--- a/lib/entry/batch_task.cpp
+++ b/lib/entry/batch_task.cpp
@@ -19,8 +19,8 @@
 } // namespace
 
 batch_task::batch_task(const schema::entry_settings& settings, control_task& control,
-                       std::function<void(std::vector<endpoint_use>)> on_uses)
-    : settings_(settings), control_(control), on_uses_(std::move(on_uses)), task_("batch"),
+                       batch_hooks hooks)
+    : settings_(settings), control_(control), hooks_(std::move(hooks)), task_("batch"),
       client_(task_, connections_to_an_endpoint, net::ip_of(settings.http_address())),
       blame_(task_, client_, control, {}), view_(std::make_shared<fleet_view>()) {
     task_.every(tick_interval, [this] { tick(); });
@@ -71,6 +71,9 @@
         const std::uint32_t running = static_cast<std::uint32_t>(at.running.size());
         shrink(at, running > slots ? running - slots : 0, "for_online");
         at.paused_until = monotonic_now() + yield_pause;
+        explain(decision_kind::yielded, endpoint.str(), "",
+                "online calls want " + std::to_string(slots) + " slots; " +
+                    std::to_string(running - at.running.size()) + " items stopped");
         report_uses();
     });
 }
@@ -123,7 +126,12 @@
         uses.push_back(std::move(use));
     }
     control_.report_batch(uses);
-    on_uses_(std::move(uses));
+    hooks_.on_uses(std::move(uses));
+}
+
+void batch_task::explain(decision_kind kind, const std::string& subject, const std::string& object,
+                         const std::string& reason) {
+    hooks_.on_decision({wall_now(), kind, subject, object, reason});
 }
 
 void batch_task::tick() {
--- a/lib/entry/control_view.cpp
+++ b/lib/entry/control_view.cpp
@@ -57,7 +57,6 @@
     std::shared_ptr<fleet_view> view = std::make_shared<fleet_view>();
     view->endpoints = endpoint_facts(now);
     view->entries_version = entries_.version(now);
-    view->live_entries = std::max<std::size_t>(1, entries_.alive(now).size());
     for (const schema::entry_hello* one : entries_.open(now))
         view->entries.push_back(
             {entry_id(one->entry()), one->http_address(), zone_id(one->zone())});
--- a/lib/entry/front_task.cpp
+++ b/lib/entry/front_task.cpp
@@ -98,6 +98,12 @@
     task_.post([this, uses = std::move(uses)] { online_->set_batch_uses(uses); });
 }
 
+void front_task::note(decision one) {
+    task_.post([this, one = std::move(one)] {
+        decisions_.add(one.kind, one.subject, one.object, one.reason);
+    });
+}
+
 // Callers may use a list of entries for as long as it said. So this entry leaves the list first,
 // serves on until every list that names it has run out, and stops once its requests are done.
 void front_task::drain() {
--- a/lib/entry/service.cpp
+++ b/lib/entry/service.cpp
@@ -24,7 +24,9 @@
                          },
                          [this] { batch_.drain(); }, [] {}}),
       batch_(settings, control_,
-             [this](std::vector<endpoint_use> uses) { front_.set_batch_uses(std::move(uses)); }) {}
+             batch_hooks{
+                 [this](std::vector<endpoint_use> uses) { front_.set_batch_uses(std::move(uses)); },
+                 [this](decision one) { front_.note(std::move(one)); }}) {}
 
 std::string service::open() {
     std::string control = control_.open();
--- a/lib/keeper/service.cpp
+++ b/lib/keeper/service.cpp
@@ -158,7 +158,7 @@
         if (command.has_lease())
             group.leader->leased(reply, monotonic_now());
         if (command.has_cancel())
-            on_job_cancelled(job_id(command.cancel().job()));
+            send_beacons_soon();
         return reply;
     };
     machine.save = [&group] { return group.state.save(); };
@@ -185,7 +185,7 @@
         try_to_found();
         for (const schema::peer_settings& keeper : settings_.cluster().keeper()) {
             if (keeper.name() != settings_.name())
-                send_keeper_hello(peer_address(keeper.address()), false);
+                send_keeper_hello(peer_address(keeper.address()));
         }
     });
     task_.every(repair_interval, [this] {
--- a/lib/keeper/service_requests.cpp
+++ b/lib/keeper/service_requests.cpp
@@ -36,7 +36,7 @@
         on_entry_hello(message.hello());
         break;
     case schema::envelope::kKeeper:
-        on_keeper_hello(message.keeper(), message.reply_to());
+        on_keeper_hello(message.keeper());
         break;
     default:
         break;
@@ -242,34 +242,31 @@
         }
     }
     log_info("config_applied").with("version", current->version());
-    // Pushed at once; the entries' hellos, which name their version, make up for what gets lost.
-    task_.post([this] {
-        for (const std::pair<const std::string, known_entry>& entry : entries_)
-            send_beacon(entry.second);
-    });
+    send_beacons_soon();
 }
 
-void service::on_job_cancelled(const job_id&) {
+// Changes and cancellations are pushed at once; the entries' hellos, which name their version, make
+// up for what gets lost.
+void service::send_beacons_soon() {
     task_.post([this] {
         for (const std::pair<const std::string, known_entry>& entry : entries_)
             send_beacon(entry.second);
     });
 }
 
-void service::send_keeper_hello(const peer_address& to, bool reply) {
+void service::send_keeper_hello(const peer_address& to) {
     schema::envelope envelope;
     schema::keeper_hello* hello = envelope.mutable_keeper();
     hello->set_node(settings_.name());
     hello->set_disk(recovered_.disk.value());
     hello->set_address(settings_.peer_address());
     hello->set_empty(!hosts_.at(control_group)->founded());
-    hello->set_reply(reply);
     if (hosts_.at(control_group)->founded())
         *hello->mutable_founders() = consensus::members_to_proto(founders_);
     hub_->send(to, envelope);
 }
 
-void service::on_keeper_hello(const schema::keeper_hello& hello, const std::string&) {
+void service::on_keeper_hello(const schema::keeper_hello& hello) {
     founding_.saw(
         {hello.node(), disk_id(hello.disk()), hello.address(), hello.empty(), monotonic_now()});
     // A founder that missed the moment learns here what the others decided.
--- a/lib/net/peer_hub.cpp
+++ b/lib/net/peer_hub.cpp
@@ -251,14 +251,6 @@
         log_debug("message_dropped").with("to", to.str());
 }
 
-void peer_hub::forget(const peer_address& to) {
-    auto found = state_->peers.find(to);
-    if (found == state_->peers.end())
-        return;
-    zmq_close(found->second);
-    state_->peers.erase(found);
-}
-
 std::string make_cluster_secret() {
     key_text public_key{};
     key_text secret_key{};
--- a/lib/policy/router.cpp
+++ b/lib/policy/router.cpp
@@ -266,18 +266,6 @@
                                      : found->second.own_online + found->second.facts.others_online;
 }
 
-double router::utilization(const service_demand& demand) const {
-    double slots = 0;
-    double held = 0;
-    for (const std::pair<const endpoint_id, tracked>& one : endpoints_) {
-        if (!serves(one.second.facts, demand))
-            continue;
-        slots += one.second.facts.max_running;
-        held += one.second.own_online + one.second.facts.others_online;
-    }
-    return slots > 0 ? std::min(1.0, held / slots) : 1.0;
-}
-
 std::vector<endpoint_id> router::ejected(instant now) const {
     std::vector<endpoint_id> out;
     for (const std::pair<const endpoint_id, tracked>& one : endpoints_) {
--- a/lib/state/job_commands.cpp
+++ b/lib/state/job_commands.cpp
@@ -279,14 +279,4 @@
     return held == leases_.end() ? std::set<item_key>() : held->second;
 }
 
-std::vector<std::string> work_state::holders_of(const job_id& job) const {
-    std::vector<std::string> names;
-    for (const std::pair<const std::string, std::set<item_key>>& one : leases_) {
-        auto first = one.second.lower_bound({job, 0});
-        if (first != one.second.end() && first->first == job)
-            names.push_back(one.first);
-    }
-    return names;
-}
-
 } // namespace cassia::state
