Read the whole change again: one piece of code for twins

Cause: refusing a call and losing its caller withdrew it by the same lines, and the mend of the freed key had to be made in both; an endpoint was looked up in the view in three places, an expired key and the expected wait were worked out in two. Change: withdraw, find_endpoint, is_key_expired, expected_wait_s; that the router picks from the view is now asserted. Behaviour stays as it is.

--- a/include/cassia/entry/batch_task.h
+++ b/include/cassia/entry/batch_task.h
@@ -94,7 +94,6 @@
     // Running items (batch_items.cpp).
     void place_items();
     bool may_start(const item& one, instant now) const;
-    const policy::endpoint_facts* find_facts(const endpoint_id& endpoint) const;
     void start_item(const item_id& id, const policy::endpoint_facts& facts);
     std::string upstream_body(const item& one) const;
     void shrink(seat& at, std::uint32_t to, const char* reason);
--- a/include/cassia/entry/fleet_view.h
+++ b/include/cassia/entry/fleet_view.h
@@ -34,6 +34,9 @@
     std::map<group_id, std::uint64_t> keeper_clocks; ///< that leader's own clock then, us
 };
 
+/// The endpoint among those that may get new work, or null.
+const policy::endpoint_facts* find_endpoint(const fleet_view& view, const endpoint_id& id);
+
 using view_pointer = std::shared_ptr<const fleet_view>;
 
 } // namespace cassia::entry
--- a/include/cassia/entry/online_calls.h
+++ b/include/cassia/entry/online_calls.h
@@ -89,11 +89,13 @@
     void claim(call& one);
     void on_claimed(exchange_id exchange, const schema::keeper_reply& reply);
     void enqueue(call& one);
+    double expected_wait_s() const;
     bool can_make_deadline(const call& one) const;
     void refuse_early(const call& one, const refusal& refused);
 
     // Upkeep (online_calls.cpp).
     void refuse(exchange_id exchange, refusal refused);
+    bool withdraw(call& one);
     void remove(exchange_id exchange);
     void refresh_rates();
     void count_ends(instant now);
--- a/include/cassia/state/work_state.h
+++ b/include/cassia/state/work_state.h
@@ -144,6 +144,8 @@
         std::uint64_t retention_ms = 0;
         storage::position answer;
     };
+    static bool is_key_expired(const idempotency_key& key, std::uint64_t now);
+
     using key_name = std::pair<std::string, std::string>; ///< customer and key
     struct key_name_hash {
         std::size_t operator()(const key_name& name) const;
--- a/lib/entry/batch_items.cpp
+++ b/lib/entry/batch_items.cpp
@@ -23,13 +23,6 @@
 constexpr std::string_view services_path = "/v1/services/";
 } // namespace
 
-const policy::endpoint_facts* batch_task::find_facts(const endpoint_id& endpoint) const {
-    auto found =
-        std::find_if(view_->endpoints.begin(), view_->endpoints.end(),
-                     [&endpoint](const policy::endpoint_facts& one) { return one.id == endpoint; });
-    return found == view_->endpoints.end() ? nullptr : &*found;
-}
-
 bool batch_task::may_start(const item& one, instant now) const {
     const job_id job(one.lease.job());
     const group_id group = state::group_of_job(job, settings_.cluster().work_groups());
@@ -232,7 +225,7 @@
         decide_after_failure(id, failed, false);
         return;
     }
-    const policy::endpoint_facts* facts = find_facts(items_.at(id).endpoint);
+    const policy::endpoint_facts* facts = find_endpoint(*view_, items_.at(id).endpoint);
     if (facts == nullptr) {
         decide_after_failure(id, failed, true);
         return;
--- a/lib/entry/online_arrival.cpp
+++ b/lib/entry/online_arrival.cpp
@@ -251,13 +251,16 @@
     }
 }
 
+double online_calls::expected_wait_s() const {
+    return static_cast<double>(waiting_.size()) / ends_per_second_;
+}
+
 // Better refused now than after a wait that can't succeed.
 bool online_calls::can_make_deadline(const call& one) const {
     if (one.deadline == instant::max() || ends_per_second_ <= 0 || waiting_.size() == 0)
         return true;
-    const double wait_s = static_cast<double>(waiting_.size()) / ends_per_second_;
     const double left_s = static_cast<double>((one.deadline - monotonic_now()).count()) / 1e6;
-    return wait_s < left_s;
+    return expected_wait_s() < left_s;
 }
 
 void online_calls::enqueue(call& one) {
@@ -268,10 +271,9 @@
         return;
     }
     if (!can_make_deadline(one)) {
-        const double wait_s = static_cast<double>(waiting_.size()) / ends_per_second_;
         refuse(one.exchange,
                {refusal_code::deadline, "the deadline would pass while it waits", run_state::no,
-                milliseconds(static_cast<std::int64_t>(wait_s * 1000))});
+                milliseconds(static_cast<std::int64_t>(expected_wait_s() * 1000))});
         return;
     }
     // A suspect waits for its turn alone; refused as soon as the others it would share the fate of
--- a/lib/entry/online_calls.cpp
+++ b/lib/entry/online_calls.cpp
@@ -44,23 +44,29 @@
                                context_.settings.cluster().work_groups());
 }
 
+// Stops what the call has under way and gives its key back. Tells whether an endpoint may have seen
+// the request: an attempt under way may have reached it although no answer has begun. Taken for not
+// run, its key would be freed, and a resend would run it a second time.
+bool online_calls::withdraw(call& one) {
+    const bool maybe_ran = one.ever_sent || one.running;
+    if (one.running) {
+        client_.cancel(one.upstream);
+        end_attempt(one, policy::call_result::cancelled);
+    }
+    if (one.waiting)
+        waiting_.remove(one.exchange);
+    if (one.claimed)
+        release_key(one, maybe_ran && !one.repeatable);
+    return maybe_ran;
+}
+
 void online_calls::refuse(exchange_id exchange, refusal refused) {
     call* one = find(exchange);
     if (one == nullptr)
         return;
-    // An attempt under way may have reached its endpoint although no answer has begun. Taken for
-    // not run, its key would be freed, and a resend would run it a second time.
-    const bool maybe_ran = one->ever_sent || one->running;
-    if (one->running) {
-        client_.cancel(one->upstream);
-        end_attempt(*one, policy::call_result::cancelled);
-    }
-    if (one->waiting)
-        waiting_.remove(exchange);
+    const bool maybe_ran = withdraw(*one);
     if (maybe_ran && refused.run == run_state::no)
         refused.run = run_state::maybe;
-    if (one->claimed)
-        release_key(*one, maybe_ran && !one->repeatable);
     explain(decision_kind::refused, *one, code_name(refused.code), refused.message);
     context_.counters.count(std::string("refused_") + code_name(refused.code));
     if (one->head_sent) {
@@ -85,15 +91,7 @@
     const bool wants_answer_later = one->claimed && !one->repeatable;
     if (wants_answer_later)
         return;
-    const bool maybe_ran = one->ever_sent || one->running;
-    if (one->running) {
-        client_.cancel(one->upstream);
-        end_attempt(*one, policy::call_result::cancelled);
-    }
-    if (one->waiting)
-        waiting_.remove(exchange);
-    if (one->claimed)
-        release_key(*one, maybe_ran && !one->repeatable);
+    withdraw(*one);
     explain(decision_kind::ended, *one, "abandoned", "the caller went away");
     remove(exchange);
     offer_waiting();
--- a/lib/entry/online_dispatch.cpp
+++ b/lib/entry/online_dispatch.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cassert>
 #include <utility>
 
 namespace cassia::entry {
@@ -66,9 +67,8 @@
 
 void online_calls::dispatch(call& one, const policy::pick& chosen) {
     const instant now = monotonic_now();
-    auto facts = std::find_if(
-        context_.view->endpoints.begin(), context_.view->endpoints.end(),
-        [&chosen](const policy::endpoint_facts& other) { return other.id == chosen.endpoint; });
+    const policy::endpoint_facts* facts = find_endpoint(*context_.view, chosen.endpoint);
+    assert(facts != nullptr && "the router picks among the view's endpoints");
     net::http_call out;
     out.method = one.request.method;
     out.to = facts->address;
@@ -206,11 +206,9 @@
     call& one = *find(exchange);
     one.ever_sent = one.ever_sent || failed.sent;
     context_.counters.count("attempts_failed");
-    auto facts = std::find_if(
-        context_.view->endpoints.begin(), context_.view->endpoints.end(),
-        [&one](const policy::endpoint_facts& other) { return other.id == one.endpoint; });
+    const policy::endpoint_facts* facts = find_endpoint(*context_.view, one.endpoint);
     const bool may_be_dead = failed.cause.code == net::errc::connection_lost && failed.sent;
-    if (may_be_dead && facts == context_.view->endpoints.end()) {
+    if (may_be_dead && facts == nullptr) {
         decide_after_failure(exchange, failed, true);
         return;
     }
--- a/lib/state/work_state.cpp
+++ b/lib/state/work_state.cpp
@@ -84,31 +84,32 @@
     return {};
 }
 
-static bool is_expired(const batch_job& job, std::uint64_t now) {
+static bool is_job_expired(const batch_job& job, std::uint64_t now) {
     if (job.status == job_status::loading)
         return job.created + loading_patience_ms < now;
     return job.ended != 0 && job.ended + job.retention_ms < now;
 }
 
+bool work_state::is_key_expired(const idempotency_key& key, std::uint64_t now) {
+    return key.status != key_status::running && key.at + key.retention_ms < now;
+}
+
 void work_state::expire(std::uint64_t now) {
     for (auto one = jobs_.begin(); one != jobs_.end();)
-        one = is_expired(one->second, now) ? jobs_.erase(one) : std::next(one);
+        one = is_job_expired(one->second, now) ? jobs_.erase(one) : std::next(one);
     for (auto one = keys_.begin(); one != keys_.end();) {
-        const bool old = one->second.status != key_status::running &&
-                         one->second.at + one->second.retention_ms < now;
-        one = old ? keys_.erase(one) : std::next(one);
+        one = is_key_expired(one->second, now) ? keys_.erase(one) : std::next(one);
     }
 }
 
 bool work_state::has_expired(std::uint64_t now) const {
     const bool job = std::any_of(jobs_.begin(), jobs_.end(),
                                  [now](const std::pair<const job_id, batch_job>& one) {
-                                     return is_expired(one.second, now);
+                                     return is_job_expired(one.second, now);
                                  });
     return job || std::any_of(keys_.begin(), keys_.end(),
                               [now](const std::pair<const key_name, idempotency_key>& one) {
-                                  return one.second.status != key_status::running &&
-                                         one.second.at + one.second.retention_ms < now;
+                                  return is_key_expired(one.second, now);
                               });
 }
 
