--- a/include/cassia/entry/keeper_client.h
+++ b/include/cassia/entry/keeper_client.h
@@ -31,6 +31,9 @@
 
     keeper_client(std::vector<keeper_address> keepers, send_function send);
 
+    /// Replaces the keepers to ask.
+    void set_keepers(std::vector<keeper_address> keepers);
+
     /// `done` gets the reply, or one with the result `unavailable` when patience ends.
     void ask(schema::keeper_request request, ask_options options, reply_function done, instant now);
     void receive(schema::keeper_reply reply, instant now);
--- /dev/null
+++ b/include/cassia/gateway/fleet_link.h
@@ -0,0 +1,109 @@
+/// A gateway's conversation with keepers and with other gateways: what is in force, who is there,
+/// and who has how much under way.
+#pragma once
+
+#include "cassia/base/clock.h"
+#include "cassia/base/ids.h"
+#include "cassia/entry/keeper_client.h"
+#include "cassia/membership/directory.h"
+#include "cassia/net/peer_hub.h"
+#include "cassia/policy/slot_book.h"
+#include "cassia/routes/table.h"
+#include "cassia/schema/messages.pb.h"
+#include "cassia/schema/settings.pb.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cassia::net {
+class task;
+}
+
+namespace cassia::gateway {
+
+struct fleet_hooks {
+    std::function<void(std::shared_ptr<const routes::table>)> on_routes;
+    std::function<void(const std::vector<policy::slot_endpoint>&)> on_endpoints;
+    std::function<void(const entry_id&, std::map<endpoint_id, policy::slot_use>)> on_uses;
+    /// Another gateway needs slots that batch items of this one hold.
+    std::function<void(const endpoint_id&, std::uint32_t slots)> on_yield;
+    /// Jobs whose items must stop.
+    std::function<void(const std::set<job_id>&)> on_cancelled;
+};
+
+class fleet_link {
+public:
+    fleet_link(net::task& owner, const schema::gateway_settings& settings, fleet_hooks hooks);
+    ~fleet_link();
+
+    /// Opens the socket and begins to talk. \returns an empty string or what went wrong.
+    std::string open();
+    /// From now on the keepers list this gateway no more.
+    void leave();
+    /// Other seeds, where settings changed.
+    void set_seeds(const std::vector<std::string>& seeds);
+
+    /// Asks the leader of a group; see entry::keeper_client.
+    void ask(schema::keeper_request request, entry::ask_options options,
+             entry::keeper_client::reply_function done);
+    /// Tells a keeper that leads the group, once, without an answer.
+    void tell_held(schema::held_items held, group_id group);
+    /// Tells the other gateways what this one has under way, if it changed or a while has passed.
+    void share_uses(const std::map<endpoint_id, policy::slot_use>& uses);
+    void ask_to_yield(const entry_id& entry, const endpoint_id& endpoint, std::uint32_t slots);
+
+    /// Name under which this process holds leases; new at each start.
+    const std::string& holder() const { return holder_; }
+    bool heard_keepers() const { return last_news_ != instant(); }
+    bool knows_work_keepers() const { return !work_keepers_.empty(); }
+
+private:
+    struct keeper_state {
+        std::uint64_t directory_epoch = 0;
+        std::uint64_t directory_revision = 0;
+        std::uint64_t clock_us = 0; ///< of its last beacon
+        instant heard{};
+    };
+    struct other_gateway {
+        schema::entry_hello hello;
+        instant seen{};
+    };
+
+    void say_hello();
+    void on_message(const schema::envelope& message);
+    void on_beacon(const schema::keeper_beacon& beacon);
+    void learn_entries(const schema::keeper_beacon& beacon, instant now);
+    void learn_keepers(const schema::keeper_beacon& beacon, instant now);
+    void learn_endpoints(const schema::keeper_beacon& beacon, instant now);
+    void publish_endpoints(instant now);
+    void on_rumor(const schema::gossip& rumor);
+    void tick();
+
+    net::task& owner_;
+    schema::gateway_settings settings_;
+    fleet_hooks hooks_;
+    std::uint64_t incarnation_;
+    std::string holder_;
+    net::peer_hub hub_;
+    entry::keeper_client keeper_client_;
+    std::set<peer_address> seeds_;
+    std::map<peer_address, instant> control_keepers_; ///< when last heard of
+    std::map<peer_address, instant> work_keepers_;
+    std::map<peer_address, keeper_state> keepers_;
+    std::map<group_id, peer_address> leaders_;
+    std::map<entry_id, other_gateway> others_;
+    std::uint64_t entries_digest_ = 0;
+    membership::directory directory_;
+    std::string published_; ///< endpoints as last handed over
+    std::shared_ptr<const routes::table> routes_;
+    instant last_news_{};
+    bool leaving_ = false;
+    std::map<endpoint_id, policy::slot_use> shared_uses_;
+    instant uses_shared_at_{};
+};
+
+} // namespace cassia::gateway
--- /dev/null
+++ b/include/cassia/gateway/online_call.h
@@ -0,0 +1,61 @@
+/// One online request on its way.
+#pragma once
+
+#include "cassia/base/clock.h"
+#include "cassia/base/ids.h"
+#include "cassia/gateway/event_splitter.h"
+#include "cassia/net/raw_http.h"
+#include "cassia/routes/table.h"
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace cassia::gateway {
+
+enum class call_phase : std::uint8_t {
+    waiting,   ///< for a slot
+    sent,      ///< to an endpoint, nothing passed back yet
+    answering, ///< part of the answer is with the caller
+};
+
+struct online_call {
+    exchange_id id;
+    net::raw_request request;
+    std::string request_id;
+    std::shared_ptr<const routes::table> table; ///< keeps `route` alive
+    const schema::route* route = nullptr;
+    service_id service;
+    instant arrived{};
+    instant deadline{};   ///< the final answer is due
+    instant give_up_at{}; ///< a first send later than this is in vain
+
+    call_phase phase = call_phase::waiting;
+    std::uint32_t runs = 0; ///< sends that an endpoint may have run
+    std::uint32_t sends = 0;
+    std::set<endpoint_id> avoided; ///< endpoints that failed this request
+    bool holds_slot = false;
+    endpoint_id endpoint;
+    http_address address;
+    call_id attempt;
+    instant sent_at{};
+    instant progress_at{}; ///< when the endpoint last sent something
+    instant first_byte_at{};
+
+    bool refused_by_endpoint = false; ///< the answer coming in says that it did not run
+    bool passes_failure = false;      ///< the answer is the endpoint's own failure
+    net::raw_head head;               ///< of the first attempt that began to answer
+    std::string body;                 ///< of an answer that isn't a stream
+    event_splitter events;
+    std::uint64_t last_event = 0; ///< passed on to the caller
+    instant last_event_at{};
+    bool late_event = false; ///< a pause was longer than the route allows
+
+    bool is_stream() const { return route->kind() == schema::route::stream; }
+    /// Whether it may run again after it may have run.
+    bool is_repeatable() const {
+        return route->kind() == schema::route::repeatable || (is_stream() && route->resumable());
+    }
+};
+
+} // namespace cassia::gateway
--- /dev/null
+++ b/include/cassia/gateway/service.h
@@ -0,0 +1,75 @@
+/// A gateway: forwards requests by the table of routes, and runs batch items in free slots.
+#pragma once
+
+#include "cassia/base/metrics.h"
+#include "cassia/gateway/dispatcher.h"
+#include "cassia/gateway/field_names.h"
+#include "cassia/gateway/fleet_link.h"
+#include "cassia/gateway/item_runner.h"
+#include "cassia/gateway/job_desk.h"
+#include "cassia/net/raw_client.h"
+#include "cassia/net/raw_server.h"
+#include "cassia/net/task.h"
+#include "cassia/policy/slot_book.h"
+#include "cassia/schema/settings.pb.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cassia::gateway {
+
+struct service_hooks {
+    /// Offered each request before it is matched to a route. \returns whether it was taken.
+    std::function<bool(exchange_id, const net::raw_request&)> take_request;
+    /// A request of a batch route.
+    std::function<void(exchange_id, const net::raw_request&, const schema::route&)> on_batch;
+};
+
+class service {
+public:
+    service(schema::gateway_settings settings, field_names names, service_hooks hooks);
+    ~service();
+
+    /// Opens the sockets. \returns an empty string or what went wrong.
+    std::string open();
+    /// Serves until told to stop. \returns the exit code.
+    int run();
+
+    void respond(exchange_id id, int status, const net::http_fields& fields, std::string_view body);
+    job_desk& jobs() { return *jobs_; }
+    const schema::gateway_settings& settings() const { return settings_; }
+    const field_names& names() const { return names_; }
+    bool is_leaving() const { return leaving_; }
+
+private:
+    void on_request(exchange_id id, net::raw_request request);
+    void on_ready_request(exchange_id id, const net::raw_request& request);
+    void set_routes(std::shared_ptr<const routes::table> table);
+    void yield_slot(const entry_id& holder, const endpoint_id& endpoint);
+    void lease(const std::string& route, std::uint32_t limit, item_runner_hooks::lease_done done);
+    void report(const schema::items_end& ends, item_runner_hooks::report_done done);
+    void tick();
+    void shut_down();
+    void watch_for_end(instant stop_at);
+    std::string dump() const;
+
+    schema::gateway_settings settings_;
+    field_names names_;
+    service_hooks hooks_;
+    net::task task_;
+    metrics metrics_;
+    policy::slot_book slots_;
+    std::unique_ptr<net::raw_server> server_;
+    std::unique_ptr<net::raw_server> ready_server_;
+    std::unique_ptr<net::raw_client> client_;
+    std::unique_ptr<fleet_link> fleet_;
+    std::unique_ptr<dispatcher> dispatcher_;
+    std::unique_ptr<item_runner> items_;
+    std::unique_ptr<job_desk> jobs_;
+    std::shared_ptr<const routes::table> routes_;
+    bool leaving_ = false;
+    instant leaving_since_{};
+};
+
+} // namespace cassia::gateway
--- a/include/cassia/keeper/founding.h
+++ b/include/cassia/keeper/founding.h
@@ -26,6 +26,9 @@
     /// \param founders nodes that found the cluster, from settings.
     explicit founding(std::vector<std::string> founders);
 
+    /// Names the founders anew, where they are decided later than the process starts.
+    void set_founders(std::vector<std::string> founders);
+
     void saw(const keeper_sighting& sighting);
     /// Where the keeper with this disk is reached; empty if it never said so.
     peer_address address_of(disk_id disk) const;
--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -7,6 +7,7 @@
 #include "cassia/keeper/group_host.h"
 #include "cassia/keeper/store.h"
 #include "cassia/keeper/work_leader.h"
+#include "cassia/membership/directory.h"
 #include "cassia/net/http_server.h"
 #include "cassia/net/peer_hub.h"
 #include "cassia/net/task.h"
@@ -32,6 +33,37 @@
     /// Serves until told to stop. \returns the exit code.
     int run();
 
+    // For an interface that runs on this keeper's task (service_api.cpp).
+
+    /// What became of a request that only the control group's leader can serve.
+    enum class control_outcome {
+        done,
+        elsewhere, ///< another keeper leads; its address is handed over
+        unknown,   ///< no leader known, or the outcome can't be told
+    };
+    struct control_answer {
+        control_outcome outcome = control_outcome::unknown;
+        std::string leader_ip; ///< with `elsewhere`
+        schema::route_table routes;
+    };
+    using control_done = std::function<void(const control_answer&)>;
+
+    /// Puts a checked table in force; done once it is durable on a majority.
+    void put_routes(const schema::route_table& table, const control_done& done);
+    /// The table that is in force now, or not done.
+    void read_routes(const control_done& done);
+    /// Takes an endpoint's word. `done(true)` once it can't be lost with this keeper: at once for
+    /// a sign of life, and for the end of its service once another keeper has it too.
+    void announce(const schema::endpoint_record& record, std::function<void(bool)> done);
+    /// An endpoint says that it ends. \param incarnation 0: the one that is known.
+    void end_endpoint(const endpoint_id& endpoint, std::uint64_t incarnation,
+                      std::function<void(bool)> done);
+    /// Entries that live and take new connections.
+    std::vector<schema::entry_hello> serving_entries() const;
+    net::task& owner() { return task_; }
+    std::string status_text() const { return dump(); }
+    std::string metrics_text() const { return metrics_.to_text("cassia_keeper_"); }
+
 private:
     struct work_group {
         state::work_state state;
@@ -41,6 +73,16 @@
         schema::entry_hello hello;
         instant seen{};
     };
+    struct known_keeper {
+        schema::keeper_hello hello;
+        instant seen{};
+    };
+    /// An endpoint's word that waits until another keeper has it.
+    struct waiting_word {
+        std::uint64_t revision = 0;
+        instant until{};
+        std::function<void(bool)> done;
+    };
 
     // Wiring (service.cpp).
     void make_groups();
@@ -70,12 +112,28 @@
     std::string leader_node(const group_host& host) const;
     void on_entry_hello(const schema::entry_hello& hello);
     void send_beacon(const known_entry& entry);
+    void write_control_news(const known_entry& entry, schema::keeper_beacon& beacon) const;
     void on_keeper_hello(const schema::keeper_hello& hello);
     void send_keeper_hello(const peer_address& to);
     void on_config_applied();
     void send_beacons_soon();
     std::string dump() const;
 
+    // Keepers that find each other by seeds (service_fleet.cpp).
+    bool hosts_control() const { return settings_.groups() != "work"; }
+    bool hosts_work() const { return settings_.groups() != "control"; }
+    bool uses_seeds() const { return settings_.cluster().seed_size() > 0; }
+    std::vector<peer_address> keepers_to_greet() const;
+    void see_keeper(const schema::keeper_hello& hello, instant seen);
+    void send_news(const peer_address& to, const known_keeper& keeper);
+    void on_news(const schema::keeper_news& news);
+    void push_news();
+    void decide_work_founders();
+    void found_work_groups(const schema::group_members& founders);
+    void answer_waiting_words();
+    schema::keeper_hello own_hello(const peer_address& to) const;
+    std::uint64_t entries_digest() const;
+
     schema::keeper_settings settings_;
     net::task task_;
     store store_;
@@ -86,6 +144,8 @@
     std::unique_ptr<net::peer_hub> hub_;
     std::unique_ptr<net::http_server> http_;
     founding founding_;
+    founding work_founding_{std::vector<std::string>()};
+    std::string node_; ///< name among the members of groups
 
     state::control_state control_;
     std::map<group_id, work_group> work_;
@@ -94,6 +154,13 @@
     std::size_t syncs_in_flight_ = 0;
     bool pump_scheduled_ = false;
     std::map<std::string, known_entry> entries_;
+    std::map<std::string, known_keeper> keepers_; ///< by node
+    membership::directory directory_;
+    const std::uint64_t directory_epoch_;
+    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>>
+        heard_revisions_; ///< epoch and revision of each keeper's directory, by node
+    std::vector<waiting_word> waiting_words_;
+    instant work_founders_possible_{};
     std::uint64_t beacon_ = 0;
     consensus::member_list founders_;
     bool stopping_ = false;
--- a/include/cassia/membership/directory.h
+++ b/include/cassia/membership/directory.h
@@ -19,9 +19,10 @@
 /// An endpoint as last announced.
 struct endpoint_entry {
     schema::endpoint_record record;
-    instant heard{};      ///< when it last announced itself to any entry
-    instant own_heard{};  ///< when it last announced itself to this one
-    bool leaving = false; ///< once set it holds for the incarnation
+    instant heard{};            ///< when it last announced itself to any entry
+    instant own_heard{};        ///< when it last announced itself to this one
+    bool leaving = false;       ///< once set it holds for the incarnation
+    std::uint64_t revision = 0; ///< of the directory, when this entry last changed or was heard
 };
 
 class directory {
@@ -38,14 +39,21 @@
     /// What this entry heard itself, with ages, to tell the others.
     std::vector<schema::endpoint_record> own_records(instant now) const;
     const std::map<endpoint_id, endpoint_entry>& all() const { return endpoints_; }
+    /// Counts up with each change of an entry.
+    std::uint64_t revision() const { return revision_; }
+    /// Records that changed or were heard behind a revision, with ages.
+    std::vector<schema::endpoint_record> records_since(std::uint64_t revision, instant now) const;
 
     void forget_old(instant now);
 
 private:
     bool merge(const schema::endpoint_record& record, instant heard);
+    void store(endpoint_entry& entry, const schema::endpoint_record& record, instant heard);
+    void end_predecessors(const schema::endpoint_record& record);
 
     directory_settings settings_;
     std::map<endpoint_id, endpoint_entry> endpoints_;
+    std::uint64_t revision_ = 0;
 };
 
 } // namespace cassia::membership
--- a/include/cassia/net/peer_hub.h
+++ b/include/cassia/net/peer_hub.h
@@ -18,10 +18,11 @@
 class task;
 
 struct peer_hub_settings {
-    std::string name;     ///< of this process, sent with each envelope
-    peer_address address; ///< where this process is reached
-    peer_address bind;    ///< where it listens; `address` if empty
-    std::string secret;   ///< the cluster's CURVE secret key, Z85
+    std::string name;      ///< of this process, sent with each envelope
+    peer_address address;  ///< where this process is reached
+    peer_address bind;     ///< where it listens; `address` if empty
+    std::string secret;    ///< the cluster's CURVE secret key, Z85
+    bool encrypted = true; ///< false: in clear and open to all, for networks that keep others out
 };
 
 class peer_hub {
@@ -42,6 +43,9 @@
     std::unique_ptr<state> state_;
 };
 
+/// The peer socket of a seed: its IP number, and the port that all peers share.
+peer_address peer_of_seed(const std::string& seed, const std::string& own_peer_address);
+
 /// A new CURVE secret key, Z85.
 std::string make_cluster_secret();
 
--- /dev/null
+++ b/include/cassia/net/raw_client.h
@@ -0,0 +1,71 @@
+/// HTTP/1.1 requests sent on as they are, over connections that are kept where that is safe.
+/// Calls are addressed by id; after its last hook a call is gone. Nothing is ever sent twice: a
+/// repetition is the caller's decision.
+#pragma once
+
+#include "cassia/base/clock.h"
+#include "cassia/base/ids.h"
+#include "cassia/net/error.h"
+#include "cassia/net/raw_http.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace cassia::net {
+
+class task;
+
+struct raw_call {
+    http_address to;
+    raw_request request;
+    /// Uses a connection that carried no request before. Over a kept one the other end may close
+    /// just as the request is sent, and whether it ran can't be told.
+    bool fresh_connection = false;
+    /// Limit for the connection to stand; a dark VM answers nothing at all.
+    milliseconds connect_timeout{600};
+};
+
+struct raw_failure {
+    error cause;
+    bool sent = false;     ///< false: certainly nothing of the request reached the other end
+    bool kept = false;     ///< the connection had carried a request before
+    bool answered = false; ///< part of an answer had come
+};
+
+struct raw_call_hooks {
+    std::function<void(const raw_head&)> on_head;
+    std::function<void(std::string_view)> on_piece;
+    /// The answer is complete. Last.
+    std::function<void()> on_end;
+    /// The answer won't be completed. Last.
+    std::function<void(const raw_failure&)> on_failure;
+};
+
+struct raw_client_counts {
+    std::uint64_t connections_made = 0;
+    std::uint64_t connections_reused = 0;
+};
+
+class raw_client {
+public:
+    /// \param own_ip IP number to connect from; any if empty.
+    raw_client(task& owner, std::string own_ip);
+    ~raw_client();
+
+    call_id start(raw_call call, raw_call_hooks hooks);
+    /// Drops the call and its connection; no hook runs for it any more.
+    void cancel(call_id id);
+    /// Closes the idle connections to an address.
+    void forget(const http_address& address);
+    std::size_t open_calls() const;
+    const raw_client_counts& counts() const;
+
+    struct state;
+
+private:
+    std::unique_ptr<state> state_;
+};
+
+} // namespace cassia::net
--- /dev/null
+++ b/include/cassia/net/tcp_connections.h
@@ -0,0 +1,62 @@
+/// TCP connections of one task, addressed by id, without blocking. A closed id is ignored.
+#pragma once
+
+#include "cassia/base/clock.h"
+#include "cassia/base/ids.h"
+#include "cassia/net/error.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace cassia::net {
+
+class task;
+
+using connection_id = number_id<struct connection_tag>;
+
+struct tcp_hooks {
+    /// A connection came in over listen().
+    std::function<void(connection_id)> on_accepted;
+    /// A connection of connect() stands.
+    std::function<void(connection_id)> on_connected;
+    std::function<void(connection_id, std::string_view bytes)> on_bytes;
+    /// Closed by the other end or by an error, before on_connected or after it. Last; not called
+    /// after close() or reset(). `clean`: the other end closed in order, with nothing lost.
+    std::function<void(connection_id, bool clean)> on_closed;
+};
+
+struct tcp_settings {
+    /// Longest time that sent bytes may stay unacknowledged, and that a silent peer is probed.
+    milliseconds silence_limit{1500};
+};
+
+class tcp_connections {
+public:
+    tcp_connections(task& owner, tcp_settings settings, tcp_hooks hooks);
+    ~tcp_connections();
+
+    result<void> listen(const http_address& address);
+    /// Accepts no further connection; those open go on.
+    void stop_listening();
+    /// \param own_ip IP number to connect from; any if empty.
+    connection_id connect(const http_address& address, const std::string& own_ip);
+
+    /// Sends now what the socket takes, and the rest as it drains.
+    void write(connection_id id, std::string_view bytes);
+    /// Closes once everything written is sent.
+    void close(connection_id id);
+    /// Closes at once; the other end sees a reset.
+    void reset(connection_id id);
+    /// Bytes written that the socket didn't take yet.
+    std::size_t unsent(connection_id id) const;
+    std::size_t open() const;
+
+    struct state;
+
+private:
+    std::unique_ptr<state> state_;
+};
+
+} // namespace cassia::net
--- /dev/null
+++ b/include/cassia/policy/slot_book.h
@@ -0,0 +1,104 @@
+/// Which slots of the endpoints are taken, by this entry and by the others, and where the next
+/// request goes. Pure.
+#pragma once
+
+#include "cassia/base/clock.h"
+#include "cassia/base/ids.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cassia::policy {
+
+enum class work_kind : std::uint8_t { online, batch };
+
+/// An endpoint that may get work.
+struct slot_endpoint {
+    endpoint_id id;
+    std::uint64_t incarnation = 0;
+    http_address address;
+    zone_id zone;
+    service_id service;
+    std::uint32_t slots = 1; ///< requests that it runs at once
+};
+
+/// What one entry has under way at an endpoint.
+struct slot_use {
+    std::uint32_t online = 0;
+    std::uint32_t batch = 0;
+
+    friend bool operator==(const slot_use&, const slot_use&) = default;
+};
+
+struct placement {
+    endpoint_id endpoint;
+    http_address address;
+    /// Set if a batch item has to yield its slot: the entry that runs it, empty for this one.
+    std::optional<entry_id> yields;
+};
+
+class slot_book {
+public:
+    explicit slot_book(zone_id own_zone) : own_zone_(std::move(own_zone)) {}
+
+    /// Replaces the endpoints; what is under way at those that stay is kept.
+    void set_endpoints(const std::vector<slot_endpoint>& endpoints);
+    /// What another entry has under way, as it said last.
+    void set_others(const entry_id& entry, std::map<endpoint_id, slot_use> uses, instant now);
+    /// Forgets entries that said nothing for long: their work is gone with them.
+    void forget_others(instant now);
+
+    void take(const endpoint_id& endpoint, work_kind kind);
+    void release(const endpoint_id& endpoint, work_kind kind);
+    const std::map<endpoint_id, slot_use>& own_uses() const { return own_; }
+
+    /// No request goes there until then.
+    void suspend(const endpoint_id& endpoint, instant until);
+
+    /// Where an online request goes: a free slot near by, one further off, or one that batch holds.
+    /// Nothing if every slot serves an online request.
+    /// \param draw 0 to 1; decides between equals.
+    std::optional<placement> place_online(const service_id& service,
+                                          const std::set<endpoint_id>& avoid, instant now,
+                                          double draw) const;
+    /// Where a batch item goes: a free slot, while more than the reserve is free.
+    std::optional<placement> place_batch(const service_id& service,
+                                         const std::set<endpoint_id>& avoid, instant now,
+                                         double draw) const;
+    /// Slots of a service that batch may still take.
+    std::uint32_t batch_room(const service_id& service, instant now) const;
+    std::uint32_t total_slots(const service_id& service, instant now) const;
+    bool knows(const endpoint_id& endpoint) const { return endpoints_.count(endpoint) > 0; }
+
+private:
+    struct known_endpoint {
+        slot_endpoint facts;
+        instant suspended_until{};
+    };
+    struct other_entry {
+        std::map<endpoint_id, slot_use> uses;
+        instant heard{};
+    };
+    struct candidate {
+        const known_endpoint* endpoint = nullptr;
+        std::int64_t free = 0;           ///< slots that nobody uses
+        std::int64_t free_of_online = 0; ///< slots without an online request
+    };
+
+    slot_use total_use(const endpoint_id& endpoint) const;
+    std::vector<candidate> candidates(const service_id& service, const std::set<endpoint_id>& avoid,
+                                      instant now) const;
+    std::optional<entry_id> batch_holder(const endpoint_id& endpoint) const;
+    const candidate* best(const std::vector<candidate>& all, bool own_zone, double draw) const;
+
+    zone_id own_zone_;
+    std::map<endpoint_id, known_endpoint> endpoints_;
+    std::map<endpoint_id, slot_use> own_;
+    std::map<entry_id, other_entry> others_;
+};
+
+} // namespace cassia::policy
--- /dev/null
+++ b/include/cassia/policy/wait_line.h
@@ -0,0 +1,39 @@
+/// Requests that wait for a slot, and in which order they get one. Pure.
+#pragma once
+
+#include "cassia/base/clock.h"
+#include "cassia/base/ids.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace cassia::policy {
+
+struct waiting_request {
+    exchange_id id;
+    service_id service;
+    std::uint32_t priority = 0; ///< 0 is the highest
+    instant arrived{};
+    instant on_time_until{}; ///< sent later than this, its answer misses the target
+    instant give_up_at{};    ///< sent later than this, it can't be served any more
+};
+
+class wait_line {
+public:
+    void add(const waiting_request& request);
+    void remove(exchange_id id);
+    /// The next request of a service: those that can still meet their target before those that
+    /// can't, by priority and then by how soon their target passes.
+    std::optional<exchange_id> next(const service_id& service, instant now) const;
+    /// Requests that are beyond their time.
+    std::vector<exchange_id> hopeless(instant now) const;
+    std::vector<service_id> services() const;
+    std::size_t size() const { return waiting_.size(); }
+    std::size_t size(const service_id& service) const;
+
+private:
+    std::map<exchange_id, waiting_request> waiting_;
+};
+
+} // namespace cassia::policy
--- a/include/cassia/state/control_state.h
+++ b/include/cassia/state/control_state.h
@@ -1,4 +1,5 @@
-/// State of the control group: the accepted versions of the two lists, and the fence of orders.
+/// State of the control group: the accepted versions of the two lists, the table of routes, which
+/// keepers form the work groups, and the fence of orders.
 /// Deterministic: every member that applies the same commands holds the same state.
 #pragma once
 
@@ -6,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -14,6 +16,8 @@
 class change_record;
 class control_command;
 class control_reply;
+class group_members;
+class route_table;
 } // namespace cassia::schema
 
 namespace cassia::state {
@@ -33,16 +37,25 @@
     /// Accepted versions, oldest first; texts are kept for the latest few only.
     const std::vector<schema::change_record>& history() const { return changes_; }
 
+    /// The table of routes in force; version 0 before the first.
+    const schema::route_table& routes() const { return *routes_; }
+    /// The first members of the work groups; empty until they are decided.
+    const schema::group_members& work_founders() const { return *work_founders_; }
+
     std::string save() const;
     static result<control_state> load(const std::string& image);
 
 private:
     schema::control_reply apply_change(const schema::change_command& change);
+    schema::control_reply apply_routes(const schema::route_table& table);
+    schema::control_reply apply_founding(const schema::group_members& founders);
     void trim();
 
     std::vector<schema::change_record> changes_;
     std::map<std::string, std::uint64_t> versions_by_change_;
     std::uint64_t fence_ = 0;
+    std::unique_ptr<schema::route_table> routes_;
+    std::unique_ptr<schema::group_members> work_founders_;
 };
 
 } // namespace cassia::state
--- a/include/cassia/state/work_state.h
+++ b/include/cassia/state/work_state.h
@@ -30,6 +30,7 @@
 class job_commit;
 class job_image;
 class job_items;
+class job_submit;
 class job_view;
 class key_claim;
 class key_finish;
@@ -64,6 +65,8 @@
     std::uint32_t body_ordinal = 0;   ///< place of the body in its record
     std::uint32_t result_ordinal = 0; ///< place of the result in its record
     std::uint64_t custom_hash = 0;    ///< finds items by custom id without keeping the text
+    std::uint64_t tokens = 0;         ///< of the prompt and the longest answer
+    std::uint32_t failures = 0;       ///< runs that an endpoint answered with a failure
     storage::position body;
     storage::position result;
 };
@@ -90,6 +93,12 @@
     std::vector<std::string> services;
     std::vector<std::deque<std::uint32_t>> pending; ///< by service
     job_counts counts;
+    std::string route;                      ///< of a forwarded job
+    std::uint64_t abandon_at = 0;           ///< Unix ms from which items may be given up
+    std::uint32_t max_failures = 0;         ///< failed runs that end an item; 0: the entry decides
+    bool listed = false;                    ///< keeps the order in which items ended
+    std::vector<std::uint32_t> ended_order; ///< ordinals; a place once taken never changes
+    std::uint64_t waiting_tokens = 0;       ///< of the items that haven't ended
 };
 
 using item_key = std::pair<job_id, std::uint32_t>;
@@ -155,6 +164,8 @@
     schema::work_reply begin_job(const schema::job_begin& begin);
     schema::work_reply add_items(const schema::job_items& added, const storage::position& at);
     schema::work_reply commit_job(const schema::job_commit& commit);
+    schema::work_reply submit_job(const schema::job_submit& submit, const storage::position& at);
+    std::uint64_t waiting_tokens(const std::string& route) const;
     schema::work_reply cancel_job(const schema::job_cancel& cancel);
     schema::work_reply lease_items(const schema::item_lease& lease);
     schema::work_reply end_items(const schema::items_end& ends, const storage::position& at);
--- a/lib/entry/keeper_client.cpp
+++ b/lib/entry/keeper_client.cpp
@@ -13,6 +13,10 @@
 keeper_client::keeper_client(std::vector<keeper_address> keepers, send_function send)
     : keepers_(std::move(keepers)), send_(std::move(send)) {}
 
+void keeper_client::set_keepers(std::vector<keeper_address> keepers) {
+    keepers_ = std::move(keepers);
+}
+
 void keeper_client::ask(schema::keeper_request request, ask_options options, reply_function done,
                         instant now) {
     open_request one;
@@ -20,7 +24,7 @@
     one.options = options;
     one.done = std::move(done);
     one.give_up_at = now + options.patience;
-    one.next_keeper = last_id_ % keepers_.size();
+    one.next_keeper = last_id_;
     send(one, now);
     open_[last_id_] = std::move(one);
 }
@@ -41,6 +45,8 @@
 void keeper_client::send(open_request& one, instant now) {
     one.request.set_id(++last_id_);
     one.resend_at = one.options.resend ? now + resend_interval : one.give_up_at;
+    if (keepers_.empty())
+        return;
     schema::envelope envelope;
     *envelope.mutable_request() = one.request;
     send_(target(one).address, envelope);
--- /dev/null
+++ b/lib/gateway/dispatcher.cpp
@@ -0,0 +1,331 @@
+// How a request finds an endpoint, and when it is given up.
+
+#include "cassia/gateway/dispatcher.h"
+
+#include "cassia/base/digest.h"
+#include "cassia/base/log.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <utility>
+#include <vector>
+
+namespace cassia::gateway {
+
+namespace {
+// Time from a free slot to the first event on a calm endpoint: connection, prompt, first tokens.
+constexpr milliseconds first_answer_time(60);
+// Sent with less time left than this, a request is cut off before it can be answered.
+constexpr milliseconds least_useful_time(50);
+// Attempts that reached no endpoint cost little, but each takes up to the connection's time limit.
+constexpr std::uint32_t most_sends = 6;
+// How long an endpoint that failed gets no requests: doubled with each failure in a row.
+constexpr milliseconds first_suspension(250);
+constexpr milliseconds longest_suspension(4000);
+constexpr int most_doublings = 5;
+// An endpoint that begins no answer for this long is taken for silent, if the request may be
+// repeated: three times the target, but no less than a second.
+constexpr milliseconds least_silence(1000);
+constexpr int silence_targets = 3;
+constexpr milliseconds retry_after(400);
+constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+constexpr int status_timeout = 504;
+constexpr double us_per_s = 1e6;
+} // namespace
+
+dispatcher::dispatcher(net::raw_server& server, net::raw_client& client, policy::slot_book& slots,
+                       metrics& counts, field_names names, dispatcher_hooks hooks)
+    : server_(server), client_(client), slots_(slots), metrics_(counts), names_(std::move(names)),
+      hooks_(std::move(hooks)), random_(random_bits()) {}
+
+dispatcher::~dispatcher() = default;
+
+static std::optional<std::uint64_t> read_number(std::string_view text) {
+    std::uint64_t number = 0;
+    const std::from_chars_result end =
+        std::from_chars(text.data(), text.data() + text.size(), number);
+    if (end.ec != std::errc() || end.ptr != text.data() + text.size())
+        return std::nullopt;
+    return number;
+}
+
+// Callers of a stream leave after a gap of two seconds, four targets or eight pauses, whichever is
+// longest; a request that starts later than that runs for nobody.
+static milliseconds patience_of(const schema::route& route) {
+    constexpr std::int64_t least_ms = 2000;
+    constexpr std::int64_t targets = 4;
+    constexpr std::int64_t pauses = 8;
+    return milliseconds(
+        std::max({least_ms, targets * route.target_ms(), pauses * route.pause_ms()}));
+}
+
+void dispatcher::accept(exchange_id id, net::raw_request request,
+                        const std::shared_ptr<const routes::table>& table,
+                        const schema::route& route) {
+    std::unique_ptr<online_call> owned = std::make_unique<online_call>();
+    online_call& call = *owned;
+    call.id = id;
+    call.table = table;
+    call.route = &route;
+    call.request_id = std::string(request.fields.find(names_.request_id));
+    call.arrived = monotonic_now();
+    milliseconds limit(route.timeout_ms());
+    if (const std::optional<std::uint64_t> wish = read_number(request.fields.find(names_.deadline)))
+        limit = std::min(limit, milliseconds(static_cast<std::int64_t>(*wish)));
+    call.deadline = call.arrived + limit;
+    call.give_up_at = call.deadline - least_useful_time;
+    if (call.is_stream())
+        call.give_up_at =
+            std::min(call.give_up_at, call.arrived + patience_of(route) - first_answer_time);
+    call.last_event = read_number(request.fields.find(names_.last_event)).value_or(0);
+    std::uniform_real_distribution<double> draw(0, 1);
+    call.service = service_id(routes::choose_target(route, draw(random_)));
+    request.fields.erase_hop_by_hop();
+    call.request = std::move(request);
+    calls_[id] = std::move(owned);
+    metrics_.count("requests");
+    place(call);
+}
+
+void dispatcher::place(online_call& call) {
+    const instant now = monotonic_now();
+    std::uniform_real_distribution<double> draw(0, 1);
+    const double chance = draw(random_);
+    std::optional<policy::placement> found =
+        slots_.place_online(call.service, call.avoided, now, chance);
+    if (!found && !call.avoided.empty())
+        found = slots_.place_online(call.service, {}, now, chance);
+    if (found) {
+        send(call, *found);
+        return;
+    }
+    call.phase = call.phase == call_phase::answering ? call.phase : call_phase::waiting;
+    line_.add({call.id, call.service, call.route->priority(), call.arrived,
+               call.arrived + milliseconds(call.route->target_ms()) - first_answer_time,
+               call.give_up_at});
+}
+
+net::raw_request dispatcher::request_for(const online_call& call,
+                                         const endpoint_id& endpoint) const {
+    net::raw_request request = call.request;
+    const std::int64_t left_ms =
+        std::chrono::duration_cast<milliseconds>(call.deadline - monotonic_now()).count();
+    request.fields.set(names_.deadline, std::to_string(std::max<std::int64_t>(left_ms, 1)));
+    request.fields.set(names_.expected_endpoint, endpoint.str());
+    if (call.is_stream() && call.last_event > 0)
+        request.fields.set(names_.last_event, std::to_string(call.last_event));
+    return request;
+}
+
+void dispatcher::send(online_call& call, const policy::placement& place) {
+    if (place.yields)
+        hooks_.yield_slot(*place.yields, place.endpoint);
+    line_.remove(call.id);
+    slots_.take(place.endpoint, policy::work_kind::online);
+    call.holds_slot = true;
+    call.endpoint = place.endpoint;
+    call.address = place.address;
+    call.sent_at = monotonic_now();
+    call.progress_at = call.sent_at;
+    call.refused_by_endpoint = false;
+    call.passes_failure = false;
+    call.body.clear();
+    call.events.reset();
+    ++call.sends;
+    ++call.runs;
+    if (call.phase == call_phase::waiting)
+        call.phase = call_phase::sent;
+    if (call.sends == 1)
+        metrics_.observe("queued", call.sent_at - call.arrived);
+    const exchange_id id = call.id;
+    net::raw_call_hooks hooks;
+    hooks.on_head = [this, id](const net::raw_head& head) { on_head(id, head); };
+    hooks.on_piece = [this, id](std::string_view bytes) { on_piece(id, bytes); };
+    hooks.on_end = [this, id] { on_end(id); };
+    hooks.on_failure = [this, id](const net::raw_failure& failure) { on_failure(id, failure); };
+    net::raw_call out;
+    out.to = place.address;
+    out.request = request_for(call, place.endpoint);
+    call.attempt = client_.start(std::move(out), std::move(hooks));
+}
+
+void dispatcher::serve_waiting() {
+    const instant now = monotonic_now();
+    for (const service_id& service : line_.services()) {
+        while (const std::optional<exchange_id> next = line_.next(service, now)) {
+            online_call& call = *calls_.at(*next);
+            const std::size_t before = line_.size();
+            place(call);
+            if (line_.size() == before)
+                break;
+        }
+    }
+}
+
+void dispatcher::drop_attempt(online_call& call) {
+    client_.cancel(call.attempt);
+    call.attempt = call_id();
+    if (call.holds_slot)
+        slots_.release(call.endpoint, policy::work_kind::online);
+    call.holds_slot = false;
+}
+
+void dispatcher::suspect(const online_call& call, instant now) {
+    const std::uint32_t failures = ++failures_[call.endpoint];
+    const int doublings = std::min<int>(static_cast<int>(failures) - 1, most_doublings);
+    const milliseconds pause = std::min(longest_suspension, first_suspension * (1 << doublings));
+    slots_.suspend(call.endpoint, now + pause);
+    client_.forget(call.address);
+    log_info("endpoint_suspended")
+        .with("endpoint", call.endpoint.str())
+        .with("failures", failures)
+        .with("ms", pause.count())
+        .with("request", call.request_id);
+}
+
+void dispatcher::retry_unrun(online_call& call, const std::string& cause) {
+    drop_attempt(call);
+    --call.runs;
+    call.avoided.insert(call.endpoint);
+    metrics_.count("attempts_not_run");
+    const bool in_time = monotonic_now() < call.give_up_at || call.phase == call_phase::answering;
+    if (call.sends < most_sends && in_time) {
+        place(call);
+        return;
+    }
+    if (call.runs > 0 || call.phase == call_phase::answering)
+        fail(call, status_bad_gateway, cause);
+    else
+        refuse(call, cause);
+}
+
+void dispatcher::retry_or_fail(online_call& call, const std::string& cause) {
+    drop_attempt(call);
+    call.avoided.insert(call.endpoint);
+    metrics_.count("attempts_lost");
+    const bool allowed = call.is_repeatable() && call.runs < call.route->max_attempts();
+    if (allowed && monotonic_now() + least_useful_time < call.deadline) {
+        log_info("request_retried")
+            .with("request", call.request_id)
+            .with("endpoint", call.endpoint.str())
+            .with("behind_event", call.last_event)
+            .with("cause", cause);
+        place(call);
+        return;
+    }
+    fail(call, status_bad_gateway, cause);
+}
+
+void dispatcher::refuse(online_call& call, const std::string& cause) {
+    net::raw_head head;
+    head.status = status_unavailable;
+    head.fields.add(names_.request_id, call.request_id);
+    head.fields.add("Retry-After",
+                    std::to_string(static_cast<double>(retry_after.count()) * 1000 / us_per_s));
+    log_outcome(call, head.status, cause);
+    metrics_.count("refused");
+    const exchange_id id = call.id;
+    close(id);
+    server_.respond(id, head, "");
+}
+
+void dispatcher::fail(online_call& call, int status, const std::string& cause) {
+    log_outcome(call, status, cause);
+    metrics_.count("failed");
+    const bool began = call.phase == call_phase::answering;
+    net::raw_head head;
+    head.status = status;
+    head.fields.add(names_.request_id, call.request_id);
+    const exchange_id id = call.id;
+    close(id);
+    if (began)
+        server_.abort(id);
+    else
+        server_.respond(id, head, "");
+}
+
+void dispatcher::abandon(exchange_id id) {
+    auto found = calls_.find(id);
+    if (found == calls_.end())
+        return;
+    log_outcome(*found->second, 0, "caller_left");
+    metrics_.count("abandoned");
+    close(id);
+}
+
+// Ends the attempt, if there is one, so that the endpoint stops its work.
+void dispatcher::close(exchange_id id) {
+    auto found = calls_.find(id);
+    if (found == calls_.end())
+        return;
+    drop_attempt(*found->second);
+    line_.remove(id);
+    calls_.erase(found);
+    serve_waiting();
+}
+
+void dispatcher::check_time(online_call& call, instant now) {
+    const bool waits = call.attempt == call_id();
+    if (waits && call.phase == call_phase::waiting && now > call.give_up_at) {
+        if (call.runs > 0)
+            fail(call, status_timeout, "no_slot_in_time");
+        else
+            refuse(call, "no_slot_in_time");
+        return;
+    }
+    if (now >= call.deadline) {
+        if (!waits)
+            drop_attempt(call);
+        fail(call, status_timeout, "deadline");
+        return;
+    }
+    if (waits || !call.is_repeatable())
+        return;
+    const bool answering = call.phase == call_phase::answering;
+    const std::int64_t expected_ms = answering ? call.route->pause_ms() : call.route->target_ms();
+    const milliseconds limit = std::max(least_silence, milliseconds(silence_targets * expected_ms));
+    if (now - call.progress_at < limit)
+        return;
+    suspect(call, now);
+    retry_or_fail(call, "endpoint_silent");
+}
+
+void dispatcher::tick(instant now) {
+    std::vector<exchange_id> ids;
+    ids.reserve(calls_.size());
+    for (const std::pair<const exchange_id, std::unique_ptr<online_call>>& one : calls_)
+        ids.push_back(one.first);
+    for (const exchange_id id : ids) {
+        auto found = calls_.find(id);
+        if (found != calls_.end())
+            check_time(*found->second, now);
+    }
+    serve_waiting();
+}
+
+void dispatcher::log_outcome(const online_call& call, int status, const std::string& cause) const {
+    const instant now = monotonic_now();
+    const auto ms_since = [](instant from, instant to) {
+        return from == instant() ? -1 : std::chrono::duration_cast<milliseconds>(to - from).count();
+    };
+    log_event line(log_level::info, "request_ended");
+    line.with("request", call.request_id)
+        .with("route", call.route->name())
+        .with("routes_version", call.table->version())
+        .with("status", status)
+        .with("cause", cause)
+        .with("endpoint", call.endpoint.str())
+        .with("sends", call.sends)
+        .with("runs", call.runs)
+        .with("queued_ms",
+              call.sends == 0 ? ms_since(call.arrived, now) : ms_since(call.arrived, call.sent_at))
+        .with("first_ms",
+              call.first_byte_at == instant() ? -1 : ms_since(call.arrived, call.first_byte_at))
+        .with("total_ms", ms_since(call.arrived, now))
+        .with("events", call.last_event)
+        .with("paused", call.late_event ? 1 : 0);
+}
+
+} // namespace cassia::gateway
--- /dev/null
+++ b/lib/gateway/fleet_link.cpp
@@ -0,0 +1,272 @@
+#include "cassia/gateway/fleet_link.h"
+
+#include "cassia/base/log.h"
+#include "cassia/net/task.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassia::gateway {
+
+namespace {
+// Keepers list a gateway for 1.5 s after its last word, so several may get lost.
+constexpr milliseconds hello_interval(250);
+constexpr milliseconds tick_interval(50);
+constexpr milliseconds keeper_forgotten_after(10000);
+constexpr milliseconds other_forgotten_after(5000);
+// Others take a gateway that says nothing for 1.5 s for gone, with all it has under way.
+constexpr milliseconds uses_repeated_after(500);
+} // namespace
+
+// A clock that only goes forward while the VM runs: one that an operator sets back would make this
+// process look older than the one before it.
+static std::uint64_t incarnation_now() {
+    return to_us(monotonic_now());
+}
+
+fleet_link::fleet_link(net::task& owner, const schema::gateway_settings& settings,
+                       fleet_hooks hooks)
+    : owner_(owner), settings_(settings), hooks_(std::move(hooks)), incarnation_(incarnation_now()),
+      holder_(settings.name() + "/" + std::to_string(incarnation_)),
+      hub_(owner,
+           {settings.name(), peer_address(settings.peer_address()), peer_address(),
+            settings.cluster().secret(), settings.cluster().security() != "none"},
+           [this](schema::envelope& message) { on_message(message); }),
+      keeper_client_({}, [this](const peer_address& to,
+                                schema::envelope& message) { hub_.send(to, message); }),
+      directory_(membership::directory_settings()) {
+    set_seeds({settings.cluster().seed().begin(), settings.cluster().seed().end()});
+}
+
+fleet_link::~fleet_link() = default;
+
+std::string fleet_link::open() {
+    const net::result<void> opened = hub_.open();
+    if (!opened)
+        return opened.error().text;
+    owner_.every(hello_interval, [this] { say_hello(); });
+    owner_.every(tick_interval, [this] { tick(); });
+    say_hello();
+    return "";
+}
+
+void fleet_link::set_seeds(const std::vector<std::string>& seeds) {
+    seeds_.clear();
+    for (const std::string& seed : seeds)
+        seeds_.insert(net::peer_of_seed(seed, settings_.peer_address()));
+}
+
+void fleet_link::leave() {
+    leaving_ = true;
+    say_hello();
+}
+
+void fleet_link::ask(schema::keeper_request request, entry::ask_options options,
+                     entry::keeper_client::reply_function done) {
+    keeper_client_.ask(std::move(request), options, std::move(done), monotonic_now());
+}
+
+void fleet_link::tell_held(schema::held_items held, group_id group) {
+    auto leader = leaders_.find(group);
+    if (leader == leaders_.end())
+        return;
+    held.set_holder(holder_);
+    held.set_keeper_clock_us(keepers_[leader->second].clock_us);
+    schema::envelope envelope;
+    envelope.mutable_request()->set_group(static_cast<std::uint32_t>(group.value()));
+    *envelope.mutable_request()->mutable_held() = std::move(held);
+    hub_.send(leader->second, envelope);
+}
+
+void fleet_link::say_hello() {
+    std::set<peer_address> to = seeds_;
+    for (const std::pair<const peer_address, instant>& one : control_keepers_)
+        to.insert(one.first);
+    for (const std::pair<const peer_address, instant>& one : work_keepers_)
+        to.insert(one.first);
+    schema::envelope envelope;
+    schema::entry_hello* hello = envelope.mutable_hello();
+    hello->set_entry(settings_.name());
+    hello->set_incarnation(incarnation_);
+    hello->set_peer_address(settings_.peer_address());
+    hello->set_http_address(settings_.serve_address());
+    hello->set_zone(settings_.zone());
+    hello->set_region(settings_.region());
+    hello->set_draining(leaving_ || !routes_);
+    hello->set_routes_version(routes_ ? routes_->version() : 0);
+    hello->set_entries_digest(entries_digest_);
+    hello->set_sent_at_us(to_us(monotonic_now()));
+    for (const peer_address& one : to) {
+        const keeper_state& keeper = keepers_[one];
+        hello->set_directory_epoch(keeper.directory_epoch);
+        hello->set_directory_revision(keeper.directory_revision);
+        hub_.send(one, envelope);
+    }
+}
+
+void fleet_link::on_message(const schema::envelope& message) {
+    switch (message.body_case()) {
+    case schema::envelope::kBeacon:
+        on_beacon(message.beacon());
+        break;
+    case schema::envelope::kReply:
+        keeper_client_.receive(message.reply(), monotonic_now());
+        break;
+    case schema::envelope::kRumor:
+        on_rumor(message.rumor());
+        break;
+    case schema::envelope::kYield:
+        hooks_.on_yield(endpoint_id(message.yield().endpoint()), message.yield().slots());
+        break;
+    default:
+        break;
+    }
+}
+
+void fleet_link::on_beacon(const schema::keeper_beacon& beacon) {
+    const instant now = monotonic_now();
+    const peer_address from(beacon.keeper());
+    keepers_[from].heard = now;
+    keepers_[from].clock_us = beacon.keeper_clock_us();
+    learn_keepers(beacon, now);
+    for (const std::uint32_t group : beacon.leads()) {
+        leaders_[group_id(group)] = from;
+        keeper_client_.leads(group_id(group), from.str());
+    }
+    if (beacon.directory_epoch() != 0) {
+        last_news_ = now;
+        control_keepers_[from] = now;
+        learn_endpoints(beacon, now);
+        learn_entries(beacon, now);
+    }
+    const bool newer =
+        beacon.has_routes() && (!routes_ || beacon.routes().version() > routes_->version());
+    if (newer) {
+        const routes::result<std::shared_ptr<const routes::table>> compiled =
+            routes::table::compile(beacon.routes());
+        if (compiled) {
+            routes_ = compiled.value();
+            log_info("routes_in_force")
+                .with("version", routes_->version())
+                .with("from", from.str());
+            hooks_.on_routes(routes_);
+            say_hello();
+        } else {
+            log_error("routes_refused").with("cause", compiled.error().text);
+        }
+    }
+    if (beacon.cancelled_jobs_size() > 0) {
+        std::set<job_id> jobs;
+        for (const std::string& job : beacon.cancelled_jobs())
+            jobs.insert(job_id(job));
+        hooks_.on_cancelled(jobs);
+    }
+}
+
+void fleet_link::learn_keepers(const schema::keeper_beacon& beacon, instant now) {
+    std::size_t known = work_keepers_.size();
+    for (const schema::keeper_hello& one : beacon.keepers()) {
+        const peer_address address(one.address());
+        if (one.control())
+            control_keepers_[address] = now;
+        if (one.work())
+            work_keepers_[address] = now;
+    }
+    for (std::map<peer_address, instant>* list : {&control_keepers_, &work_keepers_}) {
+        for (auto one = list->begin(); one != list->end();)
+            one = now - one->second > keeper_forgotten_after ? list->erase(one) : std::next(one);
+    }
+    if (known == work_keepers_.size() && beacon.keepers_size() == 0)
+        return;
+    std::vector<entry::keeper_address> addresses;
+    for (const std::pair<const peer_address, instant>& one : work_keepers_)
+        addresses.push_back({one.first.str(), one.first});
+    keeper_client_.set_keepers(std::move(addresses));
+}
+
+void fleet_link::learn_entries(const schema::keeper_beacon& beacon, instant now) {
+    entries_digest_ = beacon.entries_digest();
+    for (const schema::entry_hello& one : beacon.entries()) {
+        if (one.entry() != settings_.name())
+            others_[entry_id(one.entry())] = {one, now - milliseconds(one.age_ms())};
+    }
+    for (auto one = others_.begin(); one != others_.end();)
+        one = now - one->second.seen > other_forgotten_after && beacon.entries_size() > 0
+                  ? others_.erase(one)
+                  : std::next(one);
+}
+
+void fleet_link::learn_endpoints(const schema::keeper_beacon& beacon, instant now) {
+    keeper_state& keeper = keepers_[peer_address(beacon.keeper())];
+    keeper.directory_epoch = beacon.directory_epoch();
+    keeper.directory_revision = beacon.directory_revision();
+    for (const schema::endpoint_record& record : beacon.endpoints())
+        directory_.told(record, now);
+    publish_endpoints(now);
+}
+
+void fleet_link::publish_endpoints(instant now) {
+    // Silence is judged by the time of the last news: while no keeper can be heard at all, the
+    // endpoints that were there are the best guess.
+    std::vector<policy::slot_endpoint> endpoints;
+    std::string text;
+    for (const membership::endpoint_entry* one : directory_.serving(std::min(now, last_news_))) {
+        const schema::endpoint_record& record = one->record;
+        endpoints.push_back({endpoint_id(record.id()), record.incarnation(),
+                             http_address(record.address()), zone_id(record.zone()),
+                             service_id(record.service()), std::max(record.max_running(), 1U)});
+        text += record.id() + "/" + std::to_string(record.incarnation()) + "/" + record.address() +
+                "/" + record.service() + " ";
+    }
+    if (text == published_)
+        return;
+    published_ = text;
+    log_info("endpoints_changed").with("serving", endpoints.size());
+    hooks_.on_endpoints(endpoints);
+}
+
+void fleet_link::on_rumor(const schema::gossip& rumor) {
+    std::map<endpoint_id, policy::slot_use> uses;
+    for (const schema::endpoint_use& use : rumor.uses())
+        uses[endpoint_id(use.endpoint())] = {use.online(), use.batch()};
+    hooks_.on_uses(entry_id(rumor.entry()), std::move(uses));
+}
+
+void fleet_link::share_uses(const std::map<endpoint_id, policy::slot_use>& uses) {
+    const instant now = monotonic_now();
+    if (uses == shared_uses_ && now - uses_shared_at_ < uses_repeated_after)
+        return;
+    shared_uses_ = uses;
+    uses_shared_at_ = now;
+    schema::envelope envelope;
+    schema::gossip* rumor = envelope.mutable_rumor();
+    rumor->set_entry(settings_.name());
+    rumor->set_incarnation(incarnation_);
+    for (const std::pair<const endpoint_id, policy::slot_use>& one : uses) {
+        schema::endpoint_use* use = rumor->add_uses();
+        use->set_endpoint(one.first.str());
+        use->set_online(one.second.online);
+        use->set_batch(one.second.batch);
+    }
+    for (const std::pair<const entry_id, other_gateway>& other : others_)
+        hub_.send(peer_address(other.second.hello.peer_address()), envelope);
+}
+
+void fleet_link::ask_to_yield(const entry_id& entry, const endpoint_id& endpoint,
+                              std::uint32_t slots) {
+    auto found = others_.find(entry);
+    if (found == others_.end())
+        return;
+    schema::envelope envelope;
+    envelope.mutable_yield()->set_endpoint(endpoint.str());
+    envelope.mutable_yield()->set_slots(slots);
+    hub_.send(peer_address(found->second.hello.peer_address()), envelope);
+}
+
+void fleet_link::tick() {
+    const instant now = monotonic_now();
+    keeper_client_.tick(now);
+    publish_endpoints(now);
+}
+
+} // namespace cassia::gateway
--- /dev/null
+++ b/lib/gateway/job_desk.cpp
@@ -0,0 +1,102 @@
+#include "cassia/gateway/job_desk.h"
+
+#include "cassia/state/sharding.h"
+
+#include <utility>
+
+namespace cassia::gateway {
+
+namespace {
+// Callers wait 1 to 4 s; an answer that comes later helps nobody, and an unknown outcome lets them
+// ask another gateway.
+constexpr milliseconds patience(1400);
+} // namespace
+
+const char* job_outcome_name(job_outcome outcome) {
+    switch (outcome) {
+    case job_outcome::done:
+        return "done";
+    case job_outcome::missing:
+        return "missing";
+    case job_outcome::over_quota:
+        return "over_quota";
+    case job_outcome::other_content:
+        return "other_content";
+    case job_outcome::not_taken:
+        return "not_taken";
+    case job_outcome::unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+static job_outcome outcome_of(const schema::keeper_reply& reply) {
+    if (reply.result() != schema::keeper_reply::done)
+        return job_outcome::unknown;
+    switch (reply.work().result()) {
+    case schema::work_reply::missing:
+        return job_outcome::missing;
+    case schema::work_reply::over_quota:
+        return job_outcome::over_quota;
+    case schema::work_reply::key_reused:
+        return job_outcome::other_content;
+    default:
+        return job_outcome::done;
+    }
+}
+
+job_desk::job_desk(fleet_link& fleet, std::uint32_t work_groups)
+    : fleet_(fleet), work_groups_(work_groups) {}
+
+void job_desk::ask(const job_id& job, schema::keeper_request request, done_function done) {
+    if (!fleet_.knows_work_keepers()) {
+        done(job_outcome::not_taken, schema::work_reply());
+        return;
+    }
+    const group_id group = state::group_of_job(job, work_groups_);
+    request.set_group(static_cast<std::uint32_t>(group.value()));
+    entry::ask_options options;
+    options.patience = patience;
+    fleet_.ask(std::move(request), options,
+               [done = std::move(done)](const schema::keeper_reply& reply) {
+                   done(outcome_of(reply), reply.work());
+               });
+}
+
+void job_desk::submit(schema::job_submit submission, done_function done) {
+    const job_id job(submission.begin().job());
+    schema::keeper_request request;
+    *request.mutable_work()->mutable_submit() = std::move(submission);
+    ask(job, std::move(request), std::move(done));
+}
+
+void job_desk::read_results(const job_id& job, const customer_id& customer, std::uint32_t from,
+                            done_function done) {
+    schema::keeper_request request;
+    request.mutable_query()->set_kind(schema::work_query::listed_results);
+    request.mutable_query()->set_job(job.str());
+    request.mutable_query()->set_customer(customer.str());
+    request.mutable_query()->set_from(from);
+    ask(job, std::move(request), std::move(done));
+}
+
+void job_desk::read_item(const job_id& job, const customer_id& customer, const std::string& item,
+                         done_function done) {
+    schema::keeper_request request;
+    request.mutable_query()->set_kind(schema::work_query::item_source);
+    request.mutable_query()->set_job(job.str());
+    request.mutable_query()->set_customer(customer.str());
+    request.mutable_query()->set_custom_id(item);
+    ask(job, std::move(request), std::move(done));
+}
+
+void job_desk::end(const job_id& job, const customer_id& customer, done_function done) {
+    schema::keeper_request request;
+    schema::job_cancel* cancel = request.mutable_work()->mutable_cancel();
+    cancel->set_job(job.str());
+    cancel->set_customer(customer.str());
+    cancel->set_at(to_unix_ms(wall_now()));
+    ask(job, std::move(request), std::move(done));
+}
+
+} // namespace cassia::gateway
--- a/lib/keeper/founding.cpp
+++ b/lib/keeper/founding.cpp
@@ -8,7 +8,12 @@
 constexpr milliseconds sighting_age(3000);
 } // namespace
 
-founding::founding(std::vector<std::string> founders) : founders_(std::move(founders)) {
+founding::founding(std::vector<std::string> founders) {
+    set_founders(std::move(founders));
+}
+
+void founding::set_founders(std::vector<std::string> founders) {
+    founders_ = std::move(founders);
     std::sort(founders_.begin(), founders_.end());
 }
 
--- a/lib/keeper/service.cpp
+++ b/lib/keeper/service.cpp
@@ -22,8 +22,11 @@
 constexpr const char* founders_file = "founders";
 } // namespace
 
+// Keepers that find each other by seeds are known by their addresses: nobody tells them names.
 static std::vector<std::string> founder_names(const schema::keeper_settings& settings) {
     std::vector<std::string> names;
+    for (const std::string& seed : settings.cluster().seed())
+        names.push_back(net::peer_of_seed(seed, settings.peer_address()).str());
     for (const schema::peer_settings& keeper : settings.cluster().keeper())
         names.push_back(keeper.name());
     return names;
@@ -32,7 +35,11 @@
 service::service(schema::keeper_settings settings)
     : settings_(std::move(settings)), task_("keeper"),
       store_(settings_.data_dir(), settings_.segment_mib() * bytes_per_mib, storage::system_disk()),
-      founding_(founder_names(settings_)) {}
+      founding_(founder_names(settings_)),
+      node_(uses_seeds() ? settings_.peer_address() : settings_.name()),
+      directory_({milliseconds(settings_.endpoint_silent_ms()),
+                  membership::directory_settings().forget_after}),
+      directory_epoch_(random_bits()) {}
 
 service::~service() = default;
 
@@ -48,7 +55,8 @@
     hub_ = std::make_unique<net::peer_hub>(
         task_,
         net::peer_hub_settings{settings_.name(), peer_address(settings_.peer_address()),
-                               peer_address(settings_.peer_bind()), settings_.cluster().secret()},
+                               peer_address(settings_.peer_bind()), settings_.cluster().secret(),
+                               settings_.cluster().security() != "none"},
         [this](schema::envelope& message) { on_message(message); });
     net::http_server_hooks hooks;
     hooks.on_request = [this](exchange_id id, const net::http_request& request) {
@@ -88,8 +96,9 @@
 
 void service::make_groups() {
     const instant started = monotonic_now();
-    hosts_[control_group] = make_host(control_group, control_machine());
-    for (std::uint32_t i = 1; i <= settings_.cluster().work_groups(); ++i) {
+    if (hosts_control())
+        hosts_[control_group] = make_host(control_group, control_machine());
+    for (std::uint32_t i = 1; hosts_work() && i <= settings_.cluster().work_groups(); ++i) {
         const group_id id(i);
         work_group& group = work_[id];
         hosts_[id] = make_host(id, work_machine(group, id));
@@ -131,8 +140,15 @@
         schema::keeper_reply reply;
         if (command.ParseFromString(bytes))
             *reply.mutable_control() = control_.apply(command);
-        if (reply.control().result() == schema::control_reply::accepted && command.has_change())
+        const bool accepted = reply.control().result() == schema::control_reply::accepted;
+        if (accepted && command.has_change())
             on_config_applied();
+        if (accepted && command.has_routes()) {
+            log_info("routes_applied").with("version", control_.routes().version());
+            send_beacons_soon();
+        }
+        if (accepted && command.has_found_work())
+            push_news();
         return reply;
     };
     machine.save = [this] { return control_.save(); };
@@ -182,23 +198,28 @@
     net::on_signal(task_, SIGUSR1, [this] { log_info("state_dump").with("dump", dump()); });
     task_.every(tick_interval, [this] { tick(); });
     task_.every(hello_interval, [this] {
-        try_to_found();
-        for (const schema::peer_settings& keeper : settings_.cluster().keeper()) {
-            if (keeper.name() != settings_.name())
-                send_keeper_hello(peer_address(keeper.address()));
-        }
+        if (hosts_control())
+            try_to_found();
+        for (const peer_address& keeper : keepers_to_greet())
+            send_keeper_hello(keeper);
+        answer_waiting_words();
+        directory_.forget_old(monotonic_now());
     });
     task_.every(repair_interval, [this] {
         const instant now = monotonic_now();
         for (const std::pair<const group_id, std::unique_ptr<group_host>>& host : hosts_) {
             if (!host.second->raft().leads())
                 continue;
+            const bool by_decision = uses_seeds() && host.first != control_group;
+            const founding& members = by_decision ? work_founding_ : founding_;
             if (std::optional<consensus::member_list> next =
-                    founding_.next_change(host.second->raft(), now))
+                    members.next_change(host.second->raft(), now))
                 host.second->change_members(*next, now);
         }
-        if (hosts_.at(control_group)->raft().may_read(now))
+        if (hosts_control() && hosts_.at(control_group)->raft().may_read(now)) {
             ++beacon_;
+            decide_work_founders();
+        }
     });
     task_.every(segment_interval, [this] { remove_old_segments(); });
     log_info("keeper_started")
@@ -282,7 +303,8 @@
         if (member.disk == disk)
             return peer_address(member.address);
     }
-    return founding_.address_of(disk);
+    const peer_address address = founding_.address_of(disk);
+    return address.empty() ? work_founding_.address_of(disk) : address;
 }
 
 void service::send_raft(std::vector<schema::raft_message> messages) {
@@ -299,7 +321,8 @@
 void service::try_to_found() {
     const bool founded = hosts_.at(control_group)->founded();
     const instant now = monotonic_now();
-    founding_.saw({settings_.name(), recovered_.disk, settings_.peer_address(), !founded, now});
+    const bool may_found = !founded && settings_.first_start();
+    founding_.saw({node_, recovered_.disk, settings_.peer_address(), may_found, now});
     if (founded)
         return;
     if (founders_.empty()) {
@@ -347,7 +370,7 @@
     std::uint32_t oldest = UINT32_MAX;
     for (const std::pair<const group_id, std::unique_ptr<group_host>>& host : hosts_)
         oldest = std::min(oldest, host.second->oldest_segment());
-    if (hosts_.at(control_group)->founded())
+    if (hosts_.begin()->second->founded())
         store_.log().remove_before(oldest);
 }
 
--- a/lib/keeper/service_requests.cpp
+++ b/lib/keeper/service_requests.cpp
@@ -16,6 +16,7 @@
 using state::control_group;
 constexpr milliseconds entry_forgotten_after(60000);
 constexpr milliseconds entry_alive(3000);
+constexpr milliseconds incarnation_overlap(1000);
 } // namespace
 
 void service::on_message(schema::envelope& message) {
@@ -38,6 +39,9 @@
     case schema::envelope::kKeeper:
         on_keeper_hello(message.keeper());
         break;
+    case schema::envelope::kNews:
+        on_news(message.news());
+        break;
     default:
         break;
     }
@@ -167,7 +171,9 @@
 void service::on_entry_hello(const schema::entry_hello& hello) {
     const instant now = monotonic_now();
     known_entry& entry = entries_[hello.entry()];
-    if (hello.incarnation() < entry.hello.incarnation())
+    // A restarted VM may count its incarnations anew; while the other one was heard just now, the
+    // lower one is a late message of a process that is gone.
+    if (hello.incarnation() < entry.hello.incarnation() && now - entry.seen < incarnation_overlap)
         return;
     entry.hello = hello;
     entry.seen = now;
@@ -181,24 +187,44 @@
         one = now - one->second.seen > entry_forgotten_after ? entries_.erase(one) : std::next(one);
 }
 
-void service::send_beacon(const known_entry& entry) {
+void service::write_control_news(const known_entry& entry, schema::keeper_beacon& beacon) const {
     const instant now = monotonic_now();
-    schema::envelope envelope;
-    schema::keeper_beacon* beacon = envelope.mutable_beacon();
-    beacon->set_keeper(settings_.name());
-    beacon->set_sent_at_us(entry.hello.sent_at_us());
-    beacon->set_keeper_clock_us(to_us(now));
     const consensus::raft_group& control = hosts_.at(control_group)->raft();
-    beacon->set_beacon_term(control.term().value());
+    beacon.set_beacon_term(control.term().value());
     // The beacon says that a quorum stood behind this leader just now. Without the lease a leader
     // that is cut off would go on vouching for lists that others have replaced.
     if (control.may_read(now)) {
-        beacon->set_leads_control(true);
-        beacon->set_beacon(beacon_);
-        beacon->set_config_version(control_.version());
+        beacon.set_leads_control(true);
+        beacon.set_beacon(beacon_);
+        beacon.set_config_version(control_.version());
         if (entry.hello.config_version() < control_.version())
-            *beacon->mutable_config() = *control_.current();
+            *beacon.mutable_config() = *control_.current();
     }
+    // Tables need no lease: one that a member has applied is committed, and entries never go back
+    // to a lower version.
+    if (uses_seeds() && entry.hello.routes_version() < control_.routes().version())
+        *beacon.mutable_routes() = control_.routes();
+    const bool known_epoch = entry.hello.directory_epoch() == directory_epoch_;
+    const std::uint64_t known = known_epoch ? entry.hello.directory_revision() : 0;
+    beacon.set_directory_epoch(directory_epoch_);
+    beacon.set_directory_revision(directory_.revision());
+    for (schema::endpoint_record& record : directory_.records_since(known, now))
+        *beacon.add_endpoints() = std::move(record);
+    for (const std::pair<const std::string, known_keeper>& one : keepers_) {
+        if (now - one.second.seen < entry_alive)
+            *beacon.add_keepers() = one.second.hello;
+    }
+}
+
+void service::send_beacon(const known_entry& entry) {
+    const instant now = monotonic_now();
+    schema::envelope envelope;
+    schema::keeper_beacon* beacon = envelope.mutable_beacon();
+    beacon->set_keeper(node_);
+    beacon->set_sent_at_us(entry.hello.sent_at_us());
+    beacon->set_keeper_clock_us(to_us(now));
+    if (hosts_control())
+        write_control_news(entry, *beacon);
     const std::string holder =
         entry.hello.entry() + "/" + std::to_string(entry.hello.incarnation());
     for (const std::pair<const group_id, work_group>& group : work_) {
@@ -215,9 +241,13 @@
                 beacon->add_cancelled_jobs(key.first.str());
         }
     }
+    // Large lists are sent to those who don't have them yet.
+    beacon->set_entries_digest(entries_digest());
+    const bool same_entries =
+        uses_seeds() && entry.hello.entries_digest() == beacon->entries_digest();
     for (const std::pair<const std::string, known_entry>& one : entries_) {
         const microseconds age = now - one.second.seen;
-        if (age >= entry_alive)
+        if (same_entries || !hosts_control() || age >= entry_alive)
             continue;
         // Passed on as new, the word of a dead entry would keep it on the callers' list for twice
         // as long.
@@ -256,23 +286,19 @@
 
 void service::send_keeper_hello(const peer_address& to) {
     schema::envelope envelope;
-    schema::keeper_hello* hello = envelope.mutable_keeper();
-    hello->set_node(settings_.name());
-    hello->set_disk(recovered_.disk.value());
-    hello->set_address(settings_.peer_address());
-    hello->set_empty(!hosts_.at(control_group)->founded());
-    if (hosts_.at(control_group)->founded())
-        *hello->mutable_founders() = consensus::members_to_proto(founders_);
+    *envelope.mutable_keeper() = own_hello(to);
     hub_->send(to, envelope);
 }
 
 void service::on_keeper_hello(const schema::keeper_hello& hello) {
-    founding_.saw(
-        {hello.node(), disk_id(hello.disk()), hello.address(), hello.empty(), monotonic_now()});
+    see_keeper(hello, monotonic_now());
     // A founder that missed the moment learns here what the others decided.
-    const bool founded = hosts_.at(control_group)->founded();
-    if (!founded && hello.founders().members_size() > 0)
+    const bool founded = !hosts_control() || hosts_.at(control_group)->founded();
+    if (!founded && hello.control() && hello.founders().members_size() > 0)
         founders_ = consensus::members_from_proto(hello.founders());
+    if (uses_seeds() && hosts_control())
+        send_news(peer_address(hello.address()), keepers_.at(hello.node()));
+    answer_waiting_words();
 }
 
 std::string service::dump() const {
--- a/lib/keeper/work_leader.cpp
+++ b/lib/keeper/work_leader.cpp
@@ -171,7 +171,10 @@
                          instant now) {
     const job_id job(command.cancel().job());
     hooks_.propose(command, [this, job, reply, now](schema::keeper_reply answer) {
-        const bool stopping = answer.result() == schema::keeper_reply::done &&
+        // Callers of a listed job learn of each item from its list, so they needn't wait.
+        auto found = state_.jobs().find(job);
+        const bool listed = found != state_.jobs().end() && found->second.listed;
+        const bool stopping = answer.result() == schema::keeper_reply::done && !listed &&
                               answer.work().job().status() == "cancelling";
         if (stopping)
             cancels_.push_back({job, reply, now + cancel_patience});
--- a/lib/membership/directory.cpp
+++ b/lib/membership/directory.cpp
@@ -12,6 +12,8 @@
     right.clear_load();
     left.clear_age_ms();
     right.clear_age_ms();
+    left.clear_sequence();
+    right.clear_sequence();
     return left.SerializeAsString() != right.SerializeAsString();
 }
 
@@ -27,29 +29,72 @@
     return merge(record, now - milliseconds(record.age_ms()));
 }
 
+void directory::store(endpoint_entry& entry, const schema::endpoint_record& record, instant heard) {
+    entry.record = record;
+    entry.heard = heard;
+    entry.revision = ++revision_;
+}
+
+// An address passes from one process to another. An announcement of the earlier one that was held
+// up on its way would otherwise put both there, and requests meant for one would reach the other.
+void directory::end_predecessors(const schema::endpoint_record& record) {
+    for (std::pair<const endpoint_id, endpoint_entry>& one : endpoints_) {
+        const schema::endpoint_record& other = one.second.record;
+        const bool replaced = other.address() == record.address() && other.id() != record.id() &&
+                              other.incarnation() < record.incarnation() && !other.gone();
+        if (!replaced)
+            continue;
+        one.second.leaving = true;
+        one.second.record.set_gone(true);
+        one.second.revision = ++revision_;
+    }
+}
+
+static bool is_replaced(const std::map<endpoint_id, endpoint_entry>& endpoints,
+                        const schema::endpoint_record& record) {
+    return std::any_of(endpoints.begin(), endpoints.end(),
+                       [&record](const std::pair<const endpoint_id, endpoint_entry>& one) {
+                           const schema::endpoint_record& other = one.second.record;
+                           return other.address() == record.address() &&
+                                  other.id() != record.id() &&
+                                  other.incarnation() > record.incarnation();
+                       });
+}
+
 bool directory::merge(const schema::endpoint_record& record, instant heard) {
     const endpoint_id id(record.id());
     auto found = endpoints_.find(id);
-    if (found == endpoints_.end()) {
-        endpoints_[id] = {record, heard, instant(), record.leaving()};
+    const bool newer =
+        found == endpoints_.end() || record.incarnation() > found->second.record.incarnation();
+    if (newer) {
+        endpoint_entry entry;
+        store(entry, record, heard);
+        const bool replaced = is_replaced(endpoints_, record);
+        entry.leaving = record.leaving() || record.gone() || replaced;
+        entry.record.set_gone(record.gone() || replaced);
+        endpoints_[id] = std::move(entry);
+        end_predecessors(record);
         return true;
     }
     endpoint_entry& known = found->second;
     if (record.incarnation() < known.record.incarnation())
         return false;
-    if (record.incarnation() > known.record.incarnation()) {
-        known = {record, heard, instant(), record.leaving()};
-        return true;
-    }
     // Leaving holds for the whole incarnation: an announcement from before it, which took a slower
     // way, would otherwise bring new work to an endpoint that is about to go.
-    const bool starts_leaving = record.leaving() && !known.leaving;
-    known.leaving = known.leaving || record.leaving();
-    if (heard <= known.heard)
+    const bool leaves = record.leaving() || record.gone();
+    const bool starts_leaving = leaves && !known.leaving;
+    known.leaving = known.leaving || leaves;
+    const bool gone = known.record.gone() || record.gone();
+    if (starts_leaving || gone != known.record.gone())
+        known.revision = ++revision_;
+    known.record.set_gone(gone);
+    // A late announcement doesn't show that the endpoint still lives.
+    const bool late = record.sequence() < known.record.sequence();
+    if (heard <= known.heard || late)
         return starts_leaving;
     const bool changed = starts_leaving || differs(record, known.record);
-    known.record = record;
-    known.heard = heard;
+    store(known, record, heard);
+    known.record.set_gone(gone);
     return changed;
 }
 
@@ -77,6 +122,22 @@
     return out;
 }
 
+std::vector<schema::endpoint_record> directory::records_since(std::uint64_t revision,
+                                                              instant now) const {
+    std::vector<schema::endpoint_record> out;
+    for (const std::pair<const endpoint_id, endpoint_entry>& one : endpoints_) {
+        if (one.second.revision <= revision)
+            continue;
+        schema::endpoint_record record = one.second.record;
+        record.set_leaving(one.second.leaving);
+        const microseconds age = now - one.second.heard;
+        record.set_age_ms(
+            static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(age).count()));
+        out.push_back(std::move(record));
+    }
+    return out;
+}
+
 void directory::forget_old(instant now) {
     for (auto one = endpoints_.begin(); one != endpoints_.end();) {
         const bool old = now - one->second.heard > settings_.forget_after;
--- a/lib/net/peer_hub.cpp
+++ b/lib/net/peer_hub.cpp
@@ -198,18 +198,21 @@
 
 result<void> peer_hub::open() {
     const std::string& secret = state_->settings.secret;
-    if (secret.size() != z85_key_chars ||
-        zmq_curve_public(state_->public_key.data(), secret.c_str()) != 0)
+    const bool encrypted = state_->settings.encrypted;
+    if (encrypted && (secret.size() != z85_key_chars ||
+                      zmq_curve_public(state_->public_key.data(), secret.c_str()) != 0))
         return failure(error{errc::bad_secret, "the cluster secret is no CURVE secret key"});
-    state_->authenticator = zmq_socket(state_->context, ZMQ_REP);
-    set_option(state_->authenticator, ZMQ_LINGER, 0);
-    zmq_bind(state_->authenticator, "inproc://zeromq.zap.01");
     state_->router = zmq_socket(state_->context, ZMQ_ROUTER);
     set_common_options(state_->router);
     set_option(state_->router, ZMQ_ROUTER_HANDOVER, 1);
-    set_option(state_->router, ZMQ_CURVE_SERVER, 1);
-    zmq_setsockopt(state_->router, ZMQ_CURVE_SECRETKEY, secret.c_str(), z85_key_chars + 1);
-    zmq_setsockopt(state_->router, ZMQ_ZAP_DOMAIN, "cassia", std::strlen("cassia"));
+    if (encrypted) {
+        state_->authenticator = zmq_socket(state_->context, ZMQ_REP);
+        set_option(state_->authenticator, ZMQ_LINGER, 0);
+        zmq_bind(state_->authenticator, "inproc://zeromq.zap.01");
+        set_option(state_->router, ZMQ_CURVE_SERVER, 1);
+        zmq_setsockopt(state_->router, ZMQ_CURVE_SECRETKEY, secret.c_str(), z85_key_chars + 1);
+        zmq_setsockopt(state_->router, ZMQ_ZAP_DOMAIN, "cassia", std::strlen("cassia"));
+    }
     if (state_->settings.bind.empty())
         state_->settings.bind = state_->settings.address;
     const std::string where = "tcp://" + state_->settings.bind.str();
@@ -217,8 +220,9 @@
         return failure(error{errc::cannot_listen, "cannot listen on " +
                                                       state_->settings.bind.str() + ": " +
                                                       zmq_strerror(zmq_errno())});
-    state_->sources.push_back(
-        watch_socket(*state_->owner, state_->authenticator, &state_->read_authenticator));
+    if (encrypted)
+        state_->sources.push_back(
+            watch_socket(*state_->owner, state_->authenticator, &state_->read_authenticator));
     state_->sources.push_back(watch_socket(*state_->owner, state_->router, &state_->read_router));
     return success();
 }
@@ -227,9 +231,11 @@
     void* socket = zmq_socket(hub->context, ZMQ_DEALER);
     set_common_options(socket);
     const std::string& secret = hub->settings.secret;
-    zmq_setsockopt(socket, ZMQ_CURVE_SERVERKEY, hub->public_key.data(), z85_key_chars + 1);
-    zmq_setsockopt(socket, ZMQ_CURVE_PUBLICKEY, hub->public_key.data(), z85_key_chars + 1);
-    zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, secret.c_str(), z85_key_chars + 1);
+    if (hub->settings.encrypted) {
+        zmq_setsockopt(socket, ZMQ_CURVE_SERVERKEY, hub->public_key.data(), z85_key_chars + 1);
+        zmq_setsockopt(socket, ZMQ_CURVE_PUBLICKEY, hub->public_key.data(), z85_key_chars + 1);
+        zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, secret.c_str(), z85_key_chars + 1);
+    }
     constexpr int longest_reconnect_ms = 1000;
     set_option(socket, ZMQ_RECONNECT_IVL_MAX, longest_reconnect_ms);
     // From the own IP number, so that a VM with several is known by the one in its settings.
@@ -251,6 +257,11 @@
         log_debug("message_dropped").with("to", to.str());
 }
 
+peer_address peer_of_seed(const std::string& seed, const std::string& own_peer_address) {
+    return peer_address(seed.substr(0, seed.rfind(':')) +
+                        own_peer_address.substr(own_peer_address.rfind(':')));
+}
+
 std::string make_cluster_secret() {
     key_text public_key{};
     key_text secret_key{};
--- /dev/null
+++ b/lib/net/raw_client.cpp
@@ -0,0 +1,371 @@
+#include "cassia/net/raw_client.h"
+
+#include "cassia/base/log.h"
+#include "cassia/net/task.h"
+#include "cassia/net/tcp_connections.h"
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace cassia::net {
+
+namespace {
+namespace http = boost::beast::http;
+using response_parser = http::response_parser<http::string_body>;
+
+constexpr milliseconds sweep_interval(100);
+// A server that names no time for idle connections keeps them for less than a second.
+constexpr milliseconds unnamed_idle_limit(400);
+// A request that is sent as the server closes is lost with the connection.
+constexpr milliseconds idle_margin(600);
+constexpr milliseconds most_idle(10000);
+constexpr std::uint32_t header_bytes = 64 * 1024;
+constexpr std::size_t most_idle_each = 32; ///< kept connections to one address
+constexpr unsigned informational_end = 200;
+
+struct call_state {
+    raw_call call;
+    raw_call_hooks hooks;
+    connection_id connection;
+    bool kept = false;
+    bool sent = false;
+    bool head_given = false;
+    std::string unread;
+    milliseconds idle_limit{0}; ///< how long the connection may be kept after this call
+    instant connect_by{};
+    std::unique_ptr<response_parser> parser;
+};
+
+struct idle_connection {
+    connection_id id;
+    instant until{};
+};
+} // namespace
+
+struct raw_client::state {
+    task* owner = nullptr;
+    std::string own_ip;
+    std::unique_ptr<tcp_connections> sockets;
+    std::map<call_id, call_state> calls;
+    std::map<connection_id, call_id> users;
+    std::map<http_address, std::vector<idle_connection>> idle;
+    std::map<connection_id, http_address> idle_addresses;
+    std::uint64_t last_call = 0;
+    raw_client_counts counts;
+    timer_id sweeper;
+
+    bool take_idle(const http_address& to, connection_id& out);
+    void drop_idle(connection_id id);
+    void send_request(call_state& one);
+    void on_connected(connection_id id);
+    void on_bytes(connection_id id, std::string_view bytes);
+    void on_closed(connection_id id, bool clean);
+    void receive(call_id id, std::string_view bytes);
+    bool give_head(call_id id);
+    bool give_body(call_id id);
+    void finish(call_id id, bool reusable);
+    void fail(call_id id, errc code, const std::string& cause);
+    void sweep();
+};
+
+static std::unique_ptr<response_parser> make_parser(const raw_request& request) {
+    std::unique_ptr<response_parser> parser = std::make_unique<response_parser>();
+    parser->eager(true);
+    parser->header_limit(header_bytes);
+    parser->body_limit(boost::none);
+    if (request.method == "HEAD")
+        parser->skip(true);
+    return parser;
+}
+
+static bool is_informational(const response_parser& parser) {
+    return parser.get().result_int() < informational_end;
+}
+
+static raw_head take_head(const response_parser& parser) {
+    const response_parser::value_type& message = parser.get();
+    raw_head head;
+    head.status = static_cast<int>(message.result_int());
+    head.reason = std::string(message.reason());
+    for (const response_parser::value_type::value_type& field : message)
+        head.fields.add({field.name_string().data(), field.name_string().size()},
+                        {field.value().data(), field.value().size()});
+    if (parser.chunked()) {
+        head.framing = body_framing::chunked;
+    } else if (parser.content_length()) {
+        head.framing = body_framing::length;
+        head.length = *parser.content_length();
+    } else if (parser.need_eof()) {
+        head.framing = body_framing::until_close;
+    }
+    return head;
+}
+
+// How long the other end keeps the connection while nothing happens, less the way there.
+static milliseconds idle_limit_of(const http_fields& fields) {
+    constexpr std::string_view parameter = "timeout=";
+    const std::string_view text = fields.find("Keep-Alive");
+    const std::size_t at = text.find(parameter);
+    if (at == std::string_view::npos)
+        return unnamed_idle_limit;
+    int seconds = 0;
+    std::from_chars(text.data() + at + parameter.size(), text.data() + text.size(), seconds);
+    return std::min<milliseconds>(std::chrono::seconds(seconds) - idle_margin, most_idle);
+}
+
+// Connections used last come first: the others run out and are closed.
+bool raw_client::state::take_idle(const http_address& to, connection_id& out) {
+    auto found = idle.find(to);
+    const instant now = monotonic_now();
+    while (found != idle.end() && !found->second.empty()) {
+        const idle_connection last = found->second.back();
+        found->second.pop_back();
+        idle_addresses.erase(last.id);
+        if (now < last.until) {
+            out = last.id;
+            return true;
+        }
+        sockets->close(last.id);
+    }
+    return false;
+}
+
+void raw_client::state::drop_idle(connection_id id) {
+    auto address = idle_addresses.find(id);
+    if (address == idle_addresses.end())
+        return;
+    std::vector<idle_connection>& list = idle[address->second];
+    for (auto one = list.begin(); one != list.end(); ++one) {
+        if (one->id == id) {
+            list.erase(one);
+            break;
+        }
+    }
+    idle_addresses.erase(address);
+}
+
+void raw_client::state::send_request(call_state& one) {
+    one.sent = true;
+    sockets->write(one.connection, to_bytes(one.call.request));
+}
+
+void raw_client::state::on_connected(connection_id id) {
+    auto user = users.find(id);
+    if (user == users.end())
+        return;
+    send_request(calls.at(user->second));
+}
+
+void raw_client::state::on_bytes(connection_id id, std::string_view bytes) {
+    auto user = users.find(id);
+    if (user != users.end()) {
+        receive(user->second, bytes);
+        return;
+    }
+    // Bytes that nobody asked for: a second answer, late. The connection can't be trusted.
+    log_info("idle_connection_dropped").with("reason", "unexpected_bytes");
+    drop_idle(id);
+    sockets->reset(id);
+}
+
+void raw_client::state::on_closed(connection_id id, bool clean) {
+    auto user = users.find(id);
+    if (user == users.end()) {
+        drop_idle(id);
+        return;
+    }
+    const call_id call = user->second;
+    call_state& one = calls.at(call);
+    // A body without a length ends with its connection. Only an orderly close ends it: one that was
+    // reset on the way isn't complete and must not look so.
+    const bool ends_body = clean && one.head_given && one.parser->need_eof();
+    if (ends_body) {
+        finish(call, false);
+        return;
+    }
+    fail(call, one.sent ? errc::connection_lost : errc::cannot_connect, "connection closed");
+}
+
+void raw_client::state::receive(call_id id, std::string_view bytes) {
+    calls.at(id).unread.append(bytes);
+    for (;;) {
+        auto found = calls.find(id);
+        if (found == calls.end())
+            return;
+        call_state& one = found->second;
+        if (one.parser->is_done()) {
+            // Bytes behind a whole answer belong to no request: the connection ends here.
+            finish(id, one.unread.empty());
+            return;
+        }
+        if (one.unread.empty())
+            return;
+        boost::system::error_code problem;
+        const std::size_t used =
+            one.parser->put(boost::asio::buffer(one.unread.data(), one.unread.size()), problem);
+        one.unread.erase(0, used);
+        const bool incomplete = problem == http::error::need_more;
+        if (problem && !incomplete) {
+            fail(id, errc::connection_lost, "unreadable answer: " + problem.message());
+            return;
+        }
+        if (!one.parser->is_header_done())
+            return;
+        if (is_informational(*one.parser)) {
+            one.parser = make_parser(one.call.request);
+            continue;
+        }
+        if (!give_head(id) || !give_body(id))
+            return;
+        if (incomplete || used == 0)
+            return;
+    }
+}
+
+// \returns false if the call is gone.
+bool raw_client::state::give_head(call_id id) {
+    call_state& one = calls.at(id);
+    if (one.head_given)
+        return true;
+    one.head_given = true;
+    const raw_head head = take_head(*one.parser);
+    one.idle_limit = idle_limit_of(head.fields);
+    raw_head given = head;
+    given.fields.erase_hop_by_hop();
+    const std::function<void(const raw_head&)> on_head = one.hooks.on_head;
+    on_head(given);
+    return calls.count(id) > 0;
+}
+
+bool raw_client::state::give_body(call_id id) {
+    call_state& one = calls.at(id);
+    if (one.parser->get().body().empty())
+        return true;
+    const std::string piece = std::exchange(one.parser->get().body(), std::string());
+    const std::function<void(std::string_view)> on_piece = one.hooks.on_piece;
+    on_piece(piece);
+    return calls.count(id) > 0;
+}
+
+void raw_client::state::finish(call_id id, bool reusable) {
+    auto found = calls.find(id);
+    call_state one = std::move(found->second);
+    calls.erase(found);
+    users.erase(one.connection);
+    std::vector<idle_connection>& kept = idle[one.call.to];
+    const bool keep = reusable && one.parser->keep_alive() && !one.parser->need_eof() &&
+                      one.idle_limit > milliseconds(0) && kept.size() < most_idle_each;
+    if (keep) {
+        kept.push_back({one.connection, monotonic_now() + one.idle_limit});
+        idle_addresses[one.connection] = one.call.to;
+    } else {
+        sockets->close(one.connection);
+    }
+    one.hooks.on_end();
+}
+
+void raw_client::state::fail(call_id id, errc code, const std::string& cause) {
+    auto found = calls.find(id);
+    call_state one = std::move(found->second);
+    calls.erase(found);
+    users.erase(one.connection);
+    sockets->reset(one.connection);
+    one.hooks.on_failure({error{code, cause}, one.sent, one.kept, one.head_given});
+}
+
+void raw_client::state::sweep() {
+    const instant now = monotonic_now();
+    std::vector<call_id> late;
+    for (const std::pair<const call_id, call_state>& one : calls) {
+        if (!one.second.sent && now > one.second.connect_by)
+            late.push_back(one.first);
+    }
+    for (const call_id id : late)
+        fail(id, errc::cannot_connect, "no connection in time");
+    std::vector<connection_id> old;
+    for (const std::pair<const http_address, std::vector<idle_connection>>& list : idle) {
+        for (const idle_connection& one : list.second) {
+            if (now >= one.until)
+                old.push_back(one.id);
+        }
+    }
+    for (const connection_id id : old) {
+        drop_idle(id);
+        sockets->close(id);
+    }
+}
+
+raw_client::raw_client(task& owner, std::string own_ip) : state_(std::make_unique<state>()) {
+    state* self = state_.get();
+    self->owner = &owner;
+    self->own_ip = std::move(own_ip);
+    tcp_hooks hooks;
+    hooks.on_accepted = [](connection_id) {};
+    hooks.on_connected = [self](connection_id id) { self->on_connected(id); };
+    hooks.on_bytes = [self](connection_id id, std::string_view bytes) {
+        self->on_bytes(id, bytes);
+    };
+    hooks.on_closed = [self](connection_id id, bool clean) { self->on_closed(id, clean); };
+    self->sockets = std::make_unique<tcp_connections>(owner, tcp_settings(), hooks);
+    self->sweeper = owner.every(sweep_interval, [self] { self->sweep(); });
+}
+
+raw_client::~raw_client() {
+    state_->owner->cancel(state_->sweeper);
+}
+
+call_id raw_client::start(raw_call call, raw_call_hooks hooks) {
+    const call_id id(++state_->last_call);
+    call_state& one = state_->calls[id];
+    one.parser = make_parser(call.request);
+    one.call = std::move(call);
+    one.hooks = std::move(hooks);
+    one.connect_by = monotonic_now() + one.call.connect_timeout;
+    one.kept = !one.call.fresh_connection && state_->take_idle(one.call.to, one.connection);
+    if (!one.kept)
+        one.connection = state_->sockets->connect(one.call.to, state_->own_ip);
+    state_->users[one.connection] = id;
+    ++(one.kept ? state_->counts.connections_reused : state_->counts.connections_made);
+    if (one.kept)
+        state_->send_request(one);
+    return id;
+}
+
+void raw_client::cancel(call_id id) {
+    auto found = state_->calls.find(id);
+    if (found == state_->calls.end())
+        return;
+    const connection_id connection = found->second.connection;
+    state_->users.erase(connection);
+    state_->calls.erase(found);
+    state_->sockets->reset(connection);
+}
+
+void raw_client::forget(const http_address& address) {
+    auto found = state_->idle.find(address);
+    if (found == state_->idle.end())
+        return;
+    const std::vector<idle_connection> list = std::move(found->second);
+    state_->idle.erase(found);
+    for (const idle_connection& one : list) {
+        state_->idle_addresses.erase(one.id);
+        state_->sockets->close(one.id);
+    }
+}
+
+std::size_t raw_client::open_calls() const {
+    return state_->calls.size();
+}
+
+const raw_client_counts& raw_client::counts() const {
+    return state_->counts;
+}
+
+} // namespace cassia::net
--- /dev/null
+++ b/lib/policy/slot_book.cpp
@@ -0,0 +1,189 @@
+#include "cassia/policy/slot_book.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassia::policy {
+
+namespace {
+// Entries tell each other what they have under way several times a second; one that was silent for
+// this long is gone, and its requests with it.
+constexpr milliseconds others_forgotten_after(1500);
+// Share of a service's slots that batch leaves free. An online request that finds no free slot
+// waits until a batch item has yielded one, about a round trip; with an eighth kept free, the
+// requests of the first tenth of a second of a wave find one at once.
+constexpr std::uint32_t reserve_divisor = 8;
+} // namespace
+
+void slot_book::set_endpoints(const std::vector<slot_endpoint>& endpoints) {
+    std::map<endpoint_id, known_endpoint> next;
+    for (const slot_endpoint& one : endpoints) {
+        known_endpoint& known = next[one.id];
+        known.facts = one;
+        auto before = endpoints_.find(one.id);
+        const bool same =
+            before != endpoints_.end() && before->second.facts.incarnation == one.incarnation;
+        if (same)
+            known.suspended_until = before->second.suspended_until;
+    }
+    endpoints_ = std::move(next);
+}
+
+void slot_book::set_others(const entry_id& entry, std::map<endpoint_id, slot_use> uses,
+                           instant now) {
+    others_[entry] = {std::move(uses), now};
+}
+
+void slot_book::forget_others(instant now) {
+    for (auto one = others_.begin(); one != others_.end();) {
+        const bool silent = now - one->second.heard > others_forgotten_after;
+        one = silent ? others_.erase(one) : std::next(one);
+    }
+}
+
+static std::uint32_t& count_of(slot_use& use, work_kind kind) {
+    return kind == work_kind::online ? use.online : use.batch;
+}
+
+void slot_book::take(const endpoint_id& endpoint, work_kind kind) {
+    ++count_of(own_[endpoint], kind);
+}
+
+void slot_book::release(const endpoint_id& endpoint, work_kind kind) {
+    auto found = own_.find(endpoint);
+    if (found == own_.end() || count_of(found->second, kind) == 0)
+        return;
+    --count_of(found->second, kind);
+    if (found->second == slot_use())
+        own_.erase(found);
+}
+
+void slot_book::suspend(const endpoint_id& endpoint, instant until) {
+    auto found = endpoints_.find(endpoint);
+    if (found != endpoints_.end())
+        found->second.suspended_until = std::max(found->second.suspended_until, until);
+}
+
+slot_use slot_book::total_use(const endpoint_id& endpoint) const {
+    slot_use total;
+    auto own = own_.find(endpoint);
+    if (own != own_.end())
+        total = own->second;
+    for (const std::pair<const entry_id, other_entry>& other : others_) {
+        auto use = other.second.uses.find(endpoint);
+        if (use == other.second.uses.end())
+            continue;
+        total.online += use->second.online;
+        total.batch += use->second.batch;
+    }
+    return total;
+}
+
+std::vector<slot_book::candidate> slot_book::candidates(const service_id& service,
+                                                        const std::set<endpoint_id>& avoid,
+                                                        instant now) const {
+    std::vector<candidate> found;
+    for (const std::pair<const endpoint_id, known_endpoint>& one : endpoints_) {
+        const bool usable = one.second.facts.service == service && avoid.count(one.first) == 0 &&
+                            now >= one.second.suspended_until;
+        if (!usable)
+            continue;
+        const slot_use use = total_use(one.first);
+        const std::int64_t slots = one.second.facts.slots;
+        found.push_back({&one.second, slots - use.online - use.batch, slots - use.online});
+    }
+    return found;
+}
+
+// The endpoint with the most free slots runs a request fastest: each further one slows all of them.
+const slot_book::candidate* slot_book::best(const std::vector<candidate>& all, bool own_zone,
+                                            double draw) const {
+    std::vector<const candidate*> equals;
+    for (const candidate& one : all) {
+        if (one.free <= 0 || (one.endpoint->facts.zone == own_zone_) != own_zone)
+            continue;
+        if (!equals.empty() && one.free < equals.front()->free)
+            continue;
+        if (!equals.empty() && one.free > equals.front()->free)
+            equals.clear();
+        equals.push_back(&one);
+    }
+    if (equals.empty())
+        return nullptr;
+    return equals[static_cast<std::size_t>(draw * static_cast<double>(equals.size()))];
+}
+
+std::optional<entry_id> slot_book::batch_holder(const endpoint_id& endpoint) const {
+    auto own = own_.find(endpoint);
+    if (own != own_.end() && own->second.batch > 0)
+        return entry_id();
+    for (const std::pair<const entry_id, other_entry>& other : others_) {
+        auto use = other.second.uses.find(endpoint);
+        if (use != other.second.uses.end() && use->second.batch > 0)
+            return other.first;
+    }
+    return std::nullopt;
+}
+
+static placement placed_at(const slot_endpoint& endpoint) {
+    return {endpoint.id, endpoint.address, std::nullopt};
+}
+
+std::optional<placement> slot_book::place_online(const service_id& service,
+                                                 const std::set<endpoint_id>& avoid, instant now,
+                                                 double draw) const {
+    const std::vector<candidate> all = candidates(service, avoid, now);
+    for (const bool own_zone : {true, false}) {
+        if (const candidate* free = best(all, own_zone, draw))
+            return placed_at(free->endpoint->facts);
+    }
+    const candidate* yielding = nullptr;
+    for (const candidate& one : all) {
+        if (one.free_of_online <= 0 || !batch_holder(one.endpoint->facts.id))
+            continue;
+        const bool near = one.endpoint->facts.zone == own_zone_;
+        const bool better =
+            yielding == nullptr || std::make_pair(near, one.free_of_online) >
+                                       std::make_pair(yielding->endpoint->facts.zone == own_zone_,
+                                                      yielding->free_of_online);
+        if (better)
+            yielding = &one;
+    }
+    if (yielding == nullptr)
+        return std::nullopt;
+    placement place = placed_at(yielding->endpoint->facts);
+    place.yields = batch_holder(place.endpoint);
+    return place;
+}
+
+std::optional<placement> slot_book::place_batch(const service_id& service,
+                                                const std::set<endpoint_id>& avoid, instant now,
+                                                double draw) const {
+    if (batch_room(service, now) == 0)
+        return std::nullopt;
+    const std::vector<candidate> all = candidates(service, avoid, now);
+    for (const bool own_zone : {true, false}) {
+        if (const candidate* free = best(all, own_zone, draw))
+            return placed_at(free->endpoint->facts);
+    }
+    return std::nullopt;
+}
+
+std::uint32_t slot_book::batch_room(const service_id& service, instant now) const {
+    std::int64_t free = 0;
+    std::int64_t slots = 0;
+    for (const candidate& one : candidates(service, {}, now)) {
+        free += std::max<std::int64_t>(one.free, 0);
+        slots += one.endpoint->facts.slots;
+    }
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(free - slots / reserve_divisor, 0));
+}
+
+std::uint32_t slot_book::total_slots(const service_id& service, instant now) const {
+    std::uint32_t slots = 0;
+    for (const candidate& one : candidates(service, {}, now))
+        slots += one.endpoint->facts.slots;
+    return slots;
+}
+
+} // namespace cassia::policy
--- /dev/null
+++ b/lib/policy/wait_line.cpp
@@ -0,0 +1,57 @@
+#include "cassia/policy/wait_line.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace cassia::policy {
+
+void wait_line::add(const waiting_request& request) {
+    waiting_[request.id] = request;
+}
+
+void wait_line::remove(exchange_id id) {
+    waiting_.erase(id);
+}
+
+// Oldest first would give each slot to the request whose target is just missed, once the line is
+// longer than the target: all would be late. A late one waits until none on time does.
+std::optional<exchange_id> wait_line::next(const service_id& service, instant now) const {
+    const auto rank = [now](const waiting_request& one) {
+        return std::make_tuple(now > one.on_time_until, one.priority, one.on_time_until, one.id);
+    };
+    const waiting_request* first = nullptr;
+    for (const std::pair<const exchange_id, waiting_request>& one : waiting_) {
+        if (one.second.service != service)
+            continue;
+        if (first == nullptr || rank(one.second) < rank(*first))
+            first = &one.second;
+    }
+    if (first == nullptr)
+        return std::nullopt;
+    return first->id;
+}
+
+std::vector<exchange_id> wait_line::hopeless(instant now) const {
+    std::vector<exchange_id> out;
+    for (const std::pair<const exchange_id, waiting_request>& one : waiting_) {
+        if (now > one.second.give_up_at)
+            out.push_back(one.first);
+    }
+    return out;
+}
+
+std::vector<service_id> wait_line::services() const {
+    std::set<service_id> names;
+    for (const std::pair<const exchange_id, waiting_request>& one : waiting_)
+        names.insert(one.second.service);
+    return {names.begin(), names.end()};
+}
+
+std::size_t wait_line::size(const service_id& service) const {
+    return static_cast<std::size_t>(
+        std::count_if(waiting_.begin(), waiting_.end(),
+                      [&service](const auto& one) { return one.second.service == service; }));
+}
+
+} // namespace cassia::policy
--- a/lib/state/control_state.cpp
+++ b/lib/state/control_state.cpp
@@ -12,7 +12,9 @@
 constexpr std::size_t versions_remembered = 50000;
 } // namespace
 
-control_state::control_state() = default;
+control_state::control_state()
+    : routes_(std::make_unique<schema::route_table>()),
+      work_founders_(std::make_unique<schema::group_members>()) {}
 control_state::~control_state() = default;
 control_state::control_state(control_state&&) noexcept = default;
 control_state& control_state::operator=(control_state&&) noexcept = default;
@@ -32,6 +34,10 @@
 schema::control_reply control_state::apply(const schema::control_command& command) {
     if (command.has_change())
         return apply_change(command.change());
+    if (command.has_routes())
+        return apply_routes(command.routes());
+    if (command.has_found_work())
+        return apply_founding(command.found_work().founders());
     schema::control_reply reply;
     reply.set_version(version());
     if (command.has_fence())
@@ -77,6 +83,28 @@
     return reply;
 }
 
+// The highest version wins, whichever way and in which order tables come. One that isn't higher
+// changes nothing and is no error: it was overtaken, or its acknowledgement got lost.
+schema::control_reply control_state::apply_routes(const schema::route_table& table) {
+    schema::control_reply reply;
+    const bool higher = table.version() > routes_->version();
+    if (higher)
+        *routes_ = table;
+    reply.set_result(higher ? schema::control_reply::accepted : schema::control_reply::replayed);
+    reply.set_version(routes_->version());
+    return reply;
+}
+
+// Decided once: a second decision would found groups beside those that already hold jobs.
+schema::control_reply control_state::apply_founding(const schema::group_members& founders) {
+    schema::control_reply reply;
+    const bool first = work_founders_->members_size() == 0;
+    if (first)
+        *work_founders_ = founders;
+    reply.set_result(first ? schema::control_reply::accepted : schema::control_reply::replayed);
+    return reply;
+}
+
 void control_state::trim() {
     if (changes_.size() > versions_with_text) {
         schema::change_record& old = changes_[changes_.size() - versions_with_text - 1];
@@ -94,6 +122,8 @@
     for (const schema::change_record& change : changes_)
         *image.add_changes() = change;
     image.set_fence(fence_);
+    *image.mutable_routes() = *routes_;
+    *image.mutable_work_founders() = *work_founders_;
     return image.SerializeAsString();
 }
 
@@ -107,6 +137,8 @@
         loaded.changes_.push_back(change);
     }
     loaded.fence_ = image.fence();
+    *loaded.routes_ = image.routes();
+    *loaded.work_founders_ = image.work_founders();
     return loaded;
 }
 
--- a/lib/state/job_commands.cpp
+++ b/lib/state/job_commands.cpp
@@ -47,6 +47,10 @@
     job.deadline = begin.deadline();
     job.created = begin.at();
     job.retention_ms = begin.retention_ms();
+    job.route = begin.route();
+    job.abandon_at = begin.abandon_at();
+    job.max_failures = begin.max_failures();
+    job.listed = begin.listed();
     job.items.resize(begin.total());
     schema::work_reply reply = view_of(job);
     jobs_[id] = std::move(job);
@@ -81,6 +85,8 @@
         item.repeatable = added.items(i).repeatable();
         item.custom_hash = stable_hash(added.items(i).custom_id());
         item.service = service_place(job, added.items(i).service());
+        item.tokens = added.items(i).tokens();
+        job.waiting_tokens += item.tokens;
     }
     job.loaded = static_cast<std::uint32_t>(end);
     return view_of(job);
@@ -102,6 +108,42 @@
     return view_of(job);
 }
 
+std::uint64_t work_state::waiting_tokens(const std::string& route) const {
+    std::uint64_t sum = 0;
+    for (const std::pair<const job_id, batch_job>& one : jobs_) {
+        if (one.second.route == route && is_open(one.second))
+            sum += one.second.waiting_tokens;
+    }
+    return sum;
+}
+
+// Checked where the job is committed: counts that entries keep would let several of them fill the
+// same room at once.
+schema::work_reply work_state::submit_job(const schema::job_submit& submit,
+                                          const storage::position& at) {
+    const schema::job_begin& begin = submit.begin();
+    auto found = jobs_.find(job_id(begin.job()));
+    const bool known = found != jobs_.end() && found->second.status != job_status::loading;
+    std::uint64_t tokens = 0;
+    for (const schema::item_body& item : submit.items().items())
+        tokens += item.tokens();
+    const bool fits = begin.max_waiting_tokens() == 0 ||
+                      waiting_tokens(begin.route()) + tokens <= begin.max_waiting_tokens();
+    if (!known && !fits) {
+        schema::work_reply refused;
+        refused.set_result(schema::work_reply::over_quota);
+        return refused;
+    }
+    schema::work_reply reply = begin_job(begin);
+    if (known)
+        return reply;
+    add_items(submit.items(), at);
+    schema::job_commit commit;
+    commit.set_job(begin.job());
+    commit.set_at(begin.at());
+    return commit_job(commit);
+}
+
 schema::work_reply work_state::cancel_job(const schema::job_cancel& cancel) {
     auto found = jobs_.find(job_id(cancel.job()));
     const bool known = found != jobs_.end() && found->second.status != job_status::loading &&
@@ -152,6 +194,7 @@
         leased->set_customer(job.customer.str());
         leased->set_deadline(job.deadline);
         leased->set_strikes(item.strikes);
+        leased->set_abandon_at(job.abandon_at);
     }
     job.status = job_status::running;
     return reply;
@@ -200,7 +243,10 @@
         settle(job, now);
         return;
     }
-    const bool struck_out = end.strike() && item.strikes >= strikes_until_failed;
+    if (end.failed_run())
+        ++item.failures;
+    const bool failed_out = job.max_failures > 0 && item.failures >= job.max_failures;
+    const bool struck_out = failed_out || (end.strike() && item.strikes >= strikes_until_failed);
     if (end.status() == schema::pending && !struck_out) {
         give_back(job, end.ordinal());
         settle(job, now);
@@ -210,6 +256,9 @@
     item.status = static_cast<std::uint8_t>(struck_out ? schema::failed : end.status());
     item.result = at;
     item.result_ordinal = place;
+    job.waiting_tokens -= item.tokens;
+    if (job.listed)
+        job.ended_order.push_back(end.ordinal());
     if (item.status == schema::completed)
         ++job.counts.completed;
     else if (item.status == schema::unknown)
--- a/lib/state/work_image.cpp
+++ b/lib/state/work_image.cpp
@@ -28,6 +28,8 @@
     out.set_repeatable(item.repeatable);
     out.set_custom_hash(item.custom_hash);
     out.set_service(item.service);
+    out.set_tokens(item.tokens);
+    out.set_failures(item.failures);
 }
 
 static batch_item read_item(const schema::item_image& in) {
@@ -42,6 +44,8 @@
     item.repeatable = in.repeatable();
     item.custom_hash = in.custom_hash();
     item.service = static_cast<std::uint16_t>(in.service());
+    item.tokens = in.tokens();
+    item.failures = in.failures();
     return item;
 }
 
@@ -64,6 +68,11 @@
         out->set_retention_ms(job.retention_ms);
         out->set_status(static_cast<std::uint32_t>(job.status));
         out->set_loaded(job.loaded);
+        out->set_route(job.route);
+        out->set_abandon_at(job.abandon_at);
+        out->set_max_failures(job.max_failures);
+        out->set_listed(job.listed);
+        out->mutable_ended_order()->Add(job.ended_order.begin(), job.ended_order.end());
         for (const std::string& service : job.services)
             out->add_services(service);
         for (std::uint32_t i = 0; i < job.items.size(); ++i) {
@@ -101,6 +110,10 @@
     return image.SerializeAsString();
 }
 
+static bool is_waiting(const batch_item& item) {
+    return item.status == schema::pending || item.status == schema::leased;
+}
+
 static void count_item(batch_job& job, const batch_item& item) {
     switch (item.status) {
     case schema::leased:
@@ -134,6 +147,11 @@
     job.retention_ms = in.retention_ms();
     job.status = static_cast<job_status>(in.status());
     job.loaded = in.loaded();
+    job.route = in.route();
+    job.abandon_at = in.abandon_at();
+    job.max_failures = in.max_failures();
+    job.listed = in.listed();
+    job.ended_order.assign(in.ended_order().begin(), in.ended_order().end());
     job.services.assign(in.services().begin(), in.services().end());
     for (const schema::pending_image& queue : in.pending())
         job.pending.emplace_back(queue.ordinals().begin(), queue.ordinals().end());
@@ -142,6 +160,8 @@
     for (const schema::item_image& one : in.items()) {
         job.items.push_back(read_item(one));
         count_item(job, job.items.back());
+        if (is_waiting(job.items.back()))
+            job.waiting_tokens += job.items.back().tokens;
         if (!one.holder().empty())
             leases_[one.holder()].insert(
                 {job.id, static_cast<std::uint32_t>(job.items.size() - 1)});
@@ -156,6 +176,10 @@
         in.pending_size() > in.services_size() ||
         in.status() > static_cast<std::uint32_t>(job_status::failed))
         return false;
+    for (const std::uint32_t ordinal : in.ended_order()) {
+        if (ordinal >= static_cast<std::uint32_t>(in.items_size()))
+            return false;
+    }
     for (const schema::pending_image& queue : in.pending()) {
         for (const std::uint32_t ordinal : queue.ordinals()) {
             if (ordinal >= static_cast<std::uint32_t>(in.items_size()))
--- a/lib/state/work_query.cpp
+++ b/lib/state/work_query.cpp
@@ -38,10 +38,13 @@
 
 static const schema::item_body* find_body(const batch_item& item, command_cache& bodies) {
     const schema::work_command* command = bodies.at(item.body);
-    if (command == nullptr || !command->has_items() ||
-        item.body_ordinal >= static_cast<std::uint32_t>(command->items().items_size()))
+    if (command == nullptr || !(command->has_items() || command->has_submit()))
         return nullptr;
-    return &command->items().items(static_cast<int>(item.body_ordinal));
+    const schema::job_items& part =
+        command->has_submit() ? command->submit().items() : command->items();
+    if (item.body_ordinal >= static_cast<std::uint32_t>(part.items_size()))
+        return nullptr;
+    return &part.items(static_cast<int>(item.body_ordinal));
 }
 
 static const schema::item_end* find_end(const batch_item& item, command_cache& results) {
@@ -87,6 +90,25 @@
     }
 }
 
+// The order of ends is part of the state, so every reader sees a result at the same place.
+static void list_by_end(const batch_job& job, const schema::work_query& query,
+                        command_cache& bodies, command_cache& results, schema::work_reply& reply) {
+    constexpr std::size_t most_bytes = 700 * 1000; // of a list that may grow to 1 MB as JSON
+    std::size_t bytes = 0;
+    for (std::size_t i = query.from(); i < job.ended_order.size() && bytes < most_bytes; ++i) {
+        const std::uint32_t ordinal = job.ended_order[i];
+        schema::item_result one;
+        write_result(job.items[ordinal], ordinal, bodies, results, one);
+        bytes += one.ByteSizeLong();
+        if (bytes < most_bytes || reply.results_size() == 0)
+            *reply.add_results() = std::move(one);
+    }
+}
+
+static bool is_open_item(const batch_item& item) {
+    return item.status == schema::pending || item.status == schema::leased;
+}
+
 static std::optional<std::uint32_t> find_custom(const batch_job& job, const std::string& custom_id,
                                                 command_cache& bodies) {
     const std::uint64_t wanted = stable_hash(custom_id);
@@ -124,6 +146,16 @@
     command_cache results(read);
     if (query.kind() == schema::work_query::results)
         list_results(job, query, bodies, results, reply);
+    if (query.kind() == schema::work_query::listed_results)
+        list_by_end(job, query, bodies, results, reply);
+    if (query.kind() == schema::work_query::item_source) {
+        const std::optional<std::uint32_t> ordinal = find_custom(job, query.custom_id(), bodies);
+        if (!ordinal || !is_open_item(job.items[*ordinal])) {
+            reply.set_result(schema::work_reply::missing);
+            return reply;
+        }
+        *reply.mutable_item() = *find_body(job.items[*ordinal], bodies);
+    }
     if (query.kind() == schema::work_query::one_item) {
         const std::optional<std::uint32_t> ordinal = find_custom(job, query.custom_id(), bodies);
         if (!ordinal) {
--- a/lib/state/work_state.cpp
+++ b/lib/state/work_state.cpp
@@ -61,6 +61,8 @@
         return add_items(command.items(), at);
     case schema::work_command::kCommit:
         return commit_job(command.commit());
+    case schema::work_command::kSubmit:
+        return submit_job(command.submit(), at);
     case schema::work_command::kCancel:
         return cancel_job(command.cancel());
     case schema::work_command::kLease:
