Answer only the latest refusal of a member with entries; tests of the new layers

After a cut healed, a hundred heartbeats that had waited were refused at once, and the leader answered each with a megabyte of its log (traced by allocation).

Ruled out: the queues to silent peers (they hold empty heartbeats only).

Also: a raw server reset a connection whose header was over the limit in place of answering 431; its test showed that.

--- a/lib/consensus/raft_replication.cpp
+++ b/lib/consensus/raft_replication.cpp
@@ -179,7 +179,11 @@
         // entries until its next restart.
         peer.probing = true;
         peer.next = std::min(std::max(peer.match, message.index()) + 1, log_.last_index() + 1);
-        send_append(found->first, now);
+        // Messages that waited for a cut to heal are refused all at once. Only the refusal of the
+        // latest one is answered with entries: each answer may be a megabyte, and a hundred of them
+        // took a store over its memory.
+        if (from_us(message.sent_at_us()) >= peer.last_sent)
+            send_append(found->first, now);
         return;
     }
     peer.match = std::max(peer.match, message.index());
--- a/lib/net/raw_server.cpp
+++ b/lib/net/raw_server.cpp
@@ -49,10 +49,10 @@
     timer_id sweeper;
 
     void on_bytes(connection_id id, std::string_view bytes);
-    void on_closed(connection_id id);
+    void on_closed(connection_id id, bool clean);
     void parse(connection_id id);
     void hand_over(connection_id id, caller& one);
-    void refuse(connection_id id, int status);
+    void refuse(connection_id id, int status, const std::string& cause);
     void finish(connection_id id);
     void sweep();
     caller* find(exchange_id id, connection_id& connection);
@@ -75,14 +75,15 @@
     if (found == callers.end())
         return;
     found->second.unread.append(bytes);
+    if (found->second.exchange == exchange_id()) {
+        parse(id);
+        return;
+    }
+    // More than a whole further request behind the one being served.
     if (found->second.unread.size() > limits.header_bytes + limits.body_bytes) {
-        // More than a whole further request behind the one being served.
         sockets->reset(id);
-        on_closed(id);
-        return;
+        on_closed(id, false);
     }
-    if (found->second.exchange == exchange_id())
-        parse(id);
 }
 
 void raw_server::state::parse(connection_id id) {
@@ -107,11 +108,11 @@
         if (problem == http::error::need_more)
             return;
         if (problem == http::error::header_limit)
-            return refuse(id, status_header_too_large);
+            return refuse(id, status_header_too_large, problem.message());
         if (problem == http::error::body_limit)
-            return refuse(id, status_too_large);
+            return refuse(id, status_too_large, problem.message());
         if (problem)
-            return refuse(id, status_bad_request);
+            return refuse(id, status_bad_request, problem.message());
     }
     if (one.parser->is_done())
         hand_over(id, one);
@@ -128,17 +129,17 @@
     hooks.on_request(one.exchange, std::move(request));
 }
 
-void raw_server::state::refuse(connection_id id, int status) {
+void raw_server::state::refuse(connection_id id, int status, const std::string& cause) {
     raw_head head;
     head.status = status;
     head.framing = body_framing::length;
     sockets->write(id, to_bytes(head, true));
     sockets->close(id);
     callers.erase(id);
-    log_info("request_unreadable").with("status", status);
+    log_info("request_unreadable").with("status", status).with("cause", cause);
 }
 
-void raw_server::state::on_closed(connection_id id) {
+void raw_server::state::on_closed(connection_id id, bool) {
     auto found = callers.find(id);
     if (found == callers.end())
         return;
@@ -189,7 +190,7 @@
         sockets->close(id);
     }
     for (const connection_id id : slow)
-        refuse(id, status_request_timeout);
+        refuse(id, status_request_timeout, "header didn't come in time");
 }
 
 caller* raw_server::state::find(exchange_id id, connection_id& connection) {
@@ -213,7 +214,7 @@
     socket_hooks.on_bytes = [self](connection_id id, std::string_view bytes) {
         self->on_bytes(id, bytes);
     };
-    socket_hooks.on_closed = [self](connection_id id, bool) { self->on_closed(id); };
+    socket_hooks.on_closed = [self](connection_id id, bool clean) { self->on_closed(id, clean); };
     self->sockets = std::make_unique<tcp_connections>(owner, tcp_settings(), socket_hooks);
     self->sweeper = owner.every(sweep_interval, [self] { self->sweep(); });
 }
--- a/unittests/consensus/raft_rules_test.cpp
+++ b/unittests/consensus/raft_rules_test.cpp
@@ -113,3 +113,34 @@
     CHECK(group.propose_members(more, start + milliseconds(1500)));
     CHECK_FALSE(group.propose_members(more, start + milliseconds(1500)));
 }
+
+// Story: a store runs out of memory and is killed just after a cut has healed. For the whole of the
+// cut the leader's heartbeats waited in a queue; the member that was cut off gets them all at once
+// and refuses each, since it lacks what went before. The leader answered each refusal with a
+// megabyte of its log.
+TEST_CASE("a burst of old refusals makes a leader send its log once", "[consensus]") {
+    raft_group group = make_member(1, 1, start);
+    const instant led = start + milliseconds(1500);
+    group.tick(led);
+    member_list more = group.log().members();
+    more.push_back({disk_id(2), "node-2", "", false});
+    group.persisted(group.log().last_index(), group.term());
+    REQUIRE(group.propose_members(more, led));
+    for (int i = 0; i < 100; ++i)
+        REQUIRE(group.propose(std::string(20000, 'x'), led));
+    group.persisted(group.log().last_index(), group.term());
+    const instant healed = led + milliseconds(5000);
+    group.tick(healed);
+    group.take_actions();
+    std::size_t bytes = 0;
+    for (int i = 0; i < 100; ++i) {
+        schema::raft_message refusal =
+            request(schema::raft_message::append_reply, 2, 1, group.term().value());
+        refusal.set_reject(true);
+        refusal.set_sent_at_us(to_us(led + milliseconds(40 * i)));
+        group.receive(refusal, healed);
+        for (const schema::raft_message& message : group.take_actions().now)
+            bytes += message.ByteSizeLong();
+    }
+    CHECK(bytes < 2 * raft_settings().append_bytes);
+}
--- /dev/null
+++ b/unittests/net/raw_http_test.cpp
@@ -0,0 +1,263 @@
+// Requests and answers passed on as they came, and what may happen to connections meanwhile.
+
+#include "cassia/net/raw_client.h"
+#include "cassia/net/raw_server.h"
+#include "cassia/net/task.h"
+#include "cassia/net/tcp_connections.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace cassia;
+using namespace cassia::net;
+
+namespace {
+
+/// An endpoint that answers each request with the bytes that a test gives it.
+class scripted_endpoint {
+public:
+    scripted_endpoint(task& owner, const std::string& address) {
+        tcp_hooks hooks;
+        hooks.on_accepted = [this](connection_id) { ++connections; };
+        hooks.on_connected = [](connection_id) {};
+        hooks.on_bytes = [this](connection_id id, std::string_view bytes) {
+            received.append(bytes);
+            if (received.size() < wait_for)
+                return;
+            if (!answer.empty())
+                sockets->write(id, answer);
+            if (closes)
+                sockets->close(id);
+            if (resets)
+                sockets->reset(id);
+        };
+        hooks.on_closed = [this](connection_id, bool) { ++closed; };
+        sockets = std::make_unique<tcp_connections>(owner, tcp_settings(), hooks);
+        REQUIRE(sockets->listen(http_address(address)));
+    }
+
+    std::unique_ptr<tcp_connections> sockets;
+    std::string answer;
+    bool closes = false;
+    bool resets = false;
+    std::size_t wait_for = 1;
+    std::string received;
+    int connections = 0;
+    int closed = 0;
+};
+
+struct outcome_of_call {
+    std::optional<raw_head> head;
+    std::string body;
+    bool ended = false;
+    std::optional<raw_failure> failure;
+};
+
+class call_fixture {
+public:
+    explicit call_fixture(const std::string& address)
+        : address_(address), endpoint(task_, address), client(task_, "127.0.0.1") {}
+
+    outcome_of_call call(const std::string& method = "GET", const std::string& body = "") {
+        outcome_of_call got;
+        raw_call one;
+        one.to = http_address(address_);
+        one.request.method = method;
+        one.request.target = "/a//b/%2e?x=%20";
+        one.request.fields.add("Host", "shop.example");
+        one.request.body = body;
+        raw_call_hooks hooks;
+        hooks.on_head = [&got](const raw_head& head) { got.head = head; };
+        hooks.on_piece = [&got](std::string_view bytes) { got.body.append(bytes); };
+        hooks.on_end = [this, &got] {
+            got.ended = true;
+            task_.quit();
+        };
+        hooks.on_failure = [this, &got](const raw_failure& failure) {
+            got.failure = failure;
+            task_.quit();
+        };
+        client.start(one, hooks);
+        task_.run();
+        return got;
+    }
+    void run_for(milliseconds time) {
+        task_.after(time, [this] { task_.quit(); });
+        task_.run();
+    }
+
+private:
+    std::string address_;
+    task task_{"test"};
+
+public:
+    scripted_endpoint endpoint;
+    raw_client client;
+};
+
+const std::string whole =
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: keep-alive\r\n\r\nok";
+
+} // namespace
+
+TEST_CASE("a request goes on with its path and body unchanged", "[raw]") {
+    call_fixture fixture("127.0.21.1:7001");
+    fixture.endpoint.answer = whole;
+    const outcome_of_call got = fixture.call("POST", std::string("\0\r\n\xff", 4));
+    CHECK(got.ended);
+    CHECK(got.body == "ok");
+    CHECK(fixture.endpoint.received == "POST /a//b/%2e?x=%20 HTTP/1.1\r\nHost: shop.example\r\n"
+                                       "Content-Length: 4\r\n\r\n" +
+                                           std::string("\0\r\n\xff", 4));
+}
+
+TEST_CASE("a connection is kept after a whole answer, and nothing else", "[raw]") {
+    call_fixture fixture("127.0.21.2:7001");
+    SECTION("whole") {
+        fixture.endpoint.answer = whole;
+        fixture.call();
+        fixture.call();
+        CHECK(fixture.endpoint.connections == 1);
+    }
+    SECTION("the endpoint says that it closes") {
+        fixture.endpoint.answer =
+            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+        fixture.call();
+        fixture.call();
+        CHECK(fixture.endpoint.connections == 2);
+    }
+    SECTION("bytes behind the answer") {
+        fixture.endpoint.answer = whole + "HTTP/1.1 200 OK\r\n";
+        CHECK(fixture.call().ended);
+        fixture.call();
+        CHECK(fixture.endpoint.connections == 2);
+    }
+}
+
+// A caller would get the answer of another request: an endpoint sends a second answer late, on a
+// kept connection, just where the next answer is expected. The connection has to go.
+TEST_CASE("bytes that nobody asked for end an idle connection", "[raw]") {
+    call_fixture fixture("127.0.21.3:7001");
+    fixture.endpoint.answer = whole;
+    CHECK(fixture.call().ended);
+    fixture.endpoint.sockets->write(connection_id(1), whole);
+    fixture.run_for(milliseconds(50));
+    CHECK(fixture.endpoint.closed == 1);
+    CHECK(fixture.call().ended);
+    CHECK(fixture.endpoint.connections == 2);
+}
+
+TEST_CASE("an answer that breaks off is a failure, however its end is marked", "[raw]") {
+    call_fixture fixture("127.0.21.4:7001");
+    SECTION("short of its length") {
+        fixture.endpoint.answer = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok";
+        fixture.endpoint.closes = true;
+        CHECK(fixture.call().failure->answered);
+    }
+    SECTION("without its last chunk") {
+        fixture.endpoint.answer =
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n";
+        fixture.endpoint.closes = true;
+        CHECK(fixture.call().failure);
+    }
+    SECTION("no length, closed in order: whole") {
+        fixture.endpoint.answer = "HTTP/1.1 200 OK\r\n\r\nok";
+        fixture.endpoint.closes = true;
+        const outcome_of_call got = fixture.call();
+        CHECK(got.ended);
+        CHECK(got.body == "ok");
+    }
+    SECTION("no answer at all") {
+        fixture.endpoint.closes = true;
+        const outcome_of_call got = fixture.call();
+        CHECK(got.failure->sent);
+        CHECK(!got.failure->answered);
+    }
+    SECTION("bytes that are no HTTP") {
+        fixture.endpoint.answer = "garbage\r\n\r\n";
+        CHECK(fixture.call().failure);
+    }
+}
+
+TEST_CASE("nobody listens: certainly nothing was sent", "[raw]") {
+    task owner("test");
+    raw_client client(owner, "127.0.0.1");
+    std::optional<raw_failure> failure;
+    raw_call call;
+    call.to = http_address("127.0.21.9:7009");
+    raw_call_hooks hooks;
+    hooks.on_failure = [&](const raw_failure& got) {
+        failure = got;
+        owner.quit();
+    };
+    client.start(call, hooks);
+    owner.run();
+    REQUIRE(failure);
+    CHECK(!failure->sent);
+}
+
+TEST_CASE("a server takes what callers may send, and refuses the rest", "[raw]") {
+    task owner("test");
+    std::vector<raw_request> requests;
+    std::unique_ptr<raw_server> server;
+    raw_server_hooks served;
+    served.on_request = [&](exchange_id id, raw_request request) {
+        requests.push_back(std::move(request));
+        raw_head head;
+        head.status = 200;
+        server->respond(id, head, std::to_string(requests.size()));
+    };
+    served.on_gone = [](exchange_id) {};
+    raw_server_limits limits;
+    limits.header_bytes = 1000;
+    limits.body_bytes = 100;
+    limits.header_timeout = milliseconds(300);
+    server = std::make_unique<raw_server>(owner, limits, served);
+    REQUIRE(server->listen(http_address("127.0.21.5:7001")));
+    std::string answers;
+    bool closed = false;
+    tcp_hooks hooks;
+    hooks.on_accepted = [](connection_id) {};
+    hooks.on_connected = [](connection_id) {};
+    hooks.on_bytes = [&](connection_id, std::string_view bytes) { answers.append(bytes); };
+    hooks.on_closed = [&](connection_id, bool) { closed = true; };
+    tcp_connections callers(owner, tcp_settings(), hooks);
+    const connection_id caller = callers.connect(http_address("127.0.21.5:7001"), "");
+    const auto send = [&](const std::string& bytes, milliseconds wait) {
+        callers.write(caller, bytes);
+        owner.after(wait, [&] { owner.quit(); });
+        owner.run();
+    };
+    constexpr milliseconds soon(60);
+    SECTION("chunks, and two requests at once") {
+        send("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", soon);
+        CHECK(requests.empty());
+        send("1\r\nc\r\n0\r\n\r\nGET //y?%2e HTTP/1.1\r\nHost: h\r\n\r\n", soon);
+        REQUIRE(requests.size() == 2);
+        CHECK(requests[0].body == "abc");
+        CHECK(requests[1].target == "//y?%2e");
+        CHECK(!closed);
+    }
+    SECTION("a body over the limit") {
+        send("POST /x HTTP/1.1\r\nContent-Length: 101\r\n\r\n", soon);
+        CHECK(answers.find("413") != std::string::npos);
+        CHECK(closed);
+    }
+    SECTION("a header over the limit") {
+        send("GET /x HTTP/1.1\r\nX: " + std::string(2000, 'x') + "\r\n\r\n", soon);
+        CHECK(answers.find("431") != std::string::npos);
+    }
+    SECTION("two lengths that differ") {
+        send("POST /x HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", soon);
+        CHECK(answers.find("400") != std::string::npos);
+        CHECK(requests.empty());
+    }
+    SECTION("a header that never ends") {
+        send("GET /x HTTP/1.1\r\nX: ", milliseconds(800));
+        CHECK(answers.find("408") != std::string::npos);
+    }
+}
--- /dev/null
+++ b/unittests/platform/decode_test.cpp
@@ -0,0 +1,115 @@
+// The platform's messages as the product's types, and those that are refused.
+
+#include "decode.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cassia;
+using namespace cassia::platform;
+
+namespace {
+
+const std::string configuration = R"({"version":7,"routes":[
+ {"name":"r1","host":"a.example","pathPrefix":"/s/","kind":"stream","timeoutMs":5000,"sloMs":300,
+  "priority":0,"service":"llm","maxAttempts":2,"sticky":true,"resumable":true,"gapSloMs":400},
+ {"name":"r2","host":"a.example","pathPrefix":"/j/","kind":"batch","timeoutMs":15000,"sloMs":400,
+  "service":"llm","maxAttempts":3,"resultDueMs":18000,"maxWaitS":60.5,"maxQueued":1900000},
+ {"name":"r3","host":"a.example","pathPrefix":"/f/","kind":"safe","timeoutMs":1000,"sloMs":200,
+  "split":[{"service":"llm","weight":0},{"service":"web","weight":3}],"maxAttempts":2}],
+ "services":[{"name":"llm","healthPath":"/h","maxConns":360,"engine":{"slots":8,"maxQueued":12}},
+ {"name":"web","healthPath":"/h","maxConns":100}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
+ "idleTimeoutMs":15000}})";
+
+std::string changed(std::string text, const std::string& from, const std::string& to) {
+    const std::size_t at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+const std::string heartbeat = R"({"service":"llm","addr":"10.0.0.9:8080","zone":"z1","version":"v1",
+ "slots":8,"state":"ready","coldLeftMs":0,"seq":4,"born":1780000000123})";
+
+} // namespace
+
+TEST_CASE("a configuration becomes a table of routes", "[platform]") {
+    const result<schema::route_table> table = decode_configuration(configuration);
+    REQUIRE(table);
+    REQUIRE(table.value().routes_size() == 3);
+    const schema::route& stream = table.value().routes(0);
+    CHECK(stream.kind() == schema::route::stream);
+    CHECK(stream.resumable());
+    CHECK(stream.pause_ms() == 400);
+    const schema::route& batch = table.value().routes(1);
+    CHECK(batch.kind() == schema::route::batch);
+    CHECK(batch.max_waiting_tokens() == 1900000);
+    CHECK(batch.abandon_after_ms() == 60500);
+    CHECK(table.value().routes(2).targets(1).weight() == 3);
+    CHECK(table.value().document() == configuration);
+}
+
+TEST_CASE("a configuration that is invalid is refused", "[platform]") {
+    const std::vector<std::string> invalid = {
+        configuration.substr(0, configuration.size() / 2),
+        "[]",
+        "",
+        changed(configuration, R"("version":7)", R"("version":"7")"),
+        changed(configuration, R"("service":"llm")", R"("service":"other")"),
+        changed(configuration, R"("pathPrefix":"/j/")", R"("pathPrefix":"/s/")"),
+        changed(configuration, R"("weight":3)", R"("weight":0)"),
+        changed(configuration, R"("timeoutMs":5000)", R"("timeoutMs":0)"),
+        changed(configuration, R"("limits")", R"("limit")"),
+        changed(configuration, R"("resumable":true)", R"("resumable":1)"),
+    };
+    for (const std::string& one : invalid) {
+        INFO(one);
+        CHECK(!decode_configuration(one));
+    }
+}
+
+TEST_CASE("a heartbeat names a runner, or nothing", "[platform]") {
+    const result<schema::endpoint_record> record = decode_heartbeat("i-1", heartbeat);
+    REQUIRE(record);
+    CHECK(record.value().address() == "10.0.0.9:8080");
+    CHECK(record.value().incarnation() == 1780000000123);
+    CHECK(record.value().sequence() == 4);
+    CHECK(!record.value().leaving());
+    CHECK(decode_heartbeat("i-1", changed(heartbeat, "ready", "draining")).value().leaving());
+    const std::vector<std::string> strange = {
+        "\xff\xfe",
+        changed(heartbeat, "ready", "asleep"),
+        changed(heartbeat, R"("slots":8)", R"("slots":"8")"),
+        changed(heartbeat, R"("seq":4)", R"("seq":-4)"),
+        changed(heartbeat, R"("addr":"10.0.0.9:8080")", R"("addr":"nowhere")"),
+        changed(heartbeat, R"("zone":"z1",)", ""),
+        changed(heartbeat, R"("born":1780000000123)", R"("born":1.5)"),
+    };
+    for (const std::string& one : strange) {
+        INFO(one);
+        CHECK(!decode_heartbeat("i-1", one));
+    }
+}
+
+TEST_CASE("a batch job keeps each item as it came", "[platform]") {
+    schema::route route;
+    route.set_name("r2");
+    route.set_max_attempts(3);
+    route.set_result_due_ms(18000);
+    route.set_abandon_after_ms(60000);
+    const submission_context context{"job-1", "a.example", 1000, 120000};
+    const std::string item =
+        R"({"id":"i1","path":"/j//%2e?q","headers":{"X-A":"b"},"body":"q83vEjRWeJA=","tokens":940})";
+    const result<schema::job_submit> job =
+        decode_job(R"({"items":[)" + item + "]}", route, context);
+    REQUIRE(job);
+    const schema::item_body& got = job.value().items().items(0);
+    CHECK(got.url() == "/j//%2e?q");
+    CHECK(got.body() == "\xab\xcd\xef\x12\x34\x56\x78\x90");
+    CHECK(got.headers(0).name() == "X-A");
+    CHECK(got.tokens() == 940);
+    CHECK(job.value().begin().deadline() == 19000);
+    CHECK(job.value().begin().abandon_at() == 61000);
+    CHECK(!decode_job(R"({"items":[)" + item + "," + item + "]}", route, context));
+    CHECK(!decode_job(R"({"items":[)" + changed(item, "q83v", "q*3v") + "]}", route, context));
+    CHECK(!decode_job("{}", route, context));
+}
--- /dev/null
+++ b/unittests/policy/slots_test.cpp
@@ -0,0 +1,118 @@
+// Where forwarded requests go, and in which order they wait.
+
+#include "cassia/policy/slot_book.h"
+#include "cassia/policy/wait_line.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace cassia;
+using namespace cassia::policy;
+
+namespace {
+
+const instant start = instant(std::chrono::seconds(1000));
+const service_id model("model");
+
+slot_endpoint endpoint(const std::string& id, const std::string& zone, std::uint32_t slots) {
+    return {endpoint_id(id), 1, http_address(id + ":80"), zone_id(zone), model, slots};
+}
+
+slot_book two_zones() {
+    slot_book book{zone_id("a")};
+    book.set_endpoints({endpoint("near", "a", 2), endpoint("far", "b", 2)});
+    return book;
+}
+
+} // namespace
+
+TEST_CASE("free slots of the own zone go first, then those further off", "[slots]") {
+    slot_book book = two_zones();
+    for (int i = 0; i < 2; ++i) {
+        CHECK(book.place_online(model, {}, start, 0.5)->endpoint == endpoint_id("near"));
+        book.take(endpoint_id("near"), work_kind::online);
+    }
+    CHECK(book.place_online(model, {}, start, 0.5)->endpoint == endpoint_id("far"));
+    book.set_others(entry_id("other"), {{endpoint_id("far"), {2, 0}}}, start);
+    CHECK(!book.place_online(model, {}, start, 0.5));
+}
+
+TEST_CASE("a full fleet makes batch yield to online requests", "[slots]") {
+    slot_book book = two_zones();
+    book.set_others(entry_id("other"),
+                    {{endpoint_id("near"), {1, 1}}, {endpoint_id("far"), {0, 2}}}, start);
+    const std::optional<placement> place = book.place_online(model, {}, start, 0.5);
+    REQUIRE(place);
+    CHECK(place->endpoint == endpoint_id("near"));
+    REQUIRE(place->yields);
+    CHECK(*place->yields == entry_id("other"));
+    CHECK(!book.place_batch(model, {}, start, 0.5));
+}
+
+TEST_CASE("batch keeps away from the reserve, and endpoints that failed get nothing", "[slots]") {
+    slot_book book{zone_id("a")};
+    book.set_endpoints({endpoint("one", "a", 8), endpoint("two", "a", 8)});
+    CHECK(book.batch_room(model, start) == 14);
+    book.suspend(endpoint_id("one"), start + milliseconds(500));
+    CHECK(book.batch_room(model, start) == 7);
+    for (int i = 0; i < 20; ++i)
+        CHECK(book.place_online(model, {}, start, i / 20.0)->endpoint == endpoint_id("two"));
+    CHECK(book.batch_room(model, start + milliseconds(500)) == 14);
+}
+
+TEST_CASE("what a silent entry had under way is forgotten", "[slots]") {
+    slot_book book = two_zones();
+    book.set_others(entry_id("other"),
+                    {{endpoint_id("near"), {2, 0}}, {endpoint_id("far"), {2, 0}}}, start);
+    CHECK(!book.place_online(model, {}, start, 0.5));
+    book.forget_others(start + milliseconds(2000));
+    CHECK(book.place_online(model, {}, start, 0.5));
+}
+
+// Eight entries place a wave of 40 requests before any of them hears of the others' choices. Taking
+// the emptiest endpoint always, all 40 land on one and wait; drawn by the squares of the free
+// slots, no endpoint gets more than it can run besides a few.
+TEST_CASE("entries that don't hear of each other spread a wave", "[slots]") {
+    std::mt19937_64 random(7);
+    std::uniform_real_distribution<double> draw(0, 1);
+    std::map<endpoint_id, int> load;
+    for (int entry = 0; entry < 8; ++entry) {
+        slot_book book{zone_id("a")};
+        std::vector<slot_endpoint> endpoints;
+        for (int i = 0; i < 8; ++i)
+            endpoints.push_back(endpoint("e" + std::to_string(i), "a", 8));
+        book.set_endpoints(endpoints);
+        book.set_others(entry_id("other"), {{endpoint_id("e0"), {0, 1}}}, start);
+        for (int i = 0; i < 5; ++i) {
+            const std::optional<placement> place =
+                book.place_online(model, {}, start, draw(random));
+            REQUIRE(place);
+            book.take(place->endpoint, work_kind::online);
+            ++load[place->endpoint];
+        }
+    }
+    int over = 0;
+    for (const std::pair<const endpoint_id, int>& one : load)
+        over += std::max(0, one.second - 8);
+    CHECK(over <= 3);
+}
+
+// Callers wait in a line that has grown longer than their target. Oldest first would serve each
+// just too late; those that can still be on time go first, and the late ones after them.
+TEST_CASE("a line longer than the target still serves some on time", "[slots]") {
+    wait_line line;
+    const auto wait = [&line](std::uint64_t id, milliseconds arrived) {
+        line.add({exchange_id(id), model, 0, start + arrived, start + arrived + milliseconds(240),
+                  start + arrived + milliseconds(3000)});
+    };
+    wait(1, milliseconds(0));
+    wait(2, milliseconds(300));
+    wait(3, milliseconds(310));
+    CHECK(*line.next(model, start + milliseconds(320)) == exchange_id(2));
+    line.remove(exchange_id(2));
+    line.remove(exchange_id(3));
+    CHECK(*line.next(model, start + milliseconds(320)) == exchange_id(1));
+    CHECK(line.hopeless(start + milliseconds(3001)) == std::vector<exchange_id>{exchange_id(1)});
+    CHECK(!line.next(service_id("search"), start));
+}
