--- a/include/cassia/gateway/service.h
+++ b/include/cassia/gateway/service.h
@@ -47,8 +47,9 @@
     void on_ready_request(exchange_id id, const net::raw_request& request);
     void set_routes(std::shared_ptr<const routes::table> table);
     void yield_slot(const entry_id& holder, const endpoint_id& endpoint);
-    void lease(const std::string& route, std::uint32_t limit, item_runner_hooks::lease_done done);
-    void report(const schema::items_end& ends, item_runner_hooks::report_done done);
+    void lease(const std::string& route, std::uint32_t limit,
+               const item_runner_hooks::lease_done& done);
+    void report(const schema::items_end& ends, const item_runner_hooks::report_done& done);
     void tick();
     void shut_down();
     void watch_for_end(instant stop_at);
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -56,12 +56,9 @@
         std::make_unique<dispatcher>(*server_, *client_, slots_, metrics_, names_, dispatch);
     item_runner_hooks items;
     items.lease = [this](const std::string& route, std::uint32_t limit,
-                         item_runner_hooks::lease_done done) {
-        lease(route, limit, std::move(done));
-    };
-    items.report = [this](const schema::items_end& ends, item_runner_hooks::report_done done) {
-        report(ends, std::move(done));
-    };
+                         const item_runner_hooks::lease_done& done) { lease(route, limit, done); };
+    items.report = [this](const schema::items_end& ends,
+                          const item_runner_hooks::report_done& done) { report(ends, done); };
     items_ = std::make_unique<item_runner>(*client_, slots_, metrics_, names_,
                                            settings_.batch_window(), std::move(items));
     fleet_hooks fleet;
@@ -86,7 +83,7 @@
 service::~service() = default;
 
 std::string service::open() {
-    const std::string problem = fleet_->open();
+    std::string problem = fleet_->open();
     if (!problem.empty())
         return problem;
     const net::result<void> served = server_->listen(http_address(settings_.serve_address()));
@@ -196,7 +193,7 @@
 }
 
 void service::lease(const std::string& route, std::uint32_t limit,
-                    item_runner_hooks::lease_done done) {
+                    const item_runner_hooks::lease_done& done) {
     // Each question goes to one group; over time all are asked.
     static std::uint32_t turn = 0;
     schema::keeper_request request;
@@ -214,7 +211,7 @@
     });
 }
 
-void service::report(const schema::items_end& ends, item_runner_hooks::report_done done) {
+void service::report(const schema::items_end& ends, const item_runner_hooks::report_done& done) {
     std::map<group_id, schema::items_end> by_group;
     for (const schema::item_end& one : ends.ends()) {
         const group_id group =
--- a/lib/net/tcp_connections.cpp
+++ b/lib/net/tcp_connections.cpp
@@ -22,7 +22,7 @@
 
 namespace {
 constexpr int listen_backlog = 512;
-constexpr std::size_t read_bytes = 64 * 1024;
+constexpr std::size_t read_bytes = 64UL * 1024;
 constexpr int most_accepted_at_once = 64;
 constexpr int keep_alive_probes = 2;
 constexpr int ms_per_s = 1000;
--- a/lib/state/work_query.cpp
+++ b/lib/state/work_query.cpp
@@ -93,7 +93,7 @@
 // The order of ends is part of the state, so every reader sees a result at the same place.
 static void list_by_end(const batch_job& job, const schema::work_query& query,
                         command_cache& bodies, command_cache& results, schema::work_reply& reply) {
-    constexpr std::size_t most_bytes = 700 * 1000; // of a list that may grow to 1 MB as JSON
+    constexpr std::size_t most_bytes = 700UL * 1000; // of a list that may grow to 1 MB as JSON
     std::size_t bytes = 0;
     for (std::size_t i = query.from(); i < job.ended_order.size() && bytes < most_bytes; ++i) {
         const std::uint32_t ordinal = job.ended_order[i];
