--- /dev/null
+++ b/test/platform/stand_in.cpp
@@ -0,0 +1,208 @@
+#include "stand_in.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace cassia::platform_test {
+
+namespace {
+constexpr milliseconds beat_interval(200);
+constexpr milliseconds call_limit(5000);
+constexpr milliseconds retry_pause(50);
+} // namespace
+
+std::string event_data(unsigned number) {
+    return "piece " + std::to_string(number);
+}
+
+runner::runner(net::task& owner, runner_settings settings)
+    : owner_(owner), settings_(std::move(settings)),
+      server_(owner, net::raw_server_limits(),
+              {[this](exchange_id id, const net::raw_request& request) { on_request(id, request); },
+               [this](exchange_id id) { cuts_.erase(id); }}),
+      client_(owner, "") {}
+
+std::string runner::open() {
+    const net::result<void> listening = server_.listen(http_address(settings_.address));
+    if (!listening)
+        return listening.error().text;
+    owner_.every(beat_interval, [this] { beat(); });
+    beat();
+    return "";
+}
+
+void runner::drain() {
+    draining_ = true;
+    beat();
+}
+
+void runner::beat() {
+    boost::json::object body;
+    body["service"] = settings_.service;
+    body["addr"] = settings_.address;
+    body["zone"] = settings_.zone;
+    body["version"] = "v1";
+    body["slots"] = 8;
+    body["state"] = draining_ ? "draining" : "ready";
+    body["coldLeftMs"] = 0;
+    body["seq"] = ++sequence_;
+    body["born"] = settings_.born;
+    net::raw_call call;
+    call.to = http_address(settings_.control[turn_++ % settings_.control.size()]);
+    call.request.method = "POST";
+    call.request.target = "/cassiarouter/Instances.Heartbeat/" + settings_.id;
+    call.request.fields.add("Host", "control");
+    call.request.fields.add("Content-Type", "application/json");
+    call.request.body = boost::json::serialize(body);
+    net::raw_call_hooks hooks;
+    const bool drains = draining_;
+    hooks.on_head = [this, drains](const net::raw_head& head) {
+        const bool taken = head.status == 200;
+        acknowledged_ += taken ? 1 : 0;
+        drain_acknowledged_ = drain_acknowledged_ || (taken && drains);
+    };
+    hooks.on_piece = [](std::string_view) {};
+    hooks.on_end = [] {};
+    hooks.on_failure = [](const net::raw_failure&) {};
+    client_.start(std::move(call), std::move(hooks));
+}
+
+void runner::on_request(exchange_id id, const net::raw_request& request) {
+    const std::string request_id(request.fields.find("X-Cassiarouter-Request-Id"));
+    net::raw_head head;
+    head.fields.add("X-Cassiarouter-Request-Id", request_id);
+    const std::string_view expected = request.fields.find("X-Cassiarouter-Expect-Instance");
+    if (!expected.empty() && expected != settings_.id) {
+        head.status = 421;
+        head.fields.add("X-Cassiarouter-Not-Run", "1");
+        server_.respond(id, head, "");
+        return;
+    }
+    const int run = ++runs_[request_id];
+    head.status = 200;
+    head.fields.add("X-Cassiarouter-Stamp", "proof");
+    const bool streams = request.target.find("/s/") != std::string::npos ||
+                         request.target.find("/j/") != std::string::npos;
+    if (!streams) {
+        server_.respond(id, head, request.method + " " + request.target + "\n" + request.body);
+        return;
+    }
+    unsigned behind = 0;
+    const std::string_view last = request.fields.find("Last-Event-Id");
+    std::from_chars(last.data(), last.data() + last.size(), behind);
+    head.framing = net::body_framing::chunked;
+    head.fields.add("Content-Type", "text/event-stream");
+    server_.begin(id, head);
+    cuts_[id] = settings_.cut_after > 0 && run == 1 && behind == 0;
+    send_event(id, behind + 1);
+}
+
+void runner::send_event(exchange_id id, unsigned number) {
+    auto found = cuts_.find(id);
+    if (found == cuts_.end())
+        return;
+    if (number > settings_.events) {
+        cuts_.erase(found);
+        server_.end(id);
+        return;
+    }
+    const std::string event =
+        "id: " + std::to_string(number) + "\ndata: " + event_data(number) + "\n\n";
+    if (found->second && number > settings_.cut_after) {
+        server_.piece(id, event.substr(0, event.size() / 2));
+        cuts_.erase(found);
+        server_.abort(id);
+        return;
+    }
+    server_.piece(id, event);
+    owner_.after(settings_.event_time, [this, id, number] { send_event(id, number + 1); });
+}
+
+answer caller::call(const std::string& address, const std::string& method,
+                    const std::string& target, const std::map<std::string, std::string>& headers,
+                    const std::string& body) {
+    answer got;
+    bool over = false;
+    net::raw_call call;
+    call.to = http_address(address);
+    call.fresh_connection = true;
+    call.request.method = method;
+    call.request.target = target;
+    call.request.fields.add("Host", "shop.example");
+    for (const std::pair<const std::string, std::string>& one : headers)
+        call.request.fields.add(one.first, one.second);
+    call.request.body = body;
+    net::raw_call_hooks hooks;
+    int status = 0;
+    hooks.on_head = [&](const net::raw_head& head) {
+        status = head.status;
+        got.fields = head.fields;
+    };
+    hooks.on_piece = [&](std::string_view bytes) { got.body.append(bytes); };
+    hooks.on_end = [&] {
+        got.status = status;
+        over = true;
+        owner_.quit();
+    };
+    hooks.on_failure = [&](const net::raw_failure&) {
+        over = true;
+        owner_.quit();
+    };
+    const call_id id = client_.start(std::move(call), std::move(hooks));
+    const timer_id limit = owner_.after(call_limit, [this] { owner_.quit(); });
+    owner_.run();
+    owner_.cancel(limit);
+    if (!over)
+        client_.cancel(id);
+    return got;
+}
+
+answer caller::until(const std::function<bool(const answer&)>& good, milliseconds limit,
+                     const std::function<answer()>& ask) {
+    const instant end = monotonic_now() + limit;
+    for (;;) {
+        answer got = ask();
+        if (good(got) || monotonic_now() >= end)
+            return got;
+        owner_.after(retry_pause, [this] { owner_.quit(); });
+        owner_.run();
+    }
+}
+
+std::string sample_configuration(std::uint64_t version) {
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[
+ {"name":"stream","host":"shop.example","pathPrefix":"/s/","kind":"stream","timeoutMs":5000,
+  "sloMs":300,"priority":0,"service":"llm","maxAttempts":2,"sticky":true,"resumable":true,
+  "gapSloMs":400},
+ {"name":"once","host":"shop.example","pathPrefix":"/once/s/","kind":"stream","timeoutMs":5000,
+  "sloMs":300,"priority":0,"service":"llm","maxAttempts":1,"resumable":false,"gapSloMs":400},
+ {"name":"jobs","host":"shop.example","pathPrefix":"/j/","kind":"batch","timeoutMs":15000,
+  "sloMs":400,"priority":2,"service":"llm","maxAttempts":3,"resultDueMs":18000,"maxWaitS":60,
+  "maxQueued":20000,"resumable":true},
+ {"name":"lookup","host":"shop.example","pathPrefix":"/f/","kind":"safe","timeoutMs":1000,
+  "sloMs":200,"priority":2,"service":"web","maxAttempts":2}],
+ "services":[{"name":"llm","healthPath":"/healthz","maxConns":300,"engine":{"slots":8}},
+  {"name":"web","healthPath":"/healthz","maxConns":100}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
+  "idleTimeoutMs":15000}})";
+}
+
+std::string sample_job(unsigned items) {
+    boost::json::array list;
+    for (unsigned i = 0; i < items; ++i) {
+        boost::json::object item;
+        item["id"] = "item-" + std::to_string(i);
+        item["path"] = "/j/x/" + std::to_string(i);
+        item["headers"] = boost::json::object{{"X-Cassiarouter-Model", "m"}};
+        item["body"] = "aGVsbG8=";
+        item["tokens"] = 1000;
+        list.push_back(std::move(item));
+    }
+    return boost::json::serialize(boost::json::object{{"items", std::move(list)}});
+}
+
+} // namespace cassia::platform_test
--- /dev/null
+++ b/test/platform/stand_in.h
@@ -0,0 +1,90 @@
+/// The platform's other side, for tests and the demo: runners that serve, and a caller and operator
+/// that ask. Written from the platform's published pages.
+#pragma once
+
+#include "cassia/net/raw_client.h"
+#include "cassia/net/raw_server.h"
+#include "cassia/net/task.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cassia::platform_test {
+
+struct runner_settings {
+    std::string id;
+    std::string service;
+    std::string address;
+    std::string zone;
+    std::vector<std::string> control; ///< IP:PORT to send heartbeats to
+    unsigned events = 12;             ///< of a stream
+    milliseconds event_time{5};
+    unsigned cut_after = 0; ///< breaks each first stream after this many events, within the next
+    std::uint64_t born = 1;
+};
+
+/// A runner: streams of events for paths that hold "/s/" or "/j/", a short answer for the others.
+class runner {
+public:
+    runner(net::task& owner, runner_settings settings);
+
+    std::string open();
+    /// Says that it drains, from now on.
+    void drain();
+    /// How often each request id was run.
+    const std::map<std::string, int>& runs() const { return runs_; }
+    int heartbeats_acknowledged() const { return acknowledged_; }
+    bool drain_acknowledged() const { return drain_acknowledged_; }
+
+private:
+    void beat();
+    void on_request(exchange_id id, const net::raw_request& request);
+    void send_event(exchange_id id, unsigned number);
+
+    net::task& owner_;
+    runner_settings settings_;
+    net::raw_server server_;
+    net::raw_client client_;
+    std::map<std::string, int> runs_;
+    std::map<exchange_id, bool> cuts_; ///< open streams, and whether they break off
+    std::uint64_t sequence_ = 0;
+    bool draining_ = false;
+    int acknowledged_ = 0;
+    bool drain_acknowledged_ = false;
+    std::size_t turn_ = 0;
+};
+
+/// Data of the event with this number.
+std::string event_data(unsigned number);
+
+struct answer {
+    int status = 0; ///< 0: no whole answer came
+    net::http_fields fields;
+    std::string body;
+};
+
+/// Makes one call at a time and waits for its answer while the task runs.
+class caller {
+public:
+    explicit caller(net::task& owner) : owner_(owner), client_(owner, "") {}
+
+    answer call(const std::string& address, const std::string& method, const std::string& target,
+                const std::map<std::string, std::string>& headers, const std::string& body);
+    /// Repeats the call until `good` or the time is over.
+    answer until(const std::function<bool(const answer&)>& good, milliseconds limit,
+                 const std::function<answer()>& ask);
+
+private:
+    net::task& owner_;
+    net::raw_client client_;
+};
+
+/// A configuration with a stream route /s/, a batch route /j/ and a lookup route /f/ on
+/// shop.example.
+std::string sample_configuration(std::uint64_t version);
+/// A job of this many items for the batch route.
+std::string sample_job(unsigned items);
+
+} // namespace cassia::platform_test
