Try failed endpoints by one request at a time, and tell callers when routes are back

Cause: (1) after a loss of power gateways are back a second before their table of routes; callers were turned away without a time, came back at once, and had no try left (214 of 259 requests in two seconds). (2) Each time a dark endpoint's suspension ended, every gateway sent it all that looked for a free slot, and each request waited 0.6 to 1 s there.

Ruled out: the endpoints' queues (they were dark), slots (others were free).

--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -67,6 +67,8 @@
     /// The attempt may have run.
     void retry_or_fail(online_call& call, const std::string& cause);
     void suspect(const online_call& call, instant now);
+    /// Longest time without a byte, after which a run is taken for lost.
+    microseconds silence_limit(const online_call& call) const;
     void drop_attempt(online_call& call);
     /// Ends the call with the promise that it has not run.
     void refuse(online_call& call, const std::string& cause);
@@ -84,7 +86,6 @@
     dispatcher_hooks hooks_;
     std::map<exchange_id, std::unique_ptr<online_call>> calls_;
     policy::wait_line line_;
-    std::map<endpoint_id, std::uint32_t> failures_; ///< in a row, by endpoint
     std::mt19937_64 random_;
 };
 
--- a/include/cassia/gateway/service.h
+++ b/include/cassia/gateway/service.h
@@ -14,7 +14,10 @@
 #include "cassia/schema/settings.pb.h"
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
+#include <random>
 #include <string>
 
 namespace cassia::gateway {
@@ -47,6 +50,16 @@
 
 private:
     void on_request(exchange_id id, net::raw_request request);
+    struct early_request {
+        net::raw_request request;
+        instant arrived{};
+        instant until{}; ///< refused if there is no table by then
+    };
+
+    void take_early(exchange_id id, net::raw_request request);
+    void match_early();
+    void refuse_early(instant now);
+    void refuse(exchange_id id, std::optional<milliseconds> come_back);
     void on_ready_request(exchange_id id, const net::raw_request& request);
     void set_routes(std::shared_ptr<const routes::table> table);
     void yield_slot(const entry_id& holder, const endpoint_id& endpoint);
@@ -72,6 +85,8 @@
     std::unique_ptr<item_runner> items_;
     std::unique_ptr<job_desk> jobs_;
     std::shared_ptr<const routes::table> routes_;
+    std::map<exchange_id, early_request> early_; ///< came before there was a table
+    std::mt19937_64 random_;
     bool leaving_ = false;
     instant leaving_since_{};
 };
--- a/include/cassia/net/raw_client.h
+++ b/include/cassia/net/raw_client.h
@@ -23,8 +23,9 @@
     /// Uses a connection that carried no request before. Over a kept one the other end may close
     /// just as the request is sent, and whether it ran can't be told.
     bool fresh_connection = false;
-    /// Limit for the connection to stand; a dark VM answers nothing at all.
-    milliseconds connect_timeout{600};
+    /// Limit for the connection to stand. A dark VM answers nothing at all, and a lost first packet
+    /// is sent again after a second; another endpoint answers sooner.
+    milliseconds connect_timeout{250};
 };
 
 struct raw_failure {
--- a/include/cassia/net/raw_http.h
+++ b/include/cassia/net/raw_http.h
@@ -1,6 +1,8 @@
 /// HTTP/1.1 messages that are passed on as they came: nothing is decoded, reordered or joined.
 #pragma once
 
+#include "cassia/base/clock.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -65,6 +67,11 @@
 std::string to_chunk(std::string_view piece);
 constexpr std::string_view last_chunk = "0\r\n\r\n";
 
+/// A whole number and nothing else.
+std::optional<std::uint64_t> read_number(std::string_view text);
+/// A whole number of milliseconds, no more than a day.
+std::optional<milliseconds> read_milliseconds(std::string_view text);
+
 /// The usual phrase of a status.
 std::string reason_phrase(int status);
 /// Path of a target, without the query.
--- /dev/null
+++ b/include/cassia/policy/refusal.h
@@ -0,0 +1,16 @@
+/// When a caller that is turned away should come back. Pure.
+#pragma once
+
+#include "cassia/base/clock.h"
+
+#include <optional>
+
+namespace cassia::policy {
+
+/// For a gateway that has no table of routes yet: when to come back, or nothing if the caller has
+/// no time for that, and is better kept until the table is there.
+/// \param left time that the caller still has.
+/// \param draw 0 to 1; spreads the callers.
+std::optional<milliseconds> come_back_with_routes(milliseconds left, double draw);
+
+} // namespace cassia::policy
--- a/include/cassia/policy/slot_book.h
+++ b/include/cassia/policy/slot_book.h
@@ -30,6 +30,7 @@
 struct slot_use {
     std::uint32_t online = 0;
     std::uint32_t batch = 0;
+    bool suspects = false; ///< its last requests there came to nothing
 
     friend bool operator==(const slot_use&, const slot_use&) = default;
 };
@@ -54,10 +55,14 @@
 
     void take(const endpoint_id& endpoint, work_kind kind);
     void release(const endpoint_id& endpoint, work_kind kind);
-    const std::map<endpoint_id, slot_use>& own_uses() const { return own_; }
+    /// What this entry has under way, and which endpoints it suspects, to be told to the others.
+    std::map<endpoint_id, slot_use> own_uses() const;
 
-    /// No request goes there until then.
-    void suspend(const endpoint_id& endpoint, instant until);
+    /// A request came to nothing there. For a while, longer each time, it gets none; after that it
+    /// is on trial until one is answered. \returns for how long it gets none.
+    milliseconds suspect(const endpoint_id& endpoint, instant now);
+    /// A request was answered there.
+    void trust(const endpoint_id& endpoint);
 
     /// Where an online request goes: a free slot near by, one further off, or one that batch holds.
     /// Nothing if every slot serves an online request.
@@ -69,6 +74,8 @@
     std::optional<placement> place_batch(const service_id& service,
                                          const std::set<endpoint_id>& avoid, instant now,
                                          double draw) const;
+    /// Whether all slots are taken, as far as is known.
+    bool is_full(const endpoint_id& endpoint) const;
     /// An entry that runs batch items there; this one if it does (empty), or any other.
     std::optional<entry_id> batch_holder(const endpoint_id& endpoint) const;
     /// Slots of a service that batch may still take.
@@ -80,6 +87,7 @@
     struct known_endpoint {
         slot_endpoint facts;
         instant suspended_until{};
+        std::uint32_t failures = 0; ///< in a row
     };
     struct other_entry {
         std::map<endpoint_id, slot_use> uses;
@@ -89,12 +97,16 @@
         const known_endpoint* endpoint = nullptr;
         std::int64_t free = 0;           ///< slots that nobody uses
         std::int64_t free_of_online = 0; ///< slots without an online request
+        bool on_trial = false;           ///< to be used where there is nothing else
     };
 
     slot_use total_use(const endpoint_id& endpoint) const;
+    std::uint32_t suspecting_others(const endpoint_id& endpoint) const;
     std::vector<candidate> candidates(const service_id& service, const std::set<endpoint_id>& avoid,
                                       instant now) const;
-    const candidate* best(const std::vector<candidate>& all, bool own_zone, double draw) const;
+    const candidate* best(const std::vector<candidate>& all, bool own_zone, bool on_trial,
+                          double draw) const;
+    const candidate* best_yielding(const std::vector<candidate>& all, bool on_trial) const;
 
     zone_id own_zone_;
     std::map<endpoint_id, known_endpoint> endpoints_;
--- a/lib/gateway/dispatch_answers.cpp
+++ b/lib/gateway/dispatch_answers.cpp
@@ -35,6 +35,7 @@
         call.refused_by_endpoint = true;
         return;
     }
+    slots_.trust(call.endpoint);
     if (!is_own_answer(call, head)) {
         suspect(call, call.progress_at);
         retry_or_fail(call, "answer_of_another_request");
@@ -61,7 +62,7 @@
         return;
     online_call& call = *found->second;
     call.progress_at = monotonic_now();
-    if (call.first_byte_at == instant())
+    if (call.first_byte_at < call.sent_at)
         call.first_byte_at = call.progress_at;
     if (!call.is_stream() || call.passes_failure) {
         call.body.append(bytes);
@@ -131,7 +132,6 @@
         retry_unrun(call, "refused_by_endpoint");
         return;
     }
-    failures_.erase(call.endpoint);
     if (!call.is_stream() || call.passes_failure) {
         finish_plain(call);
         return;
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -20,14 +20,17 @@
 constexpr milliseconds least_useful_time(50);
 // Attempts that reached no endpoint cost little, but each takes up to the connection's time limit.
 constexpr std::uint32_t most_sends = 6;
-// How long an endpoint that failed gets no requests: doubled with each failure in a row.
-constexpr milliseconds first_suspension(250);
-constexpr milliseconds longest_suspension(4000);
-constexpr int most_doublings = 5;
 // An endpoint that begins no answer for this long is taken for silent, if the request may be
-// repeated: three times the target, but no less than a second.
-constexpr milliseconds least_silence(1000);
-constexpr int silence_targets = 3;
+// repeated. A free slot answers in some 30 ms and a lost packet takes 200 ms more; where others may
+// wait before it, the answer may take as long as they run.
+constexpr milliseconds silence_at_free_slot(350);
+constexpr milliseconds silence_at_full_endpoint(1000);
+// An answer in one piece says nothing while it is made; twice the target is long for it.
+constexpr int targets_of_silence = 2;
+// Between events the limit is what lets the rest come within the 400 ms that a pause may last:
+// a lost packet (200 ms and the usual pace) isn't taken for silence, and a resumed run has 80 ms.
+constexpr milliseconds least_silence_between_events(320);
+constexpr int silence_paces = 4;
 // A calm endpoint begins its answer within some 30 ms.
 constexpr milliseconds hurry_after(60);
 constexpr milliseconds retry_after(400);
@@ -44,15 +47,6 @@
 
 dispatcher::~dispatcher() = default;
 
-static std::optional<std::uint64_t> read_number(std::string_view text) {
-    std::uint64_t number = 0;
-    const std::from_chars_result end =
-        std::from_chars(text.data(), text.data() + text.size(), number);
-    if (end.ec != std::errc() || end.ptr != text.data() + text.size())
-        return std::nullopt;
-    return number;
-}
-
 // Callers of a stream leave after a gap of two seconds, four targets or eight pauses, whichever is
 // longest; a request that starts later than that runs for nobody.
 static milliseconds patience_of(const schema::route& route) {
@@ -74,14 +68,15 @@
     call.request_id = std::string(request.fields.find(names_.request_id));
     call.arrived = monotonic_now();
     milliseconds limit(route.timeout_ms());
-    if (const std::optional<std::uint64_t> wish = read_number(request.fields.find(names_.deadline)))
-        limit = std::min(limit, milliseconds(static_cast<std::int64_t>(*wish)));
+    if (const std::optional<milliseconds> wish =
+            net::read_milliseconds(request.fields.find(names_.deadline)))
+        limit = std::min(limit, *wish);
     call.deadline = call.arrived + limit;
     call.give_up_at = call.deadline - least_useful_time;
     if (call.is_stream())
         call.give_up_at =
             std::min(call.give_up_at, call.arrived + patience_of(route) - first_answer_time);
-    call.last_event = read_number(request.fields.find(names_.last_event)).value_or(0);
+    call.last_event = net::read_number(request.fields.find(names_.last_event)).value_or(0);
     std::uniform_real_distribution<double> draw(0, 1);
     call.service = service_id(routes::choose_target(route, draw(random_)));
     request.fields.erase_hop_by_hop();
@@ -176,14 +171,10 @@
 }
 
 void dispatcher::suspect(const online_call& call, instant now) {
-    const std::uint32_t failures = ++failures_[call.endpoint];
-    const int doublings = std::min<int>(static_cast<int>(failures) - 1, most_doublings);
-    const milliseconds pause = std::min(longest_suspension, first_suspension * (1 << doublings));
-    slots_.suspend(call.endpoint, now + pause);
+    const milliseconds pause = slots_.suspect(call.endpoint, now);
     client_.forget(call.address);
     log_info("endpoint_suspended")
         .with("endpoint", call.endpoint.str())
-        .with("failures", failures)
         .with("ms", pause.count())
         .with("request", call.request_id);
 }
@@ -288,17 +279,25 @@
     }
     if (!waits && call.phase == call_phase::sent && now - call.hurried_at >= hurry_after)
         hurry(call, now);
-    if (waits || !call.is_repeatable())
+    // The last attempt is left alone: ending it for its silence would help nobody.
+    if (waits || !call.is_repeatable() || call.runs >= call.route->max_attempts())
         return;
-    const bool answering = call.phase == call_phase::answering;
-    const std::int64_t expected_ms = answering ? call.route->pause_ms() : call.route->target_ms();
-    const milliseconds limit = std::max(least_silence, milliseconds(silence_targets * expected_ms));
-    if (now - call.progress_at < limit)
+    if (now - call.progress_at < silence_limit(call))
         return;
     suspect(call, now);
     retry_or_fail(call, "endpoint_silent");
 }
 
+microseconds dispatcher::silence_limit(const online_call& call) const {
+    if (!call.is_stream())
+        return std::max(silence_at_free_slot,
+                        targets_of_silence * milliseconds(call.route->target_ms()));
+    if (call.first_byte_at < call.sent_at)
+        return slots_.is_full(call.endpoint) ? silence_at_full_endpoint : silence_at_free_slot;
+    const microseconds pace = call.longest_pause;
+    return std::max<microseconds>(least_silence_between_events, silence_paces * pace);
+}
+
 // What this gateway knows of the others is up to a tenth of a second old, so a request may find its
 // endpoint full though a slot was free when it was sent. If batch items hold slots there, one of
 // them makes room; without this a request waited up to 0.9 s behind them at the start of a wave.
--- a/lib/gateway/fleet_link.cpp
+++ b/lib/gateway/fleet_link.cpp
@@ -228,7 +228,7 @@
 void fleet_link::on_rumor(const schema::gossip& rumor) {
     std::map<endpoint_id, policy::slot_use> uses;
     for (const schema::endpoint_use& use : rumor.uses())
-        uses[endpoint_id(use.endpoint())] = {use.online(), use.batch()};
+        uses[endpoint_id(use.endpoint())] = {use.online(), use.batch(), use.failing()};
     hooks_.on_uses(entry_id(rumor.entry()), std::move(uses));
 }
 
@@ -247,6 +247,7 @@
         use->set_endpoint(one.first.str());
         use->set_online(one.second.online);
         use->set_batch(one.second.batch);
+        use->set_failing(one.second.suspects);
     }
     for (const std::pair<const entry_id, other_gateway>& other : others_)
         hub_.send(peer_address(other.second.hello.peer_address()), envelope);
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -17,9 +17,9 @@
 constexpr milliseconds ask_interval(100);
 // With nothing to be had the question is repeated less often: it costs the leader time.
 constexpr milliseconds ask_interval_idle(300);
-// An endpoint that sends nothing for this long is taken for silent: a token comes every few
-// milliseconds, and a prompt is read in less than a second.
-constexpr milliseconds silence_limit(3000);
+// An endpoint that sends nothing for this long is taken for silent: an event comes every 20 ms or
+// so, and a slot that was thought free may have others waiting before it.
+constexpr milliseconds silence_limit(1500);
 // Past this time an item is given up; clocks of VMs differ by seconds.
 constexpr std::uint64_t clock_slack_ms = 5000;
 } // namespace
@@ -258,6 +258,7 @@
         if (item.attempt == call_id() || now - item.progress_at < silence_limit)
             continue;
         item.avoided.insert(item.endpoint);
+        slots_.suspect(item.endpoint, now);
         put_back(item, milliseconds(0), "endpoint_silent");
     }
 }
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -1,7 +1,9 @@
 #include "cassia/gateway/service.h"
 
+#include "cassia/base/digest.h"
 #include "cassia/base/log.h"
 #include "cassia/net/http_server.h"
+#include "cassia/policy/refusal.h"
 #include "cassia/state/sharding.h"
 
 #include <boost/json.hpp>
@@ -26,6 +28,9 @@
 // Left of the grace for the last answers to go out and the process to end.
 constexpr milliseconds end_margin(700);
 constexpr milliseconds idle_grace(250);
+// A request that names no deadline, and which part of its time one may wait for a table.
+constexpr milliseconds unnamed_deadline(5000);
+constexpr int early_part_percent = 80;
 constexpr int status_ok = 200;
 constexpr int status_missing = 404;
 constexpr int status_unavailable = 503;
@@ -34,12 +39,15 @@
 
 service::service(schema::gateway_settings settings, field_names names, service_hooks hooks)
     : settings_(std::move(settings)), names_(std::move(names)), hooks_(std::move(hooks)),
-      task_("gateway"), slots_(zone_id(settings_.zone())) {
+      task_("gateway"), slots_(zone_id(settings_.zone())), random_(random_bits()) {
     net::raw_server_hooks served;
     served.on_request = [this](exchange_id id, net::raw_request request) {
         on_request(id, std::move(request));
     };
-    served.on_gone = [this](exchange_id id) { dispatcher_->abandon(id); };
+    served.on_gone = [this](exchange_id id) {
+        early_.erase(id);
+        dispatcher_->abandon(id);
+    };
     server_ = std::make_unique<net::raw_server>(task_, net::raw_server_limits(), served);
     net::raw_server_hooks ready;
     ready.on_request = [this](exchange_id id, const net::raw_request& request) {
@@ -132,14 +140,14 @@
     used.header_timeout = milliseconds(limits.header_timeout_ms());
     used.idle_timeout = milliseconds(limits.idle_timeout_ms());
     server_->set_limits(used);
+    match_early();
 }
 
 void service::on_request(exchange_id id, net::raw_request request) {
     if (hooks_.take_request(id, request))
         return;
     if (!routes_) {
-        // Without a table nothing can be said about the request but that it didn't run.
-        respond(id, status_unavailable, {}, "");
+        take_early(id, std::move(request));
         return;
     }
     const schema::route* route =
@@ -159,6 +167,47 @@
     dispatcher_->accept(id, std::move(request), routes_, *route);
 }
 
+// Without a table nothing can be said about a request but that it didn't run.
+void service::take_early(exchange_id id, net::raw_request request) {
+    const instant now = monotonic_now();
+    const milliseconds left =
+        net::read_milliseconds(request.fields.find(names_.deadline)).value_or(unnamed_deadline);
+    std::uniform_real_distribution<double> draw(0, 1);
+    const std::optional<milliseconds> come_back =
+        policy::come_back_with_routes(left, draw(random_));
+    if (come_back)
+        refuse(id, come_back);
+    else
+        early_[id] = {std::move(request), now, now + left * early_part_percent / 100};
+}
+
+void service::match_early() {
+    std::map<exchange_id, early_request> early = std::move(early_);
+    early_.clear();
+    for (std::pair<const exchange_id, early_request>& one : early)
+        on_request(one.first, std::move(one.second.request));
+}
+
+void service::refuse_early(instant now) {
+    for (auto one = early_.begin(); one != early_.end();) {
+        if (now < one->second.until) {
+            ++one;
+            continue;
+        }
+        refuse(one->first, std::nullopt);
+        one = early_.erase(one);
+    }
+}
+
+void service::refuse(exchange_id id, std::optional<milliseconds> come_back) {
+    net::http_fields fields;
+    if (come_back)
+        fields.add("Retry-After",
+                   std::to_string(static_cast<double>(come_back->count()) / ms_per_s));
+    metrics_.count("refused_without_routes");
+    respond(id, status_unavailable, fields, "");
+}
+
 void service::on_ready_request(exchange_id id, const net::raw_request& request) {
     const std::string_view path = net::path_of(request.target);
     net::raw_head head;
@@ -247,6 +296,7 @@
 
 void service::tick() {
     const instant now = monotonic_now();
+    refuse_early(now);
     dispatcher_->tick(now);
     items_->tick(now, wall_now());
 }
--- a/lib/net/raw_http.cpp
+++ b/lib/net/raw_http.cpp
@@ -60,6 +60,23 @@
         erase(name);
 }
 
+std::optional<std::uint64_t> read_number(std::string_view text) {
+    std::uint64_t number = 0;
+    const std::from_chars_result end =
+        std::from_chars(text.data(), text.data() + text.size(), number);
+    if (end.ec != std::errc() || end.ptr != text.data() + text.size())
+        return std::nullopt;
+    return number;
+}
+
+std::optional<milliseconds> read_milliseconds(std::string_view text) {
+    const std::optional<std::uint64_t> number = read_number(text);
+    if (!number)
+        return std::nullopt;
+    const std::uint64_t longest = milliseconds(std::chrono::hours(24)).count();
+    return milliseconds(static_cast<std::int64_t>(std::min(*number, longest)));
+}
+
 std::string reason_phrase(int status) {
     const boost::beast::string_view phrase = boost::beast::http::obsolete_reason(
         boost::beast::http::int_to_status(static_cast<unsigned>(status)));
--- /dev/null
+++ b/lib/policy/refusal.cpp
@@ -0,0 +1,28 @@
+#include "cassia/policy/refusal.h"
+
+#include <algorithm>
+
+namespace cassia::policy {
+
+namespace {
+// Callers wait for a third of the time they have left at most.
+constexpr int longest_part = 3;
+// A control group that starts anew as a whole elects its leader within 0.5 to 1 s, and its table is
+// with the gateways some 20 ms later.
+constexpr milliseconds routes_return(1000);
+// All callers of the first second come back in this time, one after the other.
+constexpr milliseconds spread(600);
+} // namespace
+
+// Without a time callers came back at once, were turned away again, and had no try left when the
+// table was there: 214 of 259 requests in the two seconds behind a loss of power got nothing.
+std::optional<milliseconds> come_back_with_routes(milliseconds left, double draw) {
+    const milliseconds longest = left / longest_part;
+    if (longest < routes_return)
+        return std::nullopt;
+    const milliseconds room = std::min(spread, longest - routes_return);
+    return routes_return +
+           milliseconds(static_cast<std::int64_t>(draw * static_cast<double>(room.count())));
+}
+
+} // namespace cassia::policy
--- a/lib/policy/slot_book.cpp
+++ b/lib/policy/slot_book.cpp
@@ -13,6 +13,13 @@
 // waits until a batch item has yielded one, about a round trip; with an eighth kept free, the
 // requests of the first tenth of a second of a wave find one at once.
 constexpr std::uint32_t reserve_divisor = 8;
+// How long an endpoint that failed gets no requests: doubled with each failure in a row.
+constexpr milliseconds first_suspension(250);
+constexpr milliseconds longest_suspension(4000);
+constexpr std::uint32_t most_doublings = 5;
+// One entry may be the only one that can't reach an endpoint; if two can't, it is the endpoint.
+// Without this each entry loses requests of its own to a dark endpoint before it keeps away.
+constexpr std::uint32_t others_believed = 2;
 } // namespace
 
 void slot_book::set_endpoints(const std::vector<slot_endpoint>& endpoints) {
@@ -23,8 +30,10 @@
         auto before = endpoints_.find(one.id);
         const bool same =
             before != endpoints_.end() && before->second.facts.incarnation == one.incarnation;
-        if (same)
+        if (same) {
             known.suspended_until = before->second.suspended_until;
+            known.failures = before->second.failures;
+        }
     }
     endpoints_ = std::move(next);
 }
@@ -54,14 +63,45 @@
     if (found == own_.end() || count_of(found->second, kind) == 0)
         return;
     --count_of(found->second, kind);
-    if (found->second == slot_use())
+    if (found->second.online == 0 && found->second.batch == 0)
         own_.erase(found);
 }
 
-void slot_book::suspend(const endpoint_id& endpoint, instant until) {
+milliseconds slot_book::suspect(const endpoint_id& endpoint, instant now) {
     auto found = endpoints_.find(endpoint);
-    if (found != endpoints_.end())
-        found->second.suspended_until = std::max(found->second.suspended_until, until);
+    if (found == endpoints_.end())
+        return milliseconds(0);
+    known_endpoint& known = found->second;
+    ++known.failures;
+    const std::uint32_t doublings = std::min(known.failures - 1, most_doublings);
+    const milliseconds pause = std::min(longest_suspension, first_suspension * (1U << doublings));
+    known.suspended_until = std::max(known.suspended_until, now + pause);
+    return pause;
+}
+
+void slot_book::trust(const endpoint_id& endpoint) {
+    auto found = endpoints_.find(endpoint);
+    if (found == endpoints_.end())
+        return;
+    found->second.failures = 0;
+    found->second.suspended_until = instant();
+}
+
+std::map<endpoint_id, slot_use> slot_book::own_uses() const {
+    std::map<endpoint_id, slot_use> uses = own_;
+    for (const std::pair<const endpoint_id, known_endpoint>& one : endpoints_) {
+        if (one.second.failures > 0)
+            uses[one.first].suspects = true;
+    }
+    return uses;
+}
+
+std::uint32_t slot_book::suspecting_others(const endpoint_id& endpoint) const {
+    return static_cast<std::uint32_t>(
+        std::count_if(others_.begin(), others_.end(), [&endpoint](const auto& other) {
+            auto use = other.second.uses.find(endpoint);
+            return use != other.second.uses.end() && use->second.suspects;
+        }));
 }
 
 slot_use slot_book::total_use(const endpoint_id& endpoint) const {
@@ -79,6 +119,12 @@
     return total;
 }
 
+bool slot_book::is_full(const endpoint_id& endpoint) const {
+    auto found = endpoints_.find(endpoint);
+    const slot_use use = total_use(endpoint);
+    return found == endpoints_.end() || use.online + use.batch >= found->second.facts.slots;
+}
+
 std::vector<slot_book::candidate> slot_book::candidates(const service_id& service,
                                                         const std::set<endpoint_id>& avoid,
                                                         instant now) const {
@@ -90,7 +136,14 @@
             continue;
         const slot_use use = total_use(one.first);
         const std::int64_t slots = one.second.facts.slots;
-        found.push_back({&one.second, slots - use.online - use.batch, slots - use.online});
+        candidate fitting{&one.second, slots - use.online - use.batch, slots - use.online, false};
+        fitting.on_trial =
+            one.second.failures > 0 || suspecting_others(one.first) >= others_believed;
+        // On trial it gets one request at a time from here, not all that look for a free slot.
+        auto own = own_.find(one.first);
+        const bool tried = fitting.on_trial && own != own_.end();
+        if (!tried)
+            found.push_back(fitting);
     }
     return found;
 }
@@ -99,9 +152,10 @@
 // once, for as long as they haven't heard of each other's choice; an even draw would fill the
 // slowest as fast as the others.
 const slot_book::candidate* slot_book::best(const std::vector<candidate>& all, bool own_zone,
-                                            double draw) const {
-    const auto weight = [this, own_zone](const candidate& one) {
-        const bool fits = one.free > 0 && (one.endpoint->facts.zone == own_zone_) == own_zone;
+                                            bool on_trial, double draw) const {
+    const auto weight = [this, own_zone, on_trial](const candidate& one) {
+        const bool fits = one.free > 0 && one.on_trial == on_trial &&
+                          (one.endpoint->facts.zone == own_zone_) == own_zone;
         return fits ? static_cast<double>(one.free * one.free) : 0.0;
     };
     double sum = 0;
@@ -136,42 +190,51 @@
     return {endpoint.id, endpoint.address, std::nullopt};
 }
 
+const slot_book::candidate* slot_book::best_yielding(const std::vector<candidate>& all,
+                                                     bool on_trial) const {
+    const candidate* found = nullptr;
+    const auto rank = [this](const candidate& one) {
+        return std::make_pair(one.endpoint->facts.zone == own_zone_, one.free_of_online);
+    };
+    for (const candidate& one : all) {
+        const bool fits = one.free_of_online > 0 && one.on_trial == on_trial &&
+                          batch_holder(one.endpoint->facts.id);
+        if (fits && (found == nullptr || rank(one) > rank(*found)))
+            found = &one;
+    }
+    return found;
+}
+
 std::optional<placement> slot_book::place_online(const service_id& service,
                                                  const std::set<endpoint_id>& avoid, instant now,
                                                  double draw) const {
     const std::vector<candidate> all = candidates(service, avoid, now);
-    for (const bool own_zone : {true, false}) {
-        if (const candidate* free = best(all, own_zone, draw))
-            return placed_at(free->endpoint->facts);
-    }
-    const candidate* yielding = nullptr;
-    for (const candidate& one : all) {
-        if (one.free_of_online <= 0 || !batch_holder(one.endpoint->facts.id))
-            continue;
-        const bool near = one.endpoint->facts.zone == own_zone_;
-        const bool better =
-            yielding == nullptr || std::make_pair(near, one.free_of_online) >
-                                       std::make_pair(yielding->endpoint->facts.zone == own_zone_,
-                                                      yielding->free_of_online);
-        if (better)
-            yielding = &one;
+    for (const bool on_trial : {false, true}) {
+        for (const bool own_zone : {true, false}) {
+            if (const candidate* free = best(all, own_zone, on_trial, draw))
+                return placed_at(free->endpoint->facts);
+        }
+        if (const candidate* yielding = best_yielding(all, on_trial)) {
+            placement place = placed_at(yielding->endpoint->facts);
+            place.yields = batch_holder(place.endpoint);
+            return place;
+        }
     }
-    if (yielding == nullptr)
-        return std::nullopt;
-    placement place = placed_at(yielding->endpoint->facts);
-    place.yields = batch_holder(place.endpoint);
-    return place;
+    return std::nullopt;
 }
 
+// Batch tries endpoints that failed: an item that comes to nothing goes on elsewhere in time.
 std::optional<placement> slot_book::place_batch(const service_id& service,
                                                 const std::set<endpoint_id>& avoid, instant now,
                                                 double draw) const {
     if (batch_room(service, now) == 0)
         return std::nullopt;
     const std::vector<candidate> all = candidates(service, avoid, now);
-    for (const bool own_zone : {true, false}) {
-        if (const candidate* free = best(all, own_zone, draw))
-            return placed_at(free->endpoint->facts);
+    for (const bool on_trial : {true, false}) {
+        for (const bool own_zone : {true, false}) {
+            if (const candidate* free = best(all, own_zone, on_trial, draw))
+                return placed_at(free->endpoint->facts);
+        }
     }
     return std::nullopt;
 }
--- /dev/null
+++ b/unittests/policy/refusal_test.cpp
@@ -0,0 +1,23 @@
+// When callers that are turned away come back.
+
+#include "cassia/policy/refusal.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cassia;
+using namespace cassia::policy;
+
+// Story: all VMs lose power. Gateways are back at once, the table of routes a second later. Callers
+// that are told nothing ask again at once, are turned away again, and are never served.
+TEST_CASE("callers come back once the table can be there, spread out", "[refusal]") {
+    const milliseconds soonest = *come_back_with_routes(milliseconds(5000), 0);
+    const milliseconds latest = *come_back_with_routes(milliseconds(5000), 0.999);
+    CHECK(soonest >= milliseconds(1000));
+    CHECK(latest > soonest + milliseconds(400));
+    CHECK(latest <= milliseconds(5000) / 3);
+    CHECK(*come_back_with_routes(milliseconds(3300), 0.999) <= milliseconds(1100));
+}
+
+TEST_CASE("a caller with little time is kept rather than sent away", "[refusal]") {
+    CHECK_FALSE(come_back_with_routes(milliseconds(1500), 0.5));
+}
