--- a/include/cassia/policy/batch_schedule.h
+++ b/include/cassia/policy/batch_schedule.h
@@ -25,6 +25,9 @@
     std::uint32_t items = 0;
 };
 
+/// Whether an item that starts now will be done too late.
+bool is_late(std::uint64_t deadline, std::uint64_t at);
+
 /// Weighted fair queueing by virtual time: each leased item moves its customer's clock on by
 /// 1/weight, and the customer whose clock is furthest back goes next.
 class batch_schedule {
@@ -32,7 +35,9 @@
     void set_weight(const customer_id& customer, double weight);
 
     /// Splits up to `limit` items among the candidates and charges the customers for them.
-    std::vector<lease_choice> choose(std::vector<job_candidate> candidates, std::uint32_t limit);
+    /// \param at Unix ms; jobs that can't be on time any more go last. 0: none is late.
+    std::vector<lease_choice> choose(std::vector<job_candidate> candidates, std::uint32_t limit,
+                                     std::uint64_t at = 0);
 
 private:
     double weight_of(const customer_id& customer) const;
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -4,9 +4,11 @@
 
 #include "cassia/base/digest.h"
 #include "cassia/base/log.h"
+#include "cassia/policy/batch_schedule.h"
 #include "held_item.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace cassia::gateway {
@@ -113,14 +115,17 @@
 }
 
 void item_runner::start_ready(instant now) {
-    std::vector<std::pair<std::uint64_t, item_key>> ready;
+    const std::uint64_t at = to_unix_ms(wall_now());
+    std::vector<std::tuple<bool, std::uint64_t, item_key>> ready;
     for (const std::pair<const item_key, std::unique_ptr<held_item>>& one : items_) {
         if (one.second->attempt == call_id() && now >= one.second->ready_at)
-            ready.emplace_back(one.second->leased.deadline(), one.first);
+            ready.emplace_back(policy::is_late(one.second->leased.deadline(), at),
+                               one.second->leased.deadline(), one.first);
     }
     std::sort(ready.begin(), ready.end());
-    for (const std::pair<std::uint64_t, item_key>& one : ready) {
-        if (!start(one.second, *items_.at(one.second), now))
+    for (const std::tuple<bool, std::uint64_t, item_key>& one : ready) {
+        const item_key& key = std::get<item_key>(one);
+        if (!start(key, *items_.at(key), now))
             return;
     }
 }
--- a/lib/keeper/work_leader.cpp
+++ b/lib/keeper/work_leader.cpp
@@ -89,7 +89,7 @@
     std::vector<schema::work_command> commands;
     for (const schema::lease_want& want : request.wants()) {
         const std::vector<policy::lease_choice> choices =
-            schedule_.choose(candidates(want.service()), want.limit());
+            schedule_.choose(candidates(want.service()), want.limit(), to_unix_ms(wall_now()));
         for (const policy::lease_choice& choice : choices) {
             const state::batch_job& job = state_.jobs().at(choice.job);
             auto place = std::find(job.services.begin(), job.services.end(), want.service());
--- a/lib/policy/batch_schedule.cpp
+++ b/lib/policy/batch_schedule.cpp
@@ -8,6 +8,9 @@
 namespace {
 // Customers take turns in runs of this many items, so that a lease reads neighbouring bodies.
 constexpr std::uint32_t items_per_turn = 8;
+// An item of the users' jobs takes about 5 s of an engine; with less than this left it can't be on
+// time even if it is short.
+constexpr std::uint64_t least_run_ms = 3000;
 } // namespace
 
 void batch_schedule::set_weight(const customer_id& customer, double weight) {
@@ -19,15 +22,25 @@
     return found == weights_.end() ? 1.0 : found->second;
 }
 
-static bool is_more_urgent(const job_candidate& a, const job_candidate& b) {
+bool is_late(std::uint64_t deadline, std::uint64_t at) {
+    return at != 0 && deadline != 0 && deadline < at + least_run_ms;
+}
+
+// Nearest deadline first, as long as it can be met. Once more waits than can be served, the nearest
+// are those just missed, and all jobs would be late one after the other.
+static bool is_more_urgent(const job_candidate& a, const job_candidate& b, std::uint64_t at) {
     const std::uint64_t never = UINT64_MAX;
-    return std::make_tuple(a.deadline == 0 ? never : a.deadline, a.created, a.job) <
-           std::make_tuple(b.deadline == 0 ? never : b.deadline, b.created, b.job);
+    return std::make_tuple(is_late(a.deadline, at), a.deadline == 0 ? never : a.deadline, a.created,
+                           a.job) < std::make_tuple(is_late(b.deadline, at),
+                                                    b.deadline == 0 ? never : b.deadline, b.created,
+                                                    b.job);
 }
 
 std::vector<lease_choice> batch_schedule::choose(std::vector<job_candidate> candidates,
-                                                 std::uint32_t limit) {
-    std::sort(candidates.begin(), candidates.end(), is_more_urgent);
+                                                 std::uint32_t limit, std::uint64_t at) {
+    std::sort(
+        candidates.begin(), candidates.end(),
+        [at](const job_candidate& a, const job_candidate& b) { return is_more_urgent(a, b, at); });
     std::map<customer_id, std::vector<job_candidate*>> queues;
     for (job_candidate& candidate : candidates) {
         if (candidate.waiting > 0)
--- a/unittests/policy/slots_test.cpp
+++ b/unittests/policy/slots_test.cpp
@@ -1,5 +1,6 @@
 // Where forwarded requests go, and in which order they wait.
 
+#include "cassia/policy/batch_schedule.h"
 #include "cassia/policy/slot_book.h"
 #include "cassia/policy/wait_line.h"
 
@@ -149,3 +150,17 @@
     for (int i = 0; i < 20; ++i)
         CHECK(book.place_online(model, {}, start, i / 20.0)->endpoint == endpoint_id("fine"));
 }
+
+// Two jobs of ten items wait, engines finish an item every 2 s, and the first job is already too
+// late. Nearest deadline first, both end late; the one that can be on time must go first.
+TEST_CASE("a job that can't be on time waits for one that can", "[slots]") {
+    batch_schedule schedule;
+    const std::uint64_t at = 100000;
+    const job_candidate missed{job_id("missed"), customer_id("c"), at - 1, 1, 10};
+    const job_candidate close{job_id("close"), customer_id("c"), at + 20000, 2, 10};
+    const std::vector<lease_choice> choices = schedule.choose({missed, close}, 12, at);
+    REQUIRE(choices.size() == 2);
+    CHECK(choices[0].job == job_id("close"));
+    CHECK(choices[0].items == 10);
+    CHECK(schedule.choose({missed}, 4, at).front().items == 4);
+}
