--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -86,6 +86,7 @@
     struct known_entry {
         schema::entry_hello hello;
         instant seen{};
+        bool listed = false; ///< callers are sent to it, as last logged
     };
     struct known_keeper {
         schema::keeper_hello hello;
@@ -147,6 +148,8 @@
     void found_work_groups(const schema::group_members& founders);
     const known_keeper* find_work_keeper(const std::string& name) const;
     std::set<disk_id> retiring_disks() const;
+    bool is_serving(const known_entry& entry, instant now) const;
+    void log_listed_entries();
     void answer_waiting_words();
     schema::keeper_hello own_hello(const peer_address& to) const;
     std::uint64_t entries_digest() const;
--- a/lib/keeper/service.cpp
+++ b/lib/keeper/service.cpp
@@ -210,6 +210,7 @@
         for (const peer_address& keeper : keepers_to_greet())
             send_keeper_hello(keeper);
         answer_waiting_words();
+        log_listed_entries();
         directory_.forget_old(monotonic_now());
     });
     task_.every(repair_interval, [this] {
--- a/lib/keeper/service_api.cpp
+++ b/lib/keeper/service_api.cpp
@@ -12,8 +12,9 @@
 
 namespace {
 using state::control_group;
-// Entries say hello several times a second; callers must not be sent to one that is gone.
-constexpr milliseconds entry_serves(1500);
+// Entries say hello every 250 ms. A caller that is sent to one that is gone waits a second for a
+// connection, so three missing hellos are enough; a lost packet delays one by 200 ms.
+constexpr milliseconds entry_serves(900);
 // An endpoint gives up on an answer after a second and asks the next keeper.
 constexpr milliseconds word_patience(800);
 constexpr milliseconds keeper_alive(3000);
@@ -214,14 +215,36 @@
     *settings_.mutable_cluster()->mutable_seed() = changed.cluster().seed();
 }
 
+bool service::is_serving(const known_entry& entry, instant now) const {
+    return now - entry.seen < entry_serves && !entry.hello.draining();
+}
+
 std::vector<schema::entry_hello> service::serving_entries() const {
     std::vector<schema::entry_hello> out;
     const instant now = monotonic_now();
     for (const std::pair<const std::string, known_entry>& one : entries_) {
-        if (now - one.second.seen < entry_serves && !one.second.hello.draining())
+        if (is_serving(one.second, now))
             out.push_back(one.second.hello);
     }
     return out;
 }
 
+// An entry that is gone logs nothing itself: only this tells which one callers were sent to in
+// vain.
+void service::log_listed_entries() {
+    const instant now = monotonic_now();
+    for (std::pair<const std::string, known_entry>& one : entries_) {
+        const bool listed = is_serving(one.second, now);
+        if (listed == one.second.listed)
+            continue;
+        one.second.listed = listed;
+        log_info(listed ? "entry_heard" : "entry_silent")
+            .with("entry", one.first)
+            .with("incarnation", one.second.hello.incarnation())
+            .with("draining", one.second.hello.draining() ? 1 : 0)
+            .with("age_ms",
+                  std::chrono::duration_cast<milliseconds>(now - one.second.seen).count());
+    }
+}
+
 } // namespace cassia::keeper
