--- a/include/cassia/gateway/service.h
+++ b/include/cassia/gateway/service.h
@@ -87,6 +87,7 @@
     std::shared_ptr<const routes::table> routes_;
     std::map<exchange_id, early_request> early_; ///< came before there was a table
     std::mt19937_64 random_;
+    std::uint32_t lease_turn_ = 0;
     bool leaving_ = false;
     instant leaving_since_{};
 };
--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -79,6 +79,10 @@
     std::string metrics_text() const { return metrics_.to_text("cassia_keeper_"); }
 
 private:
+    /// Silence after which others count as gone: ten hellos of a keeper, twelve of an entry.
+    static constexpr milliseconds keeper_alive{3000};
+    static constexpr milliseconds entry_alive{3000};
+
     struct work_group {
         state::work_state state;
         std::unique_ptr<work_leader> leader;
--- a/include/cassia/net/raw_http.h
+++ b/include/cassia/net/raw_http.h
@@ -72,6 +72,9 @@
 /// A whole number of milliseconds, no more than a day.
 std::optional<milliseconds> read_milliseconds(std::string_view text);
 
+/// Seconds with their fraction, as Retry-After takes them here.
+std::string to_seconds(milliseconds time);
+
 /// The usual phrase of a status.
 std::string reason_phrase(int status);
 /// Path of a target, without the query.
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -33,11 +33,12 @@
 constexpr int silence_paces = 4;
 // A calm endpoint begins its answer within some 30 ms.
 constexpr milliseconds hurry_after(60);
+// A wave of the users' traffic lasts about 2 s and slots come free all the time: after this time
+// the next request finds one as likely as any.
 constexpr milliseconds retry_after(400);
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
 constexpr int status_timeout = 504;
-constexpr double us_per_s = 1e6;
 } // namespace
 
 dispatcher::dispatcher(net::raw_server& server, net::raw_client& client, policy::slot_book& slots,
@@ -216,8 +217,7 @@
     net::raw_head head;
     head.status = status_unavailable;
     head.fields.add(names_.request_id, call.request_id);
-    head.fields.add("Retry-After",
-                    std::to_string(static_cast<double>(retry_after.count()) * 1000 / us_per_s));
+    head.fields.add("Retry-After", net::to_seconds(retry_after));
     log_outcome(call, head.status, cause);
     metrics_.count("refused");
     const exchange_id id = call.id;
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -202,8 +202,7 @@
 void service::refuse(exchange_id id, std::optional<milliseconds> come_back) {
     net::http_fields fields;
     if (come_back)
-        fields.add("Retry-After",
-                   std::to_string(static_cast<double>(come_back->count()) / ms_per_s));
+        fields.add("Retry-After", net::to_seconds(*come_back));
     metrics_.count("refused_without_routes");
     respond(id, status_unavailable, fields, "");
 }
@@ -244,9 +243,8 @@
 void service::lease(const std::string& route, std::uint32_t limit,
                     const item_runner_hooks::lease_done& done) {
     // Each question goes to one group; over time all are asked.
-    static std::uint32_t turn = 0;
     schema::keeper_request request;
-    request.set_group(1 + turn++ % settings_.cluster().work_groups());
+    request.set_group(1 + lease_turn_++ % settings_.cluster().work_groups());
     request.mutable_lease()->set_holder(fleet_->holder());
     schema::lease_want* want = request.mutable_lease()->add_wants();
     want->set_service(route);
--- a/lib/keeper/service_api.cpp
+++ b/lib/keeper/service_api.cpp
@@ -17,7 +17,6 @@
 constexpr milliseconds entry_serves(900);
 // An endpoint gives up on an answer after a second and asks the next keeper.
 constexpr milliseconds word_patience(800);
-constexpr milliseconds keeper_alive(3000);
 // A leader says several times a second who forms its groups.
 constexpr milliseconds view_alive(1000);
 } // namespace
--- a/lib/keeper/service_fleet.cpp
+++ b/lib/keeper/service_fleet.cpp
@@ -13,11 +13,8 @@
 
 namespace {
 using state::control_group;
-// A keeper says hello every 300 ms: after ten that are missing it counts as gone.
-constexpr milliseconds keeper_alive(3000);
 // All VMs start within some hundred ms of each other; by then those of every zone have been heard.
 constexpr milliseconds founders_gather(700);
-constexpr milliseconds entry_alive(3000);
 } // namespace
 
 std::vector<peer_address> service::keepers_to_greet() const {
--- a/lib/keeper/service_requests.cpp
+++ b/lib/keeper/service_requests.cpp
@@ -15,7 +15,6 @@
 namespace {
 using state::control_group;
 constexpr milliseconds entry_forgotten_after(60000);
-constexpr milliseconds entry_alive(3000);
 constexpr milliseconds incarnation_overlap(1000);
 } // namespace
 
--- a/lib/net/raw_http.cpp
+++ b/lib/net/raw_http.cpp
@@ -77,6 +77,11 @@
     return milliseconds(static_cast<std::int64_t>(std::min(*number, longest)));
 }
 
+std::string to_seconds(milliseconds time) {
+    constexpr double ms_per_s = 1000;
+    return std::to_string(static_cast<double>(time.count()) / ms_per_s);
+}
+
 std::string reason_phrase(int status) {
     const boost::beast::string_view phrase = boost::beast::http::obsolete_reason(
         boost::beast::http::int_to_status(static_cast<unsigned>(status)));
