--- a/include/cassia/gateway/service.h
+++ b/include/cassia/gateway/service.h
@@ -52,7 +52,6 @@
     void on_request(exchange_id id, net::raw_request request);
     struct early_request {
         net::raw_request request;
-        instant arrived{};
         instant until{}; ///< refused if there is no table by then
     };
 
--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -75,8 +75,6 @@
     /// Takes over what may change while it runs: the seeds.
     void apply(const schema::keeper_settings& changed);
     net::task& owner() { return task_; }
-    std::string status_text() const { return dump(); }
-    std::string metrics_text() const { return metrics_.to_text("cassia_keeper_"); }
 
 private:
     /// Silence after which others count as gone: ten hellos of a keeper, twelve of an entry.
@@ -132,6 +130,16 @@
     void on_entry_hello(const schema::entry_hello& hello);
     void send_beacon(const known_entry& entry);
     void write_control_news(const known_entry& entry, schema::keeper_beacon& beacon) const;
+    /// Writes the endpoints that a listener lacks, by what it says it has of this directory.
+    template <class Listener, class News>
+    void write_endpoints(const Listener& listener, News& news) const {
+        const bool known_epoch = listener.directory_epoch() == directory_epoch_;
+        const std::uint64_t known = known_epoch ? listener.directory_revision() : 0;
+        news.set_directory_epoch(directory_epoch_);
+        news.set_directory_revision(directory_.revision());
+        for (schema::endpoint_record& record : directory_.records_since(known, monotonic_now()))
+            *news.add_endpoints() = std::move(record);
+    }
     void on_keeper_hello(const schema::keeper_hello& hello);
     void send_keeper_hello(const peer_address& to);
     void on_config_applied();
@@ -182,7 +190,7 @@
     membership::directory directory_;
     const std::uint64_t directory_epoch_;
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>>
-        heard_revisions_; ///< epoch and revision of each keeper's directory, by node
+        heard_revisions_; ///< epoch and revision of each keeper's directory, by its address
     std::vector<waiting_word> waiting_words_;
     instant work_founders_possible_{};
     std::size_t retiring_known_ = 0;
--- a/lib/gateway/fleet_link.cpp
+++ b/lib/gateway/fleet_link.cpp
@@ -9,7 +9,7 @@
 namespace cassia::gateway {
 
 namespace {
-// Keepers list a gateway for 1.5 s after its last word, so several may get lost.
+// Keepers list a gateway for 0.9 s after its last word, so two may get lost.
 constexpr milliseconds hello_interval(250);
 constexpr milliseconds tick_interval(50);
 constexpr milliseconds keeper_forgotten_after(10000);
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -178,7 +178,7 @@
     if (come_back)
         refuse(id, come_back);
     else
-        early_[id] = {std::move(request), now, now + left * early_part_percent / 100};
+        early_[id] = {std::move(request), now + left * early_part_percent / 100};
 }
 
 void service::match_early() {
--- a/lib/keeper/service_fleet.cpp
+++ b/lib/keeper/service_fleet.cpp
@@ -103,14 +103,8 @@
             told->age_ms() +
             static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(age).count()));
     }
-    if (keeper.hello.control()) {
-        const bool known_epoch = keeper.hello.directory_epoch() == directory_epoch_;
-        const std::uint64_t known = known_epoch ? keeper.hello.directory_revision() : 0;
-        news->set_directory_epoch(directory_epoch_);
-        news->set_directory_revision(directory_.revision());
-        for (schema::endpoint_record& record : directory_.records_since(known, now))
-            *news->add_endpoints() = std::move(record);
-    }
+    if (keeper.hello.control())
+        write_endpoints(keeper.hello, *news);
     hub_->send(to, envelope);
 }
 
--- a/lib/keeper/service_requests.cpp
+++ b/lib/keeper/service_requests.cpp
@@ -203,12 +203,7 @@
     // to a lower version.
     if (uses_seeds() && entry.hello.routes_version() < control_.routes().version())
         *beacon.mutable_routes() = control_.routes();
-    const bool known_epoch = entry.hello.directory_epoch() == directory_epoch_;
-    const std::uint64_t known = known_epoch ? entry.hello.directory_revision() : 0;
-    beacon.set_directory_epoch(directory_epoch_);
-    beacon.set_directory_revision(directory_.revision());
-    for (schema::endpoint_record& record : directory_.records_since(known, now))
-        *beacon.add_endpoints() = std::move(record);
+    write_endpoints(entry.hello, beacon);
     for (const std::pair<const std::string, known_keeper>& one : keepers_) {
         if (now - one.second.seen < entry_alive)
             *beacon.add_keepers() = one.second.hello;
