--- a/include/cassia/base/log.h
+++ b/include/cassia/base/log.h
@@ -10,11 +10,18 @@
 
 enum class log_level { debug, info, warning, error };
 
+/// Where lines go if no file is named: a program whose results go to standard output logs beside.
+enum class log_stream { standard_output, standard_error };
+
 /// Where lines go and which are written. Called once, before the first event.
 /// \param process name that every line carries.
-/// \param file path to append to; standard error if empty.
+/// \param file path to append to; `stream` if empty.
 /// \returns false if the file can't be opened.
-bool start_logs(const std::string& process, log_level least, const std::string& file);
+bool start_logs(const std::string& process, log_level least, const std::string& file,
+                log_stream stream = log_stream::standard_output);
+
+/// Lines that were not written since the start because their reader was too slow.
+std::uint64_t dropped_log_lines();
 
 /// One event, written when the object goes away. Values are quoted where needed.
 class log_event {
@@ -35,7 +42,7 @@
 
 private:
     log_level level_;
-    bool written_; ///< false: below the least level, nothing is built
+    bool written_; ///< false: below the least level or over its budget, nothing is built
     std::string line_;
 };
 
--- a/include/cassia/base/metrics.h
+++ b/include/cassia/base/metrics.h
@@ -39,15 +39,18 @@
 public:
     void count(std::string_view name, std::uint64_t by = 1);
     void observe(std::string_view name, microseconds duration);
+    /// A value that goes up and down.
+    void set(std::string_view name, std::uint64_t value);
 
     std::uint64_t counter(std::string_view name) const;
     const latency_histogram* histogram(std::string_view name) const;
 
-    /// Prometheus text: counters, and quantiles of the histograms in seconds.
+    /// Prometheus text: counters, values, and quantiles of the histograms in seconds.
     std::string to_text(std::string_view prefix) const;
 
 private:
     std::map<std::string, std::uint64_t, std::less<>> counters_;
+    std::map<std::string, std::uint64_t, std::less<>> values_;
     std::map<std::string, latency_histogram, std::less<>> histograms_;
 };
 
--- a/include/cassia/gateway/fleet_link.h
+++ b/include/cassia/gateway/fleet_link.h
@@ -52,7 +52,8 @@
              entry::keeper_client::reply_function done);
     /// Tells a keeper that leads the group, once, without an answer.
     void tell_held(schema::held_items held, group_id group);
-    /// Tells the other gateways what this one has under way, if it changed or a while has passed.
+    /// Tells the other gateways what this one has under way, if it changed or a while has passed:
+    /// those of its own zone at each call, the others as often as their number allows.
     void share_uses(const std::map<endpoint_id, policy::slot_use>& uses);
     void ask_to_yield(const entry_id& entry, const endpoint_id& endpoint, std::uint32_t slots);
 
@@ -66,6 +67,9 @@
         std::uint64_t directory_epoch = 0;
         std::uint64_t directory_revision = 0;
         std::uint64_t clock_us = 0; ///< of its last beacon
+        std::uint64_t keepers_digest = 0;
+        std::vector<schema::keeper_hello> keepers; ///< those that it named last
+        bool leads_control = false;
         instant heard{};
     };
     struct other_gateway {
@@ -73,14 +77,19 @@
         instant seen{};
     };
 
-    void say_hello();
+    enum class audience { control_keepers, all_keepers };
+    void say_hello(audience to);
+    bool needs_all_pulses(instant now) const;
+    void send_uses(schema::envelope& envelope, bool own_zone);
     void on_message(const schema::envelope& message);
     void on_beacon(const schema::keeper_beacon& beacon);
     void learn_entries(const schema::keeper_beacon& beacon, instant now);
     void learn_keepers(const schema::keeper_beacon& beacon, instant now);
+    bool forget_silent(std::map<peer_address, instant>& keepers, instant now);
     void learn_endpoints(const schema::keeper_beacon& beacon, instant now);
     void publish_endpoints(instant now);
     void on_rumor(const schema::gossip& rumor);
+    void watch_control(instant now);
     void tick();
 
     net::task& owner_;
@@ -98,12 +107,21 @@
     std::map<entry_id, other_gateway> others_;
     std::uint64_t entries_digest_ = 0;
     membership::directory directory_;
-    std::string published_; ///< endpoints as last handed over
+    std::vector<policy::slot_endpoint> published_; ///< endpoints as last handed over
+    std::uint64_t published_changes_ = 0;          ///< of the directory at that time
+    instant published_at_{};
     std::shared_ptr<const routes::table> routes_;
     instant last_news_{};
+    bool control_lost_ = false;
     bool leaving_ = false;
-    std::map<endpoint_id, policy::slot_use> shared_uses_;
-    instant uses_shared_at_{};
+    /// What was told last, and when; the gateways of other zones are told less often.
+    struct shared_uses {
+        std::map<endpoint_id, policy::slot_use> uses;
+        instant at{};
+    };
+    shared_uses shared_near_;
+    shared_uses shared_far_;
+    std::uint32_t hellos_ = 0;
 };
 
 } // namespace cassia::gateway
--- a/include/cassia/gateway/service.h
+++ b/include/cassia/gateway/service.h
@@ -68,6 +68,7 @@
     void tick();
     void shut_down();
     void watch_for_end(instant stop_at);
+    std::string metrics_text();
     std::string dump() const;
 
     schema::gateway_settings settings_;
--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -5,6 +5,7 @@
 #include "cassia/keeper/disk_writer.h"
 #include "cassia/keeper/founding.h"
 #include "cassia/keeper/group_host.h"
+#include "cassia/keeper/group_watch.h"
 #include "cassia/keeper/store.h"
 #include "cassia/keeper/work_leader.h"
 #include "cassia/membership/directory.h"
@@ -130,20 +131,33 @@
     void on_entry_hello(const schema::entry_hello& hello);
     void send_beacon(const known_entry& entry);
     void write_control_news(const known_entry& entry, schema::keeper_beacon& beacon) const;
+    void write_entries(const known_entry& entry, schema::keeper_beacon& beacon) const;
     /// Writes the endpoints that a listener lacks, by what it says it has of this directory.
+    /// \param pulses whether it is also told which were heard and didn't change.
     template <class Listener, class News>
-    void write_endpoints(const Listener& listener, News& news) const {
+    void write_endpoints(const Listener& listener, News& news, bool pulses) const {
         const bool known_epoch = listener.directory_epoch() == directory_epoch_;
         const std::uint64_t known = known_epoch ? listener.directory_revision() : 0;
         news.set_directory_epoch(directory_epoch_);
         news.set_directory_revision(directory_.revision());
         for (schema::endpoint_record& record : directory_.records_since(known, monotonic_now()))
             *news.add_endpoints() = std::move(record);
+        if (!pulses)
+            return;
+        for (schema::endpoint_pulse& pulse : directory_.pulses_since(known, monotonic_now()))
+            *news.add_pulses() = std::move(pulse);
     }
+    /// Digests of who is there, to be compared with what a listener knows. Made anew once in
+    /// `digest_age`: each hello of each entry asks for them.
+    void refresh_digests(instant now);
     void on_keeper_hello(const schema::keeper_hello& hello);
     void send_keeper_hello(const peer_address& to);
     void on_config_applied();
     void send_beacons_soon();
+
+    // State dump and metrics (service_http.cpp).
+    std::string open_http();
+    std::string metrics_text();
     std::string dump() const;
 
     // Keepers that find each other by seeds (service_fleet.cpp).
@@ -165,6 +179,7 @@
     void answer_waiting_words();
     schema::keeper_hello own_hello(const peer_address& to) const;
     std::uint64_t entries_digest() const;
+    std::uint64_t keepers_digest() const;
 
     schema::keeper_settings settings_;
     net::task task_;
@@ -182,6 +197,7 @@
     state::control_state control_;
     std::map<group_id, work_group> work_;
     std::map<group_id, std::unique_ptr<group_host>> hosts_;
+    std::map<group_id, group_watch> watches_;
     awaiting_sync awaiting_;
     std::size_t syncs_in_flight_ = 0;
     bool pump_scheduled_ = false;
@@ -195,6 +211,9 @@
     instant work_founders_possible_{};
     std::size_t retiring_known_ = 0;
     std::uint64_t beacon_ = 0;
+    std::uint64_t entries_digest_ = 0;
+    std::uint64_t keepers_digest_ = 0;
+    instant digests_made_at_{};
     consensus::member_list founders_;
     bool stopping_ = false;
     int exit_code_ = 0;
--- a/include/cassia/membership/directory.h
+++ b/include/cassia/membership/directory.h
@@ -19,10 +19,11 @@
 /// An endpoint as last announced.
 struct endpoint_entry {
     schema::endpoint_record record;
-    instant heard{};            ///< when it last announced itself to any entry
-    instant own_heard{};        ///< when it last announced itself to this one
-    bool leaving = false;       ///< once set it holds for the incarnation
-    std::uint64_t revision = 0; ///< of the directory, when this entry last changed or was heard
+    instant heard{};              ///< when it last announced itself to any entry
+    instant own_heard{};          ///< when it last announced itself to this one
+    bool leaving = false;         ///< once set it holds for the incarnation
+    std::uint64_t changed_at = 0; ///< revision of the directory when more than its load changed
+    std::uint64_t heard_at = 0;   ///< revision of the directory when it was last heard
 };
 
 class directory {
@@ -33,15 +34,23 @@
     bool announced(const schema::endpoint_record& record, instant now);
     /// Another entry heard the endpoint, `record.age_ms` before it sent this.
     bool told(const schema::endpoint_record& record, instant now);
+    /// Another entry heard the endpoint again, `pulse.age_ms` before it sent this.
+    void told(const schema::endpoint_pulse& pulse, instant now);
 
     /// Endpoints that may get new work.
     std::vector<const endpoint_entry*> serving(instant now) const;
     /// What this entry heard itself, with ages, to tell the others.
     std::vector<schema::endpoint_record> own_records(instant now) const;
     const std::map<endpoint_id, endpoint_entry>& all() const { return endpoints_; }
-    /// Counts up with each change of an entry.
+    /// Counts up with each change of an entry, and each time that one is heard.
     std::uint64_t revision() const { return revision_; }
-    /// Records that changed or were heard behind a revision, with ages.
+    /// Counts up with changes only.
+    std::uint64_t changes() const { return changes_; }
+    /// Whether an endpoint that may get work was last heard longer ago than this.
+    bool misses_any(milliseconds silence, instant now) const;
+    /// Endpoints that were heard behind a revision and didn't change, with ages.
+    std::vector<schema::endpoint_pulse> pulses_since(std::uint64_t revision, instant now) const;
+    /// Records that changed behind a revision, with ages.
     std::vector<schema::endpoint_record> records_since(std::uint64_t revision, instant now) const;
 
     void forget_old(instant now);
@@ -49,11 +58,13 @@
 private:
     bool merge(const schema::endpoint_record& record, instant heard);
     void store(endpoint_entry& entry, const schema::endpoint_record& record, instant heard);
+    void note_change(endpoint_entry& entry);
     void end_predecessors(const schema::endpoint_record& record);
 
     directory_settings settings_;
     std::map<endpoint_id, endpoint_entry> endpoints_;
     std::uint64_t revision_ = 0;
+    std::uint64_t changes_ = 0;
 };
 
 } // namespace cassia::membership
--- a/include/cassia/policy/slot_book.h
+++ b/include/cassia/policy/slot_book.h
@@ -24,6 +24,8 @@
     zone_id zone;
     service_id service;
     std::uint32_t slots = 1; ///< requests that it runs at once
+
+    friend bool operator==(const slot_endpoint&, const slot_endpoint&) = default;
 };
 
 /// What one entry has under way at an endpoint.
@@ -40,6 +42,8 @@
     http_address address;
     /// Set if a batch item has to yield its slot: the entry that runs it, empty for this one.
     std::optional<entry_id> yields;
+    std::int64_t free = 0; ///< slots that seemed free there
+    bool on_trial = false; ///< its last requests came to nothing
 };
 
 class slot_book {
@@ -100,10 +104,20 @@
         bool on_trial = false;           ///< to be used where there is nothing else
     };
 
+    /// What all other entries together have under way at an endpoint.
+    struct others_use {
+        std::uint32_t online = 0;
+        std::uint32_t batch = 0;
+        std::uint32_t suspecting = 0; ///< entries that suspect it
+    };
+
+    void add_to_others(const std::map<endpoint_id, slot_use>& uses);
+    void take_from_others(const std::map<endpoint_id, slot_use>& uses);
     slot_use total_use(const endpoint_id& endpoint) const;
     std::uint32_t suspecting_others(const endpoint_id& endpoint) const;
     std::vector<candidate> candidates(const service_id& service, const std::set<endpoint_id>& avoid,
                                       instant now) const;
+    static placement placed_at(const candidate& chosen);
     const candidate* best(const std::vector<candidate>& all, bool own_zone, bool on_trial,
                           double draw) const;
     const candidate* best_yielding(const std::vector<candidate>& all, bool on_trial) const;
@@ -112,6 +126,8 @@
     std::map<endpoint_id, known_endpoint> endpoints_;
     std::map<endpoint_id, slot_use> own_;
     std::map<entry_id, other_entry> others_;
+    /// Sums of `others_`: with 64 of them each placement would add up some thousand counts.
+    std::map<endpoint_id, others_use> others_total_;
 };
 
 } // namespace cassia::policy
--- a/include/cassia/policy/wait_line.h
+++ b/include/cassia/policy/wait_line.h
@@ -23,6 +23,7 @@
 public:
     void add(const waiting_request& request);
     void remove(exchange_id id);
+    bool has(exchange_id id) const { return waiting_.count(id) > 0; }
     /// The next request of a service: those that can still meet their target before those that
     /// can't, by priority and then by how soon their target passes.
     std::optional<exchange_id> next(const service_id& service, instant now) const;
--- a/lib/base/log.cpp
+++ b/lib/base/log.cpp
@@ -1,28 +1,36 @@
 #include "cassia/base/log.h"
 
-#include <boost/core/null_deleter.hpp>
+#include "cassia/base/line_budget.h"
+#include "cassia/base/line_writer.h"
+
 #include <boost/log/attributes/clock.hpp>
+#include <boost/log/attributes/constant.hpp>
+#include <boost/log/attributes/value_extraction.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/make_shared.hpp>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <atomic>
-#include <cstdio>
-#include <fstream>
-#include <iostream>
+#include <mutex>
+#include <vector>
 
 namespace cassia {
 
 namespace {
 namespace blog = boost::log;
-using text_sink = blog::sinks::synchronous_sink<blog::sinks::text_ostream_backend>;
 
 std::atomic<log_level> least_level{log_level::info};
+std::atomic<std::uint64_t> dropped_lines{0};
+constexpr const char* failure_attribute = "Failure";
+constexpr mode_t file_mode = 0644;
 } // namespace
 
 static const char* level_name(log_level level) {
@@ -58,16 +66,32 @@
     line.push_back('"');
 }
 
-bool start_logs(const std::string& process, log_level least, const std::string& file) {
-    boost::shared_ptr<std::ostream> stream(&std::clog, boost::null_deleter());
-    if (!file.empty()) {
-        stream = boost::make_shared<std::ofstream>(file, std::ios::app);
-        if (!*stream)
-            return false;
+// Hands whole lines to the writer; the sink around it lets one thread in at a time.
+class line_backend
+    : public blog::sinks::basic_formatted_sink_backend<char, blog::sinks::synchronized_feeding> {
+public:
+    explicit line_backend(int descriptor) : writer_(descriptor) {}
+    void consume(const blog::record_view& record, const string_type& line) {
+        const blog::value_ref<bool> failure = blog::extract<bool>(failure_attribute, record);
+        const bool failed = failure && failure.get();
+        writer_.write(line, failed ? line_rank::failure : line_rank::usual);
+        dropped_lines.store(writer_.dropped(), std::memory_order_relaxed);
     }
-    boost::shared_ptr<text_sink> sink = boost::make_shared<text_sink>();
-    sink->locked_backend()->add_stream(stream);
-    sink->locked_backend()->auto_flush(true);
+
+private:
+    line_writer writer_;
+};
+
+bool start_logs(const std::string& process, log_level least, const std::string& file,
+                log_stream stream) {
+    int descriptor = stream == log_stream::standard_output ? STDOUT_FILENO : STDERR_FILENO;
+    if (!file.empty())
+        descriptor = open(file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, file_mode);
+    if (descriptor < 0)
+        return false;
+    using line_sink = blog::sinks::synchronous_sink<line_backend>;
+    boost::shared_ptr<line_sink> sink =
+        boost::make_shared<line_sink>(boost::make_shared<line_backend>(descriptor));
     namespace expr = blog::expressions;
     sink->set_formatter(expr::stream << "time="
                                      << expr::format_date_time<boost::posix_time::ptime>(
@@ -80,8 +104,43 @@
     return true;
 }
 
+std::uint64_t dropped_log_lines() {
+    return dropped_lines.load(std::memory_order_relaxed);
+}
+
+static void write_line(log_level level, const std::string& text) {
+    blog::sources::logger logger;
+    logger.add_attribute(failure_attribute,
+                         blog::attributes::constant<bool>(level >= log_level::warning));
+    if (blog::record record = logger.open_record()) {
+        blog::record_ostream stream(record);
+        stream << text;
+        stream.flush();
+        logger.push_record(std::move(record));
+    }
+}
+
+// Several threads log; the budget is theirs together.
+static bool is_within_budget(log_level level, std::string_view event) {
+    static std::mutex guard;
+    static line_budget budget;
+    std::vector<folded_lines> folded;
+    bool within = false;
+    {
+        const std::lock_guard<std::mutex> lock(guard);
+        const instant now = monotonic_now();
+        folded = budget.folded(now);
+        within = budget.take(level, event, now);
+    }
+    for (const folded_lines& one : folded)
+        write_line(log_level::warning, "level=warning event=lines_folded of=" + one.event +
+                                           " count=" + std::to_string(one.count));
+    return within;
+}
+
 log_event::log_event(log_level level, std::string_view event)
-    : level_(level), written_(level >= least_level.load(std::memory_order_relaxed)) {
+    : level_(level), written_(level >= least_level.load(std::memory_order_relaxed) &&
+                              is_within_budget(level, event)) {
     if (!written_)
         return;
     line_.append("level=").append(level_name(level)).append(" event=").append(event);
@@ -99,13 +158,7 @@
 log_event::~log_event() {
     if (!written_)
         return;
-    blog::sources::logger logger;
-    if (blog::record record = logger.open_record()) {
-        blog::record_ostream stream(record);
-        stream << line_;
-        stream.flush();
-        logger.push_record(std::move(record));
-    }
+    write_line(level_, line_);
 }
 
 } // namespace cassia
--- a/lib/base/metrics.cpp
+++ b/lib/base/metrics.cpp
@@ -75,6 +75,10 @@
     found->second.add(duration);
 }
 
+void metrics::set(std::string_view name, std::uint64_t value) {
+    values_[std::string(name)] = value;
+}
+
 std::uint64_t metrics::counter(std::string_view name) const {
     auto found = counters_.find(name);
     return found == counters_.end() ? 0 : found->second;
@@ -89,8 +93,13 @@
     constexpr double us_per_second = 1e6;
     std::ostringstream text;
     for (const std::pair<const std::string, std::uint64_t>& counter : counters_)
-        text << prefix << counter.first << "_total " << counter.second << '\n';
+        text << "# TYPE " << prefix << counter.first << "_total counter\n"
+             << prefix << counter.first << "_total " << counter.second << '\n';
+    for (const std::pair<const std::string, std::uint64_t>& value : values_)
+        text << "# TYPE " << prefix << value.first << " gauge\n"
+             << prefix << value.first << ' ' << value.second << '\n';
     for (const std::pair<const std::string, latency_histogram>& entry : histograms_) {
+        text << "# TYPE " << prefix << entry.first << "_seconds summary\n";
         for (const double q : {0.5, 0.95, 0.99})
             text << prefix << entry.first << "_seconds{quantile=\"" << q << "\"} "
                  << static_cast<double>(entry.second.quantile(q).count()) / us_per_second << '\n';
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -36,6 +36,7 @@
 // A wave of the users' traffic lasts about 2 s and slots come free all the time: after this time
 // the next request finds one as likely as any.
 constexpr milliseconds retry_after(400);
+constexpr int status_server_error = 500;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
 constexpr int status_timeout = 504;
@@ -100,6 +101,12 @@
         return;
     }
     call.phase = call.phase == call_phase::answering ? call.phase : call_phase::waiting;
+    if (!line_.has(call.id))
+        log_info("request_queued")
+            .with("request", call.request_id)
+            .with("service", call.service.str())
+            .with("waiting", line_.size())
+            .with("slots", slots_.total_slots(call.service, now));
     line_.add({call.id, call.service, call.route->priority(), call.arrived,
                call.arrived + milliseconds(call.route->target_ms()) - first_answer_time,
                call.give_up_at});
@@ -138,6 +145,14 @@
         call.phase = call_phase::sent;
     if (call.sends == 1)
         metrics_.observe("queued", call.sent_at - call.arrived);
+    log_info("request_placed")
+        .with("request", call.request_id)
+        .with("endpoint", place.endpoint.str())
+        .with("free", place.free)
+        .with("on_trial", place.on_trial ? 1 : 0)
+        .with("yields", place.yields ? "1" : "0")
+        .with("send", call.sends)
+        .with("behind_event", call.last_event);
     const exchange_id id = call.id;
     net::raw_call_hooks hooks;
     hooks.on_head = [this, id](const net::raw_head& head) { on_head(id, head); };
@@ -185,6 +200,10 @@
     --call.runs;
     call.avoided.insert(call.endpoint);
     metrics_.count("attempts_not_run");
+    log_info("attempt_not_run")
+        .with("request", call.request_id)
+        .with("endpoint", call.endpoint.str())
+        .with("cause", cause);
     const bool in_time = monotonic_now() < call.give_up_at || call.phase == call_phase::answering;
     if (call.sends < most_sends && in_time) {
         place(call);
@@ -219,7 +238,7 @@
     head.fields.add(names_.request_id, call.request_id);
     head.fields.add("Retry-After", net::to_seconds(retry_after));
     log_outcome(call, head.status, cause);
-    metrics_.count("refused");
+    metrics_.count("refused_" + cause);
     const exchange_id id = call.id;
     close(id);
     server_.respond(id, head, "");
@@ -228,6 +247,7 @@
 void dispatcher::fail(online_call& call, int status, const std::string& cause) {
     log_outcome(call, status, cause);
     metrics_.count("failed");
+    metrics_.count("failed_" + std::to_string(status));
     const bool began = call.phase == call_phase::answering;
     net::raw_head head;
     head.status = status;
@@ -325,7 +345,9 @@
     const auto ms_since = [](instant from, instant to) {
         return from == instant() ? -1 : std::chrono::duration_cast<milliseconds>(to - from).count();
     };
-    log_event line(log_level::info, "request_ended");
+    // What callers got no answer to goes before the rest when there is too much to write.
+    const bool failed = status >= status_server_error;
+    log_event line(failed ? log_level::warning : log_level::info, "request_ended");
     line.with("request", call.request_id)
         .with("route", call.route->name())
         .with("routes_version", call.table->version())
--- a/lib/gateway/fleet_link.cpp
+++ b/lib/gateway/fleet_link.cpp
@@ -16,6 +16,22 @@
 constexpr milliseconds other_forgotten_after(5000);
 // Others take a gateway that says nothing for 1.5 s for gone, with all it has under way.
 constexpr milliseconds uses_repeated_after(500);
+// Keepers that lead no control group tell only that they are there, whom they lead, and which jobs
+// have ended: once a second is enough for that.
+constexpr std::uint32_t control_hellos_for_each_to_all = 4;
+// Heard at least so often, by way of the leader of the control group; an endpoint announces itself
+// every 1.2 s or so. If one is missed, all keepers are asked: the endpoint may reach only others.
+constexpr milliseconds pulse_missed_after(2000);
+constexpr milliseconds leader_missed_after(800);
+// Four hellos without any answer.
+constexpr milliseconds control_missed_after(1000);
+// Endpoints fall silent without a change of the directory, so it is read anew this often.
+constexpr milliseconds silence_check_interval(250);
+// Messages a second to gateways of other zones. Endpoints there are used only while the own zone
+// has no free slot, so what is known of them may be older: 50 ms in a fleet of eight, 0.3 s in one
+// of 65, where telling all of them at once took a fifth of a gateway's share of its processor.
+constexpr std::size_t far_messages_per_second = 160;
+constexpr std::size_t ms_per_second = 1000;
 } // namespace
 
 // A clock that only goes forward while the VM runs: one that an operator sets back would make this
@@ -44,9 +60,12 @@
     const net::result<void> opened = hub_.open();
     if (!opened)
         return opened.error().text;
-    owner_.every(hello_interval, [this] { say_hello(); });
+    owner_.every(hello_interval, [this] {
+        const bool all = ++hellos_ % control_hellos_for_each_to_all == 0;
+        say_hello(all ? audience::all_keepers : audience::control_keepers);
+    });
     owner_.every(tick_interval, [this] { tick(); });
-    say_hello();
+    say_hello(audience::all_keepers);
     return "";
 }
 
@@ -58,7 +77,7 @@
 
 void fleet_link::leave() {
     leaving_ = true;
-    say_hello();
+    say_hello(audience::all_keepers);
 }
 
 void fleet_link::ask(schema::keeper_request request, entry::ask_options options,
@@ -78,12 +97,26 @@
     hub_.send(leader->second, envelope);
 }
 
-void fleet_link::say_hello() {
+// Without a leader in sight, or with an endpoint that it hasn't heard of lately, any keeper may be
+// the one that hears the endpoints.
+bool fleet_link::needs_all_pulses(instant now) const {
+    const bool leader_heard = std::any_of(
+        keepers_.begin(), keepers_.end(),
+        [now](const std::pair<const peer_address, keeper_state>& one) {
+            return one.second.leads_control && now - one.second.heard < leader_missed_after;
+        });
+    return !leader_heard || directory_.misses_any(pulse_missed_after, now);
+}
+
+void fleet_link::say_hello(audience chosen) {
     std::set<peer_address> to = seeds_;
     for (const std::pair<const peer_address, instant>& one : control_keepers_)
         to.insert(one.first);
-    for (const std::pair<const peer_address, instant>& one : work_keepers_)
-        to.insert(one.first);
+    if (chosen == audience::all_keepers) {
+        for (const std::pair<const peer_address, instant>& one : work_keepers_)
+            to.insert(one.first);
+    }
+    const bool all_pulses = needs_all_pulses(monotonic_now());
     schema::envelope envelope;
     schema::entry_hello* hello = envelope.mutable_hello();
     hello->set_entry(settings_.name());
@@ -100,6 +133,8 @@
         const keeper_state& keeper = keepers_[one];
         hello->set_directory_epoch(keeper.directory_epoch);
         hello->set_directory_revision(keeper.directory_revision);
+        hello->set_keepers_digest(keeper.keepers_digest);
+        hello->set_wants_pulses(all_pulses || keeper.leads_control);
         hub_.send(one, envelope);
     }
 }
@@ -128,9 +163,13 @@
     const peer_address from(beacon.keeper());
     keepers_[from].heard = now;
     keepers_[from].clock_us = beacon.keeper_clock_us();
+    keepers_[from].leads_control = beacon.leads_control();
     learn_keepers(beacon, now);
     for (const std::uint32_t group : beacon.leads()) {
-        leaders_[group_id(group)] = from;
+        peer_address& leader = leaders_[group_id(group)];
+        if (leader != from)
+            log_info("leader_known").with("group", group).with("keeper", from.str());
+        leader = from;
         keeper_client_.leads(group_id(group), from.str());
     }
     if (beacon.directory_epoch() != 0) {
@@ -150,7 +189,7 @@
                 .with("version", routes_->version())
                 .with("from", from.str());
             hooks_.on_routes(routes_);
-            say_hello();
+            say_hello(audience::control_keepers);
         } else {
             log_error("routes_refused").with("cause", compiled.error().text);
         }
@@ -163,20 +202,31 @@
     }
 }
 
+bool fleet_link::forget_silent(std::map<peer_address, instant>& keepers, instant now) {
+    const std::size_t known = keepers.size();
+    for (auto one = keepers.begin(); one != keepers.end();)
+        one = now - one->second > keeper_forgotten_after ? keepers.erase(one) : std::next(one);
+    return keepers.size() != known;
+}
+
+// A keeper names those it hears only when they differ from those it named before; until then they
+// are still there.
 void fleet_link::learn_keepers(const schema::keeper_beacon& beacon, instant now) {
-    std::size_t known = work_keepers_.size();
-    for (const schema::keeper_hello& one : beacon.keepers()) {
+    keeper_state& from = keepers_[peer_address(beacon.keeper())];
+    if (beacon.keepers_size() > 0)
+        from.keepers = {beacon.keepers().begin(), beacon.keepers().end()};
+    from.keepers_digest = beacon.keepers_digest();
+    const std::size_t known = work_keepers_.size();
+    for (const schema::keeper_hello& one : from.keepers) {
         const peer_address address(one.address());
         if (one.control())
             control_keepers_[address] = now;
         if (one.work())
             work_keepers_[address] = now;
     }
-    for (std::map<peer_address, instant>* list : {&control_keepers_, &work_keepers_}) {
-        for (auto one = list->begin(); one != list->end();)
-            one = now - one->second > keeper_forgotten_after ? list->erase(one) : std::next(one);
-    }
-    if (known == work_keepers_.size() && beacon.keepers_size() == 0)
+    forget_silent(control_keepers_, now);
+    const bool forgot = forget_silent(work_keepers_, now);
+    if (!forgot && known == work_keepers_.size())
         return;
     std::vector<entry::keeper_address> addresses;
     for (const std::pair<const peer_address, instant>& one : work_keepers_)
@@ -202,25 +252,29 @@
     keeper.directory_revision = beacon.directory_revision();
     for (const schema::endpoint_record& record : beacon.endpoints())
         directory_.told(record, now);
+    for (const schema::endpoint_pulse& pulse : beacon.pulses())
+        directory_.told(pulse, now);
     publish_endpoints(now);
 }
 
 void fleet_link::publish_endpoints(instant now) {
+    const bool unchanged = directory_.changes() == published_changes_;
+    if (unchanged && now - published_at_ < silence_check_interval)
+        return;
+    published_changes_ = directory_.changes();
+    published_at_ = now;
     // Silence is judged by the time of the last news: while no keeper can be heard at all, the
     // endpoints that were there are the best guess.
     std::vector<policy::slot_endpoint> endpoints;
-    std::string text;
     for (const membership::endpoint_entry* one : directory_.serving(std::min(now, last_news_))) {
         const schema::endpoint_record& record = one->record;
         endpoints.push_back({endpoint_id(record.id()), record.incarnation(),
                              http_address(record.address()), zone_id(record.zone()),
                              service_id(record.service()), std::max(record.max_running(), 1U)});
-        text += record.id() + "/" + std::to_string(record.incarnation()) + "/" + record.address() +
-                "/" + record.service() + " ";
     }
-    if (text == published_)
+    if (endpoints == published_)
         return;
-    published_ = text;
+    published_ = endpoints;
     log_info("endpoints_changed").with("serving", endpoints.size());
     hooks_.on_endpoints(endpoints);
 }
@@ -234,10 +288,18 @@
 
 void fleet_link::share_uses(const std::map<endpoint_id, policy::slot_use>& uses) {
     const instant now = monotonic_now();
-    if (uses == shared_uses_ && now - uses_shared_at_ < uses_repeated_after)
+    const std::size_t far = static_cast<std::size_t>(
+        std::count_if(others_.begin(), others_.end(), [this](const auto& other) {
+            return other.second.hello.zone() != settings_.zone();
+        }));
+    const milliseconds far_interval(far * ms_per_second / far_messages_per_second);
+    const auto is_due = [&uses, now](const shared_uses& shared, milliseconds interval) {
+        return now - shared.at >= (uses == shared.uses ? uses_repeated_after : interval);
+    };
+    const bool near_due = is_due(shared_near_, milliseconds(0));
+    const bool far_due = is_due(shared_far_, far_interval);
+    if (!near_due && !far_due)
         return;
-    shared_uses_ = uses;
-    uses_shared_at_ = now;
     schema::envelope envelope;
     schema::gossip* rumor = envelope.mutable_rumor();
     rumor->set_entry(settings_.name());
@@ -249,8 +311,21 @@
         use->set_batch(one.second.batch);
         use->set_failing(one.second.suspects);
     }
-    for (const std::pair<const entry_id, other_gateway>& other : others_)
-        hub_.send(peer_address(other.second.hello.peer_address()), envelope);
+    if (near_due) {
+        shared_near_ = {uses, now};
+        send_uses(envelope, true);
+    }
+    if (far_due) {
+        shared_far_ = {uses, now};
+        send_uses(envelope, false);
+    }
+}
+
+void fleet_link::send_uses(schema::envelope& envelope, bool own_zone) {
+    for (const std::pair<const entry_id, other_gateway>& other : others_) {
+        if ((other.second.hello.zone() == settings_.zone()) == own_zone)
+            hub_.send(peer_address(other.second.hello.peer_address()), envelope);
+    }
 }
 
 void fleet_link::ask_to_yield(const entry_id& entry, const endpoint_id& endpoint,
@@ -264,9 +339,25 @@
     hub_.send(peer_address(found->second.hello.peer_address()), envelope);
 }
 
+// Requests go on by what was known last; the lines say from when to when.
+void fleet_link::watch_control(instant now) {
+    if (last_news_ == instant())
+        return;
+    const bool lost = now - last_news_ > control_missed_after;
+    if (lost == control_lost_)
+        return;
+    control_lost_ = lost;
+    if (lost)
+        log_warning("control_lost")
+            .with("silent_ms", std::chrono::duration_cast<milliseconds>(now - last_news_).count());
+    else
+        log_info("control_regained").with("routes_version", routes_ ? routes_->version() : 0);
+}
+
 void fleet_link::tick() {
     const instant now = monotonic_now();
     keeper_client_.tick(now);
+    watch_control(now);
     publish_endpoints(now);
 }
 
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -97,8 +97,14 @@
     const net::result<void> served = server_->listen(http_address(settings_.serve_address()));
     if (!served)
         return served.error().text;
-    const net::result<void> ready = ready_server_->listen(http_address(settings_.ready_address()));
-    return ready ? "" : ready.error().text;
+    for (const std::string& address : {settings_.ready_address(), settings_.metrics_address()}) {
+        if (address.empty())
+            continue;
+        const net::result<void> ready = ready_server_->listen(http_address(address));
+        if (!ready)
+            return ready.error().text;
+    }
+    return "";
 }
 
 int service::run() {
@@ -215,7 +221,7 @@
         head.status = routes_ && !leaving_ ? status_ok : status_unavailable;
     } else if (path == "/metrics") {
         head.status = status_ok;
-        body = metrics_.to_text("cassia_gateway_");
+        body = metrics_text();
     } else if (path == "/debug/dump") {
         head.status = status_ok;
         body = dump();
@@ -327,6 +333,20 @@
         task_.quit();
 }
 
+std::string service::metrics_text() {
+    metrics_.set("routes_version", routes_ ? routes_->version() : 0);
+    metrics_.set("exchanges", server_->open_exchanges());
+    metrics_.set("connections", server_->open_connections());
+    metrics_.set("online_open", dispatcher_->open());
+    metrics_.set("online_waiting", dispatcher_->waiting());
+    metrics_.set("items_held", items_->size());
+    metrics_.set("items_running", items_->running());
+    metrics_.set("endpoint_connections_made", client_->counts().connections_made);
+    metrics_.set("endpoint_connections_reused", client_->counts().connections_reused);
+    metrics_.set("log_lines_dropped", dropped_log_lines());
+    return metrics_.to_text("cassia_gateway_");
+}
+
 std::string service::dump() const {
     boost::json::object out;
     out["gateway"] = settings_.name();
--- /dev/null
+++ b/lib/keeper/group_watch.cpp
@@ -0,0 +1,44 @@
+#include "cassia/keeper/group_watch.h"
+
+#include "cassia/base/log.h"
+
+namespace cassia::keeper {
+
+static std::string name_of(const consensus::raft_group& raft, disk_id disk) {
+    for (const consensus::member& one : raft.log().members()) {
+        if (one.disk == disk)
+            return one.node;
+    }
+    return "";
+}
+
+// Learners are marked with a plus: they get all and vote nothing.
+static std::string members_text(const consensus::raft_group& raft) {
+    std::string text;
+    for (const consensus::member& one : raft.log().members())
+        text += (text.empty() ? "" : ",") + one.node + (one.voter ? "" : "+");
+    return text;
+}
+
+void group_watch::look(const consensus::raft_group& raft) {
+    if (raft.leader() != leader_) {
+        leader_ = raft.leader();
+        metrics_.count("leader_changes");
+        log_info("leader_changed")
+            .with("group", group_.value())
+            .with("leader", leader_ == disk_id() ? "none" : name_of(raft, leader_))
+            .with("term", raft.term().value())
+            .with("applied", raft.applied_index());
+    }
+    const std::string members = members_text(raft);
+    if (members == members_)
+        return;
+    members_ = members;
+    log_info("members_changed")
+        .with("group", group_.value())
+        .with("members", members)
+        .with("term", raft.term().value())
+        .with("commit", raft.commit_index());
+}
+
+} // namespace cassia::keeper
--- a/lib/keeper/service.cpp
+++ b/lib/keeper/service.cpp
@@ -65,29 +65,11 @@
                                peer_address(settings_.peer_bind()), settings_.cluster().secret(),
                                settings_.cluster().security() != "none"},
         [this](schema::envelope& message) { on_message(message); });
-    net::http_server_hooks hooks;
-    hooks.on_request = [this](exchange_id id, const net::http_request& request) {
-        net::http_response response;
-        response.body = request.path == "/metrics" ? metrics_.to_text("cassia_keeper_") : dump();
-        if (request.path == "/metrics")
-            response.content_type = "text/plain";
-        if (request.path != "/metrics" && request.path != "/debug/dump")
-            response = {404, "application/json", {}, "{}"};
-        http_->respond(id, response);
-    };
-    hooks.on_gone = [](exchange_id) {};
-    hooks.on_refused = [](int status) { return net::http_response{status, "text/plain", {}, ""}; };
-    http_ = std::make_unique<net::http_server>(
-        task_, net::http_limits{32768, [](const std::string&, const std::string&) { return 4096; }},
-        std::move(hooks));
     make_groups();
     const net::result<void> peers = hub_->open();
     if (!peers)
         return peers.error().text;
-    const net::result<void> served = http_->listen(http_address(settings_.http_address()));
-    if (!served)
-        return served.error().text;
-    return "";
+    return open_http();
 }
 
 std::unique_ptr<group_host> service::make_host(group_id group, state_machine machine) {
@@ -97,6 +79,7 @@
     settings.raft.heartbeat = milliseconds(settings_.heartbeat_ms());
     settings.raft.election_timeout = milliseconds(settings_.election_timeout_ms());
     settings.snapshot_records = settings_.snapshot_records();
+    watches_.emplace(group, group_watch(group, metrics_));
     return std::make_unique<group_host>(settings, std::move(machine), store_, *log_writer_,
                                         *snapshot_writer_, [this] { schedule_pump(); });
 }
@@ -243,8 +226,10 @@
 
 void service::tick() {
     const instant now = monotonic_now();
-    for (const std::pair<const group_id, std::unique_ptr<group_host>>& host : hosts_)
+    for (const std::pair<const group_id, std::unique_ptr<group_host>>& host : hosts_) {
         host.second->tick(now);
+        watches_.at(host.first).look(host.second->raft());
+    }
     const wall_time wall = wall_now();
     for (std::pair<const group_id, work_group>& group : work_) {
         group.second.leader->lead(hosts_.at(group.first)->raft().leads(), now);
--- a/lib/keeper/service_fleet.cpp
+++ b/lib/keeper/service_fleet.cpp
@@ -104,7 +104,7 @@
             static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(age).count()));
     }
     if (keeper.hello.control())
-        write_endpoints(keeper.hello, *news);
+        write_endpoints(keeper.hello, *news, true);
     hub_->send(to, envelope);
 }
 
@@ -132,6 +132,8 @@
     bool changed = false;
     for (const schema::endpoint_record& record : news.endpoints())
         changed = directory_.told(record, now) || changed;
+    for (const schema::endpoint_pulse& pulse : news.pulses())
+        directory_.told(pulse, now);
     heard_revisions_[news.self().address()] = {news.directory_epoch(), news.directory_revision()};
     if (!changed)
         return;
@@ -223,4 +225,16 @@
     return stable_hash(text);
 }
 
+std::uint64_t service::keepers_digest() const {
+    std::string text;
+    const instant now = monotonic_now();
+    for (const std::pair<const std::string, known_keeper>& one : keepers_) {
+        const schema::keeper_hello& hello = one.second.hello;
+        if (now - one.second.seen < keeper_alive)
+            text +=
+                hello.address() + (hello.control() ? "c" : "") + (hello.work() ? "w" : "") + " ";
+    }
+    return stable_hash(text);
+}
+
 } // namespace cassia::keeper
--- /dev/null
+++ b/lib/keeper/service_http.cpp
@@ -0,0 +1,116 @@
+// What a keeper shows of itself: the state dump and metrics.
+
+#include "cassia/base/log.h"
+#include "cassia/keeper/service.h"
+
+#include <boost/json.hpp>
+
+#include <utility>
+
+namespace cassia::keeper {
+
+namespace {
+constexpr std::size_t most_header_bytes = 32768;
+constexpr std::size_t most_body_bytes = 4096;
+constexpr int status_missing = 404;
+} // namespace
+
+std::string service::open_http() {
+    net::http_server_hooks hooks;
+    hooks.on_request = [this](exchange_id id, const net::http_request& request) {
+        net::http_response response;
+        if (request.path == "/metrics")
+            response = {200, "text/plain", {}, metrics_text()};
+        else if (request.path == "/debug/dump")
+            response.body = dump();
+        else
+            response = {status_missing, "application/json", {}, "{}"};
+        http_->respond(id, response);
+    };
+    hooks.on_gone = [](exchange_id) {};
+    hooks.on_refused = [](int status) { return net::http_response{status, "text/plain", {}, ""}; };
+    const auto any_body = [](const std::string&, const std::string&) { return most_body_bytes; };
+    http_ = std::make_unique<net::http_server>(task_, net::http_limits{most_header_bytes, any_body},
+                                               std::move(hooks));
+    for (const std::string& address : {settings_.http_address(), settings_.metrics_address()}) {
+        if (address.empty())
+            continue;
+        const net::result<void> served = http_->listen(http_address(address));
+        if (!served)
+            return served.error().text;
+    }
+    return "";
+}
+
+std::string service::metrics_text() {
+    const instant now = monotonic_now();
+    std::size_t listed = 0;
+    for (const std::pair<const std::string, known_entry>& entry : entries_)
+        listed += entry.second.listed ? 1 : 0;
+    metrics_.set("entries_listed", listed);
+    metrics_.set("endpoints_serving", directory_.serving(now).size());
+    metrics_.set("routes_version", control_.routes().version());
+    metrics_.set("log_lines_dropped", dropped_log_lines());
+    std::size_t jobs = 0;
+    std::size_t leading = 0;
+    for (const std::pair<const group_id, std::unique_ptr<group_host>>& host : hosts_)
+        leading += host.second->raft().leads() ? 1 : 0;
+    for (const std::pair<const group_id, work_group>& group : work_)
+        jobs += group.second.state.jobs().size();
+    metrics_.set("groups_led", leading);
+    metrics_.set("jobs_held", jobs);
+    return metrics_.to_text("cassia_keeper_");
+}
+
+std::string service::dump() const {
+    const instant now = monotonic_now();
+    boost::json::object out;
+    out["keeper"] = settings_.name();
+    out["zone"] = settings_.zone();
+    out["disk"] = recovered_.disk.value();
+    out["config_version"] = control_.version();
+    out["beacon"] = beacon_;
+    out["log_bytes"] = store_.log().bytes_on_disk();
+    boost::json::array groups;
+    for (const std::pair<const group_id, std::unique_ptr<group_host>>& host : hosts_) {
+        const consensus::raft_group& raft = host.second->raft();
+        boost::json::object group;
+        group["group"] = host.first.value();
+        group["leads"] = raft.leads();
+        group["may_read"] = raft.may_read(now);
+        group["leader"] = leader_node(*host.second);
+        group["term"] = raft.term().value();
+        group["commit"] = raft.commit_index();
+        group["applied"] = raft.applied_index();
+        group["log_base"] = raft.log().base_index();
+        boost::json::array members;
+        for (const consensus::member& member : raft.log().members())
+            members.push_back(
+                {{"node", member.node},
+                 {"disk", member.disk.value()},
+                 {"voter", member.voter},
+                 {"active", member.disk == raft.self() || raft.is_active(member.disk, now)}});
+        group["members"] = std::move(members);
+        auto work = work_.find(host.first);
+        if (work != work_.end()) {
+            group["jobs"] = work->second.state.jobs().size();
+            group["keys"] = work->second.state.key_count();
+            boost::json::array holders;
+            for (const std::string& holder : work->second.state.holders())
+                holders.push_back(boost::json::string(holder));
+            group["holders"] = std::move(holders);
+        }
+        groups.push_back(std::move(group));
+    }
+    out["groups"] = std::move(groups);
+    boost::json::array entries;
+    for (const std::pair<const std::string, known_entry>& entry : entries_)
+        entries.push_back({{"entry", entry.first},
+                           {"incarnation", entry.second.hello.incarnation()},
+                           {"config_version", entry.second.hello.config_version()},
+                           {"silent_ms", (now - entry.second.seen).count() / 1000}});
+    out["entries"] = std::move(entries);
+    return boost::json::serialize(out);
+}
+
+} // namespace cassia::keeper
--- a/lib/keeper/service_requests.cpp
+++ b/lib/keeper/service_requests.cpp
@@ -6,8 +6,6 @@
 #include "cassia/settings/catalog.h"
 #include "cassia/state/sharding.h"
 
-#include <boost/json.hpp>
-
 #include <utility>
 
 namespace cassia::keeper {
@@ -16,6 +14,8 @@
 using state::control_group;
 constexpr milliseconds entry_forgotten_after(60000);
 constexpr milliseconds incarnation_overlap(1000);
+// A tenth of what entries and keepers may be silent before their loss shows anyway.
+constexpr milliseconds digest_age(100);
 } // namespace
 
 void service::on_message(schema::envelope& message) {
@@ -203,13 +203,42 @@
     // to a lower version.
     if (uses_seeds() && entry.hello.routes_version() < control_.routes().version())
         *beacon.mutable_routes() = control_.routes();
-    write_endpoints(entry.hello, beacon);
+    write_endpoints(entry.hello, beacon, entry.hello.wants_pulses());
+    beacon.set_keepers_digest(keepers_digest_);
+    const bool same_keepers = uses_seeds() && entry.hello.keepers_digest() == keepers_digest_;
     for (const std::pair<const std::string, known_keeper>& one : keepers_) {
-        if (now - one.second.seen < entry_alive)
+        if (!same_keepers && now - one.second.seen < keeper_alive)
             *beacon.add_keepers() = one.second.hello;
     }
 }
 
+// Large lists are sent to those who don't have them yet.
+void service::write_entries(const known_entry& entry, schema::keeper_beacon& beacon) const {
+    const instant now = monotonic_now();
+    beacon.set_entries_digest(entries_digest_);
+    if (uses_seeds() && entry.hello.entries_digest() == entries_digest_)
+        return;
+    for (const std::pair<const std::string, known_entry>& one : entries_) {
+        const microseconds age = now - one.second.seen;
+        if (age >= entry_alive)
+            continue;
+        // Passed on as new, the word of a dead entry would keep it on the callers' list for twice
+        // as long.
+        schema::entry_hello* told = beacon.add_entries();
+        *told = one.second.hello;
+        told->set_age_ms(
+            static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(age).count()));
+    }
+}
+
+void service::refresh_digests(instant now) {
+    if (now - digests_made_at_ < digest_age)
+        return;
+    digests_made_at_ = now;
+    entries_digest_ = entries_digest();
+    keepers_digest_ = keepers_digest();
+}
+
 void service::send_beacon(const known_entry& entry) {
     const instant now = monotonic_now();
     schema::envelope envelope;
@@ -217,8 +246,11 @@
     beacon->set_keeper(node_);
     beacon->set_sent_at_us(entry.hello.sent_at_us());
     beacon->set_keeper_clock_us(to_us(now));
-    if (hosts_control())
+    if (hosts_control()) {
+        refresh_digests(now);
         write_control_news(entry, *beacon);
+        write_entries(entry, *beacon);
+    }
     const std::string holder =
         entry.hello.entry() + "/" + std::to_string(entry.hello.incarnation());
     for (const std::pair<const group_id, work_group>& group : work_) {
@@ -235,21 +267,6 @@
                 beacon->add_cancelled_jobs(key.first.str());
         }
     }
-    // Large lists are sent to those who don't have them yet.
-    beacon->set_entries_digest(entries_digest());
-    const bool same_entries =
-        uses_seeds() && entry.hello.entries_digest() == beacon->entries_digest();
-    for (const std::pair<const std::string, known_entry>& one : entries_) {
-        const microseconds age = now - one.second.seen;
-        if (same_entries || !hosts_control() || age >= entry_alive)
-            continue;
-        // Passed on as new, the word of a dead entry would keep it on the callers' list for twice
-        // as long.
-        schema::entry_hello* told = beacon->add_entries();
-        *told = one.second.hello;
-        told->set_age_ms(
-            static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(age).count()));
-    }
     hub_->send(peer_address(entry.hello.peer_address()), envelope);
 }
 
@@ -295,55 +312,4 @@
     answer_waiting_words();
 }
 
-std::string service::dump() const {
-    const instant now = monotonic_now();
-    boost::json::object out;
-    out["keeper"] = settings_.name();
-    out["zone"] = settings_.zone();
-    out["disk"] = recovered_.disk.value();
-    out["config_version"] = control_.version();
-    out["beacon"] = beacon_;
-    out["log_bytes"] = store_.log().bytes_on_disk();
-    boost::json::array groups;
-    for (const std::pair<const group_id, std::unique_ptr<group_host>>& host : hosts_) {
-        const consensus::raft_group& raft = host.second->raft();
-        boost::json::object group;
-        group["group"] = host.first.value();
-        group["leads"] = raft.leads();
-        group["may_read"] = raft.may_read(now);
-        group["leader"] = leader_node(*host.second);
-        group["term"] = raft.term().value();
-        group["commit"] = raft.commit_index();
-        group["applied"] = raft.applied_index();
-        group["log_base"] = raft.log().base_index();
-        boost::json::array members;
-        for (const consensus::member& member : raft.log().members())
-            members.push_back(
-                {{"node", member.node},
-                 {"disk", member.disk.value()},
-                 {"voter", member.voter},
-                 {"active", member.disk == raft.self() || raft.is_active(member.disk, now)}});
-        group["members"] = std::move(members);
-        auto work = work_.find(host.first);
-        if (work != work_.end()) {
-            group["jobs"] = work->second.state.jobs().size();
-            group["keys"] = work->second.state.key_count();
-            boost::json::array holders;
-            for (const std::string& holder : work->second.state.holders())
-                holders.push_back(boost::json::string(holder));
-            group["holders"] = std::move(holders);
-        }
-        groups.push_back(std::move(group));
-    }
-    out["groups"] = std::move(groups);
-    boost::json::array entries;
-    for (const std::pair<const std::string, known_entry>& entry : entries_)
-        entries.push_back({{"entry", entry.first},
-                           {"incarnation", entry.second.hello.incarnation()},
-                           {"config_version", entry.second.hello.config_version()},
-                           {"silent_ms", (now - entry.second.seen).count() / 1000}});
-    out["entries"] = std::move(entries);
-    return boost::json::serialize(out);
-}
-
 } // namespace cassia::keeper
--- a/lib/membership/directory.cpp
+++ b/lib/membership/directory.cpp
@@ -32,7 +32,16 @@
 void directory::store(endpoint_entry& entry, const schema::endpoint_record& record, instant heard) {
     entry.record = record;
     entry.heard = heard;
-    entry.revision = ++revision_;
+    entry.heard_at = ++revision_;
+}
+
+void directory::note_change(endpoint_entry& entry) {
+    entry.changed_at = ++revision_;
+    ++changes_;
+}
+
+static std::uint32_t ms_between(instant from, instant to) {
+    return static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(to - from).count());
 }
 
 // An address passes from one process to another. An announcement of the earlier one that was held
@@ -46,7 +55,7 @@
             continue;
         one.second.leaving = true;
         one.second.record.set_gone(true);
-        one.second.revision = ++revision_;
+        note_change(one.second);
     }
 }
 
@@ -72,6 +81,7 @@
         const bool replaced = is_replaced(endpoints_, record);
         entry.leaving = record.leaving() || record.gone() || replaced;
         entry.record.set_gone(record.gone() || replaced);
+        note_change(entry);
         endpoints_[id] = std::move(entry);
         end_predecessors(record);
         return true;
@@ -86,16 +96,59 @@
     known.leaving = known.leaving || leaves;
     const bool gone = known.record.gone() || record.gone();
     if (starts_leaving || gone != known.record.gone())
-        known.revision = ++revision_;
+        note_change(known);
     known.record.set_gone(gone);
     // A late announcement doesn't show that the endpoint still lives.
     const bool late = record.sequence() < known.record.sequence();
     if (heard <= known.heard || late)
         return starts_leaving;
-    const bool changed = starts_leaving || differs(record, known.record);
+    const bool differing = differs(record, known.record);
     store(known, record, heard);
     known.record.set_gone(gone);
-    return changed;
+    if (differing)
+        note_change(known);
+    return starts_leaving || differing;
+}
+
+// Nearly all announcements say nothing new. Passed on whole, those of 60 endpoints kept every
+// gateway and keeper of a large fleet busy; where the record itself is missing here, it comes with
+// the same message.
+void directory::told(const schema::endpoint_pulse& pulse, instant now) {
+    auto found = endpoints_.find(endpoint_id(pulse.id()));
+    if (found == endpoints_.end())
+        return;
+    endpoint_entry& known = found->second;
+    const instant heard = now - milliseconds(pulse.age_ms());
+    const bool newer = pulse.incarnation() == known.record.incarnation() &&
+                       pulse.sequence() >= known.record.sequence() && heard > known.heard;
+    if (!newer)
+        return;
+    known.record.set_sequence(pulse.sequence());
+    known.heard = heard;
+    known.heard_at = ++revision_;
+}
+
+bool directory::misses_any(milliseconds silence, instant now) const {
+    const std::vector<const endpoint_entry*> all = serving(now);
+    return std::any_of(all.begin(), all.end(), [silence, now](const endpoint_entry* one) {
+        return now - one->heard > silence;
+    });
+}
+
+std::vector<schema::endpoint_pulse> directory::pulses_since(std::uint64_t revision,
+                                                            instant now) const {
+    std::vector<schema::endpoint_pulse> out;
+    for (const std::pair<const endpoint_id, endpoint_entry>& one : endpoints_) {
+        if (one.second.changed_at > revision || one.second.heard_at <= revision)
+            continue;
+        schema::endpoint_pulse pulse;
+        pulse.set_id(one.first.str());
+        pulse.set_incarnation(one.second.record.incarnation());
+        pulse.set_sequence(one.second.record.sequence());
+        pulse.set_age_ms(ms_between(one.second.heard, now));
+        out.push_back(std::move(pulse));
+    }
+    return out;
 }
 
 std::vector<const endpoint_entry*> directory::serving(instant now) const {
@@ -115,8 +168,7 @@
             continue;
         schema::endpoint_record record = one.second.record;
         record.set_leaving(one.second.leaving);
-        record.set_age_ms(
-            static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(age).count()));
+        record.set_age_ms(ms_between(one.second.own_heard, now));
         out.push_back(std::move(record));
     }
     return out;
@@ -126,13 +178,11 @@
                                                               instant now) const {
     std::vector<schema::endpoint_record> out;
     for (const std::pair<const endpoint_id, endpoint_entry>& one : endpoints_) {
-        if (one.second.revision <= revision)
+        if (one.second.changed_at <= revision)
             continue;
         schema::endpoint_record record = one.second.record;
         record.set_leaving(one.second.leaving);
-        const microseconds age = now - one.second.heard;
-        record.set_age_ms(
-            static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(age).count()));
+        record.set_age_ms(ms_between(one.second.heard, now));
         out.push_back(std::move(record));
     }
     return out;
--- a/lib/net/tcp_connections.cpp
+++ b/lib/net/tcp_connections.cpp
@@ -48,8 +48,11 @@
     task* owner = nullptr;
     tcp_settings settings;
     tcp_hooks hooks;
-    int listener = -1;
-    GSource* listener_watch = nullptr;
+    struct listener {
+        int descriptor = -1;
+        GSource* watch = nullptr;
+    };
+    std::vector<listener> listeners; ///< one an address, few
     std::map<connection_id, connection> open;
     std::uint64_t last_id = 0;
 
@@ -58,6 +61,7 @@
     enum class farewell { silent, clean, broken };
     void drop(connection_id id, farewell how);
     void accept_all();
+    void accept_from(int listening);
     void ready(connection_id id, GIOCondition what);
     void finish_connect(connection_id id);
     void read(connection_id id);
@@ -148,8 +152,13 @@
 }
 
 void tcp_connections::state::accept_all() {
+    for (const listener& one : listeners)
+        accept_from(one.descriptor);
+}
+
+void tcp_connections::state::accept_from(int listening) {
     for (int i = 0; i < most_accepted_at_once; ++i) {
-        const int descriptor = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        const int descriptor = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (descriptor < 0) {
             const bool drained = errno == EAGAIN || errno == EINTR || errno == ECONNABORTED;
             if (!drained)
@@ -279,16 +288,17 @@
         ::close(descriptor);
         return failure(error{errc::cannot_listen, address.str() + ": " + cause});
     }
-    state_->listener = descriptor;
-    state_->listener_watch = watch_socket(*state_, connection_id(), descriptor, G_IO_IN);
+    state_->listeners.push_back(
+        {descriptor, watch_socket(*state_, connection_id(), descriptor, G_IO_IN)});
     return success();
 }
 
 void tcp_connections::stop_listening() {
-    unwatch(state_->listener_watch);
-    if (state_->listener >= 0)
-        ::close(state_->listener);
-    state_->listener = -1;
+    for (state::listener& one : state_->listeners) {
+        unwatch(one.watch);
+        ::close(one.descriptor);
+    }
+    state_->listeners.clear();
 }
 
 connection_id tcp_connections::connect(const http_address& address, const std::string& own_ip) {
--- a/lib/policy/slot_book.cpp
+++ b/lib/policy/slot_book.cpp
@@ -40,16 +40,42 @@
 
 void slot_book::set_others(const entry_id& entry, std::map<endpoint_id, slot_use> uses,
                            instant now) {
-    others_[entry] = {std::move(uses), now};
+    other_entry& other = others_[entry];
+    take_from_others(other.uses);
+    add_to_others(uses);
+    other = {std::move(uses), now};
 }
 
 void slot_book::forget_others(instant now) {
     for (auto one = others_.begin(); one != others_.end();) {
         const bool silent = now - one->second.heard > others_forgotten_after;
+        if (silent)
+            take_from_others(one->second.uses);
         one = silent ? others_.erase(one) : std::next(one);
     }
 }
 
+void slot_book::add_to_others(const std::map<endpoint_id, slot_use>& uses) {
+    for (const std::pair<const endpoint_id, slot_use>& one : uses) {
+        others_use& total = others_total_[one.first];
+        total.online += one.second.online;
+        total.batch += one.second.batch;
+        total.suspecting += one.second.suspects ? 1 : 0;
+    }
+}
+
+void slot_book::take_from_others(const std::map<endpoint_id, slot_use>& uses) {
+    for (const std::pair<const endpoint_id, slot_use>& one : uses) {
+        auto found = others_total_.find(one.first);
+        others_use& total = found->second;
+        total.online -= one.second.online;
+        total.batch -= one.second.batch;
+        total.suspecting -= one.second.suspects ? 1 : 0;
+        if (total.online == 0 && total.batch == 0 && total.suspecting == 0)
+            others_total_.erase(found);
+    }
+}
+
 static std::uint32_t& count_of(slot_use& use, work_kind kind) {
     return kind == work_kind::online ? use.online : use.batch;
 }
@@ -97,11 +123,8 @@
 }
 
 std::uint32_t slot_book::suspecting_others(const endpoint_id& endpoint) const {
-    return static_cast<std::uint32_t>(
-        std::count_if(others_.begin(), others_.end(), [&endpoint](const auto& other) {
-            auto use = other.second.uses.find(endpoint);
-            return use != other.second.uses.end() && use->second.suspects;
-        }));
+    auto found = others_total_.find(endpoint);
+    return found == others_total_.end() ? 0 : found->second.suspecting;
 }
 
 slot_use slot_book::total_use(const endpoint_id& endpoint) const {
@@ -109,12 +132,10 @@
     auto own = own_.find(endpoint);
     if (own != own_.end())
         total = own->second;
-    for (const std::pair<const entry_id, other_entry>& other : others_) {
-        auto use = other.second.uses.find(endpoint);
-        if (use == other.second.uses.end())
-            continue;
-        total.online += use->second.online;
-        total.batch += use->second.batch;
+    auto others = others_total_.find(endpoint);
+    if (others != others_total_.end()) {
+        total.online += others->second.online;
+        total.batch += others->second.batch;
     }
     return total;
 }
@@ -186,8 +207,9 @@
     return std::nullopt;
 }
 
-static placement placed_at(const slot_endpoint& endpoint) {
-    return {endpoint.id, endpoint.address, std::nullopt};
+placement slot_book::placed_at(const candidate& chosen) {
+    const slot_endpoint& facts = chosen.endpoint->facts;
+    return {facts.id, facts.address, std::nullopt, chosen.free, chosen.on_trial};
 }
 
 const slot_book::candidate* slot_book::best_yielding(const std::vector<candidate>& all,
@@ -212,10 +234,10 @@
     for (const bool on_trial : {false, true}) {
         for (const bool own_zone : {true, false}) {
             if (const candidate* free = best(all, own_zone, on_trial, draw))
-                return placed_at(free->endpoint->facts);
+                return placed_at(*free);
         }
         if (const candidate* yielding = best_yielding(all, on_trial)) {
-            placement place = placed_at(yielding->endpoint->facts);
+            placement place = placed_at(*yielding);
             place.yields = batch_holder(place.endpoint);
             return place;
         }
@@ -233,7 +255,7 @@
     for (const bool on_trial : {true, false}) {
         for (const bool own_zone : {true, false}) {
             if (const candidate* free = best(all, own_zone, on_trial, draw))
-                return placed_at(free->endpoint->facts);
+                return placed_at(*free);
         }
     }
     return std::nullopt;
--- a/lib/settings/logging.cpp
+++ b/lib/settings/logging.cpp
@@ -1,6 +1,5 @@
 #include "cassia/settings/logging.h"
 
-#include "cassia/base/log.h"
 #include "cassia/schema/settings.pb.h"
 
 #include <iostream>
@@ -17,8 +16,9 @@
     return log_level::info;
 }
 
-bool start_logs(const std::string& process, const schema::log_settings& settings) {
-    if (cassia::start_logs(process, level_from(settings.level()), settings.file()))
+bool start_logs(const std::string& process, const schema::log_settings& settings,
+                log_stream stream) {
+    if (cassia::start_logs(process, level_from(settings.level()), settings.file(), stream))
         return true;
     std::cerr << process << ": cannot open log file '" << settings.file() << "'\n";
     return false;
--- a/test/runner/fleet.cpp
+++ b/test/runner/fleet.cpp
@@ -170,6 +170,7 @@
         setrlimit(RLIMIT_FSIZE, &limit);
     }
     const int file = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+    dup2(file, STDOUT_FILENO);
     dup2(file, STDERR_FILENO);
     execv(arguments[0], arguments.data());
     _exit(127);
--- a/tools/cassia-load.cpp
+++ b/tools/cassia-load.cpp
@@ -127,7 +127,8 @@
         cassia::settings::read_command_line(argc, argv, program, settings);
     if (line.exit)
         return *line.exit;
-    if (!cassia::settings::start_logs("cassia-load", settings.log()))
+    if (!cassia::settings::start_logs("cassia-load", settings.log(),
+                                      cassia::log_stream::standard_error))
         return cassia::settings::exit_failed;
     const std::string mode = line.arguments.empty() ? "run" : line.arguments.front();
     const bool known = mode == "run" || mode == "compare" || mode == "announce";
--- a/unittests/membership/membership_test.cpp
+++ b/unittests/membership/membership_test.cpp
@@ -60,6 +60,58 @@
     CHECK(one.serving(start + milliseconds(400))[0]->record.incarnation() == 2);
 }
 
+// Story: in a fleet of 60 endpoints and 65 gateways each of 50 announcements a second went whole to
+// every gateway from every keeper; gateways had no time left for callers. An announcement that says
+// nothing new is passed on as a pulse, and the endpoint stays in service by it.
+TEST_CASE("what was heard and didn't change is told as a pulse", "[membership]") {
+    directory keeper{directory_settings()};
+    directory gateway{directory_settings()};
+    schema::endpoint_record said = record(1);
+    said.set_sequence(1);
+    keeper.announced(said, start);
+    const auto pass_on = [&keeper, &gateway](std::uint64_t known, instant now) {
+        for (const schema::endpoint_record& one : keeper.records_since(known, now))
+            gateway.told(one, now);
+        for (const schema::endpoint_pulse& one : keeper.pulses_since(known, now))
+            gateway.told(one, now);
+        return keeper.revision();
+    };
+    std::uint64_t known = pass_on(0, start);
+    REQUIRE(gateway.serving(start).size() == 1);
+    const std::uint64_t changes = gateway.changes();
+
+    said.set_sequence(2);
+    keeper.announced(said, start + milliseconds(1200));
+    CHECK(keeper.records_since(known, start + milliseconds(1300)).empty());
+    CHECK(keeper.pulses_since(known, start + milliseconds(1300)).size() == 1);
+    known = pass_on(known, start + milliseconds(1300));
+    CHECK(gateway.changes() == changes);
+    CHECK(gateway.serving(start + milliseconds(4100)).size() == 1);
+    CHECK(gateway.serving(start + milliseconds(4200)).empty());
+    CHECK(gateway.misses_any(milliseconds(2000), start + milliseconds(3300)));
+    CHECK_FALSE(gateway.misses_any(milliseconds(2000), start + milliseconds(3200)));
+
+    said.set_sequence(3);
+    said.set_leaving(true);
+    keeper.announced(said, start + milliseconds(2400));
+    CHECK(keeper.records_since(known, start + milliseconds(2500)).size() == 1);
+    pass_on(known, start + milliseconds(2500));
+    CHECK(gateway.serving(start + milliseconds(2500)).empty());
+}
+
+// Story: an endpoint crashed and its address serves another one; a late pulse of the first must not
+// bring it back.
+TEST_CASE("a pulse of an earlier incarnation counts for nothing", "[membership]") {
+    directory gateway{directory_settings()};
+    gateway.told(record(2), start);
+    schema::endpoint_pulse late;
+    late.set_id("engine-1");
+    late.set_incarnation(1);
+    late.set_sequence(9);
+    gateway.told(late, start + milliseconds(2500));
+    CHECK(gateway.serving(start + milliseconds(3000)).empty());
+}
+
 // Story: two entries are cut off together and serve by an old list for ever, each taking the
 // other's word for news.
 TEST_CASE("a beacon that is passed around grows old", "[membership]") {
--- a/unittests/policy/slots_test.cpp
+++ b/unittests/policy/slots_test.cpp
@@ -28,6 +28,35 @@
 
 } // namespace
 
+// Story: a gateway believes an endpoint full, or free, for ever: the sum of what others have under
+// way there drifted from what they said, by one of them that went away or repeated itself.
+TEST_CASE("the sum of the others' work follows what each said last", "[slots]") {
+    slot_book book{zone_id("a")};
+    book.set_endpoints({endpoint("e0", "a", 40), endpoint("e1", "a", 40)});
+    std::map<int, std::pair<std::uint32_t, instant>> said;
+    std::mt19937 random(20);
+    instant now = start;
+    for (int step = 0; step < 2000; ++step) {
+        now += milliseconds(50);
+        const int who = static_cast<int>(random() % 6);
+        const std::uint32_t count = random() % 8;
+        std::map<endpoint_id, slot_use> uses;
+        if (count > 0)
+            uses[endpoint_id("e0")] = {count, 0, false};
+        if (random() % 2 == 0)
+            uses[endpoint_id("e1")] = {0, 1, true};
+        book.set_others(entry_id("g" + std::to_string(who)), uses, now);
+        said[who] = {count, now};
+        book.forget_others(now);
+        std::uint32_t sum = 0;
+        for (const auto& one : said)
+            sum += now - one.second.second > milliseconds(1500) ? 0 : one.second.first;
+        CHECK(book.is_full(endpoint_id("e0")) == (sum >= 40));
+    }
+    book.forget_others(now + milliseconds(2000));
+    CHECK(book.batch_room(model, now) == 80 - 80 / 8);
+}
+
 TEST_CASE("free slots of the own zone go first, then those further off", "[slots]") {
     slot_book book = two_zones();
     for (int i = 0; i < 2; ++i) {
