Let a stream that stalls go on at a free endpoint

Change: after 75 ms or 2.5 times the longest pause so far a repeatable stream goes on elsewhere behind its last event, once, if a slot is free. Two stalls at an endpoint with nothing heard between make it suspect, as silence did. The first event after a pause is passed on at once. Also: queued_ms and first_ms count from the first attempt.

--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -61,6 +61,8 @@
     void gather(online_call& call, const std::string& event);
     void flush(online_call& call);
     void hurry(online_call& call, instant now);
+    bool may_go_on_elsewhere(const online_call& call) const;
+    void move_stalled(online_call& call, instant now);
     void finish_plain(online_call& call);
     /// The attempt certainly did not run.
     void retry_unrun(online_call& call, const std::string& cause);
--- a/include/cassia/gateway/online_call.h
+++ b/include/cassia/gateway/online_call.h
@@ -38,10 +38,12 @@
     endpoint_id endpoint;
     http_address address;
     call_id attempt;
-    instant sent_at{};
-    instant hurried_at{};  ///< when a batch item was last asked to make room for it
-    instant progress_at{}; ///< when the endpoint last sent something
-    instant first_byte_at{};
+    instant first_sent_at{};
+    instant sent_at{};       ///< the attempt under way
+    instant hurried_at{};    ///< when a batch item was last asked to make room for it
+    instant progress_at{};   ///< when the endpoint last sent something
+    instant first_byte_at{}; ///< of the attempt under way
+    instant answer_began{};
 
     bool refused_by_endpoint = false; ///< the answer coming in says that it did not run
     bool passes_failure = false;      ///< the answer is the endpoint's own failure
--- a/include/cassia/policy/slot_book.h
+++ b/include/cassia/policy/slot_book.h
@@ -67,6 +67,12 @@
     milliseconds suspect(const endpoint_id& endpoint, instant now);
     /// A request was answered there.
     void trust(const endpoint_id& endpoint);
+    /// A stream from there paused for too long. One may have lost a packet; if another pauses
+    /// before anything else is heard from there, the endpoint is suspected. \returns for how long
+    /// it gets no requests, 0 if it still does.
+    milliseconds note_stall(const endpoint_id& endpoint, instant now);
+    /// Something of a stream came from there.
+    void note_progress(const endpoint_id& endpoint);
 
     /// Where an online request goes: a free slot near by, one further off, or one that batch holds.
     /// Nothing if every slot serves an online request.
@@ -74,6 +80,11 @@
     std::optional<placement> place_online(const service_id& service,
                                           const std::set<endpoint_id>& avoid, instant now,
                                           double draw) const;
+    /// Another endpoint with a free slot for a stream that stalled; nothing that would make anybody
+    /// wait.
+    std::optional<placement> place_stalled(const service_id& service,
+                                           const std::set<endpoint_id>& avoid, instant now,
+                                           double draw) const;
     /// Where a batch item goes: a free slot, while more than the reserve is free.
     std::optional<placement> place_batch(const service_id& service,
                                          const std::set<endpoint_id>& avoid, instant now,
@@ -92,6 +103,7 @@
         slot_endpoint facts;
         instant suspended_until{};
         std::uint32_t failures = 0; ///< in a row
+        bool stalled = false;       ///< a stream paused, and nothing was heard from there since
     };
     struct other_entry {
         std::map<endpoint_id, slot_use> uses;
--- a/lib/gateway/dispatch_answers.cpp
+++ b/lib/gateway/dispatch_answers.cpp
@@ -62,6 +62,7 @@
         return;
     online_call& call = *found->second;
     call.progress_at = monotonic_now();
+    slots_.note_progress(call.endpoint);
     if (call.first_byte_at < call.sent_at)
         call.first_byte_at = call.progress_at;
     if (!call.is_stream() || call.passes_failure) {
@@ -76,6 +77,7 @@
     if (call.phase == call_phase::answering)
         return;
     call.phase = call_phase::answering;
+    call.answer_began = call.progress_at;
     net::raw_head head = call.head;
     head.framing = net::body_framing::chunked;
     server_.begin(call.id, head);
@@ -87,7 +89,8 @@
 // no event waits for longer than a reader can tell.
 void dispatcher::gather(online_call& call, const std::string& event) {
     const instant now = monotonic_now();
-    const bool first = call.last_event_at == instant();
+    // The first one, and one that comes after a long pause, is waited for.
+    const bool first = now - call.last_event_at >= gather_limit;
     if (call.gathered.empty())
         call.gathered_since = now;
     call.gathered.append(event);
@@ -156,6 +159,7 @@
         retry_or_fail(call, "endpoint_failed");
         return;
     }
+    call.answer_began = call.progress_at;
     log_outcome(call, call.head.status, "answered");
     metrics_.count("answered");
     metrics_.observe("answer", monotonic_now() - call.arrived);
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -1,4 +1,4 @@
-// How a request finds an endpoint, and when it is given up.
+// How a request finds an endpoint, and how it ends.
 
 #include "cassia/gateway/dispatcher.h"
 
@@ -20,19 +20,6 @@
 constexpr milliseconds least_useful_time(50);
 // Attempts that reached no endpoint cost little, but each takes up to the connection's time limit.
 constexpr std::uint32_t most_sends = 6;
-// An endpoint that begins no answer for this long is taken for silent, if the request may be
-// repeated. A free slot answers in some 30 ms and a lost packet takes 200 ms more; where others may
-// wait before it, the answer may take as long as they run.
-constexpr milliseconds silence_at_free_slot(350);
-constexpr milliseconds silence_at_full_endpoint(1000);
-// An answer in one piece says nothing while it is made; twice the target is long for it.
-constexpr int targets_of_silence = 2;
-// Between events the limit is what lets the rest come within the 400 ms that a pause may last:
-// a lost packet (200 ms and the usual pace) isn't taken for silence, and a resumed run has 80 ms.
-constexpr milliseconds least_silence_between_events(320);
-constexpr int silence_paces = 4;
-// A calm endpoint begins its answer within some 30 ms.
-constexpr milliseconds hurry_after(60);
 // A wave of the users' traffic lasts about 2 s and slots come free all the time: after this time
 // the next request finds one as likely as any.
 constexpr milliseconds retry_after(400);
@@ -143,8 +130,10 @@
     ++call.runs;
     if (call.phase == call_phase::waiting)
         call.phase = call_phase::sent;
-    if (call.sends == 1)
+    if (call.sends == 1) {
+        call.first_sent_at = call.sent_at;
         metrics_.observe("queued", call.sent_at - call.arrived);
+    }
     log_info("request_placed")
         .with("request", call.request_id)
         .with("endpoint", place.endpoint.str())
@@ -280,66 +269,6 @@
     serve_waiting();
 }
 
-void dispatcher::check_time(online_call& call, instant now) {
-    const bool waits = call.attempt == call_id();
-    if (!call.gathered.empty() && now - call.gathered_since >= gather_limit)
-        flush(call);
-    if (waits && call.phase == call_phase::waiting && now > call.give_up_at) {
-        if (call.runs > 0)
-            fail(call, status_timeout, "no_slot_in_time");
-        else
-            refuse(call, "no_slot_in_time");
-        return;
-    }
-    if (now >= call.deadline) {
-        if (!waits)
-            drop_attempt(call);
-        fail(call, status_timeout, "deadline");
-        return;
-    }
-    if (!waits && call.phase == call_phase::sent && now - call.hurried_at >= hurry_after)
-        hurry(call, now);
-    // The last attempt is left alone: ending it for its silence would help nobody.
-    if (waits || !call.is_repeatable() || call.runs >= call.route->max_attempts())
-        return;
-    if (now - call.progress_at < silence_limit(call))
-        return;
-    suspect(call, now);
-    retry_or_fail(call, "endpoint_silent");
-}
-
-microseconds dispatcher::silence_limit(const online_call& call) const {
-    if (!call.is_stream())
-        return std::max(silence_at_free_slot,
-                        targets_of_silence * milliseconds(call.route->target_ms()));
-    if (call.first_byte_at < call.sent_at)
-        return slots_.is_full(call.endpoint) ? silence_at_full_endpoint : silence_at_free_slot;
-    const microseconds pace = call.longest_pause;
-    return std::max<microseconds>(least_silence_between_events, silence_paces * pace);
-}
-
-// What this gateway knows of the others is up to a tenth of a second old, so a request may find its
-// endpoint full though a slot was free when it was sent. If batch items hold slots there, one of
-// them makes room; without this a request waited up to 0.9 s behind them at the start of a wave.
-void dispatcher::hurry(online_call& call, instant now) {
-    call.hurried_at = now;
-    if (const std::optional<entry_id> holder = slots_.batch_holder(call.endpoint))
-        hooks_.yield_slot(*holder, call.endpoint);
-}
-
-void dispatcher::tick(instant now) {
-    std::vector<exchange_id> ids;
-    ids.reserve(calls_.size());
-    for (const std::pair<const exchange_id, std::unique_ptr<online_call>>& one : calls_)
-        ids.push_back(one.first);
-    for (const exchange_id id : ids) {
-        auto found = calls_.find(id);
-        if (found != calls_.end())
-            check_time(*found->second, now);
-    }
-    serve_waiting();
-}
-
 void dispatcher::log_outcome(const online_call& call, int status, const std::string& cause) const {
     const instant now = monotonic_now();
     const auto ms_since = [](instant from, instant to) {
@@ -356,10 +285,9 @@
         .with("endpoint", call.endpoint.str())
         .with("sends", call.sends)
         .with("runs", call.runs)
-        .with("queued_ms",
-              call.sends == 0 ? ms_since(call.arrived, now) : ms_since(call.arrived, call.sent_at))
+        .with("queued_ms", ms_since(call.arrived, call.sends == 0 ? now : call.first_sent_at))
         .with("first_ms",
-              call.first_byte_at == instant() ? -1 : ms_since(call.arrived, call.first_byte_at))
+              call.answer_began == instant() ? -1 : ms_since(call.arrived, call.answer_began))
         .with("total_ms", ms_since(call.arrived, now))
         .with("events", call.last_event)
         .with("pause_ms", std::chrono::duration_cast<milliseconds>(call.longest_pause).count());
--- a/lib/policy/slot_book.cpp
+++ b/lib/policy/slot_book.cpp
@@ -111,6 +111,22 @@
         return;
     found->second.failures = 0;
     found->second.suspended_until = instant();
+    found->second.stalled = false;
+}
+
+milliseconds slot_book::note_stall(const endpoint_id& endpoint, instant now) {
+    auto found = endpoints_.find(endpoint);
+    if (found == endpoints_.end())
+        return milliseconds(0);
+    if (std::exchange(found->second.stalled, true))
+        return suspect(endpoint, now);
+    return milliseconds(0);
+}
+
+void slot_book::note_progress(const endpoint_id& endpoint) {
+    auto found = endpoints_.find(endpoint);
+    if (found != endpoints_.end())
+        found->second.stalled = false;
 }
 
 std::map<endpoint_id, slot_use> slot_book::own_uses() const {
@@ -245,6 +261,17 @@
     return std::nullopt;
 }
 
+std::optional<placement> slot_book::place_stalled(const service_id& service,
+                                                  const std::set<endpoint_id>& avoid, instant now,
+                                                  double draw) const {
+    const std::vector<candidate> all = candidates(service, avoid, now);
+    for (const bool own_zone : {true, false}) {
+        if (const candidate* free = best(all, own_zone, false, draw))
+            return placed_at(*free);
+    }
+    return std::nullopt;
+}
+
 // Batch tries endpoints that failed: an item that comes to nothing goes on elsewhere in time.
 std::optional<placement> slot_book::place_batch(const service_id& service,
                                                 const std::set<endpoint_id>& avoid, instant now,
--- a/unittests/policy/slots_test.cpp
+++ b/unittests/policy/slots_test.cpp
@@ -2,6 +2,7 @@
 
 #include "cassia/policy/batch_schedule.h"
 #include "cassia/policy/slot_book.h"
+#include "cassia/policy/stream_pace.h"
 #include "cassia/policy/wait_line.h"
 
 #include <catch2/catch.hpp>
@@ -57,6 +58,35 @@
     CHECK(book.batch_room(model, now) == 80 - 80 / 8);
 }
 
+// Story: streams are begun anew all the time though nothing is lost, as their endpoint is slow; or
+// an endpoint that went dark keeps getting requests, as each pause is taken for a lost packet.
+TEST_CASE("a pause is measured by the stream's pace, two at once by the endpoint", "[slots]") {
+    CHECK(stall_limit(microseconds(0)) == milliseconds(75));
+    CHECK(stall_limit(milliseconds(25)) == milliseconds(75));
+    CHECK(stall_limit(milliseconds(100)) == milliseconds(250));
+
+    slot_book book = two_zones();
+    const endpoint_id near("near");
+    const auto best = [&book] { return book.place_online(model, {}, start, 0.5)->endpoint; };
+    CHECK(book.note_stall(near, start) == milliseconds(0));
+    book.note_progress(near);
+    CHECK(book.note_stall(near, start) == milliseconds(0));
+    CHECK(best() == near);
+    CHECK(book.note_stall(near, start) == milliseconds(250));
+    CHECK(best() == endpoint_id("far"));
+}
+
+// Story: a stream that stalled is moved where it waits longer than the lost packet would have
+// taken.
+TEST_CASE("a stalled stream moves only where a slot is free at once", "[slots]") {
+    slot_book book = two_zones();
+    CHECK(book.place_stalled(model, {endpoint_id("near")}, start, 0.5)->endpoint ==
+          endpoint_id("far"));
+    book.set_others(entry_id("other"), {{endpoint_id("far"), {1, 1}}}, start);
+    CHECK(!book.place_stalled(model, {endpoint_id("near")}, start, 0.5));
+    CHECK(book.place_online(model, {endpoint_id("near")}, start, 0.5));
+}
+
 TEST_CASE("free slots of the own zone go first, then those further off", "[slots]") {
     slot_book book = two_zones();
     for (int i = 0; i < 2; ++i) {
