Take a holder that asks for items for alive, and stop items whose lease is lost

A restarted gateway asked for items before its first hello; the leader took a holder that it had never seen for one silent since it began to lead, gave the items to others at once (holder_lost nine times in 0.3 s), and told the end of the job to those alone. Ruled out: a second end of the same attempt (ends name holder and attempt); a late hello of the older process (it was gone for 0.6 s); an item that was leased again by a new leader (the leader was the same). Change: a request for items counts as a sign of life; a gateway greets a keeper when it learns of it; a holder is told each second which of its items are leased to it no more, by attempt, and drops them.

--- a/include/cassia/gateway/fleet_link.h
+++ b/include/cassia/gateway/fleet_link.h
@@ -33,6 +33,8 @@
     std::function<void(const endpoint_id&, std::uint32_t slots)> on_yield;
     /// Jobs whose items must stop.
     std::function<void(const std::set<job_id>&)> on_cancelled;
+    /// Items that are leased to this gateway no more.
+    std::function<void(const schema::stale_items&)> on_stale;
 };
 
 class fleet_link {
--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -45,6 +45,8 @@
     /// Stops items at an endpoint, newest first; they go on later. \returns how many.
     std::uint32_t yield(const endpoint_id& endpoint, std::uint32_t slots);
     void cancel_jobs(const std::set<job_id>& jobs);
+    /// Stops items whose lease has gone to somebody else.
+    void drop_stale(const schema::stale_items& stale);
     /// Takes no new items and gives back those that are held.
     void leave();
     /// The items held, to be told to the group's leader.
--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -123,6 +123,7 @@
     void on_message(schema::envelope& message);
     void on_request(const schema::keeper_request& request, const std::string& reply_to);
     void serve_work(const schema::keeper_request& request, const group_host::reply_function& reply);
+    void serve_held(const schema::held_items& held, group_id group, const std::string& reply_to);
     void serve_history(const schema::keeper_request& request,
                        const group_host::reply_function& reply);
     void propose_claim(const schema::work_command& command, group_id group,
--- a/include/cassia/keeper/work_leader.h
+++ b/include/cassia/keeper/work_leader.h
@@ -19,6 +19,7 @@
 class held_items;
 class keeper_reply;
 class lease_request;
+class stale_items;
 class work_command;
 } // namespace cassia::schema
 
@@ -42,9 +43,12 @@
     void lead(bool leads, instant now);
     void set_weight(const customer_id& customer, double weight);
 
-    void lease(const schema::lease_request& request, reply_function reply);
+    /// Leases items to a holder; that it asks shows that it lives.
+    void lease(const schema::lease_request& request, reply_function reply, instant now);
     void cancel(const schema::work_command& command, const reply_function& reply, instant now);
-    void reconcile(const schema::held_items& held, instant now);
+    /// Takes back what the holder doesn't know of.
+    /// \returns what it holds without a lease, and must stop.
+    schema::stale_items reconcile(const schema::held_items& held, instant now);
     /// An entry showed that this incarnation of it lives.
     void holder_seen(const std::string& holder, instant now);
     /// A lease was applied; also called on members that don't lead.
@@ -61,6 +65,7 @@
 
     void serve_next_lease();
     void propose_leases(const schema::lease_request& request, const reply_function& reply);
+    schema::stale_items stale_of(const schema::held_items& held) const;
     std::vector<policy::job_candidate> candidates(const std::string& service) const;
     void answer_cancels(instant now);
     void release_lost_holders(instant now);
--- a/lib/gateway/fleet_link.cpp
+++ b/lib/gateway/fleet_link.cpp
@@ -153,6 +153,9 @@
     case schema::envelope::kYield:
         hooks_.on_yield(endpoint_id(message.yield().endpoint()), message.yield().slots());
         break;
+    case schema::envelope::kStale:
+        hooks_.on_stale(message.stale());
+        break;
     default:
         break;
     }
@@ -164,7 +167,11 @@
     keepers_[from].heard = now;
     keepers_[from].clock_us = beacon.keeper_clock_us();
     keepers_[from].leads_control = beacon.leads_control();
+    const std::size_t known = work_keepers_.size();
     learn_keepers(beacon, now);
+    // A keeper that is new here gives leases to this process and doesn't know that it lives.
+    if (work_keepers_.size() > known)
+        say_hello(audience::all_keepers);
     for (const std::uint32_t group : beacon.leads()) {
         peer_address& leader = leaders_[group_id(group)];
         if (leader != from)
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -230,6 +230,26 @@
     send_reports();
 }
 
+// Nothing is reported: whoever has the lease now will.
+void item_runner::drop_stale(const schema::stale_items& stale) {
+    for (const schema::held_job& job : stale.jobs()) {
+        for (int i = 0; i < job.ordinals_size(); ++i) {
+            auto found = items_.find({job_id(job.job()), job.ordinals(i)});
+            // Leased to this gateway anew since it told what it holds.
+            if (found == items_.end() || found->second->leased.attempt() != job.attempts(i))
+                continue;
+            stop(*found->second);
+            log_info("item_dropped")
+                .with("item", found->second->leased.item().custom_id())
+                .with("job", job.job())
+                .with("attempt", job.attempts(i))
+                .with("cause", "lease_lost");
+            metrics_.count("items_dropped");
+            items_.erase(found);
+        }
+    }
+}
+
 void item_runner::leave() {
     leaving_ = true;
     std::vector<item_key> keys;
@@ -242,18 +262,20 @@
 
 schema::held_items item_runner::held() const {
     schema::held_items out;
-    const auto add_item = [&out](const std::string& job, std::uint32_t ordinal) {
+    const auto add_item = [&out](const std::string& job, std::uint32_t ordinal,
+                                 std::uint32_t attempt) {
         const bool same = out.jobs_size() > 0 && out.jobs(out.jobs_size() - 1).job() == job;
         schema::held_job* held = same ? out.mutable_jobs(out.jobs_size() - 1) : out.add_jobs();
         held->set_job(job);
         held->add_ordinals(ordinal);
+        held->add_attempts(attempt);
     };
     for (const std::pair<const item_key, std::unique_ptr<held_item>>& one : items_)
-        add_item(one.first.first.str(), one.first.second);
+        add_item(one.first.first.str(), one.first.second, one.second->leased.attempt());
     for (const schema::item_end& one : ends_.ends())
-        add_item(one.job(), one.ordinal());
+        add_item(one.job(), one.ordinal(), one.attempt());
     for (const schema::item_end& one : reported_.ends())
-        add_item(one.job(), one.ordinal());
+        add_item(one.job(), one.ordinal(), one.attempt());
     return out;
 }
 
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -84,6 +84,7 @@
         items_->yield(endpoint, slots);
     };
     fleet.on_cancelled = [this](const std::set<job_id>& jobs) { items_->cancel_jobs(jobs); };
+    fleet.on_stale = [this](const schema::stale_items& stale) { items_->drop_stale(stale); };
     fleet_ = std::make_unique<fleet_link>(task_, settings_, std::move(fleet));
     jobs_ = std::make_unique<job_desk>(*fleet_, settings_.cluster().work_groups());
 }
--- a/lib/keeper/service_requests.cpp
+++ b/lib/keeper/service_requests.cpp
@@ -88,12 +88,27 @@
     case schema::keeper_request::kHistory:
         serve_history(request, reply);
         break;
+    case schema::keeper_request::kHeld:
+        if (work_.count(group) > 0)
+            serve_held(request.held(), group, reply_to);
+        break;
     default:
         serve_work(request, reply);
         break;
     }
 }
 
+void service::serve_held(const schema::held_items& held, group_id group,
+                         const std::string& reply_to) {
+    const schema::stale_items stale = work_.at(group).leader->reconcile(held, monotonic_now());
+    if (stale.jobs_size() == 0)
+        return;
+    log_info("stale_items_told").with("holder", held.holder()).with("jobs", stale.jobs_size());
+    schema::envelope envelope;
+    *envelope.mutable_stale() = stale;
+    hub_->send(peer_address(reply_to), envelope);
+}
+
 void service::serve_history(const schema::keeper_request&,
                             const group_host::reply_function& reply) {
     schema::keeper_reply answer;
@@ -138,10 +153,7 @@
         break;
     }
     case schema::keeper_request::kLease:
-        group->second.leader->lease(request.lease(), reply);
-        break;
-    case schema::keeper_request::kHeld:
-        group->second.leader->reconcile(request.held(), now);
+        group->second.leader->lease(request.lease(), reply, now);
         break;
     default:
         break;
--- a/lib/keeper/work_leader.cpp
+++ b/lib/keeper/work_leader.cpp
@@ -47,7 +47,8 @@
 
 // One lease is decided at a time: the next choice must not see items as free that the one before
 // has chosen and not yet committed.
-void work_leader::lease(const schema::lease_request& request, reply_function reply) {
+void work_leader::lease(const schema::lease_request& request, reply_function reply, instant now) {
+    holder_seen(request.holder(), now);
     std::shared_ptr<schema::lease_request> copy = std::make_shared<schema::lease_request>(request);
     lease_queue_.emplace_back(
         [this, copy, reply = std::move(reply)] { propose_leases(*copy, reply); });
@@ -138,7 +139,7 @@
 
 // An entry that never got the reply to its lease request doesn't know that it holds the items, and
 // they would wait for as long as it lives. So each entry tells what it holds.
-void work_leader::reconcile(const schema::held_items& held, instant now) {
+schema::stale_items work_leader::reconcile(const schema::held_items& held, instant now) {
     std::set<state::item_key> known;
     for (const schema::held_job& job : held.jobs()) {
         for (const std::uint32_t ordinal : job.ordinals())
@@ -157,14 +158,41 @@
         end->set_attempt(state_.jobs().at(key.first).items[key.second].attempts);
         end->set_status(schema::pending);
     }
+    const schema::stale_items stale = stale_of(held);
     if (!command.has_ends())
-        return;
+        return stale;
     log_info("unknown_leases_returned")
         .with("holder", held.holder())
         .with("items", command.ends().ends_size());
     command.mutable_ends()->set_holder(held.holder());
     command.mutable_ends()->set_at(to_unix_ms(wall_now()));
     hooks_.propose(command, [](const schema::keeper_reply&) {});
+    return stale;
+}
+
+// An entry that was silent for a while has lost its leases and may not know it. It would run its
+// items on, also after their job was ended: the end is told to those that have leases.
+schema::stale_items work_leader::stale_of(const schema::held_items& held) const {
+    schema::stale_items stale;
+    const std::set<state::item_key> leased = state_.leases_of(held.holder());
+    for (const schema::held_job& told : held.jobs()) {
+        schema::held_job lost;
+        lost.set_job(told.job());
+        const job_id id(told.job());
+        auto job = state_.jobs().find(id);
+        for (int i = 0; i < std::min(told.ordinals_size(), told.attempts_size()); ++i) {
+            const std::uint32_t ordinal = told.ordinals(i);
+            const bool same = leased.count({id, ordinal}) > 0 &&
+                              job->second.items[ordinal].attempts == told.attempts(i);
+            if (same)
+                continue;
+            lost.add_ordinals(ordinal);
+            lost.add_attempts(told.attempts(i));
+        }
+        if (lost.ordinals_size() > 0)
+            *stale.add_jobs() = std::move(lost);
+    }
+    return stale;
 }
 
 void work_leader::cancel(const schema::work_command& command, const reply_function& reply,
