--- a/lib/keeper/work_leader.cpp
+++ b/lib/keeper/work_leader.cpp
@@ -158,7 +158,7 @@
         end->set_attempt(state_.jobs().at(key.first).items[key.second].attempts);
         end->set_status(schema::pending);
     }
-    const schema::stale_items stale = stale_of(held);
+    schema::stale_items stale = stale_of(held);
     if (!command.has_ends())
         return stale;
     log_info("unknown_leases_returned")
