Tell the own zone's gateways each 50 ms in large fleets too

Change: 400 messages a second to the own zone, 100 to the others. Small fleets behave as before: two or three listeners are told each 50 ms either way.

--- a/lib/gateway/fleet_link.cpp
+++ b/lib/gateway/fleet_link.cpp
@@ -27,10 +27,13 @@
 constexpr milliseconds control_missed_after(1000);
 // Endpoints fall silent without a change of the directory, so it is read anew this often.
 constexpr milliseconds silence_check_interval(250);
-// Messages a second to the gateways of the own zone, and as many to all others. In a fleet of eight
-// both are told each 50 ms; in one of 65 each gateway sends 200 a second and not 580, as one
-// gateway's requests are a small part of an endpoint's slots (0.046 of a core before, 0.044 after).
-constexpr std::size_t use_messages_per_second = 100;
+// Messages a second to the gateways of the own zone, who share its endpoints, and to all others,
+// who use them only while their own zone has no free slot. In a fleet of eight both are told each
+// 50 ms; in one of 65 the own zone still is, the others each 0.5 s. With 100 a second for the own
+// zone too, 1,427 of 7,555 streams of a heavy day were late, against 959: gateways met at the same
+// slots.
+constexpr std::size_t near_messages_per_second = 400;
+constexpr std::size_t far_messages_per_second = 100;
 constexpr std::size_t ms_per_second = 1000;
 // Beyond some hundred gateways more are sent: one that says nothing for 1.5 s is taken for gone.
 constexpr milliseconds longest_use_interval(1000);
@@ -301,16 +304,17 @@
         std::count_if(others_.begin(), others_.end(), [this](const auto& other) {
             return other.second.hello.zone() == settings_.zone();
         }));
-    const auto interval_for = [](std::size_t listeners) -> milliseconds {
-        const milliseconds spread(listeners * ms_per_second / use_messages_per_second);
+    const auto interval_for = [](std::size_t listeners, std::size_t per_second) -> milliseconds {
+        const milliseconds spread(listeners * ms_per_second / per_second);
         return std::min(spread, longest_use_interval);
     };
     const auto is_due = [&uses, now](const shared_uses& shared, milliseconds interval) {
         return now - shared.at >=
                (uses == shared.uses ? std::max(uses_repeated_after, interval) : interval);
     };
-    const bool near_due = is_due(shared_near_, interval_for(near));
-    const bool far_due = is_due(shared_far_, interval_for(others_.size() - near));
+    const bool near_due = is_due(shared_near_, interval_for(near, near_messages_per_second));
+    const bool far_due =
+        is_due(shared_far_, interval_for(others_.size() - near, far_messages_per_second));
     if (!near_due && !far_due)
         return;
     schema::envelope envelope;
