Elect at once where all members of a group have just started

Ruled out: a shorter timeout, which a lost packet's 200 ms would trip. Change: members that have heard no leader since their start ask each other every 25 ms. All voters must agree, not a quorum: then the leader of before is among them, so no lease can be in force.

--- a/include/cassia/consensus/raft_group.h
+++ b/include/cassia/consensus/raft_group.h
@@ -107,11 +107,20 @@
     // Elections (raft_election.cpp).
     void reset_election_timer(instant now);
     void become_follower(term_number term, disk_id leader, instant now);
-    void start_election(bool preliminary, bool forced, instant now);
+    /// Why a member asks for votes.
+    enum class election_cause : std::uint8_t {
+        timeout,  ///< it hears no leader
+        handover, ///< the leader asked it to
+        restart,  ///< it has just started; all voters must have
+    };
+    void start_election(bool preliminary, election_cause cause, instant now);
+    std::size_t votes_needed() const;
     void become_leader(instant now);
     void receive_vote_request(const schema::raft_message& message, instant now);
     void receive_vote_reply(const schema::raft_message& message, instant now);
     bool hears_leader(instant now) const;
+    bool has_just_started(instant now) const;
+    void campaign_after_start(instant now);
     bool is_voter(disk_id member) const;
     std::size_t quorum() const;
     void check_quorum(instant now);
@@ -141,8 +150,11 @@
     disk_id leader_;
     instant election_due_{};
     instant leader_heard_{};
+    instant started_at_{};
+    instant restart_round_due_{};
+    bool heard_since_start_ = false; ///< from a leader
     bool preliminary_ = false;
-    bool forced_ = false;
+    election_cause cause_ = election_cause::timeout;
     std::set<disk_id> votes_;
 
     std::map<disk_id, progress> progress_;
--- a/lib/consensus/raft_group.cpp
+++ b/lib/consensus/raft_group.cpp
@@ -17,6 +17,7 @@
     // A restarted member has forgotten when it last heard from a leader. If it voted at once, the
     // leader whose lease counts on its silence could be replaced while it still serves reads.
     leader_heard_ = now;
+    started_at_ = now;
     reset_election_timer(now);
 }
 
@@ -34,7 +35,9 @@
     if (role_ == raft_role::learner)
         role_ = raft_role::follower;
     if (now >= election_due_)
-        start_election(true, false, now);
+        start_election(true, election_cause::timeout, now);
+    else
+        campaign_after_start(now);
 }
 
 void raft_group::receive(const schema::raft_message& message, instant now) {
@@ -87,7 +90,7 @@
         break;
     case kind::timeout_now:
         if (is_voter(self_))
-            start_election(false, true, now);
+            start_election(false, election_cause::handover, now);
         break;
     default:
         break;
--- a/unittests/consensus/raft_rules_test.cpp
+++ b/unittests/consensus/raft_rules_test.cpp
@@ -5,6 +5,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
+#include <vector>
+
 using namespace cassia;
 using namespace cassia::consensus;
 
@@ -144,3 +147,91 @@
     }
     CHECK(bytes < 2 * raft_settings().append_bytes);
 }
+
+namespace {
+
+/// Members that reach each other at once, unless one is cut off.
+class small_group {
+public:
+    void start_member(std::uint64_t disk, instant now) {
+        members_.erase(disk);
+        members_.emplace(disk, make_member(disk, 3, now));
+    }
+    void cut_off(std::uint64_t disk) { cut_off_ = disk; }
+    void play(instant now) {
+        for (auto& one : members_)
+            one.second.tick(now);
+        for (int round = 0; round < 8; ++round)
+            deliver(now);
+    }
+    std::uint64_t leader() const {
+        for (const auto& one : members_) {
+            if (one.second.leads() && one.first != cut_off_)
+                return one.first;
+        }
+        return 0;
+    }
+
+private:
+    void deliver(instant now) {
+        std::vector<schema::raft_message> sent;
+        for (auto& one : members_) {
+            const raft_actions actions = one.second.take_actions();
+            sent.insert(sent.end(), actions.now.begin(), actions.now.end());
+            sent.insert(sent.end(), actions.synced.begin(), actions.synced.end());
+            if (!actions.append.empty())
+                one.second.persisted(one.second.log().last_index(), one.second.term());
+        }
+        for (const schema::raft_message& message : sent) {
+            auto to = members_.find(message.to());
+            const bool lost = message.from() == cut_off_ || message.to() == cut_off_;
+            if (to != members_.end() && !lost)
+                to->second.receive(message, now);
+        }
+    }
+
+    std::map<std::uint64_t, raft_group> members_;
+    std::uint64_t cut_off_ = 0;
+};
+
+} // namespace
+
+// Story: all VMs lose power at once. They are back within a tenth of a second of each other, and
+// callers get nothing for half a second more: each member waits for a leader that is gone.
+TEST_CASE("members that all have just started elect a leader at once", "[consensus]") {
+    small_group group;
+    group.start_member(1, start);
+    group.start_member(2, start + milliseconds(30));
+    instant now = start + milliseconds(30);
+    for (; now < start + milliseconds(100); now += milliseconds(25))
+        group.play(now);
+    // Two of three could elect one, but the third may be a leader that they can't reach.
+    CHECK(group.leader() == 0);
+    group.start_member(3, now);
+    const instant last = now;
+    while (group.leader() == 0 && now < last + milliseconds(700))
+        group.play(now += milliseconds(25));
+    CHECK(now - last <= milliseconds(125));
+}
+
+// Story: a leader that is cut off serves reads by its lease. The other two restart, agree that
+// nobody leads, and acknowledge a change that the leader's readers don't see.
+TEST_CASE("two restarted members elect nobody while a third may hold a lease", "[consensus]") {
+    small_group group;
+    for (const std::uint64_t disk : {1, 2, 3})
+        group.start_member(disk, start);
+    instant now = start;
+    while (group.leader() == 0)
+        group.play(now += milliseconds(25));
+    const std::uint64_t old = group.leader();
+    group.cut_off(old);
+    for (const std::uint64_t disk : {1, 2, 3}) {
+        if (disk != old)
+            group.start_member(disk, now);
+    }
+    const instant restarted = now;
+    while (now < restarted + milliseconds(675)) {
+        group.play(now += milliseconds(25));
+        CHECK(group.leader() == 0);
+    }
+}
