Keep callers for 200 ms where the table of routes is about to come

Cause: a gateway without a table told callers to come back after 0.6 to 1.1 s, though the table comes sooner; and those whose other try had met a closed port had none left and got nothing. Change: they are kept for up to 200 ms, and told that time only then.

--- a/include/cassia/gateway/service.h
+++ b/include/cassia/gateway/service.h
@@ -53,6 +53,7 @@
     struct early_request {
         net::raw_request request;
         instant until{}; ///< refused if there is no table by then
+        std::optional<milliseconds> come_back; ///< told then, if the caller has time for it
     };
 
     void take_early(exchange_id id, net::raw_request request);
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -28,9 +28,8 @@
 // Left of the grace for the last answers to go out and the process to end.
 constexpr milliseconds end_margin(700);
 constexpr milliseconds idle_grace(250);
-// A request that names no deadline, and which part of its time one may wait for a table.
+// Of a request that names none.
 constexpr milliseconds unnamed_deadline(5000);
-constexpr int early_part_percent = 80;
 constexpr int status_ok = 200;
 constexpr int status_missing = 404;
 constexpr int status_unavailable = 503;
@@ -182,15 +181,12 @@
     std::uniform_real_distribution<double> draw(0, 1);
     const std::optional<milliseconds> come_back =
         policy::come_back_with_routes(left, draw(random_));
-    if (come_back) {
-        refuse(id, request, come_back);
-        return;
-    }
+    const instant until = now + policy::wait_for_routes(left, come_back.has_value());
     log_info("request_kept")
         .with("request", request.fields.find(names_.request_id))
         .with("cause", "no_routes")
         .with("left_ms", left.count());
-    early_[id] = {std::move(request), now + left * early_part_percent / 100};
+    early_[id] = {std::move(request), until, come_back};
 }
 
 void service::match_early() {
@@ -206,7 +202,7 @@
             ++one;
             continue;
         }
-        refuse(one->first, one->second.request, std::nullopt);
+        refuse(one->first, one->second.request, one->second.come_back);
         one = early_.erase(one);
     }
 }
--- a/lib/policy/refusal.cpp
+++ b/lib/policy/refusal.cpp
@@ -5,8 +5,12 @@
 namespace cassia::policy {
 
 namespace {
+// A group that starts anew as a whole mostly has a leader, and the gateways its table, within this.
+constexpr milliseconds routes_awaited(200);
 // Callers wait for a third of the time they have left at most.
 constexpr int longest_part = 3;
+// Part of its time that a caller who has none to come back is kept for.
+constexpr int latest_percent = 80;
 // A control group that starts anew as a whole elects its leader within 0.25 to 0.5 s, and its table
 // is with the gateways some 20 ms later.
 constexpr milliseconds routes_return(600);
@@ -14,6 +18,10 @@
 constexpr milliseconds spread(500);
 } // namespace
 
+milliseconds wait_for_routes(milliseconds left, bool may_come_back) {
+    return may_come_back ? std::min(routes_awaited, left) : left * latest_percent / 100;
+}
+
 // Without a time callers came back at once, were turned away again, and had no try left when the
 // table was there: 214 of 259 requests in the two seconds behind a loss of power got nothing.
 std::optional<milliseconds> come_back_with_routes(milliseconds left, double draw) {
--- a/unittests/policy/refusal_test.cpp
+++ b/unittests/policy/refusal_test.cpp
@@ -23,3 +23,11 @@
 TEST_CASE("a caller with little time is kept rather than sent away", "[refusal]") {
     CHECK_FALSE(come_back_with_routes(milliseconds(1500), 0.5));
 }
+
+// Story: a caller comes to a gateway that is back some 100 ms before the table of routes. Sent away
+// for 0.6 to 1.1 s it is late; one that has used up its tries by then is never served.
+TEST_CASE("a caller is kept for as long as the table mostly takes", "[refusal]") {
+    CHECK(wait_for_routes(milliseconds(5000), true) == milliseconds(200));
+    CHECK(wait_for_routes(milliseconds(100), true) == milliseconds(100));
+    CHECK(wait_for_routes(milliseconds(1000), false) == milliseconds(800));
+}
