Keep the progress of batch items in the store

Rolling restarts of gateways threw progress away as well. Change: each 2 s a gateway saves what an item has made, as a report that leaves the lease as it is; a lease hands it on, and the next run goes on behind the last saved event. Progress is never shown as a result.

--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -74,6 +74,7 @@
     void end(const item_key& key, schema::item_status status, bool failed_run,
              const std::string& cause);
     void check_silence(instant now);
+    void save_progress(instant now);
     void send_reports();
     const schema::route* route_of(const held_item& item) const;
 
--- a/include/cassia/gateway/service.h
+++ b/include/cassia/gateway/service.h
@@ -52,7 +52,7 @@
     void on_request(exchange_id id, net::raw_request request);
     struct early_request {
         net::raw_request request;
-        instant until{}; ///< refused if there is no table by then
+        instant until{};                       ///< refused if there is no table by then
         std::optional<milliseconds> come_back; ///< told then, if the caller has time for it
     };
 
--- a/include/cassia/state/work_state.h
+++ b/include/cassia/state/work_state.h
@@ -63,12 +63,12 @@
     std::uint16_t service = 0; ///< place in the job's services
     bool repeatable = true;
     std::uint32_t body_ordinal = 0;   ///< place of the body in its record
-    std::uint32_t result_ordinal = 0; ///< place of the result in its record
+    std::uint32_t result_ordinal = 0; ///< place of the result, or progress, in its record
     std::uint64_t custom_hash = 0;    ///< finds items by custom id without keeping the text
     std::uint64_t tokens = 0;         ///< of the prompt and the longest answer
     std::uint32_t failures = 0;       ///< runs that an endpoint answered with a failure
     storage::position body;
-    storage::position result;
+    storage::position result; ///< of an item that hasn't ended: its progress
 };
 
 struct job_counts {
@@ -172,6 +172,8 @@
     void end_item(const schema::item_end& end, std::uint32_t place, const std::string& holder,
                   const storage::position& at, std::uint64_t now);
     void give_back(batch_job& job, std::uint32_t ordinal);
+    static void keep_progress(batch_item& item, const schema::item_end& end, std::uint32_t place,
+                              const storage::position& at);
     void settle(batch_job& job, std::uint64_t now);
     void lose_holder_items(const std::string& holder, std::uint64_t now);
 
--- a/lib/gateway/held_item.h
+++ b/lib/gateway/held_item.h
@@ -26,6 +26,8 @@
 
     event_splitter events;
     std::uint64_t last_event = 0;
+    std::uint64_t saved_event = 0; ///< last one that the store has
+    instant saved_at{};
     std::string text; ///< data of all whole events, joined by line feeds
 };
 
--- a/lib/gateway/item_answers.cpp
+++ b/lib/gateway/item_answers.cpp
@@ -131,7 +131,9 @@
     out->set_failed_run(failed_run);
     out->set_endpoint(item.endpoint.str());
     out->set_http_status(static_cast<std::uint32_t>(item.status));
-    if (status == schema::completed)
+    if (status == schema::pending)
+        out->set_events(item.last_event);
+    if (status == schema::completed || out->events() > 0)
         out->set_body(std::move(item.text));
     metrics_.count("items_ended");
     items_.erase(found);
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -17,6 +17,8 @@
 // Items wait in the store, where every gateway can take them; here only so many as can start soon.
 constexpr std::uint32_t most_ready = 2;
 constexpr milliseconds ask_interval(100);
+// What an entry that dies has of an item beyond this is made again.
+constexpr milliseconds progress_interval(2000);
 // With nothing to be had the question is repeated less often: it costs the leader time.
 constexpr milliseconds ask_interval_idle(300);
 // An endpoint that sends nothing for this long is taken for silent: an event comes every 20 ms or
@@ -65,6 +67,7 @@
     for (const item_key& key : overdue)
         end(key, schema::failed, false, "abandoned");
     check_silence(now);
+    save_progress(now);
     start_ready(now);
     ask_for_items(now);
     send_reports();
@@ -107,10 +110,15 @@
     }
     std::unique_ptr<held_item> item = std::make_unique<held_item>();
     item->leased = leased;
+    item->text = leased.progress();
+    item->last_event = leased.events();
+    item->saved_event = leased.events();
+    item->saved_at = monotonic_now();
     log_info("item_leased")
         .with("item", leased.item().custom_id())
         .with("job", leased.job())
-        .with("attempt", leased.attempt());
+        .with("attempt", leased.attempt())
+        .with("behind_event", leased.events());
     items_[key] = std::move(item);
 }
 
@@ -225,8 +233,10 @@
         if (jobs.count(one.first.first) > 0)
             keys.push_back(one.first);
     }
-    for (const item_key& key : keys)
+    for (const item_key& key : keys) {
+        items_.at(key)->last_event = 0; // nobody goes on with it
         end(key, schema::pending, false, "job_ended");
+    }
     send_reports();
 }
 
@@ -290,6 +300,24 @@
     }
 }
 
+// Seldom enough that an item's text goes to the store about twice as a whole.
+void item_runner::save_progress(instant now) {
+    for (const std::pair<const item_key, std::unique_ptr<held_item>>& one : items_) {
+        held_item& item = *one.second;
+        if (item.last_event == item.saved_event || now - item.saved_at < progress_interval)
+            continue;
+        item.saved_event = item.last_event;
+        item.saved_at = now;
+        schema::item_end* out = ends_.add_ends();
+        out->set_job(one.first.first.str());
+        out->set_ordinal(one.first.second);
+        out->set_attempt(item.leased.attempt());
+        out->set_status(schema::leased);
+        out->set_body(item.text);
+        out->set_events(item.last_event);
+    }
+}
+
 // One report at a time: those that end meanwhile share the next one.
 void item_runner::send_reports() {
     if (reporting_ || (ends_.ends_size() == 0 && reported_.ends_size() == 0))
--- a/lib/state/job_commands.cpp
+++ b/lib/state/job_commands.cpp
@@ -219,6 +219,17 @@
     return {};
 }
 
+// An entry that dies, or leaves, takes with it what its items have made so far. Begun anew at other
+// entries they would be late though they had nearly been done; so the next one goes on from here.
+void work_state::keep_progress(batch_item& item, const schema::item_end& end, std::uint32_t place,
+                               const storage::position& at) {
+    const bool has_ended = end.status() != schema::pending && end.status() != schema::leased;
+    if (has_ended || end.events() == 0)
+        return;
+    item.result = at;
+    item.result_ordinal = place;
+}
+
 // The first end of an item counts, and only from the holder of its lease: a result that comes
 // from an attempt that was given up would otherwise replace, or double, the one already delivered.
 void work_state::end_item(const schema::item_end& end, std::uint32_t place,
@@ -233,6 +244,9 @@
     const item_key key{job.id, end.ordinal()};
     if (held == leases_.end() || held->second.count(key) == 0 || item.attempts != end.attempt())
         return;
+    keep_progress(item, end, place, at);
+    if (end.status() == schema::leased)
+        return;
     held->second.erase(key);
     if (held->second.empty())
         leases_.erase(held);
--- a/lib/state/work_query.cpp
+++ b/lib/state/work_query.cpp
@@ -57,6 +57,11 @@
     return &command->ends().ends(static_cast<int>(item.result_ordinal));
 }
 
+// What an item that was cancelled or lost has made so far is no result.
+static bool has_ended(const batch_item& item) {
+    return item.status == schema::completed || item.status == schema::failed;
+}
+
 static void write_result(const batch_item& item, std::uint32_t ordinal, command_cache& bodies,
                          command_cache& results, schema::item_result& out) {
     out.set_ordinal(ordinal);
@@ -64,7 +69,8 @@
     out.set_attempts(item.attempts);
     if (const schema::item_body* body = find_body(item, bodies))
         out.set_custom_id(body->custom_id());
-    if (const schema::item_end* end = find_end(item, results)) {
+    const schema::item_end* end = has_ended(item) ? find_end(item, results) : nullptr;
+    if (end != nullptr) {
         out.set_http_status(end->http_status());
         out.set_content_type(end->content_type());
         out.set_body(end->body());
@@ -169,14 +175,20 @@
 
 result<void> work_state::fill_leased(schema::work_reply& reply, const record_reader& read) const {
     command_cache bodies(read);
+    command_cache results(read);
     for (schema::leased_item& leased : *reply.mutable_leased()) {
         auto found = jobs_.find(job_id(leased.job()));
         if (found == jobs_.end())
             return failure(error{errc::lost_body, "job " + leased.job()});
-        const schema::item_body* body = find_body(found->second.items[leased.ordinal()], bodies);
+        const batch_item& item = found->second.items[leased.ordinal()];
+        const schema::item_body* body = find_body(item, bodies);
         if (body == nullptr)
             return failure(error{errc::lost_body, "item of job " + leased.job()});
         *leased.mutable_item() = *body;
+        if (const schema::item_end* progress = find_end(item, results)) {
+            leased.set_progress(progress->body());
+            leased.set_events(progress->events());
+        }
     }
     return success();
 }
--- a/unittests/state/work_state_test.cpp
+++ b/unittests/state/work_state_test.cpp
@@ -92,6 +92,26 @@
         one->set_strike(strike);
         apply(command);
     }
+    void save_progress(const std::string& job, const std::string& holder, std::uint32_t ordinal,
+                       std::uint32_t attempt, schema::item_status status, const std::string& body,
+                       std::uint64_t events) {
+        schema::work_command command;
+        command.mutable_ends()->set_holder(holder);
+        schema::item_end* one = command.mutable_ends()->add_ends();
+        one->set_job(job);
+        one->set_ordinal(ordinal);
+        one->set_attempt(attempt);
+        one->set_status(status);
+        one->set_body(body);
+        one->set_events(events);
+        apply(command);
+    }
+    schema::leased_item lease_filled(const std::string& job, const std::string& holder) {
+        schema::work_reply reply = lease(job, holder, {0});
+        REQUIRE(state.fill_leased(reply, reader()));
+        REQUIRE(reply.leased_size() == 1);
+        return reply.leased(0);
+    }
     void lose(const std::string& holder) {
         schema::work_command command;
         command.mutable_lost()->set_holder(holder);
@@ -205,6 +225,44 @@
     CHECK(group.job("job").counts.completed == 1);
 }
 
+// Story: all VMs lose power, and the summaries of a job that had nearly been done come long after
+// the job was due. The entries kept what an item had made to themselves, so it began anew.
+TEST_CASE("an item goes on at another entry behind what the last one saved", "[state]") {
+    test_group group;
+    group.submit("job", 1);
+    CHECK(group.lease_filled("job", "entry/1").events() == 0);
+    group.save_progress("job", "entry/1", 0, 1, schema::leased, "a", 1);
+    group.save_progress("job", "entry/1", 0, 1, schema::leased, "a\nb", 2);
+    CHECK(group.job("job").items[0].status == schema::leased);
+    CHECK(group.results("job").results_size() == 0);
+    group.lose("entry/1");
+    group.save_progress("job", "entry/1", 0, 1, schema::leased, "stale", 3);
+    const schema::leased_item second = group.lease_filled("job", "entry/2");
+    CHECK(second.progress() == "a\nb");
+    CHECK(second.events() == 2);
+
+    group.save_progress("job", "entry/2", 0, 2, schema::pending, "a\nb\nc", 3);
+    result<work_state> loaded = work_state::load(group.state.save());
+    REQUIRE(loaded);
+    group.state = std::move(loaded.value());
+    CHECK(group.lease_filled("job", "entry/3").progress() == "a\nb\nc");
+    group.end("job", "entry/3", 0, 3, schema::completed, "whole");
+    CHECK(group.results("job").results(0).body() == "whole");
+}
+
+// Story: a caller that cancelled a job reads half an answer as the result of an item.
+TEST_CASE("what a cancelled item had made is no result", "[state]") {
+    test_group group;
+    group.submit("job", 1);
+    group.lease("job", "entry/1", {0});
+    group.save_progress("job", "entry/1", 0, 1, schema::leased, "half", 1);
+    group.cancel("job");
+    group.save_progress("job", "entry/1", 0, 1, schema::pending, "half", 1);
+    REQUIRE(group.results("job").results_size() == 1);
+    CHECK(group.results("job").results(0).body().empty());
+    CHECK(group.results("job").results(0).status() == schema::cancelled);
+}
+
 // Story: organisers get a digest twice. The entry that held the item died after it had sent it.
 TEST_CASE("an item that must not run twice ends as unknown when its holder is lost", "[state]") {
     test_group group;
