Hand over stalled runs that may not be repeated

A lost packet takes 200 ms to come again. Change: after the same stall limit the gateway asks the endpoint over another connection to stop the run and copy its memory to one with a free slot, and goes on there behind the last event. It stays one run. Where the run has ended, or was not stopped, the stream waits as before; a copy that is refused ends the call rather than beginning a second run.

--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -6,6 +6,7 @@
 #include "cassia/base/metrics.h"
 #include "cassia/gateway/field_names.h"
 #include "cassia/gateway/online_call.h"
+#include "cassia/gateway/run_moves.h"
 #include "cassia/net/raw_client.h"
 #include "cassia/net/raw_server.h"
 #include "cassia/policy/slot_book.h"
@@ -18,6 +19,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace cassia::gateway {
 
@@ -26,6 +28,8 @@
     std::function<void(const entry_id& holder, const endpoint_id&)> yield_slot;
 };
 
+constexpr int status_bad_gateway = 502;
+
 /// Longest time that an event waits for others to go with it. A fraction of the 120 ms that
 /// passing on may take, and two to three events at the pace of a calm endpoint.
 constexpr milliseconds gather_limit(40);
@@ -38,6 +42,8 @@
 
     void accept(exchange_id id, net::raw_request request,
                 const std::shared_ptr<const routes::table>& table, const schema::route& route);
+    /// How runs are moved; without it none is.
+    void set_moves(run_move_calls moves) { moves_ = std::move(moves); }
     /// The caller has left.
     void abandon(exchange_id id);
     /// Slots may have come free.
@@ -63,6 +69,11 @@
     void hurry(online_call& call, instant now);
     bool may_go_on_elsewhere(const online_call& call) const;
     void move_stalled(online_call& call, instant now);
+    bool may_move_run(const online_call& call) const;
+    void move_run(online_call& call, instant now);
+    void on_move_answer(exchange_id id);
+    bool ends_by_move(online_call& call);
+    void drop_move(online_call& call);
     void finish_plain(online_call& call);
     /// The attempt certainly did not run.
     void retry_unrun(online_call& call, const std::string& cause);
@@ -86,6 +97,7 @@
     metrics& metrics_;
     field_names names_;
     dispatcher_hooks hooks_;
+    run_move_calls moves_;
     std::map<exchange_id, std::unique_ptr<online_call>> calls_;
     policy::wait_line line_;
     std::mt19937_64 random_;
--- a/include/cassia/gateway/online_call.h
+++ b/include/cassia/gateway/online_call.h
@@ -4,7 +4,9 @@
 #include "cassia/base/clock.h"
 #include "cassia/base/ids.h"
 #include "cassia/gateway/event_splitter.h"
+#include "cassia/gateway/run_moves.h"
 #include "cassia/net/raw_http.h"
+#include "cassia/policy/slot_book.h"
 #include "cassia/routes/table.h"
 
 #include <memory>
@@ -19,6 +21,16 @@
     answering, ///< part of the answer is with the caller
 };
 
+/// The move of a run to another endpoint; see run_moves.h.
+struct run_move {
+    bool tried = false;
+    call_id asked; ///< the question to the endpoint, while it is open
+    policy::placement to;
+    int status = 0;
+    std::string body;
+    bool run_ended = false; ///< the stream of the run ended meanwhile
+};
+
 struct online_call {
     exchange_id id;
     net::raw_request request;
@@ -55,6 +67,8 @@
     std::uint64_t last_event = 0; ///< passed on to the caller
     instant last_event_at{};
     microseconds longest_pause{0}; ///< between two events
+    run_move move;
+    run_copy copy; ///< the next attempt goes on from it
 
     bool is_stream() const { return route->kind() == schema::route::stream; }
     /// Whether it may run again after it may have run.
--- a/include/cassia/gateway/service.h
+++ b/include/cassia/gateway/service.h
@@ -27,6 +27,8 @@
     std::function<bool(exchange_id, const net::raw_request&)> take_request;
     /// A request of a batch route.
     std::function<void(exchange_id, const net::raw_request&, const schema::route&)> on_batch;
+    /// How endpoints are asked to hand runs over; may be empty.
+    run_move_calls moves;
 };
 
 class service {
--- a/lib/gateway/dispatch_answers.cpp
+++ b/lib/gateway/dispatch_answers.cpp
@@ -140,7 +140,8 @@
         return;
     }
     if (call.events.has_rest()) {
-        retry_or_fail(call, "stream_cut_within_event");
+        if (!ends_by_move(call))
+            retry_or_fail(call, "stream_cut_within_event");
         return;
     }
     begin_answer(call);
@@ -175,6 +176,8 @@
     if (found == calls_.end())
         return;
     online_call& call = *found->second;
+    if (ends_by_move(call))
+        return;
     const bool unrun = !failure.sent || call.refused_by_endpoint;
     const bool stale_connection = failure.kept && !failure.answered;
     if (!call.refused_by_endpoint && !stale_connection)
--- a/lib/gateway/dispatch_time.cpp
+++ b/lib/gateway/dispatch_time.cpp
@@ -46,8 +46,15 @@
     }
     if (!waits && call.phase == call_phase::sent && now - call.hurried_at >= hurry_after)
         hurry(call, now);
-    if (waits || !may_go_on_elsewhere(call))
+    if (waits)
         return;
+    if (!may_go_on_elsewhere(call)) {
+        const bool stalls = call.phase == call_phase::answering &&
+                            now - call.progress_at >= policy::stall_limit(call.longest_pause);
+        if (stalls && may_move_run(call))
+            move_run(call, now);
+        return;
+    }
     if (call.phase == call_phase::answering &&
         now - call.progress_at >= policy::stall_limit(call.longest_pause)) {
         move_stalled(call, now);
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -24,7 +24,6 @@
 // the next request finds one as likely as any.
 constexpr milliseconds retry_after(400);
 constexpr int status_server_error = 500;
-constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
 constexpr int status_timeout = 504;
 } // namespace
@@ -108,6 +107,8 @@
     request.fields.set(names_.expected_endpoint, endpoint.str());
     if (call.is_stream() && call.last_event > 0)
         request.fields.set(names_.last_event, std::to_string(call.last_event));
+    if (!call.copy.handle.empty())
+        moves_.resume(request, call.copy);
     return request;
 }
 
@@ -187,6 +188,11 @@
 void dispatcher::retry_unrun(online_call& call, const std::string& cause) {
     drop_attempt(call);
     --call.runs;
+    // Its run was stopped elsewhere and didn't go on here: anything else would be a second one.
+    if (call.runs > 0 && !call.is_repeatable()) {
+        fail(call, status_bad_gateway, cause);
+        return;
+    }
     call.avoided.insert(call.endpoint);
     metrics_.count("attempts_not_run");
     log_info("attempt_not_run")
@@ -264,6 +270,7 @@
     if (found == calls_.end())
         return;
     drop_attempt(*found->second);
+    drop_move(*found->second);
     line_.remove(id);
     calls_.erase(found);
     serve_waiting();
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -61,6 +61,7 @@
     };
     dispatcher_ =
         std::make_unique<dispatcher>(*server_, *client_, slots_, metrics_, names_, dispatch);
+    dispatcher_->set_moves(hooks_.moves);
     item_runner_hooks items;
     items.lease = [this](const std::string& route, std::uint32_t limit,
                          const item_runner_hooks::lease_done& done) { lease(route, limit, done); };
