Give up attempts to connect to peers after 200 ms

Cause: after a loss of power gateways are up 0.4 s before the keepers of the control group. Change: an attempt ends after 200 ms, and to peers that are watched closely the next follows after 100 ms, without growing pauses.

--- a/lib/net/peer_hub.cpp
+++ b/lib/net/peer_hub.cpp
@@ -34,6 +34,12 @@
 // A connection that was made while the way was cut never completes its handshake, and ZeroMQ's own
 // limit of 30 s would keep the peers apart for as long after the way is whole again.
 constexpr int handshake_limit_ms = 1000;
+// A VM without power answers nothing, and the kernel asks again only after 1 s, 2 s and so on: a
+// keeper that is back was not heard for up to a second. An attempt that is given up sooner, and
+// made anew soon, finds it at once.
+constexpr int connect_limit_ms = 200;
+// Between attempts to reach a peer that is watched loosely, at most; there are many of these.
+constexpr int longest_reconnect_ms = 1000;
 constexpr int most_frames_at_once = 256;
 
 using key_text = std::array<char, z85_key_chars + 1>;
@@ -244,8 +250,9 @@
         zmq_setsockopt(socket, ZMQ_CURVE_PUBLICKEY, hub->public_key.data(), z85_key_chars + 1);
         zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, secret.c_str(), z85_key_chars + 1);
     }
-    constexpr int longest_reconnect_ms = 1000;
-    set_option(socket, ZMQ_RECONNECT_IVL_MAX, longest_reconnect_ms);
+    set_option(socket, ZMQ_CONNECT_TIMEOUT, connect_limit_ms);
+    if (!close)
+        set_option(socket, ZMQ_RECONNECT_IVL_MAX, longest_reconnect_ms);
     // From the own IP number, so that a VM with several is known by the one in its settings.
     const std::string& own = hub->settings.bind.str();
     const std::string source = own.substr(0, own.rfind(':')) + ":0;";
--- a/unittests/net/peer_hub_test.cpp
+++ b/unittests/net/peer_hub_test.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <gio/gio.h>
 
+#include <memory>
 #include <random>
 
 using namespace cassia;
@@ -85,6 +86,64 @@
     CHECK(one.received == std::vector<std::string>{"127.77.0.2:7102"});
 }
 
+namespace {
+
+/// Takes connection attempts on an address and answers none, like a VM without power.
+class dark_address {
+public:
+    dark_address(const std::string& ip, std::uint16_t port) {
+        GSocketAddress* address = g_inet_socket_address_new_from_string(ip.c_str(), port);
+        listener_ = make_socket();
+        g_socket_set_listen_backlog(listener_, 0);
+        REQUIRE(g_socket_bind(listener_, address, TRUE, nullptr));
+        REQUIRE(g_socket_listen(listener_, nullptr));
+        // Once the queue of new connections is full, the next ones get no answer.
+        for (int i = 0; i < 4; ++i) {
+            fillers_.push_back(make_socket());
+            g_socket_set_blocking(fillers_.back(), FALSE);
+            g_socket_connect(fillers_.back(), address, nullptr, nullptr);
+        }
+        g_object_unref(address);
+    }
+    ~dark_address() {
+        for (GSocket* one : fillers_)
+            g_object_unref(one);
+        g_object_unref(listener_);
+    }
+    dark_address(const dark_address&) = delete;
+    dark_address& operator=(const dark_address&) = delete;
+
+private:
+    static GSocket* make_socket() {
+        return g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP,
+                            nullptr);
+    }
+    GSocket* listener_ = nullptr;
+    std::vector<GSocket*> fillers_;
+};
+
+} // namespace
+
+// Story: all VMs lose power. Gateways are up 0.4 s before the keepers, and get the table of routes
+// only 0.6 s after these have it: their first attempts to connect went to VMs without power, and
+// the kernel waited for a second before it tried again.
+TEST_CASE("a peer is reached soon after its VM is back", "[net]") {
+    task owner("test");
+    const std::string secret = make_cluster_secret();
+    hub_under_test one(owner, "127.77.0.1:7104", secret);
+    REQUIRE(one.hub.open());
+    std::unique_ptr<dark_address> dark = std::make_unique<dark_address>("127.77.0.2", 7104);
+    schema::envelope message;
+    message.mutable_hello()->set_entry("x");
+    one.hub.send(peer_address("127.77.0.2:7104"), message);
+    run_for(owner, milliseconds(150));
+    dark.reset();
+    hub_under_test two(owner, "127.77.0.2:7104", secret);
+    REQUIRE(two.hub.open());
+    run_for(owner, milliseconds(500));
+    CHECK(two.received == std::vector<std::string>{"127.77.0.1:7104"});
+}
+
 TEST_CASE("a bad secret is an error, not a crash", "[net]") {
     task owner("test");
     hub_under_test one(owner, "127.77.0.1:7103", "short");
