Take the stall limit from the pace of the service's streams

Cause: 75 ms, or 2.5 pauses of the same stream, was made for engines that send an event each 25 ms. On slower ones the first pauses of each stream are longer than that, and streams are begun elsewhere for nothing. Change: the limit follows the mean pause of the service's streams and four of their mean deviations, as retransmission timers do; half of the allowed pause until 64 pauses are known. 75 ms stays as the least. Figures: in the test the first pause of a stream on engines of 120 ms an event is allowed 130 to 160 ms; it was 75 ms.

--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -10,6 +10,7 @@
 #include "cassia/net/raw_client.h"
 #include "cassia/net/raw_server.h"
 #include "cassia/policy/slot_book.h"
+#include "cassia/policy/stream_pace.h"
 #include "cassia/policy/wait_line.h"
 #include "cassia/routes/table.h"
 
@@ -80,6 +81,7 @@
     /// The attempt may have run.
     void retry_or_fail(online_call& call, const std::string& cause);
     void suspect(const online_call& call, instant now);
+    microseconds stall_limit(const online_call& call);
     /// Longest time without a byte, after which a run is taken for lost.
     microseconds silence_limit(const online_call& call) const;
     void drop_attempt(online_call& call);
@@ -100,6 +102,7 @@
     run_move_calls moves_;
     std::map<exchange_id, std::unique_ptr<online_call>> calls_;
     policy::wait_line line_;
+    std::map<service_id, policy::stream_pace> paces_;
     std::mt19937_64 random_;
 };
 
--- a/include/cassia/policy/stream_pace.h
+++ b/include/cassia/policy/stream_pace.h
@@ -3,10 +3,23 @@
 
 #include "cassia/base/clock.h"
 
+#include <cstdint>
+
 namespace cassia::policy {
 
-/// Silence after which a stream goes on at another endpoint, if one has a free slot.
-/// \param longest_pause longest one between two events of this stream so far; 0 if there was none.
-microseconds stall_limit(microseconds longest_pause);
+/// The pauses between events of one service's streams, as observed.
+class stream_pace {
+public:
+    void note(microseconds pause);
+    /// Silence after which a stream goes on at another endpoint, if one has a free slot.
+    /// \param longest_pause longest one between two events of this stream so far; 0 if none.
+    /// \param allowed_pause longest one that is still on time; 0 if that isn't known.
+    microseconds stall_limit(microseconds longest_pause, milliseconds allowed_pause) const;
+
+private:
+    std::uint64_t noted_ = 0;
+    double mean_us_ = 0;
+    double deviation_us_ = 0; ///< mean of the distances from the mean
+};
 
 } // namespace cassia::policy
--- a/lib/gateway/dispatch_answers.cpp
+++ b/lib/gateway/dispatch_answers.cpp
@@ -118,9 +118,12 @@
         if (!numbered)
             continue;
         call.last_event = event.id;
-        if (call.last_event_at != instant())
-            call.longest_pause =
-                std::max(call.longest_pause, call.progress_at - call.last_event_at);
+        if (call.last_event_at != instant()) {
+            const microseconds pause =
+                std::chrono::duration_cast<microseconds>(call.progress_at - call.last_event_at);
+            call.longest_pause = std::max(call.longest_pause, pause);
+            paces_[call.service].note(pause);
+        }
         call.last_event_at = call.progress_at;
     }
     return true;
--- a/lib/gateway/dispatch_time.cpp
+++ b/lib/gateway/dispatch_time.cpp
@@ -2,7 +2,6 @@
 
 #include "cassia/base/log.h"
 #include "cassia/gateway/dispatcher.h"
-#include "cassia/policy/stream_pace.h"
 
 #include <algorithm>
 #include <utility>
@@ -49,14 +48,13 @@
     if (waits)
         return;
     if (!may_go_on_elsewhere(call)) {
-        const bool stalls = call.phase == call_phase::answering &&
-                            now - call.progress_at >= policy::stall_limit(call.longest_pause);
+        const bool stalls =
+            call.phase == call_phase::answering && now - call.progress_at >= stall_limit(call);
         if (stalls && may_move_run(call))
             move_run(call, now);
         return;
     }
-    if (call.phase == call_phase::answering &&
-        now - call.progress_at >= policy::stall_limit(call.longest_pause)) {
+    if (call.phase == call_phase::answering && now - call.progress_at >= stall_limit(call)) {
         move_stalled(call, now);
         return;
     }
@@ -100,6 +98,11 @@
     send(call, *place);
 }
 
+microseconds dispatcher::stall_limit(const online_call& call) {
+    return paces_[call.service].stall_limit(call.longest_pause,
+                                            milliseconds(call.route->pause_ms()));
+}
+
 microseconds dispatcher::silence_limit(const online_call& call) const {
     if (!call.is_stream())
         return std::max(silence_at_free_slot,
--- a/unittests/policy/slots_test.cpp
+++ b/unittests/policy/slots_test.cpp
@@ -61,9 +61,23 @@
 // Story: streams are begun anew all the time though nothing is lost, as their endpoint is slow; or
 // an endpoint that went dark keeps getting requests, as each pause is taken for a lost packet.
 TEST_CASE("a pause is measured by the stream's pace, two at once by the endpoint", "[slots]") {
-    CHECK(stall_limit(microseconds(0)) == milliseconds(75));
-    CHECK(stall_limit(milliseconds(25)) == milliseconds(75));
-    CHECK(stall_limit(milliseconds(100)) == milliseconds(250));
+    const auto pace_of = [](milliseconds pause) {
+        stream_pace pace;
+        for (int i = 0; i < 400; ++i)
+            pace.note(pause + milliseconds(i % 2 == 0 ? 5 : -5));
+        return pace;
+    };
+    const stream_pace quick = pace_of(milliseconds(25));
+    CHECK(quick.stall_limit(microseconds(0), milliseconds(250)) == milliseconds(75));
+    CHECK(quick.stall_limit(milliseconds(25), milliseconds(250)) == milliseconds(75));
+    CHECK(quick.stall_limit(milliseconds(100), milliseconds(250)) == milliseconds(250));
+    // The first pause of a stream on slow engines.
+    const microseconds slow =
+        pace_of(milliseconds(120)).stall_limit(microseconds(0), milliseconds(600));
+    CHECK(slow > milliseconds(130));
+    CHECK(slow < milliseconds(160));
+    // Nothing known yet.
+    CHECK(stream_pace().stall_limit(microseconds(0), milliseconds(600)) == milliseconds(300));
 
     slot_book book = two_zones();
     const endpoint_id near("near");
