Let items with little time left use the slots kept for online requests

Change: an item that has less than half of its job's time left, and can still be on time, takes any free slot.

--- a/include/cassia/policy/slot_book.h
+++ b/include/cassia/policy/slot_book.h
@@ -85,10 +85,11 @@
     std::optional<placement> place_stalled(const service_id& service,
                                            const std::set<endpoint_id>& avoid, instant now,
                                            double draw) const;
-    /// Where a batch item goes: a free slot, while more than the reserve is free.
+    /// Where a batch item goes: a free slot, while more than the reserve is free; any free one if
+    /// the item is urgent.
     std::optional<placement> place_batch(const service_id& service,
                                          const std::set<endpoint_id>& avoid, instant now,
-                                         double draw) const;
+                                         double draw, bool urgent = false) const;
     /// Whether all slots are taken, as far as is known.
     bool is_full(const endpoint_id& endpoint) const;
     /// An entry that runs batch items there; this one if it does (empty), or any other.
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -166,8 +166,9 @@
     }
     std::uniform_real_distribution<double> draw(0, 1);
     const service_id service(routes::choose_target(*route, draw(random_)));
-    const std::optional<policy::placement> place =
-        slots_.place_batch(service, item.avoided, now, draw(random_));
+    const std::optional<policy::placement> place = slots_.place_batch(
+        service, item.avoided, now, draw(random_),
+        policy::is_urgent(item.leased.deadline(), route->result_due_ms(), to_unix_ms(wall_now())));
     if (!place) {
         item.avoided.clear();
         return false;
--- a/lib/policy/batch_schedule.cpp
+++ b/lib/policy/batch_schedule.cpp
@@ -11,6 +11,8 @@
 // An item of the users' jobs takes about 5 s of an engine; with less than this left it can't be on
 // time even if it is short.
 constexpr std::uint64_t least_run_ms = 3000;
+// Part of the time that a job has; with less than that left its items are urgent.
+constexpr std::uint64_t urgent_part = 2;
 } // namespace
 
 void batch_schedule::set_weight(const customer_id& customer, double weight) {
@@ -26,6 +28,12 @@
     return at != 0 && deadline != 0 && deadline < at + least_run_ms;
 }
 
+// On a loaded fleet items are interrupted by each wave of online requests. Kept out of the reserve
+// in between, those that have waited longest miss their deadline beside slots that nobody uses.
+bool is_urgent(std::uint64_t deadline, std::uint64_t due_ms, std::uint64_t at) {
+    return deadline != 0 && !is_late(deadline, at) && deadline < at + due_ms / urgent_part;
+}
+
 // Nearest deadline first, as long as it can be met. Once more waits than can be served, the nearest
 // are those just missed, and all jobs would be late one after the other.
 static bool is_more_urgent(const job_candidate& a, const job_candidate& b, std::uint64_t at) {
--- a/lib/policy/slot_book.cpp
+++ b/lib/policy/slot_book.cpp
@@ -275,8 +275,8 @@
 // Batch tries endpoints that failed: an item that comes to nothing goes on elsewhere in time.
 std::optional<placement> slot_book::place_batch(const service_id& service,
                                                 const std::set<endpoint_id>& avoid, instant now,
-                                                double draw) const {
-    if (batch_room(service, now) == 0)
+                                                double draw, bool urgent) const {
+    if (!urgent && batch_room(service, now) == 0)
         return std::nullopt;
     const std::vector<candidate> all = candidates(service, avoid, now);
     for (const bool on_trial : {true, false}) {
--- a/unittests/policy/slots_test.cpp
+++ b/unittests/policy/slots_test.cpp
@@ -224,6 +224,29 @@
         CHECK(book.place_online(model, {}, start, i / 20.0)->endpoint == endpoint_id("fine"));
 }
 
+// Story: summaries come after their job was due, beside slots that nobody uses. Each wave of online
+// requests interrupted them, and in between new and old items alike kept out of the reserve.
+TEST_CASE("an item with little time left may use the reserve", "[slots]") {
+    slot_book book{zone_id("a")};
+    book.set_endpoints({endpoint("e0", "a", 8), endpoint("e1", "a", 8)});
+    for (int i = 0; i < 7; ++i) {
+        book.take(endpoint_id("e0"), work_kind::online);
+        book.take(endpoint_id("e1"), work_kind::batch);
+    }
+    CHECK(!book.place_batch(model, {}, start, 0.5));
+    CHECK(book.place_batch(model, {}, start, 0.5, true));
+    book.take(endpoint_id("e0"), work_kind::online);
+    book.take(endpoint_id("e1"), work_kind::online);
+    CHECK(!book.place_batch(model, {}, start, 0.5, true));
+
+    const std::uint64_t at = 100000;
+    const std::uint64_t due = 18000;
+    CHECK(!is_urgent(at + 10000, due, at));
+    CHECK(is_urgent(at + 8000, due, at));
+    CHECK(!is_urgent(at + 1000, due, at)); // late whatever is done
+    CHECK(!is_urgent(0, due, at));
+}
+
 // Two jobs of ten items wait, engines finish an item every 2 s, and the first job is already too
 // late. Nearest deadline first, both end late; the one that can be on time must go first.
 TEST_CASE("a job that can't be on time waits for one that can", "[slots]") {
