--- a/lib/gateway/dispatch_time.cpp
+++ b/lib/gateway/dispatch_time.cpp
@@ -115,7 +115,7 @@
 
 // What this gateway knows of the others is up to a tenth of a second old, so a request may find its
 // endpoint full though a slot was free when it was sent. If batch items hold slots there, one of
-// them makes room; without this a request waited up to 0.9 s behind them at the start of a wave.
+// them makes room; without this the request waits at the start of a wave until one of them ends.
 void dispatcher::hurry(online_call& call, instant now) {
     call.hurried_at = now;
     if (const std::optional<entry_id> holder = slots_.batch_holder(call.endpoint))
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -20,8 +20,7 @@
 constexpr milliseconds least_useful_time(50);
 // Attempts that reached no endpoint cost little, but each takes up to the connection's time limit.
 constexpr std::uint32_t most_sends = 6;
-// A wave of the users' traffic lasts about 2 s and slots come free all the time: after this time
-// the next request finds one as likely as any.
+// Slots come free all the time: after this the caller finds one as likely as any other.
 constexpr milliseconds retry_after(400);
 constexpr int status_server_error = 500;
 constexpr int status_unavailable = 503;
--- a/lib/gateway/fleet_link.cpp
+++ b/lib/gateway/fleet_link.cpp
@@ -28,10 +28,8 @@
 // Endpoints fall silent without a change of the directory, so it is read anew this often.
 constexpr milliseconds silence_check_interval(250);
 // Messages a second to the gateways of the own zone, who share its endpoints, and to all others,
-// who use them only while their own zone has no free slot. In a fleet of eight both are told each
-// 50 ms; in one of 65 the own zone still is, the others each 0.5 s. With 100 a second for the own
-// zone too, 1,427 of 7,555 streams of a heavy day were late, against 959: gateways met at the same
-// slots.
+// who use them only while their own zone has no free slot. Told more seldom, gateways of one zone
+// meet at the same slots.
 constexpr std::size_t near_messages_per_second = 400;
 constexpr std::size_t far_messages_per_second = 100;
 constexpr std::size_t ms_per_second = 1000;
--- a/lib/net/peer_hub.cpp
+++ b/lib/net/peer_hub.cpp
@@ -25,8 +25,8 @@
 // connection after the timeout and makes a new one, which works.
 constexpr int heartbeat_interval_ms = 400;
 constexpr int heartbeat_timeout_ms = 1200;
-// In a fleet of 65 gateways each has 164 connections to others; the heartbeats above, from both
-// ends of each, took 207 core-seconds of a quiet minute of the whole fleet, against 147 with these.
+// In a large fleet each gateway has a connection to and from every other: heartbeats as often as
+// above would take more time than the requests.
 constexpr int relaxed_interval_ms = 2000;
 constexpr int relaxed_timeout_ms = 5000;
 // The listening end sends none; it drops a connection whose other end fell silent for this long.
--- a/lib/policy/batch_schedule.cpp
+++ b/lib/policy/batch_schedule.cpp
@@ -8,8 +8,7 @@
 namespace {
 // Customers take turns in runs of this many items, so that a lease reads neighbouring bodies.
 constexpr std::uint32_t items_per_turn = 8;
-// An item of the users' jobs takes about 5 s of an engine; with less than this left it can't be on
-// time even if it is short.
+// With less than this left an item can't be on time even if it is short.
 constexpr std::uint64_t least_run_ms = 3000;
 // Part of the time that a job has; with less than that left its items are urgent.
 constexpr std::uint64_t urgent_part = 2;
--- a/lib/policy/refusal.cpp
+++ b/lib/policy/refusal.cpp
@@ -22,8 +22,8 @@
     return may_come_back ? std::min(routes_awaited, left) : left * latest_percent / 100;
 }
 
-// Without a time callers came back at once, were turned away again, and had no try left when the
-// table was there: 214 of 259 requests in the two seconds behind a loss of power got nothing.
+// Without a time callers would come back at once, be turned away again, and have no try left when
+// the table is there.
 std::optional<milliseconds> come_back_with_routes(milliseconds left, double draw) {
     const milliseconds longest = left / longest_part;
     if (longest < routes_return)
