Leave stalled runs alone whose answer ends with its connection

Cause: found in reading the diff. An endpoint that hands a run over closes its stream. Without a length or chunks a clean close is the end of the answer, so the caller would get its first part as if it were whole. Change: such a run isn't moved.

--- a/lib/gateway/dispatch_moves.cpp
+++ b/lib/gateway/dispatch_moves.cpp
@@ -12,7 +12,9 @@
 } // namespace
 
 bool dispatcher::may_move_run(const online_call& call) const {
-    if (!moves_.request || !call.is_stream() || call.move.tried)
+    // An answer that ends with its connection looks whole when the endpoint closes it to hand over.
+    const bool ends_visibly = call.head.framing != net::body_framing::until_close;
+    if (!moves_.request || !call.is_stream() || call.move.tried || !ends_visibly)
         return false;
     const schema::routed_service* service = call.table->service(call.service.str());
     return service != nullptr && service->moves_runs();
