One copy of where a stalled stream goes

Read once more: the search for a free slot elsewhere stood in both ways of moving a stalled stream, and the test for a stall twice in check_time; both are one piece now (place_elsewhere).

--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -69,6 +70,8 @@
     void flush(online_call& call);
     void hurry(online_call& call, instant now);
     bool may_go_on_elsewhere(const online_call& call) const;
+    /// A free slot for a stream that stalled, not at its own endpoint.
+    std::optional<policy::placement> place_elsewhere(const online_call& call, instant now);
     void move_stalled(online_call& call, instant now);
     bool may_move_run(const online_call& call) const;
     void move_run(online_call& call, instant now);
--- a/lib/entry/crash_blame.cpp
+++ b/lib/entry/crash_blame.cpp
@@ -23,8 +23,8 @@
 }
 
 // A probe that falls between the end of the request's connection and that of the listener is taken
-// and then broken. Taken for a sign of life it let a poisonous request go unblamed and crash a
-// third engine: 3 of 32 runs on a busy machine.
+// and then broken. Taken for a sign of life it lets a poisonous request go unblamed and crash a
+// third engine.
 void crash_blame::probe_again(const http_address& address, std::function<void(bool dead)> done,
                               int probes) {
     net::http_call call;
--- a/lib/gateway/dispatch_moves.cpp
+++ b/lib/gateway/dispatch_moves.cpp
@@ -23,11 +23,7 @@
 // A lost packet holds up all events behind it for 200 ms and more. A run that may not be repeated
 // can't be begun elsewhere, but the endpoint, asked over another connection, hands it over.
 void dispatcher::move_run(online_call& call, instant now) {
-    std::set<endpoint_id> avoided = call.avoided;
-    avoided.insert(call.endpoint);
-    std::uniform_real_distribution<double> draw(0, 1);
-    const std::optional<policy::placement> place =
-        slots_.place_stalled(call.service, avoided, now, draw(random_));
+    const std::optional<policy::placement> place = place_elsewhere(call, now);
     if (!place)
         return;
     slots_.note_stall(call.endpoint, now);
--- a/lib/gateway/dispatch_time.cpp
+++ b/lib/gateway/dispatch_time.cpp
@@ -47,14 +47,14 @@
         hurry(call, now);
     if (waits)
         return;
+    const bool stalls =
+        call.phase == call_phase::answering && now - call.progress_at >= stall_limit(call);
     if (!may_go_on_elsewhere(call)) {
-        const bool stalls =
-            call.phase == call_phase::answering && now - call.progress_at >= stall_limit(call);
         if (stalls && may_move_run(call))
             move_run(call, now);
         return;
     }
-    if (call.phase == call_phase::answering && now - call.progress_at >= stall_limit(call)) {
+    if (stalls) {
         move_stalled(call, now);
         return;
     }
@@ -69,15 +69,18 @@
     return call.is_repeatable() && call.runs < call.route->max_attempts();
 }
 
-// A packet that got lost on its way from the endpoint holds up all events behind it for 200 ms and
-// more. Where another endpoint has a free slot the stream goes on there at once: 5 of 100 streams
-// of a quiet day met such a loss, and each was late by it. Without a free slot it waits as it is.
-void dispatcher::move_stalled(online_call& call, instant now) {
+std::optional<policy::placement> dispatcher::place_elsewhere(const online_call& call, instant now) {
     std::set<endpoint_id> avoided = call.avoided;
     avoided.insert(call.endpoint);
     std::uniform_real_distribution<double> draw(0, 1);
-    const std::optional<policy::placement> place =
-        slots_.place_stalled(call.service, avoided, now, draw(random_));
+    return slots_.place_stalled(call.service, avoided, now, draw(random_));
+}
+
+// A packet that got lost on its way from the endpoint holds up all events behind it for 200 ms and
+// more, and the answer is late by it. Where another endpoint has a free slot the stream goes on
+// there at once. Without a free slot it waits as it is.
+void dispatcher::move_stalled(online_call& call, instant now) {
+    const std::optional<policy::placement> place = place_elsewhere(call, now);
     if (!place) {
         if (now - call.progress_at >= silence_limit(call)) {
             suspect(call, now);
@@ -94,7 +97,7 @@
         .with("silent_ms", std::chrono::duration_cast<milliseconds>(now - call.progress_at).count())
         .with("suspended_ms", suspended.count());
     drop_attempt(call);
-    call.avoided = std::move(avoided);
+    call.avoided.insert(call.endpoint);
     send(call, *place);
 }
 
