Gateways of a large fleet tell their slots to a relay of their zone; entries by changes

Cause: each gateway told its slot use to all others (60,000 connections and some 100,000 messages a second at 246 gateways), and each keeper sent each gateway the whole list of gateways (27 kB) on every change of it. Ruled out: other work of the gateways (idle ones cost the same).

With up to 20 others each is told as before; beyond that a gateway reports to one relay of its zone, which sends sums to those that report to it and to the other zones' relays. membership/entry_roster: the list of gateways by revision, from one keeper. Counters of messages and bytes by kind (metrics, peer_traffic lines).

--- a/include/cassia/gateway/fleet_link.h
+++ b/include/cassia/gateway/fleet_link.h
@@ -5,7 +5,9 @@
 #include "cassia/base/clock.h"
 #include "cassia/base/ids.h"
 #include "cassia/entry/keeper_client.h"
+#include "cassia/gateway/usage_link.h"
 #include "cassia/membership/directory.h"
+#include "cassia/membership/entry_roster.h"
 #include "cassia/net/peer_hub.h"
 #include "cassia/policy/slot_book.h"
 #include "cassia/routes/table.h"
@@ -28,7 +30,7 @@
 struct fleet_hooks {
     std::function<void(std::shared_ptr<const routes::table>)> on_routes;
     std::function<void(const std::vector<policy::slot_endpoint>&)> on_endpoints;
-    std::function<void(const entry_id&, std::map<endpoint_id, policy::slot_use>)> on_uses;
+    std::function<void(const entry_id&, policy::use_map)> on_uses;
     /// Another gateway needs slots that batch items of this one hold.
     std::function<void(const endpoint_id&, std::uint32_t slots)> on_yield;
     /// Jobs whose items must stop.
@@ -54,13 +56,16 @@
              entry::keeper_client::reply_function done);
     /// Tells a keeper that leads the group, once, without an answer.
     void tell_held(schema::held_items held, group_id group);
-    /// Tells the other gateways what this one has under way, if it changed or a while has passed:
-    /// each group, its own zone and the others, as often as its number allows.
-    void share_uses(const std::map<endpoint_id, policy::slot_use>& uses);
-    void ask_to_yield(const entry_id& entry, const endpoint_id& endpoint, std::uint32_t slots);
+    /// Tells other gateways what this one has under way, as far as that is due.
+    void share_uses(const policy::use_map& uses) { usage_.share(uses); }
+    /// \param holder as the slot book names it.
+    void ask_to_yield(const entry_id& holder, const endpoint_id& endpoint, std::uint32_t slots) {
+        usage_.ask_to_yield(holder, endpoint, slots);
+    }
 
     /// Name under which this process holds leases; new at each start.
     const std::string& holder() const { return holder_; }
+    const net::peer_hub& peers() const { return hub_; }
     bool heard_keepers() const { return last_news_ != instant(); }
     bool knows_work_keepers() const { return !work_keepers_.empty(); }
 
@@ -74,23 +79,20 @@
         bool leads_control = false;
         instant heard{};
     };
-    struct other_gateway {
-        schema::entry_hello hello;
-        instant seen{};
-    };
 
     enum class audience { control_keepers, all_keepers };
     void say_hello(audience to);
     bool needs_all_pulses(instant now) const;
-    void send_uses(schema::envelope& envelope, bool own_zone);
+    bool send_to_gateway(const entry_id& to, schema::envelope& envelope);
     void on_message(const schema::envelope& message);
     void on_beacon(const schema::keeper_beacon& beacon);
-    void learn_entries(const schema::keeper_beacon& beacon, instant now);
+    void learn_entries(const schema::keeper_beacon& beacon);
+    /// The keeper that leads the control group, if it was heard lately.
+    peer_address control_leader(instant now) const;
     void learn_keepers(const schema::keeper_beacon& beacon, instant now);
     bool forget_silent(std::map<peer_address, instant>& keepers, instant now);
     void learn_endpoints(const schema::keeper_beacon& beacon, instant now);
     void publish_endpoints(instant now);
-    void on_rumor(const schema::gossip& rumor);
     void watch_control(instant now);
     void tick();
 
@@ -106,8 +108,7 @@
     std::map<peer_address, instant> work_keepers_;
     std::map<peer_address, keeper_state> keepers_;
     std::map<group_id, peer_address> leaders_;
-    std::map<entry_id, other_gateway> others_;
-    std::uint64_t entries_digest_ = 0;
+    membership::roster_copy roster_;
     membership::directory directory_;
     std::vector<policy::slot_endpoint> published_; ///< endpoints as last handed over
     std::uint64_t published_changes_ = 0;          ///< of the directory at that time
@@ -116,13 +117,7 @@
     instant last_news_{};
     bool control_lost_ = false;
     bool leaving_ = false;
-    /// What was told last, and when; the gateways of other zones are told less often.
-    struct shared_uses {
-        std::map<endpoint_id, policy::slot_use> uses;
-        instant at{};
-    };
-    shared_uses shared_near_;
-    shared_uses shared_far_;
+    usage_link usage_;
     std::uint32_t hellos_ = 0;
 };
 
--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -9,6 +9,7 @@
 #include "cassia/keeper/store.h"
 #include "cassia/keeper/work_leader.h"
 #include "cassia/membership/directory.h"
+#include "cassia/membership/entry_roster.h"
 #include "cassia/net/http_server.h"
 #include "cassia/net/peer_hub.h"
 #include "cassia/net/task.h"
@@ -133,6 +134,7 @@
     void send_beacon(const known_entry& entry);
     void write_control_news(const known_entry& entry, schema::keeper_beacon& beacon) const;
     void write_entries(const known_entry& entry, schema::keeper_beacon& beacon) const;
+    void write_keepers(const known_entry& entry, schema::keeper_beacon& beacon) const;
     /// Writes the endpoints that a listener lacks, by what it says it has of this directory.
     /// \param pulses whether it is also told which were heard and didn't change.
     template <class Listener, class News>
@@ -148,9 +150,9 @@
         for (schema::endpoint_pulse& pulse : directory_.pulses_since(known, monotonic_now()))
             *news.add_pulses() = std::move(pulse);
     }
-    /// Digests of who is there, to be compared with what a listener knows. Made anew once in
-    /// `digest_age`: each hello of each entry asks for them.
-    void refresh_digests(instant now);
+    /// Makes anew, once in `list_age`, what each hello of each entry asks for: who is there, and a
+    /// digest to be compared with what a listener knows.
+    void refresh_lists(instant now);
     void on_keeper_hello(const schema::keeper_hello& hello);
     void send_keeper_hello(const peer_address& to);
     void on_config_applied();
@@ -179,7 +181,7 @@
     void log_listed_entries();
     void answer_waiting_words();
     schema::keeper_hello own_hello(const peer_address& to) const;
-    std::uint64_t entries_digest() const;
+    std::set<std::uint64_t> work_group_disks(instant now) const;
     std::uint64_t keepers_digest() const;
 
     schema::keeper_settings settings_;
@@ -206,15 +208,15 @@
     std::map<std::string, known_keeper> keepers_; ///< by node
     membership::directory directory_;
     const std::uint64_t directory_epoch_;
+    membership::entry_roster roster_;
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>>
         heard_revisions_; ///< epoch and revision of each keeper's directory, by its address
     std::vector<waiting_word> waiting_words_;
     instant work_founders_possible_{};
     std::size_t retiring_known_ = 0;
     std::uint64_t beacon_ = 0;
-    std::uint64_t entries_digest_ = 0;
     std::uint64_t keepers_digest_ = 0;
-    instant digests_made_at_{};
+    instant lists_made_at_{};
     consensus::member_list founders_;
     bool stopping_ = false;
     int exit_code_ = 0;
--- a/include/cassia/net/peer_hub.h
+++ b/include/cassia/net/peer_hub.h
@@ -5,10 +5,16 @@
 #include "cassia/base/ids.h"
 #include "cassia/net/error.h"
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
+namespace cassia {
+class metrics;
+}
+
 namespace cassia::schema {
 class envelope;
 }
@@ -31,6 +37,12 @@
     relaxed ///< within 5 s: what is told is repeated, or stands for little
 };
 
+/// What was sent of one kind of message.
+struct peer_traffic {
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
+};
+
 class peer_hub {
 public:
     using handler = std::function<void(schema::envelope&)>;
@@ -45,6 +57,13 @@
     void send(const peer_address& to, schema::envelope& message,
               peer_watch watch = peer_watch::close);
 
+    /// What was sent, by the kind of message.
+    const std::map<std::string, peer_traffic>& sent() const;
+    /// Sets the same as values of a process's metrics.
+    void count_sent(metrics& values) const;
+    /// Logs the same.
+    void log_sent() const;
+
     struct state;
 
 private:
--- a/include/cassia/policy/slot_book.h
+++ b/include/cassia/policy/slot_book.h
@@ -28,15 +28,17 @@
     friend bool operator==(const slot_endpoint&, const slot_endpoint&) = default;
 };
 
-/// What one entry has under way at an endpoint.
+/// What one entry, or several together, have under way at an endpoint.
 struct slot_use {
     std::uint32_t online = 0;
     std::uint32_t batch = 0;
-    bool suspects = false; ///< its last requests there came to nothing
+    std::uint32_t suspecting = 0; ///< entries whose last requests there came to nothing
 
     friend bool operator==(const slot_use&, const slot_use&) = default;
 };
 
+using use_map = std::map<endpoint_id, slot_use>;
+
 struct placement {
     endpoint_id endpoint;
     http_address address;
@@ -46,21 +48,24 @@
     bool on_trial = false; ///< its last requests came to nothing
 };
 
+/// Adds what somebody has under way to a sum.
+void add_uses(use_map& sum, const use_map& uses);
+
 class slot_book {
 public:
     explicit slot_book(zone_id own_zone) : own_zone_(std::move(own_zone)) {}
 
     /// Replaces the endpoints; what is under way at those that stay is kept.
     void set_endpoints(const std::vector<slot_endpoint>& endpoints);
-    /// What another entry has under way, as it said last.
-    void set_others(const entry_id& entry, std::map<endpoint_id, slot_use> uses, instant now);
+    /// What another entry, or those that one sums up, have under way, as it said last.
+    void set_others(const entry_id& entry, use_map uses, instant now);
     /// Forgets entries that said nothing for long: their work is gone with them.
     void forget_others(instant now);
 
     void take(const endpoint_id& endpoint, work_kind kind);
     void release(const endpoint_id& endpoint, work_kind kind);
     /// What this entry has under way, and which endpoints it suspects, to be told to the others.
-    std::map<endpoint_id, slot_use> own_uses() const;
+    use_map own_uses() const;
 
     /// A request came to nothing there. For a while, longer each time, it gets none; after that it
     /// is on trial until one is answered. \returns for how long it gets none.
@@ -107,7 +112,7 @@
         bool stalled = false;       ///< a stream paused, and nothing was heard from there since
     };
     struct other_entry {
-        std::map<endpoint_id, slot_use> uses;
+        use_map uses;
         instant heard{};
     };
     struct candidate {
@@ -117,15 +122,7 @@
         bool on_trial = false;           ///< to be used where there is nothing else
     };
 
-    /// What all other entries together have under way at an endpoint.
-    struct others_use {
-        std::uint32_t online = 0;
-        std::uint32_t batch = 0;
-        std::uint32_t suspecting = 0; ///< entries that suspect it
-    };
-
-    void add_to_others(const std::map<endpoint_id, slot_use>& uses);
-    void take_from_others(const std::map<endpoint_id, slot_use>& uses);
+    void take_from_others(const use_map& uses);
     slot_use total_use(const endpoint_id& endpoint) const;
     std::uint32_t suspecting_others(const endpoint_id& endpoint) const;
     std::vector<candidate> candidates(const service_id& service, const std::set<endpoint_id>& avoid,
@@ -137,10 +134,10 @@
 
     zone_id own_zone_;
     std::map<endpoint_id, known_endpoint> endpoints_;
-    std::map<endpoint_id, slot_use> own_;
+    use_map own_;
     std::map<entry_id, other_entry> others_;
     /// Sums of `others_`: with 64 of them each placement would add up some thousand counts.
-    std::map<endpoint_id, others_use> others_total_;
+    use_map others_total_;
 };
 
 } // namespace cassia::policy
--- a/lib/gateway/fleet_link.cpp
+++ b/lib/gateway/fleet_link.cpp
@@ -13,9 +13,6 @@
 constexpr milliseconds hello_interval(250);
 constexpr milliseconds tick_interval(50);
 constexpr milliseconds keeper_forgotten_after(10000);
-constexpr milliseconds other_forgotten_after(5000);
-// Others take a gateway that says nothing for 1.5 s for gone, with all it has under way.
-constexpr milliseconds uses_repeated_after(500);
 // Keepers that lead no control group tell only that they are there, whom they lead, and which jobs
 // have ended: once a second is enough for that.
 constexpr std::uint32_t control_hellos_for_each_to_all = 4;
@@ -27,14 +24,6 @@
 constexpr milliseconds control_missed_after(1000);
 // Endpoints fall silent without a change of the directory, so it is read anew this often.
 constexpr milliseconds silence_check_interval(250);
-// Messages a second to the gateways of the own zone, who share its endpoints, and to all others,
-// who use them only while their own zone has no free slot. Told more seldom, gateways of one zone
-// meet at the same slots.
-constexpr std::size_t near_messages_per_second = 400;
-constexpr std::size_t far_messages_per_second = 100;
-constexpr std::size_t ms_per_second = 1000;
-// Beyond some hundred gateways more are sent: one that says nothing for 1.5 s is taken for gone.
-constexpr milliseconds longest_use_interval(1000);
 } // namespace
 
 // A clock that only goes forward while the VM runs: one that an operator sets back would make this
@@ -53,7 +42,12 @@
            [this](schema::envelope& message) { on_message(message); }),
       keeper_client_({}, [this](const peer_address& to,
                                 schema::envelope& message) { hub_.send(to, message); }),
-      directory_(membership::directory_settings()) {
+      roster_(settings.name()), directory_(membership::directory_settings()),
+      usage_(entry_id(settings.name()), zone_id(settings.zone()),
+             {[this](const entry_id& to, schema::envelope& envelope) {
+                  return send_to_gateway(to, envelope);
+              },
+              hooks_.on_uses, hooks_.on_yield}) {
     set_seeds({settings.cluster().seed().begin(), settings.cluster().seed().end()});
 }
 
@@ -80,6 +74,7 @@
 
 void fleet_link::leave() {
     leaving_ = true;
+    usage_.leave();
     say_hello(audience::all_keepers);
 }
 
@@ -100,15 +95,18 @@
     hub_.send(leader->second, envelope);
 }
 
+peer_address fleet_link::control_leader(instant now) const {
+    for (const std::pair<const peer_address, keeper_state>& one : keepers_) {
+        if (one.second.leads_control && now - one.second.heard < leader_missed_after)
+            return one.first;
+    }
+    return peer_address();
+}
+
 // Without a leader in sight, or with an endpoint that it hasn't heard of lately, any keeper may be
 // the one that hears the endpoints.
 bool fleet_link::needs_all_pulses(instant now) const {
-    const bool leader_heard = std::any_of(
-        keepers_.begin(), keepers_.end(),
-        [now](const std::pair<const peer_address, keeper_state>& one) {
-            return one.second.leads_control && now - one.second.heard < leader_missed_after;
-        });
-    return !leader_heard || directory_.misses_any(pulse_missed_after, now);
+    return control_leader(now).empty() || directory_.misses_any(pulse_missed_after, now);
 }
 
 void fleet_link::say_hello(audience chosen) {
@@ -119,7 +117,12 @@
         for (const std::pair<const peer_address, instant>& one : work_keepers_)
             to.insert(one.first);
     }
-    const bool all_pulses = needs_all_pulses(monotonic_now());
+    const instant now = monotonic_now();
+    const bool all_pulses = needs_all_pulses(now);
+    std::map<peer_address, instant> heard;
+    for (const std::pair<const peer_address, instant>& one : control_keepers_)
+        heard[one.first] = keepers_[one.first].heard;
+    const peer_address roster_source = roster_.choose_source(heard, control_leader(now), now);
     schema::envelope envelope;
     schema::entry_hello* hello = envelope.mutable_hello();
     hello->set_entry(settings_.name());
@@ -130,14 +133,16 @@
     hello->set_region(settings_.region());
     hello->set_draining(leaving_ || !routes_);
     hello->set_routes_version(routes_ ? routes_->version() : 0);
-    hello->set_entries_digest(entries_digest_);
-    hello->set_sent_at_us(to_us(monotonic_now()));
+    hello->set_sent_at_us(to_us(now));
     for (const peer_address& one : to) {
         const keeper_state& keeper = keepers_[one];
         hello->set_directory_epoch(keeper.directory_epoch);
         hello->set_directory_revision(keeper.directory_revision);
         hello->set_keepers_digest(keeper.keepers_digest);
         hello->set_wants_pulses(all_pulses || keeper.leads_control);
+        hello->clear_wants_entries();
+        if (one == roster_source)
+            roster_.write(*hello);
         hub_.send(one, envelope);
     }
 }
@@ -150,16 +155,11 @@
     case schema::envelope::kReply:
         keeper_client_.receive(message.reply(), monotonic_now());
         break;
-    case schema::envelope::kRumor:
-        on_rumor(message.rumor());
-        break;
-    case schema::envelope::kYield:
-        hooks_.on_yield(endpoint_id(message.yield().endpoint()), message.yield().slots());
-        break;
     case schema::envelope::kStale:
         hooks_.on_stale(message.stale());
         break;
     default:
+        usage_.receive(message);
         break;
     }
 }
@@ -186,7 +186,7 @@
         last_news_ = now;
         control_keepers_[from] = now;
         learn_endpoints(beacon, now);
-        learn_entries(beacon, now);
+        learn_entries(beacon);
     }
     const bool newer =
         beacon.has_routes() && (!routes_ || beacon.routes().version() > routes_->version());
@@ -231,7 +231,7 @@
         const peer_address address(one.address());
         if (one.control())
             control_keepers_[address] = now;
-        if (one.work())
+        if (one.in_work_group())
             work_keepers_[address] = now;
     }
     forget_silent(control_keepers_, now);
@@ -244,16 +244,13 @@
     keeper_client_.set_keepers(std::move(addresses));
 }
 
-void fleet_link::learn_entries(const schema::keeper_beacon& beacon, instant now) {
-    entries_digest_ = beacon.entries_digest();
-    for (const schema::entry_hello& one : beacon.entries()) {
-        if (one.entry() != settings_.name())
-            others_[entry_id(one.entry())] = {one, now - milliseconds(one.age_ms())};
-    }
-    for (auto one = others_.begin(); one != others_.end();)
-        one = now - one->second.seen > other_forgotten_after && beacon.entries_size() > 0
-                  ? others_.erase(one)
-                  : std::next(one);
+void fleet_link::learn_entries(const schema::keeper_beacon& beacon) {
+    if (!roster_.learn(peer_address(beacon.keeper()), beacon))
+        return;
+    std::vector<policy::fleet_gateway> gateways;
+    for (const std::pair<const entry_id, schema::entry_hello>& one : roster_.entries())
+        gateways.push_back({one.first, zone_id(one.second.zone()), one.second.draining()});
+    usage_.set_gateways(std::move(gateways));
 }
 
 void fleet_link::learn_endpoints(const schema::keeper_beacon& beacon, instant now) {
@@ -289,70 +286,13 @@
     hooks_.on_endpoints(endpoints);
 }
 
-void fleet_link::on_rumor(const schema::gossip& rumor) {
-    std::map<endpoint_id, policy::slot_use> uses;
-    for (const schema::endpoint_use& use : rumor.uses())
-        uses[endpoint_id(use.endpoint())] = {use.online(), use.batch(), use.failing()};
-    hooks_.on_uses(entry_id(rumor.entry()), std::move(uses));
-}
-
-void fleet_link::share_uses(const std::map<endpoint_id, policy::slot_use>& uses) {
-    const instant now = monotonic_now();
-    const std::size_t near = static_cast<std::size_t>(
-        std::count_if(others_.begin(), others_.end(), [this](const auto& other) {
-            return other.second.hello.zone() == settings_.zone();
-        }));
-    const auto interval_for = [](std::size_t listeners, std::size_t per_second) -> milliseconds {
-        const milliseconds spread(listeners * ms_per_second / per_second);
-        return std::min(spread, longest_use_interval);
-    };
-    const auto is_due = [&uses, now](const shared_uses& shared, milliseconds interval) {
-        return now - shared.at >=
-               (uses == shared.uses ? std::max(uses_repeated_after, interval) : interval);
-    };
-    const bool near_due = is_due(shared_near_, interval_for(near, near_messages_per_second));
-    const bool far_due =
-        is_due(shared_far_, interval_for(others_.size() - near, far_messages_per_second));
-    if (!near_due && !far_due)
-        return;
-    schema::envelope envelope;
-    schema::gossip* rumor = envelope.mutable_rumor();
-    rumor->set_entry(settings_.name());
-    rumor->set_incarnation(incarnation_);
-    for (const std::pair<const endpoint_id, policy::slot_use>& one : uses) {
-        schema::endpoint_use* use = rumor->add_uses();
-        use->set_endpoint(one.first.str());
-        use->set_online(one.second.online);
-        use->set_batch(one.second.batch);
-        use->set_failing(one.second.suspects);
-    }
-    if (near_due) {
-        shared_near_ = {uses, now};
-        send_uses(envelope, true);
-    }
-    if (far_due) {
-        shared_far_ = {uses, now};
-        send_uses(envelope, false);
-    }
-}
-
-void fleet_link::send_uses(schema::envelope& envelope, bool own_zone) {
-    for (const std::pair<const entry_id, other_gateway>& other : others_) {
-        if ((other.second.hello.zone() == settings_.zone()) == own_zone)
-            hub_.send(peer_address(other.second.hello.peer_address()), envelope,
-                      net::peer_watch::relaxed);
-    }
-}
-
-void fleet_link::ask_to_yield(const entry_id& entry, const endpoint_id& endpoint,
-                              std::uint32_t slots) {
-    auto found = others_.find(entry);
-    if (found == others_.end())
-        return;
-    schema::envelope envelope;
-    envelope.mutable_yield()->set_endpoint(endpoint.str());
-    envelope.mutable_yield()->set_slots(slots);
-    hub_.send(peer_address(found->second.hello.peer_address()), envelope, net::peer_watch::relaxed);
+// \returns false if no address is known.
+bool fleet_link::send_to_gateway(const entry_id& to, schema::envelope& envelope) {
+    auto found = roster_.entries().find(to);
+    if (found == roster_.entries().end())
+        return false;
+    hub_.send(peer_address(found->second.peer_address()), envelope, net::peer_watch::relaxed);
+    return true;
 }
 
 // Requests go on by what was known last; the lines say from when to when.
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -20,6 +20,7 @@
 constexpr milliseconds share_interval(50);
 constexpr milliseconds held_interval(1000);
 constexpr milliseconds end_check_interval(50);
+constexpr milliseconds traffic_log_interval(10000);
 // Ends of items wait for a leader this long before they are sent anew.
 constexpr milliseconds report_patience(3000);
 constexpr milliseconds lease_patience(2500);
@@ -77,7 +78,7 @@
         slots_.set_endpoints(endpoints);
         dispatcher_->serve_waiting();
     };
-    fleet.on_uses = [this](const entry_id& entry, std::map<endpoint_id, policy::slot_use> uses) {
+    fleet.on_uses = [this](const entry_id& entry, policy::use_map uses) {
         slots_.set_others(entry, std::move(uses), monotonic_now());
     };
     fleet.on_yield = [this](const endpoint_id& endpoint, std::uint32_t slots) {
@@ -117,6 +118,7 @@
         slots_.forget_others(monotonic_now());
         fleet_->share_uses(slots_.own_uses());
     });
+    task_.every(traffic_log_interval, [this] { fleet_->peers().log_sent(); });
     task_.every(held_interval, [this] {
         const schema::held_items held = items_->held();
         for (std::uint32_t group = 1; group <= settings_.cluster().work_groups(); ++group) {
@@ -352,6 +354,7 @@
     metrics_.set("endpoint_connections_made", client_->counts().connections_made);
     metrics_.set("endpoint_connections_reused", client_->counts().connections_reused);
     metrics_.set("log_lines_dropped", dropped_log_lines());
+    fleet_->peers().count_sent(metrics_);
     return metrics_.to_text("cassia_gateway_");
 }
 
--- a/lib/keeper/service.cpp
+++ b/lib/keeper/service.cpp
@@ -17,6 +17,7 @@
 // seconds that platforms allow for it.
 constexpr milliseconds repair_interval(200);
 constexpr milliseconds segment_interval(5000);
+constexpr milliseconds traffic_log_interval(10000);
 constexpr milliseconds hand_over_wait(400);
 constexpr std::uint64_t bytes_per_mib = 1ULL << 20U;
 // More batches under way than this only make each of them smaller.
@@ -41,7 +42,7 @@
       node_(uses_seeds() ? settings_.peer_address() : settings_.name()),
       directory_({milliseconds(settings_.endpoint_silent_ms()),
                   membership::directory_settings().forget_after}),
-      directory_epoch_(random_bits()) {
+      directory_epoch_(random_bits()), roster_(directory_epoch_, entry_alive) {
     if (uses_seeds()) {
         founding_.set_target(group_size());
         work_founding_.set_target(group_size());
@@ -215,6 +216,7 @@
             decide_work_founders();
         }
     });
+    task_.every(traffic_log_interval, [this] { hub_->log_sent(); });
     task_.every(segment_interval, [this] { remove_old_segments(); });
     log_info("keeper_started")
         .with("address", settings_.peer_address())
--- a/lib/keeper/service_fleet.cpp
+++ b/lib/keeper/service_fleet.cpp
@@ -214,25 +214,28 @@
     log_info("work_groups_founded").with("members", founders_.size());
 }
 
-std::uint64_t service::entries_digest() const {
-    std::string text;
-    const instant now = monotonic_now();
-    for (const std::pair<const std::string, known_entry>& one : entries_) {
-        if (now - one.second.seen < entry_alive)
-            text += one.first + "/" + std::to_string(one.second.hello.incarnation()) + "/" +
-                    one.second.hello.peer_address() + (one.second.hello.draining() ? "-" : "+");
+// From what the leaders of the groups said last; empty while none has spoken lately.
+std::set<std::uint64_t> service::work_group_disks(instant now) const {
+    std::set<std::uint64_t> disks;
+    for (const std::pair<const std::string, known_keeper>& one : keepers_) {
+        if (now - one.second.seen >= keeper_alive)
+            continue;
+        for (const schema::group_view& view : one.second.hello.leads())
+            disks.insert(view.disks().begin(), view.disks().end());
     }
-    return stable_hash(text);
+    return disks;
 }
 
 std::uint64_t service::keepers_digest() const {
     std::string text;
     const instant now = monotonic_now();
+    const std::set<std::uint64_t> members = work_group_disks(now);
     for (const std::pair<const std::string, known_keeper>& one : keepers_) {
         const schema::keeper_hello& hello = one.second.hello;
+        const bool in_group = members.empty() || members.count(hello.disk()) > 0;
         if (now - one.second.seen < keeper_alive)
-            text +=
-                hello.address() + (hello.control() ? "c" : "") + (hello.work() ? "w" : "") + " ";
+            text += hello.address() + (hello.control() ? "c" : "") +
+                    (hello.work() ? "w" : "") + (in_group ? "g" : "") + " ";
     }
     return stable_hash(text);
 }
--- a/lib/keeper/service_http.cpp
+++ b/lib/keeper/service_http.cpp
@@ -59,6 +59,7 @@
         jobs += group.second.state.jobs().size();
     metrics_.set("groups_led", leading);
     metrics_.set("jobs_held", jobs);
+    hub_->count_sent(metrics_);
     return metrics_.to_text("cassia_keeper_");
 }
 
--- a/lib/keeper/service_requests.cpp
+++ b/lib/keeper/service_requests.cpp
@@ -15,7 +15,7 @@
 constexpr milliseconds entry_forgotten_after(60000);
 constexpr milliseconds incarnation_overlap(1000);
 // A tenth of what entries and keepers may be silent before their loss shows anyway.
-constexpr milliseconds digest_age(100);
+constexpr milliseconds list_age(100);
 } // namespace
 
 void service::on_message(schema::envelope& message) {
@@ -188,6 +188,8 @@
         return;
     entry.hello = hello;
     entry.seen = now;
+    if (hosts_control() && uses_seeds())
+        roster_.saw(hello, now);
     const std::string holder = hello.entry() + "/" + std::to_string(hello.incarnation());
     for (std::pair<const group_id, work_group>& group : work_) {
         if (hosts_.at(group.first)->raft().leads())
@@ -216,20 +218,37 @@
     if (uses_seeds() && entry.hello.routes_version() < control_.routes().version())
         *beacon.mutable_routes() = control_.routes();
     write_endpoints(entry.hello, beacon, entry.hello.wants_pulses());
+    write_keepers(entry, beacon);
+}
+
+// Entries of a fleet found by seeds talk to work keepers that form the groups only: of the others,
+// which may be many, they need to know nothing.
+void service::write_keepers(const known_entry& entry, schema::keeper_beacon& beacon) const {
+    const instant now = monotonic_now();
     beacon.set_keepers_digest(keepers_digest_);
-    const bool same_keepers = uses_seeds() && entry.hello.keepers_digest() == keepers_digest_;
+    if (uses_seeds() && entry.hello.keepers_digest() == keepers_digest_)
+        return;
+    const std::set<std::uint64_t> members = work_group_disks(now);
     for (const std::pair<const std::string, known_keeper>& one : keepers_) {
-        if (!same_keepers && now - one.second.seen < keeper_alive)
-            *beacon.add_keepers() = one.second.hello;
+        const schema::keeper_hello& hello = one.second.hello;
+        const bool in_group =
+            hello.work() && (members.empty() || members.count(hello.disk()) > 0);
+        const bool told = !uses_seeds() || hello.control() || in_group;
+        if (!told || now - one.second.seen >= keeper_alive)
+            continue;
+        schema::keeper_hello* added = beacon.add_keepers();
+        *added = hello;
+        added->set_in_work_group(in_group);
     }
 }
 
-// Large lists are sent to those who don't have them yet.
 void service::write_entries(const known_entry& entry, schema::keeper_beacon& beacon) const {
     const instant now = monotonic_now();
-    beacon.set_entries_digest(entries_digest_);
-    if (uses_seeds() && entry.hello.entries_digest() == entries_digest_)
+    if (uses_seeds()) {
+        if (entry.hello.wants_entries())
+            roster_.write(entry.hello.entries_epoch(), entry.hello.entries_revision(), beacon, now);
         return;
+    }
     for (const std::pair<const std::string, known_entry>& one : entries_) {
         const microseconds age = now - one.second.seen;
         if (age >= entry_alive)
@@ -243,11 +262,11 @@
     }
 }
 
-void service::refresh_digests(instant now) {
-    if (now - digests_made_at_ < digest_age)
+void service::refresh_lists(instant now) {
+    if (now - lists_made_at_ < list_age)
         return;
-    digests_made_at_ = now;
-    entries_digest_ = entries_digest();
+    lists_made_at_ = now;
+    roster_.refresh(now);
     keepers_digest_ = keepers_digest();
 }
 
@@ -259,7 +278,7 @@
     beacon->set_sent_at_us(entry.hello.sent_at_us());
     beacon->set_keeper_clock_us(to_us(now));
     if (hosts_control()) {
-        refresh_digests(now);
+        refresh_lists(now);
         write_control_news(entry, *beacon);
         write_entries(entry, *beacon);
     }
--- a/lib/net/peer_hub.cpp
+++ b/lib/net/peer_hub.cpp
@@ -1,6 +1,7 @@
 #include "cassia/net/peer_hub.h"
 
 #include "cassia/base/log.h"
+#include "cassia/base/metrics.h"
 #include "cassia/net/task.h"
 #include "cassia/schema/messages.pb.h"
 
@@ -60,6 +61,7 @@
     void* router = nullptr;
     void* authenticator = nullptr;
     std::map<peer_address, void*> peers;
+    std::map<std::string, peer_traffic> sent;
     std::vector<GSource*> sources;
     std::function<void()> read_router;
     std::function<void()> read_authenticator;
@@ -268,10 +270,33 @@
     message.set_reply_to(state_->settings.address.str());
     std::string bytes;
     message.SerializeToString(&bytes);
+    const int kind = message.body_case();
+    peer_traffic& sent = state_->sent[message.GetDescriptor()->FindFieldByNumber(kind)->name()];
+    ++sent.messages;
+    sent.bytes += bytes.size();
     if (zmq_send(found->second, bytes.data(), bytes.size(), ZMQ_DONTWAIT) < 0)
         log_debug("message_dropped").with("to", to.str());
 }
 
+const std::map<std::string, peer_traffic>& peer_hub::sent() const {
+    return state_->sent;
+}
+
+void peer_hub::count_sent(metrics& values) const {
+    for (const std::pair<const std::string, peer_traffic>& one : state_->sent) {
+        values.set("peer_messages_sent_" + one.first, one.second.messages);
+        values.set("peer_bytes_sent_" + one.first, one.second.bytes);
+    }
+}
+
+void peer_hub::log_sent() const {
+    for (const std::pair<const std::string, peer_traffic>& one : state_->sent)
+        log_info("peer_traffic")
+            .with("kind", one.first)
+            .with("messages", one.second.messages)
+            .with("bytes", one.second.bytes);
+}
+
 peer_address peer_of_seed(const std::string& seed, const std::string& own_peer_address) {
     return peer_address(seed.substr(0, seed.rfind(':')) +
                         own_peer_address.substr(own_peer_address.rfind(':')));
--- a/lib/policy/slot_book.cpp
+++ b/lib/policy/slot_book.cpp
@@ -38,11 +38,19 @@
     endpoints_ = std::move(next);
 }
 
-void slot_book::set_others(const entry_id& entry, std::map<endpoint_id, slot_use> uses,
-                           instant now) {
+void add_uses(use_map& sum, const use_map& uses) {
+    for (const std::pair<const endpoint_id, slot_use>& one : uses) {
+        slot_use& total = sum[one.first];
+        total.online += one.second.online;
+        total.batch += one.second.batch;
+        total.suspecting += one.second.suspecting;
+    }
+}
+
+void slot_book::set_others(const entry_id& entry, use_map uses, instant now) {
     other_entry& other = others_[entry];
     take_from_others(other.uses);
-    add_to_others(uses);
+    add_uses(others_total_, uses);
     other = {std::move(uses), now};
 }
 
@@ -55,23 +63,14 @@
     }
 }
 
-void slot_book::add_to_others(const std::map<endpoint_id, slot_use>& uses) {
-    for (const std::pair<const endpoint_id, slot_use>& one : uses) {
-        others_use& total = others_total_[one.first];
-        total.online += one.second.online;
-        total.batch += one.second.batch;
-        total.suspecting += one.second.suspects ? 1 : 0;
-    }
-}
-
-void slot_book::take_from_others(const std::map<endpoint_id, slot_use>& uses) {
+void slot_book::take_from_others(const use_map& uses) {
     for (const std::pair<const endpoint_id, slot_use>& one : uses) {
         auto found = others_total_.find(one.first);
-        others_use& total = found->second;
+        slot_use& total = found->second;
         total.online -= one.second.online;
         total.batch -= one.second.batch;
-        total.suspecting -= one.second.suspects ? 1 : 0;
-        if (total.online == 0 && total.batch == 0 && total.suspecting == 0)
+        total.suspecting -= one.second.suspecting;
+        if (total == slot_use())
             others_total_.erase(found);
     }
 }
@@ -129,11 +128,11 @@
         found->second.stalled = false;
 }
 
-std::map<endpoint_id, slot_use> slot_book::own_uses() const {
-    std::map<endpoint_id, slot_use> uses = own_;
+use_map slot_book::own_uses() const {
+    use_map uses = own_;
     for (const std::pair<const endpoint_id, known_endpoint>& one : endpoints_) {
         if (one.second.failures > 0)
-            uses[one.first].suspects = true;
+            uses[one.first].suspecting = 1;
     }
     return uses;
 }
--- /dev/null
+++ b/unittests/membership/entry_roster_test.cpp
@@ -0,0 +1,152 @@
+// How the list of entries reaches each entry as changes.
+
+#include "cassia/membership/entry_roster.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+#include <set>
+
+using namespace cassia;
+using namespace cassia::membership;
+
+namespace {
+
+constexpr milliseconds silent_after(3000);
+const peer_address first_keeper("10.0.0.1:1");
+const peer_address second_keeper("10.0.0.2:1");
+
+schema::entry_hello hello_of(int number, std::uint64_t incarnation = 1) {
+    schema::entry_hello hello;
+    hello.set_entry("g" + std::to_string(number));
+    hello.set_incarnation(incarnation);
+    hello.set_peer_address("10.1.0." + std::to_string(number) + ":7");
+    hello.set_zone("a");
+    return hello;
+}
+
+schema::keeper_beacon beacon_for(const entry_roster& roster, const roster_copy& copy, instant now) {
+    schema::entry_hello asked;
+    copy.write(asked);
+    schema::keeper_beacon beacon;
+    roster.write(asked.entries_epoch(), asked.entries_revision(), beacon, now);
+    return beacon;
+}
+
+} // namespace
+
+// Guards against lists that grow with the fleet for each entry that comes or goes.
+TEST_CASE("a change alone is told to who has the list", "[roster]") {
+    instant now(std::chrono::seconds(100));
+    entry_roster roster(7, silent_after);
+    for (int i = 0; i < 250; ++i)
+        roster.saw(hello_of(i), now);
+    roster_copy copy("g0");
+    copy.choose_source({{first_keeper, now}}, first_keeper, now);
+    CHECK(copy.learn(first_keeper, beacon_for(roster, copy, now)));
+    CHECK(copy.entries().size() == 249);
+    roster.saw(hello_of(3, 2), now);
+    const schema::keeper_beacon beacon = beacon_for(roster, copy, now);
+    CHECK(beacon.entries_size() == 1);
+    CHECK(copy.learn(first_keeper, beacon));
+    CHECK(copy.entries().at(entry_id("g3")).incarnation() == 2);
+    CHECK_FALSE(copy.learn(first_keeper, beacon_for(roster, copy, now)));
+}
+
+// Guards against a new leader whose list lacks what the one before had told, or that revives
+// entries lost in between.
+TEST_CASE("another keeper's list replaces the copy", "[roster]") {
+    instant now(std::chrono::seconds(100));
+    entry_roster one(1, silent_after);
+    entry_roster two(2, silent_after);
+    for (int i = 1; i < 5; ++i)
+        one.saw(hello_of(i), now);
+    two.saw(hello_of(2), now);
+    roster_copy copy("g0");
+    copy.choose_source({{first_keeper, now}, {second_keeper, now}}, first_keeper, now);
+    copy.learn(first_keeper, beacon_for(one, copy, now));
+    const schema::keeper_beacon late = beacon_for(one, copy, now);
+    now += milliseconds(1000);
+    copy.choose_source({{second_keeper, now}}, second_keeper, now);
+    CHECK(copy.learn(second_keeper, beacon_for(two, copy, now)));
+    CHECK(copy.entries().size() == 1);
+    CHECK_FALSE(copy.learn(first_keeper, late));
+}
+
+// Guards against copies that drift: entries come, go, restart and drain in random order, beacons
+// get lost or come late, keepers restart and the leader changes.
+TEST_CASE("in any order of events the copy ends as its source's list", "[roster]") {
+    std::mt19937 random(GENERATE(range(1U, 21U)));
+    instant now(std::chrono::seconds(100));
+    std::uint64_t epoch = 1;
+    std::map<peer_address, entry_roster> rosters;
+    rosters.emplace(first_keeper, entry_roster(epoch++, silent_after));
+    rosters.emplace(second_keeper, entry_roster(epoch++, silent_after));
+    std::map<int, schema::entry_hello> alive;
+    std::vector<std::pair<peer_address, schema::keeper_beacon>> late;
+    roster_copy copy("g0");
+    peer_address leader = first_keeper;
+    const auto exchange = [&](bool lossy) {
+        std::map<peer_address, instant> heard{{first_keeper, now}, {second_keeper, now}};
+        const peer_address source = copy.choose_source(heard, leader, now);
+        const schema::keeper_beacon beacon = beacon_for(rosters.at(source), copy, now);
+        if (!lossy || random() % 3 != 0)
+            copy.learn(source, beacon);
+        else
+            late.emplace_back(source, beacon);
+        if (lossy && !late.empty() && random() % 4 == 0) {
+            copy.learn(late.front().first, late.front().second);
+            late.erase(late.begin());
+        }
+    };
+    for (int step = 0; step < 1500; ++step) {
+        now += milliseconds(250);
+        const int who = 1 + static_cast<int>(random() % 12);
+        switch (random() % 8) {
+        case 0:
+            alive[who] = hello_of(who, static_cast<std::uint64_t>(step) + 1);
+            break;
+        case 1:
+            alive.erase(who);
+            break;
+        case 2:
+            if (alive.count(who) > 0)
+                alive[who].set_draining(true);
+            break;
+        case 3:
+            if (random() % 20 == 0) {
+                const peer_address restarted = random() % 2 == 0 ? first_keeper : second_keeper;
+                rosters.insert_or_assign(restarted, entry_roster(epoch++, silent_after));
+            }
+            break;
+        case 4:
+            if (random() % 10 == 0)
+                leader = random() % 2 == 0 ? first_keeper : second_keeper;
+            break;
+        default:
+            break;
+        }
+        for (auto& one : rosters) {
+            for (const auto& entry : alive)
+                one.second.saw(entry.second, now);
+            one.second.refresh(now);
+        }
+        exchange(true);
+    }
+    for (int i = 0; i < 20; ++i) {
+        now += milliseconds(250);
+        for (auto& one : rosters) {
+            for (const auto& entry : alive)
+                one.second.saw(entry.second, now);
+            one.second.refresh(now);
+        }
+        exchange(false);
+    }
+    std::set<std::string> expected;
+    for (const auto& one : alive)
+        expected.insert(one.second.entry() + (one.second.draining() ? "-" : "+"));
+    std::set<std::string> found;
+    for (const auto& one : copy.entries())
+        found.insert(one.first.str() + (one.second.draining() ? "-" : "+"));
+    CHECK(found == expected);
+}
--- a/unittests/policy/slots_test.cpp
+++ b/unittests/policy/slots_test.cpp
@@ -41,11 +41,11 @@
         now += milliseconds(50);
         const int who = static_cast<int>(random() % 6);
         const std::uint32_t count = random() % 8;
-        std::map<endpoint_id, slot_use> uses;
+        use_map uses;
         if (count > 0)
-            uses[endpoint_id("e0")] = {count, 0, false};
+            uses[endpoint_id("e0")] = {count, 0, 0};
         if (random() % 2 == 0)
-            uses[endpoint_id("e1")] = {0, 1, true};
+            uses[endpoint_id("e1")] = {0, 1, 1};
         book.set_others(entry_id("g" + std::to_string(who)), uses, now);
         said[who] = {count, now};
         book.forget_others(now);
@@ -213,7 +213,7 @@
 TEST_CASE("what two others suspect is on trial here too, what one does isn't", "[slots]") {
     slot_book book{zone_id("a")};
     book.set_endpoints({endpoint("dark", "a", 8), endpoint("fine", "a", 1)});
-    const std::map<endpoint_id, slot_use> failing{{endpoint_id("dark"), {0, 0, true}}};
+    const use_map failing{{endpoint_id("dark"), {0, 0, 1}}};
     book.set_others(entry_id("one"), failing, start);
     int dark = 0;
     for (int i = 0; i < 20; ++i)
