--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -169,6 +169,8 @@
     bool uses_seeds() const { return settings_.cluster().seed_size() > 0; }
     std::size_t group_size() const { return 2 * std::size_t{settings_.tolerated_losses()} + 1; }
     std::vector<peer_address> keepers_to_greet() const;
+    /// Whether the work groups exist, and this keeper hosts none of them.
+    bool waits_as_spare() const;
     void see_keeper(const schema::keeper_hello& hello, instant seen);
     void send_news(const peer_address& to, const known_keeper& keeper);
     void on_news(const schema::keeper_news& news);
@@ -181,7 +183,10 @@
     void log_listed_entries();
     void answer_waiting_words();
     schema::keeper_hello own_hello(const peer_address& to) const;
+    /// Disks of the members of the work groups.
     std::set<std::uint64_t> work_group_disks(instant now) const;
+    /// Whether a keeper hosts no group and waits to replace a member.
+    static bool is_spare(const schema::keeper_hello& hello, const std::set<std::uint64_t>& members);
     std::uint64_t keepers_digest() const;
 
     schema::keeper_settings settings_;
@@ -218,6 +223,8 @@
     std::uint64_t keepers_digest_ = 0;
     instant lists_made_at_{};
     consensus::member_list founders_;
+    bool groups_founded_ = false; ///< as the control group told
+    std::uint32_t greetings_skipped_ = 0;
     bool stopping_ = false;
     int exit_code_ = 0;
 };
--- a/include/cassia/net/peer_hub.h
+++ b/include/cassia/net/peer_hub.h
@@ -34,6 +34,7 @@
 /// How soon a connection that went silent is noticed and made anew.
 enum class peer_watch {
     close,  ///< within 1.2 s: what is told matters at once
+    steady, ///< within 2.5 s: one of several peers that tell the same, or many such peers
     relaxed ///< within 5 s: what is told is repeated, or stands for little
 };
 
--- a/lib/gateway/fleet_link.cpp
+++ b/lib/gateway/fleet_link.cpp
@@ -143,7 +143,8 @@
         hello->clear_wants_entries();
         if (one == roster_source)
             roster_.write(*hello);
-        hub_.send(one, envelope);
+        const bool control = control_keepers_.count(one) > 0 || seeds_.count(one) > 0;
+        hub_.send(one, envelope, control ? net::peer_watch::close : net::peer_watch::steady);
     }
 }
 
--- a/lib/keeper/service_fleet.cpp
+++ b/lib/keeper/service_fleet.cpp
@@ -39,6 +39,10 @@
     return {all.begin(), all.end()};
 }
 
+bool service::waits_as_spare() const {
+    return uses_seeds() && !hosts_control() && groups_founded_ && !hosts_.begin()->second->founded();
+}
+
 schema::keeper_hello service::own_hello(const peer_address& to) const {
     schema::keeper_hello hello;
     const bool founded = hosts_.begin()->second->founded();
@@ -92,10 +96,15 @@
     *news->mutable_work_founders() = control_.work_founders();
     for (const schema::retire_command& one : control_.retiring())
         news->add_retiring_disks(one.disk());
+    const std::set<std::uint64_t> members = work_group_disks(now);
+    const bool spare = is_spare(keeper.hello, members);
     for (const std::pair<const std::string, known_keeper>& one : keepers_) {
         const microseconds age = now - one.second.seen;
         if (age >= keeper_alive || one.first == keeper.hello.node())
             continue;
+        // The others of the spares, which may be many, are nothing to it.
+        if (spare && is_spare(one.second.hello, members))
+            continue;
         schema::keeper_hello* told = news->add_keepers();
         *told = one.second.hello;
         told->clear_founders();
@@ -197,6 +206,7 @@
 }
 
 void service::found_work_groups(const schema::group_members& founders) {
+    groups_founded_ = true;
     const consensus::member_list members = consensus::members_from_proto(founders);
     std::vector<std::string> names;
     for (const consensus::member& one : members)
@@ -214,6 +224,10 @@
     log_info("work_groups_founded").with("members", founders_.size());
 }
 
+bool service::is_spare(const schema::keeper_hello& hello, const std::set<std::uint64_t>& members) {
+    return !hello.control() && !members.empty() && members.count(hello.disk()) == 0;
+}
+
 // From what the leaders of the groups said last; empty while none has spoken lately.
 std::set<std::uint64_t> service::work_group_disks(instant now) const {
     std::set<std::uint64_t> disks;
--- a/lib/keeper/service_requests.cpp
+++ b/lib/keeper/service_requests.cpp
@@ -298,7 +298,8 @@
                 beacon->add_cancelled_jobs(key.first.str());
         }
     }
-    hub_->send(peer_address(entry.hello.peer_address()), envelope);
+    hub_->send(peer_address(entry.hello.peer_address()), envelope,
+               uses_seeds() ? net::peer_watch::steady : net::peer_watch::close);
 }
 
 void service::on_config_applied() {
--- a/lib/net/peer_hub.cpp
+++ b/lib/net/peer_hub.cpp
@@ -24,12 +24,15 @@
 // A connection that lost its state on the way stays open at both ends and delivers nothing.
 // Without these heartbeats the messages to that peer vanish for good; with them ZeroMQ closes the
 // connection after the timeout and makes a new one, which works.
-constexpr int heartbeat_interval_ms = 400;
-constexpr int heartbeat_timeout_ms = 1200;
-// In a large fleet each gateway has a connection to and from every other: heartbeats as often as
-// above would take more time than the requests.
-constexpr int relaxed_interval_ms = 2000;
-constexpr int relaxed_timeout_ms = 5000;
+struct watch_limits {
+    int heartbeat_ms;
+    int timeout_ms;
+};
+constexpr watch_limits close_watch{400, 1200};
+// Keepers have a connection to each gateway, and gateways to several keepers: heartbeats as often
+// as above would be more messages than all others.
+constexpr watch_limits steady_watch{1000, 2500};
+constexpr watch_limits relaxed_watch{2000, 5000};
 // The listening end sends none; it drops a connection whose other end fell silent for this long.
 constexpr int heartbeat_life_ms = 10000;
 // A connection that was made while the way was cut never completes its handshake, and ZeroMQ's own
@@ -239,12 +242,24 @@
     return success();
 }
 
+static watch_limits limits_of(peer_watch watch) {
+    switch (watch) {
+    case peer_watch::close:
+        return close_watch;
+    case peer_watch::steady:
+        return steady_watch;
+    case peer_watch::relaxed:
+        break;
+    }
+    return relaxed_watch;
+}
+
 static void* connect_peer(peer_hub::state* hub, const peer_address& to, peer_watch watch) {
     void* socket = zmq_socket(hub->context, ZMQ_DEALER);
     set_common_options(socket);
-    const bool close = watch == peer_watch::close;
-    set_option(socket, ZMQ_HEARTBEAT_IVL, close ? heartbeat_interval_ms : relaxed_interval_ms);
-    set_option(socket, ZMQ_HEARTBEAT_TIMEOUT, close ? heartbeat_timeout_ms : relaxed_timeout_ms);
+    const watch_limits limits = limits_of(watch);
+    set_option(socket, ZMQ_HEARTBEAT_IVL, limits.heartbeat_ms);
+    set_option(socket, ZMQ_HEARTBEAT_TIMEOUT, limits.timeout_ms);
     set_option(socket, ZMQ_HEARTBEAT_TTL, heartbeat_life_ms);
     const std::string& secret = hub->settings.secret;
     if (hub->settings.encrypted) {
@@ -253,7 +268,7 @@
         zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, secret.c_str(), z85_key_chars + 1);
     }
     set_option(socket, ZMQ_CONNECT_TIMEOUT, connect_limit_ms);
-    if (!close)
+    if (watch == peer_watch::relaxed)
         set_option(socket, ZMQ_RECONNECT_IVL_MAX, longest_reconnect_ms);
     // From the own IP number, so that a VM with several is known by the one in its settings.
     const std::string& own = hub->settings.bind.str();
