Each gateway follows one keeper of the control group

Change: a gateway follows one keeper that is in touch with its group, in its own zone if there is one, and asks the others each 2 s. Keepers tell each other whom they heard. Only those that run items are told of cancelled jobs at once.

--- a/include/cassia/gateway/fleet_link.h
+++ b/include/cassia/gateway/fleet_link.h
@@ -8,6 +8,7 @@
 #include "cassia/gateway/usage_link.h"
 #include "cassia/membership/directory.h"
 #include "cassia/membership/entry_roster.h"
+#include "cassia/membership/followed_keeper.h"
 #include "cassia/net/peer_hub.h"
 #include "cassia/policy/slot_book.h"
 #include "cassia/routes/table.h"
@@ -76,19 +77,16 @@
         std::uint64_t clock_us = 0; ///< of its last beacon
         std::uint64_t keepers_digest = 0;
         std::vector<schema::keeper_hello> keepers; ///< those that it named last
-        bool leads_control = false;
         instant heard{};
     };
 
-    enum class audience { control_keepers, all_keepers };
+    enum class audience { followed_keeper, work_keepers, all_keepers };
     void say_hello(audience to);
-    bool needs_all_pulses(instant now) const;
     bool send_to_gateway(const entry_id& to, schema::envelope& envelope);
     void on_message(const schema::envelope& message);
     void on_beacon(const schema::keeper_beacon& beacon);
     void learn_entries(const schema::keeper_beacon& beacon);
-    /// The keeper that leads the control group, if it was heard lately.
-    peer_address control_leader(instant now) const;
+    void learn_control(const schema::keeper_beacon& beacon, instant now);
     void learn_keepers(const schema::keeper_beacon& beacon, instant now);
     bool forget_silent(std::map<peer_address, instant>& keepers, instant now);
     void learn_endpoints(const schema::keeper_beacon& beacon, instant now);
@@ -108,6 +106,7 @@
     std::map<peer_address, instant> work_keepers_;
     std::map<peer_address, keeper_state> keepers_;
     std::map<group_id, peer_address> leaders_;
+    membership::followed_keeper followed_;
     membership::roster_copy roster_;
     membership::directory directory_;
     std::vector<policy::slot_endpoint> published_; ///< endpoints as last handed over
--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -90,6 +90,7 @@
     struct known_entry {
         schema::entry_hello hello;
         instant seen{};
+        instant own_seen{}; ///< by this keeper itself
         bool listed = false; ///< callers are sent to it, as last logged
     };
     struct known_keeper {
@@ -157,6 +158,9 @@
     void send_keeper_hello(const peer_address& to);
     void on_config_applied();
     void send_beacons_soon();
+    bool holds_items(const schema::entry_hello& hello) const;
+    void write_sightings(schema::keeper_news& news) const;
+    void learn_sightings(const schema::keeper_news& news, instant now);
 
     // State dump and metrics (service_http.cpp).
     std::string open_http();
@@ -223,6 +227,7 @@
     std::uint64_t keepers_digest_ = 0;
     instant lists_made_at_{};
     consensus::member_list founders_;
+    bool beacons_scheduled_ = false;
     bool groups_founded_ = false; ///< as the control group told
     std::uint32_t greetings_skipped_ = 0;
     bool stopping_ = false;
--- a/include/cassia/membership/entry_roster.h
+++ b/include/cassia/membership/entry_roster.h
@@ -49,10 +49,8 @@
     /// \param self not listed.
     explicit roster_copy(std::string self) : self_(std::move(self)) {}
 
-    /// Chooses the keeper to copy from: the leader; without one the keeper copied from so far, or
-    /// any that was heard. \returns empty if none.
-    const peer_address& choose_source(const std::map<peer_address, instant>& heard,
-                                      const peer_address& leader, instant now);
+    /// The keeper to copy from, from now on.
+    void follow(const peer_address& source);
     /// What the source is told, so that it sends what is missing.
     void write(schema::entry_hello& hello) const;
     /// \returns whether the list changed.
--- a/lib/gateway/fleet_link.cpp
+++ b/lib/gateway/fleet_link.cpp
@@ -13,13 +13,11 @@
 constexpr milliseconds hello_interval(250);
 constexpr milliseconds tick_interval(50);
 constexpr milliseconds keeper_forgotten_after(10000);
-// Keepers that lead no control group tell only that they are there, whom they lead, and which jobs
-// have ended: once a second is enough for that.
-constexpr std::uint32_t control_hellos_for_each_to_all = 4;
-// Heard at least so often, by way of the leader of the control group; an endpoint announces itself
-// every 1.2 s or so. If one is missed, all keepers are asked: the endpoint may reach only others.
-constexpr milliseconds pulse_missed_after(2000);
-constexpr milliseconds leader_missed_after(800);
+// Work keepers tell only that they are there, whom they lead, and which jobs have ended.
+constexpr std::uint32_t hellos_for_each_to_work_keepers = 4;
+// The keeper followed tells the same as the other keepers of its group. They are asked so that
+// another one can be followed at once, and in case that it lags behind.
+constexpr std::uint32_t hellos_for_each_to_all = 8;
 // Four hellos without any answer.
 constexpr milliseconds control_missed_after(1000);
 // Endpoints fall silent without a change of the directory, so it is read anew this often.
@@ -42,7 +40,8 @@
            [this](schema::envelope& message) { on_message(message); }),
       keeper_client_({}, [this](const peer_address& to,
                                 schema::envelope& message) { hub_.send(to, message); }),
-      roster_(settings.name()), directory_(membership::directory_settings()),
+      followed_(settings.name(), zone_id(settings.zone())), roster_(settings.name()),
+      directory_(membership::directory_settings()),
       usage_(entry_id(settings.name()), zone_id(settings.zone()),
              {[this](const entry_id& to, schema::envelope& envelope) {
                   return send_to_gateway(to, envelope);
@@ -58,8 +57,13 @@
     if (!opened)
         return opened.error().text;
     owner_.every(hello_interval, [this] {
-        const bool all = ++hellos_ % control_hellos_for_each_to_all == 0;
-        say_hello(all ? audience::all_keepers : audience::control_keepers);
+        ++hellos_;
+        if (hellos_ % hellos_for_each_to_all == 0)
+            say_hello(audience::all_keepers);
+        else if (hellos_ % hellos_for_each_to_work_keepers == 0)
+            say_hello(audience::work_keepers);
+        else
+            say_hello(audience::followed_keeper);
     });
     owner_.every(tick_interval, [this] { tick(); });
     say_hello(audience::all_keepers);
@@ -95,34 +99,23 @@
     hub_.send(leader->second, envelope);
 }
 
-peer_address fleet_link::control_leader(instant now) const {
-    for (const std::pair<const peer_address, keeper_state>& one : keepers_) {
-        if (one.second.leads_control && now - one.second.heard < leader_missed_after)
-            return one.first;
-    }
-    return peer_address();
-}
-
-// Without a leader in sight, or with an endpoint that it hasn't heard of lately, any keeper may be
-// the one that hears the endpoints.
-bool fleet_link::needs_all_pulses(instant now) const {
-    return control_leader(now).empty() || directory_.misses_any(pulse_missed_after, now);
-}
-
+// While no keeper can be followed all are asked each time, and all are taken at their word.
 void fleet_link::say_hello(audience chosen) {
-    std::set<peer_address> to = seeds_;
-    for (const std::pair<const peer_address, instant>& one : control_keepers_)
-        to.insert(one.first);
-    if (chosen == audience::all_keepers) {
+    const instant now = monotonic_now();
+    const peer_address followed = followed_.choose(now);
+    roster_.follow(followed);
+    std::set<peer_address> to;
+    if (!followed.empty())
+        to.insert(followed);
+    if (followed.empty() || chosen == audience::all_keepers) {
+        to.insert(seeds_.begin(), seeds_.end());
+        for (const std::pair<const peer_address, instant>& one : control_keepers_)
+            to.insert(one.first);
+    }
+    if (chosen != audience::followed_keeper) {
         for (const std::pair<const peer_address, instant>& one : work_keepers_)
             to.insert(one.first);
     }
-    const instant now = monotonic_now();
-    const bool all_pulses = needs_all_pulses(now);
-    std::map<peer_address, instant> heard;
-    for (const std::pair<const peer_address, instant>& one : control_keepers_)
-        heard[one.first] = keepers_[one.first].heard;
-    const peer_address roster_source = roster_.choose_source(heard, control_leader(now), now);
     schema::envelope envelope;
     schema::entry_hello* hello = envelope.mutable_hello();
     hello->set_entry(settings_.name());
@@ -139,12 +132,11 @@
         hello->set_directory_epoch(keeper.directory_epoch);
         hello->set_directory_revision(keeper.directory_revision);
         hello->set_keepers_digest(keeper.keepers_digest);
-        hello->set_wants_pulses(all_pulses || keeper.leads_control);
-        hello->clear_wants_entries();
-        if (one == roster_source)
+        hello->set_follows(followed.empty() || one == followed);
+        if (one == followed)
             roster_.write(*hello);
-        const bool control = control_keepers_.count(one) > 0 || seeds_.count(one) > 0;
-        hub_.send(one, envelope, control ? net::peer_watch::close : net::peer_watch::steady);
+        hub_.send(one, envelope,
+                  one == followed ? net::peer_watch::close : net::peer_watch::steady);
     }
 }
 
@@ -170,7 +162,6 @@
     const peer_address from(beacon.keeper());
     keepers_[from].heard = now;
     keepers_[from].clock_us = beacon.keeper_clock_us();
-    keepers_[from].leads_control = beacon.leads_control();
     const std::size_t known = work_keepers_.size();
     learn_keepers(beacon, now);
     // A keeper that is new here gives leases to this process and doesn't know that it lives.
@@ -183,12 +174,8 @@
         leader = from;
         keeper_client_.leads(group_id(group), from.str());
     }
-    if (beacon.directory_epoch() != 0) {
-        last_news_ = now;
-        control_keepers_[from] = now;
-        learn_endpoints(beacon, now);
-        learn_entries(beacon);
-    }
+    if (beacon.directory_epoch() != 0)
+        learn_control(beacon, now);
     const bool newer =
         beacon.has_routes() && (!routes_ || beacon.routes().version() > routes_->version());
     if (newer) {
@@ -200,7 +187,7 @@
                 .with("version", routes_->version())
                 .with("from", from.str());
             hooks_.on_routes(routes_);
-            say_hello(audience::control_keepers);
+            say_hello(audience::followed_keeper);
         } else {
             log_error("routes_refused").with("cause", compiled.error().text);
         }
@@ -213,6 +200,15 @@
     }
 }
 
+void fleet_link::learn_control(const schema::keeper_beacon& beacon, instant now) {
+    const peer_address from(beacon.keeper());
+    last_news_ = now;
+    control_keepers_[from] = now;
+    followed_.heard(from, beacon.in_touch(), now);
+    learn_endpoints(beacon, now);
+    learn_entries(beacon);
+}
+
 bool fleet_link::forget_silent(std::map<peer_address, instant>& keepers, instant now) {
     const std::size_t known = keepers.size();
     for (auto one = keepers.begin(); one != keepers.end();)
@@ -230,8 +226,10 @@
     const std::size_t known = work_keepers_.size();
     for (const schema::keeper_hello& one : from.keepers) {
         const peer_address address(one.address());
-        if (one.control())
+        if (one.control()) {
             control_keepers_[address] = now;
+            followed_.set_zone(address, zone_id(one.zone()));
+        }
         if (one.in_work_group())
             work_keepers_[address] = now;
     }
--- a/lib/keeper/service_fleet.cpp
+++ b/lib/keeper/service_fleet.cpp
@@ -112,11 +112,43 @@
             told->age_ms() +
             static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(age).count()));
     }
-    if (keeper.hello.control())
+    if (keeper.hello.control()) {
         write_endpoints(keeper.hello, *news, true);
+        write_sightings(*news);
+    }
     hub_->send(to, envelope);
 }
 
+// Entries tell one keeper often and the others seldom: callers of each are told the same list.
+void service::write_sightings(schema::keeper_news& news) const {
+    const instant now = monotonic_now();
+    for (const std::pair<const std::string, known_entry>& one : entries_) {
+        const microseconds age = now - one.second.own_seen;
+        if (!one.second.hello.follows() || age >= entry_alive)
+            continue;
+        schema::entry_sighting* told = news.add_entries();
+        told->set_entry(one.first);
+        told->set_incarnation(one.second.hello.incarnation());
+        told->set_draining(one.second.hello.draining());
+        told->set_age_ms(
+            static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(age).count()));
+    }
+}
+
+void service::learn_sightings(const schema::keeper_news& news, instant now) {
+    for (const schema::entry_sighting& one : news.entries()) {
+        auto found = entries_.find(one.entry());
+        const bool same = found != entries_.end() &&
+                          found->second.hello.incarnation() == one.incarnation();
+        const instant seen = now - milliseconds(one.age_ms());
+        if (!same || seen <= found->second.seen)
+            continue;
+        found->second.seen = seen;
+        found->second.hello.set_draining(one.draining());
+        roster_.saw(found->second.hello, seen);
+    }
+}
+
 void service::on_news(const schema::keeper_news& news) {
     const instant now = monotonic_now();
     see_keeper(news.self(), now);
@@ -143,6 +175,7 @@
         changed = directory_.told(record, now) || changed;
     for (const schema::endpoint_pulse& pulse : news.pulses())
         directory_.told(pulse, now);
+    learn_sightings(news, now);
     heard_revisions_[news.self().address()] = {news.directory_epoch(), news.directory_revision()};
     if (!changed)
         return;
--- a/lib/keeper/service_requests.cpp
+++ b/lib/keeper/service_requests.cpp
@@ -6,6 +6,7 @@
 #include "cassia/settings/catalog.h"
 #include "cassia/state/sharding.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cassia::keeper {
@@ -188,6 +189,7 @@
         return;
     entry.hello = hello;
     entry.seen = now;
+    entry.own_seen = now;
     if (hosts_control() && uses_seeds())
         roster_.saw(hello, now);
     const std::string holder = hello.entry() + "/" + std::to_string(hello.incarnation());
@@ -206,6 +208,7 @@
     beacon.set_beacon_term(control.term().value());
     // The beacon says that a quorum stood behind this leader just now. Without the lease a leader
     // that is cut off would go on vouching for lists that others have replaced.
+    beacon.set_in_touch(control.leads() ? control.may_read(now) : control.leader() != disk_id());
     if (control.may_read(now)) {
         beacon.set_leads_control(true);
         beacon.set_beacon(beacon_);
@@ -217,7 +220,7 @@
     // to a lower version.
     if (uses_seeds() && entry.hello.routes_version() < control_.routes().version())
         *beacon.mutable_routes() = control_.routes();
-    write_endpoints(entry.hello, beacon, entry.hello.wants_pulses());
+    write_endpoints(entry.hello, beacon, entry.hello.follows());
     write_keepers(entry, beacon);
 }
 
@@ -245,7 +248,7 @@
 void service::write_entries(const known_entry& entry, schema::keeper_beacon& beacon) const {
     const instant now = monotonic_now();
     if (uses_seeds()) {
-        if (entry.hello.wants_entries())
+        if (entry.hello.follows())
             roster_.write(entry.hello.entries_epoch(), entry.hello.entries_revision(), beacon, now);
         return;
     }
@@ -319,11 +322,30 @@
 }
 
 // Changes and cancellations are pushed at once; the entries' hellos, which name their version, make
-// up for what gets lost.
+// up for what gets lost. In a fleet found by seeds each entry follows one keeper of the control
+// group, and those of the work groups tell whoever runs items of a job that was cancelled.
 void service::send_beacons_soon() {
+    if (std::exchange(beacons_scheduled_, true))
+        return;
     task_.post([this] {
-        for (const std::pair<const std::string, known_entry>& entry : entries_)
-            send_beacon(entry.second);
+        beacons_scheduled_ = false;
+        for (const std::pair<const std::string, known_entry>& entry : entries_) {
+            const bool told = !uses_seeds() || (hosts_control() ? entry.second.hello.follows()
+                                                                : holds_items(entry.second.hello));
+            if (told)
+                send_beacon(entry.second);
+        }
+    });
+}
+
+static std::string holder_name(const schema::entry_hello& hello) {
+    return hello.entry() + "/" + std::to_string(hello.incarnation());
+}
+
+bool service::holds_items(const schema::entry_hello& hello) const {
+    const std::string holder = holder_name(hello);
+    return std::any_of(work_.begin(), work_.end(), [&holder](const auto& group) {
+        return !group.second.state.leases_of(holder).empty();
     });
 }
 
--- a/lib/membership/entry_roster.cpp
+++ b/lib/membership/entry_roster.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 constexpr milliseconds lost_forgotten_after(60000);
-constexpr milliseconds source_missed_after(800);
 } // namespace
 
 static bool same_for_others(const schema::entry_hello& a, const schema::entry_hello& b) {
@@ -70,31 +69,15 @@
     }
 }
 
-const peer_address& roster_copy::choose_source(const std::map<peer_address, instant>& heard,
-                                               const peer_address& leader, instant now) {
-    const auto is_heard = [&heard, now](const peer_address& keeper) {
-        auto found = heard.find(keeper);
-        return found != heard.end() && now - found->second < source_missed_after;
-    };
-    peer_address next;
-    if (is_heard(leader)) {
-        next = leader;
-    } else if (is_heard(source_)) {
-        next = source_;
-    } else {
-        for (const std::pair<const peer_address, instant>& one : heard)
-            next = next.empty() && is_heard(one.first) ? one.first : next;
-    }
-    if (next != source_ && !next.empty()) {
-        source_ = next;
-        epoch_ = 0;
-        revision_ = 0;
-    }
-    return source_;
+void roster_copy::follow(const peer_address& source) {
+    if (source == source_)
+        return;
+    source_ = source;
+    epoch_ = 0;
+    revision_ = 0;
 }
 
 void roster_copy::write(schema::entry_hello& hello) const {
-    hello.set_wants_entries(true);
     hello.set_entries_epoch(epoch_);
     hello.set_entries_revision(revision_);
 }
--- a/unittests/membership/entry_roster_test.cpp
+++ b/unittests/membership/entry_roster_test.cpp
@@ -42,7 +42,7 @@
     for (int i = 0; i < 250; ++i)
         roster.saw(hello_of(i), now);
     roster_copy copy("g0");
-    copy.choose_source({{first_keeper, now}}, first_keeper, now);
+    copy.follow(first_keeper);
     CHECK(copy.learn(first_keeper, beacon_for(roster, copy, now)));
     CHECK(copy.entries().size() == 249);
     roster.saw(hello_of(3, 2), now);
@@ -53,7 +53,7 @@
     CHECK_FALSE(copy.learn(first_keeper, beacon_for(roster, copy, now)));
 }
 
-// Guards against a new leader whose list lacks what the one before had told, or that revives
+// Guards against another keeper whose list lacks what the one before had told, or that revives
 // entries lost in between.
 TEST_CASE("another keeper's list replaces the copy", "[roster]") {
     instant now(std::chrono::seconds(100));
@@ -63,18 +63,18 @@
         one.saw(hello_of(i), now);
     two.saw(hello_of(2), now);
     roster_copy copy("g0");
-    copy.choose_source({{first_keeper, now}, {second_keeper, now}}, first_keeper, now);
+    copy.follow(first_keeper);
     copy.learn(first_keeper, beacon_for(one, copy, now));
     const schema::keeper_beacon late = beacon_for(one, copy, now);
     now += milliseconds(1000);
-    copy.choose_source({{second_keeper, now}}, second_keeper, now);
+    copy.follow(second_keeper);
     CHECK(copy.learn(second_keeper, beacon_for(two, copy, now)));
     CHECK(copy.entries().size() == 1);
     CHECK_FALSE(copy.learn(first_keeper, late));
 }
 
 // Guards against copies that drift: entries come, go, restart and drain in random order, beacons
-// get lost or come late, keepers restart and the leader changes.
+// get lost or come late, keepers restart, and another one is followed.
 TEST_CASE("in any order of events the copy ends as its source's list", "[roster]") {
     std::mt19937 random(GENERATE(range(1U, 21U)));
     instant now(std::chrono::seconds(100));
@@ -87,8 +87,8 @@
     roster_copy copy("g0");
     peer_address leader = first_keeper;
     const auto exchange = [&](bool lossy) {
-        std::map<peer_address, instant> heard{{first_keeper, now}, {second_keeper, now}};
-        const peer_address source = copy.choose_source(heard, leader, now);
+        const peer_address source = leader;
+        copy.follow(source);
         const schema::keeper_beacon beacon = beacon_for(rosters.at(source), copy, now);
         if (!lossy || random() % 3 != 0)
             copy.learn(source, beacon);
