A table of routes on its way isn't sent again for 500 ms

Change: a table that was sent less than 500 ms ago isn't repeated, and the operator's document, which only keepers read back, isn't sent along.

--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -91,6 +91,8 @@
         schema::entry_hello hello;
         instant seen{};
         instant own_seen{}; ///< by this keeper itself
+        std::uint64_t routes_sent = 0; ///< version of the table sent to it last
+        instant routes_sent_at{};
         bool listed = false; ///< callers are sent to it, as last logged
     };
     struct known_keeper {
@@ -132,7 +134,8 @@
                        const group_host::reply_function& reply);
     std::string leader_node(const group_host& host) const;
     void on_entry_hello(const schema::entry_hello& hello);
-    void send_beacon(const known_entry& entry);
+    void send_beacon(known_entry& entry);
+    bool lacks_routes(const known_entry& entry, instant now) const;
     void write_control_news(const known_entry& entry, schema::keeper_beacon& beacon) const;
     void write_entries(const known_entry& entry, schema::keeper_beacon& beacon) const;
     void write_keepers(const known_entry& entry, schema::keeper_beacon& beacon) const;
--- a/lib/keeper/service_requests.cpp
+++ b/lib/keeper/service_requests.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds incarnation_overlap(1000);
 // A tenth of what entries and keepers may be silent before their loss shows anyway.
 constexpr milliseconds list_age(100);
+// Longer than a lost packet takes to come again.
+constexpr milliseconds routes_resent_after(500);
 } // namespace
 
 void service::on_message(schema::envelope& message) {
@@ -187,6 +189,9 @@
     // lower one is a late message of a process that is gone.
     if (hello.incarnation() < entry.hello.incarnation() && now - entry.seen < incarnation_overlap)
         return;
+    // Another process of the same entry has no table yet.
+    if (hello.incarnation() != entry.hello.incarnation())
+        entry.routes_sent = 0;
     entry.hello = hello;
     entry.seen = now;
     entry.own_seen = now;
@@ -202,6 +207,14 @@
         one = now - one->second.seen > entry_forgotten_after ? entries_.erase(one) : std::next(one);
 }
 
+// A table may be large, and each hello that was under way when it was sent asks for it again.
+bool service::lacks_routes(const known_entry& entry, instant now) const {
+    const std::uint64_t newest = control_.routes().version();
+    const bool on_its_way =
+        entry.routes_sent == newest && now - entry.routes_sent_at < routes_resent_after;
+    return entry.hello.routes_version() < newest && !on_its_way;
+}
+
 void service::write_control_news(const known_entry& entry, schema::keeper_beacon& beacon) const {
     const instant now = monotonic_now();
     const consensus::raft_group& control = hosts_.at(control_group)->raft();
@@ -218,8 +231,11 @@
     }
     // Tables need no lease: one that a member has applied is committed, and entries never go back
     // to a lower version.
-    if (uses_seeds() && entry.hello.routes_version() < control_.routes().version())
+    if (uses_seeds() && lacks_routes(entry, now)) {
         *beacon.mutable_routes() = control_.routes();
+        // Read back from keepers only.
+        beacon.mutable_routes()->clear_document();
+    }
     write_endpoints(entry.hello, beacon, entry.hello.follows());
     write_keepers(entry, beacon);
 }
@@ -273,7 +289,7 @@
     keepers_digest_ = keepers_digest();
 }
 
-void service::send_beacon(const known_entry& entry) {
+void service::send_beacon(known_entry& entry) {
     const instant now = monotonic_now();
     schema::envelope envelope;
     schema::keeper_beacon* beacon = envelope.mutable_beacon();
@@ -284,6 +300,10 @@
         refresh_lists(now);
         write_control_news(entry, *beacon);
         write_entries(entry, *beacon);
+        if (beacon->has_routes()) {
+            entry.routes_sent = beacon->routes().version();
+            entry.routes_sent_at = now;
+        }
     }
     const std::string holder =
         entry.hello.entry() + "/" + std::to_string(entry.hello.incarnation());
@@ -329,7 +349,7 @@
         return;
     task_.post([this] {
         beacons_scheduled_ = false;
-        for (const std::pair<const std::string, known_entry>& entry : entries_) {
+        for (std::pair<const std::string, known_entry>& entry : entries_) {
             const bool told = !uses_seeds() || (hosts_control() ? entry.second.hello.follows()
                                                                 : holds_items(entry.second.hello));
             if (told)
