Pushes of changes to gateways are gathered by the number of those told

Cause: each of 135 endpoints that start pushed a beacon to every gateway: 33,000 messages in a second or two from a keeper of 0.15 cores.

Change: after a push the next one waits 1 ms for each gateway told. A keeper out of touch is followed all the same while there is no other.

--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -161,6 +161,7 @@
     void send_keeper_hello(const peer_address& to);
     void on_config_applied();
     void send_beacons_soon();
+    void push_beacons();
     bool holds_items(const schema::entry_hello& hello) const;
     void write_sightings(schema::keeper_news& news) const;
     void learn_sightings(const schema::keeper_news& news, instant now);
@@ -231,6 +232,8 @@
     instant lists_made_at_{};
     consensus::member_list founders_;
     bool beacons_scheduled_ = false;
+    instant beacons_sent_at_{};
+    microseconds beacons_time_{0}; ///< from then on for which no others are sent
     bool groups_founded_ = false; ///< as the control group told
     std::uint32_t greetings_skipped_ = 0;
     bool stopping_ = false;
--- a/include/cassia/membership/followed_keeper.h
+++ b/include/cassia/membership/followed_keeper.h
@@ -20,9 +20,10 @@
     void heard(const peer_address& keeper, bool in_touch, instant now);
     void set_zone(const peer_address& keeper, zone_id zone);
     void forget(const peer_address& keeper);
-    /// The keeper to follow now; empty if none is known to be in touch.
+    /// The keeper to follow now; one out of touch if there is no other; empty if none was heard.
     const peer_address& choose(instant now);
-    const peer_address& current() const { return current_; }
+    /// Whether the keeper chosen hears the leader of its group.
+    bool is_in_touch() const;
 
 private:
     struct candidate {
@@ -32,6 +33,7 @@
         instant avoided_until{};
     };
 
+    peer_address best(bool in_touch, instant now) const;
     bool is_usable(const peer_address& keeper, const candidate& one, instant now) const;
 
     std::string self_;
--- a/lib/gateway/fleet_link.cpp
+++ b/lib/gateway/fleet_link.cpp
@@ -99,7 +99,8 @@
     hub_.send(leader->second, envelope);
 }
 
-// While no keeper can be followed all are asked each time, and all are taken at their word.
+// While no keeper is in touch with its group, all are asked each time: any may be the first to have
+// a table.
 void fleet_link::say_hello(audience chosen) {
     const instant now = monotonic_now();
     const peer_address followed = followed_.choose(now);
@@ -107,7 +108,7 @@
     std::set<peer_address> to;
     if (!followed.empty())
         to.insert(followed);
-    if (followed.empty() || chosen == audience::all_keepers) {
+    if (!followed_.is_in_touch() || chosen == audience::all_keepers) {
         to.insert(seeds_.begin(), seeds_.end());
         for (const std::pair<const peer_address, instant>& one : control_keepers_)
             to.insert(one.first);
@@ -132,7 +133,7 @@
         hello->set_directory_epoch(keeper.directory_epoch);
         hello->set_directory_revision(keeper.directory_revision);
         hello->set_keepers_digest(keeper.keepers_digest);
-        hello->set_follows(followed.empty() || one == followed);
+        hello->set_follows(one == followed);
         if (one == followed)
             roster_.write(*hello);
         hub_.send(one, envelope,
--- a/lib/keeper/service_requests.cpp
+++ b/lib/keeper/service_requests.cpp
@@ -17,6 +17,7 @@
 constexpr milliseconds incarnation_overlap(1000);
 // A tenth of what entries and keepers may be silent before their loss shows anyway.
 constexpr milliseconds list_age(100);
+constexpr milliseconds push_time_per_entry(1);
 // Longer than a lost packet takes to come again.
 constexpr milliseconds routes_resent_after(500);
 } // namespace
@@ -347,15 +348,25 @@
 void service::send_beacons_soon() {
     if (std::exchange(beacons_scheduled_, true))
         return;
-    task_.post([this] {
-        beacons_scheduled_ = false;
-        for (std::pair<const std::string, known_entry>& entry : entries_) {
-            const bool told = !uses_seeds() || (hosts_control() ? entry.second.hello.follows()
-                                                                : holds_items(entry.second.hello));
-            if (told)
-                send_beacon(entry.second);
-        }
-    });
+    const microseconds wait = beacons_sent_at_ + beacons_time_ - monotonic_now();
+    const milliseconds rounded = std::chrono::ceil<milliseconds>(std::max(wait, microseconds(0)));
+    task_.after(rounded, [this] { push_beacons(); });
+}
+
+// After a push the next one waits by the number of those told, so that changes that come one after
+// the other, as when all endpoints start, are told together.
+void service::push_beacons() {
+    beacons_scheduled_ = false;
+    beacons_sent_at_ = monotonic_now();
+    beacons_time_ = milliseconds(0);
+    for (std::pair<const std::string, known_entry>& entry : entries_) {
+        const bool told = !uses_seeds() || (hosts_control() ? entry.second.hello.follows()
+                                                            : holds_items(entry.second.hello));
+        if (!told)
+            continue;
+        send_beacon(entry.second);
+        beacons_time_ += push_time_per_entry;
+    }
 }
 
 static std::string holder_name(const schema::entry_hello& hello) {
--- a/lib/membership/followed_keeper.cpp
+++ b/lib/membership/followed_keeper.cpp
@@ -31,7 +31,7 @@
 
 bool followed_keeper::is_usable(const peer_address& keeper, const candidate& one,
                                 instant now) const {
-    if (!one.in_touch || now < one.avoided_until)
+    if (now < one.avoided_until)
         return false;
     const bool just_chosen = keeper == current_ && now - current_since_ < followed_missed_after;
     const milliseconds limit =
@@ -40,20 +40,27 @@
 }
 
 // Own zone first: what it sends crosses no zone.
-const peer_address& followed_keeper::choose(instant now) {
-    auto current = candidates_.find(current_);
-    if (current != candidates_.end() && !is_usable(current_, current->second, now))
-        current->second.avoided_until = now + failed_avoided;
+peer_address followed_keeper::best(bool in_touch, instant now) const {
     const auto rank = [this](const std::pair<const peer_address, candidate>& one) {
         return std::make_tuple(one.second.zone != zone_, stable_hash(self_ + one.first.str()),
                                one.first);
     };
-    const std::pair<const peer_address, candidate>* best = nullptr;
+    const std::pair<const peer_address, candidate>* found = nullptr;
     for (const std::pair<const peer_address, candidate>& one : candidates_) {
-        if (is_usable(one.first, one.second, now) && (best == nullptr || rank(one) < rank(*best)))
-            best = &one;
+        const bool fits = one.second.in_touch == in_touch && is_usable(one.first, one.second, now);
+        if (fits && (found == nullptr || rank(one) < rank(*found)))
+            found = &one;
     }
-    const peer_address next = best == nullptr ? peer_address() : best->first;
+    return found == nullptr ? peer_address() : found->first;
+}
+
+const peer_address& followed_keeper::choose(instant now) {
+    auto current = candidates_.find(current_);
+    if (current != candidates_.end() && !is_usable(current_, current->second, now))
+        current->second.avoided_until = now + failed_avoided;
+    peer_address next = best(true, now);
+    if (next.empty())
+        next = best(false, now);
     if (next != current_) {
         current_ = next;
         current_since_ = now;
@@ -61,4 +68,9 @@
     return current_;
 }
 
+bool followed_keeper::is_in_touch() const {
+    auto current = candidates_.find(current_);
+    return current != candidates_.end() && current->second.in_touch;
+}
+
 } // namespace cassia::membership
