Hellos are answered after all other messages, the newest of each gateway only

Cause: messages of the control group's members waited behind a thousand hellos a second, longer than an election waits. Until groups were founded every gateway was told of all 45 stores, and greeted them.

Change: hellos wait by gateway, newest only, and are answered 16 at a time once other messages were read. Gateways are told of members of groups only; while no leader has spoken, of the founders.

--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -133,6 +133,8 @@
     void propose_claim(const schema::work_command& command, group_id group,
                        const group_host::reply_function& reply);
     std::string leader_node(const group_host& host) const;
+    void take_hello(const schema::entry_hello& hello);
+    void answer_hellos();
     void on_entry_hello(const schema::entry_hello& hello);
     void send_beacon(known_entry& entry);
     bool lacks_routes(const known_entry& entry, instant now) const;
@@ -231,6 +233,8 @@
     std::uint64_t keepers_digest_ = 0;
     instant lists_made_at_{};
     consensus::member_list founders_;
+    std::map<std::string, schema::entry_hello> waiting_hellos_; ///< the newest of each entry
+    bool hellos_scheduled_ = false;
     bool beacons_scheduled_ = false;
     instant beacons_sent_at_{};
     microseconds beacons_time_{0}; ///< from then on for which no others are sent
--- a/lib/gateway/fleet_link.cpp
+++ b/lib/gateway/fleet_link.cpp
@@ -99,8 +99,8 @@
     hub_.send(leader->second, envelope);
 }
 
-// While no keeper is in touch with its group, all are asked each time: any may be the first to have
-// a table.
+// While no keeper is in touch with its group, all are asked more often: any may be the first to have a
+// table.
 void fleet_link::say_hello(audience chosen) {
     const instant now = monotonic_now();
     const peer_address followed = followed_.choose(now);
@@ -108,7 +108,9 @@
     std::set<peer_address> to;
     if (!followed.empty())
         to.insert(followed);
-    if (!followed_.is_in_touch() || chosen == audience::all_keepers) {
+    const bool asks_all = followed_.is_in_touch() ? chosen == audience::all_keepers
+                                                  : chosen != audience::followed_keeper;
+    if (followed.empty() || asks_all) {
         to.insert(seeds_.begin(), seeds_.end());
         for (const std::pair<const peer_address, instant>& one : control_keepers_)
             to.insert(one.first);
--- a/lib/keeper/service_fleet.cpp
+++ b/lib/keeper/service_fleet.cpp
@@ -261,7 +261,8 @@
     return !hello.control() && !members.empty() && members.count(hello.disk()) == 0;
 }
 
-// From what the leaders of the groups said last; empty while none has spoken lately.
+// From what the leaders of the groups said last. While none has spoken lately: those that founded the
+// groups, as some of them may still be members.
 std::set<std::uint64_t> service::work_group_disks(instant now) const {
     std::set<std::uint64_t> disks;
     for (const std::pair<const std::string, known_keeper>& one : keepers_) {
@@ -270,6 +271,10 @@
         for (const schema::group_view& view : one.second.hello.leads())
             disks.insert(view.disks().begin(), view.disks().end());
     }
+    if (disks.empty()) {
+        for (const schema::group_member& one : control_.work_founders().members())
+            disks.insert(one.disk());
+    }
     return disks;
 }
 
@@ -279,8 +284,8 @@
     const std::set<std::uint64_t> members = work_group_disks(now);
     for (const std::pair<const std::string, known_keeper>& one : keepers_) {
         const schema::keeper_hello& hello = one.second.hello;
-        const bool in_group = members.empty() || members.count(hello.disk()) > 0;
-        if (now - one.second.seen < keeper_alive)
+        const bool in_group = members.count(hello.disk()) > 0;
+        if (now - one.second.seen < keeper_alive && (hello.control() || in_group))
             text += hello.address() + (hello.control() ? "c" : "") +
                     (hello.work() ? "w" : "") + (in_group ? "g" : "") + " ";
     }
--- a/lib/keeper/service_requests.cpp
+++ b/lib/keeper/service_requests.cpp
@@ -18,6 +18,8 @@
 // A tenth of what entries and keepers may be silent before their loss shows anyway.
 constexpr milliseconds list_age(100);
 constexpr milliseconds push_time_per_entry(1);
+// Answered before messages are read again.
+constexpr std::size_t hellos_at_once = 16;
 // Longer than a lost packet takes to come again.
 constexpr milliseconds routes_resent_after(500);
 } // namespace
@@ -37,7 +39,7 @@
         on_request(message.request(), message.reply_to());
         break;
     case schema::envelope::kHello:
-        on_entry_hello(message.hello());
+        take_hello(message.hello());
         break;
     case schema::envelope::kKeeper:
         on_keeper_hello(message.keeper());
@@ -183,6 +185,28 @@
         monotonic_now());
 }
 
+// Members of groups must hear each other in time however many entries there are: an entry is answered
+// after what else has come, and once if it has asked again meanwhile.
+void service::take_hello(const schema::entry_hello& hello) {
+    waiting_hellos_[hello.entry()] = hello;
+    if (std::exchange(hellos_scheduled_, true))
+        return;
+    task_.post([this] { answer_hellos(); });
+}
+
+void service::answer_hellos() {
+    hellos_scheduled_ = false;
+    for (std::size_t i = 0; i < hellos_at_once && !waiting_hellos_.empty(); ++i) {
+        const schema::entry_hello hello = std::move(waiting_hellos_.begin()->second);
+        waiting_hellos_.erase(waiting_hellos_.begin());
+        on_entry_hello(hello);
+    }
+    if (waiting_hellos_.empty())
+        return;
+    hellos_scheduled_ = true;
+    task_.post([this] { answer_hellos(); });
+}
+
 void service::on_entry_hello(const schema::entry_hello& hello) {
     const instant now = monotonic_now();
     known_entry& entry = entries_[hello.entry()];
@@ -251,8 +275,7 @@
     const std::set<std::uint64_t> members = work_group_disks(now);
     for (const std::pair<const std::string, known_keeper>& one : keepers_) {
         const schema::keeper_hello& hello = one.second.hello;
-        const bool in_group =
-            hello.work() && (members.empty() || members.count(hello.disk()) > 0);
+        const bool in_group = hello.work() && members.count(hello.disk()) > 0;
         const bool told = !uses_seeds() || hello.control() || in_group;
         if (!told || now - one.second.seen >= keeper_alive)
             continue;
