--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -234,6 +234,7 @@
     instant lists_made_at_{};
     consensus::member_list founders_;
     std::map<std::string, schema::entry_hello> waiting_hellos_; ///< the newest of each entry
+    std::string last_answered_; ///< entry
     bool hellos_scheduled_ = false;
     bool beacons_scheduled_ = false;
     instant beacons_sent_at_{};
--- a/lib/keeper/service_requests.cpp
+++ b/lib/keeper/service_requests.cpp
@@ -186,7 +186,8 @@
 }
 
 // Members of groups must hear each other in time however many entries there are: an entry is answered
-// after what else has come, and once if it has asked again meanwhile.
+// after what else has come, and once if it has asked again meanwhile. They take turns by name, so that
+// a keeper that can't answer all answers none of them more than others.
 void service::take_hello(const schema::entry_hello& hello) {
     waiting_hellos_[hello.entry()] = hello;
     if (std::exchange(hellos_scheduled_, true))
@@ -197,8 +198,11 @@
 void service::answer_hellos() {
     hellos_scheduled_ = false;
     for (std::size_t i = 0; i < hellos_at_once && !waiting_hellos_.empty(); ++i) {
-        const schema::entry_hello hello = std::move(waiting_hellos_.begin()->second);
-        waiting_hellos_.erase(waiting_hellos_.begin());
+        auto next = waiting_hellos_.upper_bound(last_answered_);
+        next = next == waiting_hellos_.end() ? waiting_hellos_.begin() : next;
+        const schema::entry_hello hello = std::move(next->second);
+        last_answered_ = next->first;
+        waiting_hellos_.erase(next);
         on_entry_hello(hello);
     }
     if (waiting_hellos_.empty())
