--- a/include/cassia/gateway/usage_link.h
+++ b/include/cassia/gateway/usage_link.h
@@ -1,5 +1,5 @@
-/// Sends and takes the messages by which gateways tell each other which slots they use, and ask each
-/// other to give one up.
+/// Sends and takes the messages by which gateways tell each other which slots they use, and ask
+/// each other to give one up.
 #pragma once
 
 #include "cassia/base/ids.h"
--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -90,7 +90,7 @@
     struct known_entry {
         schema::entry_hello hello;
         instant seen{};
-        instant own_seen{}; ///< by this keeper itself
+        instant own_seen{};            ///< by this keeper itself
         std::uint64_t routes_sent = 0; ///< version of the table sent to it last
         instant routes_sent_at{};
         bool listed = false; ///< callers are sent to it, as last logged
@@ -234,12 +234,12 @@
     instant lists_made_at_{};
     consensus::member_list founders_;
     std::map<std::string, schema::entry_hello> waiting_hellos_; ///< the newest of each entry
-    std::string last_answered_; ///< entry
+    std::string last_answered_;                                 ///< entry
     bool hellos_scheduled_ = false;
     bool beacons_scheduled_ = false;
     instant beacons_sent_at_{};
     microseconds beacons_time_{0}; ///< from then on for which no others are sent
-    bool groups_founded_ = false; ///< as the control group told
+    bool groups_founded_ = false;  ///< as the control group told
     std::uint32_t greetings_skipped_ = 0;
     bool stopping_ = false;
     int exit_code_ = 0;
--- a/include/cassia/membership/followed_keeper.h
+++ b/include/cassia/membership/followed_keeper.h
@@ -1,5 +1,5 @@
-/// The one keeper of the control group that an entry hears closely, so that what keepers send doesn't
-/// grow with entries times keepers. Pure.
+/// The one keeper of the control group that an entry hears closely, so that what keepers send
+/// doesn't grow with entries times keepers. Pure.
 #pragma once
 
 #include "cassia/base/clock.h"
--- a/include/cassia/policy/usage_exchange.h
+++ b/include/cassia/policy/usage_exchange.h
@@ -31,8 +31,8 @@
     };
     entry_id to; ///< this gateway itself: for its own slot book
     content kind = content::own_use;
-    use_map own;                       ///< with `own_use` and `report`
-    std::map<zone_id, use_map> zones;  ///< with `sums`
+    use_map own;                      ///< with `own_use` and `report`
+    std::map<zone_id, use_map> zones; ///< with `sums`
 };
 
 /// Where a request for a slot that a batch item holds goes next.
--- a/lib/gateway/fleet_link.cpp
+++ b/lib/gateway/fleet_link.cpp
@@ -99,8 +99,8 @@
     hub_.send(leader->second, envelope);
 }
 
-// While no keeper is in touch with its group, all are asked more often: any may be the first to have a
-// table.
+// While no keeper is in touch with its group, all are asked more often: any may be the first to
+// have a table.
 void fleet_link::say_hello(audience chosen) {
     const instant now = monotonic_now();
     const peer_address followed = followed_.choose(now);
--- a/lib/gateway/usage_link.cpp
+++ b/lib/gateway/usage_link.cpp
@@ -7,8 +7,8 @@
 
 namespace cassia::gateway {
 
-using policy::use_map;
 using policy::usage_message;
+using policy::use_map;
 
 template <class Message>
 static void write_uses(const use_map& uses, Message& message) {
--- a/lib/keeper/service_fleet.cpp
+++ b/lib/keeper/service_fleet.cpp
@@ -40,7 +40,8 @@
 }
 
 bool service::waits_as_spare() const {
-    return uses_seeds() && !hosts_control() && groups_founded_ && !hosts_.begin()->second->founded();
+    return uses_seeds() && !hosts_control() && groups_founded_ &&
+           !hosts_.begin()->second->founded();
 }
 
 schema::keeper_hello service::own_hello(const peer_address& to) const {
@@ -138,8 +139,8 @@
 void service::learn_sightings(const schema::keeper_news& news, instant now) {
     for (const schema::entry_sighting& one : news.entries()) {
         auto found = entries_.find(one.entry());
-        const bool same = found != entries_.end() &&
-                          found->second.hello.incarnation() == one.incarnation();
+        const bool same =
+            found != entries_.end() && found->second.hello.incarnation() == one.incarnation();
         const instant seen = now - milliseconds(one.age_ms());
         if (!same || seen <= found->second.seen)
             continue;
@@ -261,8 +262,8 @@
     return !hello.control() && !members.empty() && members.count(hello.disk()) == 0;
 }
 
-// From what the leaders of the groups said last. While none has spoken lately: those that founded the
-// groups, as some of them may still be members.
+// From what the leaders of the groups said last. While none has spoken lately: those that founded
+// the groups, as some of them may still be members.
 std::set<std::uint64_t> service::work_group_disks(instant now) const {
     std::set<std::uint64_t> disks;
     for (const std::pair<const std::string, known_keeper>& one : keepers_) {
@@ -286,8 +287,8 @@
         const schema::keeper_hello& hello = one.second.hello;
         const bool in_group = members.count(hello.disk()) > 0;
         if (now - one.second.seen < keeper_alive && (hello.control() || in_group))
-            text += hello.address() + (hello.control() ? "c" : "") +
-                    (hello.work() ? "w" : "") + (in_group ? "g" : "") + " ";
+            text += hello.address() + (hello.control() ? "c" : "") + (hello.work() ? "w" : "") +
+                    (in_group ? "g" : "") + " ";
     }
     return stable_hash(text);
 }
--- a/lib/keeper/service_requests.cpp
+++ b/lib/keeper/service_requests.cpp
@@ -185,9 +185,9 @@
         monotonic_now());
 }
 
-// Members of groups must hear each other in time however many entries there are: an entry is answered
-// after what else has come, and once if it has asked again meanwhile. They take turns by name, so that
-// a keeper that can't answer all answers none of them more than others.
+// Members of groups must hear each other in time however many entries there are: an entry is
+// answered after what else has come, and once if it has asked again meanwhile. They take turns by
+// name, so that a keeper that can't answer all answers none of them more than others.
 void service::take_hello(const schema::entry_hello& hello) {
     waiting_hellos_[hello.entry()] = hello;
     if (std::exchange(hellos_scheduled_, true))
--- a/lib/policy/usage_exchange.cpp
+++ b/lib/policy/usage_exchange.cpp
@@ -155,8 +155,7 @@
     }
 }
 
-void usage_exchange::tell_relay(const use_map& own, instant now,
-                                std::vector<usage_message>& out) {
+void usage_exchange::tell_relay(const use_map& own, instant now, std::vector<usage_message>& out) {
     if (told_relay_.uses == own && now - told_relay_.at < repeat_interval)
         return;
     told_relay_ = {own, now};
@@ -215,10 +214,7 @@
             continue;
         const std::size_t count = std::min(relays_told_in_each_zone, zone.second.size());
         for (std::size_t i = 0; i < count; ++i)
-            out.push_back({zone.second[i],
-                           usage_message::content::sums,
-                           {},
-                           {{zone_, zone_uses}}});
+            out.push_back({zone.second[i], usage_message::content::sums, {}, {{zone_, zone_uses}}});
     }
 }
 
--- a/unittests/policy/usage_exchange_test.cpp
+++ b/unittests/policy/usage_exchange_test.cpp
@@ -78,22 +78,21 @@
             target.book[gateway_name(from)] = message.own;
         } else if (message.kind == usage_message::content::report) {
             target.exchange->take_report(gateway_name(from), message.own, now);
-        } else if (to == from || target.exchange->take_sums(gateway_name(from),
-                                                            gateways[from].zone, message.zones,
-                                                            now)) {
+        } else if (to == from || target.exchange->take_sums(gateway_name(from), gateways[from].zone,
+                                                            message.zones, now)) {
             for (const auto& zone : message.zones)
                 target.book[usage_exchange::zone_key(zone.first)] = zone.second;
         }
     }
 
-    void advance(milliseconds time, const std::function<void()>& each_step = [] {}) {
+    void advance(
+        milliseconds time, const std::function<void()>& each_step = [] {}) {
         for (const instant end = now + time; now < end; now += step) {
             each_step();
             for (std::size_t i = 0; i < gateways.size(); ++i) {
                 if (gateways[i].frozen)
                     continue;
-                for (const usage_message& message :
-                     gateways[i].exchange->due(gateways[i].own, now))
+                for (const usage_message& message : gateways[i].exchange->due(gateways[i].own, now))
                     deliver(i, message);
             }
         }
