A usage relay sends only the sums that changed

Change: another zone's sum is sent when it was told anew, its own when it changed; sums are shared, not copied. Test counts zones sent.

--- a/include/cassia/policy/usage_exchange.h
+++ b/include/cassia/policy/usage_exchange.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -22,6 +23,9 @@
     friend bool operator==(const fleet_gateway&, const fleet_gateway&) = default;
 };
 
+/// What whole zones have under way; the same sum goes to many gateways.
+using zone_uses = std::map<zone_id, std::shared_ptr<const use_map>>;
+
 /// What is to be sent to another gateway.
 struct usage_message {
     enum class content : std::uint8_t {
@@ -31,8 +35,8 @@
     };
     entry_id to; ///< this gateway itself: for its own slot book
     content kind = content::own_use;
-    use_map own;                      ///< with `own_use` and `report`
-    std::map<zone_id, use_map> zones; ///< with `sums`
+    use_map own;     ///< with `own_use` and `report`
+    zone_uses zones; ///< with `sums`: those that the receiver wasn't told yet
 };
 
 /// Where a request for a slot that a batch item holds goes next.
@@ -53,8 +57,7 @@
     std::vector<usage_message> due(const use_map& own, instant now);
     void take_report(const entry_id& from, use_map uses, instant now);
     /// \returns whether they count: those of the own zone come from the relay chosen.
-    bool take_sums(const entry_id& relay, const zone_id& zone,
-                   const std::map<zone_id, use_map>& zones, instant now);
+    bool take_sums(const entry_id& relay, const zone_id& zone, const zone_uses& zones, instant now);
 
     /// Whether the fleet is too large for each gateway to tell all others.
     bool uses_relays() const;
@@ -72,11 +75,12 @@
     struct report {
         use_map uses;
         instant heard{};
-        std::map<zone_id, use_map> told; ///< sums that it was sent last
-        instant told_at{};
+        use_map told_own_zone; ///< sum that it was sent last
+        zone_uses told_zones;  ///< the same of the other zones
+        instant told_at{};     ///< the own zone's sum
     };
     struct zone_sum {
-        use_map uses;
+        std::shared_ptr<const use_map> uses;
         entry_id relay;
         instant heard{};
     };
@@ -88,6 +92,8 @@
     void rank();
     void tell_all(const use_map& own, instant now, std::vector<usage_message>& out);
     void tell_relay(const use_map& own, instant now, std::vector<usage_message>& out);
+    std::optional<usage_message> sums_for(const entry_id& to, report& one, const use_map& all,
+                                          instant now) const;
     void publish(const use_map& own, instant now, std::vector<usage_message>& out);
     void tell_other_zones(const use_map& zone_uses, instant now, std::vector<usage_message>& out);
     void choose_relay(instant now);
--- a/lib/gateway/usage_link.cpp
+++ b/lib/gateway/usage_link.cpp
@@ -49,8 +49,8 @@
 
 void usage_link::send(const usage_message& message) {
     if (message.to == self_) {
-        for (const std::pair<const zone_id, use_map>& one : message.zones)
-            hooks_.on_uses(policy::usage_exchange::zone_key(one.first), one.second);
+        for (const policy::zone_uses::value_type& one : message.zones)
+            hooks_.on_uses(policy::usage_exchange::zone_key(one.first), *one.second);
         return;
     }
     schema::envelope envelope;
@@ -64,10 +64,10 @@
         schema::usage_sums* sums = envelope.mutable_sums();
         sums->set_entry(self_.str());
         sums->set_zone(zone_.str());
-        for (const std::pair<const zone_id, use_map>& one : message.zones) {
+        for (const policy::zone_uses::value_type& one : message.zones) {
             schema::zone_usage* zone = sums->add_zones();
             zone->set_zone(one.first.str());
-            write_uses(one.second, *zone);
+            write_uses(*one.second, *zone);
         }
     }
     hooks_.send(message.to, envelope);
@@ -94,13 +94,13 @@
 }
 
 void usage_link::on_sums(const schema::usage_sums& sums) {
-    std::map<zone_id, use_map> zones;
+    policy::zone_uses zones;
     for (const schema::zone_usage& one : sums.zones())
-        zones[zone_id(one.zone())] = read_uses(one);
+        zones[zone_id(one.zone())] = std::make_shared<use_map>(read_uses(one));
     if (!exchange_.take_sums(entry_id(sums.entry()), zone_id(sums.zone()), zones, monotonic_now()))
         return;
-    for (std::pair<const zone_id, use_map>& one : zones)
-        hooks_.on_uses(policy::usage_exchange::zone_key(one.first), std::move(one.second));
+    for (const policy::zone_uses::value_type& one : zones)
+        hooks_.on_uses(policy::usage_exchange::zone_key(one.first), *one.second);
 }
 
 void usage_link::ask_to_yield(const entry_id& holder, const endpoint_id& endpoint,
--- a/lib/policy/usage_exchange.cpp
+++ b/lib/policy/usage_exchange.cpp
@@ -82,8 +82,8 @@
     one.heard = now;
 }
 
-bool usage_exchange::take_sums(const entry_id& relay, const zone_id& zone,
-                               const std::map<zone_id, use_map>& zones, instant now) {
+bool usage_exchange::take_sums(const entry_id& relay, const zone_id& zone, const zone_uses& zones,
+                               instant now) {
     if (zone == zone_) {
         if (relay != relay_)
             return false;
@@ -174,6 +174,28 @@
     return sum;
 }
 
+// Another zone's sum is sent once it was told anew; its relay repeats it.
+std::optional<usage_message> usage_exchange::sums_for(const entry_id& to, report& one,
+                                                      const use_map& all, instant now) const {
+    usage_message message{to, usage_message::content::sums, {}, {}};
+    for (const std::pair<const zone_id, zone_sum>& zone : zones_) {
+        std::shared_ptr<const use_map>& told = one.told_zones[zone.first];
+        if (told == zone.second.uses)
+            continue;
+        told = zone.second.uses;
+        message.zones[zone.first] = told;
+    }
+    use_map own_zone = without(all, one.uses);
+    if (own_zone != one.told_own_zone || now - one.told_at >= sums_repeat_interval) {
+        one.told_own_zone = own_zone;
+        one.told_at = now;
+        message.zones[zone_] = std::make_shared<use_map>(std::move(own_zone));
+    }
+    if (message.zones.empty())
+        return std::nullopt;
+    return message;
+}
+
 void usage_exchange::publish(const use_map& own, instant now, std::vector<usage_message>& out) {
     const milliseconds spread =
         publish_time_per_reporter * static_cast<std::int64_t>(reports_.size());
@@ -185,21 +207,15 @@
         add_uses(others, one.second.uses);
     use_map all = others;
     add_uses(all, own);
-    std::map<zone_id, use_map> sums;
-    for (const std::pair<const zone_id, zone_sum>& one : zones_)
-        sums[one.first] = one.second.uses;
     for (std::pair<const entry_id, report>& one : reports_) {
-        sums[zone_] = without(all, one.second.uses);
-        if (sums == one.second.told && now - one.second.told_at < sums_repeat_interval)
-            continue;
-        one.second.told = sums;
-        one.second.told_at = now;
-        out.push_back({one.first, usage_message::content::sums, {}, sums});
+        if (std::optional<usage_message> message = sums_for(one.first, one.second, all, now))
+            out.push_back(std::move(*message));
     }
     if (relay_ != self_)
         return;
-    sums[zone_] = std::move(others);
-    out.push_back({self_, usage_message::content::sums, {}, std::move(sums)});
+    usage_message to_self{self_, usage_message::content::sums, {}, {}};
+    to_self.zones[zone_] = std::make_shared<use_map>(std::move(others));
+    out.push_back(std::move(to_self));
     tell_other_zones(all, now, out);
 }
 
@@ -209,12 +225,13 @@
     if (now - told_zones_.at < interval)
         return;
     told_zones_ = {zone_uses, now};
+    const std::shared_ptr<const use_map> shared = std::make_shared<use_map>(zone_uses);
     for (const std::pair<const zone_id, std::vector<entry_id>>& zone : ranked_) {
         if (zone.first == zone_)
             continue;
         const std::size_t count = std::min(relays_told_in_each_zone, zone.second.size());
         for (std::size_t i = 0; i < count; ++i)
-            out.push_back({zone.second[i], usage_message::content::sums, {}, {{zone_, zone_uses}}});
+            out.push_back({zone.second[i], usage_message::content::sums, {}, {{zone_, shared}}});
     }
 }
 
@@ -238,7 +255,7 @@
     if (own_zone_only)
         return std::nullopt;
     for (const std::pair<const zone_id, zone_sum>& one : zones_) {
-        if (batch_at(one.second.uses) > 0)
+        if (batch_at(*one.second.uses) > 0)
             return yield_target{one.second.relay, false};
     }
     return std::nullopt;
--- a/unittests/policy/usage_exchange_test.cpp
+++ b/unittests/policy/usage_exchange_test.cpp
@@ -34,6 +34,7 @@
         use_map own;
         std::map<entry_id, use_map> book; ///< as a slot book would keep it
         std::size_t sent = 0;
+        std::size_t zones_sent = 0;
         bool frozen = false;
     };
     std::vector<gateway> gateways;
@@ -70,6 +71,7 @@
         const std::size_t to = by_name.at(message.to);
         if (to != from) {
             ++gateways[from].sent;
+            gateways[from].zones_sent += message.zones.size();
             if (gateways[to].frozen || !passes(from, to))
                 return;
         }
@@ -81,7 +83,7 @@
         } else if (to == from || target.exchange->take_sums(gateway_name(from), gateways[from].zone,
                                                             message.zones, now)) {
             for (const auto& zone : message.zones)
-                target.book[usage_exchange::zone_key(zone.first)] = zone.second;
+                target.book[usage_exchange::zone_key(zone.first)] = *zone.second;
         }
     }
 
@@ -166,6 +168,23 @@
     CHECK(most <= 2 * 1000 + 2 * 100);
 }
 
+// Guards against a relay too busy to relay: what other zones use is sent only once it has changed.
+TEST_CASE("sums of other zones are sent as seldom as they change", "[usage]") {
+    fleet all(250, 5);
+    all.advance(milliseconds(1000));
+    for (auto& one : all.gateways)
+        one.zones_sent = 0;
+    std::mt19937 random(7);
+    all.advance(milliseconds(2000), [&all, &random] {
+        for (std::size_t i = 0; i < all.gateways.size(); ++i)
+            all.use(i, i % 5 * 10 + random() % 10, random() % 4);
+    });
+    const std::size_t relay = all.relay_of(0);
+    const std::size_t own_zone = 49 * 2000 / 50;
+    const std::size_t other_zones = 49 * 4 * 2000 / 200;
+    CHECK(all.gateways[relay].zones_sent <= (own_zone + other_zones) * 5 / 4);
+}
+
 // Guards against the loss of all news of a zone with its relay.
 TEST_CASE("another gateway relays once the relay fails", "[usage]") {
     fleet all(60, 3);
