--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -6,7 +6,9 @@
 #include "cassia/keeper/founding.h"
 #include "cassia/keeper/group_host.h"
 #include "cassia/keeper/group_watch.h"
+#include "cassia/keeper/hello_queue.h"
 #include "cassia/keeper/store.h"
+#include "cassia/keeper/table_delivery.h"
 #include "cassia/keeper/work_leader.h"
 #include "cassia/membership/directory.h"
 #include "cassia/membership/entry_roster.h"
@@ -90,9 +92,8 @@
     struct known_entry {
         schema::entry_hello hello;
         instant seen{};
-        instant own_seen{};            ///< by this keeper itself
-        std::uint64_t routes_sent = 0; ///< version of the table sent to it last
-        instant routes_sent_at{};
+        instant own_seen{}; ///< by this keeper itself
+        table_delivery table;
         bool listed = false; ///< callers are sent to it, as last logged
     };
     struct known_keeper {
@@ -123,7 +124,7 @@
     void shut_down();
     void remove_old_segments();
 
-    // Conversations (service_requests.cpp).
+    // Conversations (service_requests.cpp, service_entries.cpp).
     void on_message(schema::envelope& message);
     void on_request(const schema::keeper_request& request, const std::string& reply_to);
     void serve_work(const schema::keeper_request& request, const group_host::reply_function& reply);
@@ -137,7 +138,6 @@
     void answer_hellos();
     void on_entry_hello(const schema::entry_hello& hello);
     void send_beacon(known_entry& entry);
-    bool lacks_routes(const known_entry& entry, instant now) const;
     void write_control_news(const known_entry& entry, schema::keeper_beacon& beacon) const;
     void write_entries(const known_entry& entry, schema::keeper_beacon& beacon) const;
     void write_keepers(const known_entry& entry, schema::keeper_beacon& beacon) const;
@@ -233,8 +233,7 @@
     std::uint64_t keepers_digest_ = 0;
     instant lists_made_at_{};
     consensus::member_list founders_;
-    std::map<std::string, schema::entry_hello> waiting_hellos_; ///< the newest of each entry
-    std::string last_answered_;                                 ///< entry
+    hello_queue hellos_;
     bool hellos_scheduled_ = false;
     bool beacons_scheduled_ = false;
     instant beacons_sent_at_{};
