Keepers that are asked seldom are watched loosely

Cause: heartbeats of connections were as many as hellos at a control keeper with 246 gateways, though four of five ask it once in two seconds.

--- a/include/cassia/gateway/fleet_link.h
+++ b/include/cassia/gateway/fleet_link.h
@@ -82,6 +82,7 @@
 
     enum class audience { followed_keeper, work_keepers, all_keepers };
     void say_hello(audience to);
+    net::peer_watch watch_of(const peer_address& keeper, const peer_address& followed) const;
     bool send_to_gateway(const entry_id& to, schema::envelope& envelope);
     void on_message(const schema::envelope& message);
     void on_beacon(const schema::keeper_beacon& beacon);
--- a/include/cassia/net/peer_hub.h
+++ b/include/cassia/net/peer_hub.h
@@ -54,7 +54,7 @@
     /// Binds the socket and begins to receive.
     result<void> open();
     /// Queues the envelope for a peer; dropped if the peer's queue is full.
-    /// \param watch counts for the connection that the first envelope to a peer makes.
+    /// \param watch a closer one than before makes the connection anew.
     void send(const peer_address& to, schema::envelope& message,
               peer_watch watch = peer_watch::close);
 
--- a/lib/gateway/fleet_link.cpp
+++ b/lib/gateway/fleet_link.cpp
@@ -99,6 +99,14 @@
     hub_.send(leader->second, envelope);
 }
 
+// Keepers that are asked seldom are watched loosely.
+net::peer_watch fleet_link::watch_of(const peer_address& keeper,
+                                     const peer_address& followed) const {
+    if (keeper == followed)
+        return net::peer_watch::close;
+    return work_keepers_.count(keeper) > 0 ? net::peer_watch::steady : net::peer_watch::relaxed;
+}
+
 // While no keeper is in touch with its group, all are asked more often: any may be the first to
 // have a table.
 void fleet_link::say_hello(audience chosen) {
@@ -138,8 +146,7 @@
         hello->set_follows(one == followed);
         if (one == followed)
             roster_.write(*hello);
-        hub_.send(one, envelope,
-                  one == followed ? net::peer_watch::close : net::peer_watch::steady);
+        hub_.send(one, envelope, watch_of(one, followed));
     }
 }
 
--- a/lib/keeper/service_entries.cpp
+++ b/lib/keeper/service_entries.cpp
@@ -169,8 +169,10 @@
                 beacon->add_cancelled_jobs(key.first.str());
         }
     }
+    const bool seldom = hosts_control() && !entry.hello.follows();
+    const net::peer_watch watch = seldom ? net::peer_watch::relaxed : net::peer_watch::steady;
     hub_->send(peer_address(entry.hello.peer_address()), envelope,
-               uses_seeds() ? net::peer_watch::steady : net::peer_watch::close);
+               uses_seeds() ? watch : net::peer_watch::close);
 }
 
 void service::on_config_applied() {
--- a/lib/net/peer_hub.cpp
+++ b/lib/net/peer_hub.cpp
@@ -63,7 +63,11 @@
     void* context = nullptr;
     void* router = nullptr;
     void* authenticator = nullptr;
-    std::map<peer_address, void*> peers;
+    struct peer {
+        void* socket = nullptr;
+        peer_watch watch = peer_watch::relaxed;
+    };
+    std::map<peer_address, peer> peers;
     std::map<std::string, peer_traffic> sent;
     std::vector<GSource*> sources;
     std::function<void()> read_router;
@@ -202,8 +206,8 @@
         g_source_destroy(source);
         g_source_unref(source);
     }
-    for (const std::pair<const peer_address, void*>& peer : state_->peers)
-        zmq_close(peer.second);
+    for (const std::pair<const peer_address, state::peer>& peer : state_->peers)
+        zmq_close(peer.second.socket);
     if (state_->router != nullptr)
         zmq_close(state_->router);
     if (state_->authenticator != nullptr)
@@ -278,9 +282,12 @@
 }
 
 void peer_hub::send(const peer_address& to, schema::envelope& message, peer_watch watch) {
-    auto found = state_->peers.find(to);
-    if (found == state_->peers.end())
-        found = state_->peers.emplace(to, connect_peer(state_.get(), to, watch)).first;
+    state::peer& peer = state_->peers[to];
+    if (peer.socket == nullptr || watch < peer.watch) {
+        if (peer.socket != nullptr)
+            zmq_close(peer.socket);
+        peer = {connect_peer(state_.get(), to, watch), watch};
+    }
     message.set_from(state_->settings.name);
     message.set_reply_to(state_->settings.address.str());
     std::string bytes;
@@ -289,7 +296,7 @@
     peer_traffic& sent = state_->sent[message.GetDescriptor()->FindFieldByNumber(kind)->name()];
     ++sent.messages;
     sent.bytes += bytes.size();
-    if (zmq_send(found->second, bytes.data(), bytes.size(), ZMQ_DONTWAIT) < 0)
+    if (zmq_send(peer.socket, bytes.data(), bytes.size(), ZMQ_DONTWAIT) < 0)
         log_debug("message_dropped").with("to", to.str());
 }
 
--- a/unittests/net/peer_hub_test.cpp
+++ b/unittests/net/peer_hub_test.cpp
@@ -149,3 +149,24 @@
     hub_under_test one(owner, "127.77.0.1:7103", "short");
     CHECK(one.hub.open().error().code == errc::bad_secret);
 }
+
+// Guards against a peer that is lost when what it is told begins to matter more.
+TEST_CASE("a connection made anew for a closer watch delivers", "[net]") {
+    task owner("test");
+    const std::string secret = make_cluster_secret();
+    hub_under_test one(owner, "127.77.0.1:7102", secret);
+    hub_under_test two(owner, "127.77.0.2:7102", secret);
+    REQUIRE(one.hub.open());
+    REQUIRE(two.hub.open());
+    schema::envelope message;
+    message.mutable_hello()->set_entry("x");
+    const peer_address to("127.77.0.1:7102");
+    two.hub.send(to, message, peer_watch::relaxed);
+    run_for(owner, milliseconds(500));
+    CHECK(one.received.size() == 1);
+    two.hub.send(to, message, peer_watch::close);
+    two.hub.send(to, message, peer_watch::relaxed);
+    run_for(owner, milliseconds(500));
+    CHECK(one.received.size() == 3);
+    CHECK(two.hub.sent().at("hello").messages == 3);
+}
