Whoever runs items is told of cancelled jobs, whichever keeper it follows

Cause, by reading: a keeper that hosts both kinds of groups would have pushed a cancellation to its followers only. Change: to those that hold items too.

--- a/lib/keeper/service_entries.cpp
+++ b/lib/keeper/service_entries.cpp
@@ -209,8 +209,8 @@
     beacons_sent_at_ = monotonic_now();
     beacons_time_ = milliseconds(0);
     for (std::pair<const std::string, known_entry>& entry : entries_) {
-        const bool told = !uses_seeds() || (hosts_control() ? entry.second.hello.follows()
-                                                            : holds_items(entry.second.hello));
+        const bool follows = hosts_control() && entry.second.hello.follows();
+        const bool told = !uses_seeds() || follows || holds_items(entry.second.hello);
         if (!told)
             continue;
         send_beacon(entry.second);
