Gateways spread over the endpoints whose batch items yield

Cause, by reading: with no free slot each gateway asked the endpoint with the most slots without online requests. All gateways of a zone are told the same, so in a wave all asked the same one until the next sums.

Change: drawn by squares, like free slots. The test plays 50 gateways before 20 endpoints; before, all 50 chose one (limit 8).

--- a/include/cassia/policy/slot_book.h
+++ b/include/cassia/policy/slot_book.h
@@ -130,7 +130,8 @@
     static placement placed_at(const candidate& chosen);
     const candidate* best(const std::vector<candidate>& all, bool own_zone, bool on_trial,
                           double draw) const;
-    const candidate* best_yielding(const std::vector<candidate>& all, bool on_trial) const;
+    const candidate* best_yielding(const std::vector<candidate>& all, bool own_zone, bool on_trial,
+                                   double draw) const;
 
     zone_id own_zone_;
     std::map<endpoint_id, known_endpoint> endpoints_;
--- a/lib/policy/slot_book.cpp
+++ b/lib/policy/slot_book.cpp
@@ -184,22 +184,17 @@
     return found;
 }
 
-// Drawn by the squares of the free slots. Always the emptiest one would be taken by all entries at
-// once, for as long as they haven't heard of each other's choice; an even draw would fill the
-// slowest as fast as the others.
-const slot_book::candidate* slot_book::best(const std::vector<candidate>& all, bool own_zone,
-                                            bool on_trial, double draw) const {
-    const auto weight = [this, own_zone, on_trial](const candidate& one) {
-        const bool fits = one.free > 0 && one.on_trial == on_trial &&
-                          (one.endpoint->facts.zone == own_zone_) == own_zone;
-        return fits ? static_cast<double>(one.free * one.free) : 0.0;
-    };
+// Always the best one would be taken by all entries at once, for as long as they haven't heard of
+// each other's choice.
+template <class Candidates, class Weight>
+static auto draw_by_weight(const Candidates& all, const Weight& weight, double draw)
+    -> decltype(all.data()) {
     double sum = 0;
-    for (const candidate& one : all)
+    for (const auto& one : all)
         sum += weight(one);
     double left = draw * sum;
-    const candidate* last = nullptr;
-    for (const candidate& one : all) {
+    decltype(all.data()) last = nullptr;
+    for (const auto& one : all) {
         if (weight(one) <= 0)
             continue;
         last = &one;
@@ -210,6 +205,18 @@
     return last;
 }
 
+// Drawn by the squares of the free slots: an even draw would fill the slowest as fast as the
+// others.
+const slot_book::candidate* slot_book::best(const std::vector<candidate>& all, bool own_zone,
+                                            bool on_trial, double draw) const {
+    const auto weight = [this, own_zone, on_trial](const candidate& one) {
+        const bool fits = one.free > 0 && one.on_trial == on_trial &&
+                          (one.endpoint->facts.zone == own_zone_) == own_zone;
+        return fits ? static_cast<double>(one.free * one.free) : 0.0;
+    };
+    return draw_by_weight(all, weight, draw);
+}
+
 std::optional<entry_id> slot_book::batch_holder(const endpoint_id& endpoint) const {
     auto own = own_.find(endpoint);
     if (own != own_.end() && own->second.batch > 0)
@@ -228,18 +235,15 @@
 }
 
 const slot_book::candidate* slot_book::best_yielding(const std::vector<candidate>& all,
-                                                     bool on_trial) const {
-    const candidate* found = nullptr;
-    const auto rank = [this](const candidate& one) {
-        return std::make_pair(one.endpoint->facts.zone == own_zone_, one.free_of_online);
-    };
-    for (const candidate& one : all) {
+                                                     bool own_zone, bool on_trial,
+                                                     double draw) const {
+    const auto weight = [this, own_zone, on_trial](const candidate& one) {
         const bool fits = one.free_of_online > 0 && one.on_trial == on_trial &&
-                          batch_holder(one.endpoint->facts.id);
-        if (fits && (found == nullptr || rank(one) > rank(*found)))
-            found = &one;
-    }
-    return found;
+                          (one.endpoint->facts.zone == own_zone_) == own_zone &&
+                          total_use(one.endpoint->facts.id).batch > 0;
+        return fits ? static_cast<double>(one.free_of_online * one.free_of_online) : 0.0;
+    };
+    return draw_by_weight(all, weight, draw);
 }
 
 std::optional<placement> slot_book::place_online(const service_id& service,
@@ -251,10 +255,12 @@
             if (const candidate* free = best(all, own_zone, on_trial, draw))
                 return placed_at(*free);
         }
-        if (const candidate* yielding = best_yielding(all, on_trial)) {
-            placement place = placed_at(*yielding);
-            place.yields = batch_holder(place.endpoint);
-            return place;
+        for (const bool own_zone : {true, false}) {
+            if (const candidate* yielding = best_yielding(all, own_zone, on_trial, draw)) {
+                placement place = placed_at(*yielding);
+                place.yields = batch_holder(place.endpoint);
+                return place;
+            }
         }
     }
     return std::nullopt;
--- a/unittests/policy/slots_test.cpp
+++ b/unittests/policy/slots_test.cpp
@@ -260,3 +260,30 @@
     CHECK(choices[0].items == 10);
     CHECK(schedule.choose({missed}, 4, at).front().items == 4);
 }
+
+// Guards against a wave in which all gateways of a zone, who were told the same, ask batch for the
+// slots of one endpoint.
+TEST_CASE("gateways spread over the endpoints whose batch items yield", "[slots]") {
+    constexpr int endpoints = 20;
+    constexpr int gateways = 50;
+    std::map<endpoint_id, int> chosen;
+    std::mt19937 random(3);
+    std::uniform_real_distribution<double> draw(0, 1);
+    for (int i = 0; i < gateways; ++i) {
+        slot_book book{zone_id("a")};
+        std::vector<slot_endpoint> all;
+        use_map used;
+        for (int e = 0; e < endpoints; ++e) {
+            all.push_back(endpoint("e" + std::to_string(e), "a", 8));
+            used[all.back().id] = {4, 4, 0};
+        }
+        book.set_endpoints(all);
+        book.set_others(entry_id("zone a"), used, start);
+        const std::optional<placement> place = book.place_online(model, {}, start, draw(random));
+        REQUIRE(place);
+        CHECK(place->yields == entry_id("zone a"));
+        ++chosen[place->endpoint];
+    }
+    for (const auto& one : chosen)
+        CHECK(one.second <= 4 + gateways / endpoints * 2);
+}
