--- a/include/cassia/gateway/fleet_link.h
+++ b/include/cassia/gateway/fleet_link.h
@@ -118,7 +118,7 @@
     bool control_lost_ = false;
     bool leaving_ = false;
     usage_link usage_;
-    std::uint32_t hellos_ = 0;
+    std::uint32_t heartbeats_ = 0;
 };
 
 } // namespace cassia::gateway
--- a/include/cassia/keeper/hello_queue.h
+++ b/include/cassia/keeper/heartbeat_queue.h
@@ -1,4 +1,4 @@
-/// Hellos of entries that wait to be answered: the newest of each entry, in turns. Pure.
+/// Heartbeats of entries that wait to be answered: the newest of each entry, in turns. Pure.
 #pragma once
 
 #include "cassia/schema/messages.pb.h"
@@ -9,7 +9,7 @@
 
 namespace cassia::keeper {
 
-class hello_queue {
+class heartbeat_queue {
 public:
     void add(const schema::entry_hello& hello);
     /// The next one, which waits no more; nothing if none waits.
--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -6,7 +6,7 @@
 #include "cassia/keeper/founding.h"
 #include "cassia/keeper/group_host.h"
 #include "cassia/keeper/group_watch.h"
-#include "cassia/keeper/hello_queue.h"
+#include "cassia/keeper/heartbeat_queue.h"
 #include "cassia/keeper/store.h"
 #include "cassia/keeper/table_delivery.h"
 #include "cassia/keeper/work_leader.h"
@@ -134,8 +134,8 @@
     void propose_claim(const schema::work_command& command, group_id group,
                        const group_host::reply_function& reply);
     std::string leader_node(const group_host& host) const;
-    void take_hello(const schema::entry_hello& hello);
-    void answer_hellos();
+    void take_heartbeat(const schema::entry_hello& hello);
+    void answer_heartbeats();
     void on_entry_hello(const schema::entry_hello& hello);
     void send_beacon(known_entry& entry);
     void write_control_news(const known_entry& entry, schema::keeper_beacon& beacon) const;
@@ -233,8 +233,8 @@
     std::uint64_t keepers_digest_ = 0;
     instant lists_made_at_{};
     consensus::member_list founders_;
-    hello_queue hellos_;
-    bool hellos_scheduled_ = false;
+    heartbeat_queue waiting_heartbeats_;
+    bool heartbeats_scheduled_ = false;
     bool beacons_scheduled_ = false;
     instant beacons_sent_at_{};
     microseconds beacons_time_{0}; ///< from then on for which no others are sent
--- a/lib/gateway/fleet_link.cpp
+++ b/lib/gateway/fleet_link.cpp
@@ -14,10 +14,10 @@
 constexpr milliseconds tick_interval(50);
 constexpr milliseconds keeper_forgotten_after(10000);
 // Work keepers tell only that they are there, whom they lead, and which jobs have ended.
-constexpr std::uint32_t hellos_for_each_to_work_keepers = 4;
+constexpr std::uint32_t heartbeats_for_each_to_work_keepers = 4;
 // The keeper followed tells the same as the other keepers of its group. They are asked so that
 // another one can be followed at once, and in case that it lags behind.
-constexpr std::uint32_t hellos_for_each_to_all = 8;
+constexpr std::uint32_t heartbeats_for_each_to_all = 8;
 // Four hellos without any answer.
 constexpr milliseconds control_missed_after(1000);
 // Endpoints fall silent without a change of the directory, so it is read anew this often.
@@ -57,10 +57,10 @@
     if (!opened)
         return opened.error().text;
     owner_.every(hello_interval, [this] {
-        ++hellos_;
-        if (hellos_ % hellos_for_each_to_all == 0)
+        ++heartbeats_;
+        if (heartbeats_ % heartbeats_for_each_to_all == 0)
             say_hello(audience::all_keepers);
-        else if (hellos_ % hellos_for_each_to_work_keepers == 0)
+        else if (heartbeats_ % heartbeats_for_each_to_work_keepers == 0)
             say_hello(audience::work_keepers);
         else
             say_hello(audience::followed_keeper);
--- a/lib/keeper/service.cpp
+++ b/lib/keeper/service.cpp
@@ -14,7 +14,7 @@
 constexpr milliseconds tick_interval(25);
 constexpr milliseconds hello_interval(300);
 // A spare has no news of its own but that it lives.
-constexpr std::uint32_t hellos_for_each_of_a_spare = 3;
+constexpr std::uint32_t heartbeats_for_each_of_a_spare = 3;
 // A lost member is replaced in three changes, each at one of these, and well within the five
 // seconds that platforms allow for it.
 constexpr milliseconds repair_interval(200);
@@ -193,7 +193,7 @@
     task_.every(hello_interval, [this] {
         if (hosts_control())
             try_to_found();
-        if (!waits_as_spare() || ++greetings_skipped_ % hellos_for_each_of_a_spare == 0) {
+        if (!waits_as_spare() || ++greetings_skipped_ % heartbeats_for_each_of_a_spare == 0) {
             for (const peer_address& keeper : keepers_to_greet())
                 send_keeper_hello(keeper);
         }
--- a/lib/keeper/service_entries.cpp
+++ b/lib/keeper/service_entries.cpp
@@ -19,26 +19,26 @@
 constexpr milliseconds list_age(100);
 constexpr milliseconds push_time_per_entry(1);
 // Answered before messages are read again.
-constexpr std::size_t hellos_at_once = 16;
+constexpr std::size_t heartbeats_at_once = 16;
 } // namespace
 
 // Members of groups must hear each other in time however many entries there are, so entries are
 // answered after what else has come.
-void service::take_hello(const schema::entry_hello& hello) {
-    hellos_.add(hello);
-    if (std::exchange(hellos_scheduled_, true))
+void service::take_heartbeat(const schema::entry_hello& hello) {
+    waiting_heartbeats_.add(hello);
+    if (std::exchange(heartbeats_scheduled_, true))
         return;
-    task_.post([this] { answer_hellos(); });
+    task_.post([this] { answer_heartbeats(); });
 }
 
-void service::answer_hellos() {
-    for (std::size_t i = 0; i < hellos_at_once; ++i) {
-        if (const std::optional<schema::entry_hello> hello = hellos_.next())
+void service::answer_heartbeats() {
+    for (std::size_t i = 0; i < heartbeats_at_once; ++i) {
+        if (const std::optional<schema::entry_hello> hello = waiting_heartbeats_.next())
             on_entry_hello(*hello);
     }
-    hellos_scheduled_ = !hellos_.empty();
-    if (hellos_scheduled_)
-        task_.post([this] { answer_hellos(); });
+    heartbeats_scheduled_ = !waiting_heartbeats_.empty();
+    if (heartbeats_scheduled_)
+        task_.post([this] { answer_heartbeats(); });
 }
 
 void service::on_entry_hello(const schema::entry_hello& hello) {
--- a/lib/keeper/service_requests.cpp
+++ b/lib/keeper/service_requests.cpp
@@ -28,7 +28,7 @@
         on_request(message.request(), message.reply_to());
         break;
     case schema::envelope::kHello:
-        take_hello(message.hello());
+        take_heartbeat(message.hello());
         break;
     case schema::envelope::kKeeper:
         on_keeper_hello(message.keeper());
--- a/unittests/keeper/entry_conversation_test.cpp
+++ b/unittests/keeper/entry_conversation_test.cpp
@@ -1,6 +1,6 @@
-// What a keeper answers to the hellos of many entries.
+// What a keeper answers to the heartbeats of many entries.
 
-#include "cassia/keeper/hello_queue.h"
+#include "cassia/keeper/heartbeat_queue.h"
 #include "cassia/keeper/table_delivery.h"
 
 #include <catch2/catch.hpp>
@@ -21,9 +21,9 @@
 
 } // namespace
 
-// Guards against a queue of old hellos that grows while entries go on asking.
-TEST_CASE("of each entry only the newest hello waits", "[hello]") {
-    hello_queue queue;
+// Guards against a queue of old heartbeats that grows while entries go on asking.
+TEST_CASE("of each entry only the newest heartbeat waits", "[hello]") {
+    heartbeat_queue queue;
     for (std::uint64_t round = 1; round <= 50; ++round) {
         for (int i = 0; i < 20; ++i)
             queue.add(hello_of(i, round));
@@ -39,7 +39,7 @@
 
 // Guards against entries that are never answered: each asks four times as often as can be answered.
 TEST_CASE("a keeper that can't answer all answers each in turn", "[hello]") {
-    hello_queue queue;
+    heartbeat_queue queue;
     std::map<std::string, int> answered;
     for (std::uint64_t round = 0; round < 400; ++round) {
         for (int i = 0; i < 100; ++i)
@@ -52,7 +52,7 @@
         CHECK(one.second == 100);
 }
 
-// Guards against a large table that is sent again to each hello while it is on its way.
+// Guards against a large table that is sent again to each heartbeat while it is on its way.
 TEST_CASE("a table on its way is not sent again", "[hello]") {
     const instant start(std::chrono::seconds(100));
     table_delivery delivery;
