--- a/lib/policy/slot_book.cpp
+++ b/lib/policy/slot_book.cpp
@@ -186,15 +186,15 @@
 
 // Always the best one would be taken by all entries at once, for as long as they haven't heard of
 // each other's choice.
-template <class Candidates, class Weight>
-static auto draw_by_weight(const Candidates& all, const Weight& weight, double draw)
-    -> decltype(all.data()) {
+template <class Candidate, class Weight>
+static const Candidate* draw_by_weight(const std::vector<Candidate>& all, const Weight& weight,
+                                       double draw) {
     double sum = 0;
-    for (const auto& one : all)
+    for (const Candidate& one : all)
         sum += weight(one);
     double left = draw * sum;
-    decltype(all.data()) last = nullptr;
-    for (const auto& one : all) {
+    const Candidate* last = nullptr;
+    for (const Candidate& one : all) {
         if (weight(one) <= 0)
             continue;
         last = &one;
