One copy of a lease holder's name; clearer names where beacons are pushed

Cause, by reading: a keeper composed the holder's name three times in one file, a parameter had the name of a type, a counter of relays and two includes served nobody. Ruled out: sharing the name's composition with the gateway, whose own name comes from settings, not from a message. Behaviour the same.

Run on it: build, format, lint of the changed sources, unit programs of keeper, policy, membership, net and platform.

--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -236,9 +236,9 @@
     heartbeat_queue waiting_heartbeats_;
     bool heartbeats_scheduled_ = false;
     bool beacons_scheduled_ = false;
-    instant beacons_sent_at_{};
-    microseconds beacons_time_{0}; ///< from then on for which no others are sent
-    bool groups_founded_ = false;  ///< as the control group told
+    instant pushed_at_{};         ///< beacons, on a change
+    microseconds push_pause_{0};  ///< from then on until the next push
+    bool groups_founded_ = false; ///< as the control group told
     std::uint32_t greetings_skipped_ = 0;
     bool stopping_ = false;
     int exit_code_ = 0;
--- a/include/cassia/policy/usage_exchange.h
+++ b/include/cassia/policy/usage_exchange.h
@@ -66,7 +66,6 @@
     /// A gateway that may give up a slot there, as far as this relay knows; counted as given up
     /// until the gateway reports anew. \param own_zone_only not to ask the relays of other zones.
     std::optional<yield_target> choose_yielding(const endpoint_id& endpoint, bool own_zone_only);
-    std::size_t reporters() const { return reports_.size(); }
 
     /// The name under which a slot book keeps what a zone has under way.
     static entry_id zone_key(const zone_id& zone);
@@ -95,7 +94,7 @@
     std::optional<usage_message> sums_for(const entry_id& to, report& one, const use_map& all,
                                           instant now) const;
     void publish(const use_map& own, instant now, std::vector<usage_message>& out);
-    void tell_other_zones(const use_map& zone_uses, instant now, std::vector<usage_message>& out);
+    void tell_other_zones(const use_map& own_zone, instant now, std::vector<usage_message>& out);
     void choose_relay(instant now);
     void forget_silent(instant now);
 
--- a/lib/keeper/service_entries.cpp
+++ b/lib/keeper/service_entries.cpp
@@ -22,6 +22,10 @@
 constexpr std::size_t heartbeats_at_once = 16;
 } // namespace
 
+static std::string holder_name(const schema::entry_hello& hello) {
+    return hello.entry() + "/" + std::to_string(hello.incarnation());
+}
+
 // Members of groups must hear each other in time however many entries there are, so entries are
 // answered after what else has come.
 void service::take_heartbeat(const schema::entry_hello& hello) {
@@ -55,7 +59,7 @@
     entry.own_seen = now;
     if (hosts_control() && uses_seeds())
         roster_.saw(hello, now);
-    const std::string holder = hello.entry() + "/" + std::to_string(hello.incarnation());
+    const std::string holder = holder_name(hello);
     for (std::pair<const group_id, work_group>& group : work_) {
         if (hosts_.at(group.first)->raft().leads())
             group.second.leader->holder_seen(holder, now);
@@ -153,8 +157,7 @@
         if (beacon->has_routes())
             entry.table.sent(beacon->routes().version(), now);
     }
-    const std::string holder =
-        entry.hello.entry() + "/" + std::to_string(entry.hello.incarnation());
+    const std::string holder = holder_name(entry.hello);
     for (const std::pair<const group_id, work_group>& group : work_) {
         if (!hosts_.at(group.first)->raft().may_read(now))
             continue;
@@ -197,7 +200,7 @@
 void service::send_beacons_soon() {
     if (std::exchange(beacons_scheduled_, true))
         return;
-    const microseconds wait = beacons_sent_at_ + beacons_time_ - monotonic_now();
+    const microseconds wait = pushed_at_ + push_pause_ - monotonic_now();
     const milliseconds rounded = std::chrono::ceil<milliseconds>(std::max(wait, microseconds(0)));
     task_.after(rounded, [this] { push_beacons(); });
 }
@@ -206,22 +209,18 @@
 // the other, as when all endpoints start, are told together.
 void service::push_beacons() {
     beacons_scheduled_ = false;
-    beacons_sent_at_ = monotonic_now();
-    beacons_time_ = milliseconds(0);
+    pushed_at_ = monotonic_now();
+    push_pause_ = milliseconds(0);
     for (std::pair<const std::string, known_entry>& entry : entries_) {
         const bool follows = hosts_control() && entry.second.hello.follows();
         const bool told = !uses_seeds() || follows || holds_items(entry.second.hello);
         if (!told)
             continue;
         send_beacon(entry.second);
-        beacons_time_ += push_time_per_entry;
+        push_pause_ += push_time_per_entry;
     }
 }
 
-static std::string holder_name(const schema::entry_hello& hello) {
-    return hello.entry() + "/" + std::to_string(hello.incarnation());
-}
-
 bool service::holds_items(const schema::entry_hello& hello) const {
     const std::string holder = holder_name(hello);
     return std::any_of(work_.begin(), work_.end(), [&holder](const auto& group) {
--- a/lib/keeper/service_requests.cpp
+++ b/lib/keeper/service_requests.cpp
@@ -3,10 +3,8 @@
 #include "cassia/keeper/service.h"
 
 #include "cassia/base/log.h"
-#include "cassia/settings/catalog.h"
 #include "cassia/state/sharding.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace cassia::keeper {
--- a/lib/policy/usage_exchange.cpp
+++ b/lib/policy/usage_exchange.cpp
@@ -219,13 +219,13 @@
     tell_other_zones(all, now, out);
 }
 
-void usage_exchange::tell_other_zones(const use_map& zone_uses, instant now,
+void usage_exchange::tell_other_zones(const use_map& own_zone, instant now,
                                       std::vector<usage_message>& out) {
-    const milliseconds interval = zone_uses == told_zones_.uses ? repeat_interval : zones_interval;
+    const milliseconds interval = own_zone == told_zones_.uses ? repeat_interval : zones_interval;
     if (now - told_zones_.at < interval)
         return;
-    told_zones_ = {zone_uses, now};
-    const std::shared_ptr<const use_map> shared = std::make_shared<use_map>(zone_uses);
+    told_zones_ = {own_zone, now};
+    const std::shared_ptr<const use_map> shared = std::make_shared<use_map>(own_zone);
     for (const std::pair<const zone_id, std::vector<entry_id>>& zone : ranked_) {
         if (zone.first == zone_)
             continue;
