Work groups: grant the lease requests that wait together, in one commit

What callers saw: accepted batch items lay around although endpoints had free slots (LOST), and summaries came too late to earn their worth (SHORT).

Cause: the leader of a work group granted leases one request at a time, and each request waited for the commits of all before it. A gateway waits 2.5 s for the reply. Once more gateways asked than commits fit into 2.5 s, the items were leased to gateways that no longer waited, lay for 5 s until the lease was taken back, and were wasted again: the queue never got shorter, as each gateway that gave up asked again. The class of fault is a metastable one: work done for requesters that have given up keeps the queue long.

Change: requests that arrive during a commit wait for its end and share the next one; each gets other items. So a request waits at most for two commits, however many gateways ask. One that has waited longer than a gateway waits is rejected and gets no items. Requests that are queued when the leader steps down are rejected, they got no reply before. A holder's other incarnations are looked for when it is first seen, no longer at each message, which cost a scan of all holders.

--- a/include/cassia/keeper/work_leader.h
+++ b/include/cassia/keeper/work_leader.h
@@ -8,12 +8,13 @@
 #include "cassia/base/clock.h"
 #include "cassia/base/ids.h"
 #include "cassia/policy/batch_schedule.h"
+#include "cassia/schema/messages.pb.h"
 #include "cassia/state/work_state.h"
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,7 +22,6 @@
 namespace cassia::schema {
 class held_items;
 class keeper_reply;
-class lease_request;
 class stale_items;
 class work_command;
 } // namespace cassia::schema
@@ -42,8 +42,8 @@
     work_leader(const state::work_state& state, milliseconds holder_timeout,
                 work_leader_hooks hooks);
 
-    /// Records whether this member leads the group. A change drops queued requests, fails pending
-    /// cancellations as `unavailable`, and forgets what was known about holders.
+    /// Records whether this member leads the group. A change fails queued lease requests and
+    /// pending cancellations as `unavailable`, and forgets what was known about holders.
     void set_leading(bool leading, instant now);
     void set_weight(const team_id& team, double weight);
 
@@ -68,8 +68,22 @@
         instant deadline;
     };
 
-    void serve_next_lease();
-    void propose_leases(const schema::lease_request& request, const reply_callback& reply);
+    // Leases (work_leader_leases.cpp).
+    struct queued_lease {
+        schema::lease_request request;
+        reply_callback reply;
+        instant arrived_at;
+    };
+    struct lease_grant;
+    struct lease_round;
+    struct available_items;
+    void serve_lease_requests();
+    void start_lease_round(std::vector<queued_lease> requests);
+    std::vector<queued_lease> take_waiting_requests();
+    available_items choose_items(const std::string& service, std::uint32_t limit);
+    void finish_command(const std::shared_ptr<lease_round>& round, lease_grant& grant,
+                        const schema::keeper_reply& reply);
+    void reject_lease_requests();
     schema::stale_items find_stale_items(const schema::held_items& held) const;
     std::vector<policy::job_candidate> find_candidates(const std::string& service) const;
     void respond_to_settled_cancels(instant now);
@@ -82,8 +96,9 @@
 
     bool leading_ = false;
     instant role_changed_at_{}; ///< when this member last began or ceased to lead
-    std::deque<std::function<void()>> lease_queue_;
-    bool lease_in_progress_ = false;
+    instant latest_time_{};     ///< of the last call that passed the time
+    std::vector<queued_lease> lease_queue_;
+    std::shared_ptr<lease_round> lease_round_; ///< null while none is in progress
     std::vector<pending_cancel> pending_cancels_;
     std::map<std::string, instant> holders_last_seen_;
     std::set<std::string> holders_being_released_;
--- a/lib/keeper/work_leader.cpp
+++ b/lib/keeper/work_leader.cpp
@@ -29,8 +29,7 @@
         return;
     leading_ = leading;
     role_changed_at_ = now;
-    lease_queue_.clear();
-    lease_in_progress_ = false;
+    reject_lease_requests();
     holders_last_seen_.clear();
     holders_being_released_.clear();
     std::vector<pending_cancel> dropped = std::move(pending_cancels_);
@@ -46,98 +45,6 @@
     schedule_.set_weight(team, weight);
 }
 
-// Lease requests are served one at a time: a request must not choose items that the previous one
-// has chosen but that are not committed as leased yet.
-void work_leader::lease(const schema::lease_request& request, reply_callback reply, instant now) {
-    mark_holder_alive(request.holder(), now);
-    std::shared_ptr<schema::lease_request> shared_request =
-        std::make_shared<schema::lease_request>(request);
-    lease_queue_.emplace_back([this, shared_request, reply = std::move(reply)] {
-        propose_leases(*shared_request, reply);
-    });
-    if (!lease_in_progress_)
-        serve_next_lease();
-}
-
-void work_leader::serve_next_lease() {
-    lease_in_progress_ = !lease_queue_.empty();
-    if (!lease_in_progress_)
-        return;
-    const std::function<void()> next = std::move(lease_queue_.front());
-    lease_queue_.pop_front();
-    next();
-}
-
-std::vector<policy::job_candidate> work_leader::find_candidates(const std::string& service) const {
-    std::vector<policy::job_candidate> candidates;
-    for (const std::pair<const job_id, state::batch_job>& known_job : state_.jobs()) {
-        const state::batch_job& job = known_job.second;
-        const bool open =
-            job.status == state::job_status::queued || job.status == state::job_status::running;
-        if (!open)
-            continue;
-        auto found_service = std::find(job.services.begin(), job.services.end(), service);
-        if (found_service == job.services.end())
-            continue;
-        const std::size_t unleased = job.pending[found_service - job.services.begin()].size();
-        if (unleased > 0)
-            candidates.push_back({job.id, job.team, job.deadline, job.created,
-                                  static_cast<std::uint32_t>(unleased)});
-    }
-    return candidates;
-}
-
-void work_leader::propose_leases(const schema::lease_request& request,
-                                 const reply_callback& reply) {
-    schema::work_command command;
-    std::vector<schema::work_command> commands;
-    for (const schema::lease_want& want : request.wants()) {
-        const std::vector<policy::lease_choice> choices =
-            schedule_.choose(find_candidates(want.service()), want.limit(), to_unix_ms(wall_now()));
-        for (const policy::lease_choice& choice : choices) {
-            const state::batch_job& job = state_.jobs().at(choice.job);
-            auto found_service =
-                std::find(job.services.begin(), job.services.end(), want.service());
-            const std::deque<std::uint32_t>& unleased =
-                job.pending[found_service - job.services.begin()];
-            schema::item_lease* lease = command.mutable_lease();
-            lease->Clear();
-            lease->set_job(choice.job.str());
-            lease->set_holder(request.holder());
-            for (std::uint32_t i = 0; i < choice.items; ++i)
-                lease->add_ordinals(unleased[i]);
-            commands.push_back(command);
-        }
-    }
-    // The replies to all commands are merged into one.
-    std::shared_ptr<schema::keeper_reply> merged = std::make_shared<schema::keeper_reply>();
-    merged->mutable_work();
-    std::shared_ptr<std::size_t> outstanding = std::make_shared<std::size_t>(commands.size());
-    if (commands.empty()) {
-        reply(*merged);
-        serve_next_lease();
-        return;
-    }
-    for (const schema::work_command& lease_command : commands) {
-        hooks_.propose(lease_command, [this, merged, outstanding,
-                                       reply](const schema::keeper_reply& command_reply) {
-            if (command_reply.result() != schema::keeper_reply::done)
-                merged->set_result(command_reply.result());
-            merged->mutable_work()->MergeFrom(command_reply.work());
-            if (--*outstanding > 0)
-                return;
-            const state::result<void> completed =
-                state_.fill_leased_items(*merged->mutable_work(), hooks_.read_record);
-            if (!completed) {
-                log_error("lease_failed").with("cause", completed.error().text);
-                merged->set_result(schema::keeper_reply::unavailable);
-            }
-            reply(std::move(*merged));
-            serve_next_lease();
-        });
-    }
-}
-
 void work_leader::on_lease_applied(const schema::keeper_reply& reply, instant now) {
     for (const schema::leased_item& item : reply.work().leased())
         leased_at_[{job_id(item.job()), item.ordinal()}] = now;
@@ -239,7 +146,9 @@
 }
 
 void work_leader::mark_holder_alive(const std::string& holder, instant now) {
-    holders_last_seen_[holder] = now;
+    const bool is_new = holders_last_seen_.insert_or_assign(holder, now).second;
+    if (!is_new)
+        return;
     // Any other incarnation of the same gateway is presumed to be an earlier process, now dead.
     const std::string gateway_prefix = holder.substr(0, holder.rfind('/') + 1);
     for (const std::string& other : state_.holders()) {
@@ -271,6 +180,7 @@
 void work_leader::tick(instant now, wall_time wall) {
     if (!leading_)
         return;
+    latest_time_ = now;
     respond_to_settled_cancels(now);
     release_lost_holders(now);
     if (now < next_expiry_check_)
--- /dev/null
+++ b/lib/keeper/work_leader_leases.cpp
@@ -0,0 +1,183 @@
+// How a work group's leader grants leases.
+
+#include "cassia/base/log.h"
+#include "cassia/keeper/work_leader.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassia::keeper {
+
+namespace {
+// Shorter than the time for which a gateway waits for the reply (2.5 s), so that no items are
+// leased to one that has stopped waiting.
+constexpr milliseconds max_lease_wait(2000);
+} // namespace
+
+/// What one request gets in a round.
+struct work_leader::lease_grant {
+    std::string holder;
+    std::vector<schema::work_command> commands; ///< one for each job
+    schema::keeper_reply reply;                 ///< the merged replies to the commands
+    std::size_t outstanding = 0;                ///< commands without a reply
+    reply_callback send_reply;
+};
+
+/// Requests whose leases are committed together.
+struct work_leader::lease_round {
+    std::vector<lease_grant> grants;
+    std::size_t outstanding = 0; ///< grants without a reply
+};
+
+/// Items that can be leased, in the order in which they are to be granted.
+struct work_leader::available_items {
+    std::vector<state::item_key> items;
+    std::size_t next = 0;
+};
+
+void work_leader::lease(const schema::lease_request& request, reply_callback reply, instant now) {
+    latest_time_ = now;
+    mark_holder_alive(request.holder(), now);
+    lease_queue_.push_back({request, std::move(reply), now});
+    serve_lease_requests();
+}
+
+// A request must not choose items that an earlier one has chosen but that are not committed as
+// leased yet. So the requests that arrive during a commit wait for its end, and then share the next
+// one: the time that a request waits does not grow with the number of gateways.
+void work_leader::serve_lease_requests() {
+    while (lease_round_ == nullptr && !lease_queue_.empty())
+        start_lease_round(take_waiting_requests());
+}
+
+std::vector<work_leader::queued_lease> work_leader::take_waiting_requests() {
+    std::vector<queued_lease> requests = std::exchange(lease_queue_, {});
+    const auto expired =
+        std::stable_partition(requests.begin(), requests.end(), [this](const queued_lease& queued) {
+            return latest_time_ - queued.arrived_at < max_lease_wait;
+        });
+    if (expired != requests.end())
+        log_warning("lease_requests_expired").with("requests", requests.end() - expired);
+    for (auto request = expired; request != requests.end(); ++request) {
+        schema::keeper_reply response;
+        response.set_result(schema::keeper_reply::unavailable);
+        request->reply(std::move(response));
+    }
+    requests.erase(expired, requests.end());
+    return requests;
+}
+
+std::vector<policy::job_candidate> work_leader::find_candidates(const std::string& service) const {
+    std::vector<policy::job_candidate> candidates;
+    for (const std::pair<const job_id, state::batch_job>& known_job : state_.jobs()) {
+        const state::batch_job& job = known_job.second;
+        const bool open =
+            job.status == state::job_status::queued || job.status == state::job_status::running;
+        if (!open)
+            continue;
+        for (std::size_t i = 0; i < job.services.size(); ++i) {
+            // Most jobs have no items to lease, so that is checked before the name is compared.
+            if (job.pending[i].empty() || job.services[i] != service)
+                continue;
+            candidates.push_back({job.id, job.team, job.deadline, job.created,
+                                  static_cast<std::uint32_t>(job.pending[i].size())});
+        }
+    }
+    return candidates;
+}
+
+work_leader::available_items work_leader::choose_items(const std::string& service,
+                                                       std::uint32_t limit) {
+    available_items available;
+    const std::vector<policy::lease_choice> choices =
+        schedule_.choose(find_candidates(service), limit, to_unix_ms(wall_now()));
+    for (const policy::lease_choice& choice : choices) {
+        const state::batch_job& job = state_.jobs().at(choice.job);
+        const auto found = std::find(job.services.begin(), job.services.end(), service);
+        const std::deque<std::uint32_t>& unleased = job.pending[found - job.services.begin()];
+        for (std::uint32_t i = 0; i < choice.items; ++i)
+            available.items.emplace_back(choice.job, unleased[i]);
+    }
+    return available;
+}
+
+static void add_lease(std::vector<schema::work_command>& commands, const std::string& holder,
+                      const state::item_key& key) {
+    if (commands.empty() || commands.back().lease().job() != key.first.str()) {
+        schema::item_lease* lease = commands.emplace_back().mutable_lease();
+        lease->set_job(key.first.str());
+        lease->set_holder(holder);
+    }
+    commands.back().mutable_lease()->add_ordinals(key.second);
+}
+
+void work_leader::start_lease_round(std::vector<queued_lease> requests) {
+    std::map<std::string, std::uint32_t> limits;
+    for (const queued_lease& queued : requests) {
+        for (const schema::lease_want& want : queued.request.wants())
+            limits[want.service()] += want.limit();
+    }
+    std::map<std::string, available_items> available;
+    for (const std::pair<const std::string, std::uint32_t>& limit : limits)
+        available[limit.first] = choose_items(limit.first, limit.second);
+    const std::shared_ptr<lease_round> round = std::make_shared<lease_round>();
+    for (queued_lease& queued : requests) {
+        lease_grant grant;
+        grant.holder = queued.request.holder();
+        for (const schema::lease_want& want : queued.request.wants()) {
+            available_items& items = available.at(want.service());
+            for (std::uint32_t i = 0; i < want.limit() && items.next < items.items.size(); ++i)
+                add_lease(grant.commands, grant.holder, items.items[items.next++]);
+        }
+        grant.reply.mutable_work();
+        grant.outstanding = grant.commands.size();
+        grant.send_reply = std::move(queued.reply);
+        if (grant.commands.empty())
+            grant.send_reply(std::move(grant.reply));
+        else
+            round->grants.push_back(std::move(grant));
+    }
+    if (round->grants.empty())
+        return;
+    round->outstanding = round->grants.size();
+    lease_round_ = round;
+    for (lease_grant& grant : round->grants) {
+        const std::vector<schema::work_command> commands = std::exchange(grant.commands, {});
+        for (const schema::work_command& command : commands)
+            hooks_.propose(command, [this, round, &grant](const schema::keeper_reply& reply) {
+                finish_command(round, grant, reply);
+            });
+    }
+}
+
+void work_leader::finish_command(const std::shared_ptr<lease_round>& round, lease_grant& grant,
+                                 const schema::keeper_reply& reply) {
+    if (reply.result() != schema::keeper_reply::done)
+        grant.reply.set_result(reply.result());
+    grant.reply.mutable_work()->MergeFrom(reply.work());
+    if (--grant.outstanding > 0)
+        return;
+    const state::result<void> completed =
+        state_.fill_leased_items(*grant.reply.mutable_work(), hooks_.read_record);
+    if (!completed) {
+        log_error("lease_failed").with("cause", completed.error().text);
+        grant.reply.set_result(schema::keeper_reply::unavailable);
+    }
+    grant.send_reply(std::move(grant.reply));
+    if (--round->outstanding > 0 || round != lease_round_)
+        return;
+    lease_round_.reset();
+    serve_lease_requests();
+}
+
+void work_leader::reject_lease_requests() {
+    lease_round_.reset();
+    const std::vector<queued_lease> rejected = std::exchange(lease_queue_, {});
+    for (const queued_lease& queued : rejected) {
+        schema::keeper_reply response;
+        response.set_result(schema::keeper_reply::unavailable);
+        queued.reply(std::move(response));
+    }
+}
+
+} // namespace cassia::keeper
