Keeper client: a successful reply to any transmission completes a request

Cause: a request without a reply was sent again after 0.7 s under a new id, and a reply under the earlier id was ignored. A leader that needs longer than 0.7 s so never completed a request: each was sent and executed again until its timeout expired, and failed then though it had been done. Reports of ended items (3 s, then again with all that ended meanwhile) and submissions of jobs (1.4 s, outcome unknown) are such requests. It is the same class of fault as with leases: work for those who no longer wait keeps the leader slow.

Change: transmissions keep ids of their own, and each of them that has had no reply yet completes the request with a successful reply; a refusal counts only if it is for the last one, as before. The delay until the next transmission doubles, from 0.7 s. All such requests are idempotent; lease requests are sent once only. The product's own entry uses the same class.

--- a/include/cassia/entry/keeper_client.h
+++ b/include/cassia/entry/keeper_client.h
@@ -1,6 +1,6 @@
 /// Sends requests to the keepers: finds the leader of the group, resends requests that got no reply
 /// and reports a failure when the request's timeout expires. Commands are idempotent, so resending
-/// is safe; replies to an earlier transmission of a request are ignored.
+/// is safe, and a successful reply to any transmission of a request completes it.
 #pragma once
 
 #include "cassia/base/clock.h"
@@ -53,16 +53,22 @@
         reply_callback on_reply;
         instant expires_at{};
         instant resend_at{};
+        milliseconds resend_delay{0};       ///< until the next transmission if there is no reply
+        std::vector<std::uint64_t> pending; ///< ids of the transmissions without a reply
         std::size_t next_keeper = 0;
     };
+    using open_request_map = std::map<std::uint64_t, open_request>;
 
-    void transmit(open_request& open, instant now);
+    void transmit(open_request_map::value_type& open, instant now);
+    void fail(open_request_map::iterator open);
+    open_request remove(open_request_map::iterator open);
     const keeper_address& choose_keeper(open_request& open);
 
     std::vector<keeper_address> keepers_;
     send_function send_;
     std::map<group_id, std::string> leaders_;
-    std::map<std::uint64_t, open_request> open_; ///< by the id of the last transmission
+    open_request_map open_;                                ///< by the id of the first transmission
+    std::map<std::uint64_t, std::uint64_t> transmissions_; ///< those in `pending`, to the first id
     std::uint64_t last_id_ = 0;
 };
 
--- a/lib/entry/keeper_client.cpp
+++ b/lib/entry/keeper_client.cpp
@@ -6,7 +6,8 @@
 namespace cassia::entry {
 
 namespace {
-constexpr milliseconds resend_interval(700);
+// Doubled with each transmission: resending faster would slow down a leader that is already slow.
+constexpr milliseconds first_resend_delay(700);
 constexpr milliseconds retry_delay(60);
 } // namespace
 
@@ -19,14 +20,15 @@
 
 void keeper_client::send_request(schema::keeper_request request, request_options options,
                                  reply_callback on_reply, instant now) {
-    open_request open;
+    const std::uint64_t first_id = last_id_ + 1;
+    open_request& open = open_[first_id];
     open.request = std::move(request);
     open.options = options;
     open.on_reply = std::move(on_reply);
     open.expires_at = now + options.timeout;
-    open.next_keeper = last_id_;
-    transmit(open, now);
-    open_[last_id_] = std::move(open);
+    open.resend_delay = first_resend_delay;
+    open.next_keeper = first_id;
+    transmit(*open_.find(first_id), now);
 }
 
 const keeper_address& keeper_client::choose_keeper(open_request& open) {
@@ -42,9 +44,13 @@
     return keepers_[open.next_keeper++ % keepers_.size()];
 }
 
-void keeper_client::transmit(open_request& open, instant now) {
+void keeper_client::transmit(open_request_map::value_type& entry, instant now) {
+    open_request& open = entry.second;
     open.request.set_id(++last_id_);
-    open.resend_at = open.options.resend ? now + resend_interval : open.expires_at;
+    open.pending.push_back(last_id_);
+    transmissions_[last_id_] = entry.first;
+    open.resend_at = open.options.resend ? now + open.resend_delay : open.expires_at;
+    open.resend_delay *= 2;
     if (keepers_.empty())
         return;
     schema::envelope envelope;
@@ -52,23 +58,39 @@
     send_(choose_keeper(open).address, envelope);
 }
 
+keeper_client::open_request keeper_client::remove(open_request_map::iterator open) {
+    for (const std::uint64_t id : open->second.pending)
+        transmissions_.erase(id);
+    open_request removed = std::move(open->second);
+    open_.erase(open);
+    return removed;
+}
+
+// A leader may take longer than the resend delay. If only the last transmission counted, none of
+// its replies would, and each request would be sent again until its timeout expires.
 void keeper_client::handle_reply(schema::keeper_reply reply, instant now) {
-    auto found = open_.find(reply.id());
-    if (found == open_.end())
+    auto transmission = transmissions_.find(reply.id());
+    if (transmission == transmissions_.end())
         return;
-    const group_id group(found->second.request.group());
-    if (reply.result() == schema::keeper_reply::done || !found->second.options.resend) {
-        reply_callback on_reply = std::move(found->second.on_reply);
-        open_.erase(found);
-        on_reply(std::move(reply));
+    auto found = open_.find(transmission->second);
+    open_request& open = found->second;
+    transmissions_.erase(transmission);
+    open.pending.erase(std::find(open.pending.begin(), open.pending.end(), reply.id()));
+    if (reply.result() == schema::keeper_reply::done || !open.options.resend) {
+        remove(found).on_reply(std::move(reply));
         return;
     }
+    const bool is_outdated = reply.id() != open.request.id();
+    if (is_outdated)
+        return;
     // The keeper is not the leader or cannot reply now. Retry after a short delay, at the leader
     // that it named, if any.
+    const group_id group(open.request.group());
     leaders_.erase(group);
     if (!reply.leader().empty())
         leaders_[group] = reply.leader();
-    found->second.resend_at = now + retry_delay;
+    open.resend_at = now + retry_delay;
+    open.resend_delay = first_resend_delay;
 }
 
 void keeper_client::set_leader(group_id group, const std::string& node) {
@@ -76,26 +98,26 @@
 }
 
 void keeper_client::tick(instant now) {
-    std::vector<open_request> due;
-    for (auto pending = open_.begin(); pending != open_.end();) {
-        if (now < pending->second.resend_at && now < pending->second.expires_at) {
-            ++pending;
-            continue;
-        }
-        due.push_back(std::move(pending->second));
-        pending = open_.erase(pending);
+    std::vector<std::uint64_t> due;
+    for (const open_request_map::value_type& open : open_) {
+        if (now >= open.second.resend_at || now >= open.second.expires_at)
+            due.push_back(open.first);
     }
-    for (open_request& pending : due) {
-        if (now >= pending.expires_at) {
-            schema::keeper_reply failure;
-            failure.set_result(schema::keeper_reply::unavailable);
-            pending.on_reply(std::move(failure));
+    for (const std::uint64_t first_id : due) {
+        auto open = open_.find(first_id);
+        if (now >= open->second.expires_at) {
+            fail(open);
             continue;
         }
-        leaders_.erase(group_id(pending.request.group()));
-        transmit(pending, now);
-        open_[last_id_] = std::move(pending);
+        leaders_.erase(group_id(open->second.request.group()));
+        transmit(*open, now);
     }
 }
 
+void keeper_client::fail(open_request_map::iterator open) {
+    schema::keeper_reply failure;
+    failure.set_result(schema::keeper_reply::unavailable);
+    remove(open).on_reply(std::move(failure));
+}
+
 } // namespace cassia::entry
