--- a/include/cassia/keeper/group_replica.h
+++ b/include/cassia/keeper/group_replica.h
@@ -103,6 +103,7 @@
     void continue_snapshot_transfers(instant now, std::vector<schema::raft_message>& out);
     void receive_snapshot_part(const schema::raft_message& message, instant now,
                                std::vector<schema::raft_message>& out);
+    void receive_snapshot_reply(const schema::raft_message& reply, instant now);
     void install_snapshot(disk_id leader, instant now);
     schema::raft_message make_message(int kind, disk_id to) const;
 
--- a/include/cassia/keeper/snapshot_transfer.h
+++ b/include/cassia/keeper/snapshot_transfer.h
@@ -15,8 +15,9 @@
 #include <vector>
 
 namespace cassia::schema {
+class raft_message;
 class snapshot_part;
-}
+} // namespace cassia::schema
 
 namespace cassia::keeper {
 
@@ -36,6 +37,9 @@
                                                                     const command_reader& read);
     /// The member acknowledged the part with this number.
     void on_acknowledged(std::uint32_t number);
+    /// Whether a rejection concerns the part that was sent last: the member lacks an earlier part,
+    /// and the transfer has to be restarted.
+    bool is_rejected_by(const schema::raft_message& reply) const;
     bool complete() const { return complete_; }
 
 private:
@@ -58,11 +62,17 @@
     using body_writer = std::function<storage::position(const std::string& command)>;
 
     enum class part_result {
-        rejected, ///< not the expected part
+        outdated, ///< part of an earlier transfer; not to be replied to
+        rejected, ///< a part before it is missing: the sender has to restart the transfer
+        repeated, ///< received before; to be acknowledged again
         accepted,
-        complete ///< state(), base() and relocations() hold the snapshot
+        /// state(), base() and relocations() hold the snapshot; the last part is to be acknowledged
+        /// once it is installed.
+        complete
     };
-    part_result receive(const schema::snapshot_part& part, const body_writer& write);
+    /// \param leader_term term of the leader that sent the part.
+    part_result receive(term_number leader_term, const schema::snapshot_part& part,
+                        const body_writer& write);
 
     const consensus::log_base& base() const { return base_; }
     const std::string& state() const { return state_; }
@@ -70,6 +80,17 @@
     const position_map& relocations() const { return relocations_; }
 
 private:
+    /// A leader's transfers have increasing indexes, and a term has one leader. The term of the
+    /// entry at the index doesn't identify a transfer: two leaders may send the same index, with
+    /// bodies at different positions.
+    struct transfer_id {
+        term_number leader_term;
+        std::uint64_t index = 0;
+
+        friend auto operator<=>(const transfer_id&, const transfer_id&) = default;
+    };
+
+    transfer_id transfer_;
     consensus::log_base base_;
     std::string state_;
     position_map relocations_;
--- a/lib/keeper/group_snapshots.cpp
+++ b/lib/keeper/group_snapshots.cpp
@@ -58,33 +58,50 @@
         start_snapshot_transfer(member);
 }
 
+void group_replica::receive_snapshot_reply(const schema::raft_message& reply, instant now) {
+    const disk_id from(reply.from());
+    auto sender = snapshot_senders_.find(from);
+    if (sender == snapshot_senders_.end())
+        return;
+    if (sender->second.is_rejected_by(reply)) {
+        log_warning("snapshot_transfer_rejected")
+            .with("group", settings_.group.value())
+            .with("by", from.value())
+            .with("index", sender->second.index())
+            .with("part", reply.part().number());
+        start_snapshot_transfer(from);
+        return;
+    }
+    if (reply.reject() || reply.part().index() != sender->second.index())
+        return;
+    sender->second.on_acknowledged(reply.part().number());
+    if (!sender->second.complete())
+        return;
+    const std::uint64_t index = sender->second.index();
+    snapshot_senders_.erase(sender);
+    log_info("snapshot_transfer_done")
+        .with("group", settings_.group.value())
+        .with("to", from.value());
+    raft_->snapshot_delivered(from, index, now);
+    on_actions_pending_();
+}
+
 void group_replica::receive_snapshot_part(const schema::raft_message& message, instant now,
                                           std::vector<schema::raft_message>& out) {
-    const disk_id from(message.from());
     if (message.kind() == schema::raft_message::snapshot_reply) {
-        auto sender = snapshot_senders_.find(from);
-        if (sender == snapshot_senders_.end() || message.part().index() != sender->second.index())
-            return;
-        sender->second.on_acknowledged(message.part().number());
-        if (!sender->second.complete())
-            return;
-        const std::uint64_t index = sender->second.index();
-        snapshot_senders_.erase(sender);
-        log_info("snapshot_transfer_done")
-            .with("group", settings_.group.value())
-            .with("to", from.value());
-        raft_->snapshot_delivered(from, index, now);
-        on_actions_pending_();
+        receive_snapshot_reply(message, now);
         return;
     }
-    const auto acknowledge = [this, from, &message, &out] {
-        schema::raft_message reply = make_message(schema::raft_message::snapshot_reply, from);
+    // A reply carries the current term, so a part of an earlier term must not be replied to.
+    if (install_in_progress_ || term_number(message.term()) != raft_->term())
+        return;
+    const disk_id from(message.from());
+    schema::raft_message reply = make_message(schema::raft_message::snapshot_reply, from);
+    reply.mutable_part()->set_number(message.part().number());
+    const auto acknowledge = [&reply, &message, &out] {
         reply.mutable_part()->set_index(message.part().index());
-        reply.mutable_part()->set_number(message.part().number());
         out.push_back(std::move(reply));
     };
-    if (install_in_progress_)
-        return;
     // This member already holds the whole snapshot: the leader missed the acknowledgement of the
     // last part and resends it.
     const bool already_installed =
@@ -93,17 +110,31 @@
         acknowledge();
         return;
     }
-    const snapshot_receiver::part_result result =
-        snapshot_receiver_.receive(message.part(), [this](const std::string& command) {
+    const snapshot_receiver::part_result result = snapshot_receiver_.receive(
+        raft_->term(), message.part(), [this](const std::string& command) {
             schema::wal_record record;
             record.set_group(static_cast<std::uint32_t>(settings_.group.value()));
             record.set_body(command);
             return store_.log().append(record.SerializeAsString());
         });
-    if (result == snapshot_receiver::part_result::accepted)
+    switch (result) {
+    case snapshot_receiver::part_result::accepted:
+    case snapshot_receiver::part_result::repeated:
         acknowledge();
-    if (result == snapshot_receiver::part_result::complete)
+        break;
+    case snapshot_receiver::part_result::rejected:
+        // A rejection names the transfer outside of the part: a leader of an older version would
+        // take it for an acknowledgement.
+        reply.set_reject(true);
+        reply.set_index(message.part().index());
+        out.push_back(std::move(reply));
+        break;
+    case snapshot_receiver::part_result::complete:
         install_snapshot(from, now);
+        break;
+    case snapshot_receiver::part_result::outdated:
+        break;
+    }
 }
 
 // The last part is acknowledged only once the snapshot is on this member's disk; the member doesn't
@@ -112,6 +143,7 @@
 void group_replica::install_snapshot(disk_id leader, instant now) {
     if (!state_machine_.load(snapshot_receiver_.state(), snapshot_receiver_.relocations())) {
         log_error("snapshot_refused").with("group", settings_.group.value());
+        snapshot_receiver_ = snapshot_receiver();
         return;
     }
     install_in_progress_ = true;
--- a/lib/keeper/snapshot_transfer.cpp
+++ b/lib/keeper/snapshot_transfer.cpp
@@ -56,17 +56,28 @@
     ++part_number_;
 }
 
-snapshot_receiver::part_result snapshot_receiver::receive(const schema::snapshot_part& part,
+bool snapshot_sender::is_rejected_by(const schema::raft_message& reply) const {
+    return reply.reject() && awaits_ack_ && reply.index() == base_.index &&
+           reply.part().number() == part_number_;
+}
+
+snapshot_receiver::part_result snapshot_receiver::receive(term_number leader_term,
+                                                          const schema::snapshot_part& part,
                                                           const body_writer& write) {
-    // Part 0 begins a new transfer, whatever has been received of another one.
-    if (part.number() == 0) {
+    const transfer_id transfer{leader_term, part.index()};
+    if (transfer < transfer_)
+        return part_result::outdated;
+    if (transfer > transfer_) {
+        if (part.number() != 0)
+            return part_result::rejected;
+        transfer_ = transfer;
         base_ = {part.index(), term_number(part.term()), {}};
         relocations_.clear();
         next_part_number_ = 0;
     }
-    const bool expected = part.number() == next_part_number_ && part.index() == base_.index &&
-                          term_number(part.term()) == base_.term;
-    if (!expected)
+    if (part.number() < next_part_number_)
+        return part.last() ? part_result::complete : part_result::repeated;
+    if (part.number() > next_part_number_)
         return part_result::rejected;
     ++next_part_number_;
     for (const schema::body_copy& copy : part.bodies()) {
--- a/unittests/keeper/membership_planner_test.cpp
+++ b/unittests/keeper/membership_planner_test.cpp
@@ -100,10 +100,12 @@
         REQUIRE(part.value());
         if (i % 3 == 0)
             continue; // Lost in transit.
-        last = receiver.receive(*part.value(), write);
+        last = receiver.receive(term_number(4), *part.value(), write);
         REQUIRE(last != snapshot_receiver::part_result::rejected);
-        CHECK(receiver.receive(*part.value(), write) ==
-              (part.value()->number() == 0 ? last : snapshot_receiver::part_result::rejected));
+        const std::size_t written_once = written.size();
+        CHECK(receiver.receive(term_number(4), *part.value(), write) ==
+              (part.value()->last() ? last : snapshot_receiver::part_result::repeated));
+        CHECK(written.size() == written_once);
         sender.on_acknowledged(part.value()->number());
         sender.on_acknowledged(part.value()->number());
     }
