Work state: an item of a failed holder that ends as unknown is listed and waits no longer

What callers saw: a forwarded job is rejected as over quota although the team's other items have ended, until the job of those items ends. The list of results of a listed job lacks an item that the job counts as unknown. Worst, members of a group can disagree whether a job exists: it is lost when the leader changes.

Cause: revoke_leases ends an unrepeatable item without end_item. It counted it as unknown but left its tokens in waiting_tokens and its ordinal out of ended_order.

Change: end_item and revoke_leases end a leased item by the same function. Items that a cancelled job gives back without a result are not listed, as before.

Why this works: an item leaves the leased state only by being queued again, by the cancellation of its job, whose tokens no longer count, or by this function.

Checked: unit_state passes: 100 seeds of submissions near the quota, leases, ends, failed holders and cancellations give equal replies, images and lists on a member that applied all commands and on one restored every 20 commands.

--- a/include/cassia/state/work_state.h
+++ b/include/cassia/state/work_state.h
@@ -180,6 +180,7 @@
     void end_item(const schema::item_end& end, std::uint32_t end_ordinal, const std::string& holder,
                   const storage::position& position, std::uint64_t now);
     void requeue_or_cancel_item(batch_job& job, std::uint32_t ordinal);
+    static void end_leased_item(batch_job& job, std::uint32_t ordinal, std::uint8_t status);
     static void save_progress(batch_item& item, const schema::item_end& end,
                               std::uint32_t end_ordinal, const storage::position& position);
     void finish_job_if_done(batch_job& job, std::uint64_t now);
--- a/lib/state/job_commands.cpp
+++ b/lib/state/job_commands.cpp
@@ -219,6 +219,25 @@
     job.pending[item.service].push_back(ordinal);
 }
 
+// Every end of a leased item goes through here: members restored from a snapshot count the waiting
+// tokens anew, so one that is forgotten makes them diverge from the others.
+void work_state::end_leased_item(batch_job& job, std::uint32_t ordinal, std::uint8_t status) {
+    batch_item& item = job.items[ordinal];
+    --job.counts.running;
+    item.status = status;
+    job.waiting_tokens -= item.tokens;
+    if (job.listed)
+        job.ended_order.push_back(ordinal);
+    if (status == schema::completed)
+        ++job.counts.completed;
+    else if (status == schema::unknown)
+        ++job.counts.unknown;
+    else if (status == schema::cancelled)
+        ++job.counts.cancelled;
+    else
+        ++job.counts.failed;
+}
+
 schema::work_reply work_state::end_items(const schema::items_end& ends,
                                          const storage::position& position) {
     for (int i = 0; i < ends.ends_size(); ++i)
@@ -275,21 +294,10 @@
         finish_job_if_done(job, now);
         return;
     }
-    --job.counts.running;
-    item.status = static_cast<std::uint8_t>(must_fail ? schema::failed : end.status());
     item.result = position;
     item.result_ordinal = end_ordinal;
-    job.waiting_tokens -= item.tokens;
-    if (job.listed)
-        job.ended_order.push_back(end.ordinal());
-    if (item.status == schema::completed)
-        ++job.counts.completed;
-    else if (item.status == schema::unknown)
-        ++job.counts.unknown;
-    else if (item.status == schema::cancelled)
-        ++job.counts.cancelled;
-    else
-        ++job.counts.failed;
+    end_leased_item(job, end.ordinal(),
+                    static_cast<std::uint8_t>(must_fail ? schema::failed : end.status()));
     finish_job_if_done(job, now);
 }
 
@@ -307,14 +315,10 @@
         if (found == jobs_.end())
             continue;
         batch_job& job = found->second;
-        batch_item& item = job.items[key.second];
-        if (item.repeatable) {
+        if (job.items[key.second].repeatable)
             requeue_or_cancel_item(job, key.second);
-        } else {
-            --job.counts.running;
-            item.status = schema::unknown;
-            ++job.counts.unknown;
-        }
+        else
+            end_leased_item(job, key.second, schema::unknown);
         finish_job_if_done(job, now);
     }
 }
--- a/unittests/state/work_state_test.cpp
+++ b/unittests/state/work_state_test.cpp
@@ -5,8 +5,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <map>
 #include <random>
+#include <string>
+#include <vector>
 
 using namespace cassia;
 using namespace cassia::state;
@@ -14,6 +17,7 @@
 namespace {
 
 constexpr std::uint64_t base_time = 1000;
+constexpr std::uint64_t item_tokens = 10;
 
 /// A work group's state with the log of its commands, from which bodies are read.
 class test_group {
@@ -118,6 +122,36 @@
         command.mutable_lost()->set_at(base_time + 2);
         apply(command);
     }
+    /// Submits a listed job of a route whose limit on waiting tokens is `max_waiting`.
+    schema::work_reply submit_listed(const std::string& job, std::uint32_t total, bool repeatable,
+                                     std::uint64_t max_waiting) {
+        schema::work_command command;
+        schema::job_begin* begin = command.mutable_submit()->mutable_begin();
+        begin->set_job(job);
+        begin->set_team("team");
+        begin->set_route("route");
+        begin->set_total(total);
+        begin->set_at(base_time);
+        begin->set_retention_ms(5000);
+        begin->set_listed(true);
+        begin->set_max_waiting_tokens(max_waiting);
+        command.mutable_submit()->mutable_items()->set_job(job);
+        for (std::uint32_t i = 0; i < total; ++i) {
+            schema::item_body* item = command.mutable_submit()->mutable_items()->add_items();
+            item->set_custom_id("c" + std::to_string(i));
+            item->set_service("model");
+            item->set_repeatable(repeatable);
+            item->set_tokens(item_tokens);
+        }
+        return apply(command);
+    }
+    schema::work_reply listed_results(const std::string& job) const {
+        schema::work_query query;
+        query.set_kind(schema::work_query::listed_results);
+        query.set_job(job);
+        query.set_team("team");
+        return state.query(query, reader());
+    }
     schema::work_reply cancel(const std::string& job) {
         schema::work_command command;
         command.mutable_cancel()->set_job(job);
@@ -275,6 +309,22 @@
     CHECK(group.job("job").ended != 0);
 }
 
+// Guards against quota that an item of a failed holder takes up until its job ends, and against a
+// list of results that lacks the item.
+TEST_CASE("an item that ends as unknown is listed and waits no longer", "[state]") {
+    test_group group;
+    REQUIRE(group.submit_listed("job", 2, false, 0).result() == schema::work_reply::done);
+    group.lease("job", "entry/1", {0});
+    group.revoke_holder("entry/1");
+    CHECK(group.job("job").waiting_tokens == item_tokens);
+    const schema::work_reply list = group.listed_results("job");
+    REQUIRE(list.results_size() == 1);
+    CHECK(list.results(0).ordinal() == 0);
+    CHECK(list.results(0).status() == schema::unknown);
+    CHECK(group.submit_listed("next", 1, true, 2 * item_tokens).result() ==
+          schema::work_reply::done);
+}
+
 // Guards against a cancelled job that continues: an item that is returned after the cancellation is
 // queued again and leased to another entry.
 TEST_CASE("items of a cancelled job are neither leased nor completed", "[state]") {
@@ -392,6 +442,53 @@
     }
 }
 
+// Guards against members that diverge: one that was restored from a snapshot accepts a job that the
+// others reject, so that the job is lost when the leader changes.
+TEST_CASE("a restored member replies to every command as the others do", "[state]") {
+    const int seed = GENERATE(range(1, 101));
+    INFO("seed " << seed);
+    std::mt19937 random(static_cast<unsigned>(seed));
+    constexpr std::uint32_t items = 4;
+    constexpr std::uint64_t max_waiting = 120;
+    std::vector<test_group> members(2);
+    std::uint32_t jobs = 0;
+    for (int step = 0; step < 300; ++step) {
+        const std::string job =
+            "job-" + std::to_string(jobs - std::min<std::uint32_t>(jobs, random() % 4));
+        const std::string holder = "entry/" + std::to_string(1 + random() % 3);
+        const std::uint32_t ordinal = random() % items;
+        const std::uint32_t attempt = 1 + random() % 2;
+        const bool repeatable = random() % 2 == 0;
+        const std::uint32_t action = random() % 10;
+        std::vector<std::string> replies;
+        for (test_group& member : members) {
+            schema::work_reply reply;
+            if (action < 2)
+                reply = member.submit_listed("job-" + std::to_string(jobs + 1), items, repeatable,
+                                             max_waiting);
+            else if (action < 5)
+                reply = member.lease(job, holder, {ordinal, (ordinal + 1) % items});
+            else if (action < 7)
+                member.end(job, holder, ordinal, attempt,
+                           action == 5 ? schema::completed : schema::pending, "response");
+            else if (action < 9)
+                member.revoke_holder(holder);
+            else if (step % 5 == 0)
+                reply = member.cancel(job);
+            replies.push_back(reply.SerializeAsString() + member.state.save() +
+                              member.listed_results(job).SerializeAsString());
+        }
+        if (action < 2)
+            ++jobs;
+        REQUIRE((replies[0] == replies[1]));
+        if (step % 20 == 0) {
+            result<work_state> loaded = work_state::load(members[0].state.save());
+            REQUIRE(loaded);
+            members[1].state = std::move(loaded.value());
+        }
+    }
+}
+
 // Guards against a keeper that crashes when it loads a snapshot that the disk corrupted.
 TEST_CASE("loading a corrupted state image doesn't crash", "[state][fuzz]") {
     constexpr int rounds = 3000;
