Gateway: a request that has run outlasts rejections until its deadline

Callers of resumable streams saw their connection reset in the middle of the answer, 4.8 s before the deadline. In the two traces the endpoint's run was cut after 90 to 100 ms, five other endpoints answered 503 with the header that says not run (full or leaving) within 50 to 90 ms, and then the gateway aborted the response.

Cause: dispatcher::retry_not_run counted rejected sends against max_sends, the limit after which a request that never ran is rejected with the promise that it hasn't, for requests that had run as well, and sent them on without a delay. Six sends were used up faster than any slot becomes free. A request cut before its first event failed likewise, with 502, or with 504 at its send deadline.

Change: a request that has run, and may run again, is placed again 10 to 20 ms after a rejection, doubled with each one up to 160 to 320 ms, until its deadline. Meanwhile it holds no slot and isn't in the queue; the tick that checks deadlines places it. A caller that leaves removes it as before. max_sends stays for requests that never ran. Runs stay bounded by the route's attempts: that bound is now checked here too, as a migrated run whose target rejected it could have been started once more than allowed.

--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -91,6 +91,8 @@
     void forward_complete_response(online_call& call);
     /// The attempt certainly did not run.
     void retry_not_run(online_call& call, const std::string& cause);
+    /// Places the call again after a delay that grows with each rejection.
+    void retry_later(online_call& call);
     /// The attempt may have run.
     void retry_or_fail(online_call& call, const std::string& cause);
     /// Ejects the call's endpoint: it gets no requests for a time.
--- a/lib/gateway/dispatch_timeouts.cpp
+++ b/lib/gateway/dispatch_timeouts.cpp
@@ -33,11 +33,8 @@
     const bool waits_for_slot = call.upstream_call == call_id();
     if (!call.buffered_events.empty() && now - call.buffered_since >= max_event_delay)
         flush_events(call);
-    if (waits_for_slot && call.phase == call_phase::queued && now > call.send_deadline) {
-        if (call.runs > 0)
-            fail(call, status_timeout, "no_slot_in_time");
-        else
-            reject(call, "no_slot_in_time");
+    if (waits_for_slot && call.runs == 0 && now > call.send_deadline) {
+        reject(call, "no_slot_in_time");
         return;
     }
     if (now >= call.deadline) {
@@ -49,8 +46,13 @@
     if (!waits_for_slot && call.phase == call_phase::sent &&
         now - call.last_reclaim_at >= reclaim_delay)
         reclaim_slot(call, now);
-    if (waits_for_slot)
+    if (waits_for_slot) {
+        if (call.retry_at != instant() && now >= call.retry_at) {
+            call.retry_at = instant();
+            place(call);
+        }
         return;
+    }
     const bool stalled =
         call.phase == call_phase::responding && now - call.last_progress_at >= stall_timeout(call);
     if (!may_retry(call)) {
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -22,6 +22,10 @@
 constexpr milliseconds min_remaining_time(50);
 // Attempts that reach no endpoint cost little, but each may take as long as the connect timeout.
 constexpr std::uint32_t max_sends = 6;
+// Delay before a request that has run is sent again after a rejection: doubled with each one, and
+// drawn from its upper half. Full endpoints have a free slot again after some ten milliseconds.
+constexpr milliseconds first_retry_delay(20);
+constexpr std::uint32_t max_doublings = 4;
 // Sent to rejected callers. Slots become free all the time: after this time the caller is as likely
 // to get one as any other.
 constexpr milliseconds retry_after(400);
@@ -195,8 +199,8 @@
     cancel_attempt(call);
     --call.runs;
     // Its run was stopped at an earlier endpoint, and this one, which was to continue it, did not.
-    // Any further attempt would be a second run.
-    if (call.runs > 0 && !call.is_repeatable()) {
+    // Any further attempt would be a run too many.
+    if (call.runs > 0 && !may_retry(call)) {
         fail(call, status_bad_gateway, cause);
         return;
     }
@@ -206,18 +210,27 @@
         .with("request", call.request_id)
         .with("endpoint", call.endpoint.str())
         .with("cause", cause);
-    const bool in_time =
-        monotonic_now() < call.send_deadline || call.phase == call_phase::responding;
-    if (call.sends < max_sends && in_time) {
+    if (call.runs > 0)
+        retry_later(call);
+    else if (call.sends < max_sends && monotonic_now() < call.send_deadline)
         place(call);
-        return;
-    }
-    if (call.runs > 0 || call.phase == call_phase::responding)
-        fail(call, status_bad_gateway, cause);
     else
         reject(call, cause);
 }
 
+// The caller can't be promised any more that the request has not run, so the call stays until its
+// deadline.
+void dispatcher::retry_later(online_call& call) {
+    const std::uint32_t doublings = std::min(call.rejections, max_doublings);
+    ++call.rejections;
+    std::uniform_real_distribution<double> upper_half(0.5, 1);
+    const microseconds delay = first_retry_delay * (1U << doublings);
+    call.retry_at =
+        monotonic_now() + std::chrono::duration_cast<microseconds>(delay * upper_half(random_));
+    if (call.phase == call_phase::sent)
+        call.phase = call_phase::queued;
+}
+
 void dispatcher::retry_or_fail(online_call& call, const std::string& cause) {
     cancel_attempt(call);
     call.failed_endpoints.insert(call.endpoint);
