Peer connections: the listening end watches by itself

A sixth of a keeper's processor time in a fleet of 246 gateways, and a twenty-fifth of a gateway's, went to a search through the list of ZeroMQ's timers (perf: _Rb_tree_increment in the I/O thread). Each heartbeat named a time to live, for which the listening end keeps a timer that it cancels at the next message of that connection; to cancel one, ZeroMQ walks the list of all timers from the front, and a time to live of 10 s stands near its end.

Heartbeats no longer name one. Instead the listening end asks each connection once in 10 s and drops it after 5 s without an answer, so it still frees the connections of processes that have failed, after 15 s at most instead of 10 s. Nothing else depends on that: the connecting end notices a failure by its own heartbeats, whose times are unchanged.

What remains of the search is for the timeouts of the connecting end's own heartbeats.

--- a/lib/net/peer_hub.cpp
+++ b/lib/net/peer_hub.cpp
@@ -35,8 +35,10 @@
 // as above would be more messages than all others.
 constexpr watch_limits steady_watch{1000, 2500};
 constexpr watch_limits relaxed_watch{2000, 5000};
-// The listening end sends none; it drops a connection whose other end fell silent for this long.
-constexpr int heartbeat_life_ms = 10000;
+// The listening end asks rarely, only to drop connections whose other end has failed. Having the
+// other end's heartbeats name a time to live would serve as well, but ZeroMQ searches the list of
+// all timers for that of the connection on each message, which grows with the square of the peers.
+constexpr watch_limits listening_watch{10000, 5000};
 // A connection that was made while the way was cut never completes its handshake, and ZeroMQ's own
 // limit of 30 s would keep the peers apart for as long after the way is whole again.
 constexpr int handshake_limit_ms = 1000;
@@ -162,6 +164,11 @@
     zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &most_message_bytes, sizeof most_message_bytes);
 }
 
+static void set_heartbeat(void* socket, const watch_limits& limits) {
+    set_option(socket, ZMQ_HEARTBEAT_IVL, limits.heartbeat_ms);
+    set_option(socket, ZMQ_HEARTBEAT_TIMEOUT, limits.timeout_ms);
+}
+
 // CURVE by itself admits whoever knows the server's public key. The authenticator also asks that
 // the client prove possession of the cluster's own key pair.
 static void answer_authentication(peer_hub::state* hub) {
@@ -257,6 +264,7 @@
     state_->router = zmq_socket(state_->context, ZMQ_ROUTER);
     set_common_options(state_->router);
     set_option(state_->router, ZMQ_ROUTER_HANDOVER, 1);
+    set_heartbeat(state_->router, listening_watch);
     if (encrypted) {
         state_->authenticator = zmq_socket(state_->context, ZMQ_REP);
         set_option(state_->authenticator, ZMQ_LINGER, 0);
@@ -294,10 +302,7 @@
 static void* connect_peer(peer_hub::state* hub, const peer_address& to, peer_watch watch) {
     void* socket = zmq_socket(hub->context, ZMQ_DEALER);
     set_common_options(socket);
-    const watch_limits limits = limits_of(watch);
-    set_option(socket, ZMQ_HEARTBEAT_IVL, limits.heartbeat_ms);
-    set_option(socket, ZMQ_HEARTBEAT_TIMEOUT, limits.timeout_ms);
-    set_option(socket, ZMQ_HEARTBEAT_TTL, heartbeat_life_ms);
+    set_heartbeat(socket, limits_of(watch));
     const std::string& secret = hub->settings.secret;
     if (hub->settings.encrypted) {
         zmq_setsockopt(socket, ZMQ_CURVE_SERVERKEY, hub->public_key.data(), z85_key_chars + 1);
