Peer socket: ask ZeroMQ only when its descriptor signals

Each turn of the event loop asked the peer socket twice whether it is readable, and each of these questions is a poll and a getpid inside ZeroMQ, whether or not anything had come in.

ZeroMQ's descriptor signals when there is news of a socket whose last read found nothing. So the loop now polls the descriptor, asks ZeroMQ only after a signal, and goes on reading without a signal only if a read stopped at its limit of messages. Nothing else is done with the listening socket that could take the signal away unseen: messages are sent over sockets of their own. The authenticator's socket is always read until it is empty.

The new test sends a burst of more messages than are read at once, which would stay unread if the limit were mistaken for an empty socket.

--- a/lib/net/peer_hub.cpp
+++ b/lib/net/peer_hub.cpp
@@ -56,7 +56,9 @@
 struct socket_source {
     GSource source;
     void* socket;
-    std::function<void()>* on_ready;
+    void* descriptor; ///< tag
+    bool may_have_more;
+    std::function<bool()>* on_ready;
 };
 
 /// One part of a received message.
@@ -94,12 +96,11 @@
     std::map<std::string, peer_traffic> sent;
     std::array<char, arena_block_bytes> arena_block{};
     std::vector<GSource*> sources;
-    std::function<void()> read_router;
-    std::function<void()> read_authenticator;
+    /// \returns whether more messages may have arrived than were read.
+    std::function<bool()> read_router;
+    std::function<bool()> read_authenticator;
 };
 
-// ZeroMQ's file descriptor signals changes only, so readiness is asked of the socket itself
-// before and after each poll.
 static bool is_readable(void* socket) {
     int events = 0;
     std::size_t size = sizeof events;
@@ -109,29 +110,36 @@
 
 static int prepare_source(GSource* source, int* timeout) {
     *timeout = -1;
-    return is_readable(reinterpret_cast<socket_source*>(source)->socket) ? TRUE : FALSE;
+    return reinterpret_cast<socket_source*>(source)->may_have_more ? TRUE : FALSE;
 }
 
+// ZeroMQ's file descriptor signals only that there is news of the socket. Once a read has found
+// nothing, there is nothing to read until the next signal.
 static int check_source(GSource* source) {
-    return is_readable(reinterpret_cast<socket_source*>(source)->socket) ? TRUE : FALSE;
+    const socket_source* watched = reinterpret_cast<socket_source*>(source);
+    const bool signalled = g_source_query_unix_fd(source, watched->descriptor) != 0;
+    return watched->may_have_more || (signalled && is_readable(watched->socket)) ? TRUE : FALSE;
 }
 
 static int dispatch_source(GSource* source, GSourceFunc, void*) {
-    (*reinterpret_cast<socket_source*>(source)->on_ready)();
+    socket_source* watched = reinterpret_cast<socket_source*>(source);
+    watched->may_have_more = (*watched->on_ready)();
     return G_SOURCE_CONTINUE;
 }
 
 static GSourceFuncs source_functions = {prepare_source, check_source, dispatch_source,
                                         nullptr,        nullptr,      nullptr};
 
-static GSource* watch_socket(task& owner, void* socket, std::function<void()>* on_ready) {
+static GSource* watch_socket(task& owner, void* socket, std::function<bool()>* on_ready) {
     GSource* source = g_source_new(&source_functions, sizeof(socket_source));
-    reinterpret_cast<socket_source*>(source)->socket = socket;
-    reinterpret_cast<socket_source*>(source)->on_ready = on_ready;
+    socket_source* watched = reinterpret_cast<socket_source*>(source);
+    watched->socket = socket;
+    watched->may_have_more = true;
+    watched->on_ready = on_ready;
     int descriptor = -1;
     std::size_t size = sizeof descriptor;
     zmq_getsockopt(socket, ZMQ_FD, &descriptor, &size);
-    g_source_add_unix_fd(source, descriptor, G_IO_IN);
+    watched->descriptor = g_source_add_unix_fd(source, descriptor, G_IO_IN);
     g_source_attach(source, owner.context());
     return source;
 }
@@ -204,7 +212,8 @@
     return count;
 }
 
-static void receive_messages(peer_hub::state* hub) {
+// \returns whether more messages may have arrived than were read.
+static bool receive_messages(peer_hub::state* hub) {
     constexpr std::size_t identity_and_body = 2;
     // An envelope has many small parts, such as the names of endpoints; on the arena they need no
     // allocation of their own.
@@ -216,7 +225,7 @@
     for (int i = 0; i < most_frames_at_once; ++i) {
         const std::size_t frames = receive_last_frame(hub->router, body);
         if (frames == 0)
-            return;
+            return false;
         schema::envelope* message =
             google::protobuf::Arena::CreateMessage<schema::envelope>(&arena);
         const std::string_view bytes = body.bytes();
@@ -228,6 +237,7 @@
             hub->on_message(*message);
         arena.Reset();
     }
+    return true;
 }
 
 peer_hub::peer_hub(task& owner, peer_hub_settings settings, handler on_message)
@@ -237,8 +247,11 @@
     state_->on_message = std::move(on_message);
     state_->context = zmq_ctx_new();
     state* hub = state_.get();
-    state_->read_router = [hub] { receive_messages(hub); };
-    state_->read_authenticator = [hub] { answer_authentication(hub); };
+    state_->read_router = [hub] { return receive_messages(hub); };
+    state_->read_authenticator = [hub] {
+        answer_authentication(hub);
+        return false;
+    };
 }
 
 peer_hub::~peer_hub() {
--- a/unittests/net/peer_hub_test.cpp
+++ b/unittests/net/peer_hub_test.cpp
@@ -9,6 +9,7 @@
 
 #include <memory>
 #include <random>
+#include <thread>
 
 using namespace cassia;
 using namespace cassia::net;
@@ -170,3 +171,26 @@
     CHECK(one.received.size() == 3);
     CHECK(two.hub.sent().at("hello").messages == 3);
 }
+
+// Guards against messages that stay unread: ZeroMQ signals only the first of a burst.
+TEST_CASE("a burst of more messages than are read at once arrives whole", "[net]") {
+    constexpr std::size_t burst = 2000;
+    task owner("test");
+    const std::string secret = make_cluster_secret();
+    hub_under_test one(owner, "127.77.0.1:7105", secret);
+    hub_under_test two(owner, "127.77.0.2:7105", secret);
+    REQUIRE(one.hub.open());
+    REQUIRE(two.hub.open());
+    schema::envelope message;
+    message.mutable_hello()->set_entry("x");
+    const peer_address to("127.77.0.1:7105");
+    two.hub.send(to, message);
+    run_for(owner, milliseconds(500));
+    REQUIRE(one.received.size() == 1);
+    for (std::size_t i = 0; i < burst; ++i)
+        two.hub.send(to, message);
+    // The whole burst is there before the first of it is read.
+    std::this_thread::sleep_for(milliseconds(500));
+    run_for(owner, milliseconds(500));
+    CHECK(one.received.size() == 1 + burst);
+}
