--- a/lib/net/peer_hub.cpp
+++ b/lib/net/peer_hub.cpp
@@ -6,11 +6,13 @@
 #include "cassia/schema/messages.pb.h"
 
 #include <glib.h>
+#include <google/protobuf/arena.h>
 #include <zmq.h>
 
 #include <array>
 #include <cstring>
 #include <map>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -33,8 +35,10 @@
 // as above would be more messages than all others.
 constexpr watch_limits steady_watch{1000, 2500};
 constexpr watch_limits relaxed_watch{2000, 5000};
-// The listening end sends none; it drops a connection whose other end fell silent for this long.
-constexpr int heartbeat_life_ms = 10000;
+// The listening end asks rarely, only to drop connections whose other end has failed. Having the
+// other end's heartbeats name a time to live would serve as well, but ZeroMQ searches the list of
+// all timers for that of the connection on each message, which grows with the square of the peers.
+constexpr watch_limits listening_watch{10000, 5000};
 // A connection that was made while the way was cut never completes its handshake, and ZeroMQ's own
 // limit of 30 s would keep the peers apart for as long after the way is whole again.
 constexpr int handshake_limit_ms = 1000;
@@ -45,13 +49,34 @@
 // Between attempts to reach a peer that is watched loosely, at most; there are many of these.
 constexpr int longest_reconnect_ms = 300;
 constexpr int most_frames_at_once = 256;
+constexpr std::size_t arena_block_bytes = 64UL * 1024;
 
 using key_text = std::array<char, z85_key_chars + 1>;
 
 struct socket_source {
     GSource source;
     void* socket;
-    std::function<void()>* on_ready;
+    void* descriptor; ///< tag
+    bool may_have_more;
+    std::function<bool()>* on_ready;
+};
+
+/// One part of a received message.
+class frame {
+public:
+    frame() { zmq_msg_init(&message_); }
+    ~frame() { zmq_msg_close(&message_); }
+    frame(const frame&) = delete;
+    frame& operator=(const frame&) = delete;
+
+    zmq_msg_t* message() { return &message_; }
+    bool has_more() const { return zmq_msg_more(&message_) != 0; }
+    std::string_view bytes() {
+        return {static_cast<const char*>(zmq_msg_data(&message_)), zmq_msg_size(&message_)};
+    }
+
+private:
+    zmq_msg_t message_{};
 };
 } // namespace
 
@@ -69,13 +94,13 @@
     };
     std::map<peer_address, peer> peers;
     std::map<std::string, peer_traffic> sent;
+    std::array<char, arena_block_bytes> arena_block{};
     std::vector<GSource*> sources;
-    std::function<void()> read_router;
-    std::function<void()> read_authenticator;
+    /// \returns whether more messages may have arrived than were read.
+    std::function<bool()> read_router;
+    std::function<bool()> read_authenticator;
 };
 
-// ZeroMQ's file descriptor signals changes only, so readiness is asked of the socket itself
-// before and after each poll.
 static bool is_readable(void* socket) {
     int events = 0;
     std::size_t size = sizeof events;
@@ -85,58 +110,53 @@
 
 static int prepare_source(GSource* source, int* timeout) {
     *timeout = -1;
-    return is_readable(reinterpret_cast<socket_source*>(source)->socket) ? TRUE : FALSE;
+    return reinterpret_cast<socket_source*>(source)->may_have_more ? TRUE : FALSE;
 }
 
+// ZeroMQ's file descriptor signals only that there is news of the socket. Once a read has found
+// nothing, there is nothing to read until the next signal.
 static int check_source(GSource* source) {
-    return is_readable(reinterpret_cast<socket_source*>(source)->socket) ? TRUE : FALSE;
+    const socket_source* watched = reinterpret_cast<socket_source*>(source);
+    const bool signalled = g_source_query_unix_fd(source, watched->descriptor) != 0;
+    return watched->may_have_more || (signalled && is_readable(watched->socket)) ? TRUE : FALSE;
 }
 
 static int dispatch_source(GSource* source, GSourceFunc, void*) {
-    (*reinterpret_cast<socket_source*>(source)->on_ready)();
+    socket_source* watched = reinterpret_cast<socket_source*>(source);
+    watched->may_have_more = (*watched->on_ready)();
     return G_SOURCE_CONTINUE;
 }
 
 static GSourceFuncs source_functions = {prepare_source, check_source, dispatch_source,
                                         nullptr,        nullptr,      nullptr};
 
-static GSource* watch_socket(task& owner, void* socket, std::function<void()>* on_ready) {
+static GSource* watch_socket(task& owner, void* socket, std::function<bool()>* on_ready) {
     GSource* source = g_source_new(&source_functions, sizeof(socket_source));
-    reinterpret_cast<socket_source*>(source)->socket = socket;
-    reinterpret_cast<socket_source*>(source)->on_ready = on_ready;
+    socket_source* watched = reinterpret_cast<socket_source*>(source);
+    watched->socket = socket;
+    watched->may_have_more = true;
+    watched->on_ready = on_ready;
     int descriptor = -1;
     std::size_t size = sizeof descriptor;
     zmq_getsockopt(socket, ZMQ_FD, &descriptor, &size);
-    g_source_add_unix_fd(source, descriptor, G_IO_IN);
+    watched->descriptor = g_source_add_unix_fd(source, descriptor, G_IO_IN);
     g_source_attach(source, owner.context());
     return source;
 }
 
-static bool receive_frame(void* socket, std::string& frame) {
-    zmq_msg_t message;
-    zmq_msg_init(&message);
-    const bool received = zmq_msg_recv(&message, socket, ZMQ_DONTWAIT) >= 0;
-    if (received)
-        frame.assign(static_cast<const char*>(zmq_msg_data(&message)), zmq_msg_size(&message));
-    zmq_msg_close(&message);
-    return received;
-}
-
-static bool has_more(void* socket) {
-    int more = 0;
-    std::size_t size = sizeof more;
-    zmq_getsockopt(socket, ZMQ_RCVMORE, &more, &size);
-    return more != 0;
+// \returns false if nothing has arrived.
+static bool receive_frame(void* socket, frame& into) {
+    return zmq_msg_recv(into.message(), socket, ZMQ_DONTWAIT) >= 0;
 }
 
 static bool receive_frames(void* socket, std::vector<std::string>& frames) {
     frames.clear();
-    std::string frame;
-    if (!receive_frame(socket, frame))
-        return false;
-    frames.push_back(std::move(frame));
-    while (has_more(socket) && receive_frame(socket, frame))
-        frames.push_back(std::move(frame));
+    frame one;
+    do {
+        if (!receive_frame(socket, one))
+            return false;
+        frames.emplace_back(one.bytes());
+    } while (one.has_more());
     return true;
 }
 
@@ -152,6 +172,11 @@
     zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &most_message_bytes, sizeof most_message_bytes);
 }
 
+static void set_heartbeat(void* socket, const watch_limits& limits) {
+    set_option(socket, ZMQ_HEARTBEAT_IVL, limits.heartbeat_ms);
+    set_option(socket, ZMQ_HEARTBEAT_TIMEOUT, limits.timeout_ms);
+}
+
 // CURVE by itself admits whoever knows the server's public key. The authenticator also asks that
 // the client prove possession of the cluster's own key pair.
 static void answer_authentication(peer_hub::state* hub) {
@@ -176,18 +201,43 @@
     }
 }
 
-static void receive_messages(peer_hub::state* hub) {
-    std::vector<std::string> frames;
-    for (int i = 0; i < most_frames_at_once && receive_frames(hub->router, frames); ++i) {
-        schema::envelope message;
-        constexpr std::size_t identity_and_body = 2;
-        if (frames.size() != identity_and_body || !message.ParseFromString(frames[1]) ||
-            message.body_case() == schema::envelope::BODY_NOT_SET) {
-            log_warning("frame_refused").with("bytes", frames.back().size());
-            continue;
-        }
-        hub->on_message(message);
+// \returns the number of frames, 0 if no message has arrived; `last` receives the last one.
+static std::size_t receive_last_frame(void* socket, frame& last) {
+    std::size_t count = 0;
+    do {
+        if (!receive_frame(socket, last))
+            return 0;
+        ++count;
+    } while (last.has_more());
+    return count;
+}
+
+// \returns whether more messages may have arrived than were read.
+static bool receive_messages(peer_hub::state* hub) {
+    constexpr std::size_t identity_and_body = 2;
+    // An envelope has many small parts, such as the names of endpoints; on the arena they need no
+    // allocation of their own.
+    google::protobuf::ArenaOptions options;
+    options.initial_block = hub->arena_block.data();
+    options.initial_block_size = hub->arena_block.size();
+    google::protobuf::Arena arena(options);
+    frame body;
+    for (int i = 0; i < most_frames_at_once; ++i) {
+        const std::size_t frames = receive_last_frame(hub->router, body);
+        if (frames == 0)
+            return false;
+        schema::envelope* message =
+            google::protobuf::Arena::CreateMessage<schema::envelope>(&arena);
+        const std::string_view bytes = body.bytes();
+        if (frames != identity_and_body ||
+            !message->ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
+            message->body_case() == schema::envelope::BODY_NOT_SET)
+            log_warning("frame_refused").with("bytes", bytes.size());
+        else
+            hub->on_message(*message);
+        arena.Reset();
     }
+    return true;
 }
 
 peer_hub::peer_hub(task& owner, peer_hub_settings settings, handler on_message)
@@ -197,8 +247,11 @@
     state_->on_message = std::move(on_message);
     state_->context = zmq_ctx_new();
     state* hub = state_.get();
-    state_->read_router = [hub] { receive_messages(hub); };
-    state_->read_authenticator = [hub] { answer_authentication(hub); };
+    state_->read_router = [hub] { return receive_messages(hub); };
+    state_->read_authenticator = [hub] {
+        answer_authentication(hub);
+        return false;
+    };
 }
 
 peer_hub::~peer_hub() {
@@ -224,6 +277,7 @@
     state_->router = zmq_socket(state_->context, ZMQ_ROUTER);
     set_common_options(state_->router);
     set_option(state_->router, ZMQ_ROUTER_HANDOVER, 1);
+    set_heartbeat(state_->router, listening_watch);
     if (encrypted) {
         state_->authenticator = zmq_socket(state_->context, ZMQ_REP);
         set_option(state_->authenticator, ZMQ_LINGER, 0);
@@ -261,10 +315,7 @@
 static void* connect_peer(peer_hub::state* hub, const peer_address& to, peer_watch watch) {
     void* socket = zmq_socket(hub->context, ZMQ_DEALER);
     set_common_options(socket);
-    const watch_limits limits = limits_of(watch);
-    set_option(socket, ZMQ_HEARTBEAT_IVL, limits.heartbeat_ms);
-    set_option(socket, ZMQ_HEARTBEAT_TIMEOUT, limits.timeout_ms);
-    set_option(socket, ZMQ_HEARTBEAT_TTL, heartbeat_life_ms);
+    set_heartbeat(socket, limits_of(watch));
     const std::string& secret = hub->settings.secret;
     if (hub->settings.encrypted) {
         zmq_setsockopt(socket, ZMQ_CURVE_SERVERKEY, hub->public_key.data(), z85_key_chars + 1);
