Membership: replace a member once, and remove it before adding another one

What callers saw: every change of a group waits for more and more members.

Cause: next_change adds before it removes, and adds whenever some member is to be replaced, whether or not its replacement votes already. So after the replacement was promoted, another member was added before the replaced one was removed. A retiring leader, which can't remove itself, adds one after the other until it has handed over. Besides, a group below its size counted members, so a learner that died before it was promoted kept the group short of a voter.

Change: members that may be removed are removed first; the conditions for that are as they were. A member is added while the voters that last (they respond and aren't retiring) are fewer than intended.

Why this works: a voter is removed only while there are more than intended, or when its node's new disk votes, so the group never has fewer voters than before.

Checked: unit_keeper passes.

--- a/include/cassia/keeper/membership_planner.h
+++ b/include/cassia/keeper/membership_planner.h
@@ -49,6 +49,10 @@
 
 private:
     bool is_recent(const keeper_status& status, instant now) const;
+    /// Number of voters that the group is to have.
+    std::size_t target() const;
+    std::size_t count_lasting_voters(const consensus::member_list& members,
+                                     const consensus::raft_group& group, instant now) const;
 
     bool may_add(const consensus::member_list& members, const keeper_status& candidate,
                  const consensus::raft_group& group, instant now) const;
--- a/lib/keeper/membership_planner.cpp
+++ b/lib/keeper/membership_planner.cpp
@@ -49,6 +49,12 @@
                        [&node](const consensus::member& member) { return member.node == node; });
 }
 
+static std::size_t count_voters(const consensus::member_list& members) {
+    return static_cast<std::size_t>(
+        std::count_if(members.begin(), members.end(),
+                      [](const consensus::member& member) { return member.voter; }));
+}
+
 // A disk that was wiped comes back under a new identity. It has lost its votes and acknowledged
 // entries, so it must not act as the old member: it joins as a learner, is promoted once it holds
 // everything committed, and only then is the old identity removed. If an empty disk counted towards
@@ -56,6 +62,14 @@
 std::optional<consensus::member_list>
 membership_planner::next_change(const consensus::raft_group& group, instant now) const {
     consensus::member_list members = group.log().members();
+    // A member that has been replaced is removed before another one is added. Otherwise it would be
+    // replaced again.
+    for (auto member = members.begin(); member != members.end(); ++member) {
+        if (!may_remove(members, *member, group, now))
+            continue;
+        members.erase(member);
+        return members;
+    }
     for (const std::pair<const std::string, keeper_status>& keeper : keepers_) {
         const keeper_status& candidate = keeper.second;
         if (!may_add(members, candidate, group, now))
@@ -69,15 +83,25 @@
         member.voter = true;
         return members;
     }
-    for (auto member = members.begin(); member != members.end(); ++member) {
-        if (!may_remove(members, *member, group, now))
-            continue;
-        members.erase(member);
-        return members;
-    }
     return std::nullopt;
 }
 
+std::size_t membership_planner::target() const {
+    return std::max(target_size_, initial_nodes_.size());
+}
+
+// Voters that needn't be replaced.
+std::size_t membership_planner::count_lasting_voters(const consensus::member_list& members,
+                                                     const consensus::raft_group& group,
+                                                     instant now) const {
+    return static_cast<std::size_t>(std::count_if(
+        members.begin(), members.end(), [this, &group, now](const consensus::member& member) {
+            const bool responsive =
+                member.disk == group.self() || group.is_active(member.disk, now);
+            return member.voter && responsive && !is_retiring(member.disk);
+        }));
+}
+
 bool membership_planner::may_add(const consensus::member_list& members,
                                  const keeper_status& candidate, const consensus::raft_group& group,
                                  instant now) const {
@@ -87,21 +111,14 @@
         });
     if (!is_recent(candidate, now) || is_member || is_retiring(candidate.disk))
         return false;
-    const bool has_replaceable_member = std::any_of(
-        members.begin(), members.end(), [this, &group, now](const consensus::member& member) {
-            const bool unresponsive =
-                member.voter && member.disk != group.self() && !group.is_active(member.disk, now);
-            return unresponsive || is_retiring(member.disk);
-        });
     // Learners are added one at a time, because each costs the leader a copy of the state. A new
     // disk of a member's node is added regardless: it is to replace that node's old disk.
     const bool has_active_learner =
         std::any_of(members.begin(), members.end(), [&group, now](const consensus::member& member) {
             return !member.voter && group.is_active(member.disk, now);
         });
-    const bool below_target = members.size() < target_size_;
-    return has_node(members, candidate.node) ||
-           ((has_replaceable_member || below_target) && !has_active_learner);
+    const bool below_target = count_lasting_voters(members, group, now) < target();
+    return has_node(members, candidate.node) || (below_target && !has_active_learner);
 }
 
 bool membership_planner::may_remove(const consensus::member_list& members,
@@ -116,11 +133,7 @@
             return other.node == candidate.node && other.disk != candidate.disk &&
                    (other.voter || !candidate.voter) && group.is_active(other.disk, now);
         });
-    const std::size_t voters = static_cast<std::size_t>(
-        std::count_if(members.begin(), members.end(),
-                      [](const consensus::member& member) { return member.voter; }));
-    const std::size_t target = std::max(target_size_, initial_nodes_.size());
-    const bool is_surplus_voter = candidate.voter && voters > target;
+    const bool is_surplus_voter = candidate.voter && count_voters(members) > target();
     return (unresponsive && (superseded || is_surplus_voter)) ||
            (is_retiring(candidate.disk) && is_surplus_voter);
 }
--- a/unittests/keeper/membership_planner_test.cpp
+++ b/unittests/keeper/membership_planner_test.cpp
@@ -117,6 +117,47 @@
         CHECK(written.at(relocation.second) == read(relocation.first).value());
 }
 
+// Guards against a group that is short of a voter for good, because a learner died before it was
+// promoted.
+TEST_CASE("a learner that died isn't counted as a member to come", "[keeper]") {
+    membership_planner planner({"k1"});
+    planner.set_target_size(2);
+    const consensus::raft_group group = make_leader({{disk_id(2), "k2", "", false}});
+    const instant now = start + milliseconds(5000);
+    planner.update(make_status("k3", 3, false, now));
+    const std::optional<consensus::member_list> members = planner.next_change(group, now);
+    REQUIRE(members);
+    CHECK(members->back().disk == disk_id(3));
+}
+
+// Guards against a group that grows by one with every replacement, because the replaced member is
+// replaced again before it is removed.
+TEST_CASE("a replaced member is removed before another one is added", "[keeper]") {
+    const instant now = start + milliseconds(1600);
+    membership_planner planner({"k1", "k2"});
+    planner.set_target_size(2);
+    planner.set_retiring({disk_id(2)});
+    const consensus::raft_group group =
+        make_leader({{disk_id(2), "k2", "", true}, {disk_id(3), "k3", "", true}});
+    planner.update(make_status("k4", 4, false, now));
+    const std::optional<consensus::member_list> members = planner.next_change(group, now);
+    REQUIRE(members);
+    REQUIRE(members->size() == 2);
+    CHECK(members->back().disk == disk_id(3));
+}
+
+// Guards against a leader that adds one member after the other while it can't hand over.
+TEST_CASE("a retiring leader is replaced once", "[keeper]") {
+    const instant now = start + milliseconds(1600);
+    membership_planner planner({"k1", "k2"});
+    planner.set_target_size(2);
+    planner.set_retiring({disk_id(1)});
+    const consensus::raft_group group =
+        make_leader({{disk_id(2), "k2", "", true}, {disk_id(3), "k3", "", true}});
+    planner.update(make_status("k4", 4, false, now));
+    CHECK_FALSE(planner.next_change(group, now));
+}
+
 // Guards against a group that stays as small as its list of seeds: with three seeds and two
 // tolerated losses, it must grow from three members to five, one at a time, and no further.
 TEST_CASE("a group grows to its target size, one member at a time", "[keeper]") {
