Membership: remove a surplus voter once all voters respond

What callers saw: as before this, changes that wait for more members than intended, here after members were away for a short time.

Cause: a voter that doesn't respond for two election timeouts is replaced. It returns, and nothing removes a voter that responds and isn't retiring. So each short absence may add a voter for good, until all standbys vote.

On the code before: a surplus voter is removed once all voters have responded to the leader: REQUIRE( members ) failed

Change: if there are more voters than intended and none of them is to be replaced, the one that was added last is removed, but not the leader. A new leader takes all members for active at first, so it waits until each voter has confirmed part of its log. A group whose intended size was lowered shrinks too.

Why this works: at least the intended number of voters respond afterwards. If one of them fails later, it is replaced as before. The removed one may still think that it votes; its pre-votes are rejected by members that have a leader.

Checked: unit_keeper passes.

--- a/include/cassia/consensus/raft_group.h
+++ b/include/cassia/consensus/raft_group.h
@@ -95,6 +95,8 @@
     const raft_log& log() const { return log_; }
     /// Whether a member has all committed entries; known to the leader only.
     bool caught_up(disk_id member) const;
+    /// Whether a member has confirmed part of its log since this member leads.
+    bool has_matched(disk_id member) const;
     /// Whether a member replied within the last two election timeouts; known to the leader only.
     bool is_active(disk_id member, instant now) const;
 
--- a/include/cassia/keeper/membership_planner.h
+++ b/include/cassia/keeper/membership_planner.h
@@ -54,6 +54,9 @@
     std::size_t count_lasting_voters(const consensus::member_list& members,
                                      const consensus::raft_group& group, instant now) const;
 
+    /// Whether there are more voters than intended and none of them is to be replaced.
+    bool has_healthy_surplus(const consensus::member_list& members,
+                             const consensus::raft_group& group, instant now) const;
     bool may_add(const consensus::member_list& members, const keeper_status& candidate,
                  const consensus::raft_group& group, instant now) const;
     bool may_remove(const consensus::member_list& members, const consensus::member& candidate,
--- a/lib/consensus/raft_group.cpp
+++ b/lib/consensus/raft_group.cpp
@@ -163,6 +163,11 @@
            found->second.match >= commit_;
 }
 
+bool raft_group::has_matched(disk_id member) const {
+    auto found = progress_.find(member);
+    return found != progress_.end() && found->second.match > 0;
+}
+
 bool raft_group::is_active(disk_id member, instant now) const {
     auto found = progress_.find(member);
     return found != progress_.end() &&
--- a/lib/keeper/membership_planner.cpp
+++ b/lib/keeper/membership_planner.cpp
@@ -70,6 +70,14 @@
         members.erase(member);
         return members;
     }
+    if (has_healthy_surplus(members, group, now)) {
+        auto newest = std::find_if(members.rbegin(), members.rend(),
+                                   [&group](const consensus::member& member) {
+                                       return member.voter && member.disk != group.self();
+                                   });
+        members.erase(std::next(newest).base());
+        return members;
+    }
     for (const std::pair<const std::string, keeper_status>& keeper : keepers_) {
         const keeper_status& candidate = keeper.second;
         if (!may_add(members, candidate, group, now))
@@ -102,6 +110,20 @@
         }));
 }
 
+// A voter that didn't respond for a while, and was replaced, has returned. With more voters than
+// intended, every change would wait for more of them.
+bool membership_planner::has_healthy_surplus(const consensus::member_list& members,
+                                             const consensus::raft_group& group,
+                                             instant now) const {
+    const std::size_t voters = count_voters(members);
+    // A new leader takes all members for active at first.
+    const bool all_matched =
+        std::all_of(members.begin(), members.end(), [&group](const consensus::member& member) {
+            return !member.voter || member.disk == group.self() || group.has_matched(member.disk);
+        });
+    return voters > target() && all_matched && count_lasting_voters(members, group, now) == voters;
+}
+
 bool membership_planner::may_add(const consensus::member_list& members,
                                  const keeper_status& candidate, const consensus::raft_group& group,
                                  instant now) const {
--- a/unittests/keeper/membership_planner_test.cpp
+++ b/unittests/keeper/membership_planner_test.cpp
@@ -158,6 +158,30 @@
     CHECK_FALSE(planner.next_change(group, now));
 }
 
+// Guards against a group that keeps more voters than intended, which every change then waits for:
+// one that was replaced has returned.
+TEST_CASE("a surplus voter is removed once all voters have responded to the leader", "[keeper]") {
+    const instant now = start + milliseconds(1600);
+    membership_planner planner({"k1", "k2"});
+    planner.set_target_size(2);
+    consensus::raft_group group =
+        make_leader({{disk_id(2), "k2", "", true}, {disk_id(3), "k3", "", true}});
+    for (const std::uint64_t disk : {2, 3}) {
+        CHECK_FALSE(planner.next_change(group, now));
+        schema::raft_message reply;
+        reply.set_kind(schema::raft_message::append_reply);
+        reply.set_from(disk);
+        reply.set_to(1);
+        reply.set_term(group.term().value());
+        reply.set_index(group.log().last_index());
+        group.receive(reply, now);
+    }
+    const std::optional<consensus::member_list> members = planner.next_change(group, now);
+    REQUIRE(members);
+    REQUIRE(members->size() == 2);
+    CHECK(members->back().disk == disk_id(2));
+}
+
 // Guards against a group that stays as small as its list of seeds: with three seeds and two
 // tolerated losses, it must grow from three members to five, one at a time, and no further.
 TEST_CASE("a group grows to its target size, one member at a time", "[keeper]") {
