Usage sums: hand the relay's own zone on without a copy

Each gateway of a zone gets the zone's sum from its relay up to twenty times a second, 60 endpoints each; decoding it and handing it to the slot table was 6% of a gateway's processor time in a fleet of 246 (perf with callers). Each endpoint was looked up in the map that it goes into, though senders list them in the map's order, and the finished map was copied once more, since sums of other zones are kept by the exchange; that of the own zone isn't. The sum of a gateway that isn't the relay is now refused before it is decoded.

An out-of-order or repeated endpoint is still taken, the last one counts.

--- a/lib/gateway/usage_coordinator.cpp
+++ b/lib/gateway/usage_coordinator.cpp
@@ -24,8 +24,10 @@
 template <class Message>
 static slot_usage_map decode_usage(const Message& message) {
     slot_usage_map usage;
+    // Senders list the endpoints in the map's order.
     for (const schema::endpoint_use& use : message.uses())
-        usage[endpoint_id(use.endpoint())] = {use.online(), use.batch(), use.suspects()};
+        usage.insert_or_assign(usage.end(), endpoint_id(use.endpoint()),
+                               policy::slot_usage{use.online(), use.batch(), use.suspects()});
     return usage;
 }
 
@@ -95,11 +97,20 @@
 }
 
 void usage_coordinator::on_zone_sums(const schema::usage_sums& sums) {
+    const entry_id relay(sums.entry());
+    const zone_id sender_zone(sums.zone());
+    if (sender_zone == zone_) {
+        if (!exchange_.receive_sums(relay, sender_zone, {}, monotonic_now()))
+            return;
+        for (const schema::zone_usage& zone : sums.zones())
+            hooks_.on_usage(policy::usage_exchange::zone_key(zone_id(zone.zone())),
+                            decode_usage(zone));
+        return;
+    }
     policy::zone_usage_map zones;
     for (const schema::zone_usage& zone : sums.zones())
         zones[zone_id(zone.zone())] = std::make_shared<slot_usage_map>(decode_usage(zone));
-    if (!exchange_.receive_sums(entry_id(sums.entry()), zone_id(sums.zone()), zones,
-                                monotonic_now()))
+    if (!exchange_.receive_sums(relay, sender_zone, zones, monotonic_now()))
         return;
     for (const policy::zone_usage_map::value_type& zone : zones)
         hooks_.on_usage(policy::usage_exchange::zone_key(zone.first), *zone.second);
