Quotas: look for silent owners without looking each up

A gateway polls its quotas on each tick and after each message about them, a hundred times a second, and each time looked up the state of each of the 16 owners by name only to find that none is overdue. The states are now gone through in place, and the owners by rank only if one of them is overdue; the order in which they fail is the same as before.

A poll in a fleet of 246 gateways, 16 owners that answer: 3000 instructions instead of 6600 (callgrind, mean of 1000). Polls were 2.3% of a gateway's processor time (perf with callers), half of it this.

--- a/include/cassia/policy/quota_enforcer.h
+++ b/include/cassia/policy/quota_enforcer.h
@@ -126,6 +126,7 @@
     void fail_silent_owners(instant now);
     void retry_timed_out_asks(instant now);
     quota_report build_report(owner_state& state, instant now) const;
+    static bool is_silent(const owner_state& owner, instant now);
     static bool is_report_due(const owner_state& state, instant now);
 
     entry_id self_;
--- a/lib/policy/quota_enforcer.cpp
+++ b/lib/policy/quota_enforcer.cpp
@@ -297,13 +297,21 @@
     redirect_asks(owner, now);
 }
 
+bool quota_enforcer::is_silent(const owner_state& owner, instant now) {
+    return owner.failed_at == instant() && !owner.unacknowledged.empty() &&
+           now - owner.unacknowledged.front().at > answer_timeout;
+}
+
 void quota_enforcer::fail_silent_owners(instant now) {
+    const bool any_silent = std::any_of(states_.begin(), states_.end(), [now](const auto& one) {
+        return is_silent(one.second, now);
+    });
+    if (!any_silent)
+        return;
+    // By rank: what one owner was asked goes on to the next.
     for (const entry_id& owner : owners_) {
         auto found = states_.find(owner);
-        if (found == states_.end() || found->second.failed_at != instant())
-            continue;
-        const std::deque<sent_report>& unacknowledged = found->second.unacknowledged;
-        if (!unacknowledged.empty() && now - unacknowledged.front().at > answer_timeout)
+        if (found != states_.end() && is_silent(found->second, now))
             mark_failed(owner, now);
     }
 }
