Endpoint pulses: write them into the message that carries them

The control keepers write the pulses of 60 endpoints into each answer to a gateway that follows them: 7% of all keepers' processor time in a fleet of 246 gateways (perf with callers). They were collected in a vector, whose growth moved each message several times, and moved once more into the answer. They are now made in the list that becomes the answer's. The list of serving endpoints, which gateways make for each beacon, is allocated once.

--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -170,8 +170,7 @@
             *target.add_endpoints() = std::move(record);
         if (!with_pulses)
             return;
-        for (schema::endpoint_pulse& pulse : directory_.pulses_since(known, monotonic_now()))
-            *target.add_pulses() = std::move(pulse);
+        *target.mutable_pulses() = directory_.pulses_since(known, monotonic_now());
     }
     /// Refreshes, at most once per `list_refresh_interval`, what would otherwise be computed for
     /// each heartbeat: the list of live gateways, and the digest of the list of keepers.
--- a/include/cassia/membership/endpoint_directory.h
+++ b/include/cassia/membership/endpoint_directory.h
@@ -54,7 +54,8 @@
     /// Whether the latest announcement of any endpoint in service is older than `timeout`.
     bool any_unresponsive_for(milliseconds timeout, instant now) const;
     /// Liveness reports, with ages, of the endpoints announced after a revision without a change.
-    std::vector<schema::endpoint_pulse> pulses_since(std::uint64_t revision, instant now) const;
+    google::protobuf::RepeatedPtrField<schema::endpoint_pulse> pulses_since(std::uint64_t revision,
+                                                                            instant now) const;
     /// Records that changed after a revision, with ages.
     std::vector<schema::endpoint_record> records_since(std::uint64_t revision, instant now) const;
 
--- a/lib/membership/endpoint_directory.cpp
+++ b/lib/membership/endpoint_directory.cpp
@@ -139,24 +139,24 @@
                        });
 }
 
-std::vector<schema::endpoint_pulse> endpoint_directory::pulses_since(std::uint64_t revision,
-                                                                     instant now) const {
-    std::vector<schema::endpoint_pulse> out;
+google::protobuf::RepeatedPtrField<schema::endpoint_pulse>
+endpoint_directory::pulses_since(std::uint64_t revision, instant now) const {
+    google::protobuf::RepeatedPtrField<schema::endpoint_pulse> out;
     for (const std::pair<const endpoint_id, endpoint_state>& known : endpoints_) {
         if (known.second.changed_revision > revision || known.second.heard_revision <= revision)
             continue;
-        schema::endpoint_pulse pulse;
-        pulse.set_id(known.first.str());
-        pulse.set_incarnation(known.second.record.incarnation());
-        pulse.set_sequence(known.second.record.sequence());
-        pulse.set_age_ms(ms_between(known.second.last_heard, now));
-        out.push_back(std::move(pulse));
+        schema::endpoint_pulse* pulse = out.Add();
+        pulse->set_id(known.first.str());
+        pulse->set_incarnation(known.second.record.incarnation());
+        pulse->set_sequence(known.second.record.sequence());
+        pulse->set_age_ms(ms_between(known.second.last_heard, now));
     }
     return out;
 }
 
 std::vector<const endpoint_state*> endpoint_directory::serving(instant now) const {
     std::vector<const endpoint_state*> out;
+    out.reserve(endpoints_.size());
     for (const std::pair<const endpoint_id, endpoint_state>& known : endpoints_) {
         if (!known.second.leaving && now - known.second.last_heard < settings_.unresponsive_after)
             out.push_back(&known.second);
