--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -150,6 +150,7 @@
     void queue_heartbeat(const schema::entry_hello& heartbeat);
     void respond_to_queued_heartbeats();
     void on_gateway_heartbeat(const schema::entry_hello& heartbeat);
+    void forget_old_gateways(instant now);
     /// Sends a gateway what it lacks: in response to its heartbeat, or to push a change.
     void send_beacon(known_gateway& gateway);
     /// Writes whether this keeper leads or hears the leader of the control group, and the
@@ -170,8 +171,7 @@
             *target.add_endpoints() = std::move(record);
         if (!with_pulses)
             return;
-        for (schema::endpoint_pulse& pulse : directory_.pulses_since(known, monotonic_now()))
-            *target.add_pulses() = std::move(pulse);
+        *target.mutable_pulses() = directory_.pulses_since(known, monotonic_now());
     }
     /// Refreshes, at most once per `list_refresh_interval`, what would otherwise be computed for
     /// each heartbeat: the list of live gateways, and the digest of the list of keepers.
