Keepers: no scan of the lists for a gateway that has the latest

A control keeper answers the heartbeats of the gateways that follow it with what has changed in the list of gateways and in the directory of endpoints, and went through both lists for it each time, 246 gateways and 60 endpoints, though both change seldom: 2.4% of all keepers' processor time in a fleet of 246 gateways in the scans' tree walk alone (perf with callers). Both lists know the revision of their last change; a receiver that has it gets nothing, as before, without a scan.

Both lists for a gateway that has the latest: 350 instructions instead of 7970 (callgrind, mean of 1000).

--- a/include/cassia/membership/endpoint_directory.h
+++ b/include/cassia/membership/endpoint_directory.h
@@ -71,6 +71,7 @@
     endpoint_directory_settings settings_;
     std::map<endpoint_id, endpoint_state> endpoints_;
     std::uint64_t revision_ = 0;
+    std::uint64_t changed_revision_ = 0; ///< the last change of any endpoint
     std::uint64_t changes_ = 0;
 };
 
--- a/lib/membership/endpoint_directory.cpp
+++ b/lib/membership/endpoint_directory.cpp
@@ -39,6 +39,7 @@
 
 void endpoint_directory::note_change(endpoint_state& endpoint) {
     endpoint.changed_revision = ++revision_;
+    changed_revision_ = revision_;
     ++changes_;
 }
 
@@ -181,6 +182,8 @@
 std::vector<schema::endpoint_record> endpoint_directory::records_since(std::uint64_t revision,
                                                                        instant now) const {
     std::vector<schema::endpoint_record> out;
+    if (changed_revision_ <= revision)
+        return out;
     for (const std::pair<const endpoint_id, endpoint_state>& known : endpoints_) {
         if (known.second.changed_revision <= revision)
             continue;
--- a/lib/membership/entry_roster.cpp
+++ b/lib/membership/entry_roster.cpp
@@ -49,6 +49,8 @@
     beacon.set_entries_revision(revision_);
     const bool whole_list = epoch != epoch_ || revision < forgotten_revision_ || revision == 0;
     beacon.set_all_entries(whole_list);
+    if (!whole_list && revision >= revision_)
+        return;
     for (const std::pair<const std::string, known_entry>& named_entry : entries_) {
         const known_entry& known = named_entry.second;
         if (!whole_list && known.changed_revision <= revision)
