Raft: a leader under load can hand over its leadership

What callers saw: the retirement of a machine whose keeper leads a busy group doesn't end, and requests fail for a third of a second at each attempt to hand over.

Cause: a leader asks a voter to take over only if that voter has the whole log at this moment, and goes on appending. Under constant load no voter ever has the whole log. If one has, an entry appended before the request arrives makes that voter's log too short to be elected, yet its vote request deposes the leader. The keeper appended such an entry itself: the membership change of the same round.

Change: while it hands over, a leader rejects proposals, and it asks the voter as soon as that one has the whole log, again with each of its replies. It gives up after half an election timeout and tries again after two. Callers get the result `unavailable` meanwhile, not `not_leader` with this keeper as the leader to ask.

Why this works: with no new entries the voter that is furthest ahead has the log after one round trip. If the request is lost, it is repeated; if the voter fails, the leader serves again after 350 ms at the default timeout. A new leader starts without a transfer.

Checked: unit_consensus, unit_keeper and unit_state pass.

--- a/include/cassia/consensus/raft_group.h
+++ b/include/cassia/consensus/raft_group.h
@@ -61,7 +61,8 @@
     void tick(instant now);
     void receive(const schema::raft_message& message, instant now);
 
-    /// Appends a command if this member is the leader. \returns the index of its entry, or nothing.
+    /// Appends a command if this member is the leader and transfers its leadership to nobody.
+    /// \returns the index of its entry, or nothing.
     std::optional<std::uint64_t> propose(std::string command, instant now);
     /// Appends a membership that differs by one member. Rejected unless this member is the leader,
     /// the previous change is committed, and so is an entry of the current term. \returns the index
@@ -75,8 +76,9 @@
     void snapshot_installed(log_base base, instant now);
     /// Reports that a member has installed the snapshot sent to it, which covers up to `index`.
     void snapshot_delivered(disk_id member, std::uint64_t index, instant now);
-    /// Asks the active voter that is furthest ahead to take over leadership, if it has the whole
-    /// log. Used when this member's keeper shuts down or is being retired.
+    /// Asks the active voter that is furthest ahead to take over leadership as soon as it has the
+    /// whole log; gives up, for a while, after half an election timeout. Used when this member's
+    /// keeper shuts down or is being retired.
     void transfer_leadership(instant now);
 
     raft_actions take_actions();
@@ -133,6 +135,7 @@
     bool is_voter(disk_id member) const;
     std::size_t quorum() const;
     void check_quorum(instant now);
+    void continue_transfer(instant now);
 
     // Replication (raft_replication.cpp).
     void receive_append(const schema::raft_message& message, instant now);
@@ -169,6 +172,9 @@
     std::map<disk_id, progress> progress_; ///< of the other members, if this one leads
     std::uint64_t term_start_ = 0;         ///< index of the first entry of this leader's term
     instant leader_since_{};
+    disk_id transfer_target_; ///< is to take over leadership until transfer_until_
+    instant transfer_until_{};
+    instant next_transfer_{}; ///< no earlier
     std::uint64_t commit_ = 0;
     std::uint64_t applied_ = 0;
     std::uint64_t synced_ = 0; ///< highest index synced to this member's disk
--- a/include/cassia/keeper/group_replica.h
+++ b/include/cassia/keeper/group_replica.h
@@ -46,8 +46,8 @@
 class group_replica {
 public:
     /// Receives the reply of a command once it is applied: `not_leader` if this member doesn't lead
-    /// when the command is proposed, `unavailable` if it loses leadership before the outcome is
-    /// known.
+    /// when the command is proposed, `unavailable` if it transfers its leadership then, or loses it
+    /// before the outcome is known.
     using reply_callback = std::function<void(schema::keeper_reply)>;
 
     /// \param log_writer writes the log, and whatever must be written after it.
--- a/lib/consensus/raft_election.cpp
+++ b/lib/consensus/raft_election.cpp
@@ -161,6 +161,8 @@
     leader_ = self_;
     leader_seen_ = true;
     leader_since_ = now;
+    transfer_until_ = instant();
+    next_transfer_ = instant();
     progress_.clear();
     update_tracked_members(now);
     // Entries of earlier terms are committed only together with an entry of the current term, so a
@@ -189,20 +191,32 @@
     reset_election_timer(now);
 }
 
+// Proposals are rejected meanwhile: under constant load no other member would ever have the whole
+// log, and one that lacks the last entry isn't elected.
 void raft_group::transfer_leadership(instant now) {
-    if (role_ != raft_role::leader)
+    if (role_ != raft_role::leader || now < next_transfer_)
         return;
-    disk_id best;
+    transfer_target_ = disk_id();
     std::uint64_t best_match = 0;
     for (const std::pair<const disk_id, progress>& peer : progress_) {
         if (!is_voter(peer.first) || !is_active(peer.first, now) || peer.second.match < best_match)
             continue;
-        best = peer.first;
+        transfer_target_ = peer.first;
         best_match = peer.second.match;
     }
-    if (best != disk_id() && best_match == log_.last_index())
+    if (transfer_target_ == disk_id())
+        return;
+    transfer_until_ = now + settings_.election_timeout / 2;
+    next_transfer_ = now + settings_.election_timeout * 2;
+    continue_transfer(now);
+}
+
+void raft_group::continue_transfer(instant now) {
+    auto target = progress_.find(transfer_target_);
+    if (now < transfer_until_ && target != progress_.end() &&
+        target->second.match == log_.last_index())
         actions_.immediate_messages.push_back(
-            make_message(schema::raft_message::timeout_now, best));
+            make_message(schema::raft_message::timeout_now, transfer_target_));
 }
 
 } // namespace cassia::consensus
--- a/lib/consensus/raft_replication.cpp
+++ b/lib/consensus/raft_replication.cpp
@@ -10,7 +10,7 @@
 namespace cassia::consensus {
 
 std::optional<std::uint64_t> raft_group::propose(std::string command, instant now) {
-    if (role_ != raft_role::leader)
+    if (role_ != raft_role::leader || now < transfer_until_)
         return std::nullopt;
     schema::log_entry entry;
     entry.set_kind(schema::log_entry::command);
@@ -24,7 +24,7 @@
     // Before the first commit of the term, the change could be committed by a quorum of a
     // membership that an earlier change, unknown to this leader, has already replaced.
     const bool no_change_in_progress = commit_ >= term_start_ && log_.members_index() <= commit_;
-    if (role_ != raft_role::leader || !no_change_in_progress)
+    if (role_ != raft_role::leader || !no_change_in_progress || now < transfer_until_)
         return std::nullopt;
     schema::log_entry entry;
     entry.set_kind(schema::log_entry::members);
@@ -202,6 +202,8 @@
         broadcast(now);
     else if (peer.next <= log_.last_index())
         send_append(found->first, now);
+    if (found->first == transfer_target_)
+        continue_transfer(now);
 }
 
 void raft_group::persisted(std::uint64_t index, term_number term) {
--- a/lib/keeper/group_replica.cpp
+++ b/lib/keeper/group_replica.cpp
@@ -105,7 +105,8 @@
     const std::optional<std::uint64_t> index = raft_->propose(std::move(command), now);
     if (!index) {
         schema::keeper_reply refusal;
-        refusal.set_result(schema::keeper_reply::not_leader);
+        refusal.set_result(raft_->leads() ? schema::keeper_reply::unavailable
+                                          : schema::keeper_reply::not_leader);
         reply(std::move(refusal));
         return;
     }
--- a/unittests/consensus/raft_rules_test.cpp
+++ b/unittests/consensus/raft_rules_test.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <vector>
@@ -118,6 +119,47 @@
     CHECK_FALSE(group.propose_members(extended, start + milliseconds(1500)));
 }
 
+// Guards against a leader that never gets rid of its leadership, so that its machine can't be taken
+// away: under constant load no member ever has the whole log.
+TEST_CASE("a leader under load hands over as soon as a voter has the whole log", "[consensus]") {
+    raft_group group = make_member(1, 1, start);
+    const instant now = start + milliseconds(1500);
+    group.tick(now);
+    group.persisted(2, group.term());
+    member_list extended = group.log().members();
+    extended.push_back({disk_id(2), "node-2", "", true});
+    REQUIRE(group.propose_members(extended, now));
+    group.persisted(3, group.term());
+    REQUIRE(group.propose("command", now) == 4);
+    const auto is_asked_to_take_over = [&group] {
+        const raft_actions actions = group.take_actions();
+        return std::any_of(actions.immediate_messages.begin(), actions.immediate_messages.end(),
+                           [](const schema::raft_message& message) {
+                               return message.kind() == schema::raft_message::timeout_now &&
+                                      message.to() == 2;
+                           });
+    };
+    const auto confirm = [&group](std::uint64_t index, instant at) {
+        schema::raft_message reply =
+            request(schema::raft_message::append_reply, 2, 1, group.term().value());
+        reply.set_index(index);
+        group.receive(reply, at);
+    };
+    group.transfer_leadership(now);
+    CHECK_FALSE(is_asked_to_take_over());
+    CHECK_FALSE(group.propose("command", now));
+    CHECK_FALSE(group.propose_members(extended, now));
+    confirm(3, now + milliseconds(10));
+    CHECK_FALSE(is_asked_to_take_over());
+    confirm(4, now + milliseconds(20));
+    CHECK(is_asked_to_take_over());
+
+    const instant given_up = now + milliseconds(360);
+    CHECK(group.propose("command", given_up) == 5);
+    group.transfer_leadership(given_up);
+    CHECK(group.propose("command", given_up) == 6);
+}
+
 // Guards against a leader that exceeds its memory limit after a partition heals: the partitioned
 // member gets all heartbeats queued during the partition at once and rejects each, because it lacks
 // earlier entries. The leader must not send a megabyte of its log for each rejection.
