Slot table: an endpoint that rejected a request counts as full for a time

Endpoints answered 503, not run, to request after request of the same gateway: the rejection was known to the rejected request alone, and the next placement could choose the same endpoint at once.

Cause: neither the dispatcher nor the item runner recorded rejections in the slot table; the item runner even recorded each as a success.

Change: slot_table::record_rejection. The endpoint counts as full, for online requests and batch items and for slots that batch would yield, for 100 ms, doubled with each rejection in a row up to 400 ms. Rejections of requests that were under way together count once. A success ends the row; the first 100 ms remain, as the success may be of a request accepted before. It is no failure: nothing is shared with peers, suspension and trial are as before, and total_slots keeps the endpoint's slots. The dispatcher's second attempt to place a request, without exclusions, finds no such endpoint either, so if all of them reject, the request waits in the queue.

The unit tests of the table need the new function and don't build without it.

--- a/include/cassia/policy/slot_table.h
+++ b/include/cassia/policy/slot_table.h
@@ -70,7 +70,10 @@
     /// A request failed there. The endpoint is suspended, for longer with each failure, and then on
     /// trial until a request succeeds. \returns the length of the suspension.
     milliseconds record_failure(const endpoint_id& endpoint, instant now);
-    /// A request succeeded there: ends suspension and trial.
+    /// A request was rejected there without having run. The endpoint counts as full, for longer
+    /// with each rejection in a row; that is no failure, and peers aren't told.
+    void record_rejection(const endpoint_id& endpoint, instant now);
+    /// A request succeeded there: ends suspension and trial, and the row of rejections.
     void record_success(const endpoint_id& endpoint);
     /// A stream from there stalled. A single stall may be a lost packet; a second one, with nothing
     /// received from the endpoint in between, counts as a failure. \returns the length of the
@@ -112,6 +115,9 @@
         instant suspended_until{};
         std::uint32_t failures = 0; ///< consecutive
         bool stalled = false;       ///< a stream stalled, and nothing was received since
+        instant rejected_at{};
+        milliseconds full_time{0};    ///< after `rejected_at`, counts as full
+        std::uint32_t rejections = 0; ///< consecutive
     };
     struct remote_usage {
         slot_usage_map usage;
@@ -124,6 +130,7 @@
         bool on_trial = false;          ///< online uses it only as a last resort
     };
 
+    static bool counts_as_full(const endpoint_state& endpoint, instant now);
     void subtract_remote(const slot_usage_map& usage);
     slot_usage total_use(const endpoint_id& endpoint) const;
     std::uint32_t remote_suspicions(const endpoint_id& endpoint) const;
--- a/lib/gateway/item_responses.cpp
+++ b/lib/gateway/item_responses.cpp
@@ -30,9 +30,11 @@
     item.last_progress_at = monotonic_now();
     item.not_run = head.fields.has(names_.not_run) || head.status == status_misdirected;
     item.status = head.status;
-    slots_.record_success(item.endpoint);
-    if (item.not_run)
+    if (item.not_run) {
+        slots_.record_rejection(item.endpoint, item.last_progress_at);
         return;
+    }
+    slots_.record_success(item.endpoint);
     const bool is_own_response =
         head.fields.find(names_.request_id) == item.leased.item().custom_id();
     const bool is_stamped = head.fields.has(names_.stamp) && !head.fields.has("Content-Encoding");
--- a/lib/policy/slot_table.cpp
+++ b/lib/policy/slot_table.cpp
@@ -17,6 +17,11 @@
 constexpr milliseconds first_suspension(250);
 constexpr milliseconds max_suspension(4000);
 constexpr std::uint32_t max_doublings = 5;
+// An endpoint that rejected a request counts as full for this long, doubled with each further
+// rejection. Slots become free all the time, so the longest is short compared with the time that
+// callers wait.
+constexpr milliseconds first_full_time(100);
+constexpr milliseconds max_full_time(400);
 // A single gateway may be the only one that can't reach an endpoint; if two can't, the endpoint is
 // at fault. Otherwise each gateway would lose requests of its own to an unreachable endpoint.
 constexpr std::uint32_t min_suspecting_gateways = 2;
@@ -33,6 +38,9 @@
         if (same) {
             known.suspended_until = before->second.suspended_until;
             known.failures = before->second.failures;
+            known.rejected_at = before->second.rejected_at;
+            known.full_time = before->second.full_time;
+            known.rejections = before->second.rejections;
         }
     }
     endpoints_ = std::move(next);
@@ -104,6 +112,22 @@
     return pause;
 }
 
+bool slot_table::counts_as_full(const endpoint_state& endpoint, instant now) {
+    return now < endpoint.rejected_at + endpoint.full_time;
+}
+
+void slot_table::record_rejection(const endpoint_id& endpoint, instant now) {
+    auto found = endpoints_.find(endpoint);
+    // Requests sent before the first rejection arrived say nothing new.
+    if (found == endpoints_.end() || counts_as_full(found->second, now))
+        return;
+    endpoint_state& known = found->second;
+    const std::uint32_t doublings = std::min(known.rejections, max_doublings);
+    known.full_time = std::min(max_full_time, first_full_time * (1U << doublings));
+    known.rejected_at = now;
+    ++known.rejections;
+}
+
 void slot_table::record_success(const endpoint_id& endpoint) {
     auto found = endpoints_.find(endpoint);
     if (found == endpoints_.end())
@@ -111,6 +135,9 @@
     found->second.failures = 0;
     found->second.suspended_until = instant();
     found->second.stalled = false;
+    // The request may have been accepted before the rejection: the shortest time remains.
+    found->second.rejections = 0;
+    found->second.full_time = std::min(found->second.full_time, first_full_time);
 }
 
 milliseconds slot_table::record_stall(const endpoint_id& endpoint, instant now) {
@@ -174,6 +201,8 @@
         const std::int64_t slots = one.second.info.slots;
         candidate found_candidate{&one.second, slots - use.online - use.batch, slots - use.online,
                                   false};
+        if (counts_as_full(one.second, now))
+            found_candidate.free = found_candidate.free_or_batch = 0;
         found_candidate.on_trial =
             one.second.failures > 0 || remote_suspicions(one.first) >= min_suspecting_gateways;
         // An endpoint on trial gets one request of this gateway at a time.
--- a/unittests/policy/slots_test.cpp
+++ b/unittests/policy/slots_test.cpp
@@ -139,6 +139,67 @@
     CHECK(table.record_failure(endpoint_id("one"), start + pause) == milliseconds(500));
 }
 
+// Guards against a gateway that sends request after request to a full endpoint, as it knows of its
+// rejections only per request.
+TEST_CASE("an endpoint that rejected a request counts as full for a time", "[slots]") {
+    slot_table table = make_two_zones();
+    const endpoint_id near("near");
+    const endpoint_id far("far");
+    table.set_remote_usage(entry_id("other"), {{near, {0, 1, 0}}}, start);
+    table.record_rejection(near, start);
+    const instant last = start + milliseconds(99);
+    for (int i = 0; i < 20; ++i) {
+        CHECK(table.place_online(model, {}, last, i / 20.0)->endpoint == far);
+        CHECK(table.place_stalled(model, {}, last, i / 20.0)->endpoint == far);
+        CHECK(table.place_batch(model, {}, last, i / 20.0)->endpoint == far);
+        CHECK(table.place_batch(model, {}, last, i / 20.0, true)->endpoint == far);
+    }
+    CHECK(table.total_slots(model, last) == 4);
+    CHECK(table.batch_capacity(model, last) == 2);
+    CHECK(table.own_usage().empty());
+    CHECK(table.place_online(model, {}, start + milliseconds(100), 0.5)->endpoint == near);
+    // Neither a free slot nor one held by batch: the request waits.
+    table.record_rejection(far, start);
+    CHECK(!table.place_online(model, {near}, last, 0.5));
+    CHECK(!table.place_online(model, {}, last, 0.5));
+    CHECK(!table.place_batch(model, {}, last, 0.5, true));
+    CHECK(table.total_slots(model, last) == 4);
+    CHECK(!table.place_online(model, {far}, last, 0.5));
+}
+
+TEST_CASE("the time for which an endpoint counts as full grows until a success", "[slots]") {
+    slot_table table{zone_id("a")};
+    const slot_endpoint only = endpoint("only", "a", 8);
+    table.set_endpoints({only});
+    instant now = start;
+    const auto full_time = [&table, &now] {
+        milliseconds time(0);
+        while (!table.place_online(model, {}, now + time, 0.5))
+            ++time;
+        return time;
+    };
+    const auto reject = [&table, &now, &only] { table.record_rejection(only.id, now); };
+    for (const int expected : {100, 200, 400, 400}) {
+        reject();
+        now += milliseconds(10);
+        reject(); // sent with the first
+        CHECK(full_time() == milliseconds(expected - 10));
+        table.set_endpoints({only});
+        now += full_time();
+    }
+    reject();
+    table.record_success(only.id);
+    CHECK(full_time() == milliseconds(100));
+    now += full_time();
+    reject();
+    CHECK(full_time() == milliseconds(100));
+    slot_endpoint restarted = only;
+    restarted.incarnation = 2;
+    table.set_endpoints({restarted});
+    CHECK(full_time() == milliseconds(0));
+    table.record_rejection(endpoint_id("unknown"), now);
+}
+
 TEST_CASE("the usage of a silent gateway expires", "[slots]") {
     slot_table table = make_two_zones();
     table.set_remote_usage(entry_id("other"),
