Membership: replace members so that they stay spread over zones

What callers saw: nothing yet; but the loss of one zone would have taken the majority of a work group, and with it all batch work until the zone returns.

Cause: the first members are spread over the zones, but those that replace them are taken in the order of their names. All standbys of the first zone come first.

Change: keepers' statuses carry the zone that their heartbeats have. The member to add is one of the zone with the fewest members that last, then the first by name; the surplus voter to remove is one of the zone with most, then the newest. A member whose keeper has sent no heartbeat yet counts as of no zone. A running group is not rebalanced.

--- a/include/cassia/keeper/membership_planner.h
+++ b/include/cassia/keeper/membership_planner.h
@@ -20,6 +20,7 @@
     std::string address;
     bool empty = false; ///< its disk holds no group
     instant last_seen{};
+    std::string zone{};
 };
 
 class membership_planner {
@@ -57,6 +58,12 @@
     /// Whether there are more voters than intended and none of them is to be replaced.
     bool has_healthy_surplus(const consensus::member_list& members,
                              const consensus::raft_group& group, instant now) const;
+    /// The keeper to add, if any.
+    const keeper_status* find_candidate(const consensus::member_list& members,
+                                        const consensus::raft_group& group, instant now) const;
+    /// Number of members in the zone of a node, without those to be replaced.
+    std::size_t count_in_zone(const consensus::member_list& members, const std::string& node,
+                              const consensus::raft_group& group, instant now) const;
     bool may_add(const consensus::member_list& members, const keeper_status& candidate,
                  const consensus::raft_group& group, instant now) const;
     bool may_remove(const consensus::member_list& members, const consensus::member& candidate,
--- a/lib/keeper/membership_planner.cpp
+++ b/lib/keeper/membership_planner.cpp
@@ -71,18 +71,21 @@
         return members;
     }
     if (has_healthy_surplus(members, group, now)) {
-        auto newest = std::find_if(members.rbegin(), members.rend(),
-                                   [&group](const consensus::member& member) {
-                                       return member.voter && member.disk != group.self();
-                                   });
-        members.erase(std::next(newest).base());
+        // The newest voter of the zone that has most.
+        auto surplus = members.end();
+        std::size_t most = 0;
+        for (auto member = members.begin(); member != members.end(); ++member) {
+            const std::size_t in_zone = count_in_zone(members, member->node, group, now);
+            if (!member->voter || member->disk == group.self() || in_zone < most)
+                continue;
+            surplus = member;
+            most = in_zone;
+        }
+        members.erase(surplus);
         return members;
     }
-    for (const std::pair<const std::string, keeper_status>& keeper : keepers_) {
-        const keeper_status& candidate = keeper.second;
-        if (!may_add(members, candidate, group, now))
-            continue;
-        members.push_back({candidate.disk, candidate.node, candidate.address, false});
+    if (const keeper_status* candidate = find_candidate(members, group, now)) {
+        members.push_back({candidate->disk, candidate->node, candidate->address, false});
         return members;
     }
     for (consensus::member& member : members) {
@@ -94,6 +97,39 @@
     return std::nullopt;
 }
 
+// The members are spread over availability zones, so that a majority survives the loss of one.
+const keeper_status* membership_planner::find_candidate(const consensus::member_list& members,
+                                                        const consensus::raft_group& group,
+                                                        instant now) const {
+    const keeper_status* best = nullptr;
+    std::size_t fewest = 0;
+    for (const std::pair<const std::string, keeper_status>& keeper : keepers_) {
+        if (!may_add(members, keeper.second, group, now))
+            continue;
+        const std::size_t in_zone = count_in_zone(members, keeper.first, group, now);
+        if (best != nullptr && in_zone >= fewest)
+            continue;
+        best = &keeper.second;
+        fewest = in_zone;
+    }
+    return best;
+}
+
+std::size_t membership_planner::count_in_zone(const consensus::member_list& members,
+                                              const std::string& node,
+                                              const consensus::raft_group& group,
+                                              instant now) const {
+    const auto zone_of = [this](const std::string& name) {
+        auto found = keepers_.find(name);
+        return found == keepers_.end() ? std::string() : found->second.zone;
+    };
+    return static_cast<std::size_t>(
+        std::count_if(members.begin(), members.end(), [&](const consensus::member& member) {
+            return zone_of(member.node) == zone_of(node) && !is_retiring(member.disk) &&
+                   (member.disk == group.self() || group.is_active(member.disk, now));
+        }));
+}
+
 std::size_t membership_planner::target() const {
     return std::max(target_size_, initial_nodes_.size());
 }
--- a/lib/keeper/service.cpp
+++ b/lib/keeper/service.cpp
@@ -98,6 +98,9 @@
     const instant started = monotonic_now();
     if (hosts_control())
         replicas_[control_group] = make_replica(control_group, make_control_state_machine());
+    // Others report themselves; the zone of this keeper counts too when members are chosen.
+    work_planner_.update(
+        {node_, recovered_.disk, settings_.peer_address(), false, started, settings_.zone()});
     for (std::uint32_t i = 1; hosts_work() && i <= settings_.cluster().work_groups(); ++i) {
         const group_id id(i);
         work_group& group = work_groups_[id];
@@ -338,7 +341,8 @@
     const bool bootstrapped = replicas_.at(control_group)->is_bootstrapped();
     const instant now = monotonic_now();
     const bool may_bootstrap = !bootstrapped && settings_.first_start();
-    planner_.update({node_, recovered_.disk, settings_.peer_address(), may_bootstrap, now});
+    planner_.update(
+        {node_, recovered_.disk, settings_.peer_address(), may_bootstrap, now, settings_.zone()});
     if (bootstrapped)
         return;
     if (initial_members_.empty()) {
--- a/lib/keeper/service_discovery.cpp
+++ b/lib/keeper/service_discovery.cpp
@@ -85,8 +85,9 @@
         return;
     known.heartbeat = heartbeat;
     known.last_seen = seen;
-    const keeper_status status{heartbeat.node(), disk_id(heartbeat.disk()), heartbeat.address(),
-                               heartbeat.empty(), seen};
+    const keeper_status status{
+        heartbeat.node(), disk_id(heartbeat.disk()), heartbeat.address(), heartbeat.empty(), seen,
+        heartbeat.zone()};
     if (heartbeat.control() || !uses_seeds())
         planner_.update(status);
     if (heartbeat.work())
