Keepers: log silent gateways only where callers' lists are made

A gateway counts as serving for 0.9 s after its last heartbeat. Now only the control keepers log them; what they judge by is unchanged.

--- a/lib/keeper/service.cpp
+++ b/lib/keeper/service.cpp
@@ -208,7 +208,8 @@
                 send_keeper_heartbeat(keeper);
         }
         respond_to_pending_announcements();
-        log_serving_changes();
+        if (hosts_control())
+            log_serving_changes();
         directory_.forget_old(monotonic_now());
         forget_old_gateways(monotonic_now());
     });
