Usage sums: build them on an arena

A relay of a zone with 49 other gateways sends each of them the sum of the zone's usage, 60 endpoints, up to twenty times a second; sending was 3.7% of all gateways' processor time in a fleet of 246, though only one gateway of each zone is a relay (perf with callers). Each endpoint in each message was an allocation or two.

60 rounds of 49 reports received and 49 sums of 60 endpoints sent (callgrind, instructions beyond the start): 352.8 million before, 293.1 million after.

--- a/lib/gateway/usage_coordinator.cpp
+++ b/lib/gateway/usage_coordinator.cpp
@@ -2,6 +2,8 @@
 
 #include "cassia/base/log.h"
 
+#include <google/protobuf/arena.h>
+
 #include <map>
 #include <utility>
 
@@ -56,7 +58,10 @@
             hooks_.on_usage(policy::usage_exchange::zone_key(zone_use.first), *zone_use.second);
         return;
     }
-    schema::envelope envelope;
+    // A relay sends the use of each endpoint to each gateway of its zone several times a second; on
+    // an arena these parts need no allocation of their own.
+    google::protobuf::Arena arena;
+    schema::envelope& envelope = *google::protobuf::Arena::CreateMessage<schema::envelope>(&arena);
     if (message.kind == usage_message::content::own_use) {
         envelope.mutable_rumor()->set_entry(self_.str());
         encode_usage(message.own, *envelope.mutable_rumor());
