Slot table: sums of usage hold no entries for unused endpoints

A gateway could read and write past the end of its sum of remote usage, and then count slots at random or crash.

Cause: slot_table::subtract_remote looked up each entry of a report in the sum and used the result unchecked, and erased the sum's entry once it was all zero. Two reports with an all-zero entry for one endpoint shared one such entry: replacing the first report erased it, replacing the second dereferenced end(). A relay makes such entries: usage_exchange::choose_yield_target counts down the batch items of a report, and the sums it publishes kept the endpoint with zero.

Change: add_usage stores no zero entries and subtract_usage, which slot_table and usage_exchange now share instead of having one each, skips them, whoever sent them. An entry that isn't there although it is to be subtracted is an assertion, not a read past the end.

Evidence: the test of the table, built with AddressSanitizer, before: stack-buffer-overflow in slot_table::subtract_remote from set_remote_usage; without it CHECK( sum.empty() ) failed. The test of the relay, before: CHECK( zone.second->empty() ) failed for its published sums. Both pass now, with AddressSanitizer too (30 tests of slots_test.cpp and usage_exchange_test.cpp).

--- a/include/cassia/policy/slot_table.h
+++ b/include/cassia/policy/slot_table.h
@@ -47,8 +47,10 @@
     bool on_trial = false; ///< its latest requests failed
 };
 
-/// Adds usage to a sum, endpoint by endpoint.
+/// Adds usage to a sum, endpoint by endpoint. A sum has no entries for unused endpoints.
 void add_usage(slot_usage_map& sum, const slot_usage_map& usage);
+/// Subtracts usage that was added before.
+void subtract_usage(slot_usage_map& sum, const slot_usage_map& usage);
 
 class slot_table {
 public:
@@ -131,7 +133,6 @@
     };
 
     static bool counts_as_full(const endpoint_state& endpoint, instant now);
-    void subtract_remote(const slot_usage_map& usage);
     slot_usage total_use(const endpoint_id& endpoint) const;
     std::uint32_t remote_suspicions(const endpoint_id& endpoint) const;
     std::vector<candidate> candidates(const service_id& service,
--- a/lib/policy/slot_table.cpp
+++ b/lib/policy/slot_table.cpp
@@ -1,6 +1,7 @@
 #include "cassia/policy/slot_table.h"
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 namespace cassia::policy {
@@ -48,6 +49,8 @@
 
 void add_usage(slot_usage_map& sum, const slot_usage_map& usage) {
     for (const std::pair<const endpoint_id, slot_usage>& one : usage) {
+        if (one.second == slot_usage())
+            continue;
         slot_usage& total = sum[one.first];
         total.online += one.second.online;
         total.batch += one.second.batch;
@@ -55,9 +58,24 @@
     }
 }
 
+void subtract_usage(slot_usage_map& sum, const slot_usage_map& usage) {
+    for (const std::pair<const endpoint_id, slot_usage>& one : usage) {
+        if (one.second == slot_usage())
+            continue;
+        auto found = sum.find(one.first);
+        assert(found != sum.end() && "only what was added is subtracted");
+        slot_usage& total = found->second;
+        total.online -= one.second.online;
+        total.batch -= one.second.batch;
+        total.suspected_by -= one.second.suspected_by;
+        if (total == slot_usage())
+            sum.erase(found);
+    }
+}
+
 void slot_table::set_remote_usage(const entry_id& gateway, slot_usage_map usage, instant now) {
     remote_usage& other = remote_[gateway];
-    subtract_remote(other.usage);
+    subtract_usage(remote_total_, other.usage);
     add_usage(remote_total_, usage);
     other = {std::move(usage), now};
 }
@@ -66,23 +84,11 @@
     for (auto one = remote_.begin(); one != remote_.end();) {
         const bool silent = now - one->second.received_at > remote_usage_timeout;
         if (silent)
-            subtract_remote(one->second.usage);
+            subtract_usage(remote_total_, one->second.usage);
         one = silent ? remote_.erase(one) : std::next(one);
     }
 }
 
-void slot_table::subtract_remote(const slot_usage_map& usage) {
-    for (const std::pair<const endpoint_id, slot_usage>& one : usage) {
-        auto found = remote_total_.find(one.first);
-        slot_usage& total = found->second;
-        total.online -= one.second.online;
-        total.batch -= one.second.batch;
-        total.suspected_by -= one.second.suspected_by;
-        if (total == slot_usage())
-            remote_total_.erase(found);
-    }
-}
-
 static std::uint32_t& count_of(slot_usage& use, work_kind kind) {
     return kind == work_kind::online ? use.online : use.batch;
 }
--- a/lib/policy/usage_exchange.cpp
+++ b/lib/policy/usage_exchange.cpp
@@ -165,18 +165,6 @@
     out.push_back({relay_, usage_message::content::report, own, {}});
 }
 
-static slot_usage_map subtract_usage(slot_usage_map sum, const slot_usage_map& part) {
-    for (const std::pair<const endpoint_id, slot_usage>& one : part) {
-        auto found = sum.find(one.first);
-        found->second.online -= one.second.online;
-        found->second.batch -= one.second.batch;
-        found->second.suspected_by -= one.second.suspected_by;
-        if (found->second == slot_usage())
-            sum.erase(found);
-    }
-    return sum;
-}
-
 // Another zone's sum is sent only when a new one was received; that zone's relay repeats it.
 std::optional<usage_message> usage_exchange::sums_for(const entry_id& to, report& reporter,
                                                       const slot_usage_map& all,
@@ -189,7 +177,8 @@
         sent = zone.second.usage;
         message.zones[zone.first] = sent;
     }
-    slot_usage_map own_zone = subtract_usage(all, reporter.usage);
+    slot_usage_map own_zone = all;
+    subtract_usage(own_zone, reporter.usage);
     if (own_zone != reporter.sent_own_zone || now - reporter.sent_at >= sums_repeat_interval) {
         reporter.sent_own_zone = own_zone;
         reporter.sent_at = now;
--- a/unittests/policy/slots_test.cpp
+++ b/unittests/policy/slots_test.cpp
@@ -58,6 +58,25 @@
     CHECK(table.batch_capacity(model, now) == 80 - 80 / 8);
 }
 
+// Guards against a read past the end of the sum: the entry of an endpoint without requests was
+// erased with the report of one gateway, and looked for with that of the next.
+TEST_CASE("reports with endpoints that nobody uses can be replaced", "[slots]") {
+    slot_table table = make_two_zones();
+    const endpoint_id near("near");
+    const slot_usage_map unused{{near, {0, 0, 0}}};
+    const slot_usage_map used{{near, {1, 0, 0}}};
+    for (const slot_usage_map& next : {unused, slot_usage_map(), unused, used, unused}) {
+        for (const char* gateway : {"one", "two"})
+            table.set_remote_usage(entry_id(gateway), next, start);
+        CHECK(table.is_full(near) == (next == used));
+    }
+    table.expire_remote_usage(start + milliseconds(2000));
+    CHECK(!table.is_full(near));
+    slot_usage_map sum;
+    add_usage(sum, unused);
+    CHECK(sum.empty());
+}
+
 // Guards against streams that are restarted though nothing was lost, as their endpoint is slow; and
 // against an unreachable endpoint that keeps getting requests, as each stall counts as a lost
 // packet.
--- a/unittests/policy/usage_exchange_test.cpp
+++ b/unittests/policy/usage_exchange_test.cpp
@@ -286,6 +286,30 @@
     CHECK(asked.size() == 3);
 }
 
+// Guards against a relay that reads past the end of its sums after the only items at an endpoint
+// were asked to yield.
+TEST_CASE("a relay publishes sums after batch items were asked to yield", "[usage]") {
+    fleet sim(30, 1);
+    for (const std::size_t i : {3U, 4U})
+        sim.gateways[i].own[endpoint_name(0)] = {0, 1, 0};
+    sim.advance(milliseconds(500));
+    const std::size_t relay = sim.relay_of(0);
+    for (int i = 0; i < 2; ++i)
+        CHECK(sim.gateways[relay].exchange->choose_yield_target(endpoint_name(0), true));
+    for (const std::size_t i : {3U, 4U})
+        sim.gateways[i].own.clear();
+    const instant now = sim.now + milliseconds(10);
+    for (const usage_message& message : sim.gateways[relay].exchange->poll({}, now)) {
+        for (const auto& zone : message.zones)
+            CHECK(zone.second->empty());
+    }
+    sim.advance(milliseconds(500));
+    for (const fleet::gateway& one : sim.gateways) {
+        for (const auto& sender : one.received)
+            CHECK(sender.second.empty());
+    }
+}
+
 // Guards against yield requests that two relays pass back and forth for ever.
 TEST_CASE("a yield request for another zone goes to its relay", "[usage]") {
     fleet sim(40, 2);
