Slot table: expect the sends of other gateways until their reports

Callers saw 503 and long waits after endpoints had joined: when five joined within a release, each rejected 250 to 400 sends within 0.4 s, 1,500 in two seconds (attempt_not_run cause=refused_by_endpoint).

Cause: all gateways draw endpoints by the squares of the free slots in the last usage report. With 250 gateways that report is up to 0.3 s old, about a run's length. Endpoints with 8 free slots, beside others with 0 to 2, get most sends of the fleet until the next report, several times what they run and queue. The same holds for any endpoint that a report shows as empty, so the fleet swings from one to the next after the ramp too.

Change: each gateway measures its own sends per second. The more of the free slots that covers, the more the draw goes from squares to free slots; the excess over the free slots spreads over all endpoints by their slots, as slots become free at all of them, but by no more than an endpoint's slots. Twice the estimate is used, as the effect of a placement is only in the report after the next. A lone gateway, or one whose peers send little, places as before. Batch items are placed by the same draw. Endpoints on trial and stalled streams are placed as before.

Slow start only moves the rush to other endpoints and leaves new ones idle. Counting own sends fails with many gateways, as each sends to an endpoint less than once between two reports; it helps a few gateways.

--- a/include/cassia/gateway/cluster_client.h
+++ b/include/cassia/gateway/cluster_client.h
@@ -33,6 +33,8 @@
 struct cluster_hooks {
     std::function<void(std::shared_ptr<const routes::table>)> on_routes;
     std::function<void(const std::vector<policy::slot_endpoint>&)> on_endpoints;
+    /// The other gateways of this zone, and those of all zones.
+    std::function<void(policy::peer_group own_zone, policy::peer_group all_zones)> on_peers;
     /// The slots in use by another gateway or by a whole zone.
     std::function<void(const entry_id&, policy::slot_usage_map)> on_usage;
     /// Another gateway needs slots that batch items of this one hold.
--- a/include/cassia/gateway/usage_coordinator.h
+++ b/include/cassia/gateway/usage_coordinator.h
@@ -26,6 +26,7 @@
     usage_coordinator(entry_id self, zone_id zone, usage_hooks hooks);
 
     void set_gateways(std::vector<policy::fleet_gateway> others);
+    policy::peer_group peers(bool own_zone_only) const { return exchange_.peers(own_zone_only); }
     /// This gateway no longer acts as a relay.
     void leave() { exchange_.leave(); }
     /// Sends the slots in use here to other gateways when due.
--- a/include/cassia/policy/slot_table.h
+++ b/include/cassia/policy/slot_table.h
@@ -3,6 +3,7 @@
 
 #include "cassia/base/clock.h"
 #include "cassia/base/ids.h"
+#include "cassia/policy/send_forecast.h"
 
 #include <cstdint>
 #include <map>
@@ -57,6 +58,11 @@
     /// Replaces the endpoints. Usage is kept, as are the failures of endpoints that still run the
     /// same process.
     void set_endpoints(const std::vector<slot_endpoint>& endpoints);
+    /// Sets the gateways that use the same endpoints: those of this zone and those of all zones.
+    void set_peers(peer_group own_zone, peer_group all_zones) {
+        own_zone_peers_ = own_zone;
+        all_peers_ = all_zones;
+    }
     /// Replaces the usage reported by another gateway, or by a relay for a whole zone.
     void set_remote_usage(const entry_id& gateway, slot_usage_map usage, instant now);
     /// Drops the usage of gateways that have been silent: their requests have ended with them.
@@ -80,7 +86,8 @@
     void record_progress(const endpoint_id& endpoint);
 
     /// Places an online request: at a free slot in this zone, in another zone, or at a slot held by
-    /// batch. Nothing if no usable slot is left.
+    /// batch. Nothing if no usable slot is left. Where peers will have taken the free slots of a
+    /// zone, it may be an endpoint whose slots are in use.
     /// \param random_fraction 0 to 1; selects among the candidates.
     std::optional<placement> place_online(const service_id& service,
                                           const std::set<endpoint_id>& excluded, instant now,
@@ -90,8 +97,8 @@
     std::optional<placement> place_stalled(const service_id& service,
                                            const std::set<endpoint_id>& excluded, instant now,
                                            double random_fraction) const;
-    /// Places a batch item at a free slot if more than the online reserve is free, or if it is
-    /// urgent.
+    /// Places a batch item in the same way, but at no other item's cost, if more than the online
+    /// reserve is free or if it is urgent.
     std::optional<placement> place_batch(const service_id& service,
                                          const std::set<endpoint_id>& excluded, instant now,
                                          double random_fraction, bool urgent = false) const;
@@ -131,11 +138,15 @@
                                       const std::set<endpoint_id>& excluded, instant now) const;
     static placement placed_at(const candidate& chosen);
     const candidate* pick_free(const std::vector<candidate>& all, bool own_zone, bool on_trial,
-                               double random_fraction) const;
+                               double unreported_sends, double random_fraction) const;
+    double unreported_sends(bool own_zone, bool on_trial) const;
     const candidate* pick_yielding(const std::vector<candidate>& all, bool own_zone, bool on_trial,
                                    double random_fraction) const;
 
     zone_id own_zone_;
+    peer_group own_zone_peers_;
+    peer_group all_peers_;
+    send_forecast forecast_;
     std::map<endpoint_id, endpoint_state> endpoints_;
     slot_usage_map own_;
     std::map<entry_id, remote_usage> remote_;
--- a/include/cassia/policy/usage_exchange.h
+++ b/include/cassia/policy/usage_exchange.h
@@ -63,6 +63,8 @@
 
     /// Whether the fleet is too large for each gateway to send to all others.
     bool uses_relays() const;
+    /// The other gateways of this zone, or of all zones, and the age that their usage gets.
+    peer_group peers(bool own_zone_only) const;
     /// The relay that this gateway reports to; nothing if it is the relay or none is used.
     std::optional<entry_id> relay() const;
     /// Chooses a gateway whose batch item at the endpoint is to yield. The item no longer counts
--- a/lib/gateway/cluster_client.cpp
+++ b/lib/gateway/cluster_client.cpp
@@ -276,6 +276,7 @@
             {gateway.first, zone_id(gateway.second.zone()), gateway.second.draining()});
     quota_.set_gateways(gateways);
     usage_.set_gateways(std::move(gateways));
+    hooks_.on_peers(usage_.peers(true), usage_.peers(false));
 }
 
 void cluster_client::update_endpoints(const schema::keeper_beacon& beacon, instant now) {
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -87,6 +87,9 @@
         slots_.set_endpoints(endpoints);
         dispatcher_->dispatch_queued();
     };
+    cluster_callbacks.on_peers = [this](policy::peer_group own_zone, policy::peer_group all) {
+        slots_.set_peers(own_zone, all);
+    };
     cluster_callbacks.on_usage = [this](const entry_id& holder, policy::slot_usage_map usage) {
         slots_.set_remote_usage(holder, std::move(usage), monotonic_now());
     };
--- a/lib/policy/slot_table.cpp
+++ b/lib/policy/slot_table.cpp
@@ -55,6 +55,7 @@
 }
 
 void slot_table::expire_remote_usage(instant now) {
+    forecast_.advance(now);
     for (auto one = remote_.begin(); one != remote_.end();) {
         const bool silent = now - one->second.received_at > remote_usage_timeout;
         if (silent)
@@ -80,6 +81,7 @@
 }
 
 void slot_table::acquire(const endpoint_id& endpoint, work_kind kind) {
+    forecast_.record_send();
     ++count_of(own_[endpoint], kind);
 }
 
@@ -206,18 +208,28 @@
     return last;
 }
 
-// Weighted by the squares of the free slots: with equal weights the slowest endpoint would fill as
-// fast as the others.
 const slot_table::candidate* slot_table::pick_free(const std::vector<candidate>& all, bool own_zone,
-                                                   bool on_trial, double random_fraction) const {
-    const auto weight = [this, own_zone, on_trial](const candidate& one) {
-        const bool fits = one.free > 0 && one.on_trial == on_trial &&
-                          (one.endpoint->info.zone == own_zone_) == own_zone;
-        return fits ? static_cast<double>(one.free * one.free) : 0.0;
+                                                   bool on_trial, double unreported_sends,
+                                                   double random_fraction) const {
+    const auto fits = [this, own_zone, on_trial](const candidate& one) {
+        return one.on_trial == on_trial && (one.endpoint->info.zone == own_zone_) == own_zone;
+    };
+    slot_weights weights(unreported_sends);
+    for (const candidate& one : all) {
+        if (fits(one))
+            weights.add(one.free, one.endpoint->info.slots);
+    }
+    const auto weight = [&weights, &fits](const candidate& one) {
+        return fits(one) ? weights.weight(one.free, one.endpoint->info.slots) : 0.0;
     };
     return draw_by_weight(all, weight, random_fraction);
 }
 
+// Each gateway has at most one request at an endpoint on trial, so the forecast doesn't apply.
+double slot_table::unreported_sends(bool own_zone, bool on_trial) const {
+    return on_trial ? 0 : forecast_.unreported_sends(own_zone ? own_zone_peers_ : all_peers_);
+}
+
 std::optional<entry_id> slot_table::batch_holder(const endpoint_id& endpoint) const {
     auto own = own_.find(endpoint);
     if (own != own_.end() && own->second.batch > 0)
@@ -257,7 +269,8 @@
     const std::vector<candidate> all = candidates(service, excluded, now);
     for (const bool on_trial : {false, true}) {
         for (const bool own_zone : {true, false}) {
-            if (const candidate* free = pick_free(all, own_zone, on_trial, random_fraction))
+            if (const candidate* free = pick_free(
+                    all, own_zone, on_trial, unreported_sends(own_zone, on_trial), random_fraction))
                 return placed_at(*free);
         }
         for (const bool own_zone : {true, false}) {
@@ -277,7 +290,7 @@
                                                    instant now, double random_fraction) const {
     const std::vector<candidate> all = candidates(service, excluded, now);
     for (const bool own_zone : {true, false}) {
-        if (const candidate* free = pick_free(all, own_zone, false, random_fraction))
+        if (const candidate* free = pick_free(all, own_zone, false, 0, random_fraction))
             return placed_at(*free);
     }
     return std::nullopt;
@@ -292,7 +305,8 @@
     const std::vector<candidate> all = candidates(service, excluded, now);
     for (const bool on_trial : {true, false}) {
         for (const bool own_zone : {true, false}) {
-            if (const candidate* free = pick_free(all, own_zone, on_trial, random_fraction))
+            if (const candidate* free = pick_free(
+                    all, own_zone, on_trial, unreported_sends(own_zone, on_trial), random_fraction))
                 return placed_at(*free);
         }
     }
--- a/lib/policy/usage_exchange.cpp
+++ b/lib/policy/usage_exchange.cpp
@@ -8,6 +8,8 @@
 namespace cassia::policy {
 
 namespace {
+// Usage is polled, and sent if it has changed, this often.
+constexpr milliseconds report_interval(50);
 // With more peers than this, gateways use relays instead of sending to each peer.
 constexpr std::size_t max_mesh_peers = 20;
 // Unchanged usage is repeated this often, so that silence indicates a failure.
@@ -39,6 +41,20 @@
     return others_.size() > max_mesh_peers;
 }
 
+peer_group usage_exchange::peers(bool own_zone_only) const {
+    const std::size_t in_zone = static_cast<std::size_t>(
+        std::count_if(others_.begin(), others_.end(),
+                      [this](const fleet_gateway& one) { return one.zone == zone_; }));
+    peer_group group{static_cast<std::uint32_t>(own_zone_only ? in_zone : others_.size()),
+                     report_interval};
+    if (uses_relays()) {
+        group.usage_age += std::max(report_interval,
+                                    publish_time_per_reporter * static_cast<std::int64_t>(in_zone));
+        group.usage_age += own_zone_only ? milliseconds(0) : zones_interval;
+    }
+    return group;
+}
+
 std::optional<entry_id> usage_exchange::relay() const {
     if (!uses_relays() || relay_.empty() || relay_ == self_)
         return std::nullopt;
