Slot table: the forecast skips endpoints that have just rejected

An endpoint that rejected a request counts as full for a time, but the forecast of unreported sends also places requests at full endpoints, as slots are expected to become free there. With both, an endpoint that had just rejected a request could get the next one at once.

Change: such an endpoint isn't drawn at all while it counts as full. The new test failed before in 50 of 201 checks.

The simulation now records rejections and successes.

--- a/include/cassia/policy/slot_table.h
+++ b/include/cassia/policy/slot_table.h
@@ -135,6 +135,7 @@
         std::int64_t free = 0;          ///< unused slots
         std::int64_t free_or_batch = 0; ///< slots that run no online request
         bool on_trial = false;          ///< online uses it only as a last resort
+        bool rejecting = false;         ///< rejected a request just now
     };
 
     static bool counts_as_full(const endpoint_state& endpoint, instant now);
--- a/lib/policy/slot_table.cpp
+++ b/lib/policy/slot_table.cpp
@@ -203,7 +203,8 @@
         const std::int64_t slots = one.second.info.slots;
         candidate found_candidate{&one.second, slots - use.online - use.batch, slots - use.online,
                                   false};
-        if (counts_as_full(one.second, now))
+        found_candidate.rejecting = counts_as_full(one.second, now);
+        if (found_candidate.rejecting)
             found_candidate.free = found_candidate.free_or_batch = 0;
         found_candidate.on_trial =
             one.second.failures > 0 || remote_suspicions(one.first) >= min_suspecting_gateways;
@@ -241,7 +242,8 @@
                                                    bool on_trial, double unreported_sends,
                                                    double random_fraction) const {
     const auto fits = [this, own_zone, on_trial](const candidate& one) {
-        return one.on_trial == on_trial && (one.endpoint->info.zone == own_zone_) == own_zone;
+        return !one.rejecting && one.on_trial == on_trial &&
+               (one.endpoint->info.zone == own_zone_) == own_zone;
     };
     slot_weights weights(unreported_sends);
     for (const candidate& one : all) {
--- a/unittests/policy/new_endpoints_test.cpp
+++ b/unittests/policy/new_endpoints_test.cpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -96,3 +97,33 @@
     CHECK(exchange.peers(true) == peer_group{100, milliseconds(150)});
     CHECK(exchange.peers(false) == peer_group{103, milliseconds(350)});
 }
+
+// Guards against requests that are sent to an endpoint that has just rejected one, as its slots are
+// expected to become free.
+TEST_CASE("the forecast doesn't fill an endpoint that has just rejected a request", "[slots]") {
+    slot_table table{zone_id("a")};
+    const service_id model("model");
+    const auto endpoint = [&model](const std::string& id) {
+        return slot_endpoint{endpoint_id(id), 1, http_address(id + ":80"), zone_id("a"), model, 8};
+    };
+    table.set_endpoints({endpoint("rejects"), endpoint("used"), endpoint("free")});
+    table.set_peers({250, milliseconds(300)}, {250, milliseconds(300)});
+    instant now(std::chrono::seconds(1000));
+    for (int i = 0; i < 40; ++i) {
+        now += milliseconds(200);
+        table.expire_remote_usage(now);
+        table.acquire(endpoint_id("used"), work_kind::online);
+        table.release(endpoint_id("used"), work_kind::online);
+    }
+    table.set_remote_usage(entry_id("g"), {{endpoint_id("used"), {8, 0, 0}}}, now);
+    table.record_rejection(endpoint_id("rejects"), now);
+    bool chose_used = false;
+    for (double draw = 0; draw < 1; draw += 0.01) {
+        const std::optional<placement> online = table.place_online(model, {}, now, draw);
+        const std::optional<placement> batch = table.place_batch(model, {}, now, draw, true);
+        CHECK(online->endpoint != endpoint_id("rejects"));
+        CHECK(batch->endpoint != endpoint_id("rejects"));
+        chose_used = chose_used || online->endpoint == endpoint_id("used");
+    }
+    CHECK(chose_used);
+}
--- a/unittests/policy/placement_simulation.h
+++ b/unittests/policy/placement_simulation.h
@@ -249,6 +249,7 @@
     void on_rejected(std::uint64_t id) {
         job& one = jobs_.at(id);
         gateways_[one.gateway].table.release(one.endpoint, one.kind);
+        gateways_[one.gateway].table.record_rejection(one.endpoint, now_);
         one.rejected_by.insert(one.endpoint);
         if (one.kind == work_kind::batch) {
             at(batch_retry_delay, [this, id] { enqueue_item(id); });
@@ -292,6 +293,7 @@
         }
         at(network_time, [this, one] {
             gateways_[one.gateway].table.release(one.endpoint, one.kind);
+            gateways_[one.gateway].table.record_success(one.endpoint);
             dispatch_queued(gateways_[one.gateway]);
         });
     }
