Request queue: a request that has run never counts as late

A stream that is cut in the middle and finds no free slot waited behind every new request: its target is long past, and late requests wait for those on time. While new requests keep the slots busy it would wait until its deadline, and then its caller's connection is reset.

Found by reading, beside the streams that were given up after rejections; no trace of it is known.

Change: queued_request says whether the request has run; then it doesn't count as late. Priorities and the turns of teams are as before; within them it goes first, as its target is the nearest.

Evidence: the new test without the changed rank: { 4, 3, 1, 2 } == { 4, 2, 3, 1 } failed, request 2 being the one that has run.

--- a/include/cassia/policy/request_queue.h
+++ b/include/cassia/policy/request_queue.h
@@ -18,6 +18,7 @@
     instant arrived{};
     instant target_deadline{}; ///< dispatched later, its answer misses the latency target
     instant expires_at{};      ///< dispatched later, it can't be answered in time
+    bool has_run = false;      ///< its run was cut and is to be continued
 };
 
 class request_queue {
@@ -29,7 +30,7 @@
     bool contains(exchange_id id) const { return waiting_.count(id) > 0; }
     /// The next request of a service: those that can still meet their target before those that
     /// can't, then by priority; within a priority the team served least goes first, with its
-    /// request whose target is nearest.
+    /// request whose target is nearest. One that has run never counts as late.
     std::optional<exchange_id> next(const service_id& service, instant now) const;
     /// Requests that are past their `expires_at`.
     std::vector<exchange_id> expired(instant now) const;
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -105,7 +105,7 @@
     queue_.add({call.id, call.service, call.team == nullptr ? team_id() : call.team->id,
                 call.priority(), call.arrived_at,
                 call.arrived_at + milliseconds(call.route->target_ms()) - first_event_time,
-                call.send_deadline});
+                call.send_deadline, call.runs > 0});
 }
 
 net::raw_request dispatcher::make_upstream_request(const online_call& call,
--- a/lib/policy/request_queue.cpp
+++ b/lib/policy/request_queue.cpp
@@ -41,9 +41,11 @@
 
 // First-come, first-served would make every request late once the queue is longer than the target:
 // each slot would go to a request that has just missed it. So late requests wait for those on time.
+// A request that has run can no longer be rejected, and its caller may have part of the answer: it
+// never counts as late.
 std::optional<exchange_id> request_queue::next(const service_id& service, instant now) const {
     const auto rank = [this, now](const queued_request& one) {
-        return std::make_tuple(now > one.target_deadline, one.priority,
+        return std::make_tuple(!one.has_run && now > one.target_deadline, one.priority,
                                served_by_team_.at(one.team), one.target_deadline, one.id);
     };
     const queued_request* first = nullptr;
--- a/unittests/policy/slots_test.cpp
+++ b/unittests/policy/slots_test.cpp
@@ -275,6 +275,27 @@
     CHECK(!queue.next(service_id("search"), start));
 }
 
+// Guards against an answer that is cut in the middle and then waits behind new requests until its
+// deadline.
+TEST_CASE("a request that has run isn't late to the queue", "[slots]") {
+    request_queue queue;
+    const auto add = [&queue](std::uint64_t id, milliseconds target, std::uint32_t priority,
+                              bool has_run) {
+        queue.add({exchange_id(id), model, team_id(), priority, start, start + target,
+                   start + milliseconds(5000), has_run});
+    };
+    add(1, milliseconds(200), 1, false);
+    add(2, milliseconds(200), 1, true);
+    add(3, milliseconds(900), 1, false);
+    add(4, milliseconds(900), 0, false);
+    std::vector<std::uint64_t> served;
+    while (const std::optional<exchange_id> next = queue.next(model, start + milliseconds(500))) {
+        served.push_back(next->value());
+        queue.remove_served(*next);
+    }
+    CHECK(served == std::vector<std::uint64_t>{4, 2, 3, 1});
+}
+
 TEST_CASE("a large team's wave doesn't delay the requests of a small team", "[policy]") {
     request_queue queue;
     const auto add = [&queue](int id, const std::string& team, std::uint32_t priority) {
