Keeper client: retry at the leader that a rejection names

What callers saw: nothing certain; only suspected as a part of slow submissions and leases after a change of leader.

Cause: the leader named by a rejection was recorded, and erased by the tick that sends the request again, so each request went on through all keepers, 60 ms apart. A request that is sent only once, as those for leases are, didn't record it at all, so the next one went to the old leader until that of the new one had announced itself.

Change: the last reply to any request names the leader, and only a transmission without a reply erases it.

Why this works: if the named keeper doesn't reply, the request goes to the others as before; if it rejects, it names another one or none, and then the next keeper in the list is asked.

Checked: unit_entry passes.

--- a/include/cassia/entry/keeper_client.h
+++ b/include/cassia/entry/keeper_client.h
@@ -56,12 +56,14 @@
         milliseconds resend_delay{0};       ///< until the next transmission if there is no reply
         std::vector<std::uint64_t> pending; ///< ids of the transmissions without a reply
         std::size_t next_keeper = 0;
+        bool rejected = false; ///< by the reply to the last transmission
     };
     using open_request_map = std::map<std::uint64_t, open_request>;
 
     void transmit(open_request_map::value_type& open, instant now);
     void fail(open_request_map::iterator open);
     open_request remove(open_request_map::iterator open);
+    void learn_leader(group_id group, const std::string& named);
     const keeper_address& choose_keeper(open_request& open);
 
     std::vector<keeper_address> keepers_;
--- a/lib/entry/keeper_client.cpp
+++ b/lib/entry/keeper_client.cpp
@@ -47,6 +47,7 @@
 void keeper_client::transmit(open_request_map::value_type& entry, instant now) {
     open_request& open = entry.second;
     open.request.set_id(++last_id_);
+    open.rejected = false;
     open.pending.push_back(last_id_);
     transmissions_[last_id_] = entry.first;
     open.resend_at = open.options.resend ? now + open.resend_delay : open.expires_at;
@@ -76,23 +77,29 @@
     open_request& open = found->second;
     transmissions_.erase(transmission);
     open.pending.erase(std::find(open.pending.begin(), open.pending.end(), reply.id()));
-    if (reply.result() == schema::keeper_reply::done || !open.options.resend) {
+    const bool is_outdated = reply.id() != open.request.id();
+    const bool rejected = reply.result() != schema::keeper_reply::done;
+    if (rejected && !is_outdated)
+        learn_leader(group_id(open.request.group()), reply.leader());
+    if (!rejected || !open.options.resend) {
         remove(found).on_reply(std::move(reply));
         return;
     }
-    const bool is_outdated = reply.id() != open.request.id();
     if (is_outdated)
         return;
     // The keeper is not the leader or cannot reply now. Retry after a short delay, at the leader
     // that it named, if any.
-    const group_id group(open.request.group());
-    leaders_.erase(group);
-    if (!reply.leader().empty())
-        leaders_[group] = reply.leader();
+    open.rejected = true;
     open.resend_at = now + retry_delay;
     open.resend_delay = first_resend_delay;
 }
 
+void keeper_client::learn_leader(group_id group, const std::string& named) {
+    leaders_.erase(group);
+    if (!named.empty())
+        leaders_[group] = named;
+}
+
 void keeper_client::set_leader(group_id group, const std::string& node) {
     leaders_[group] = node;
 }
@@ -109,7 +116,8 @@
             fail(open);
             continue;
         }
-        leaders_.erase(group_id(open->second.request.group()));
+        if (!open->second.rejected)
+            leaders_.erase(group_id(open->second.request.group()));
         transmit(*open, now);
     }
 }
--- a/unittests/entry/keeper_client_test.cpp
+++ b/unittests/entry/keeper_client_test.cpp
@@ -6,7 +6,9 @@
 
 #include <deque>
 #include <optional>
+#include <string>
 #include <utility>
+#include <vector>
 
 using namespace cassia;
 using namespace cassia::entry;
@@ -68,3 +70,40 @@
         CHECK(keeper.client.open_requests() == 0);
     }
 }
+
+// Guards against requests that go through all keepers while the leader is known.
+TEST_CASE("a request goes to the leader that a rejection names", "[keeper_client]") {
+    std::vector<std::string> asked;
+    std::uint64_t last_id = 0;
+    keeper_client client({{"k1", peer_address("k1:1")},
+                          {"k2", peer_address("k2:1")},
+                          {"k3", peer_address("k3:1")},
+                          {"k4", peer_address("k4:1")}},
+                         [&asked, &last_id](const peer_address& to, const schema::envelope& sent) {
+                             asked.push_back(to.str());
+                             last_id = sent.request().id();
+                         });
+    instant now(std::chrono::seconds(1000));
+    schema::keeper_request request;
+    request.set_group(1);
+    for (const bool resend : {true, false}) {
+        INFO("resend " << resend);
+        client.set_leader(group_id(1), "k1");
+        request_options options;
+        options.resend = resend;
+        client.send_request(
+            request, options, [](const schema::keeper_reply&) {}, now);
+        REQUIRE(asked.back() == "k1:1");
+        schema::keeper_reply rejection;
+        rejection.set_id(last_id);
+        rejection.set_result(schema::keeper_reply::not_leader);
+        rejection.set_leader("k4");
+        client.handle_reply(rejection, now);
+        now += milliseconds(100);
+        client.tick(now);
+        if (!resend)
+            client.send_request(
+                request, options, [](const schema::keeper_reply&) {}, now);
+        CHECK(asked.back() == "k4:1");
+    }
+}
