Raft: a leader that hands over serves no reads by its lease

A read may lack what has just been accepted.

Cause: a voter that is asked to take over is elected at once, while all others are bound by the old leader's lease. If the old leader is cut off at that moment, it doesn't learn of the next one and serves reads until its lease ends.

Evidence: the new test, three members, every message of the old leader lost but its request to take over.

Change: once it has asked a voter to take over, a leader has a lease only by appends sent after the end of the transfer. Proposals are rejected during the transfer as they were.

Why this works: if the voter was elected, a quorum rejects appends of the old leader. What remains is a request to take over that arrives after the transfer has been given up, and is still answered in the same term.

Checked: unit_consensus and unit_keeper pass.

--- a/include/cassia/consensus/raft_group.h
+++ b/include/cassia/consensus/raft_group.h
@@ -174,7 +174,8 @@
     instant leader_since_{};
     disk_id transfer_target_; ///< is to take over leadership until transfer_until_
     instant transfer_until_{};
-    instant next_transfer_{}; ///< no earlier
+    instant next_transfer_{};   ///< no earlier
+    instant no_lease_before_{}; ///< a voter that was asked to take over may lead until then
     std::uint64_t commit_ = 0;
     std::uint64_t applied_ = 0;
     std::uint64_t synced_ = 0; ///< highest index synced to this member's disk
--- a/lib/consensus/raft_election.cpp
+++ b/lib/consensus/raft_election.cpp
@@ -162,6 +162,7 @@
     leader_seen_ = true;
     leader_since_ = now;
     transfer_until_ = instant();
+    no_lease_before_ = instant();
     next_transfer_ = instant();
     progress_.clear();
     update_tracked_members(now);
@@ -211,12 +212,16 @@
     continue_transfer(now);
 }
 
+// The target may be elected at once, without waiting for this leader's lease to end.
 void raft_group::continue_transfer(instant now) {
     auto target = progress_.find(transfer_target_);
-    if (now < transfer_until_ && target != progress_.end() &&
-        target->second.match == log_.last_index())
-        actions_.immediate_messages.push_back(
-            make_message(schema::raft_message::timeout_now, transfer_target_));
+    const bool can_take_over = now < transfer_until_ && target != progress_.end() &&
+                               target->second.match == log_.last_index();
+    if (!can_take_over)
+        return;
+    no_lease_before_ = transfer_until_;
+    actions_.immediate_messages.push_back(
+        make_message(schema::raft_message::timeout_now, transfer_target_));
 }
 
 } // namespace cassia::consensus
--- a/lib/consensus/raft_group.cpp
+++ b/lib/consensus/raft_group.cpp
@@ -123,7 +123,8 @@
         return false;
     std::sort(acked_send_times.begin(), acked_send_times.end(), std::greater<>());
     const instant lease_start = acked_send_times[quorum() - 1];
-    return now < lease_start + settings_.election_timeout * 3 / 4;
+    return lease_start >= no_lease_before_ &&
+           now < lease_start + settings_.election_timeout * 3 / 4;
 }
 
 schema::raft_message raft_group::make_message(int kind, disk_id to) const {
--- a/unittests/consensus/raft_rules_test.cpp
+++ b/unittests/consensus/raft_rules_test.cpp
@@ -314,3 +314,62 @@
     CHECK(actions.messages_after_sync[0].reject());
     CHECK(actions.messages_after_sync[0].index() == 1);
 }
+
+// Guards against reads that lack what the next leader has accepted: it is elected without waiting
+// for the lease of the one that asked it to take over.
+TEST_CASE("a leader that is cut off while it hands over serves no reads", "[consensus]") {
+    std::map<std::uint64_t, raft_group> members;
+    for (std::uint64_t disk = 1; disk <= 3; ++disk)
+        members.emplace(disk, make_member(disk, 3, start));
+    std::uint64_t cut_off = 0;
+    const auto exchange_messages = [&members, &cut_off](instant now) {
+        std::vector<schema::raft_message> sent;
+        for (std::pair<const std::uint64_t, raft_group>& member : members) {
+            raft_actions actions = member.second.take_actions();
+            for (const log_entry_ptr& entry : actions.new_entries)
+                member.second.persisted(entry->index(), term_number(entry->term()));
+            sent.insert(sent.end(), actions.immediate_messages.begin(),
+                        actions.immediate_messages.end());
+            sent.insert(sent.end(), actions.messages_after_sync.begin(),
+                        actions.messages_after_sync.end());
+        }
+        for (const schema::raft_message& message : sent) {
+            const bool lost = (message.from() == cut_off || message.to() == cut_off) &&
+                              message.kind() != schema::raft_message::timeout_now;
+            if (!lost)
+                members.at(message.to()).receive(message, now);
+        }
+    };
+    const auto find_reader = [&members](instant now, std::uint64_t other_than) {
+        for (const std::pair<const std::uint64_t, raft_group>& member : members) {
+            if (member.first != other_than && member.second.may_read(now))
+                return member.first;
+        }
+        return std::uint64_t(0);
+    };
+    instant now = start;
+    const auto pass_time = [&members, &exchange_messages, &now] {
+        constexpr milliseconds step(10);
+        constexpr int exchanges = 12;
+        now += step;
+        for (std::pair<const std::uint64_t, raft_group>& member : members)
+            member.second.tick(now);
+        for (int i = 0; i < exchanges; ++i)
+            exchange_messages(now);
+    };
+    while (find_reader(now, 0) == 0 && now < start + std::chrono::seconds(10))
+        pass_time();
+    const std::uint64_t old_leader = find_reader(now, 0);
+    REQUIRE(old_leader != 0);
+    cut_off = old_leader;
+    members.at(old_leader).transfer_leadership(now);
+    bool was_replaced = false;
+    for (int i = 0; i < 100; ++i) {
+        pass_time();
+        const bool has_successor = find_reader(now, old_leader) != 0;
+        was_replaced = was_replaced || has_successor;
+        INFO("step " << i);
+        CHECK_FALSE((has_successor && members.at(old_leader).may_read(now)));
+    }
+    CHECK(was_replaced);
+}
