--- a/include/cassia/consensus/raft_group.h
+++ b/include/cassia/consensus/raft_group.h
@@ -61,7 +61,7 @@
     void tick(instant now);
     void receive(const schema::raft_message& message, instant now);
 
-    /// Appends a command if this member is the leader and transfers its leadership to nobody.
+    /// Appends a command if this member is the leader and isn't transferring its leadership.
     /// \returns the index of its entry, or nothing.
     std::optional<std::uint64_t> propose(std::string command, instant now);
     /// Appends a membership that differs by one member. Rejected unless this member is the leader,
--- a/include/cassia/policy/slot_table.h
+++ b/include/cassia/policy/slot_table.h
@@ -79,7 +79,7 @@
     /// trial until a request succeeds. \returns the length of the suspension.
     milliseconds record_failure(const endpoint_id& endpoint, instant now);
     /// A request was rejected there without having run. The endpoint counts as full, for longer
-    /// with each rejection in a row; that is no failure, and peers aren't told.
+    /// with each rejection in a row. This isn't a failure, and isn't reported to peers.
     void record_rejection(const endpoint_id& endpoint, instant now);
     /// A request succeeded there: ends suspension and trial, and the row of rejections.
     void record_success(const endpoint_id& endpoint);
--- a/lib/keeper/work_leader_leases.cpp
+++ b/lib/keeper/work_leader_leases.cpp
@@ -51,7 +51,7 @@
 }
 
 // The next commit will take about as long as the last one. Items must not be leased to a gateway
-// that will have stopped waiting by then: nobody would run them until the lease is taken back.
+// that will have stopped waiting by then: they would not run until the lease is taken back.
 std::vector<work_leader::queued_lease> work_leader::take_waiting_requests() {
     const microseconds max_wait = max_lease_turnaround - last_round_duration_;
     std::vector<queued_lease> requests = std::exchange(lease_queue_, {});
--- a/unittests/keeper/lease_load_test.cpp
+++ b/unittests/keeper/lease_load_test.cpp
@@ -140,7 +140,7 @@
 
 } // namespace
 
-// Guards against items leased to gateways that no longer wait for the reply, and so run by nobody.
+// Guards against items leased to gateways that no longer wait for the reply, and so never run.
 TEST_CASE("lease requests of many gateways are granted while these wait", "[work_leader]") {
     constexpr std::uint32_t items = 6000;
     constexpr milliseconds duration(20000);
