Scenario: calls with a key that was revoked while entries were frozen

It also happens at any size, and only the callers' side can see it.

scenario_frozen asks the entry which version it has only after the answer, so a call served by the old lists just before the new ones arrive passes unseen. This scenario looks at the key by which a call was served: calls lie in the sockets of two frozen entries or follow the thaw, twice. scenario_frozen stays as it is.

--- a/test/runner/prelude.lua
+++ b/test/runner/prelude.lua
@@ -11,9 +11,9 @@
   ["team-b"] = "e40e454a7a747cbb931b4a756b5ffb483327d34dfa387546b5f958043e1abce5",
 }
 
-function plans(rate)
+function plans(rate, teams)
   local text = ""
-  for _, name in ipairs({ "team-a", "team-b" }) do
+  for _, name in ipairs(teams or { "team-a", "team-b" }) do
     text = text .. string.format(
       '[[plan]]\nname = "%s"\nkey_sha256 = ["%s"]\nallowance = "all"\nrate = %d\n', name,
       hashes[name], rate or 5000)
