Entry: judge the age of the configuration when a request uses it

Cause: the control task wrote "stale: yes or no" into the view every 100 ms, and the HTTP task read it at any later time. After a freeze the HTTP task runs before the control task has published again, and reads an answer from before the freeze. The view was also asked only after the key had been looked up, so unknown keys were judged by a catalogue of unknown age.

Hypotheses: - the answer is judged when written and not when used: stands.

Change: the view carries the time until which its configuration is current without a newer quorum proof, and authentication compares it with the clock before it looks at the key. It is the one place where requests of all kinds are judged; the two checks behind it are gone. Leases of batch items compare with the clock too. `refused_stale` counts.

--- a/include/cassia/entry/fleet_view.h
+++ b/include/cassia/entry/fleet_view.h
@@ -27,13 +27,16 @@
     std::vector<listed_entry> entries;            ///< entries that accept new requests
     std::uint64_t entries_version = 0;
     std::shared_ptr<const settings::catalog> catalog; ///< null until a configuration is received
-    bool stale = true; ///< no recent beacon of the control group: `catalog` may be out of date
+    instant fresh_until = instant::min();             ///< without a newer quorum proof
     std::vector<policy::strike> strikes;
     std::map<team_id, double> peer_rates; ///< requests per second through the other entries
     /// For each work group, when this entry sent the last heartbeat that its leader replied to.
     std::map<group_id, instant> leader_last_heard;
     /// For each work group, its leader's own clock in its last beacon, in microseconds.
     std::map<group_id, std::uint64_t> leader_clocks;
+
+    /// Whether `catalog` may be out of date: the control group's latest quorum proof is too old.
+    bool is_stale(instant now) const { return now > fresh_until; }
 };
 
 /// The endpoint with this id, or null if it may not get new work.
--- a/include/cassia/membership/beacon_freshness.h
+++ b/include/cassia/membership/beacon_freshness.h
@@ -18,7 +18,9 @@
 
     /// Records a quorum proof. \param age time since the sender first saw it.
     void observe(std::uint64_t term, std::uint64_t beacon, milliseconds age, instant now);
-    bool is_stale(instant now) const;
+    bool is_stale(instant now) const { return now > fresh_until(); }
+    /// When the configuration becomes stale unless a newer quorum proof is received.
+    instant fresh_until() const;
 
     std::uint64_t term() const { return newest_.first; }
     std::uint64_t beacon() const { return newest_.second; }
--- a/lib/entry/batch_api.cpp
+++ b/lib/entry/batch_api.cpp
@@ -100,13 +100,6 @@
 
 void batch_api::serve(exchange_id exchange, const net::http_request& request,
                       const authenticated_caller& caller, const std::string& request_id) {
-    if (context_.view->stale) {
-        context_.reject(exchange,
-                        {rejection_code::stale, "this entry is cut off from the configuration",
-                         run_state::no, default_retry_after},
-                        request_id);
-        return;
-    }
     const std::string& method = request.method;
     if (request.path == "/v1/batches") {
         if (method == "POST")
--- a/lib/entry/batch_leases.cpp
+++ b/lib/entry/batch_leases.cpp
@@ -34,7 +34,7 @@
 std::map<service_id, std::uint32_t> batch_task::items_to_lease() const {
     std::map<service_id, std::uint32_t> item_counts;
     const instant now = monotonic_now();
-    if (draining_ || view_->stale || items_.size() >= settings_.batch_window())
+    if (draining_ || view_->is_stale(now) || items_.size() >= settings_.batch_window())
         return item_counts;
     for (const policy::endpoint_info& facts : view_->endpoints) {
         auto state = endpoints_.find(facts.id);
--- a/lib/entry/control_view.cpp
+++ b/lib/entry/control_view.cpp
@@ -61,7 +61,7 @@
         view->entries.push_back(
             {entry_id(entry->entry()), entry->http_address(), zone_id(entry->zone())});
     view->catalog = catalog_;
-    view->stale = freshness_.is_stale(now);
+    view->fresh_until = freshness_.fresh_until();
     view->strikes = strikes_.active(now);
     view->leader_last_heard = leader_last_heard_;
     view->leader_clocks = leader_clocks_;
--- a/lib/entry/http_task.cpp
+++ b/lib/entry/http_task.cpp
@@ -198,12 +198,16 @@
 std::optional<authenticated_caller> http_task::authenticate(exchange_id exchange,
                                                             const net::http_request& request,
                                                             const std::string& request_id) {
-    if (context_.view->catalog == nullptr) {
-        // Without a configuration every key is unknown, so this must not be reported as the
-        // caller's mistake.
+    // Neither whether a key is valid nor whether it is unknown can be told without a current
+    // configuration. This task may resume from a freeze before the control task has published a new
+    // view, so the age of the configuration is judged here.
+    const bool has_catalog = context_.view->catalog != nullptr;
+    if (!has_catalog || context_.view->is_stale(monotonic_now())) {
+        const char* reason = has_catalog ? "this entry is cut off from the configuration"
+                                         : "this entry has no configuration yet";
+        metrics_.count("refused_stale");
         context_.reject(exchange,
-                        {rejection_code::stale, "this entry has no configuration yet",
-                         run_state::no, default_retry_after},
+                        {rejection_code::stale, reason, run_state::no, default_retry_after},
                         request_id);
         return std::nullopt;
     }
--- a/lib/entry/online_arrival.cpp
+++ b/lib/entry/online_arrival.cpp
@@ -171,12 +171,6 @@
                                      "' in this version or with this adapter"});
         return;
     }
-    if (context_.view->stale) {
-        reject_before_admission(admitted, {rejection_code::stale,
-                                           "this entry is cut off from the configuration",
-                                           run_state::no, default_retry_after});
-        return;
-    }
     if (!check_rate_limit(admitted))
         return;
     admitted.fingerprint = cassia::fingerprint(
--- a/lib/membership/beacon_freshness.cpp
+++ b/lib/membership/beacon_freshness.cpp
@@ -16,8 +16,8 @@
     }
 }
 
-bool beacon_freshness::is_stale(instant now) const {
-    return !seen_any_ || now - first_seen_ > stale_after_;
+instant beacon_freshness::fresh_until() const {
+    return seen_any_ ? first_seen_ + stale_after_ : instant::min();
 }
 
 milliseconds beacon_freshness::age(instant now) const {
