Entry: gossip that was queued during a freeze no longer counts as new

Cause: gossip names the age of the quorum proof at the time at which it was sent, and the receiver added nothing for the way. The messages of the first seconds of the freeze lie in the socket; when they are read after it, the proof in them has a higher number than any known and an age of some 100 ms, so that the configuration from before the freeze counts as current for another two seconds. Keepers echo the entry's own clock for this reason; gossip did not.

Change: gossip to an entry echoes when that entry sent its latest gossip, by its own clock, and for how long the sender has held it. That bounds the age of the message without comparing clocks, also while one direction is cut or the sender was frozen itself. Everything in the message is dated by it: quorum proof, endpoints, strikes, the sender's own liveness. A proof without an echo of this process doesn't count. The ages of entries listed in a keeper's beacon now include the beacon's own age.

A pure test of the bound.

--- a/include/cassia/entry/control_task.h
+++ b/include/cassia/entry/control_task.h
@@ -8,6 +8,7 @@
 #include "cassia/membership/beacon_freshness.h"
 #include "cassia/membership/endpoint_directory.h"
 #include "cassia/membership/entry_list.h"
+#include "cassia/membership/message_age.h"
 #include "cassia/net/peer_hub.h"
 #include "cassia/net/task.h"
 #include "cassia/policy/strikes.h"
@@ -16,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -77,6 +79,8 @@
     schema::entry_hello make_heartbeat() const;
     void send_heartbeats();
     void send_gossip();
+    /// Writes when the receiver sent its latest gossip, so that it can judge the age of this one.
+    void write_echo(const entry_id& receiver, instant now, schema::gossip& gossip) const;
     void publish_view();
     std::vector<policy::endpoint_info> endpoint_info(instant now) const;
     void tick();
@@ -103,7 +107,8 @@
     std::map<team_id, double> rates_;
     struct peer_entry {
         schema::gossip last_gossip;
-        instant last_heard{};
+        instant received_at{}; ///< of `last_gossip`
+        instant last_heard{};  ///< the earliest time at which it may have been sent
     };
     std::map<entry_id, peer_entry> peers_;
     std::uint64_t gossip_sequence_ = 0;
--- a/lib/entry/control_task.cpp
+++ b/lib/entry/control_task.cpp
@@ -175,10 +175,10 @@
     // The keeper echoes the time at which this entry sent its heartbeat, by this process's own
     // clock. A process that resumes after a freeze finds old beacons in its socket buffers;
     // treating them as new would make it consider an outdated configuration current.
-    const microseconds age = now - from_us(beacon.sent_at_us());
+    const milliseconds age = std::max(
+        std::chrono::ceil<milliseconds>(now - from_us(beacon.sent_at_us())), milliseconds(0));
     if (beacon.leads_control())
-        freshness_.observe(beacon.beacon_term(), beacon.beacon(),
-                           std::chrono::duration_cast<milliseconds>(age), now);
+        freshness_.observe(beacon.beacon_term(), beacon.beacon(), age, now);
     for (const std::uint32_t group : beacon.leads()) {
         keepers_.set_leader(group_id(group), beacon.keeper());
         instant& last_heard = leader_last_heard_[group_id(group)];
@@ -188,7 +188,7 @@
     if (beacon.leads_control())
         keepers_.set_leader(group_id(0), beacon.keeper());
     for (const schema::entry_hello& entry : beacon.entries())
-        entries_.observe(entry, milliseconds(entry.age_ms()), now);
+        entries_.observe(entry, milliseconds(entry.age_ms()) + age, now);
     if (beacon.has_config())
         apply_config(beacon.config());
     std::vector<job_id> cancelled;
@@ -221,6 +221,14 @@
     send_gossip();
 }
 
+static std::optional<microseconds> max_age_of(const schema::gossip& gossip,
+                                              std::uint64_t incarnation, instant now) {
+    const membership::send_time_echo echo{
+        gossip.echo_incarnation(), from_us(gossip.echo_sent_at_us()),
+        microseconds(static_cast<std::int64_t>(gossip.echo_held_us()))};
+    return membership::max_message_age(echo, incarnation, now);
+}
+
 void control_task::on_gossip(const schema::gossip& gossip) {
     const instant now = monotonic_now();
     peer_entry& peer = peers_[entry_id(gossip.entry())];
@@ -229,18 +237,24 @@
                            gossip.sequence() <= peer.last_gossip.sequence());
     if (outdated)
         return;
+    // Ages in the message are those at the time at which it was sent.
+    const std::optional<microseconds> max_age = max_age_of(gossip, incarnation_, now);
+    const instant sent_at = now - max_age.value_or(microseconds(0));
     peer.last_gossip = gossip;
-    peer.last_heard = now;
-    entries_.observe(gossip.self(), milliseconds(0), now);
+    peer.received_at = now;
+    peer.last_heard = sent_at;
+    entries_.observe(gossip.self(), milliseconds(0), sent_at);
     bool changed = false;
     for (const schema::endpoint_record& record : gossip.endpoints())
-        changed = directory_.merge_remote(record, now) || changed;
+        changed = directory_.merge_remote(record, sent_at) || changed;
     for (const schema::strike_record& strike : gossip.strikes())
         changed = strikes_.add({fingerprint(strike.fingerprint()), endpoint_id(strike.endpoint()),
-                                now - milliseconds(strike.age_ms())}) ||
+                                sent_at - milliseconds(strike.age_ms())}) ||
                   changed;
-    freshness_.observe(gossip.beacon_term(), gossip.beacon(), milliseconds(gossip.beacon_age_ms()),
-                       now);
+    // A quorum proof in a message of unknown age may be from before a change.
+    if (max_age)
+        freshness_.observe(gossip.beacon_term(), gossip.beacon(),
+                           milliseconds(gossip.beacon_age_ms()), sent_at);
     if (gossip.has_config())
         apply_config(gossip.config());
     if (changed)
@@ -315,10 +329,22 @@
         gossip->clear_config();
         if (peer->config_version() < config_.version())
             *gossip->mutable_config() = config_;
+        write_echo(entry_id(peer->entry()), now, *gossip);
         hub_->send(peer_address(peer->peer_address()), envelope);
     }
 }
 
+void control_task::write_echo(const entry_id& receiver, instant now, schema::gossip& gossip) const {
+    auto peer = peers_.find(receiver);
+    if (peer == peers_.end()) {
+        gossip.clear_echo_incarnation();
+        return;
+    }
+    gossip.set_echo_incarnation(peer->second.last_gossip.incarnation());
+    gossip.set_echo_sent_at_us(peer->second.last_gossip.self().sent_at_us());
+    gossip.set_echo_held_us(static_cast<std::uint64_t>((now - peer->second.received_at).count()));
+}
+
 void control_task::tick() {
     const instant now = monotonic_now();
     keepers_.tick(now);
--- a/unittests/membership/membership_test.cpp
+++ b/unittests/membership/membership_test.cpp
@@ -3,6 +3,7 @@
 #include "cassia/membership/beacon_freshness.h"
 #include "cassia/membership/endpoint_directory.h"
 #include "cassia/membership/entry_list.h"
+#include "cassia/membership/message_age.h"
 
 #include <catch2/catch.hpp>
 
@@ -129,6 +130,18 @@
     CHECK_FALSE(freshness.is_stale(start + milliseconds(7000)));
 }
 
+// Guards against gossip that was queued while this process was frozen and counts as new.
+TEST_CASE("the age of a message is bounded by the echo of what it replies to", "[membership]") {
+    constexpr std::uint64_t incarnation = 7;
+    const send_time_echo echo{incarnation, start, milliseconds(300)};
+    // The peer replied at 300 ms or later, by whatever clock it has.
+    CHECK(max_message_age(echo, incarnation, start + milliseconds(302)) == milliseconds(2));
+    CHECK(max_message_age(echo, incarnation, start + milliseconds(5300)) == milliseconds(5000));
+    CHECK(max_message_age(echo, incarnation, start) == milliseconds(0));
+    CHECK_FALSE(max_message_age(echo, incarnation + 1, start + milliseconds(302)));
+    CHECK_FALSE(max_message_age(send_time_echo(), incarnation, start));
+}
+
 TEST_CASE("draining and unresponsive entries get no new requests", "[membership]") {
     entry_list list(milliseconds(3000));
     list.observe(heartbeat_of("x", 1), milliseconds(0), start);
