Keepers: endpoints reach other keepers once, and whole lists only where they are due

Cause, four ways in which keepers of the control group multiply what they tell each other: - a list that the other hasn't acknowledged yet was sent again with each heartbeat; one that is busy acknowledges late, so it gets more: the state that never ends once it has begun; - a keeper that forwards another's heartbeat also forwarded what that one had acknowledged to it. The receiver took it for an acknowledgement of its own list, found another epoch, and sent the whole list with its next news; - news with a change were answered with a heartbeat, which was answered with news: while endpoints arrive this went on at the pace of the network instead of each 300 ms; - each announcement was relayed by every keeper to every other, received four times with five.

Change: what is in transit isn't repeated for a second, with the same rule as for gateways. What a keeper has acknowledged counts only from itself. An acknowledgement asks for no news. Keepers report announcements made to them; a keeper that hasn't heard of some endpoint for 1.6 s asks for those of others too, so that one that is cut off from some keepers isn't left behind.

--- a/include/cassia/keeper/endpoint_list_delivery.h
+++ b/include/cassia/keeper/endpoint_list_delivery.h
@@ -1,4 +1,4 @@
-/// Tracks which changes of the list of endpoints are in transit to a gateway. Pure.
+/// Tracks which changes of the list of endpoints are in transit to a gateway or keeper. Pure.
 #pragma once
 
 #include "cassia/base/clock.h"
@@ -9,11 +9,11 @@
 
 class endpoint_list_delivery {
 public:
-    /// The gateway was restarted and has no list yet.
+    /// The receiver was restarted and has no list yet.
     void reset() { sent_ = 0; }
     /// The revision after which the next beacon lists the changes. What is in transit isn't sent
-    /// again: a gateway under load acknowledges late, and whole lists are long.
-    /// \param acknowledged revision that the gateway reports to have.
+    /// again: a receiver under load acknowledges late, and whole lists are long.
+    /// \param acknowledged revision that the receiver reports to have.
     std::uint64_t base(std::uint64_t acknowledged, instant now) const {
         const bool in_transit = sent_ > acknowledged && now - in_transit_since_ < resend_interval;
         return in_transit ? sent_ : acknowledged;
--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -109,6 +109,7 @@
     struct known_keeper {
         schema::keeper_hello heartbeat;
         instant last_seen{};
+        endpoint_list_delivery endpoint_list;
     };
     /// An announcement that is acknowledged once a majority of the control group has it.
     struct pending_announcement {
@@ -166,7 +167,7 @@
     void write_endpoints(known_gateway& gateway, schema::keeper_beacon& beacon, instant now) const;
     /// Writes what another keeper lacks of the endpoints, and which were heard again without a
     /// change: each keeper judges by itself which are alive.
-    void write_endpoints(const schema::keeper_hello& keeper, schema::keeper_news& news) const;
+    void write_endpoints(known_keeper& keeper, schema::keeper_news& news) const;
     template <class Receiver>
     std::uint64_t acknowledged_revision(const Receiver& receiver) const {
         return receiver.directory_epoch() == directory_epoch_ ? receiver.directory_revision() : 0;
@@ -176,6 +177,9 @@
     void refresh_lists(instant now);
     void on_keeper_heartbeat(const schema::keeper_hello& heartbeat);
     void send_keeper_heartbeat(const peer_address& to);
+    /// Reports what was received, without asking for news.
+    void acknowledge_news(const peer_address& to);
+    void merge_endpoints(const schema::keeper_news& news, instant now);
     void on_config_applied();
     void schedule_beacon_push();
     void push_beacons();
@@ -199,8 +203,10 @@
     /// Whether the work groups exist, and this keeper holds the state of none of them.
     bool is_standby() const;
     void record_keeper(const schema::keeper_hello& heartbeat, instant seen);
+    /// Records a keeper of which another one reports.
+    void record_forwarded_keeper(schema::keeper_hello heartbeat, instant seen);
     /// Sends a keeper what this one knows of other keepers, work groups, endpoints and gateways.
-    void send_news(const peer_address& to, const known_keeper& keeper);
+    void send_news(const peer_address& to, known_keeper& keeper);
     void on_news(const schema::keeper_news& news);
     void push_news();
     /// Proposes the initial members of the work groups to the control group, if not decided yet.
--- a/include/cassia/membership/endpoint_directory.h
+++ b/include/cassia/membership/endpoint_directory.h
@@ -66,9 +66,14 @@
     std::uint64_t changes() const { return changes_; }
     /// Whether the latest announcement of any endpoint in service is older than `timeout`.
     bool any_unresponsive_for(milliseconds timeout, instant now) const;
+    /// Which announcements are reported to another process.
+    enum class pulse_scope {
+        all,
+        direct, ///< those made to this process
+    };
     /// Liveness reports, with ages, of the endpoints announced after a revision without a change.
-    google::protobuf::RepeatedPtrField<schema::endpoint_pulse> pulses_since(std::uint64_t revision,
-                                                                            instant now) const;
+    google::protobuf::RepeatedPtrField<schema::endpoint_pulse>
+    pulses_since(std::uint64_t revision, instant now, pulse_scope scope = pulse_scope::all) const;
     /// Records that changed after a revision, in the order of their changes, with ages.
     std::vector<schema::endpoint_record> records_since(std::uint64_t revision, instant now) const;
 
--- a/lib/keeper/service_discovery.cpp
+++ b/lib/keeper/service_discovery.cpp
@@ -17,6 +17,8 @@
 // All VMs start within a few hundred ms of each other. After this delay the keepers of every zone
 // have been heard, and the initial members can be spread over the zones.
 constexpr milliseconds candidate_gathering_time(700);
+// Endpoints announce themselves once a second, and keepers pass that on each 300 ms.
+constexpr milliseconds announcement_late_after(1600);
 } // namespace
 
 std::vector<peer_address> service::heartbeat_targets() const {
@@ -76,6 +78,9 @@
         heartbeat.set_directory_epoch(received->second.first);
         heartbeat.set_directory_revision(received->second.second);
     }
+    heartbeat.set_lacks_announcements(
+        hosts_control() &&
+        directory_.any_unresponsive_for(announcement_late_after, monotonic_now()));
     return heartbeat;
 }
 
@@ -94,7 +99,19 @@
         work_planner_.update(status);
 }
 
-void service::send_news(const peer_address& to, const known_keeper& keeper) {
+// What a keeper has acknowledged to this one stays as it said itself.
+void service::record_forwarded_keeper(schema::keeper_hello heartbeat, instant seen) {
+    auto known = keepers_.find(heartbeat.node());
+    if (known != keepers_.end()) {
+        const schema::keeper_hello& direct = known->second.heartbeat;
+        heartbeat.set_directory_epoch(direct.directory_epoch());
+        heartbeat.set_directory_revision(direct.directory_revision());
+        heartbeat.set_lacks_announcements(direct.lacks_announcements());
+    }
+    record_keeper(heartbeat, seen);
+}
+
+void service::send_news(const peer_address& to, known_keeper& keeper) {
     const instant now = monotonic_now();
     schema::envelope envelope;
     schema::keeper_news* news = envelope.mutable_news();
@@ -114,27 +131,39 @@
         schema::keeper_hello* added = news->add_keepers();
         *added = other.second.heartbeat;
         added->clear_founders();
+        // These concern this keeper only.
+        added->clear_directory_epoch();
+        added->clear_directory_revision();
+        added->clear_lacks_announcements();
         added->set_age_ms(
             added->age_ms() +
             static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(age).count()));
     }
     if (keeper.heartbeat.control()) {
-        write_endpoints(keeper.heartbeat, *news);
+        write_endpoints(keeper, *news);
         write_sightings(*news);
     }
     hub_->send(to, envelope);
 }
 
-void service::write_endpoints(const schema::keeper_hello& keeper, schema::keeper_news& news) const {
+// An endpoint announces itself to any keeper, and each hears of it from that one. Keepers relay
+// what they were told by others only to a keeper that is cut off from some of them.
+void service::write_endpoints(known_keeper& keeper, schema::keeper_news& news) const {
+    using pulse_scope = membership::endpoint_directory::pulse_scope;
     const instant now = monotonic_now();
-    const std::uint64_t acknowledged = acknowledged_revision(keeper);
+    const std::uint64_t acknowledged = acknowledged_revision(keeper.heartbeat);
+    const std::uint64_t base = keeper.endpoint_list.base(acknowledged, now);
     news.set_directory_epoch(directory_epoch_);
     news.set_directory_revision(directory_.revision());
-    for (schema::endpoint_record& record : directory_.records_since(acknowledged, now)) {
+    news.set_endpoints_base(base);
+    for (schema::endpoint_record& record : directory_.records_since(base, now)) {
         record.clear_unresponsive();
         *news.add_endpoints() = std::move(record);
     }
-    *news.mutable_pulses() = directory_.pulses_since(acknowledged, now);
+    if (news.endpoints_size() > 0)
+        keeper.endpoint_list.on_sent(acknowledged, base, directory_.revision(), now);
+    *news.mutable_pulses() = directory_.pulses_since(
+        base, now, keeper.heartbeat.lacks_announcements() ? pulse_scope::all : pulse_scope::direct);
 }
 
 // A gateway sends most of its heartbeats to the keeper that it follows. That keeper tells the other
@@ -174,7 +203,7 @@
     record_keeper(news.self(), now);
     for (const schema::keeper_hello& heartbeat : news.keepers()) {
         if (heartbeat.node() != node_)
-            record_keeper(heartbeat, now - milliseconds(heartbeat.age_ms()));
+            record_forwarded_keeper(heartbeat, now - milliseconds(heartbeat.age_ms()));
     }
     if (hosts_work()) {
         std::set<disk_id> retiring;
@@ -190,24 +219,30 @@
     }
     if (!hosts_control())
         return;
+    merge_endpoints(news, now);
+    merge_sightings(news, now);
+}
+
+void service::merge_endpoints(const schema::keeper_news& news, instant now) {
+    std::pair<std::uint64_t, std::uint64_t>& received = received_revisions_[news.self().address()];
+    const std::uint64_t known = received.first == news.directory_epoch() ? received.second : 0;
     bool changed = false;
     for (const schema::endpoint_record& record : news.endpoints())
         changed = directory_.merge_remote(record, now) || changed;
     for (const schema::endpoint_pulse& pulse : news.pulses())
         changed = directory_.merge_remote(pulse, now) || changed;
-    merge_sightings(news, now);
-    received_revisions_[news.self().address()] = {news.directory_epoch(),
-                                                  news.directory_revision()};
-    if (!changed)
-        return;
-    // The sender may need this keeper's acknowledgement, which the heartbeat carries, before it can
-    // acknowledge an endpoint's announcement.
-    send_keeper_heartbeat(peer_address(news.self().address()));
-    schedule_beacon_push();
+    // Behind news that were lost: the sender repeats what is missing.
+    if (news.endpoints_base() <= known)
+        received = {news.directory_epoch(), std::max(known, news.directory_revision())};
+    // The sender may need the acknowledgement before it can acknowledge an endpoint's announcement.
+    if (news.endpoints_size() > 0)
+        acknowledge_news(peer_address(news.self().address()));
+    if (changed)
+        schedule_beacon_push();
 }
 
 void service::push_news() {
-    for (const std::pair<const std::string, known_keeper>& keeper : keepers_) {
+    for (std::pair<const std::string, known_keeper>& keeper : keepers_) {
         if (monotonic_now() - keeper.second.last_seen < keeper_timeout)
             send_news(peer_address(keeper.second.heartbeat.address()), keeper.second);
     }
--- a/lib/keeper/service_requests.cpp
+++ b/lib/keeper/service_requests.cpp
@@ -179,6 +179,13 @@
     hub_->send(to, envelope);
 }
 
+void service::acknowledge_news(const peer_address& to) {
+    schema::envelope envelope;
+    *envelope.mutable_keeper() = own_heartbeat(to);
+    envelope.mutable_keeper()->set_only_acknowledges(true);
+    hub_->send(to, envelope);
+}
+
 void service::on_keeper_heartbeat(const schema::keeper_hello& heartbeat) {
     record_keeper(heartbeat, monotonic_now());
     // An initial member that missed the bootstrap learns the list of members from the other
@@ -186,7 +193,7 @@
     const bool bootstrapped = !hosts_control() || replicas_.at(control_group)->is_bootstrapped();
     if (!bootstrapped && heartbeat.control() && heartbeat.founders().members_size() > 0)
         initial_members_ = consensus::members_from_proto(heartbeat.founders());
-    if (uses_seeds() && hosts_control())
+    if (uses_seeds() && hosts_control() && !heartbeat.only_acknowledges())
         send_news(peer_address(heartbeat.address()), keepers_.at(heartbeat.node()));
     respond_to_pending_announcements();
 }
--- a/lib/membership/endpoint_directory.cpp
+++ b/lib/membership/endpoint_directory.cpp
@@ -217,11 +217,14 @@
 }
 
 google::protobuf::RepeatedPtrField<schema::endpoint_pulse>
-endpoint_directory::pulses_since(std::uint64_t revision, instant now) const {
+endpoint_directory::pulses_since(std::uint64_t revision, instant now, pulse_scope scope) const {
     google::protobuf::RepeatedPtrField<schema::endpoint_pulse> out;
     for (const std::pair<const endpoint_id, endpoint_state>& known : endpoints_) {
         if (known.second.changed_revision > revision || known.second.heard_revision <= revision)
             continue;
+        const bool direct = known.second.last_heard == known.second.last_heard_directly;
+        if (scope == pulse_scope::direct && !direct)
+            continue;
         schema::endpoint_pulse* pulse = out.Add();
         pulse->set_id(known.first.str());
         pulse->set_incarnation(known.second.record.incarnation());
