--- a/test/runner/main.cpp
+++ b/test/runner/main.cpp
@@ -1,5 +1,4 @@
 // Runs one scenario: Lua files in order, with the verbs of the language.
-// usage: cassia-scenario --bin FOLDER --state FOLDER --block N [--seed N] FILE...
 
 #include "verbs.h"
 
@@ -12,7 +11,21 @@
 #include <cstring>
 #include <memory>
 
+namespace {
+constexpr int last_block = 155; ///< each has a second octet of 127.0.0.0/8 of its own, from 100 on
+} // namespace
+
+static int print_usage(std::FILE* to, int exit_code) {
+    std::fprintf(
+        to,
+        "usage: cassia-scenario [--bin FOLDER] [--state FOLDER] [--block N] [--seed N] "
+        "FILE...\n  --block: 0 to %d; processes of different blocks don't share addresses\n",
+        last_block);
+    return exit_code;
+}
+
 int main(int argc, char** argv) {
+    constexpr int exit_usage = 2;
     std::string bin = "build/bin";
     std::string state = "build/scenarios/run";
     int block = 0;
@@ -21,6 +34,8 @@
     for (int i = 1; i < argc; ++i) {
         const std::string word = argv[i];
         const bool has_value = i + 1 < argc;
+        if (word == "--help")
+            return print_usage(stdout, 0);
         if (word == "--bin" && has_value)
             bin = argv[++i];
         else if (word == "--state" && has_value)
@@ -29,9 +44,13 @@
             block = std::atoi(argv[++i]);
         else if (word == "--seed" && has_value)
             seed = std::atoll(argv[++i]);
+        else if (word.compare(0, 2, "--") == 0)
+            return print_usage(stderr, exit_usage);
         else
             files.push_back(word);
     }
+    if (files.empty() || block < 0 || block > last_block)
+        return print_usage(stderr, exit_usage);
     std::printf("seed %lld\n", seed);
     std::fflush(stdout);
     const std::unique_ptr<cassia::scenario::scenario_context> context(
