Keepers under load: acknowledgements that are read late bring no whole lists

Evidence: perf with call chains of the control keepers at 300 machines, right after the start (1,053 samples). Of what a keeper uses, sending beacons is 44 % (pushes of changes 36 %), answering other keepers 32 %, of which the heartbeat of its own 19 %: it looked through all 3,000 endpoints for one that was not heard of, for each of the 40 and more stores that ask, instead of ten times a second.

Hypothesis for the pushes, not proved: gateways' acknowledgements wait behind all other messages, so a keeper without processor time reads them seconds late, finds the list unacknowledged for a second by its own clock, and sends it again, 600 kB to each gateway.

Change: whether changes are still in transit is judged by the receiver's clock, as its latest report states it; a report from before says nothing. Both kinds of heartbeats carry their time. The late endpoints are looked for when the lists are refreshed. Pushes to gateways leave 3 ms each, not 1 ms. `keeper_followed` in a gateway's log says which keeper's lists it copies.

--- a/include/cassia/keeper/endpoint_list_delivery.h
+++ b/include/cassia/keeper/endpoint_list_delivery.h
@@ -14,25 +14,29 @@
     /// The revision after which the next beacon lists the changes. What is in transit isn't sent
     /// again: a receiver under load acknowledges late, and whole lists are long.
     /// \param acknowledged revision that the receiver reports to have.
-    std::uint64_t base(std::uint64_t acknowledged, instant now) const {
-        const bool in_transit = sent_ > acknowledged && now - in_transit_since_ < resend_interval;
+    /// \param reported_at when it sent that report, by its own clock: a report that this process
+    /// reads late says nothing of what was sent since.
+    std::uint64_t base(std::uint64_t acknowledged, instant reported_at) const {
+        const bool in_transit =
+            sent_ > acknowledged && reported_at - in_transit_since_ < resend_interval;
         return in_transit ? sent_ : acknowledged;
     }
     /// Changes after `base` up to `revision` were sent.
     void on_sent(std::uint64_t acknowledged, std::uint64_t base, std::uint64_t revision,
-                 instant now) {
+                 instant reported_at) {
         const bool follows_others_in_transit = base > acknowledged;
         if (!follows_others_in_transit)
-            in_transit_since_ = now;
+            in_transit_since_ = reported_at;
         sent_ = revision;
     }
 
 private:
-    /// Longer than the retransmission of a lost packet takes.
-    static constexpr milliseconds resend_interval{1000};
+    /// Connections retransmit lost packets, so only a broken connection loses messages.
+    static constexpr milliseconds resend_interval{3000};
 
     std::uint64_t sent_ = 0;
-    instant in_transit_since_{}; ///< of the oldest changes that aren't acknowledged
+    /// The latest report, by the receiver's clock, when the oldest of these changes were sent.
+    instant in_transit_since_{};
 };
 
 } // namespace cassia::keeper
--- a/include/cassia/membership/entry_roster.h
+++ b/include/cassia/membership/entry_roster.h
@@ -53,7 +53,8 @@
     explicit roster_copy(std::string self) : self_(std::move(self)) {}
 
     /// Sets the keeper to copy from.
-    void follow(const peer_address& source);
+    /// \returns whether that is another one than before.
+    bool follow(const peer_address& source);
     /// Writes the epoch and revision of this copy, so that the keeper sends what changed since.
     void write(schema::entry_hello& heartbeat) const;
     /// Applies the list, or its changes, in a beacon of the keeper. \returns whether the list
--- a/lib/gateway/cluster_client.cpp
+++ b/lib/gateway/cluster_client.cpp
@@ -122,7 +122,8 @@
 void cluster_client::send_heartbeat(heartbeat_scope scope) {
     const instant now = monotonic_now();
     const peer_address followed = followed_.choose(now);
-    roster_.follow(followed);
+    if (roster_.follow(followed))
+        log_info("keeper_followed").with("keeper", followed.str());
     endpoints_.follow(followed, std::min(now, last_control_beacon_at_));
     std::set<peer_address> recipients;
     if (!followed.empty())
--- a/lib/keeper/service_discovery.cpp
+++ b/lib/keeper/service_discovery.cpp
@@ -17,8 +17,6 @@
 // All VMs start within a few hundred ms of each other. After this delay the keepers of every zone
 // have been heard, and the initial members can be spread over the zones.
 constexpr milliseconds candidate_gathering_time(700);
-// Endpoints announce themselves once a second, and keepers pass that on each 300 ms.
-constexpr milliseconds announcement_late_after(1600);
 } // namespace
 
 std::vector<peer_address> service::heartbeat_targets() const {
@@ -78,9 +76,8 @@
         heartbeat.set_directory_epoch(received->second.first);
         heartbeat.set_directory_revision(received->second.second);
     }
-    heartbeat.set_lacks_announcements(
-        hosts_control() &&
-        directory_.any_unresponsive_for(announcement_late_after, monotonic_now()));
+    heartbeat.set_lacks_announcements(lacks_announcements_);
+    heartbeat.set_sent_at_us(to_us(monotonic_now()));
     return heartbeat;
 }
 
@@ -107,6 +104,7 @@
         heartbeat.set_directory_epoch(direct.directory_epoch());
         heartbeat.set_directory_revision(direct.directory_revision());
         heartbeat.set_lacks_announcements(direct.lacks_announcements());
+        heartbeat.set_sent_at_us(direct.sent_at_us());
     }
     record_keeper(heartbeat, seen);
 }
@@ -135,6 +133,7 @@
         added->clear_directory_epoch();
         added->clear_directory_revision();
         added->clear_lacks_announcements();
+        added->clear_sent_at_us();
         added->set_age_ms(
             added->age_ms() +
             static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(age).count()));
@@ -152,7 +151,8 @@
     using pulse_scope = membership::endpoint_directory::pulse_scope;
     const instant now = monotonic_now();
     const std::uint64_t acknowledged = acknowledged_revision(keeper.heartbeat);
-    const std::uint64_t base = keeper.endpoint_list.base(acknowledged, now);
+    const instant reported_at = from_us(keeper.heartbeat.sent_at_us());
+    const std::uint64_t base = keeper.endpoint_list.base(acknowledged, reported_at);
     news.set_directory_epoch(directory_epoch_);
     news.set_directory_revision(directory_.revision());
     news.set_endpoints_base(base);
@@ -161,7 +161,7 @@
         *news.add_endpoints() = std::move(record);
     }
     if (news.endpoints_size() > 0)
-        keeper.endpoint_list.on_sent(acknowledged, base, directory_.revision(), now);
+        keeper.endpoint_list.on_sent(acknowledged, base, directory_.revision(), reported_at);
     *news.mutable_pulses() = directory_.pulses_since(
         base, now, keeper.heartbeat.lacks_announcements() ? pulse_scope::all : pulse_scope::direct);
 }
--- a/lib/keeper/service_gateways.cpp
+++ b/lib/keeper/service_gateways.cpp
@@ -17,7 +17,9 @@
 constexpr milliseconds incarnation_overlap(1000);
 // A thirtieth of the 3 s without a heartbeat after which gateways and keepers are presumed dead.
 constexpr milliseconds list_refresh_interval(100);
-constexpr milliseconds push_time_per_gateway(1);
+constexpr milliseconds push_time_per_gateway(3);
+// Endpoints announce themselves once a second, and keepers report that each 300 ms.
+constexpr milliseconds announcement_late_after(1600);
 // Heartbeats responded to before further messages are read.
 constexpr std::size_t heartbeat_batch = 16;
 } // namespace
@@ -110,13 +112,14 @@
     if (!gateway.heartbeat.follows())
         return;
     const std::uint64_t acknowledged = acknowledged_revision(gateway.heartbeat);
-    const std::uint64_t base = gateway.endpoint_list.base(acknowledged, now);
+    const instant reported_at = from_us(gateway.heartbeat.sent_at_us());
+    const std::uint64_t base = gateway.endpoint_list.base(acknowledged, reported_at);
     beacon.set_endpoints_base(base);
     beacon.set_directory_revision(directory_.revision());
     for (schema::endpoint_record& record : directory_.records_since(base, now))
         *beacon.add_endpoints() = std::move(record);
     if (beacon.endpoints_size() > 0)
-        gateway.endpoint_list.on_sent(acknowledged, base, directory_.revision(), now);
+        gateway.endpoint_list.on_sent(acknowledged, base, directory_.revision(), reported_at);
 }
 
 // With seeds, gateways talk only to work keepers that are members of a work group. The
@@ -166,6 +169,7 @@
     lists_refreshed_at_ = now;
     roster_.mark_lost(now);
     keepers_digest_ = compute_keepers_digest();
+    lacks_announcements_ = directory_.any_unresponsive_for(announcement_late_after, now);
     if (directory_.mark_unresponsive(now))
         schedule_beacon_push();
 }
--- a/lib/membership/entry_roster.cpp
+++ b/lib/membership/entry_roster.cpp
@@ -71,12 +71,13 @@
     }
 }
 
-void roster_copy::follow(const peer_address& source) {
+bool roster_copy::follow(const peer_address& source) {
     if (source == source_)
-        return;
+        return false;
     source_ = source;
     epoch_ = 0;
     revision_ = 0;
+    return true;
 }
 
 void roster_copy::write(schema::entry_hello& heartbeat) const {
