--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -177,6 +177,7 @@
     void refresh_lists(instant now);
     void on_keeper_heartbeat(const schema::keeper_hello& heartbeat);
     void send_keeper_heartbeat(const peer_address& to);
+    void send_keeper_heartbeats();
     /// Reports what was received, without asking for news.
     void acknowledge_news(const peer_address& to);
     void merge_endpoints(const schema::keeper_news& news, instant now);
--- a/lib/keeper/service.cpp
+++ b/lib/keeper/service.cpp
@@ -203,13 +203,12 @@
     net::on_signal(task_, SIGINT, [this] { shut_down(); });
     net::on_signal(task_, SIGUSR1, [this] { log_info("state_dump").with("dump", dump()); });
     task_.every(tick_interval, [this] { tick(); });
+    task_.post([this] { send_keeper_heartbeats(); });
     task_.every(keeper_heartbeat_interval, [this] {
         if (hosts_control())
             try_bootstrap();
-        if (!is_standby() || ++heartbeat_rounds_ % standby_heartbeat_divisor == 0) {
-            for (const peer_address& keeper : heartbeat_targets())
-                send_keeper_heartbeat(keeper);
-        }
+        if (!is_standby() || ++heartbeat_rounds_ % standby_heartbeat_divisor == 0)
+            send_keeper_heartbeats();
         respond_to_pending_announcements();
         if (hosts_control())
             log_serving_changes();
--- a/lib/keeper/service_requests.cpp
+++ b/lib/keeper/service_requests.cpp
@@ -179,6 +179,11 @@
     hub_->send(to, envelope);
 }
 
+void service::send_keeper_heartbeats() {
+    for (const peer_address& keeper : heartbeat_targets())
+        send_keeper_heartbeat(keeper);
+}
+
 void service::acknowledge_news(const peer_address& to) {
     schema::envelope envelope;
     *envelope.mutable_keeper() = own_heartbeat(to);
