Gateway: record a keeper's reply before choosing the keeper to follow

Found when the change was read once more: a beacon made a gateway choose first and record the reply after. After a freeze of 0.8 s or more the followed keeper would count as failed by its own reply, be avoided for 5 s, and another one would send its whole list. Read, not run; under load at 300 machines it is one way in which gateways go round. The choice now follows the record.

--- a/include/cassia/membership/followed_endpoints.h
+++ b/include/cassia/membership/followed_endpoints.h
@@ -27,7 +27,7 @@
     void apply_beacon(const peer_address& keeper, const schema::keeper_beacon& beacon, instant now);
     void forget_old(instant now) { directory_.forget_old(now); }
 
-    bool is_listed() const { return revision_ != 0; }
+    const peer_address& source() const { return source_; }
     /// Endpoints that may get new work.
     std::vector<const endpoint_state*> serving(instant now) const {
         return directory_.serving(now);
--- a/lib/gateway/cluster_client.cpp
+++ b/lib/gateway/cluster_client.cpp
@@ -230,16 +230,15 @@
 
 void cluster_client::on_control_beacon(const schema::keeper_beacon& beacon, instant now) {
     const peer_address from(beacon.keeper());
-    const peer_address following = followed_.choose(now);
     last_control_beacon_at_ = now;
     control_keepers_[from] = now;
     followed_.record_reply(from, beacon.in_touch(), now);
     endpoints_.apply_beacon(from, beacon, now);
     publish_endpoints(now);
     update_gateways(beacon);
-    // A keeper can be followed only once it has replied, and lists endpoints only for its
-    // followers.
-    if (followed_.choose(now) != following)
+    // Keepers list endpoints only for gateways that follow them. Chosen after the reply is
+    // recorded: the beacon may be the first thing that this process reads after a freeze.
+    if (followed_.choose(now) != endpoints_.source())
         send_heartbeat(heartbeat_scope::followed_keeper);
 }
 
