--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -265,7 +265,7 @@
     std::uint64_t beacon_counter_ = 0; ///< counts up while this keeper leads the control group
     std::uint64_t keepers_digest_ = 0;
     instant lists_refreshed_at_{};
-    bool lacks_announcements_ = false;       ///< some endpoint was not heard of for long
+    bool lacks_announcements_ = false;       ///< some announcement is overdue
     consensus::member_list initial_members_; ///< of the groups that this keeper helps to bootstrap
     heartbeat_queue heartbeat_queue_;
     bool heartbeats_scheduled_ = false;
--- a/lib/keeper/service_discovery.cpp
+++ b/lib/keeper/service_discovery.cpp
@@ -145,8 +145,8 @@
     hub_->send(to, envelope);
 }
 
-// An endpoint announces itself to any keeper, and each hears of it from that one. Keepers relay
-// what they were told by others only to a keeper that is cut off from some of them.
+// An endpoint announces itself to any keeper, which reports it to the others. Keepers relay
+// the reports of others only to a keeper that is cut off from some of them.
 void service::write_endpoints(known_keeper& keeper, schema::keeper_news& news) const {
     using pulse_scope = membership::endpoint_directory::pulse_scope;
     const instant now = monotonic_now();
--- a/lib/membership/endpoint_directory.cpp
+++ b/lib/membership/endpoint_directory.cpp
@@ -172,7 +172,7 @@
     auto listed = endpoints_.find(endpoint_id(record.id()));
     const bool same_incarnation =
         listed != endpoints_.end() && listed->second.record.incarnation() == record.incarnation();
-    // When it was heard last doesn't decide which record is newer if others judge that.
+    // The time of its last announcement doesn't order records that another process judges.
     if (same_incarnation)
         listed->second.last_heard = instant();
     merge_remote(record, now);
