Gateways: log which requests ran at an endpoint that crashed, and what the crash is held against

An incident's logs named requests by id only, so which of the eight requests at a crashed endpoint came back at the next one couldn't be told from them.

A connection that breaks, or a run that ended within 250 ms before, is held against the endpoint's process once its VM refuses a new connection (a probe, two at most) or another process has its address. Requests get a fingerprint of caller, method, path and body. Each gateway reports what ran there to two coordinators, the same ones in the view of all gateways, where a pure module judges all reports of a crash together: the odds of a request rise the less another of the requests aboard, crashes of the same moment or the usual rate of crashes explain it. Nothing acts on it yet.

--- a/include/cassia/gateway/cluster_client.h
+++ b/include/cassia/gateway/cluster_client.h
@@ -33,6 +33,10 @@
 struct cluster_hooks {
     std::function<void(std::shared_ptr<const routes::table>)> on_routes;
     std::function<void(const std::vector<policy::slot_endpoint>&)> on_endpoints;
+    /// The list of other live gateways has changed.
+    std::function<void(const std::vector<policy::fleet_gateway>&)> on_gateways;
+    /// Another gateway's news of requests that crash endpoints.
+    std::function<void(const schema::poison_news&)> on_poison_news;
     /// The other gateways of this zone, and those of all zones.
     std::function<void(policy::peer_group own_zone, policy::peer_group all_zones)> on_peers;
     /// The slots in use by another gateway or by a whole zone.
@@ -74,6 +78,8 @@
     }
 
     quota_coordinator& quota() { return quota_; }
+    /// \returns false if the gateway's address is unknown.
+    bool send_to_gateway(const entry_id& to, schema::envelope& envelope);
 
     /// Name under which this process holds leases; a different one after each start.
     const std::string& lease_holder() const { return lease_holder_; }
@@ -94,7 +100,6 @@
     enum class heartbeat_scope { followed_keeper, work_keepers, all_keepers };
     void send_heartbeat(heartbeat_scope scope);
     net::peer_watch watch_for(const peer_address& keeper, const peer_address& followed) const;
-    bool send_to_gateway(const entry_id& to, schema::envelope& envelope);
     void on_message(const schema::envelope& message);
     void on_beacon(const schema::keeper_beacon& beacon);
     void update_gateways(const schema::keeper_beacon& beacon);
--- /dev/null
+++ b/include/cassia/gateway/crash_monitor.h
@@ -0,0 +1,122 @@
+/// Finds out whether an endpoint whose connections broke has crashed, reports the requests that ran
+/// there to the gateways that judge them, and spreads and applies their verdicts.
+#pragma once
+
+#include "cassia/base/clock.h"
+#include "cassia/base/ids.h"
+#include "cassia/base/metrics.h"
+#include "cassia/net/tcp_connections.h"
+#include "cassia/policy/gossip_topology.h"
+#include "cassia/policy/poison_detector.h"
+#include "cassia/policy/slot_table.h"
+#include "cassia/schema/messages.pb.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cassia::net {
+class task;
+}
+
+namespace cassia::gateway {
+
+/// A run that has ended, in whatever way.
+struct ended_run {
+    std::string request_id;
+    fingerprint request;
+    policy::endpoint_process process;
+    http_address address;
+    service_id service;
+    instant sent_at{};
+};
+
+struct crash_monitor_hooks {
+    /// Sends to another gateway. \returns false if its address is unknown.
+    std::function<bool(const entry_id& to, schema::envelope&)> send;
+    /// Some request was quarantined.
+    std::function<void()> on_quarantine;
+};
+
+class crash_monitor {
+public:
+    /// \param own_ip IP number to probe endpoints from; any if empty.
+    crash_monitor(net::task& owner, const std::string& own_ip, entry_id self, const zone_id& zone,
+                  metrics& counts, crash_monitor_hooks hooks);
+    ~crash_monitor();
+
+    void set_gateways(const std::vector<policy::fleet_gateway>& others);
+    void set_endpoints(const std::vector<policy::slot_endpoint>& endpoints);
+    /// Other gateways judge from now on.
+    void leave() { topology_.leave(); }
+    /// The connection broke before the response was complete.
+    void record_broken_run(const ended_run& run);
+    /// The response was complete, or the run was cancelled. What it began may still crash its
+    /// endpoint.
+    void record_ended_run(const ended_run& run);
+    /// The request was completed. Ignored unless it is under suspicion.
+    void record_success(const fingerprint& request);
+
+    /// Whether any request is under suspicion; if not, judge() need not be called.
+    bool has_records() const { return detector_.has_published(); }
+    policy::request_verdict judge(const fingerprint& request) const;
+    /// What is left of the quarantine; 0 if there is none.
+    milliseconds quarantine_left(const fingerprint& request) const;
+    /// When it last crashed an endpoint, as far as is known.
+    instant last_crash(const fingerprint& request) const;
+
+    void receive(const schema::poison_news& news);
+    void tick();
+
+private:
+    enum class crash_state { probing, undecided, confirmed };
+    struct suspected_crash {
+        http_address address;
+        service_id service;
+        instant broken_at{};
+        crash_state state = crash_state::probing;
+        int probes = 0;
+        net::connection_id probe;
+        std::vector<ended_run> unreported;
+    };
+
+    void probe(const policy::endpoint_process& process);
+    void on_probe_ended(net::connection_id id, bool refused, bool accepted);
+    void add_recent_runs(const policy::endpoint_process& process, suspected_crash& crash);
+    void confirm(const policy::endpoint_process& process, const std::string& evidence);
+    void check_probes(instant now);
+    void report_crashes(instant now);
+    void report_crash(const policy::endpoint_process& process, suspected_crash& crash, instant now);
+    void report_successes();
+    void send_to_coordinators(const schema::poison_news& news);
+    void publish(const std::vector<policy::poison_record>& records, const entry_id& except);
+    void log_findings(const policy::poison_findings& findings) const;
+    void note_verdict(const policy::poison_record& record);
+    void send_digest();
+    void send(const entry_id& to, const schema::poison_news& news);
+
+    net::task& owner_;
+    std::string own_ip_;
+    entry_id self_;
+    metrics& metrics_;
+    crash_monitor_hooks hooks_;
+    policy::gossip_topology topology_;
+    policy::poison_detector detector_;
+    std::unique_ptr<net::tcp_connections> probes_;
+    std::map<policy::endpoint_process, suspected_crash> crashes_;
+    std::map<net::connection_id, policy::endpoint_process> probed_;
+    std::deque<std::pair<instant, ended_run>> recent_runs_; ///< those that ended without a break
+    std::map<service_id, std::uint32_t> endpoint_counts_;
+    std::map<fingerprint, std::uint32_t> successes_;   ///< not yet reported
+    std::map<fingerprint, std::uint32_t> quarantines_; ///< logged, for each request
+    instant next_digest_at_{};
+    std::mt19937_64 random_;
+};
+
+} // namespace cassia::gateway
--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -5,6 +5,7 @@
 #include "cassia/base/clock.h"
 #include "cassia/base/ids.h"
 #include "cassia/base/metrics.h"
+#include "cassia/gateway/crash_monitor.h"
 #include "cassia/gateway/header_names.h"
 #include "cassia/gateway/online_call.h"
 #include "cassia/gateway/run_migration.h"
@@ -44,7 +45,7 @@
 class dispatcher {
 public:
     dispatcher(net::raw_server& server, net::raw_client& client, policy::slot_table& slots,
-               metrics& counts, header_names names, dispatcher_hooks hooks);
+               crash_monitor& crashes, metrics& counts, header_names names, dispatcher_hooks hooks);
     ~dispatcher();
 
     void submit(routed_request admitted);
@@ -64,6 +65,9 @@
 private:
     /// Sends the call to an endpoint with a slot for it, or queues it if there is none.
     void place(online_call& call);
+    static const fingerprint& fingerprint_of(online_call& call);
+    static ended_run run_of(online_call& call);
+    void record_success(online_call& call);
     void send(online_call& call, const policy::placement& placement);
     net::raw_request make_upstream_request(const online_call& call,
                                            const endpoint_id& endpoint) const;
@@ -114,6 +118,7 @@
     net::raw_server& server_;
     net::raw_client& client_;
     policy::slot_table& slots_;
+    crash_monitor& crashes_;
     metrics& metrics_;
     header_names names_;
     dispatcher_hooks hooks_;
--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -6,6 +6,7 @@
 #include "cassia/base/clock.h"
 #include "cassia/base/ids.h"
 #include "cassia/base/metrics.h"
+#include "cassia/gateway/crash_monitor.h"
 #include "cassia/gateway/header_names.h"
 #include "cassia/gateway/sse_parser.h"
 #include "cassia/net/raw_client.h"
@@ -39,8 +40,9 @@
 class item_runner {
 public:
     /// \param max_items no more leases are requested while this many items are held.
-    item_runner(net::raw_client& client, policy::slot_table& slots, metrics& counts,
-                header_names names, std::uint32_t max_items, item_runner_hooks hooks);
+    item_runner(net::raw_client& client, policy::slot_table& slots, crash_monitor& crashes,
+                metrics& counts, header_names names, std::uint32_t max_items,
+                item_runner_hooks hooks);
     ~item_runner();
 
     void set_routes(std::shared_ptr<const routes::table> table);
@@ -68,6 +70,9 @@
     void add(const schema::leased_item& leased);
     void start_ready_items(instant now);
     bool start(const item_key& key, held_item& item, instant now);
+    const fingerprint& fingerprint_of(held_item& item) const;
+    ended_run run_of(held_item& item) const;
+    void record_success(held_item& item) const;
     net::raw_request make_upstream_request(const held_item& item,
                                            const endpoint_id& endpoint) const;
     void on_head(const item_key& key, const net::raw_head& head);
@@ -89,6 +94,7 @@
 
     net::raw_client& client_;
     policy::slot_table& slots_;
+    crash_monitor& crashes_;
     metrics& metrics_;
     header_names names_;
     std::uint32_t max_items_;
--- a/include/cassia/gateway/online_call.h
+++ b/include/cassia/gateway/online_call.h
@@ -11,6 +11,7 @@
 #include "cassia/routes/table.h"
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -47,7 +48,8 @@
     exchange_id id;
     net::raw_request request;
     std::string request_id;
-    std::shared_ptr<const routes::table> table; ///< owns `route` and `team`
+    std::optional<cassia::fingerprint> fingerprint; ///< computed when it is first needed
+    std::shared_ptr<const routes::table> table;     ///< owns `route` and `team`
     const schema::route* route = nullptr;
     const teams::team* team = nullptr;
     policy::quota_grant grant; ///< refunded if the request never runs
@@ -63,7 +65,8 @@
     instant retry_at{};           ///< neither sent nor queued before then
     std::set<endpoint_id> failed_endpoints; ///< those that failed or rejected this request
     bool holds_slot = false;
-    endpoint_id endpoint; ///< of the last attempt
+    endpoint_id endpoint;          ///< of the last attempt
+    std::uint64_t incarnation = 0; ///< of that endpoint
     http_address address;
     call_id upstream_call; ///< the request to the endpoint; none while there is none
     instant first_sent_at{};
--- a/include/cassia/gateway/service.h
+++ b/include/cassia/gateway/service.h
@@ -5,6 +5,7 @@
 #include "cassia/base/metrics.h"
 #include "cassia/gateway/caller_identity.h"
 #include "cassia/gateway/cluster_client.h"
+#include "cassia/gateway/crash_monitor.h"
 #include "cassia/gateway/dispatcher.h"
 #include "cassia/gateway/header_names.h"
 #include "cassia/gateway/item_runner.h"
@@ -100,6 +101,7 @@
     std::unique_ptr<net::raw_server> admin_server_;
     std::unique_ptr<net::raw_client> client_;
     std::unique_ptr<cluster_client> cluster_;
+    std::unique_ptr<crash_monitor> crashes_;
     std::unique_ptr<dispatcher> dispatcher_;
     std::unique_ptr<request_admission> admission_;
     std::unique_ptr<item_runner> items_;
--- a/include/cassia/net/raw_client.h
+++ b/include/cassia/net/raw_client.h
@@ -58,6 +58,8 @@
     call_id start(raw_call call, raw_call_hooks hooks);
     /// Drops the call and its connection; no hook runs for it any more.
     void cancel(call_id id);
+    /// Whether the call is open and something of its request was sent.
+    bool was_sent(call_id id) const;
     /// Closes the idle connections to an address.
     void forget(const http_address& address);
     std::size_t open_calls() const;
--- a/include/cassia/net/tcp_connections.h
+++ b/include/cassia/net/tcp_connections.h
@@ -25,6 +25,9 @@
     /// Closed by the other end or by an error, before on_connected or after it. Last; not called
     /// after close() or reset(). `clean`: the other end closed in order, with nothing lost.
     std::function<void(connection_id, bool clean)> on_closed;
+    /// Called in place of on_closed, if it is set, when the other end refused the connection: its
+    /// VM responds, and no process listens there.
+    std::function<void(connection_id)> on_refused;
 };
 
 struct tcp_settings {
--- /dev/null
+++ b/include/cassia/policy/poison_detector.h
@@ -0,0 +1,121 @@
+/// Detects poison requests, which crash the endpoints that run them. Each crash raises the odds of
+/// the requests that ran there: the less, the more another of them or other crashes of that time
+/// explain it. Pure.
+#pragma once
+
+#include "cassia/base/clock.h"
+#include "cassia/base/ids.h"
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace cassia::policy {
+
+/// One process of an endpoint.
+struct endpoint_process {
+    endpoint_id endpoint;
+    std::uint64_t incarnation = 0;
+
+    friend auto operator<=>(const endpoint_process&, const endpoint_process&) = default;
+};
+
+/// A run that a crash of its endpoint ended.
+struct crashed_run {
+    fingerprint request;
+    milliseconds duration{0}; ///< from its sending to the crash
+};
+
+/// What one gateway knows of a crash.
+struct crash_report {
+    endpoint_process process;
+    service_id service;
+    std::uint32_t endpoints = 1; ///< of the service, when it crashed
+    instant crashed_at{};
+    std::vector<crashed_run> runs;
+};
+
+enum class request_verdict : std::uint8_t {
+    unsuspected,
+    suspect,     ///< more likely than not poison: runs alone, and not again within an attempt
+    quarantined, ///< not run for a time
+};
+
+struct poison_record {
+    fingerprint request;
+    /// Grows with each change that all gateways have to know; 0 while none of them has to.
+    std::uint64_t version = 0;
+    request_verdict verdict = request_verdict::unsuspected;
+    double log_odds = 0;       ///< natural logarithm of the odds that it is poison
+    std::uint32_t crashes = 0; ///< counted ones, since it was last cleared
+    std::uint32_t quarantines = 0;
+    instant last_crash_at{};
+    instant quarantined_until{};
+};
+
+/// A crash and the records, after it, of the requests that ran there.
+struct attributed_crash {
+    endpoint_process process;
+    std::vector<poison_record> requests;
+};
+
+struct poison_findings {
+    std::vector<attributed_crash> crashes;
+    std::vector<poison_record> changed; ///< to be published to all gateways
+};
+
+class poison_detector {
+public:
+    /// Collects what gateways report of a crash.
+    void record_crash(const crash_report& report, instant now);
+    /// Runs of the request were completed.
+    void record_successes(const fingerprint& request, std::uint32_t runs, instant now);
+    /// Attributes the crashes on which all reports should have arrived.
+    poison_findings poll(instant now);
+    /// Takes over a record that another gateway published. \returns whether it was news.
+    bool merge(const poison_record& record, instant now);
+
+    request_verdict judge(const fingerprint& request, instant now) const;
+    /// The published record of a request; null if there is none.
+    const poison_record* find(const fingerprint& request) const;
+    bool has_published() const { return published_ > 0; }
+    std::vector<poison_record> published() const;
+    /// The same for gateways that hold the same versions of the same records.
+    std::uint64_t digest() const;
+    std::size_t size() const { return records_.size(); }
+
+private:
+    struct known_crash {
+        crash_report report;
+        instant first_reported_at{};
+        bool attributed = false;
+        double explained = 0; ///< probability that one of its requests caused it
+    };
+    struct candidate {
+        poison_record* record = nullptr;
+        milliseconds duration{0};
+        double probability = 0; ///< that it is poison, before this crash
+        bool counts = false;    ///< the run is independent of the crashes counted so far
+    };
+
+    attributed_crash attribute(const endpoint_process& process, known_crash& crash, instant now);
+    std::vector<candidate> candidates(const known_crash& crash, instant now);
+    /// Probability that the endpoint crashed within a run of this length for another reason.
+    double background(const endpoint_process& process, const known_crash& crash,
+                      milliseconds duration) const;
+    poison_record& record_of(const fingerprint& request, instant now);
+    void update_verdict(poison_record& record, instant now);
+    void publish(poison_record& record);
+    void end_quarantine(poison_record& record, instant now) const;
+    void evict_one();
+    void expire(instant now);
+
+    std::map<fingerprint, poison_record> records_;
+    std::map<endpoint_process, known_crash> crashes_;
+    std::vector<fingerprint> changed_;
+    std::size_t published_ = 0; ///< records with a version
+};
+
+} // namespace cassia::policy
--- a/include/cassia/policy/slot_table.h
+++ b/include/cassia/policy/slot_table.h
@@ -41,6 +41,7 @@
 
 struct placement {
     endpoint_id endpoint;
+    std::uint64_t incarnation = 0;
     http_address address;
     /// Set if a batch item must yield its slot: the gateway that runs it, empty for this one.
     std::optional<entry_id> yielding_gateway;
--- a/include/cassia/policy/usage_exchange.h
+++ b/include/cassia/policy/usage_exchange.h
@@ -5,6 +5,7 @@
 
 #include "cassia/base/clock.h"
 #include "cassia/base/ids.h"
+#include "cassia/policy/gossip_topology.h"
 #include "cassia/policy/slot_table.h"
 
 #include <cstdint>
@@ -15,15 +16,6 @@
 
 namespace cassia::policy {
 
-/// Another live gateway.
-struct fleet_gateway {
-    entry_id id;
-    zone_id zone;
-    bool leaving = false; ///< finishes its requests, and can't be a relay or quota owner
-
-    friend bool operator==(const fleet_gateway&, const fleet_gateway&) = default;
-};
-
 /// Usage of whole zones; shared pointers, as one sum goes to many gateways.
 using zone_usage_map = std::map<zone_id, std::shared_ptr<const slot_usage_map>>;
 
--- a/lib/gateway/cluster_client.cpp
+++ b/lib/gateway/cluster_client.cpp
@@ -176,6 +176,9 @@
     case schema::envelope::kStale:
         hooks_.on_stale_items(message.stale());
         break;
+    case schema::envelope::kPoison:
+        hooks_.on_poison_news(message.poison());
+        break;
     default:
         if (!quota_.receive(message))
             usage_.receive(message);
@@ -284,6 +287,7 @@
         gateways.push_back(
             {gateway.first, zone_id(gateway.second.zone()), gateway.second.draining()});
     quota_.set_gateways(gateways);
+    hooks_.on_gateways(gateways);
     usage_.set_gateways(std::move(gateways));
     hooks_.on_peers(usage_.peers(true), usage_.peers(false));
 }
@@ -325,7 +329,6 @@
     hooks_.on_endpoints(published_endpoints_);
 }
 
-// \returns false if the address is unknown.
 bool cluster_client::send_to_gateway(const entry_id& to, schema::envelope& envelope) {
     auto found = roster_.entries().find(to);
     if (found == roster_.entries().end())
--- a/lib/gateway/dispatch_responses.cpp
+++ b/lib/gateway/dispatch_responses.cpp
@@ -148,12 +148,14 @@
         return;
     }
     if (call.parser.has_partial_event()) {
+        crashes_.record_broken_run(run_of(call));
         if (!defer_end_to_migration(call))
             retry_or_fail(call, "stream_cut_within_event");
         return;
     }
     begin_response(call);
     flush_events(call);
+    record_success(call);
     log_outcome(call, call.head.status, "answered");
     metrics_.count("answered");
     metrics_.observe("answer", monotonic_now() - call.arrived_at);
@@ -170,6 +172,7 @@
         return;
     }
     call.response_began_at = call.last_progress_at;
+    record_success(call);
     log_outcome(call, call.head.status, "answered");
     metrics_.count("answered");
     metrics_.observe("answer", monotonic_now() - call.arrived_at);
@@ -185,6 +188,8 @@
     if (found == calls_.end())
         return;
     online_call& call = *found->second;
+    if (failure.sent && !call.not_run)
+        crashes_.record_broken_run(run_of(call));
     if (defer_end_to_migration(call))
         return;
     const bool not_run = !failure.sent || call.not_run;
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -35,9 +35,10 @@
 } // namespace
 
 dispatcher::dispatcher(net::raw_server& server, net::raw_client& client, policy::slot_table& slots,
-                       metrics& counts, header_names names, dispatcher_hooks hooks)
-    : server_(server), client_(client), slots_(slots), metrics_(counts), names_(std::move(names)),
-      hooks_(std::move(hooks)), random_(random_bits()) {}
+                       crash_monitor& crashes, metrics& counts, header_names names,
+                       dispatcher_hooks hooks)
+    : server_(server), client_(client), slots_(slots), crashes_(crashes), metrics_(counts),
+      names_(std::move(names)), hooks_(std::move(hooks)), random_(random_bits()) {}
 
 dispatcher::~dispatcher() = default;
 
@@ -129,6 +130,7 @@
     slots_.acquire(placement.endpoint, policy::work_kind::online);
     call.holds_slot = true;
     call.endpoint = placement.endpoint;
+    call.incarnation = placement.incarnation;
     call.address = placement.address;
     call.sent_at = monotonic_now();
     call.last_progress_at = call.sent_at;
@@ -179,6 +181,8 @@
 }
 
 void dispatcher::cancel_attempt(online_call& call) {
+    if (client_.was_sent(call.upstream_call) && !call.not_run)
+        crashes_.record_ended_run(run_of(call));
     client_.cancel(call.upstream_call);
     call.upstream_call = call_id();
     if (call.holds_slot)
--- a/lib/gateway/held_item.h
+++ b/lib/gateway/held_item.h
@@ -7,17 +7,28 @@
 #include "cassia/gateway/sse_parser.h"
 #include "cassia/schema/messages.pb.h"
 
+#include <optional>
 #include <set>
 #include <string>
 
 namespace cassia::gateway {
 
+/// Jobs stored by earlier versions have no host; their team is the host.
+inline const std::string& host_of(const schema::leased_item& item) {
+    return item.host().empty() ? item.team() : item.host();
+}
+
 struct item_runner::held_item {
     schema::leased_item leased;
     call_id upstream_call; ///< the request to the endpoint; none while the item is not running
     endpoint_id endpoint;
-    std::set<endpoint_id> failed_endpoints; ///< those that failed or rejected this item
-    instant ready_at{};                     ///< not started again before then
+    std::uint64_t incarnation = 0;
+    http_address address;
+    service_id service;
+    instant sent_at{};
+    std::optional<cassia::fingerprint> fingerprint; ///< computed when it is first needed
+    std::set<endpoint_id> failed_endpoints;         ///< those that failed or rejected this item
+    instant ready_at{};                             ///< not started again before then
     instant last_progress_at{};     ///< when it was started or its endpoint last sent something
     std::uint64_t start_number = 0; ///< grows with each start of any item; the last yields first
     std::uint32_t runs = 0;         ///< starts of this item by this gateway
--- a/lib/gateway/item_responses.cpp
+++ b/lib/gateway/item_responses.cpp
@@ -83,7 +83,10 @@
         requeue(item, unusable_response_delay, "refused_by_endpoint");
         return;
     }
+    if (item.status == status_ok && item.parser.has_partial_event())
+        crashes_.record_broken_run(run_of(item));
     if (item.status == status_ok && !item.parser.has_partial_event() && item.last_event > 0) {
+        record_success(item);
         finish(key, schema::completed, false, "done");
         return;
     }
@@ -104,6 +107,8 @@
     if (found == items_.end())
         return;
     held_item& item = *found->second;
+    if (failure.sent && !item.not_run)
+        crashes_.record_broken_run(run_of(item));
     item.failed_endpoints.insert(item.endpoint);
     const bool stale_connection = failure.kept && !failure.answered;
     if (!stale_connection)
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -32,9 +32,10 @@
 constexpr std::uint64_t max_clock_skew_ms = 5000;
 } // namespace
 
-item_runner::item_runner(net::raw_client& client, policy::slot_table& slots, metrics& counts,
-                         header_names names, std::uint32_t max_items, item_runner_hooks hooks)
-    : client_(client), slots_(slots), metrics_(counts), names_(std::move(names)),
+item_runner::item_runner(net::raw_client& client, policy::slot_table& slots, crash_monitor& crashes,
+                         metrics& counts, header_names names, std::uint32_t max_items,
+                         item_runner_hooks hooks)
+    : client_(client), slots_(slots), crashes_(crashes), metrics_(counts), names_(std::move(names)),
       max_items_(max_items), hooks_(std::move(hooks)), random_(random_bits()) {}
 
 item_runner::~item_runner() = default;
@@ -55,11 +56,6 @@
            static_cast<std::size_t>(ends_in_flight_.ends_size());
 }
 
-// Jobs stored by earlier versions have no host; their team is the host.
-static const std::string& host_of(const schema::leased_item& item) {
-    return item.host().empty() ? item.team() : item.host();
-}
-
 const schema::route* item_runner::find_route(const held_item& item) const {
     if (!routes_)
         return nullptr;
@@ -89,8 +85,8 @@
     if (shutting_down_ || lease_in_flight_ || !routes_ || now < next_lease_at_ ||
         items_.size() >= max_items_)
         return;
-    const std::size_t ready = items_.size() - running();
-    if (ready >= max_ready_items)
+    const std::size_t ready_items = items_.size() - running();
+    if (ready_items >= max_ready_items)
         return;
     for (const schema::route* route : routes_->of_kind(schema::route::batch)) {
         const service_id service(route->targets(0).service());
@@ -98,7 +94,7 @@
         if (room == 0)
             continue;
         const std::uint32_t limit =
-            std::min(room, max_ready_items - static_cast<std::uint32_t>(ready));
+            std::min(room, max_ready_items - static_cast<std::uint32_t>(ready_items));
         lease_in_flight_ = true;
         hooks_.lease(route->name(), limit, [this](const std::vector<schema::leased_item>& items) {
             lease_in_flight_ = false;
@@ -182,9 +178,9 @@
         return true;
     }
     std::uniform_real_distribution<double> uniform(0, 1);
-    const service_id service(routes::choose_target(*route, uniform(random_)));
+    item.service = service_id(routes::choose_target(*route, uniform(random_)));
     const std::optional<policy::placement> placement = slots_.place_batch(
-        service, item.failed_endpoints, now, uniform(random_),
+        item.service, item.failed_endpoints, now, uniform(random_),
         policy::is_urgent(item.leased.deadline(), route->result_due_ms(), to_unix_ms(wall_now())));
     if (!placement) {
         // The other endpoints have no free slot: those that failed may be tried again.
@@ -193,6 +189,9 @@
     }
     slots_.acquire(placement->endpoint, policy::work_kind::batch);
     item.endpoint = placement->endpoint;
+    item.incarnation = placement->incarnation;
+    item.address = placement->address;
+    item.sent_at = now;
     item.last_progress_at = now;
     item.start_number = ++start_count_;
     item.parser.reset();
@@ -215,6 +214,8 @@
 void item_runner::stop(held_item& item) {
     if (item.upstream_call == call_id())
         return;
+    if (client_.was_sent(item.upstream_call) && !item.not_run)
+        crashes_.record_ended_run(run_of(item));
     client_.cancel(item.upstream_call);
     item.upstream_call = call_id();
     slots_.release(item.endpoint, policy::work_kind::batch);
--- /dev/null
+++ b/lib/gateway/poison_messages.cpp
@@ -0,0 +1,67 @@
+#include "poison_messages.h"
+
+#include <algorithm>
+
+namespace cassia::gateway {
+
+static std::uint32_t to_ms(microseconds duration) {
+    const std::int64_t ms = std::chrono::duration_cast<milliseconds>(duration).count();
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(ms, 0));
+}
+
+void encode(const policy::crash_report& report, instant now, schema::crash_report& out) {
+    out.set_endpoint(report.process.endpoint.str());
+    out.set_incarnation(report.process.incarnation);
+    out.set_service(report.service.str());
+    out.set_endpoints(report.endpoints);
+    out.set_age_ms(to_ms(now - report.crashed_at));
+    for (const policy::crashed_run& run : report.runs) {
+        schema::crashed_run* encoded = out.add_runs();
+        encoded->set_fingerprint(run.request.str());
+        encoded->set_duration_ms(to_ms(run.duration));
+    }
+}
+
+policy::crash_report decode(const schema::crash_report& report, instant now) {
+    policy::crash_report out;
+    out.process = {endpoint_id(report.endpoint()), report.incarnation()};
+    out.service = service_id(report.service());
+    out.endpoints = report.endpoints();
+    out.crashed_at = now - milliseconds(report.age_ms());
+    for (const schema::crashed_run& run : report.runs())
+        out.runs.push_back({fingerprint(run.fingerprint()), milliseconds(run.duration_ms())});
+    return out;
+}
+
+void encode(const policy::poison_record& record, instant now, schema::poison_record& out) {
+    out.set_fingerprint(record.request.str());
+    out.set_version(record.version);
+    out.set_verdict(static_cast<std::uint32_t>(record.verdict));
+    out.set_log_odds(record.log_odds);
+    out.set_crashes(record.crashes);
+    out.set_quarantines(record.quarantines);
+    out.set_crash_age_ms(to_ms(now - record.last_crash_at));
+    if (record.verdict == policy::request_verdict::quarantined)
+        out.set_quarantine_left_ms(
+            std::chrono::duration_cast<milliseconds>(record.quarantined_until - now).count());
+}
+
+policy::poison_record decode(const schema::poison_record& record, instant now) {
+    policy::poison_record out;
+    out.request = fingerprint(record.fingerprint());
+    out.version = record.version();
+    // A verdict that this version doesn't know is at least a suspicion.
+    out.verdict =
+        record.verdict() <= static_cast<std::uint32_t>(policy::request_verdict::quarantined)
+            ? static_cast<policy::request_verdict>(record.verdict())
+            : policy::request_verdict::suspect;
+    out.log_odds = record.log_odds();
+    out.crashes = record.crashes();
+    out.quarantines = record.quarantines();
+    out.last_crash_at = now - milliseconds(record.crash_age_ms());
+    if (out.verdict == policy::request_verdict::quarantined)
+        out.quarantined_until = now + milliseconds(record.quarantine_left_ms());
+    return out;
+}
+
+} // namespace cassia::gateway
--- /dev/null
+++ b/lib/gateway/poison_messages.h
@@ -0,0 +1,15 @@
+/// Encodes and decodes what gateways tell each other about poison requests. Times travel as ages.
+#pragma once
+
+#include "cassia/base/clock.h"
+#include "cassia/policy/poison_detector.h"
+#include "cassia/schema/messages.pb.h"
+
+namespace cassia::gateway {
+
+void encode(const policy::crash_report& report, instant now, schema::crash_report& out);
+policy::crash_report decode(const schema::crash_report& report, instant now);
+void encode(const policy::poison_record& record, instant now, schema::poison_record& out);
+policy::poison_record decode(const schema::poison_record& record, instant now);
+
+} // namespace cassia::gateway
--- /dev/null
+++ b/lib/gateway/request_fingerprint.cpp
@@ -0,0 +1,29 @@
+#include "cassia/gateway/request_fingerprint.h"
+
+#include "cassia/base/digest.h"
+
+#include <algorithm>
+
+namespace cassia::gateway {
+
+namespace {
+constexpr std::size_t short_length = 16;
+} // namespace
+
+fingerprint make_fingerprint(std::string_view team, std::string_view host, std::string_view method,
+                             std::string_view target, std::string_view body) {
+    std::string text;
+    // A line feed can't be part of a header value, a method or a target.
+    for (const std::string_view part : {team, host, method, target}) {
+        text.append(part);
+        text.push_back('\n');
+    }
+    text.append(body);
+    return fingerprint(sha256_hex(text));
+}
+
+std::string short_form(const fingerprint& request) {
+    return request.str().substr(0, short_length);
+}
+
+} // namespace cassia::gateway
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -57,6 +57,14 @@
     admin_server_ =
         std::make_unique<net::raw_server>(task_, net::raw_server_limits(), admin_callbacks);
     client_ = std::make_unique<net::raw_client>(task_, net::ip_of(settings_.peer_address()));
+    crash_monitor_hooks crash_callbacks;
+    crash_callbacks.send = [this](const entry_id& to, schema::envelope& envelope) {
+        return cluster_->send_to_gateway(to, envelope);
+    };
+    crash_callbacks.on_quarantine = [] {};
+    crashes_ = std::make_unique<crash_monitor>(
+        task_, net::ip_of(settings_.peer_address()), entry_id(settings_.name()),
+        zone_id(settings_.zone()), metrics_, std::move(crash_callbacks));
     dispatcher_hooks dispatcher_callbacks;
     dispatcher_callbacks.request_yield = [this](const entry_id& holder,
                                                 const endpoint_id& endpoint) {
@@ -65,8 +73,8 @@
     dispatcher_callbacks.refund_quota = [this](const policy::quota_grant& grant) {
         cluster_->quota().refund(grant);
     };
-    dispatcher_ = std::make_unique<dispatcher>(*server_, *client_, slots_, metrics_, names_,
-                                               dispatcher_callbacks);
+    dispatcher_ = std::make_unique<dispatcher>(*server_, *client_, slots_, *crashes_, metrics_,
+                                               names_, dispatcher_callbacks);
     dispatcher_->set_migration_protocol(hooks_.migration);
     item_runner_hooks item_callbacks;
     item_callbacks.lease = [this](const std::string& route, std::uint32_t limit,
@@ -77,7 +85,7 @@
                                    const item_runner_hooks::report_done& done) {
         report(ends, done);
     };
-    items_ = std::make_unique<item_runner>(*client_, slots_, metrics_, names_,
+    items_ = std::make_unique<item_runner>(*client_, slots_, *crashes_, metrics_, names_,
                                            settings_.batch_window(), std::move(item_callbacks));
     cluster_hooks cluster_callbacks;
     cluster_callbacks.on_routes = [this](std::shared_ptr<const routes::table> table) {
@@ -85,8 +93,15 @@
     };
     cluster_callbacks.on_endpoints = [this](const std::vector<policy::slot_endpoint>& endpoints) {
         slots_.set_endpoints(endpoints);
+        crashes_->set_endpoints(endpoints);
         dispatcher_->dispatch_queued();
     };
+    cluster_callbacks.on_gateways = [this](const std::vector<policy::fleet_gateway>& others) {
+        crashes_->set_gateways(others);
+    };
+    cluster_callbacks.on_poison_news = [this](const schema::poison_news& news) {
+        crashes_->receive(news);
+    };
     cluster_callbacks.on_peers = [this](policy::peer_group own_zone, policy::peer_group all) {
         slots_.set_peers(own_zone, all);
     };
@@ -343,6 +358,7 @@
     const instant now = monotonic_now();
     reject_expired(now);
     cluster_->quota().flush();
+    crashes_->tick();
     dispatcher_->tick(now);
     items_->tick(now, wall_now());
 }
@@ -357,6 +373,7 @@
     shutdown_began_at_ = monotonic_now();
     log_info("gateway_stopping").with("open", server_->open_exchanges());
     cluster_->leave();
+    crashes_->leave();
     items_->shut_down();
     server_->wind_down(idle_connection_grace);
     const milliseconds grace(static_cast<std::int64_t>(settings_.grace_s() * ms_per_s));
--- a/lib/net/raw_client.cpp
+++ b/lib/net/raw_client.cpp
@@ -348,6 +348,11 @@
     state_->sockets->reset(connection);
 }
 
+bool raw_client::was_sent(call_id id) const {
+    auto found = state_->calls.find(id);
+    return found != state_->calls.end() && found->second.sent;
+}
+
 void raw_client::forget(const http_address& address) {
     auto found = state_->idle.find(address);
     if (found == state_->idle.end())
--- a/lib/net/tcp_connections.cpp
+++ b/lib/net/tcp_connections.cpp
@@ -55,7 +55,7 @@
     void watch(int operation, connection_id id, int descriptor, std::uint32_t events) const;
     connection_id add(int descriptor, bool connecting);
     /// How the owner of a connection learns of its end.
-    enum class farewell { silent, clean, broken };
+    enum class farewell { silent, clean, broken, refused };
     void drop(connection_id id, farewell how);
     void dispatch();
     void accept_from(int listening);
@@ -127,7 +127,9 @@
         return;
     ::close(found->second.descriptor);
     open.erase(found);
-    if (how != farewell::silent)
+    if (how == farewell::refused && hooks.on_refused)
+        hooks.on_refused(id);
+    else if (how != farewell::silent)
         hooks.on_closed(id, how == farewell::clean);
 }
 
@@ -181,7 +183,7 @@
     socklen_t size = sizeof problem;
     getsockopt(one.descriptor, SOL_SOCKET, SO_ERROR, &problem, &size);
     if (problem != 0) {
-        drop(id, farewell::broken);
+        drop(id, problem == ECONNREFUSED ? farewell::refused : farewell::broken);
         return;
     }
     one.connecting = false;
@@ -305,10 +307,13 @@
     const bool known = parsed && to_socket_address(parsed.value().ip, parsed.value().port, where);
     const int started =
         known ? ::connect(descriptor, reinterpret_cast<const sockaddr*>(&where), sizeof where) : -1;
-    const bool failed = !known || (started != 0 && errno != EINPROGRESS);
+    const int problem = known && started != 0 ? errno : 0;
+    const bool failed = !known || (started != 0 && problem != EINPROGRESS);
     const connection_id id = state_->add(descriptor, true);
+    const state::farewell how =
+        problem == ECONNREFUSED ? state::farewell::refused : state::farewell::broken;
     if (failed)
-        state_->owner->post([this, id] { state_->drop(id, state::farewell::broken); });
+        state_->owner->post([this, id, how] { state_->drop(id, how); });
     return id;
 }
 
--- /dev/null
+++ b/lib/policy/poison_detector.cpp
@@ -0,0 +1,295 @@
+#include "cassia/policy/poison_detector.h"
+
+#include "cassia/base/digest.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+#include <tuple>
+#include <utility>
+
+namespace cassia::policy {
+
+namespace {
+// One request in a thousand is assumed to be poison.
+const double prior_log_odds = std::log(1e-3);
+const double suspect_log_odds = 0;
+const double quarantine_log_odds = std::log(99);
+constexpr std::uint32_t min_crashes_to_quarantine = 3;
+// Bounds what a single crash shows, so that it takes more than one to suspect a request.
+constexpr double max_gain = 5;
+// A poison request is assumed to crash every second of its runs at least.
+const double success_loss = std::log(2);
+// Gateways detect a crash within milliseconds of each other; a probe may take 50 ms.
+constexpr milliseconds collect_time(40);
+// Crashes within this time of each other may have one cause, such as a loss of power.
+constexpr milliseconds same_moment(50);
+// Crashes of this time show how often endpoints crash for other reasons.
+constexpr milliseconds background_window(10000);
+constexpr milliseconds first_quarantine(600000);
+constexpr std::uint32_t max_quarantine_doublings = 4;
+constexpr milliseconds retention(600000);
+constexpr std::size_t max_records = 4096;
+constexpr std::size_t max_crashes = 1024;
+constexpr std::size_t max_runs_per_crash = 256;
+constexpr double max_probability = 0.999;
+} // namespace
+
+static double to_probability(double log_odds) {
+    return std::min(max_probability, 1 / (1 + std::exp(-log_odds)));
+}
+
+static double to_seconds(microseconds duration) {
+    return std::chrono::duration<double>(duration).count();
+}
+
+void poison_detector::record_crash(const crash_report& report, instant now) {
+    auto found = crashes_.find(report.process);
+    if (found == crashes_.end()) {
+        if (crashes_.size() >= max_crashes)
+            return;
+        found = crashes_.emplace(report.process, known_crash{report, now}).first;
+        return;
+    }
+    known_crash& known = found->second;
+    if (known.attributed) {
+        // Reported late: the runs attributed so far only count as an explanation.
+        known.report.runs.clear();
+        known.attributed = false;
+        known.first_reported_at = now;
+    }
+    known.report.crashed_at = std::min(known.report.crashed_at, report.crashed_at);
+    known.report.endpoints = std::max(known.report.endpoints, report.endpoints);
+    const std::size_t room = max_runs_per_crash - known.report.runs.size();
+    const std::size_t added = std::min(room, report.runs.size());
+    known.report.runs.insert(known.report.runs.end(), report.runs.begin(),
+                             report.runs.begin() + static_cast<std::ptrdiff_t>(added));
+}
+
+void poison_detector::record_successes(const fingerprint& request, std::uint32_t runs,
+                                       instant now) {
+    auto found = records_.find(request);
+    if (found == records_.end())
+        return;
+    poison_record& record = found->second;
+    end_quarantine(record, now);
+    record.log_odds = std::max(prior_log_odds, record.log_odds - runs * success_loss);
+    if (record.verdict == request_verdict::suspect && record.log_odds < suspect_log_odds) {
+        record.verdict = request_verdict::unsuspected;
+        record.crashes = 0;
+        publish(record);
+    }
+}
+
+poison_findings poison_detector::poll(instant now) {
+    poison_findings findings;
+    expire(now);
+    for (std::pair<const endpoint_process, known_crash>& crash : crashes_) {
+        if (!crash.second.attributed && now - crash.second.first_reported_at >= collect_time)
+            findings.crashes.push_back(attribute(crash.first, crash.second, now));
+    }
+    for (const fingerprint& request : std::exchange(changed_, {})) {
+        auto found = records_.find(request);
+        if (found != records_.end())
+            findings.changed.push_back(found->second);
+    }
+    return findings;
+}
+
+std::vector<poison_detector::candidate> poison_detector::candidates(const known_crash& crash,
+                                                                    instant now) {
+    std::map<fingerprint, milliseconds> durations;
+    for (const crashed_run& run : crash.report.runs) {
+        milliseconds& longest = durations[run.request];
+        longest = std::max(longest, run.duration);
+    }
+    std::vector<candidate> found;
+    for (const std::pair<const fingerprint, milliseconds>& run : durations)
+        record_of(run.first, now); // may evict another record, so pointers are taken afterwards
+    for (const std::pair<const fingerprint, milliseconds>& run : durations) {
+        auto known = records_.find(run.first);
+        if (known == records_.end())
+            continue;
+        poison_record& record = known->second;
+        end_quarantine(record, now);
+        // Copies of a request that run at several endpoints may end at once for one reason. Only
+        // the first of these crashes shows something.
+        const microseconds since_last = crash.report.crashed_at - record.last_crash_at;
+        const bool counts = record.crashes == 0 || since_last > same_moment ||
+                            microseconds(run.second) <= since_last;
+        found.push_back({&record, run.second, to_probability(record.log_odds), counts});
+    }
+    return found;
+}
+
+double poison_detector::background(const endpoint_process& process, const known_crash& crash,
+                                   milliseconds duration) const {
+    double recent = 0;
+    double simultaneous = 0;
+    for (const std::pair<const endpoint_process, known_crash>& other : crashes_) {
+        const crash_report& report = other.second.report;
+        if (other.first == process || report.service != crash.report.service)
+            continue;
+        const microseconds distance = crash.report.crashed_at - report.crashed_at;
+        const double unexplained = 1 - other.second.explained;
+        if (distance >= -same_moment && distance <= same_moment)
+            simultaneous += unexplained;
+        else if (distance > microseconds(0) && distance <= background_window)
+            recent += unexplained;
+    }
+    const double endpoints = std::max(crash.report.endpoints, 1U);
+    const double rate = recent / (endpoints * to_seconds(background_window));
+    const double within_run = 1 - std::exp(-rate * to_seconds(duration));
+    return std::min(max_probability, within_run + simultaneous / endpoints);
+}
+
+// For each request: how much likelier is the crash if it is poison than if it isn't? If it isn't,
+// one of the others or the background must have caused the crash.
+attributed_crash poison_detector::attribute(const endpoint_process& process, known_crash& crash,
+                                            instant now) {
+    const std::vector<candidate> all = candidates(crash, now);
+    double none_is_poison = 1 - crash.explained;
+    for (const candidate& one : all)
+        none_is_poison *= 1 - one.probability;
+    attributed_crash attributed{process, {}};
+    double none_is_poison_after = 1 - crash.explained;
+    for (const candidate& one : all) {
+        poison_record& record = *one.record;
+        if (one.counts) {
+            const double no_other = none_is_poison / (1 - one.probability);
+            const double if_innocent =
+                1 - (1 - background(process, crash, one.duration)) * no_other;
+            record.log_odds += std::min(max_gain, -std::log(if_innocent));
+            ++record.crashes;
+            record.last_crash_at = std::max(record.last_crash_at, crash.report.crashed_at);
+            update_verdict(record, now);
+        }
+        none_is_poison_after *= 1 - to_probability(record.log_odds);
+        attributed.requests.push_back(record);
+    }
+    crash.attributed = true;
+    crash.explained = 1 - none_is_poison_after;
+    return attributed;
+}
+
+void poison_detector::update_verdict(poison_record& record, instant now) {
+    const bool is_proved =
+        record.crashes >= min_crashes_to_quarantine && record.log_odds >= quarantine_log_odds;
+    if (is_proved && record.verdict != request_verdict::quarantined) {
+        const std::uint32_t doublings = std::min(record.quarantines, max_quarantine_doublings);
+        record.verdict = request_verdict::quarantined;
+        record.quarantined_until = now + first_quarantine * (1U << doublings);
+        ++record.quarantines;
+    } else if (record.verdict == request_verdict::unsuspected) {
+        if (record.log_odds < suspect_log_odds)
+            return;
+        record.verdict = request_verdict::suspect;
+    }
+    publish(record);
+}
+
+void poison_detector::publish(poison_record& record) {
+    if (record.version++ == 0)
+        ++published_;
+    changed_.push_back(record.request);
+}
+
+// After a quarantine a single crash is enough for the next one.
+void poison_detector::end_quarantine(poison_record& record, instant now) const {
+    if (record.verdict != request_verdict::quarantined || now < record.quarantined_until)
+        return;
+    record.verdict = request_verdict::suspect;
+    record.log_odds = suspect_log_odds;
+    record.crashes = min_crashes_to_quarantine - 1;
+}
+
+poison_record& poison_detector::record_of(const fingerprint& request, instant now) {
+    auto found = records_.find(request);
+    if (found != records_.end())
+        return found->second;
+    if (records_.size() >= max_records)
+        evict_one();
+    poison_record& record = records_[request];
+    record.request = request;
+    record.log_odds = prior_log_odds;
+    record.last_crash_at = now;
+    return record;
+}
+
+// What is least suspected goes first, of that the oldest.
+void poison_detector::evict_one() {
+    auto first =
+        std::min_element(records_.begin(), records_.end(), [](const auto& a, const auto& b) {
+            return std::make_tuple(a.second.verdict, a.second.last_crash_at) <
+                   std::make_tuple(b.second.verdict, b.second.last_crash_at);
+        });
+    published_ -= first->second.version > 0 ? 1 : 0;
+    records_.erase(first);
+}
+
+static bool is_expired(const poison_record& record, instant now) {
+    return now > std::max(record.last_crash_at, record.quarantined_until) + retention;
+}
+
+void poison_detector::expire(instant now) {
+    std::erase_if(crashes_, [now](const auto& one) {
+        return now > one.second.report.crashed_at + background_window &&
+               now > one.second.first_reported_at + background_window;
+    });
+    for (auto one = records_.begin(); one != records_.end();) {
+        if (!is_expired(one->second, now)) {
+            ++one;
+            continue;
+        }
+        published_ -= one->second.version > 0 ? 1 : 0;
+        one = records_.erase(one);
+    }
+}
+
+bool poison_detector::merge(const poison_record& record, instant now) {
+    if (record.version == 0 || is_expired(record, now))
+        return false;
+    poison_record& known = record_of(record.request, now);
+    const bool is_newer = std::make_tuple(record.version, record.verdict, record.log_odds) >
+                          std::make_tuple(known.version, known.verdict, known.log_odds);
+    if (!is_newer)
+        return false;
+    const bool is_same = record.version == known.version && record.verdict == known.verdict;
+    published_ += known.version == 0 ? 1 : 0;
+    known = record;
+    return !is_same;
+}
+
+request_verdict poison_detector::judge(const fingerprint& request, instant now) const {
+    const poison_record* record = find(request);
+    if (record == nullptr)
+        return request_verdict::unsuspected;
+    const bool is_over =
+        record->verdict == request_verdict::quarantined && now >= record->quarantined_until;
+    return is_over ? request_verdict::suspect : record->verdict;
+}
+
+const poison_record* poison_detector::find(const fingerprint& request) const {
+    auto found = records_.find(request);
+    return found == records_.end() || found->second.version == 0 ? nullptr : &found->second;
+}
+
+std::vector<poison_record> poison_detector::published() const {
+    std::vector<poison_record> out;
+    for (const std::pair<const fingerprint, poison_record>& one : records_) {
+        if (one.second.version > 0)
+            out.push_back(one.second);
+    }
+    return out;
+}
+
+std::uint64_t poison_detector::digest() const {
+    std::uint64_t digest = 0;
+    for (const std::pair<const fingerprint, poison_record>& one : records_) {
+        if (one.second.version > 0)
+            digest ^= stable_hash(one.first.str() + " " + std::to_string(one.second.version));
+    }
+    return digest;
+}
+
+} // namespace cassia::policy
--- a/lib/policy/slot_table.cpp
+++ b/lib/policy/slot_table.cpp
@@ -285,7 +285,7 @@
 
 placement slot_table::placed_at(const candidate& chosen) {
     const slot_endpoint& info = chosen.endpoint->info;
-    return {info.id, info.address, std::nullopt, chosen.free, chosen.on_trial};
+    return {info.id, info.incarnation, info.address, std::nullopt, chosen.free, chosen.on_trial};
 }
 
 const slot_table::candidate* slot_table::pick_yielding(const std::vector<candidate>& all,
--- a/lib/policy/usage_exchange.cpp
+++ b/lib/policy/usage_exchange.cpp
@@ -1,7 +1,5 @@
 #include "cassia/policy/usage_exchange.h"
 
-#include "cassia/base/digest.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -10,8 +8,6 @@
 namespace {
 // Usage is polled, and sent if it has changed, this often.
 constexpr milliseconds report_interval(50);
-// With more peers than this, gateways use relays instead of sending to each peer.
-constexpr std::size_t max_mesh_peers = 20;
 // Unchanged usage is repeated this often, so that silence indicates a failure.
 constexpr milliseconds repeat_interval(500);
 constexpr milliseconds sums_repeat_interval(250);
@@ -24,8 +20,6 @@
 constexpr milliseconds publish_time_per_reporter(1);
 // Sums go to other zones less often, as these use them only while they have no free slot.
 constexpr milliseconds zones_interval(200);
-// Two, so that a zone whose relay has just failed still receives the sums of other zones.
-constexpr std::size_t relays_per_zone = 2;
 } // namespace
 
 usage_exchange::usage_exchange(entry_id self, zone_id zone)
@@ -73,23 +67,11 @@
     rank_relays();
 }
 
-// All gateways rank by the same hashes, so those with the same list agree on the relay. A gateway
-// that joins or leaves changes the relay only if it ranks first.
 void usage_exchange::rank_relays() {
-    ranked_.clear();
-    std::vector<entry_id>& own_zone = ranked_[zone_];
-    if (!leaving_)
-        own_zone.push_back(self_);
-    for (const fleet_gateway& one : others_) {
-        if (!one.leaving)
-            ranked_[one.zone].push_back(one.id);
-    }
-    for (std::pair<const zone_id, std::vector<entry_id>>& zone : ranked_) {
-        std::sort(zone.second.begin(), zone.second.end(), [](const entry_id& a, const entry_id& b) {
-            return std::make_pair(stable_hash(a.str()), a) <
-                   std::make_pair(stable_hash(b.str()), b);
-        });
-    }
+    std::vector<fleet_gateway> all = others_;
+    all.push_back({self_, zone_, leaving_});
+    ranked_ = rank_by_zone(all);
+    ranked_[zone_]; // choose_relay() needs the own zone also if none of its gateways can be a relay
 }
 
 void usage_exchange::receive_report(const entry_id& from, slot_usage_map usage, instant now) {
--- a/unittests/net/tcp_connections_test.cpp
+++ b/unittests/net/tcp_connections_test.cpp
@@ -85,3 +85,21 @@
     CHECK(received == size);
     CHECK(client.unsent(id) == 0);
 }
+
+// Guards against an endpoint that has ended and counts as unreachable, or the reverse.
+TEST_CASE("a refused connection is told from one that broke", "[net]") {
+    task owner("test");
+    std::size_t refused = 0;
+    std::size_t closed = 0;
+    tcp_hooks hooks;
+    hooks.on_connected = [](connection_id) {};
+    hooks.on_refused = [&refused](connection_id) { ++refused; };
+    hooks.on_closed = [&closed](connection_id, bool) { ++closed; };
+    tcp_connections clients(owner, tcp_settings(), hooks);
+    clients.connect(http_address("127.77.1.1:7299"), "");
+    clients.connect(http_address("nowhere"), "");
+    run_for(owner, milliseconds(200));
+    CHECK(refused == 1);
+    CHECK(closed == 1);
+    CHECK(clients.open() == 0);
+}
