Gateways: a request that crashes endpoints is stopped at all of them

What callers saw: one caller's request ended endpoint after endpoint, up to 58 of a fleet of 12 in half a minute; of 409 other requests 59 were in time.

Cause: an end was charged to the endpoint alone. Each attempt of a caller, with an id of its own, began at nothing at each gateway, and a lost run was sent on at once to the next endpoint. The class of fault: a failure that a request causes is handled as one of the endpoint, and the retry spreads it.

Evidence: endpoint_crashed shows one fingerprint aboard 89 of 94 ended endpoints, no other in more than two.

Now the verdicts of the two coordinators apply: a suspect (more likely than not) runs alone at the endpoint with the fewest others, one at a time for a service, and isn't sent on within an attempt; a quarantined request (three crashes at different times and odds of 99 to 1) is rejected at once, as not run, with what is left of ten minutes (doubled with each further time) as Retry-After, and its other copies are stopped. Items that wait no longer keep a gateway from leasing others.

--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -23,6 +23,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace cassia::gateway {
@@ -42,6 +43,10 @@
 /// light load.
 constexpr milliseconds max_event_delay(40);
 
+/// Sent to rejected callers. Slots become free all the time: after this time the caller is as
+/// likely to get one as any other.
+constexpr milliseconds default_retry_after(400);
+
 class dispatcher {
 public:
     dispatcher(net::raw_server& server, net::raw_client& client, policy::slot_table& slots,
@@ -55,6 +60,8 @@
     }
     /// The caller disconnected before its response was complete.
     void on_caller_gone(exchange_id id);
+    /// Ends the calls of requests that are quarantined by now.
+    void stop_quarantined();
     /// Sends queued requests to slots that became free.
     void dispatch_queued();
     void tick(instant now);
@@ -65,9 +72,16 @@
 private:
     /// Sends the call to an endpoint with a slot for it, or queues it if there is none.
     void place(online_call& call);
+    /// Sends a suspect to an endpoint of its own, one at a time.
+    void place_alone(online_call& call);
+    policy::request_verdict judge(online_call& call) const;
     static const fingerprint& fingerprint_of(online_call& call);
+    /// Ends the call of a quarantined request.
+    void stop(online_call& call);
     static ended_run run_of(online_call& call);
     void record_success(online_call& call);
+    /// Ends the call without another attempt.
+    void fail_attempt(online_call& call, const std::string& cause);
     void send(online_call& call, const policy::placement& placement);
     net::raw_request make_upstream_request(const online_call& call,
                                            const endpoint_id& endpoint) const;
@@ -107,8 +121,10 @@
     /// Time without a byte after which an attempt is considered lost.
     microseconds inactivity_timeout(const online_call& call) const;
     void cancel_attempt(online_call& call);
+    void release_reserved_slots(online_call& call);
     /// Ends the call with a response that guarantees that the request has not run.
-    void reject(online_call& call, const std::string& cause);
+    void reject(online_call& call, const std::string& cause,
+                milliseconds retry_after = default_retry_after, std::string_view text = "");
     /// Ends the call; the request may have run.
     void fail(online_call& call, int status, const std::string& cause);
     void check_timeouts(online_call& call, instant now);
@@ -124,6 +140,7 @@
     dispatcher_hooks hooks_;
     migration_protocol migration_protocol_;
     std::map<exchange_id, std::unique_ptr<online_call>> calls_;
+    std::map<service_id, exchange_id> running_alone_; ///< the suspect that runs, for each service
     policy::request_queue queue_;
     std::map<service_id, policy::stall_timeout_estimator> paces_;
     std::mt19937_64 random_;
--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -53,6 +53,8 @@
     void cancel_jobs(const std::set<job_id>& jobs);
     /// Drops items whose leases were lost.
     void drop_stale(const schema::stale_items& stale);
+    /// Interrupts items that are quarantined by now; they wait.
+    void stop_quarantined();
     /// Returns all items to the keepers and requests no more leases.
     void shut_down();
     /// The items held, including those whose end is not yet durable.
@@ -71,8 +73,15 @@
     void start_ready_items(instant now);
     bool start(const item_key& key, held_item& item, instant now);
     const fingerprint& fingerprint_of(held_item& item) const;
+    policy::request_verdict judge(held_item& item) const;
     ended_run run_of(held_item& item) const;
     void record_success(held_item& item) const;
+    /// Items that could start now but have no slot.
+    std::size_t ready(instant now) const;
+    /// Delays an item that is quarantined. \returns whether it has to wait.
+    bool waits_for_quarantine(held_item& item, instant now) const;
+    std::optional<policy::placement> place(held_item& item, const schema::route& route,
+                                           instant now);
     net::raw_request make_upstream_request(const held_item& item,
                                            const endpoint_id& endpoint) const;
     void on_head(const item_key& key, const net::raw_head& head);
--- a/include/cassia/gateway/online_call.h
+++ b/include/cassia/gateway/online_call.h
@@ -65,8 +65,9 @@
     instant retry_at{};           ///< neither sent nor queued before then
     std::set<endpoint_id> failed_endpoints; ///< those that failed or rejected this request
     bool holds_slot = false;
-    endpoint_id endpoint;          ///< of the last attempt
-    std::uint64_t incarnation = 0; ///< of that endpoint
+    std::uint32_t reserved_slots = 0; ///< kept free of others while it runs alone
+    endpoint_id endpoint;             ///< of the last attempt
+    std::uint64_t incarnation = 0;    ///< of that endpoint
     http_address address;
     call_id upstream_call; ///< the request to the endpoint; none while there is none
     instant first_sent_at{};
--- a/include/cassia/policy/slot_table.h
+++ b/include/cassia/policy/slot_table.h
@@ -108,6 +108,12 @@
     std::optional<placement> place_batch(const service_id& service,
                                          const std::set<endpoint_id>& excluded, instant now,
                                          double random_fraction, bool urgent = false) const;
+    /// Places a request that may crash its endpoint: where the fewest others run.
+    std::optional<placement> place_alone(const service_id& service,
+                                         const std::set<endpoint_id>& excluded, instant now) const;
+    /// Takes the slots that are free at an endpoint, so that no other request is placed there.
+    /// \returns how many; each is to be released as an online one.
+    std::uint32_t reserve_free_slots(const endpoint_id& endpoint);
     /// Whether all slots are in use, as far as is known; true for an unknown endpoint.
     bool is_full(const endpoint_id& endpoint) const;
     /// A gateway that runs batch items there: this one (empty) if it does, else any other.
--- a/lib/gateway/dispatch_responses.cpp
+++ b/lib/gateway/dispatch_responses.cpp
@@ -198,6 +198,8 @@
         eject_endpoint(call, monotonic_now());
     if (not_run)
         retry_not_run(call, failure.cause.text);
+    else if (judge(call) == policy::request_verdict::suspect)
+        fail_attempt(call, failure.cause.text);
     else
         retry_or_fail(call, failure.cause.text);
 }
--- a/lib/gateway/dispatch_suspects.cpp
+++ b/lib/gateway/dispatch_suspects.cpp
@@ -1,10 +1,22 @@
-// Reports of the requests that ran at endpoints which may have crashed.
+// Requests that are suspected of crashing endpoints, and quarantined ones.
 
+#include "cassia/base/log.h"
 #include "cassia/gateway/dispatcher.h"
 #include "cassia/gateway/request_fingerprint.h"
 
+#include <optional>
+#include <utility>
+#include <vector>
+
 namespace cassia::gateway {
 
+namespace {
+// Interval at which a suspect that waits for an endpoint of its own looks for one.
+constexpr milliseconds place_alone_interval(20);
+constexpr std::string_view quarantine_text =
+    "Endpoints crashed while they ran this request. It was not run again.\n";
+} // namespace
+
 const fingerprint& dispatcher::fingerprint_of(online_call& call) {
     if (!call.fingerprint)
         call.fingerprint = make_fingerprint(call.team == nullptr ? "" : call.team->id.str(),
@@ -13,6 +25,12 @@
     return *call.fingerprint;
 }
 
+// While nothing is under suspicion, requests are not hashed.
+policy::request_verdict dispatcher::judge(online_call& call) const {
+    return crashes_.has_records() ? crashes_.judge(fingerprint_of(call))
+                                  : policy::request_verdict::unsuspected;
+}
+
 ended_run dispatcher::run_of(online_call& call) {
     const policy::endpoint_process process{call.endpoint, call.incarnation};
     return {call.request_id, fingerprint_of(call), process,
@@ -25,4 +43,65 @@
         crashes_.record_success(fingerprint_of(call));
 }
 
+void dispatcher::place_alone(online_call& call) {
+    const instant now = monotonic_now();
+    std::optional<policy::placement> found;
+    if (running_alone_.count(call.service) == 0)
+        found = slots_.place_alone(call.service, call.failed_endpoints, now);
+    if (!found && running_alone_.count(call.service) == 0 && !call.failed_endpoints.empty())
+        found = slots_.place_alone(call.service, {}, now);
+    if (!found) {
+        queue_.remove(call.id);
+        call.phase = call.phase == call_phase::responding ? call.phase : call_phase::queued;
+        call.retry_at = now + place_alone_interval;
+        return;
+    }
+    running_alone_[call.service] = call.id;
+    log_info("suspect_placed")
+        .with("request", call.request_id)
+        .with("fingerprint", short_form(fingerprint_of(call)))
+        .with("endpoint", found->endpoint.str());
+    send(call, *found);
+    call.reserved_slots = slots_.reserve_free_slots(call.endpoint);
+}
+
+void dispatcher::release_reserved_slots(online_call& call) {
+    for (; call.reserved_slots > 0; --call.reserved_slots)
+        slots_.release(call.endpoint, policy::work_kind::online);
+    auto alone = running_alone_.find(call.service);
+    if (alone != running_alone_.end() && alone->second == call.id)
+        running_alone_.erase(alone);
+}
+
+void dispatcher::fail_attempt(online_call& call, const std::string& cause) {
+    cancel_attempt(call);
+    metrics_.count("attempts_lost");
+    fail(call, status_bad_gateway, cause);
+}
+
+void dispatcher::stop(online_call& call) {
+    log_info("request_stopped")
+        .with("request", call.request_id)
+        .with("fingerprint", short_form(fingerprint_of(call)))
+        .with("runs", call.runs);
+    if (call.runs == 0)
+        reject(call, "quarantined", crashes_.quarantine_left(fingerprint_of(call)),
+               quarantine_text);
+    else
+        fail_attempt(call, "quarantined");
+}
+
+void dispatcher::stop_quarantined() {
+    std::vector<exchange_id> ids;
+    for (const std::pair<const exchange_id, std::unique_ptr<online_call>>& call : calls_) {
+        if (judge(*call.second) == policy::request_verdict::quarantined)
+            ids.push_back(call.first);
+    }
+    for (const exchange_id id : ids) {
+        auto found = calls_.find(id);
+        if (found != calls_.end())
+            stop(*found->second);
+    }
+}
+
 } // namespace cassia::gateway
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -26,9 +26,6 @@
 // drawn from its upper half. Full endpoints have a free slot again after some ten milliseconds.
 constexpr milliseconds first_retry_delay(20);
 constexpr std::uint32_t max_doublings = 4;
-// Sent to rejected callers. Slots become free all the time: after this time the caller is as likely
-// to get one as any other.
-constexpr milliseconds retry_after(400);
 constexpr int status_server_error = 500;
 constexpr int status_unavailable = 503;
 constexpr int status_timeout = 504;
@@ -81,10 +78,17 @@
     call.request = std::move(request);
     calls_[call.id] = std::move(new_call);
     metrics_.count("requests");
-    place(call);
+    if (judge(call) == policy::request_verdict::quarantined)
+        stop(call);
+    else
+        place(call);
 }
 
 void dispatcher::place(online_call& call) {
+    if (judge(call) == policy::request_verdict::suspect) {
+        place_alone(call);
+        return;
+    }
     const instant now = monotonic_now();
     std::uniform_real_distribution<double> uniform(0, 1);
     const double draw = uniform(random_);
@@ -188,6 +192,7 @@
     if (call.holds_slot)
         slots_.release(call.endpoint, policy::work_kind::online);
     call.holds_slot = false;
+    release_reserved_slots(call);
 }
 
 void dispatcher::eject_endpoint(const online_call& call, instant now) {
@@ -252,7 +257,8 @@
     fail(call, status_bad_gateway, cause);
 }
 
-void dispatcher::reject(online_call& call, const std::string& cause) {
+void dispatcher::reject(online_call& call, const std::string& cause, milliseconds retry_after,
+                        std::string_view text) {
     net::raw_head head;
     head.status = status_unavailable;
     head.fields.add(names_.request_id, call.request_id);
@@ -261,7 +267,7 @@
     metrics_.count("refused_" + cause);
     const exchange_id id = call.id;
     close(id);
-    server_.respond(id, head, "");
+    server_.respond(id, head, text);
 }
 
 void dispatcher::fail(online_call& call, int status, const std::string& cause) {
--- a/lib/gateway/held_item.h
+++ b/lib/gateway/held_item.h
@@ -26,6 +26,8 @@
     http_address address;
     service_id service;
     instant sent_at{};
+    bool runs_alone = false;                        ///< as a suspect
+    std::uint32_t reserved_slots = 0;               ///< kept free of others meanwhile
     std::optional<cassia::fingerprint> fingerprint; ///< computed when it is first needed
     std::set<endpoint_id> failed_endpoints;         ///< those that failed or rejected this item
     instant ready_at{};                             ///< not started again before then
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -27,6 +27,8 @@
 // An endpoint that sends nothing for this long is considered inactive. Events come about every 20
 // ms, but at a slot that only seemed free the item may first wait for other requests.
 constexpr milliseconds inactivity_timeout(1500);
+// Interval at which a suspect that waits for an endpoint of its own looks for one.
+constexpr milliseconds place_alone_interval(100);
 // Items are abandoned only this long after their time limit, as the clocks of VMs differ by
 // seconds.
 constexpr std::uint64_t max_clock_skew_ms = 5000;
@@ -85,7 +87,7 @@
     if (shutting_down_ || lease_in_flight_ || !routes_ || now < next_lease_at_ ||
         items_.size() >= max_items_)
         return;
-    const std::size_t ready_items = items_.size() - running();
+    const std::size_t ready_items = ready(now);
     if (ready_items >= max_ready_items)
         return;
     for (const schema::route* route : routes_->of_kind(schema::route::batch)) {
@@ -177,11 +179,14 @@
             finish(key, schema::failed, false, "route_gone");
         return true;
     }
-    std::uniform_real_distribution<double> uniform(0, 1);
-    item.service = service_id(routes::choose_target(*route, uniform(random_)));
-    const std::optional<policy::placement> placement = slots_.place_batch(
-        item.service, item.failed_endpoints, now, uniform(random_),
-        policy::is_urgent(item.leased.deadline(), route->result_due_ms(), to_unix_ms(wall_now())));
+    if (waits_for_quarantine(item, now))
+        return true;
+    const std::optional<policy::placement> placement = place(item, *route, now);
+    if (!placement && item.runs_alone) {
+        item.runs_alone = false;
+        item.ready_at = now + place_alone_interval;
+        return true;
+    }
     if (!placement) {
         // The other endpoints have no free slot: those that failed may be tried again.
         item.failed_endpoints.clear();
@@ -193,6 +198,8 @@
     item.address = placement->address;
     item.sent_at = now;
     item.last_progress_at = now;
+    if (item.runs_alone)
+        item.reserved_slots = slots_.reserve_free_slots(item.endpoint);
     item.start_number = ++start_count_;
     item.parser.reset();
     item.status = 0;
@@ -219,6 +226,9 @@
     client_.cancel(item.upstream_call);
     item.upstream_call = call_id();
     slots_.release(item.endpoint, policy::work_kind::batch);
+    for (; item.reserved_slots > 0; --item.reserved_slots)
+        slots_.release(item.endpoint, policy::work_kind::online);
+    item.runs_alone = false;
 }
 
 void item_runner::requeue(held_item& item, milliseconds delay, const std::string& cause) {
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -61,7 +61,10 @@
     crash_callbacks.send = [this](const entry_id& to, schema::envelope& envelope) {
         return cluster_->send_to_gateway(to, envelope);
     };
-    crash_callbacks.on_quarantine = [] {};
+    crash_callbacks.on_quarantine = [this] {
+        dispatcher_->stop_quarantined();
+        items_->stop_quarantined();
+    };
     crashes_ = std::make_unique<crash_monitor>(
         task_, net::ip_of(settings_.peer_address()), entry_id(settings_.name()),
         zone_id(settings_.zone()), metrics_, std::move(crash_callbacks));
--- a/lib/policy/slot_table.cpp
+++ b/lib/policy/slot_table.cpp
@@ -333,6 +333,37 @@
     return std::nullopt;
 }
 
+std::optional<placement> slot_table::place_alone(const service_id& service,
+                                                 const std::set<endpoint_id>& excluded,
+                                                 instant now) const {
+    const candidate* best = nullptr;
+    std::int64_t fewest = 0;
+    const std::vector<candidate> all = candidates(service, excluded, now);
+    for (const candidate& one : all) {
+        if (one.free <= 0)
+            continue;
+        const std::int64_t running = one.endpoint->info.slots - one.free;
+        if (best == nullptr || running < fewest) {
+            best = &one;
+            fewest = running;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional<placement>(placed_at(*best));
+}
+
+std::uint32_t slot_table::reserve_free_slots(const endpoint_id& endpoint) {
+    auto found = endpoints_.find(endpoint);
+    if (found == endpoints_.end())
+        return 0;
+    const slot_usage use = total_use(endpoint);
+    const std::uint32_t taken = use.online + use.batch;
+    const std::uint32_t slots = found->second.info.slots;
+    const std::uint32_t reserved = slots > taken ? slots - taken : 0;
+    if (reserved > 0)
+        own_[endpoint].online += reserved;
+    return reserved;
+}
+
 // Batch items go to endpoints on trial first: an item that fails is retried elsewhere in time.
 std::optional<placement> slot_table::place_batch(const service_id& service,
                                                  const std::set<endpoint_id>& excluded, instant now,
