Keepers: one that lost its VM gets the whole list of endpoints again

Cause: a control keeper loses power and its disk. What was sent to it counted as in transit for 3 s by its own clock; after the loss that clock begins anew, and the difference is negative for as long as the VM ran before. So the others sent it changes only, it listed 1 endpoint of 14, and the three gateways that followed it believed it once the records that they had were 3 s old (9.07 s followed, 12.08 s serving=1).

A report that is dated before what is in transit now comes from a restarted receiver. Its test failed before: 44 in place of 0.

--- a/include/cassia/keeper/endpoint_list_delivery.h
+++ b/include/cassia/keeper/endpoint_list_delivery.h
@@ -17,8 +17,10 @@
     /// \param reported_at when it sent that report, by its own clock: a report that this process
     /// reads late says nothing of what was sent since.
     std::uint64_t base(std::uint64_t acknowledged, instant reported_at) const {
-        const bool in_transit =
-            sent_ > acknowledged && reported_at - in_transit_since_ < resend_interval;
+        const microseconds waited = reported_at - in_transit_since_;
+        // The clock of a VM that was restarted begins anew, and its list is empty.
+        const bool restarted = waited < microseconds(0);
+        const bool in_transit = sent_ > acknowledged && !restarted && waited < resend_interval;
         return in_transit ? sent_ : acknowledged;
     }
     /// Changes after `base` up to `revision` were sent.
--- a/unittests/keeper/endpoint_list_test.cpp
+++ b/unittests/keeper/endpoint_list_test.cpp
@@ -160,3 +160,17 @@
         keeper.send_beacon(first_keeper, gateway, thawed + round * milliseconds(100));
     CHECK(gateway.serving(thawed + milliseconds(3000)).empty());
 }
+
+// Guards against a keeper that lost its VM and never gets the endpoints known before.
+TEST_CASE("a receiver whose clock begins anew after a restart gets the whole list",
+          "[membership]") {
+    keeper::endpoint_list_delivery delivery;
+    delivery.on_sent(0, 0, 40, start);
+    delivery.on_sent(40, 40, 44, start + milliseconds(500));
+    CHECK(delivery.base(40, start + milliseconds(600)) == 44);
+    const instant after_restart = instant() + milliseconds(200);
+    CHECK(delivery.base(0, after_restart) == 0);
+    delivery.on_sent(0, 0, 45, after_restart);
+    CHECK(delivery.base(0, after_restart + milliseconds(100)) == 45);
+    CHECK(delivery.base(45, after_restart + milliseconds(200)) == 45);
+}
