--- a/include/cassia/standin/engine.h
+++ b/include/cassia/standin/engine.h
@@ -37,6 +37,7 @@
         std::uint32_t next = 0; ///< token
         std::uint32_t end = 0;
         bool begun = false;
+        bool poison = false; ///< crashes the engine once it has enough tokens
         instant due{};
         std::string text;
     };
@@ -53,6 +54,7 @@
     void admit(instant now);
     void step();
     bool emit(stream& one);
+    void crash_if_due(const stream& one) const;
     std::string event_of(const stream& one, std::uint32_t token) const;
     void finish(const stream& one);
     microseconds token_time() const;
--- a/lib/standin/engine.cpp
+++ b/lib/standin/engine.cpp
@@ -122,10 +122,9 @@
     one.exchange = exchange;
     one.request_id = request.header("cassia-request-id");
     one.prompt = prompt_of(body);
-    if (!settings_.poison().empty() && one.prompt.find(settings_.poison()) != std::string::npos) {
-        log_error("crashed").with("request", one.request_id);
-        std::_Exit(exit_crashed);
-    }
+    one.poison =
+        !settings_.poison().empty() && one.prompt.find(settings_.poison()) != std::string::npos;
+    crash_if_due(one);
     const boost::json::value* streams = body.if_contains("stream");
     one.streams = streams != nullptr && streams->is_bool() && streams->as_bool();
     one.chat = request.path == "/v1/chat/completions";
@@ -140,6 +139,13 @@
     admit(monotonic_now());
 }
 
+void engine::crash_if_due(const stream& one) const {
+    if (!one.poison || one.next < settings_.poison_tokens())
+        return;
+    log_error("crashed").with("request", one.request_id);
+    std::_Exit(exit_crashed);
+}
+
 microseconds engine::token_time() const {
     const double others = running_.empty() ? 0 : static_cast<double>(running_.size() - 1);
     const double factor = (1 + settings_.slowdown() * others) * slower_;
@@ -216,6 +222,7 @@
         }
         server_->stream(one.exchange, events);
     }
+    crash_if_due(one);
     return one.next >= one.end && one.due <= now + token_time();
 }
 
