--- /dev/null
+++ b/unittests/gateway/crash_monitor_test.cpp
@@ -0,0 +1,175 @@
+// How the verdicts on requests that crash endpoints spread over the gateways of a fleet.
+
+#include "cassia/base/log.h"
+#include "cassia/gateway/crash_monitor.h"
+#include "cassia/net/task.h"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace cassia;
+using namespace cassia::gateway;
+
+namespace {
+
+// Time within which gateways that are connected have to know a verdict.
+constexpr milliseconds contact_time(3000);
+constexpr milliseconds tick_interval(20);
+const fingerprint poison("poison");
+
+/// Monitors of many gateways, connected without a network.
+class monitor_fleet {
+public:
+    explicit monitor_fleet(int gateways) {
+        start_logs("test", log_level::error, "");
+        for (int i = 0; i < gateways; ++i)
+            add();
+        update_lists();
+        task_.every(tick_interval, [this] { tick(); });
+    }
+
+    void add() {
+        const std::size_t index = monitors_.size();
+        members_.push_back({name_of(index), zone_id("z" + std::to_string(index % 3)), false});
+        metrics_.push_back(std::make_unique<metrics>());
+        crash_monitor_hooks hooks;
+        hooks.send = [this, index](const entry_id& to, schema::envelope& envelope) {
+            ++messages;
+            envelopes_.emplace_back(std::make_pair(index, to), envelope);
+            return true;
+        };
+        hooks.on_quarantine = [] {};
+        monitors_.push_back(std::make_unique<crash_monitor>(task_, "", members_[index].id,
+                                                            members_[index].zone, *metrics_.back(),
+                                                            std::move(hooks)));
+    }
+    void update_lists() {
+        for (std::size_t i = 0; i < monitors_.size(); ++i) {
+            std::vector<policy::fleet_gateway> others;
+            for (std::size_t j = 0; j < monitors_.size(); ++j) {
+                if (j != i && stopped.count(j) == 0)
+                    others.push_back(members_[j]);
+            }
+            monitors_[i]->set_gateways(others);
+        }
+    }
+    /// An endpoint that nothing listens for any more crashes under the request.
+    void crash(std::size_t gateway, int endpoint) {
+        ended_run run;
+        run.request_id = "r" + std::to_string(endpoint);
+        run.request = poison;
+        run.process = {endpoint_id("e" + std::to_string(endpoint)), 1};
+        run.address = http_address("127.77.2.1:7201");
+        run.service = service_id("llm");
+        run.sent_at = monotonic_now() - milliseconds(50);
+        monitors_[gateway]->record_broken_run(run);
+    }
+    void run_for(milliseconds time) {
+        task_.after(time, [this] { task_.quit(); });
+        task_.run();
+    }
+    bool knows(std::size_t gateway) const {
+        return monitors_[gateway]->judge(poison) == policy::request_verdict::quarantined;
+    }
+    /// \returns how long it took until all gateways that run know the verdict.
+    milliseconds wait_until_known(const std::set<std::size_t>& except = {}) {
+        const instant began = monotonic_now();
+        while (monotonic_now() - began < 2 * contact_time) {
+            run_for(tick_interval);
+            std::size_t unaware = 0;
+            for (std::size_t i = 0; i < monitors_.size(); ++i)
+                unaware += stopped.count(i) + except.count(i) == 0 && !knows(i) ? 1 : 0;
+            if (unaware == 0)
+                break;
+        }
+        return std::chrono::duration_cast<milliseconds>(monotonic_now() - began);
+    }
+    std::size_t size() const { return monitors_.size(); }
+
+    std::set<std::size_t> stopped;
+    std::set<std::size_t> cut_off;
+    std::size_t messages = 0;
+
+private:
+    static entry_id name_of(std::size_t index) {
+        return entry_id("gateway-" + std::to_string(index));
+    }
+    void tick() {
+        std::deque<std::pair<std::pair<std::size_t, entry_id>, schema::envelope>> now;
+        now.swap(envelopes_);
+        for (const auto& envelope : now) {
+            for (std::size_t i = 0; i < monitors_.size(); ++i) {
+                const std::size_t lost =
+                    stopped.count(i) + cut_off.count(i) + cut_off.count(envelope.first.first);
+                if (members_[i].id == envelope.first.second && lost == 0)
+                    monitors_[i]->receive(envelope.second.poison());
+            }
+        }
+        for (std::size_t i = 0; i < monitors_.size(); ++i) {
+            if (stopped.count(i) == 0)
+                monitors_[i]->tick();
+        }
+    }
+
+    net::task task_{"test"};
+    std::vector<policy::fleet_gateway> members_;
+    std::vector<std::unique_ptr<metrics>> metrics_;
+    std::vector<std::unique_ptr<crash_monitor>> monitors_;
+    std::deque<std::pair<std::pair<std::size_t, entry_id>, schema::envelope>> envelopes_;
+};
+
+} // namespace
+
+// Guards against gateways that run a request again which crashed endpoints of others.
+TEST_CASE("a verdict reaches all gateways in time", "[poison]") {
+    const int gateways = GENERATE(1, 2, 8, 60, 300);
+    monitor_fleet fleet(gateways);
+    // Until then each of these gateways has seen one crash only.
+    for (int i = 0; i < 3; ++i) {
+        fleet.crash(static_cast<std::size_t>(i * 7) % fleet.size(), i);
+        fleet.run_for(milliseconds(150));
+    }
+    fleet.messages = 0;
+    const milliseconds took = fleet.wait_until_known();
+    CAPTURE(gateways, took.count(), fleet.messages);
+    CHECK(took < contact_time);
+    // Two digests each a second, the answers to them, and the verdict over the relays.
+    CHECK(fleet.messages <= 12 * fleet.size() + 200);
+}
+
+// Guards against a gateway that stays without a verdict since it missed the message.
+TEST_CASE("a gateway that was cut off knows the verdict soon afterwards", "[poison]") {
+    const int gateways = GENERATE(2, 60);
+    monitor_fleet fleet(gateways);
+    fleet.cut_off = {1};
+    for (int i = 0; i < 3; ++i) {
+        fleet.crash(0, i);
+        fleet.run_for(milliseconds(150));
+    }
+    fleet.wait_until_known({1});
+    CHECK_FALSE(fleet.knows(1));
+    fleet.cut_off.clear();
+    CHECK(fleet.wait_until_known() < contact_time);
+}
+
+// Guards against a verdict that is lost with the gateways that reached it.
+TEST_CASE("a verdict outlasts the gateways that judged, and reaches later ones", "[poison]") {
+    const int gateways = GENERATE(4, 40);
+    monitor_fleet fleet(gateways);
+    for (int i = 0; i < 3; ++i) {
+        fleet.crash(0, i);
+        fleet.run_for(milliseconds(150));
+    }
+    REQUIRE(fleet.wait_until_known() < contact_time);
+    for (std::size_t i = 0; i + 1 < fleet.size(); ++i)
+        fleet.stopped.insert(i);
+    fleet.add();
+    fleet.update_lists();
+    CHECK(fleet.wait_until_known() < contact_time);
+}
