Requests that crash endpoints: completed runs count earlier, crashes are explained by what is known now

Odds of 400 to 1 in place of 99; gateways are told of a request from odds of 1 to 20 on and report completed runs (each 200 ms), until its odds are those of any request. Crashes count as of one moment within 25 ms (50): endpoints of an outage were seen to end within 18 ms. A crash is explained by what is known of its requests now, not when it was judged. Items that are quarantined run each 18 s (15), as rarely as an item may be left lying.

--- a/include/cassia/gateway/crash_monitor.h
+++ b/include/cassia/gateway/crash_monitor.h
@@ -93,7 +93,7 @@
     void check_probes(instant now);
     void report_crashes(instant now);
     void report_crash(const policy::endpoint_process& process, suspected_crash& crash, instant now);
-    void report_successes();
+    void report_successes(instant now);
     void send_to_coordinators(const schema::poison_news& news);
     void publish(const std::vector<policy::poison_record>& records, const entry_id& except);
     void log_findings(const policy::poison_findings& findings) const;
@@ -115,6 +115,7 @@
     std::map<service_id, std::uint32_t> endpoint_counts_;
     std::map<fingerprint, std::uint32_t> successes_;   ///< not yet reported
     std::map<fingerprint, std::uint32_t> quarantines_; ///< logged, for each request
+    instant next_successes_at_{};
     instant next_digest_at_{};
     std::mt19937_64 random_;
 };
--- a/include/cassia/policy/poison_detector.h
+++ b/include/cassia/policy/poison_detector.h
@@ -89,22 +89,23 @@
 private:
     struct known_crash {
         crash_report report;
-        instant first_reported_at{};
-        bool attributed = false;
-        double explained = 0; ///< probability that one of its requests caused it
+        instant first_reported_at{}; ///< of the runs not yet judged
+        std::size_t judged = 0;      ///< runs that were; those of late reports follow
     };
     struct candidate {
         poison_record* record = nullptr;
         milliseconds duration{0};
-        double probability = 0; ///< that it is poison, before this crash
-        bool counts = false;    ///< the run is independent of the crashes counted so far
+        bool counts = false; ///< the run is independent of the crashes counted so far
     };
 
     attributed_crash attribute(const endpoint_process& process, known_crash& crash, instant now);
     std::vector<candidate> candidates(const known_crash& crash, instant now);
-    /// Probability that the endpoint crashed within a run of this length for another reason.
+    /// Probability that none of the requests that ran there, except this one, is poison.
+    double without_cause(const known_crash& crash, const fingerprint& except) const;
+    /// Probability that the endpoint crashed within a run of this length for another reason than
+    /// one of its requests, if `request` isn't poison.
     double background(const endpoint_process& process, const known_crash& crash,
-                      milliseconds duration) const;
+                      const fingerprint& request, milliseconds duration) const;
     poison_record& record_of(const fingerprint& request, instant now);
     void update_verdict(poison_record& record, instant now);
     void publish(poison_record& record);
--- a/lib/gateway/crash_monitor.cpp
+++ b/lib/gateway/crash_monitor.cpp
@@ -20,6 +20,7 @@
 // A crash that no probe confirms shows by the next process at the same address.
 constexpr milliseconds replacement_wait(5000);
 constexpr milliseconds crash_retention(10000);
+constexpr milliseconds successes_interval(200);
 constexpr milliseconds digest_interval(1000);
 constexpr std::size_t digest_receivers = 2;
 // A crash may follow the end of the run that caused it by this time.
@@ -194,9 +195,10 @@
         ++successes_[request];
 }
 
-void crash_monitor::report_successes() {
-    if (successes_.empty())
+void crash_monitor::report_successes(instant now) {
+    if (successes_.empty() || now < next_successes_at_)
         return;
+    next_successes_at_ = now + successes_interval;
     schema::poison_news news;
     for (const std::pair<const fingerprint, std::uint32_t>& one : std::exchange(successes_, {})) {
         schema::request_successes* successes = news.add_successes();
@@ -315,7 +317,7 @@
     const instant now = monotonic_now();
     check_probes(now);
     report_crashes(now);
-    report_successes();
+    report_successes(now);
     const policy::poison_findings findings = detector_.poll(now);
     log_findings(findings);
     publish(findings.changed, entry_id());
--- a/lib/gateway/item_suspects.cpp
+++ b/lib/gateway/item_suspects.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 // A job is complete only once each of its items has ended, and an item may not be given up before
-// its time limit. Until then a quarantined one is tried at this interval.
-constexpr milliseconds quarantined_item_interval(15000);
+// its time limit. Until then a quarantined one is tried as rarely as an item may be left lying.
+constexpr milliseconds quarantined_item_interval(18000);
 } // namespace
 
 const fingerprint& item_runner::fingerprint_of(held_item& item) const {
--- a/lib/policy/poison_detector.cpp
+++ b/lib/policy/poison_detector.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -14,8 +15,12 @@
 // One request in a thousand is assumed to be poison.
 const double prior_log_odds = std::log(1e-3);
 const double suspect_log_odds = 0;
-const double quarantine_log_odds = std::log(99);
+// From here on all gateways know of a request, so that runs which are completed speak for it.
+const double watch_log_odds = -3;
+const double quarantine_log_odds = std::log(400);
 constexpr std::uint32_t min_crashes_to_quarantine = 3;
+// After a quarantine a crash that says this much is enough for the next one.
+constexpr double repeated_gain = 2;
 // Bounds what a single crash shows, so that it takes more than one to suspect a request.
 constexpr double max_gain = 5;
 // A poison request is assumed to crash every second of its runs at least.
@@ -23,7 +28,7 @@
 // Gateways detect a crash within milliseconds of each other; a probe may take 50 ms.
 constexpr milliseconds collect_time(40);
 // Crashes within this time of each other may have one cause, such as a loss of power.
-constexpr milliseconds same_moment(50);
+constexpr milliseconds same_moment(25);
 // Crashes of this time show how often endpoints crash for other reasons.
 constexpr milliseconds background_window(10000);
 constexpr milliseconds first_quarantine(600000);
@@ -46,21 +51,17 @@
 void poison_detector::record_crash(const crash_report& report, instant now) {
     auto found = crashes_.find(report.process);
     if (found == crashes_.end()) {
-        if (crashes_.size() >= max_crashes)
-            return;
-        found = crashes_.emplace(report.process, known_crash{report, now}).first;
+        if (crashes_.size() < max_crashes)
+            crashes_.emplace(report.process, known_crash{report, now, 0});
         return;
     }
     known_crash& known = found->second;
-    if (known.attributed) {
-        // Reported late: the runs attributed so far only count as an explanation.
-        known.report.runs.clear();
-        known.attributed = false;
+    if (known.judged == known.report.runs.size())
         known.first_reported_at = now;
-    }
     known.report.crashed_at = std::min(known.report.crashed_at, report.crashed_at);
     known.report.endpoints = std::max(known.report.endpoints, report.endpoints);
-    const std::size_t room = max_runs_per_crash - known.report.runs.size();
+    const std::size_t room =
+        max_runs_per_crash - std::min(max_runs_per_crash, known.report.runs.size());
     const std::size_t added = std::min(room, report.runs.size());
     known.report.runs.insert(known.report.runs.end(), report.runs.begin(),
                              report.runs.begin() + static_cast<std::ptrdiff_t>(added));
@@ -74,18 +75,24 @@
     poison_record& record = found->second;
     end_quarantine(record, now);
     record.log_odds = std::max(prior_log_odds, record.log_odds - runs * success_loss);
-    if (record.verdict == request_verdict::suspect && record.log_odds < suspect_log_odds) {
+    const bool is_cleared =
+        record.verdict == request_verdict::suspect && record.log_odds < suspect_log_odds;
+    const bool is_forgiven = record.crashes > 0 && record.log_odds <= prior_log_odds &&
+                             record.verdict != request_verdict::quarantined;
+    if (is_cleared)
         record.verdict = request_verdict::unsuspected;
+    if (is_forgiven)
         record.crashes = 0;
+    if (is_cleared || is_forgiven)
         publish(record);
-    }
 }
 
 poison_findings poison_detector::poll(instant now) {
     poison_findings findings;
     expire(now);
     for (std::pair<const endpoint_process, known_crash>& crash : crashes_) {
-        if (!crash.second.attributed && now - crash.second.first_reported_at >= collect_time)
+        const bool is_due = now - crash.second.first_reported_at >= collect_time;
+        if (crash.second.judged < crash.second.report.runs.size() && is_due)
             findings.crashes.push_back(attribute(crash.first, crash.second, now));
     }
     for (const fingerprint& request : std::exchange(changed_, {})) {
@@ -99,7 +106,8 @@
 std::vector<poison_detector::candidate> poison_detector::candidates(const known_crash& crash,
                                                                     instant now) {
     std::map<fingerprint, milliseconds> durations;
-    for (const crashed_run& run : crash.report.runs) {
+    for (std::size_t i = crash.judged; i < crash.report.runs.size(); ++i) {
+        const crashed_run& run = crash.report.runs[i];
         milliseconds& longest = durations[run.request];
         longest = std::max(longest, run.duration);
     }
@@ -117,24 +125,40 @@
         const microseconds since_last = crash.report.crashed_at - record.last_crash_at;
         const bool counts = record.crashes == 0 || since_last > same_moment ||
                             microseconds(run.second) <= since_last;
-        found.push_back({&record, run.second, to_probability(record.log_odds), counts});
+        found.push_back({&record, run.second, counts});
     }
     return found;
 }
 
+double poison_detector::without_cause(const known_crash& crash, const fingerprint& except) const {
+    std::set<fingerprint> requests;
+    for (const crashed_run& run : crash.report.runs)
+        requests.insert(run.request);
+    requests.erase(except);
+    double probability = 1;
+    for (const fingerprint& request : requests) {
+        auto found = records_.find(request);
+        probability *=
+            1 - to_probability(found == records_.end() ? prior_log_odds : found->second.log_odds);
+    }
+    return probability;
+}
+
 double poison_detector::background(const endpoint_process& process, const known_crash& crash,
-                                   milliseconds duration) const {
+                                   const fingerprint& request, milliseconds duration) const {
     double recent = 0;
     double simultaneous = 0;
     for (const std::pair<const endpoint_process, known_crash>& other : crashes_) {
         const crash_report& report = other.second.report;
-        if (other.first == process || report.service != crash.report.service)
-            continue;
         const microseconds distance = crash.report.crashed_at - report.crashed_at;
-        const double unexplained = 1 - other.second.explained;
-        if (distance >= -same_moment && distance <= same_moment)
+        const bool is_near = distance >= -same_moment && distance <= background_window;
+        if (other.first == process || report.service != crash.report.service || !is_near)
+            continue;
+        // By what is known now: a request that was found out since explains its earlier crashes.
+        const double unexplained = without_cause(other.second, request);
+        if (distance <= same_moment)
             simultaneous += unexplained;
-        else if (distance > microseconds(0) && distance <= background_window)
+        else
             recent += unexplained;
     }
     const double endpoints = std::max(crash.report.endpoints, 1U);
@@ -148,27 +172,25 @@
 attributed_crash poison_detector::attribute(const endpoint_process& process, known_crash& crash,
                                             instant now) {
     const std::vector<candidate> all = candidates(crash, now);
-    double none_is_poison = 1 - crash.explained;
-    for (const candidate& one : all)
-        none_is_poison *= 1 - one.probability;
-    attributed_crash attributed{process, {}};
-    double none_is_poison_after = 1 - crash.explained;
+    std::vector<double> gains;
     for (const candidate& one : all) {
-        poison_record& record = *one.record;
-        if (one.counts) {
-            const double no_other = none_is_poison / (1 - one.probability);
-            const double if_innocent =
-                1 - (1 - background(process, crash, one.duration)) * no_other;
-            record.log_odds += std::min(max_gain, -std::log(if_innocent));
+        const fingerprint& request = one.record->request;
+        const double if_innocent = 1 - (1 - background(process, crash, request, one.duration)) *
+                                           without_cause(crash, request);
+        gains.push_back(std::min(max_gain, -std::log(if_innocent)));
+    }
+    attributed_crash attributed{process, {}};
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        poison_record& record = *all[i].record;
+        if (all[i].counts) {
+            record.log_odds += gains[i];
             ++record.crashes;
             record.last_crash_at = std::max(record.last_crash_at, crash.report.crashed_at);
             update_verdict(record, now);
         }
-        none_is_poison_after *= 1 - to_probability(record.log_odds);
         attributed.requests.push_back(record);
     }
-    crash.attributed = true;
-    crash.explained = 1 - none_is_poison_after;
+    crash.judged = crash.report.runs.size();
     return attributed;
 }
 
@@ -181,9 +203,10 @@
         record.quarantined_until = now + first_quarantine * (1U << doublings);
         ++record.quarantines;
     } else if (record.verdict == request_verdict::unsuspected) {
-        if (record.log_odds < suspect_log_odds)
+        if (record.log_odds < watch_log_odds)
             return;
-        record.verdict = request_verdict::suspect;
+        if (record.log_odds >= suspect_log_odds)
+            record.verdict = request_verdict::suspect;
     }
     publish(record);
 }
@@ -194,12 +217,11 @@
     changed_.push_back(record.request);
 }
 
-// After a quarantine a single crash is enough for the next one.
 void poison_detector::end_quarantine(poison_record& record, instant now) const {
     if (record.verdict != request_verdict::quarantined || now < record.quarantined_until)
         return;
     record.verdict = request_verdict::suspect;
-    record.log_odds = suspect_log_odds;
+    record.log_odds = quarantine_log_odds - repeated_gain;
     record.crashes = min_crashes_to_quarantine - 1;
 }
 
--- a/unittests/policy/poison_detector_test.cpp
+++ b/unittests/policy/poison_detector_test.cpp
@@ -147,6 +147,10 @@
     SECTION("in a small fleet") {
         model.endpoints = 4;
     }
+    SECTION("and so is a second one") {
+        model.poisons = 2;
+        model.poison_per_s = 2;
+    }
     SECTION("beside outages of a third") {
         model.outage_share = 0.33;
         model.outage_interval = milliseconds(2000);
@@ -154,7 +158,7 @@
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         const poison_result result = play(model, seed);
         CAPTURE(seed, result.crashes, result.innocents_served, result.innocents_sent);
-        CHECK(result.poisons_quarantined == 1);
+        CHECK(result.poisons_quarantined == static_cast<std::size_t>(model.poisons));
         CHECK(result.most_late_runs <= max_late_runs);
         CHECK(result.innocents_quarantined == 0);
     }
@@ -185,6 +189,18 @@
         model.innocent_time = milliseconds(5000);
         model.innocents_per_s = 10;
     }
+    SECTION("that many callers send, one after the other") {
+        model.innocent_bodies = 3;
+        model.outage_share = 0.08;
+        model.outage_interval = milliseconds(1000);
+    }
+    SECTION("that many callers send, a third") {
+        model.innocent_bodies = 3;
+        model.innocents_per_s = 2;
+        model.outage_share = 0.33;
+        model.outage_interval = milliseconds(2000);
+        model.length = milliseconds(120000);
+    }
     SECTION("a few endpoints that restart at once") {
         model.endpoints = 4;
         model.innocents_per_s = 10;
@@ -198,3 +214,17 @@
         CHECK(result.innocents_quarantined == 0);
     }
 }
+
+// Guards against many different requests that crash endpoints faster than they are found out.
+TEST_CASE("in virtual time, several requests that crash endpoints are stopped in time",
+          "[.several]") {
+    poison_model model;
+    model.poisons = GENERATE(2, 3, 5, 10);
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        const poison_result result = play(model, seed);
+        CAPTURE(model.poisons, seed, result.crashes, result.innocents_served);
+        CHECK(result.poisons_quarantined == static_cast<std::size_t>(model.poisons));
+        CHECK(result.innocents_quarantined == 0);
+        CHECK(result.most_late_runs <= max_late_runs);
+    }
+}
--- a/unittests/policy/poison_simulation.h
+++ b/unittests/policy/poison_simulation.h
@@ -64,6 +64,7 @@
     static constexpr milliseconds step{10};
     static constexpr milliseconds offset{1000000};
     static constexpr int max_runs = 4; ///< two attempts of a caller at two endpoints each
+    static constexpr milliseconds max_detection_time{15};
     static constexpr milliseconds max_wait{4000};
     static constexpr milliseconds caller_pause{100}; ///< between these attempts
 
@@ -156,7 +157,8 @@
         report.process = {endpoint_id("e" + std::to_string(index)), one.incarnation};
         report.service = service_id("llm");
         report.endpoints = static_cast<std::uint32_t>(model_.endpoints);
-        report.crashed_at = now_;
+        report.crashed_at =
+            now_ + std::chrono::duration_cast<milliseconds>(max_detection_time * uniform());
         const std::vector<request_run> lost = std::move(one.runs);
         one.runs.clear();
         ++one.incarnation;
