--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -18,22 +18,15 @@
 constexpr milliseconds tick_interval(20);
 constexpr milliseconds usage_interval(50);
 constexpr milliseconds held_items_interval(1000);
-constexpr milliseconds shutdown_check_interval(50);
 constexpr milliseconds traffic_log_interval(10000);
 // Item ends that no leader has stored within this time are sent again.
 constexpr milliseconds report_timeout(3000);
 // A lease request without a reply for this long counts as one that was granted nothing.
 constexpr milliseconds lease_timeout(2500);
-// Some callers use a list of gateways for three times its maximum age.
-constexpr int max_list_ages = 3;
-// Part of the grace period that is reserved for sending the last responses and for the exit.
-constexpr milliseconds shutdown_margin(700);
-constexpr milliseconds idle_connection_grace(250);
 // Assumed for a request without a deadline.
 constexpr milliseconds default_deadline(5000);
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
-constexpr int ms_per_s = 1000;
 } // namespace
 
 service::service(schema::gateway_settings settings, header_names names, service_hooks hooks)
@@ -366,35 +359,4 @@
     items_->tick(now, wall_now());
 }
 
-// Callers may connect for as long as they use a list that contains this gateway. After that no new
-// connections are accepted, open requests are completed, and the process exits before the end of
-// the grace period, when it would be killed.
-void service::shut_down() {
-    if (shutting_down_)
-        return;
-    shutting_down_ = true;
-    shutdown_began_at_ = monotonic_now();
-    log_info("gateway_stopping").with("open", server_->open_exchanges());
-    cluster_->leave();
-    crashes_->leave();
-    items_->shut_down();
-    server_->wind_down(idle_connection_grace);
-    const milliseconds grace(static_cast<std::int64_t>(settings_.grace_s() * ms_per_s));
-    const instant stop_at = shutdown_began_at_ + std::max(grace - shutdown_margin, milliseconds(0));
-    task_.every(shutdown_check_interval, [this, stop_at] { check_shutdown(stop_at); });
-}
-
-void service::check_shutdown(instant stop_at) {
-    const instant now = monotonic_now();
-    const milliseconds lists_expire_after =
-        milliseconds(settings_.list_age_ms()) * max_list_ages + idle_connection_grace;
-    if (now >= shutdown_began_at_ + lists_expire_after || now >= stop_at)
-        server_->stop_listening();
-    else
-        return;
-    const bool done = server_->open_exchanges() == 0 && items_->unreported() == 0;
-    if (done || now >= stop_at)
-        task_.quit();
-}
-
 } // namespace cassia::gateway
--- /dev/null
+++ b/lib/policy/slot_placement.cpp
@@ -0,0 +1,192 @@
+// Placement of requests at endpoints with free slots.
+
+#include "cassia/policy/slot_table.h"
+
+#include <algorithm>
+
+namespace cassia::policy {
+
+namespace {
+// Batch leaves 1/divisor of a service's slots free. An online request that finds no free slot waits
+// about a round trip until a batch item has yielded one; with an eighth kept free, the requests of
+// the first 0.1 s of a wave find one at once.
+constexpr std::uint32_t reserve_divisor = 8;
+// A single gateway may be the only one that can't reach an endpoint; if two can't, the endpoint is
+// at fault. Otherwise each gateway would lose requests of its own to an unreachable endpoint.
+constexpr std::uint32_t min_suspecting_gateways = 2;
+} // namespace
+
+std::vector<slot_table::candidate> slot_table::candidates(const service_id& service,
+                                                          const std::set<endpoint_id>& excluded,
+                                                          instant now) const {
+    std::vector<candidate> found;
+    for (const std::pair<const endpoint_id, endpoint_state>& one : endpoints_) {
+        const bool usable = one.second.info.service == service && excluded.count(one.first) == 0 &&
+                            now >= one.second.suspended_until;
+        if (!usable)
+            continue;
+        const slot_usage use = total_use(one.first);
+        const std::int64_t slots = one.second.info.slots;
+        candidate found_candidate{&one.second, slots - use.online - use.batch, slots - use.online,
+                                  false};
+        found_candidate.rejecting = counts_as_full(one.second, now);
+        if (found_candidate.rejecting)
+            found_candidate.free = found_candidate.free_or_batch = 0;
+        found_candidate.on_trial =
+            one.second.failures > 0 || remote_suspicions(one.first) >= min_suspecting_gateways;
+        // An endpoint on trial gets one request of this gateway at a time.
+        auto own = own_.find(one.first);
+        const bool probe_running = found_candidate.on_trial && own != own_.end();
+        if (!probe_running)
+            found.push_back(found_candidate);
+    }
+    return found;
+}
+
+// If gateways always chose the best candidate, all would choose the same one until they have
+// received each other's usage.
+template <class Candidate, class Weight>
+static const Candidate* draw_by_weight(const std::vector<Candidate>& all, const Weight& weight,
+                                       double random_fraction) {
+    double sum = 0;
+    for (const Candidate& one : all)
+        sum += weight(one);
+    double left = random_fraction * sum;
+    const Candidate* last = nullptr;
+    for (const Candidate& one : all) {
+        if (weight(one) <= 0)
+            continue;
+        last = &one;
+        left -= weight(one);
+        if (left < 0)
+            break;
+    }
+    return last;
+}
+
+const slot_table::candidate* slot_table::pick_free(const std::vector<candidate>& all, bool own_zone,
+                                                   bool on_trial, double unreported_sends,
+                                                   double random_fraction) const {
+    const auto fits = [this, own_zone, on_trial](const candidate& one) {
+        return !one.rejecting && one.on_trial == on_trial &&
+               (one.endpoint->info.zone == own_zone_) == own_zone;
+    };
+    slot_weights weights(unreported_sends);
+    for (const candidate& one : all) {
+        if (fits(one))
+            weights.add(one.free, one.endpoint->info.slots);
+    }
+    const auto weight = [&weights, &fits](const candidate& one) {
+        return fits(one) ? weights.weight(one.free, one.endpoint->info.slots) : 0.0;
+    };
+    return draw_by_weight(all, weight, random_fraction);
+}
+
+// Each gateway has at most one request at an endpoint on trial, so the forecast doesn't apply.
+double slot_table::unreported_sends(bool own_zone, bool on_trial) const {
+    return on_trial ? 0 : forecast_.unreported_sends(own_zone ? own_zone_peers_ : all_peers_);
+}
+
+placement slot_table::placed_at(const candidate& chosen) {
+    const slot_endpoint& info = chosen.endpoint->info;
+    return {info.id, info.incarnation, info.address, std::nullopt, chosen.free, chosen.on_trial};
+}
+
+const slot_table::candidate* slot_table::pick_yielding(const std::vector<candidate>& all,
+                                                       bool own_zone, bool on_trial,
+                                                       double random_fraction) const {
+    const auto weight = [this, own_zone, on_trial](const candidate& one) {
+        const bool fits = one.free_or_batch > 0 && one.on_trial == on_trial &&
+                          (one.endpoint->info.zone == own_zone_) == own_zone &&
+                          total_use(one.endpoint->info.id).batch > 0;
+        return fits ? static_cast<double>(one.free_or_batch * one.free_or_batch) : 0.0;
+    };
+    return draw_by_weight(all, weight, random_fraction);
+}
+
+std::optional<placement> slot_table::place_online(const service_id& service,
+                                                  const std::set<endpoint_id>& excluded,
+                                                  instant now, double random_fraction) const {
+    const std::vector<candidate> all = candidates(service, excluded, now);
+    for (const bool on_trial : {false, true}) {
+        for (const bool own_zone : {true, false}) {
+            if (const candidate* free = pick_free(
+                    all, own_zone, on_trial, unreported_sends(own_zone, on_trial), random_fraction))
+                return placed_at(*free);
+        }
+        for (const bool own_zone : {true, false}) {
+            if (const candidate* yielding =
+                    pick_yielding(all, own_zone, on_trial, random_fraction)) {
+                placement place = placed_at(*yielding);
+                place.yielding_gateway = batch_holder(place.endpoint);
+                return place;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<placement> slot_table::place_stalled(const service_id& service,
+                                                   const std::set<endpoint_id>& excluded,
+                                                   instant now, double random_fraction) const {
+    const std::vector<candidate> all = candidates(service, excluded, now);
+    for (const bool own_zone : {true, false}) {
+        if (const candidate* free = pick_free(all, own_zone, false, 0, random_fraction))
+            return placed_at(*free);
+    }
+    return std::nullopt;
+}
+
+std::optional<placement> slot_table::place_alone(const service_id& service,
+                                                 const std::set<endpoint_id>& excluded,
+                                                 instant now) const {
+    const candidate* best = nullptr;
+    std::int64_t fewest = 0;
+    const std::vector<candidate> all = candidates(service, excluded, now);
+    for (const candidate& one : all) {
+        if (one.free <= 0)
+            continue;
+        const std::int64_t running = one.endpoint->info.slots - one.free;
+        if (best == nullptr || running < fewest) {
+            best = &one;
+            fewest = running;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional<placement>(placed_at(*best));
+}
+
+// Batch items go to endpoints on trial first: an item that fails is retried elsewhere in time.
+std::optional<placement> slot_table::place_batch(const service_id& service,
+                                                 const std::set<endpoint_id>& excluded, instant now,
+                                                 double random_fraction, bool urgent) const {
+    if (!urgent && batch_capacity(service, now) == 0)
+        return std::nullopt;
+    const std::vector<candidate> all = candidates(service, excluded, now);
+    for (const bool on_trial : {true, false}) {
+        for (const bool own_zone : {true, false}) {
+            if (const candidate* free = pick_free(
+                    all, own_zone, on_trial, unreported_sends(own_zone, on_trial), random_fraction))
+                return placed_at(*free);
+        }
+    }
+    return std::nullopt;
+}
+
+std::uint32_t slot_table::batch_capacity(const service_id& service, instant now) const {
+    std::int64_t free = 0;
+    std::int64_t slots = 0;
+    for (const candidate& one : candidates(service, {}, now)) {
+        free += std::max<std::int64_t>(one.free, 0);
+        slots += one.endpoint->info.slots;
+    }
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(free - slots / reserve_divisor, 0));
+}
+
+std::uint32_t slot_table::total_slots(const service_id& service, instant now) const {
+    std::uint32_t slots = 0;
+    for (const candidate& one : candidates(service, {}, now))
+        slots += one.endpoint->info.slots;
+    return slots;
+}
+
+} // namespace cassia::policy
