Requests that crash endpoints: bounded work when many endpoints crash at once

Judging a crash looked up each request of each recent crash: with 135 endpoints of eight requests that crash together over a million lookups, by count. The explanation of each crash is computed once a round. An answer to a digest holds 512 records at most. An endpoint that survived a reset of connections is probed again when they break again.

--- a/include/cassia/keeper/endpoint_list_delivery.h
+++ b/include/cassia/keeper/endpoint_list_delivery.h
@@ -18,7 +18,7 @@
     /// reads late says nothing of what was sent since.
     std::uint64_t base(std::uint64_t acknowledged, instant reported_at) const {
         const microseconds waited = reported_at - in_transit_since_;
-        // The clock of a VM that was restarted begins anew, and its list is empty.
+        // The clock of a restarted VM starts again, and its list is empty.
         const bool restarted = waited < microseconds(0);
         const bool in_transit = sent_ > acknowledged && !restarted && waited < resend_interval;
         return in_transit ? sent_ : acknowledged;
--- a/include/cassia/policy/poison_detector.h
+++ b/include/cassia/policy/poison_detector.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace cassia::policy {
@@ -81,7 +82,8 @@
     /// The published record of a request; null if there is none.
     const poison_record* find(const fingerprint& request) const;
     bool has_published() const { return published_ > 0; }
-    std::vector<poison_record> published() const;
+    /// At most this many, the most suspected and latest first.
+    std::vector<poison_record> published(std::size_t limit) const;
     /// The same for gateways that hold the same versions of the same records.
     std::uint64_t digest() const;
     std::size_t size() const { return records_.size(); }
@@ -91,6 +93,8 @@
         crash_report report;
         instant first_reported_at{}; ///< of the runs not yet judged
         std::size_t judged = 0;      ///< runs that were; those of late reports follow
+        std::set<fingerprint> requests;
+        double unexplained = 1; ///< as of the latest poll: that none of its requests is poison
     };
     struct candidate {
         poison_record* record = nullptr;
@@ -100,8 +104,10 @@
 
     attributed_crash attribute(const endpoint_process& process, known_crash& crash, instant now);
     std::vector<candidate> candidates(const known_crash& crash, instant now);
+    double probability_of(const fingerprint& request) const;
     /// Probability that none of the requests that ran there, except this one, is poison.
-    double without_cause(const known_crash& crash, const fingerprint& except) const;
+    double unexplained_without(const known_crash& crash, const fingerprint& request) const;
+    void update_unexplained(known_crash& crash) const;
     /// Probability that the endpoint crashed within a run of this length for another reason than
     /// one of its requests, if `request` isn't poison.
     double background(const endpoint_process& process, const known_crash& crash,
--- a/lib/gateway/crash_monitor.cpp
+++ b/lib/gateway/crash_monitor.cpp
@@ -23,6 +23,7 @@
 constexpr milliseconds successes_interval(200);
 constexpr milliseconds digest_interval(1000);
 constexpr std::size_t digest_receivers = 2;
+constexpr std::size_t max_records_sent = 512;
 // A crash may follow the end of the run that caused it by this time.
 constexpr milliseconds recent_run_time(250);
 constexpr std::size_t max_recent_runs = 1024;
@@ -76,9 +77,13 @@
     if (!is_known && crashes_.size() >= max_crashes)
         return;
     suspected_crash& crash = crashes_[run.process];
+    // The endpoint survived what broke connections before.
+    const bool broke_again = crash.state == crash_state::undecided;
+    if (broke_again)
+        crash = suspected_crash();
     if (crash.unreported.size() < max_runs_per_crash)
         crash.unreported.push_back(run);
-    if (is_known)
+    if (is_known && !broke_again)
         return;
     crash.address = run.address;
     crash.service = run.service;
@@ -258,7 +263,7 @@
     if (!news.has_digest() || news.digest() == detector_.digest())
         return;
     schema::poison_news answer;
-    for (const policy::poison_record& record : detector_.published())
+    for (const policy::poison_record& record : detector_.published(max_records_sent))
         encode(record, now, *answer.add_records());
     answer.set_answers(true);
     answer.set_has_digest(!news.answers());
--- a/lib/gateway/poison_messages.h
+++ b/lib/gateway/poison_messages.h
@@ -1,4 +1,4 @@
-/// Encodes and decodes what gateways tell each other about poison requests. Times travel as ages.
+/// Encodes and decodes what gateways exchange about poison requests. Times travel as ages.
 #pragma once
 
 #include "cassia/base/clock.h"
--- a/lib/policy/poison_detector.cpp
+++ b/lib/policy/poison_detector.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <set>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -49,22 +48,23 @@
 }
 
 void poison_detector::record_crash(const crash_report& report, instant now) {
-    auto found = crashes_.find(report.process);
-    if (found == crashes_.end()) {
-        if (crashes_.size() < max_crashes)
-            crashes_.emplace(report.process, known_crash{report, now, 0});
+    if (crashes_.count(report.process) == 0 && crashes_.size() >= max_crashes)
         return;
+    known_crash& known = crashes_[report.process];
+    if (known.report.runs.empty()) {
+        known.report = report;
+        known.report.runs.clear();
     }
-    known_crash& known = found->second;
     if (known.judged == known.report.runs.size())
         known.first_reported_at = now;
     known.report.crashed_at = std::min(known.report.crashed_at, report.crashed_at);
     known.report.endpoints = std::max(known.report.endpoints, report.endpoints);
-    const std::size_t room =
-        max_runs_per_crash - std::min(max_runs_per_crash, known.report.runs.size());
-    const std::size_t added = std::min(room, report.runs.size());
-    known.report.runs.insert(known.report.runs.end(), report.runs.begin(),
-                             report.runs.begin() + static_cast<std::ptrdiff_t>(added));
+    for (const crashed_run& run : report.runs) {
+        if (known.report.runs.size() >= max_runs_per_crash)
+            break;
+        known.report.runs.push_back(run);
+        known.requests.insert(run.request);
+    }
 }
 
 void poison_detector::record_successes(const fingerprint& request, std::uint32_t runs,
@@ -90,11 +90,18 @@
 poison_findings poison_detector::poll(instant now) {
     poison_findings findings;
     expire(now);
-    for (std::pair<const endpoint_process, known_crash>& crash : crashes_) {
-        const bool is_due = now - crash.second.first_reported_at >= collect_time;
-        if (crash.second.judged < crash.second.report.runs.size() && is_due)
-            findings.crashes.push_back(attribute(crash.first, crash.second, now));
+    std::vector<endpoint_process> due;
+    for (const std::pair<const endpoint_process, known_crash>& crash : crashes_) {
+        const bool has_unjudged = crash.second.judged < crash.second.report.runs.size();
+        if (has_unjudged && now - crash.second.first_reported_at >= collect_time)
+            due.push_back(crash.first);
+    }
+    if (!due.empty()) {
+        for (std::pair<const endpoint_process, known_crash>& crash : crashes_)
+            update_unexplained(crash.second);
     }
+    for (const endpoint_process& process : due)
+        findings.crashes.push_back(attribute(process, crashes_.at(process), now));
     for (const fingerprint& request : std::exchange(changed_, {})) {
         auto found = records_.find(request);
         if (found != records_.end())
@@ -130,18 +137,22 @@
     return found;
 }
 
-double poison_detector::without_cause(const known_crash& crash, const fingerprint& except) const {
-    std::set<fingerprint> requests;
-    for (const crashed_run& run : crash.report.runs)
-        requests.insert(run.request);
-    requests.erase(except);
-    double probability = 1;
-    for (const fingerprint& request : requests) {
-        auto found = records_.find(request);
-        probability *=
-            1 - to_probability(found == records_.end() ? prior_log_odds : found->second.log_odds);
-    }
-    return probability;
+double poison_detector::probability_of(const fingerprint& request) const {
+    auto found = records_.find(request);
+    return to_probability(found == records_.end() ? prior_log_odds : found->second.log_odds);
+}
+
+void poison_detector::update_unexplained(known_crash& crash) const {
+    crash.unexplained = 1;
+    for (const fingerprint& request : crash.requests)
+        crash.unexplained *= 1 - probability_of(request);
+}
+
+double poison_detector::unexplained_without(const known_crash& crash,
+                                            const fingerprint& request) const {
+    const bool ran_there = crash.requests.count(request) > 0;
+    return ran_there ? std::min(1.0, crash.unexplained / (1 - probability_of(request)))
+                     : crash.unexplained;
 }
 
 double poison_detector::background(const endpoint_process& process, const known_crash& crash,
@@ -155,7 +166,7 @@
         if (other.first == process || report.service != crash.report.service || !is_near)
             continue;
         // By what is known now: a request that was found out since explains its earlier crashes.
-        const double unexplained = without_cause(other.second, request);
+        const double unexplained = unexplained_without(other.second, request);
         if (distance <= same_moment)
             simultaneous += unexplained;
         else
@@ -172,11 +183,12 @@
 attributed_crash poison_detector::attribute(const endpoint_process& process, known_crash& crash,
                                             instant now) {
     const std::vector<candidate> all = candidates(crash, now);
+    update_unexplained(crash);
     std::vector<double> gains;
     for (const candidate& one : all) {
         const fingerprint& request = one.record->request;
         const double if_innocent = 1 - (1 - background(process, crash, request, one.duration)) *
-                                           without_cause(crash, request);
+                                           unexplained_without(crash, request);
         gains.push_back(std::min(max_gain, -std::log(if_innocent)));
     }
     attributed_crash attributed{process, {}};
@@ -191,6 +203,7 @@
         attributed.requests.push_back(record);
     }
     crash.judged = crash.report.runs.size();
+    update_unexplained(crash);
     return attributed;
 }
 
@@ -296,12 +309,17 @@
     return found == records_.end() || found->second.version == 0 ? nullptr : &found->second;
 }
 
-std::vector<poison_record> poison_detector::published() const {
+std::vector<poison_record> poison_detector::published(std::size_t limit) const {
     std::vector<poison_record> out;
     for (const std::pair<const fingerprint, poison_record>& one : records_) {
         if (one.second.version > 0)
             out.push_back(one.second);
     }
+    std::sort(out.begin(), out.end(), [](const poison_record& a, const poison_record& b) {
+        return std::make_tuple(a.verdict, a.last_crash_at) >
+               std::make_tuple(b.verdict, b.last_crash_at);
+    });
+    out.resize(std::min(out.size(), limit));
     return out;
 }
 
