Keepers and gateways: know and log the software version of endpoints

Change: the version of a heartbeat is decoded into the endpoint's record, kept with the lists of endpoints and placed beside each run. New lines and keys: version in endpoint_changed, request_placed and item_leased, stream_taken_up, item_placed, versions in endpoints_changed.

Nothing is decided by it yet.

--- a/include/cassia/base/ids.h
+++ b/include/cassia/base/ids.h
@@ -47,6 +47,8 @@
 using service_id = string_id<struct service_tag>; ///< a model engine's model or a plain service
 using zone_id = string_id<struct zone_tag>;
 using team_id = string_id<struct team_tag>; ///< the plan's name
+/// Of an endpoint's program, not of its weights; empty if it isn't known.
+using software_version = string_id<struct software_version_tag>;
 using job_id = string_id<struct job_tag>;
 using fingerprint = string_id<struct fingerprint_tag>;   ///< SHA-256 in hexadecimal
 using peer_address = string_id<struct peer_address_tag>; ///< IP:PORT of a ZeroMQ socket
--- a/include/cassia/gateway/header_names.h
+++ b/include/cassia/gateway/header_names.h
@@ -18,6 +18,8 @@
     std::string not_run = "Cassia-Not-Run";
     /// Id of the last event of a stream that the caller has; the endpoint resumes after it.
     std::string last_event = "Last-Event-Id";
+    /// Id of the attempt that brought the first event of a stream that the caller takes up again.
+    std::string resumes = "Resumes";
     /// The caller's API key; never forwarded.
     std::string key = "Cassia-Key";
     /// Name of the caller's team; set on requests to endpoints.
--- a/include/cassia/policy/slot_table.h
+++ b/include/cassia/policy/slot_table.h
@@ -24,6 +24,7 @@
     zone_id zone;
     service_id service;
     std::uint32_t slots = 1; ///< requests that it runs concurrently
+    software_version version;
 
     friend bool operator==(const slot_endpoint&, const slot_endpoint&) = default;
 };
@@ -45,8 +46,9 @@
     http_address address;
     /// Set if a batch item must yield its slot: the gateway that runs it, empty for this one.
     std::optional<entry_id> yielding_gateway;
-    std::int64_t free = 0; ///< slots that were free there, by this gateway's view
-    bool on_trial = false; ///< its latest requests failed
+    std::int64_t free = 0;    ///< slots that were free there, by this gateway's view
+    bool on_trial = false;    ///< its latest requests failed
+    software_version version; ///< of the endpoint
 };
 
 /// Adds usage to a sum, endpoint by endpoint. A sum has no entries for unused endpoints.
--- a/lib/gateway/cluster_client.cpp
+++ b/lib/gateway/cluster_client.cpp
@@ -301,7 +301,25 @@
     const schema::endpoint_record& record = known->record;
     return published.id.str() == record.id() && published.incarnation == record.incarnation() &&
            published.address.str() == record.address() && published.zone.str() == record.zone() &&
-           published.service.str() == record.service() && published.slots == slots_of(record);
+           published.service.str() == record.service() && published.slots == slots_of(record) &&
+           published.version.str() == record.software_version();
+}
+
+// For services with more than one version, as service:version:endpoints.
+static std::string count_by_version(const std::vector<policy::slot_endpoint>& endpoints) {
+    std::map<service_id, std::map<software_version, std::size_t>> counts;
+    for (const policy::slot_endpoint& one : endpoints)
+        ++counts[one.service][one.version];
+    std::string text;
+    for (const std::pair<const service_id, std::map<software_version, std::size_t>>& service :
+         counts) {
+        if (service.second.size() < 2)
+            continue;
+        for (const std::pair<const software_version, std::size_t>& version : service.second)
+            text += (text.empty() ? "" : ",") + service.first.str() + ":" + version.first.str() +
+                    ":" + std::to_string(version.second);
+    }
+    return text;
 }
 
 void cluster_client::publish_endpoints(instant now) {
@@ -323,9 +341,12 @@
         const schema::endpoint_record& record = known->record;
         published_endpoints_.push_back({endpoint_id(record.id()), record.incarnation(),
                                         http_address(record.address()), zone_id(record.zone()),
-                                        service_id(record.service()), slots_of(record)});
+                                        service_id(record.service()), slots_of(record),
+                                        software_version(record.software_version())});
     }
-    log_info("endpoints_changed").with("serving", published_endpoints_.size());
+    log_info("endpoints_changed")
+        .with("serving", published_endpoints_.size())
+        .with("versions", count_by_version(published_endpoints_));
     hooks_.on_endpoints(published_endpoints_);
 }
 
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -26,6 +26,7 @@
 // drawn from its upper half. Full endpoints have a free slot again after some ten milliseconds.
 constexpr milliseconds first_retry_delay(20);
 constexpr std::uint32_t max_doublings = 4;
+constexpr std::size_t max_logged_id_length = 64;
 constexpr int status_server_error = 500;
 constexpr int status_unavailable = 503;
 constexpr int status_timeout = 504;
@@ -78,6 +79,12 @@
     call.request = std::move(request);
     calls_[call.id] = std::move(new_call);
     metrics_.count("requests");
+    if (call.is_stream() && call.last_event > 0)
+        log_info("stream_taken_up")
+            .with("request", call.request_id)
+            .with("resumes",
+                  call.request.fields.find(names_.resumes).substr(0, max_logged_id_length))
+            .with("behind_event", call.last_event);
     if (judge(call) == policy::request_verdict::quarantined)
         stop(call);
     else
@@ -154,6 +161,7 @@
     log_info("request_placed")
         .with("request", call.request_id)
         .with("endpoint", placement.endpoint.str())
+        .with("version", placement.version.str())
         .with("free", placement.free)
         .with("on_trial", placement.on_trial ? 1 : 0)
         .with("yields", placement.yielding_gateway ? "1" : "0")
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -130,7 +130,8 @@
         .with("item", leased.item().custom_id())
         .with("job", leased.job())
         .with("attempt", leased.attempt())
-        .with("behind_event", leased.events());
+        .with("behind_event", leased.events())
+        .with("version", leased.software_version());
     items_[key] = std::move(item);
 }
 
@@ -206,6 +207,11 @@
     item.not_run = false;
     ++item.runs;
     metrics_.count(item.last_event > 0 ? "items_resumed" : "items_started");
+    log_info("item_placed")
+        .with("item", item.leased.item().custom_id())
+        .with("endpoint", item.endpoint.str())
+        .with("version", placement->version.str())
+        .with("behind_event", item.last_event);
     net::raw_call_hooks hooks;
     hooks.on_head = [this, key](const net::raw_head& head) { on_head(key, head); };
     hooks.on_piece = [this, key](std::string_view bytes) { on_body(key, bytes); };
--- a/lib/keeper/service_api.cpp
+++ b/lib/keeper/service_api.cpp
@@ -69,6 +69,7 @@
             .with("endpoint", record.id())
             .with("service", record.service())
             .with("address", record.address())
+            .with("version", record.software_version())
             .with("leaving", record.leaving() ? 1 : 0)
             .with("gone", record.gone() ? 1 : 0)
             .with("sequence", record.sequence());
--- a/lib/policy/slot_placement.cpp
+++ b/lib/policy/slot_placement.cpp
@@ -89,7 +89,8 @@
 
 placement slot_table::placed_at(const candidate& chosen) {
     const slot_endpoint& info = chosen.endpoint->info;
-    return {info.id, info.incarnation, info.address, std::nullopt, chosen.free, chosen.on_trial};
+    return {info.id,     info.incarnation, info.address, std::nullopt,
+            chosen.free, chosen.on_trial,  info.version};
 }
 
 const slot_table::candidate* slot_table::pick_yielding(const std::vector<candidate>& all,
