Gateways: a stream goes on within its answer only at the version that began it

What callers saw: one whole answer whose events two software versions wrote.

Cause: a retry behind an event, a stalled stream and a migrated run took any endpoint of the service with a free slot.

Change: the first event binds a stream to the version of its endpoint. All placements take the version that they need; a stream that waits for one version waits in a line of its own, ahead of requests that any endpoint may serve and without holding them up. Where no endpoint has the version any more, the caller is told so at once: 503 if nothing has run, else the connection breaks. A run is migrated to endpoints of its own version alone, also before its first event, since the copy is that version's.

Before its first event a request goes anywhere, as before.

--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -64,6 +64,8 @@
     void stop_quarantined();
     /// Sends queued requests to slots that became free.
     void dispatch_queued();
+    /// Ends waiting calls whose software version no endpoint has any more.
+    void end_unservable();
     void tick(instant now);
 
     std::size_t open_calls() const { return calls_.size(); }
@@ -74,6 +76,9 @@
     void place(online_call& call);
     /// Sends a suspect to an endpoint of its own, one at a time.
     void place_alone(online_call& call);
+    /// Whether no endpoint may go on with the call's stream.
+    bool is_unservable(const online_call& call) const;
+    void end_unservable(online_call& call);
     policy::request_verdict judge(online_call& call) const;
     static const fingerprint& fingerprint_of(online_call& call);
     /// Ends the call of a quarantined request.
--- a/include/cassia/gateway/online_call.h
+++ b/include/cassia/gateway/online_call.h
@@ -68,6 +68,7 @@
     std::uint32_t reserved_slots = 0; ///< kept free of others while it runs alone
     endpoint_id endpoint;             ///< of the last attempt
     std::uint64_t incarnation = 0;    ///< of that endpoint
+    software_version endpoint_version;
     http_address address;
     call_id upstream_call; ///< the request to the endpoint; none while there is none
     instant first_sent_at{};
@@ -85,11 +86,17 @@
     std::string buffered_events; ///< not yet forwarded, to be sent together with later ones
     instant buffered_since{};
     std::uint64_t last_event = 0; ///< id of the last event that the caller has or that is buffered
+    /// Of the endpoint that wrote the stream's first event; none before that event.
+    std::optional<software_version> origin_version;
     instant last_event_at{};
     microseconds longest_pause{0}; ///< between two events
     migration_state migration;
     kv_cache_copy resume_source; ///< set while a request that resumes from a copy is sent
 
+    /// The version that its next endpoint must have; empty if any will do.
+    software_version required_version() const {
+        return origin_version.value_or(software_version());
+    }
     std::uint32_t priority() const {
         return team != nullptr && team->priority ? *team->priority : route->priority();
     }
--- a/include/cassia/policy/request_queue.h
+++ b/include/cassia/policy/request_queue.h
@@ -19,6 +19,15 @@
     instant target_deadline{}; ///< dispatched later, its answer misses the latency target
     instant expires_at{};      ///< dispatched later, it can't be answered in time
     bool has_run = false;      ///< its run was cut and is to be continued
+    software_version version;  ///< only endpoints of this version may serve it; any if empty
+};
+
+/// Requests that the same endpoints may serve wait in one line.
+struct queue_line {
+    service_id service;
+    software_version version;
+
+    friend auto operator<=>(const queue_line&, const queue_line&) = default;
 };
 
 class request_queue {
@@ -28,13 +37,14 @@
     void remove_served(exchange_id id);
     void remove(exchange_id id);
     bool contains(exchange_id id) const { return waiting_.count(id) > 0; }
-    /// The next request of a service: those that can still meet their target before those that
+    /// The next request of a line: those that can still meet their target before those that
     /// can't, then by priority; within a priority the team served least goes first, with its
     /// request whose target is nearest. One that has run never counts as late.
-    std::optional<exchange_id> next(const service_id& service, instant now) const;
+    std::optional<exchange_id> next(const queue_line& line, instant now) const;
     /// Requests that are past their `expires_at`.
     std::vector<exchange_id> expired(instant now) const;
-    std::vector<service_id> services() const;
+    /// Lines with requests, those that wait for one version first: they have fewer endpoints.
+    std::vector<queue_line> lines() const;
     std::size_t size() const { return waiting_.size(); }
     std::size_t size(const service_id& service) const;
 
--- a/include/cassia/policy/slot_table.h
+++ b/include/cassia/policy/slot_table.h
@@ -93,26 +93,34 @@
     /// Stream data was received from there.
     void record_progress(const endpoint_id& endpoint);
 
+    /// In all of these `version` limits the endpoints to those of one software version; an empty
+    /// one allows all.
     /// Places an online request: at a free slot in this zone, in another zone, or at a slot held by
     /// batch. Nothing if no usable slot is left. Where peers will have taken the free slots of a
     /// zone, it may be an endpoint whose slots are in use.
     /// \param random_fraction 0 to 1; selects among the candidates.
     std::optional<placement> place_online(const service_id& service,
                                           const std::set<endpoint_id>& excluded, instant now,
-                                          double random_fraction) const;
+                                          double random_fraction,
+                                          const software_version& version = {}) const;
     /// Places a stalled stream at a free slot; never on trial and never at the cost of a batch
     /// item.
     std::optional<placement> place_stalled(const service_id& service,
                                            const std::set<endpoint_id>& excluded, instant now,
-                                           double random_fraction) const;
+                                           double random_fraction,
+                                           const software_version& version = {}) const;
     /// Places a batch item in the same way, but at no other item's cost, if more than the online
     /// reserve is free or if it is urgent.
     std::optional<placement> place_batch(const service_id& service,
                                          const std::set<endpoint_id>& excluded, instant now,
-                                         double random_fraction, bool urgent = false) const;
+                                         double random_fraction, bool urgent = false,
+                                         const software_version& version = {}) const;
     /// Places a request that may crash its endpoint: where the fewest others run.
     std::optional<placement> place_alone(const service_id& service,
-                                         const std::set<endpoint_id>& excluded, instant now) const;
+                                         const std::set<endpoint_id>& excluded, instant now,
+                                         const software_version& version = {}) const;
+    /// Whether any endpoint of the service has this version, however busy it is.
+    bool serves(const service_id& service, const software_version& version) const;
     /// Takes the slots that are free at an endpoint, so that no other request is placed there.
     /// \returns how many; each is to be released as an online one.
     std::uint32_t reserve_free_slots(const endpoint_id& endpoint);
@@ -152,7 +160,7 @@
     static bool counts_as_full(const endpoint_state& endpoint, instant now);
     slot_usage total_use(const endpoint_id& endpoint) const;
     std::uint32_t remote_suspicions(const endpoint_id& endpoint) const;
-    std::vector<candidate> candidates(const service_id& service,
+    std::vector<candidate> candidates(const service_id& service, const software_version& version,
                                       const std::set<endpoint_id>& excluded, instant now) const;
     static placement placed_at(const candidate& chosen);
     const candidate* pick_free(const std::vector<candidate>& all, bool own_zone, bool on_trial,
--- a/lib/gateway/dispatch_responses.cpp
+++ b/lib/gateway/dispatch_responses.cpp
@@ -118,6 +118,8 @@
         const bool expected = event.id == call.last_event + 1;
         if (numbered && !expected && (call.last_event != 0 || event.id < call.last_event))
             return false;
+        if (!call.origin_version)
+            call.origin_version = call.endpoint_version;
         begin_response(call);
         buffer_event(call, event.bytes);
         if (!numbered)
--- a/lib/gateway/dispatch_suspects.cpp
+++ b/lib/gateway/dispatch_suspects.cpp
@@ -45,11 +45,12 @@
 
 void dispatcher::place_alone(online_call& call) {
     const instant now = monotonic_now();
+    const software_version version = call.required_version();
     std::optional<policy::placement> found;
     if (running_alone_.count(call.service) == 0)
-        found = slots_.place_alone(call.service, call.failed_endpoints, now);
+        found = slots_.place_alone(call.service, call.failed_endpoints, now, version);
     if (!found && running_alone_.count(call.service) == 0 && !call.failed_endpoints.empty())
-        found = slots_.place_alone(call.service, {}, now);
+        found = slots_.place_alone(call.service, {}, now, version);
     if (!found) {
         queue_.remove(call.id);
         call.phase = call.phase == call_phase::responding ? call.phase : call_phase::queued;
--- a/lib/gateway/dispatch_timeouts.cpp
+++ b/lib/gateway/dispatch_timeouts.cpp
@@ -75,11 +75,15 @@
     return call.is_repeatable() && call.runs < call.route->max_attempts();
 }
 
+// A run that goes on from a copy goes on at its own version, also before its first event.
 std::optional<policy::placement> dispatcher::place_elsewhere(const online_call& call, instant now) {
+    if (call.endpoint_version.empty())
+        return std::nullopt;
     std::set<endpoint_id> excluded = call.failed_endpoints;
     excluded.insert(call.endpoint);
     std::uniform_real_distribution<double> uniform(0, 1);
-    return slots_.place_stalled(call.service, excluded, now, uniform(random_));
+    return slots_.place_stalled(call.service, excluded, now, uniform(random_),
+                                call.endpoint_version);
 }
 
 // A lost packet delays all events after it by 200 ms or more. If another endpoint has a free slot,
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -92,6 +92,10 @@
 }
 
 void dispatcher::place(online_call& call) {
+    if (is_unservable(call)) {
+        end_unservable(call);
+        return;
+    }
     if (judge(call) == policy::request_verdict::suspect) {
         place_alone(call);
         return;
@@ -99,10 +103,11 @@
     const instant now = monotonic_now();
     std::uniform_real_distribution<double> uniform(0, 1);
     const double draw = uniform(random_);
+    const software_version version = call.required_version();
     std::optional<policy::placement> found =
-        slots_.place_online(call.service, call.failed_endpoints, now, draw);
+        slots_.place_online(call.service, call.failed_endpoints, now, draw, version);
     if (!found && !call.failed_endpoints.empty())
-        found = slots_.place_online(call.service, {}, now, draw);
+        found = slots_.place_online(call.service, {}, now, draw, version);
     if (found) {
         send(call, *found);
         return;
@@ -117,7 +122,7 @@
     queue_.add({call.id, call.service, call.team == nullptr ? team_id() : call.team->id,
                 call.priority(), call.arrived_at,
                 call.arrived_at + milliseconds(call.route->target_ms()) - first_event_time,
-                call.send_deadline, call.runs > 0});
+                call.send_deadline, call.runs > 0, version});
 }
 
 net::raw_request dispatcher::make_upstream_request(const online_call& call,
@@ -142,6 +147,7 @@
     call.holds_slot = true;
     call.endpoint = placement.endpoint;
     call.incarnation = placement.incarnation;
+    call.endpoint_version = placement.version;
     call.address = placement.address;
     call.sent_at = monotonic_now();
     call.last_progress_at = call.sent_at;
@@ -181,8 +187,10 @@
 
 void dispatcher::dispatch_queued() {
     const instant now = monotonic_now();
-    for (const service_id& service : queue_.services()) {
-        while (const std::optional<exchange_id> next = queue_.next(service, now)) {
+    for (const policy::queue_line& line : queue_.lines()) {
+        if (!line.version.empty() && !slots_.serves(line.service, line.version))
+            continue;
+        while (const std::optional<exchange_id> next = queue_.next(line, now)) {
             online_call& call = *calls_.at(*next);
             const std::size_t queued_before = queue_.size();
             place(call);
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -90,6 +90,7 @@
     cluster_callbacks.on_endpoints = [this](const std::vector<policy::slot_endpoint>& endpoints) {
         slots_.set_endpoints(endpoints);
         crashes_->set_endpoints(endpoints);
+        dispatcher_->end_unservable();
         dispatcher_->dispatch_queued();
     };
     cluster_callbacks.on_gateways = [this](const std::vector<policy::fleet_gateway>& others) {
--- a/lib/policy/request_queue.cpp
+++ b/lib/policy/request_queue.cpp
@@ -43,14 +43,14 @@
 // each slot would go to a request that has just missed it. So late requests wait for those on time.
 // A request that has run can no longer be rejected, and its caller may have part of the answer: it
 // never counts as late.
-std::optional<exchange_id> request_queue::next(const service_id& service, instant now) const {
+std::optional<exchange_id> request_queue::next(const queue_line& line, instant now) const {
     const auto rank = [this, now](const queued_request& one) {
         return std::make_tuple(!one.has_run && now > one.target_deadline, one.priority,
                                served_by_team_.at(one.team), one.target_deadline, one.id);
     };
     const queued_request* first = nullptr;
     for (const std::pair<const exchange_id, queued_request>& one : waiting_) {
-        if (one.second.service != service)
+        if (line != queue_line{one.second.service, one.second.version})
             continue;
         if (first == nullptr || rank(one.second) < rank(*first))
             first = &one.second;
@@ -69,11 +69,14 @@
     return expired_ids;
 }
 
-std::vector<service_id> request_queue::services() const {
-    std::set<service_id> names;
+std::vector<queue_line> request_queue::lines() const {
+    std::set<queue_line> all;
     for (const std::pair<const exchange_id, queued_request>& one : waiting_)
-        names.insert(one.second.service);
-    return {names.begin(), names.end()};
+        all.insert({one.second.service, one.second.version});
+    std::vector<queue_line> ordered(all.begin(), all.end());
+    std::stable_partition(ordered.begin(), ordered.end(),
+                          [](const queue_line& line) { return !line.version.empty(); });
+    return ordered;
 }
 
 std::size_t request_queue::size(const service_id& service) const {
--- a/lib/policy/slot_placement.cpp
+++ b/lib/policy/slot_placement.cpp
@@ -17,12 +17,15 @@
 } // namespace
 
 std::vector<slot_table::candidate> slot_table::candidates(const service_id& service,
+                                                          const software_version& version,
                                                           const std::set<endpoint_id>& excluded,
                                                           instant now) const {
     std::vector<candidate> found;
     for (const std::pair<const endpoint_id, endpoint_state>& one : endpoints_) {
-        const bool usable = one.second.info.service == service && excluded.count(one.first) == 0 &&
-                            now >= one.second.suspended_until;
+        const bool fits = one.second.info.service == service &&
+                          (version.empty() || one.second.info.version == version);
+        const bool usable =
+            fits && excluded.count(one.first) == 0 && now >= one.second.suspended_until;
         if (!usable)
             continue;
         const slot_usage use = total_use(one.first);
@@ -107,8 +110,9 @@
 
 std::optional<placement> slot_table::place_online(const service_id& service,
                                                   const std::set<endpoint_id>& excluded,
-                                                  instant now, double random_fraction) const {
-    const std::vector<candidate> all = candidates(service, excluded, now);
+                                                  instant now, double random_fraction,
+                                                  const software_version& version) const {
+    const std::vector<candidate> all = candidates(service, version, excluded, now);
     for (const bool on_trial : {false, true}) {
         for (const bool own_zone : {true, false}) {
             if (const candidate* free = pick_free(
@@ -129,8 +133,9 @@
 
 std::optional<placement> slot_table::place_stalled(const service_id& service,
                                                    const std::set<endpoint_id>& excluded,
-                                                   instant now, double random_fraction) const {
-    const std::vector<candidate> all = candidates(service, excluded, now);
+                                                   instant now, double random_fraction,
+                                                   const software_version& version) const {
+    const std::vector<candidate> all = candidates(service, version, excluded, now);
     for (const bool own_zone : {true, false}) {
         if (const candidate* free = pick_free(all, own_zone, false, 0, random_fraction))
             return placed_at(*free);
@@ -139,11 +144,11 @@
 }
 
 std::optional<placement> slot_table::place_alone(const service_id& service,
-                                                 const std::set<endpoint_id>& excluded,
-                                                 instant now) const {
+                                                 const std::set<endpoint_id>& excluded, instant now,
+                                                 const software_version& version) const {
     const candidate* best = nullptr;
     std::int64_t fewest = 0;
-    const std::vector<candidate> all = candidates(service, excluded, now);
+    const std::vector<candidate> all = candidates(service, version, excluded, now);
     for (const candidate& one : all) {
         if (one.free <= 0)
             continue;
@@ -156,13 +161,21 @@
     return best == nullptr ? std::nullopt : std::optional<placement>(placed_at(*best));
 }
 
+bool slot_table::serves(const service_id& service, const software_version& version) const {
+    return !version.empty() &&
+           std::any_of(endpoints_.begin(), endpoints_.end(), [&](const auto& one) {
+               return one.second.info.service == service && one.second.info.version == version;
+           });
+}
+
 // Batch items go to endpoints on trial first: an item that fails is retried elsewhere in time.
 std::optional<placement> slot_table::place_batch(const service_id& service,
                                                  const std::set<endpoint_id>& excluded, instant now,
-                                                 double random_fraction, bool urgent) const {
+                                                 double random_fraction, bool urgent,
+                                                 const software_version& version) const {
     if (!urgent && batch_capacity(service, now) == 0)
         return std::nullopt;
-    const std::vector<candidate> all = candidates(service, excluded, now);
+    const std::vector<candidate> all = candidates(service, version, excluded, now);
     for (const bool on_trial : {true, false}) {
         for (const bool own_zone : {true, false}) {
             if (const candidate* free = pick_free(
@@ -176,7 +189,7 @@
 std::uint32_t slot_table::batch_capacity(const service_id& service, instant now) const {
     std::int64_t free = 0;
     std::int64_t slots = 0;
-    for (const candidate& one : candidates(service, {}, now)) {
+    for (const candidate& one : candidates(service, {}, {}, now)) {
         free += std::max<std::int64_t>(one.free, 0);
         slots += one.endpoint->info.slots;
     }
@@ -185,7 +198,7 @@
 
 std::uint32_t slot_table::total_slots(const service_id& service, instant now) const {
     std::uint32_t slots = 0;
-    for (const candidate& one : candidates(service, {}, now))
+    for (const candidate& one : candidates(service, {}, {}, now))
         slots += one.endpoint->info.slots;
     return slots;
 }
--- a/unittests/policy/new_endpoints_test.cpp
+++ b/unittests/policy/new_endpoints_test.cpp
@@ -104,7 +104,8 @@
     slot_table table{zone_id("a")};
     const service_id model("model");
     const auto endpoint = [&model](const std::string& id) {
-        return slot_endpoint{endpoint_id(id), 1, http_address(id + ":80"), zone_id("a"), model, 8};
+        return slot_endpoint{
+            endpoint_id(id), 1, http_address(id + ":80"), zone_id("a"), model, 8, {}};
     };
     table.set_endpoints({endpoint("rejects"), endpoint("used"), endpoint("free")});
     table.set_peers({250, milliseconds(300)}, {250, milliseconds(300)});
--- a/unittests/policy/placement_simulation.h
+++ b/unittests/policy/placement_simulation.h
@@ -149,7 +149,8 @@
 
     void add_endpoint(const std::string& id, bool is_new) {
         endpoint_state& added = endpoints_[endpoint_id(id)];
-        added.info = {endpoint_id(id), 1, http_address(id + ":80"), zone_id("a"), model_, slots};
+        added.info = {endpoint_id(id), 1, http_address(id + ":80"), zone_id("a"), model_,
+                      slots,           {}};
         added.is_new = is_new;
         added.slowness = settings_.slow_endpoints && id.back() == '7' ? 3 : 1;
         listed_.insert(endpoint_id(id));
--- a/unittests/policy/slots_test.cpp
+++ b/unittests/policy/slots_test.cpp
@@ -18,7 +18,7 @@
 const service_id model("model");
 
 slot_endpoint endpoint(const std::string& id, const std::string& zone, std::uint32_t slots) {
-    return {endpoint_id(id), 1, http_address(id + ":80"), zone_id(zone), model, slots};
+    return {endpoint_id(id), 1, http_address(id + ":80"), zone_id(zone), model, slots, {}};
 }
 
 slot_table make_two_zones() {
@@ -261,18 +261,25 @@
 TEST_CASE("a queue longer than the target still serves some requests on time", "[slots]") {
     request_queue queue;
     const auto wait = [&queue](std::uint64_t id, milliseconds arrived) {
-        queue.add({exchange_id(id), model, team_id(), 0, start + arrived,
-                   start + arrived + milliseconds(240), start + arrived + milliseconds(3000)});
+        queue.add({exchange_id(id),
+                   model,
+                   team_id(),
+                   0,
+                   start + arrived,
+                   start + arrived + milliseconds(240),
+                   start + arrived + milliseconds(3000),
+                   false,
+                   {}});
     };
     wait(1, milliseconds(0));
     wait(2, milliseconds(300));
     wait(3, milliseconds(310));
-    CHECK(*queue.next(model, start + milliseconds(320)) == exchange_id(2));
+    CHECK(*queue.next({model, {}}, start + milliseconds(320)) == exchange_id(2));
     queue.remove(exchange_id(2));
     queue.remove(exchange_id(3));
-    CHECK(*queue.next(model, start + milliseconds(320)) == exchange_id(1));
+    CHECK(*queue.next({model, {}}, start + milliseconds(320)) == exchange_id(1));
     CHECK(queue.expired(start + milliseconds(3001)) == std::vector<exchange_id>{exchange_id(1)});
-    CHECK(!queue.next(service_id("search"), start));
+    CHECK(!queue.next({service_id("search"), {}}, start));
 }
 
 // Guards against an answer that is cut in the middle and then waits behind new requests until its
@@ -281,15 +288,23 @@
     request_queue queue;
     const auto add = [&queue](std::uint64_t id, milliseconds target, std::uint32_t priority,
                               bool has_run) {
-        queue.add({exchange_id(id), model, team_id(), priority, start, start + target,
-                   start + milliseconds(5000), has_run});
+        queue.add({exchange_id(id),
+                   model,
+                   team_id(),
+                   priority,
+                   start,
+                   start + target,
+                   start + milliseconds(5000),
+                   has_run,
+                   {}});
     };
     add(1, milliseconds(200), 1, false);
     add(2, milliseconds(200), 1, true);
     add(3, milliseconds(900), 1, false);
     add(4, milliseconds(900), 0, false);
     std::vector<std::uint64_t> served;
-    while (const std::optional<exchange_id> next = queue.next(model, start + milliseconds(500))) {
+    while (const std::optional<exchange_id> next =
+               queue.next({model, {}}, start + milliseconds(500))) {
         served.push_back(next->value());
         queue.remove_served(*next);
     }
@@ -299,8 +314,15 @@
 TEST_CASE("a large team's wave doesn't delay the requests of a small team", "[policy]") {
     request_queue queue;
     const auto add = [&queue](int id, const std::string& team, std::uint32_t priority) {
-        queue.add({exchange_id(id), model, team_id(team), priority, start,
-                   start + milliseconds(200 + id), start + milliseconds(3000)});
+        queue.add({exchange_id(id),
+                   model,
+                   team_id(team),
+                   priority,
+                   start,
+                   start + milliseconds(200 + id),
+                   start + milliseconds(3000),
+                   false,
+                   {}});
     };
     for (int id = 1; id <= 50; ++id)
         add(id, "large", 1);
@@ -308,7 +330,7 @@
     add(61, "small", 1);
     add(62, "late and urgent", 0);
     std::vector<std::uint64_t> served;
-    while (const std::optional<exchange_id> next = queue.next(model, start)) {
+    while (const std::optional<exchange_id> next = queue.next({model, {}}, start)) {
         served.push_back(next->value());
         queue.remove_served(*next);
     }
@@ -321,18 +343,25 @@
 TEST_CASE("a team that joins the queue gets no credit for the time before", "[policy]") {
     request_queue queue;
     const auto add = [&queue](int id, const std::string& team) {
-        queue.add({exchange_id(id), model, team_id(team), 0, start, start + milliseconds(200 + id),
-                   start + milliseconds(3000)});
+        queue.add({exchange_id(id),
+                   model,
+                   team_id(team),
+                   0,
+                   start,
+                   start + milliseconds(200 + id),
+                   start + milliseconds(3000),
+                   false,
+                   {}});
     };
     for (int id = 1; id <= 20; ++id)
         add(id, "first");
     for (int i = 0; i < 10; ++i)
-        queue.remove_served(*queue.next(model, start));
+        queue.remove_served(*queue.next({model, {}}, start));
     for (int id = 31; id <= 40; ++id)
         add(id, "second");
     int of_first = 0;
     for (int i = 0; i < 10; ++i) {
-        const exchange_id next = *queue.next(model, start);
+        const exchange_id next = *queue.next({model, {}}, start);
         of_first += next.value() <= 20 ? 1 : 0;
         queue.remove_served(next);
     }
