Gateways: an item goes on only at the software that wrote its events

What callers saw: results whose text two software versions wrote.

Cause: an item that was interrupted took any free slot, and its saved events named nobody who wrote them, so another gateway couldn't know either.

Change: the software (service and version) is kept with the events, at the gateway and in the saved progress. Progress that names no software, as stored by the release before, begins anew too.

--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -82,6 +82,15 @@
     bool waits_for_quarantine(held_item& item, instant now) const;
     std::optional<policy::placement> place(held_item& item, const schema::route& route,
                                            instant now);
+    /// Whether the item may go on behind its last event at some endpoint, however busy it is.
+    bool may_go_on(const held_item& item, const schema::route& route) const;
+    /// Delays an item whose version has no free slot. \returns false if it has waited for long.
+    static bool waits_for_version(held_item& item, instant now);
+    /// Places an item at any version; its events so far are discarded if there is a free slot.
+    std::optional<policy::placement> place_anew(held_item& item, const schema::route& route,
+                                                instant now);
+    void begin_anew(held_item& item, const std::string& cause);
+    static void write_software(const held_item& item, schema::item_end& out);
     net::raw_request make_upstream_request(const held_item& item,
                                            const endpoint_id& endpoint) const;
     void on_head(const item_key& key, const net::raw_head& head);
--- a/include/cassia/policy/slot_table.h
+++ b/include/cassia/policy/slot_table.h
@@ -16,6 +16,14 @@
 
 enum class work_kind : std::uint8_t { online, batch };
 
+/// What endpoints run. Only endpoints of the same software go on with what it began.
+struct software {
+    service_id service;
+    software_version version;
+
+    friend auto operator<=>(const software&, const software&) = default;
+};
+
 /// An endpoint that may be given requests.
 struct slot_endpoint {
     endpoint_id id;
--- a/lib/gateway/held_item.h
+++ b/lib/gateway/held_item.h
@@ -24,6 +24,7 @@
     endpoint_id endpoint;
     std::uint64_t incarnation = 0;
     http_address address;
+    software_version endpoint_version;
     service_id service;
     instant sent_at{};
     bool runs_alone = false;                        ///< as a suspect
@@ -41,7 +42,9 @@
     std::uint64_t last_event = 0;  ///< id of the last complete event in `text`
     std::uint64_t saved_event = 0; ///< last event that was reported to the keepers
     instant saved_at{};
-    std::string text; ///< data of all complete events, joined by line feeds
+    std::string text;            ///< data of all complete events, joined by line feeds
+    policy::software written_by; ///< of the endpoints that wrote `text`
+    instant waits_for_version_since{};
 };
 
 } // namespace cassia::gateway
--- a/lib/gateway/item_responses.cpp
+++ b/lib/gateway/item_responses.cpp
@@ -67,6 +67,8 @@
             return false;
         if (item.last_event > 0)
             item.text.push_back('\n');
+        else
+            item.written_by = {item.service, item.endpoint_version};
         item.text.append(event.data);
         item.last_event = event.id;
     }
@@ -142,8 +144,10 @@
     ended->set_failed_run(failed_run);
     ended->set_endpoint(item.endpoint.str());
     ended->set_http_status(static_cast<std::uint32_t>(item.status));
-    if (status == schema::pending)
+    if (status == schema::pending && item.last_event > 0) {
         ended->set_events(item.last_event);
+        write_software(item, *ended);
+    }
     if (status == schema::completed || ended->events() > 0)
         ended->set_body(std::move(item.text));
     metrics_.count("items_ended");
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -131,7 +131,9 @@
         .with("job", leased.job())
         .with("attempt", leased.attempt())
         .with("behind_event", leased.events())
-        .with("version", leased.software_version());
+        .with("version", leased.written_by().version());
+    item->written_by = {service_id(leased.written_by().service()),
+                        software_version(leased.written_by().version())};
     items_[key] = std::move(item);
 }
 
@@ -182,7 +184,14 @@
     }
     if (waits_for_quarantine(item, now))
         return true;
-    const std::optional<policy::placement> placement = place(item, *route, now);
+    if (item.last_event > 0 && !may_go_on(item, *route))
+        begin_anew(item, "version_gone");
+    std::optional<policy::placement> placement = place(item, *route, now);
+    if (!placement && item.last_event > 0 && !item.runs_alone) {
+        if (waits_for_version(item, now))
+            return true;
+        placement = place_anew(item, *route, now);
+    }
     if (!placement && item.runs_alone) {
         item.runs_alone = false;
         item.ready_at = now + place_alone_interval;
@@ -197,6 +206,8 @@
     item.endpoint = placement->endpoint;
     item.incarnation = placement->incarnation;
     item.address = placement->address;
+    item.endpoint_version = placement->version;
+    item.waits_for_version_since = instant();
     item.sent_at = now;
     item.last_progress_at = now;
     if (item.runs_alone)
@@ -357,6 +368,7 @@
         progress->set_status(schema::leased);
         progress->set_body(item.text);
         progress->set_events(item.last_event);
+        write_software(item, *progress);
     }
 }
 
--- a/lib/gateway/item_suspects.cpp
+++ b/lib/gateway/item_suspects.cpp
@@ -65,16 +65,23 @@
 std::optional<policy::placement> item_runner::place(held_item& item, const schema::route& route,
                                                     instant now) {
     std::uniform_real_distribution<double> uniform(0, 1);
-    item.service = service_id(routes::choose_target(route, uniform(random_)));
+    software_version version;
+    if (item.last_event > 0) {
+        item.service = item.written_by.service;
+        version = item.written_by.version;
+    } else {
+        item.service = service_id(routes::choose_target(route, uniform(random_)));
+    }
     item.runs_alone = judge(item) != policy::request_verdict::unsuspected;
     if (!item.runs_alone)
         return slots_.place_batch(item.service, item.failed_endpoints, now, uniform(random_),
                                   policy::is_urgent(item.leased.deadline(), route.result_due_ms(),
-                                                    to_unix_ms(wall_now())));
+                                                    to_unix_ms(wall_now())),
+                                  version);
     const bool another_runs = std::any_of(items_.begin(), items_.end(), [](const auto& keyed_item) {
         return keyed_item.second->runs_alone && keyed_item.second->upstream_call != call_id();
     });
-    return another_runs ? std::nullopt : slots_.place_alone(item.service, {}, now);
+    return another_runs ? std::nullopt : slots_.place_alone(item.service, {}, now, version);
 }
 
 void item_runner::stop_quarantined() {
--- a/lib/state/work_query.cpp
+++ b/lib/state/work_query.cpp
@@ -196,6 +196,7 @@
         if (const schema::item_end* progress = find_end(item, results)) {
             leased.set_progress(progress->body());
             leased.set_events(progress->events());
+            *leased.mutable_written_by() = progress->written_by();
         }
     }
     return success();
--- a/unittests/state/work_state_test.cpp
+++ b/unittests/state/work_state_test.cpp
@@ -108,6 +108,7 @@
         end->set_status(status);
         end->set_body(body);
         end->set_events(events);
+        end->mutable_written_by()->set_version("v" + std::to_string(attempt));
         apply(command);
     }
     schema::leased_item lease_first_item(const std::string& job, const std::string& holder) {
@@ -273,13 +274,16 @@
     group.save_progress("job", "entry/1", 0, 1, schema::leased, "stale", 3);
     const schema::leased_item second = group.lease_first_item("job", "entry/2");
     CHECK(second.progress() == "a\nb");
+    CHECK(second.written_by().version() == "v1");
     CHECK(second.events() == 2);
 
     group.save_progress("job", "entry/2", 0, 2, schema::pending, "a\nb\nc", 3);
     result<work_state> loaded = work_state::load(group.state.save());
     REQUIRE(loaded);
     group.state = std::move(loaded.value());
-    CHECK(group.lease_first_item("job", "entry/3").progress() == "a\nb\nc");
+    const schema::leased_item third = group.lease_first_item("job", "entry/3");
+    CHECK(third.progress() == "a\nb\nc");
+    CHECK(third.written_by().version() == "v2");
     group.end("job", "entry/3", 0, 3, schema::completed, "whole");
     CHECK(group.results("job").results(0).body() == "whole");
 }
