Gateways: a stream that its caller takes up goes on at the software that began it

What callers saw: after their gateway was lost, or their connection broke, the rest of their stream from another software version.

Cause: an attempt behind an event was placed like a new one. The version that began the stream was known to the gateway that had it alone, for as long as it had it, and the attempt that the caller names in Resumes was read by nobody.

Change: at its first event a gateway records the software of a resumable stream, under a digest of the attempt's id and the request, and sends the record to four gateways, ranked by hash, one of each zone first. A gateway that a caller comes back to asks those four, by its own list; the first record decides. No event waits for it. Records end with the caller's deadline, 65,536 at most; two that contradict each other tell nothing, and the id of another caller's attempt, or of one with another body, finds nothing.

Where no record is found, or none is named, the stream goes on if all endpoints that the service had in the last minute had one version, by the list of a control keeper in touch; else it is rejected at once, as not run. So is one whose version isn't listed or whose endpoints have all just failed. Both say that the request is to be begun anew.

Ruled out: a record with the keepers (load of all streams of a fleet on a few), and a version that is made part of an id (ids are the callers').

--- a/include/cassia/base/ids.h
+++ b/include/cassia/base/ids.h
@@ -50,7 +50,9 @@
 /// Of an endpoint's program, not of its weights; empty if it isn't known.
 using software_version = string_id<struct software_version_tag>;
 using job_id = string_id<struct job_tag>;
-using fingerprint = string_id<struct fingerprint_tag>;   ///< SHA-256 in hexadecimal
+using fingerprint = string_id<struct fingerprint_tag>; ///< SHA-256 in hexadecimal
+/// Digest of a stream's first attempt and its request.
+using stream_key = string_id<struct stream_key_tag>;
 using peer_address = string_id<struct peer_address_tag>; ///< IP:PORT of a ZeroMQ socket
 using http_address = string_id<struct http_address_tag>; ///< IP:PORT of an HTTP socket
 
@@ -60,6 +62,7 @@
 using exchange_id = number_id<struct exchange_tag>; ///< one HTTP request being served
 using call_id = number_id<struct call_tag>;         ///< one HTTP request being made
 using timer_id = number_id<struct timer_tag>;
+using lookup_id = number_id<struct lookup_tag>;
 using grant_id = number_id<struct grant_tag>; ///< one slot of an endpoint in use
 
 } // namespace cassia
--- a/include/cassia/gateway/cluster_client.h
+++ b/include/cassia/gateway/cluster_client.h
@@ -11,6 +11,7 @@
 #include "cassia/membership/entry_roster.h"
 #include "cassia/membership/followed_endpoints.h"
 #include "cassia/membership/followed_keeper.h"
+#include "cassia/membership/version_history.h"
 #include "cassia/net/peer_hub.h"
 #include "cassia/policy/slot_table.h"
 #include "cassia/routes/table.h"
@@ -20,6 +21,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -37,6 +39,8 @@
     std::function<void(const std::vector<policy::fleet_gateway>&)> on_gateways;
     /// Another gateway's news of requests that crash endpoints.
     std::function<void(const schema::poison_news&)> on_poison_news;
+    /// Another gateway's news of which software began streams.
+    std::function<void(const schema::stream_origin_news&)> on_stream_origins;
     /// The other gateways of this zone, and those of all zones.
     std::function<void(policy::peer_group own_zone, policy::peer_group all_zones)> on_peers;
     /// The slots in use by another gateway or by a whole zone.
@@ -84,6 +88,9 @@
     /// Name under which this process holds leases; a different one after each start.
     const std::string& lease_holder() const { return lease_holder_; }
     const net::peer_hub& peers() const { return hub_; }
+    /// The software version of all endpoints that the service had lately; nothing if there were
+    /// several, or while this gateway may have missed one.
+    std::optional<software_version> only_version(const service_id& service) const;
     bool heard_control_keepers() const { return last_control_beacon_at_ != instant(); }
     bool knows_work_keepers() const { return !work_keepers_.empty(); }
 
@@ -126,9 +133,11 @@
     membership::followed_keeper followed_;
     membership::roster_copy roster_;
     membership::followed_endpoints endpoints_;
+    membership::version_history versions_;
     std::vector<policy::slot_endpoint> published_endpoints_; ///< as last passed to on_endpoints
     std::uint64_t published_changes_ = 0; ///< endpoints_.changes() at the last check
     instant endpoints_checked_at_{};
+    instant versions_observed_at_{};
     std::shared_ptr<const routes::table> routes_;
     instant last_control_beacon_at_{};
     bool control_lost_ = false;
--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -8,6 +8,7 @@
 #include "cassia/gateway/crash_monitor.h"
 #include "cassia/gateway/header_names.h"
 #include "cassia/gateway/online_call.h"
+#include "cassia/gateway/origin_exchange.h"
 #include "cassia/gateway/run_migration.h"
 #include "cassia/net/raw_client.h"
 #include "cassia/net/raw_server.h"
@@ -34,6 +35,8 @@
     std::function<void(const entry_id& holder, const endpoint_id&)> request_yield;
     /// Refunds the quota of a request that has not run and never will.
     std::function<void(const policy::quota_grant&)> refund_quota;
+    /// The software version of all endpoints that the service had lately, if there was but one.
+    std::function<std::optional<software_version>(const service_id&)> only_version;
 };
 
 constexpr int status_bad_gateway = 502;
@@ -50,7 +53,8 @@
 class dispatcher {
 public:
     dispatcher(net::raw_server& server, net::raw_client& client, policy::slot_table& slots,
-               crash_monitor& crashes, metrics& counts, header_names names, dispatcher_hooks hooks);
+               crash_monitor& crashes, origin_exchange& origins, metrics& counts,
+               header_names names, dispatcher_hooks hooks);
     ~dispatcher();
 
     void submit(routed_request admitted);
@@ -64,6 +68,8 @@
     void stop_quarantined();
     /// Sends queued requests to slots that became free.
     void dispatch_queued();
+    /// The software that began a stream was looked up.
+    void on_origin(const policy::stream_origin_decision& decision);
     /// Ends waiting calls whose software version no endpoint has any more.
     void end_unservable();
     void tick(instant now);
@@ -76,6 +82,14 @@
     void place(online_call& call);
     /// Sends a suspect to an endpoint of its own, one at a time.
     void place_alone(online_call& call);
+    static stream_key key_of(online_call& call, std::string_view first_attempt);
+    /// The caller has part of the stream: finds out which software began it.
+    void take_up(online_call& call);
+    void go_on(online_call& call, const policy::software& began_by, const std::string& evidence);
+    /// No gateway that was asked knows what began the stream.
+    void on_unknown_origin(online_call& call);
+    void on_first_event(online_call& call);
+    void cancel_lookup(online_call& call);
     /// Whether no endpoint may go on with the call's stream.
     bool is_unservable(const online_call& call) const;
     void end_unservable(online_call& call);
@@ -140,11 +154,13 @@
     net::raw_client& client_;
     policy::slot_table& slots_;
     crash_monitor& crashes_;
+    origin_exchange& origins_;
     metrics& metrics_;
     header_names names_;
     dispatcher_hooks hooks_;
     migration_protocol migration_protocol_;
     std::map<exchange_id, std::unique_ptr<online_call>> calls_;
+    std::map<lookup_id, exchange_id> lookups_;
     std::map<service_id, exchange_id> running_alone_; ///< the suspect that runs, for each service
     policy::request_queue queue_;
     std::map<service_id, policy::stall_timeout_estimator> paces_;
--- a/include/cassia/gateway/online_call.h
+++ b/include/cassia/gateway/online_call.h
@@ -88,6 +88,8 @@
     std::uint64_t last_event = 0; ///< id of the last event that the caller has or that is buffered
     /// Of the endpoint that wrote the stream's first event; none before that event.
     std::optional<software_version> origin_version;
+    lookup_id lookup;          ///< of what began the stream; none while there is none
+    instant caller_deadline{}; ///< until then the caller may take the stream up
     instant last_event_at{};
     microseconds longest_pause{0}; ///< between two events
     migration_state migration;
--- a/include/cassia/gateway/service.h
+++ b/include/cassia/gateway/service.h
@@ -10,6 +10,7 @@
 #include "cassia/gateway/header_names.h"
 #include "cassia/gateway/item_runner.h"
 #include "cassia/gateway/job_service.h"
+#include "cassia/gateway/origin_exchange.h"
 #include "cassia/gateway/request_admission.h"
 #include "cassia/net/raw_client.h"
 #include "cassia/net/raw_server.h"
@@ -102,6 +103,7 @@
     std::unique_ptr<net::raw_client> client_;
     std::unique_ptr<cluster_client> cluster_;
     std::unique_ptr<crash_monitor> crashes_;
+    std::unique_ptr<origin_exchange> origins_;
     std::unique_ptr<dispatcher> dispatcher_;
     std::unique_ptr<request_admission> admission_;
     std::unique_ptr<item_runner> items_;
--- a/include/cassia/membership/followed_endpoints.h
+++ b/include/cassia/membership/followed_endpoints.h
@@ -10,6 +10,7 @@
 #include "cassia/schema/messages.pb.h"
 
 #include <cstdint>
+#include <map>
 #include <vector>
 
 namespace cassia::membership {
@@ -32,6 +33,8 @@
     std::vector<const endpoint_state*> serving(instant now) const {
         return directory_.serving(now);
     }
+    /// All endpoints known, also those that are leaving or have failed.
+    const std::map<endpoint_id, endpoint_state>& all() const { return directory_.all(); }
     std::uint64_t changes() const { return directory_.changes(); }
 
 private:
--- a/include/cassia/policy/slot_table.h
+++ b/include/cassia/policy/slot_table.h
@@ -129,6 +129,9 @@
                                          const software_version& version = {}) const;
     /// Whether any endpoint of the service has this version, however busy it is.
     bool serves(const service_id& service, const software_version& version) const;
+    /// Whether all endpoints of the service with this version have just failed.
+    bool all_suspended(const service_id& service, const software_version& version,
+                       instant now) const;
     /// Takes the slots that are free at an endpoint, so that no other request is placed there.
     /// \returns how many; each is to be released as an online one.
     std::uint32_t reserve_free_slots(const endpoint_id& endpoint);
--- a/include/cassia/routes/table.h
+++ b/include/cassia/routes/table.h
@@ -41,6 +41,9 @@
     std::map<std::string, const schema::routed_service*> services_;
 };
 
+/// Whether requests of the route may go to the service.
+bool is_target(const schema::route& route, const std::string& service);
+
 /// Selects the service for one request of the route.
 /// \param random_fraction 0 to 1; distributes requests over the targets by their weights.
 const std::string& choose_target(const schema::route& route, double random_fraction);
--- a/lib/gateway/cluster_client.cpp
+++ b/lib/gateway/cluster_client.cpp
@@ -25,6 +25,8 @@
 constexpr milliseconds control_lost_after(1000);
 // An endpoint that falls silent does not change the directory, so it is also checked periodically.
 constexpr milliseconds endpoint_check_interval(250);
+// Short compared with the time for which versions are remembered.
+constexpr milliseconds version_check_interval(5000);
 } // namespace
 
 // Uses the monotonic clock of the VM: if the wall clock were set back, this process would look
@@ -179,6 +181,9 @@
     case schema::envelope::kPoison:
         hooks_.on_poison_news(message.poison());
         break;
+    case schema::envelope::kOrigins:
+        hooks_.on_stream_origins(message.origins());
+        break;
     default:
         if (!quota_.receive(message))
             usage_.receive(message);
@@ -328,6 +333,10 @@
         return;
     published_changes_ = endpoints_.changes();
     endpoints_checked_at_ = now;
+    if (!unchanged || now - versions_observed_at_ >= version_check_interval) {
+        versions_.observe(endpoints_.all(), now);
+        versions_observed_at_ = now;
+    }
     endpoints_.forget_old(std::min(now, last_control_beacon_at_));
     // Endpoints are judged as of the last beacon of a control keeper: while none can be heard, the
     // endpoints known last are the best guess.
@@ -350,6 +359,13 @@
     hooks_.on_endpoints(published_endpoints_);
 }
 
+std::optional<software_version> cluster_client::only_version(const service_id& service) const {
+    const instant now = monotonic_now();
+    const bool is_current =
+        followed_.is_in_touch() && now - last_control_beacon_at_ <= control_lost_after;
+    return is_current ? versions_.only_version(service, now) : std::nullopt;
+}
+
 bool cluster_client::send_to_gateway(const entry_id& to, schema::envelope& envelope) {
     auto found = roster_.entries().find(to);
     if (found == roster_.entries().end())
--- a/lib/gateway/dispatch_responses.cpp
+++ b/lib/gateway/dispatch_responses.cpp
@@ -119,7 +119,7 @@
         if (numbered && !expected && (call.last_event != 0 || event.id < call.last_event))
             return false;
         if (!call.origin_version)
-            call.origin_version = call.endpoint_version;
+            on_first_event(call);
         begin_response(call);
         buffer_event(call, event.bytes);
         if (!numbered)
--- a/lib/gateway/dispatch_resumption.cpp
+++ b/lib/gateway/dispatch_resumption.cpp
@@ -1,22 +1,119 @@
 // Streams that go on at another endpoint or gateway, which must run the software version that began
 // them.
 
+#include "cassia/base/digest.h"
 #include "cassia/base/log.h"
 #include "cassia/gateway/dispatcher.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace cassia::gateway {
 
 namespace {
+constexpr std::size_t max_id_length = 256;
+constexpr std::size_t max_logged_id_length = 64;
+constexpr std::size_t key_length = 16;
+// Callers return until their deadline, by their own clocks.
+constexpr milliseconds retention_margin(2000);
+constexpr std::string_view origin_unknown_text =
+    "It isn't known which software version began this stream. Begin the request anew.\n";
 // Endpoints that crash are back in about this time.
 constexpr milliseconds version_retry_after(1000);
 constexpr std::string_view version_gone_text =
-    "No endpoint runs the software version that began this stream. Begin the request anew.\n";
+    "No endpoint of the software version that began this stream can be reached. "
+    "Begin the request anew.\n";
 } // namespace
 
+// The request is part of the key: the id of another caller's attempt finds nothing.
+stream_key dispatcher::key_of(online_call& call, std::string_view first_attempt) {
+    std::string text(first_attempt);
+    text += "\n" + fingerprint_of(call).str();
+    return stream_key(sha256_hex(text).substr(0, key_length));
+}
+
+void dispatcher::on_first_event(online_call& call) {
+    call.origin_version = call.endpoint_version;
+    if (!call.route->resumable() || call.endpoint_version.empty() || call.request_id.empty())
+        return;
+    origins_.record(key_of(call, call.request_id), {call.service, call.endpoint_version},
+                    call.caller_deadline - monotonic_now() + retention_margin);
+}
+
+void dispatcher::take_up(online_call& call) {
+    const std::string_view first_attempt = call.request.fields.find(names_.resumes);
+    metrics_.count("streams_taken_up");
+    log_info("stream_taken_up")
+        .with("request", call.request_id)
+        .with("resumes", first_attempt.substr(0, max_logged_id_length))
+        .with("behind_event", call.last_event);
+    if (first_attempt.empty() || first_attempt.size() > max_id_length) {
+        on_unknown_origin(call);
+        return;
+    }
+    call.lookup = origins_.look_up(key_of(call, first_attempt));
+    lookups_[call.lookup] = call.id;
+}
+
+void dispatcher::on_origin(const policy::stream_origin_decision& decision) {
+    auto found = lookups_.find(decision.lookup);
+    if (found == lookups_.end())
+        return;
+    online_call& call = *calls_.at(found->second);
+    lookups_.erase(found);
+    call.lookup = lookup_id();
+    if (decision.began_by && !decision.began_by->version.empty())
+        go_on(call, *decision.began_by, "record");
+    else
+        on_unknown_origin(call);
+}
+
+void dispatcher::cancel_lookup(online_call& call) {
+    if (call.lookup == lookup_id())
+        return;
+    origins_.cancel(call.lookup);
+    lookups_.erase(call.lookup);
+}
+
+// Where a service had one version alone for longer than any stream lasts, that one began it.
+void dispatcher::on_unknown_origin(online_call& call) {
+    const bool has_one_target =
+        std::count_if(call.route->targets().begin(), call.route->targets().end(),
+                      [](const schema::route_target& one) { return one.weight() > 0; }) == 1;
+    if (has_one_target) {
+        if (const std::optional<software_version> only = hooks_.only_version(call.service)) {
+            go_on(call, {call.service, *only}, "only_version");
+            return;
+        }
+    }
+    reject(call, "origin_unknown", default_retry_after, origin_unknown_text);
+}
+
+void dispatcher::go_on(online_call& call, const policy::software& began_by,
+                       const std::string& evidence) {
+    log_info("stream_origin_known")
+        .with("request", call.request_id)
+        .with("service", began_by.service.str())
+        .with("version", began_by.version.str())
+        .with("evidence", evidence);
+    metrics_.count("streams_taken_up_by_" + evidence);
+    call.origin_version = began_by.version;
+    call.service = began_by.service;
+    if (!routes::is_target(*call.route, call.service.str())) {
+        end_unservable(call);
+        return;
+    }
+    place(call);
+}
+
+// A caller whose stream stands still may still get its rest when an endpoint is back; one that has
+// nothing under way here is better told at once.
 bool dispatcher::is_unservable(const online_call& call) const {
-    return call.origin_version && !slots_.serves(call.service, *call.origin_version);
+    if (!call.origin_version)
+        return false;
+    const software_version& version = *call.origin_version;
+    return !slots_.serves(call.service, version) ||
+           (call.runs == 0 && slots_.all_suspended(call.service, version, monotonic_now()));
 }
 
 void dispatcher::end_unservable(online_call& call) {
--- a/lib/gateway/dispatch_timeouts.cpp
+++ b/lib/gateway/dispatch_timeouts.cpp
@@ -149,6 +149,7 @@
         if (found != calls_.end())
             check_timeouts(*found->second, now);
     }
+    end_unservable();
     dispatch_queued();
 }
 
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -26,17 +26,19 @@
 // drawn from its upper half. Full endpoints have a free slot again after some ten milliseconds.
 constexpr milliseconds first_retry_delay(20);
 constexpr std::uint32_t max_doublings = 4;
-constexpr std::size_t max_logged_id_length = 64;
+// How long a caller that names no deadline may take its stream up.
+constexpr milliseconds retention_without_deadline(60000);
 constexpr int status_server_error = 500;
 constexpr int status_unavailable = 503;
 constexpr int status_timeout = 504;
 } // namespace
 
 dispatcher::dispatcher(net::raw_server& server, net::raw_client& client, policy::slot_table& slots,
-                       crash_monitor& crashes, metrics& counts, header_names names,
-                       dispatcher_hooks hooks)
-    : server_(server), client_(client), slots_(slots), crashes_(crashes), metrics_(counts),
-      names_(std::move(names)), hooks_(std::move(hooks)), random_(random_bits()) {}
+                       crash_monitor& crashes, origin_exchange& origins, metrics& counts,
+                       header_names names, dispatcher_hooks hooks)
+    : server_(server), client_(client), slots_(slots), crashes_(crashes), origins_(origins),
+      metrics_(counts), names_(std::move(names)), hooks_(std::move(hooks)), random_(random_bits()) {
+}
 
 dispatcher::~dispatcher() = default;
 
@@ -66,6 +68,9 @@
             net::read_milliseconds(request.fields.find(names_.deadline)))
         timeout = std::min(timeout, *requested);
     call.deadline = call.arrived_at + timeout;
+    call.caller_deadline =
+        call.arrived_at + net::read_milliseconds(request.fields.find(names_.deadline))
+                              .value_or(retention_without_deadline);
     call.send_deadline = call.deadline - min_remaining_time;
     if (call.is_stream())
         call.send_deadline = std::min(call.send_deadline,
@@ -79,14 +84,10 @@
     call.request = std::move(request);
     calls_[call.id] = std::move(new_call);
     metrics_.count("requests");
-    if (call.is_stream() && call.last_event > 0)
-        log_info("stream_taken_up")
-            .with("request", call.request_id)
-            .with("resumes",
-                  call.request.fields.find(names_.resumes).substr(0, max_logged_id_length))
-            .with("behind_event", call.last_event);
     if (judge(call) == policy::request_verdict::quarantined)
         stop(call);
+    else if (call.is_stream() && call.last_event > 0)
+        take_up(call);
     else
         place(call);
 }
@@ -188,7 +189,9 @@
 void dispatcher::dispatch_queued() {
     const instant now = monotonic_now();
     for (const policy::queue_line& line : queue_.lines()) {
-        if (!line.version.empty() && !slots_.serves(line.service, line.version))
+        const bool is_suspended =
+            !line.version.empty() && slots_.all_suspended(line.service, line.version, now);
+        if (is_suspended)
             continue;
         while (const std::optional<exchange_id> next = queue_.next(line, now)) {
             online_call& call = *calls_.at(*next);
@@ -319,6 +322,7 @@
         return;
     cancel_attempt(*found->second);
     cancel_migration(*found->second);
+    cancel_lookup(*found->second);
     if (found->second->runs == 0)
         hooks_.refund_quota(found->second->grant);
     queue_.remove(id);
--- a/lib/gateway/item_resumption.cpp
+++ b/lib/gateway/item_resumption.cpp
@@ -4,7 +4,6 @@
 #include "cassia/gateway/item_runner.h"
 #include "held_item.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace cassia::gateway {
@@ -18,12 +17,8 @@
 
 // Progress that an earlier release has stored names no software.
 bool item_runner::may_go_on(const held_item& item, const schema::route& route) const {
-    const bool is_target = std::any_of(route.targets().begin(), route.targets().end(),
-                                       [&item](const schema::route_target& target) {
-                                           return target.weight() > 0 &&
-                                                  target.service() == item.written_by.service.str();
-                                       });
-    return is_target && slots_.serves(item.written_by.service, item.written_by.version);
+    return routes::is_target(route, item.written_by.service.str()) &&
+           slots_.serves(item.written_by.service, item.written_by.version);
 }
 
 bool item_runner::waits_for_version(held_item& item, instant now) {
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -61,6 +61,16 @@
     crashes_ = std::make_unique<crash_monitor>(
         task_, net::ip_of(settings_.peer_address()), entry_id(settings_.name()),
         zone_id(settings_.zone()), metrics_, std::move(crash_callbacks));
+    origin_exchange_hooks origin_callbacks;
+    origin_callbacks.send = [this](const entry_id& to, schema::envelope& envelope) {
+        return cluster_->send_to_gateway(to, envelope);
+    };
+    origin_callbacks.on_decision = [this](const policy::stream_origin_decision& decision) {
+        dispatcher_->on_origin(decision);
+    };
+    origins_ = std::make_unique<origin_exchange>(task_, entry_id(settings_.name()),
+                                                 zone_id(settings_.zone()), metrics_,
+                                                 std::move(origin_callbacks));
     dispatcher_hooks dispatcher_callbacks;
     dispatcher_callbacks.request_yield = [this](const entry_id& holder,
                                                 const endpoint_id& endpoint) {
@@ -69,8 +79,11 @@
     dispatcher_callbacks.refund_quota = [this](const policy::quota_grant& grant) {
         cluster_->quota().refund(grant);
     };
-    dispatcher_ = std::make_unique<dispatcher>(*server_, *client_, slots_, *crashes_, metrics_,
-                                               names_, dispatcher_callbacks);
+    dispatcher_callbacks.only_version = [this](const service_id& service) {
+        return cluster_->only_version(service);
+    };
+    dispatcher_ = std::make_unique<dispatcher>(*server_, *client_, slots_, *crashes_, *origins_,
+                                               metrics_, names_, dispatcher_callbacks);
     dispatcher_->set_migration_protocol(hooks_.migration);
     item_runner_hooks item_callbacks;
     item_callbacks.lease = [this](const std::string& route, std::uint32_t limit,
@@ -95,6 +108,10 @@
     };
     cluster_callbacks.on_gateways = [this](const std::vector<policy::fleet_gateway>& others) {
         crashes_->set_gateways(others);
+        origins_->set_gateways(others);
+    };
+    cluster_callbacks.on_stream_origins = [this](const schema::stream_origin_news& news) {
+        origins_->receive(news);
     };
     cluster_callbacks.on_poison_news = [this](const schema::poison_news& news) {
         crashes_->receive(news);
@@ -356,6 +373,7 @@
     reject_expired(now);
     cluster_->quota().flush();
     crashes_->tick();
+    origins_->tick();
     dispatcher_->tick(now);
     items_->tick(now, wall_now());
 }
--- a/lib/gateway/service_status.cpp
+++ b/lib/gateway/service_status.cpp
@@ -39,6 +39,7 @@
     metrics_.set("connections", server_->open_connections());
     metrics_.set("online_open", dispatcher_->open_calls());
     metrics_.set("online_waiting", dispatcher_->queued_calls());
+    metrics_.set("stream_origins_kept", origins_->records());
     metrics_.set("quota_waiting", admission_->awaiting_quota());
     metrics_.set("items_held", items_->size());
     metrics_.set("items_running", items_->running());
--- a/lib/policy/slot_placement.cpp
+++ b/lib/policy/slot_placement.cpp
@@ -168,6 +168,14 @@
            });
 }
 
+bool slot_table::all_suspended(const service_id& service, const software_version& version,
+                               instant now) const {
+    return std::none_of(endpoints_.begin(), endpoints_.end(), [&](const auto& one) {
+        return one.second.info.service == service && one.second.info.version == version &&
+               now >= one.second.suspended_until;
+    });
+}
+
 // Batch items go to endpoints on trial first: an item that fails is retried elsewhere in time.
 std::optional<placement> slot_table::place_batch(const service_id& service,
                                                  const std::set<endpoint_id>& excluded, instant now,
--- a/lib/routes/table.cpp
+++ b/lib/routes/table.cpp
@@ -104,6 +104,13 @@
     return out;
 }
 
+bool is_target(const schema::route& route, const std::string& service) {
+    return std::any_of(route.targets().begin(), route.targets().end(),
+                       [&service](const schema::route_target& target) {
+                           return target.weight() > 0 && target.service() == service;
+                       });
+}
+
 const std::string& choose_target(const schema::route& route, double random_fraction) {
     double left = random_fraction * static_cast<double>(weight_sum(route));
     for (const schema::route_target& target : route.targets()) {
