--- a/include/cassia/standin/engine.h
+++ b/include/cassia/standin/engine.h
@@ -55,6 +55,7 @@
     void step();
     bool emit(stream& one);
     void crash_if_due(const stream& one) const;
+    std::string text_of(const stream& one, std::uint32_t token) const;
     std::string event_of(const stream& one, std::uint32_t token) const;
     void finish(const stream& one);
     microseconds token_time() const;
--- a/lib/standin/announcer.cpp
+++ b/lib/standin/announcer.cpp
@@ -63,6 +63,8 @@
                    {"kv_total", load.kv_total}};
     out["max_running"] = settings_.max_running();
     out["state"] = leaving_ ? "leaving" : "serving";
+    if (!settings_.software_version().empty())
+        out["software_version"] = settings_.software_version();
     out["checks_fence"] = settings_.checks_fence();
     return boost::json::serialize(out);
 }
--- a/lib/standin/engine.cpp
+++ b/lib/standin/engine.cpp
@@ -186,8 +186,13 @@
     most_running_ = std::max(most_running_, static_cast<std::uint32_t>(running_.size()));
 }
 
+std::string engine::text_of(const stream& one, std::uint32_t token) const {
+    const std::string& version = settings_.software_version();
+    return token_text(one.prompt, token) + (version.empty() ? "" : "@" + version);
+}
+
 std::string engine::event_of(const stream& one, std::uint32_t token) const {
-    const std::string text = token_text(one.prompt, token);
+    const std::string text = text_of(one, token);
     boost::json::object choice{{"index", 0}};
     if (one.chat)
         choice["delta"] = {{"content", text}};
@@ -209,7 +214,7 @@
         if (one.streams)
             events += event_of(one, one.next);
         else
-            one.text += token_text(one.prompt, one.next);
+            one.text += text_of(one, one.next);
         ++one.next;
         one.due += token_time();
     }
--- a/test/runner/fleet.cpp
+++ b/test/runner/fleet.cpp
@@ -132,6 +132,8 @@
         const std::string ip = ip_of(engine_kind, i);
         const std::string reached = ip_of(relay_kind + engine_kind, i) + ":9000";
         std::map<std::string, std::string> sets{{"zone", zone(i)}, {"address", ip + ":9000"}};
+        if (shape.software_versions > 0)
+            sets["software_version"] = "s" + std::to_string(i % shape.software_versions);
         if (shape.relayed_engines) {
             relay_.add_route(reached, ip + ":9000");
             sets["address"] = reached;
--- a/test/runner/fleet.h
+++ b/test/runner/fleet.h
@@ -18,6 +18,7 @@
     int engines = 2;
     int services = 1;
     int zones = 3;
+    int software_versions = 0;    ///< engines have one of these in turn; none if 0
     bool relayed_engines = false; ///< a dead engine then looks like a broken connection
     std::map<std::string, std::string> keeper_sets; ///< settings over the scenario's own
     std::map<std::string, std::string> entry_sets;
--- a/test/runner/verbs.cpp
+++ b/test/runner/verbs.cpp
@@ -130,6 +130,7 @@
     shape.engines = number_field(lua, 1, "engines", shape.engines);
     shape.services = number_field(lua, 1, "services", shape.services);
     shape.zones = number_field(lua, 1, "zones", shape.zones);
+    shape.software_versions = number_field(lua, 1, "software_versions", shape.software_versions);
     shape.relayed_engines = text_field(lua, 1, "relayed_engines") == "yes";
     shape.keeper_sets = map_field(lua, 1, "keeper");
     shape.entry_sets = map_field(lua, 1, "entry");
