Entries: answers and items go on only at the software version that began them

What callers saw: answers and results whose tokens two software versions wrote.

Change: endpoints may announce software_version; those that name none count as having one version together, so that fleets which announce none serve as before. The first token binds a call, or an item, to its endpoint's version; the router looks for that version alone. A call whose version has no endpoint is rejected at once, an item begins anew.

--- a/include/cassia/entry/batch_task.h
+++ b/include/cassia/entry/batch_task.h
@@ -63,6 +63,8 @@
         /// Data of the stream events received, kept when a run is stopped so that the next run can
         /// resume the stream.
         std::vector<std::string> token_events;
+        software_version endpoint_software; ///< of the last run's endpoint
+        software_version written_by;        ///< of the endpoint that wrote the first token
         int runs = 0;
         instant queued_since{}; ///< when it was last queued for a slot here
         std::set<endpoint_id> failed_endpoints;
@@ -99,6 +101,7 @@
     void send_item_ends();
 
     // Running items (batch_items.cpp).
+    void discard_unservable(batch_item& item, policy::service_demand& demand) const;
     void place_items();
     bool has_leader_contact(const batch_item& item, instant now) const;
     void start_item(const item_id& id, const policy::endpoint_info& facts);
--- a/include/cassia/entry/online_calls.h
+++ b/include/cassia/entry/online_calls.h
@@ -45,7 +45,8 @@
         net::http_request request;
         boost::json::object body; ///< parsed body of a model call
         policy::service_demand demand;
-        bool for_engine = true; ///< a call of a model, not of a plain service
+        software_version endpoint_software; ///< of the last attempt's endpoint
+        bool for_engine = true;             ///< a call of a model, not of a plain service
         bool wants_stream = false;
         bool repeatable = true;
         std::string endpoint_path; ///< path to request from the endpoint
--- a/include/cassia/policy/endpoint.h
+++ b/include/cassia/policy/endpoint.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -24,6 +25,7 @@
     zone_id zone;
     service_id service; ///< for a plain service
     bool engine = false;
+    software_version software; ///< endpoints that name none count as having one version together
     std::map<service_id, served_model> models;
     std::uint32_t max_running = 0;
     std::uint32_t reported_running = 0;
@@ -38,8 +40,12 @@
 /// Service, version and adapter that a request needs.
 struct service_demand {
     service_id service;
-    std::string version; ///< empty: any
+    std::string version; ///< of the weights; empty: any
     std::string adapter; ///< empty: none
+    /// Of the endpoint that wrote the first token; nothing before that.
+    std::optional<software_version> software{};
+
+    friend auto operator<=>(const service_demand&, const service_demand&) = default;
 };
 
 bool serves(const endpoint_info& endpoint, const service_demand& demand);
--- a/lib/entry/announce_api.cpp
+++ b/lib/entry/announce_api.cpp
@@ -119,6 +119,7 @@
     if (!state.empty() && state != "serving" && state != "leaving")
         reader.set_error("state", "expected serving or leaving");
     record.set_leaving(state == "leaving");
+    record.set_software_version(reader.text("software_version", false));
     record.set_checks_fence(reader.flag("checks_fence"));
     read_models(reader, record);
     if (const boost::json::value* load = reader.member("load")) {
--- a/lib/entry/batch_items.cpp
+++ b/lib/entry/batch_items.cpp
@@ -51,6 +51,20 @@
     return demand;
 }
 
+// An item whose result nobody has may begin anew where its software is gone.
+void batch_task::discard_unservable(batch_item& item, policy::service_demand& demand) const {
+    if (item.token_events.empty())
+        return;
+    demand.software = item.written_by;
+    const bool serves = std::any_of(
+        view_->endpoints.begin(), view_->endpoints.end(),
+        [&demand](const policy::endpoint_info& facts) { return policy::serves(facts, demand); });
+    if (serves)
+        return;
+    item.token_events.clear();
+    demand.software.reset();
+}
+
 void batch_task::place_items() {
     const instant now = monotonic_now();
     for (const policy::endpoint_info& facts : view_->endpoints) {
@@ -73,11 +87,12 @@
                     state.capacity.suspect_running ||
                     std::any_of(state.running.begin(), state.running.end(),
                                 [this](const item_id& other) { return items_.at(other).suspect; });
-                const bool fits =
-                    policy::serves(facts, demand_of(candidate.lease.item(), queue.first)) &&
-                    candidate.failed_endpoints.count(facts.id) == 0 &&
-                    !(candidate.suspect && other_suspect_running) &&
-                    has_leader_contact(candidate, now);
+                policy::service_demand demand = demand_of(candidate.lease.item(), queue.first);
+                discard_unservable(candidate, demand);
+                const bool fits = policy::serves(facts, demand) &&
+                                  candidate.failed_endpoints.count(facts.id) == 0 &&
+                                  !(candidate.suspect && other_suspect_running) &&
+                                  has_leader_contact(candidate, now);
                 if (!fits) {
                     ++skipped;
                     continue;
@@ -107,6 +122,7 @@
     const schema::item_body& body = item.lease.item();
     item.running = true;
     item.endpoint = facts.id;
+    item.endpoint_software = facts.software;
     item.response_head = net::http_head();
     item.response_body.clear();
     item.splitter = event_splitter();
@@ -150,10 +166,13 @@
     }
     item.splitter.add(chunk);
     while (std::optional<std::string> event = item.splitter.next()) {
-        if (is_done_event(*event))
+        if (is_done_event(*event)) {
             item.done_received = true;
-        else
+        } else {
+            if (item.token_events.empty())
+                item.written_by = item.endpoint_software;
             item.token_events.emplace_back(event_data(*event));
+        }
         // A request that crashes an engine usually does so before its first token.
         item.suspect = false;
         item.has_output = true;
--- a/lib/entry/control_view.cpp
+++ b/lib/entry/control_view.cpp
@@ -32,6 +32,7 @@
         facts.zone = zone_id(record.zone());
         facts.service = service_id(record.service());
         facts.engine = record.engine();
+        facts.software = software_version(record.software_version());
         facts.max_running = record.max_running();
         facts.reported_running = record.load().running();
         facts.reported_waiting = record.load().waiting();
--- a/lib/entry/online_dispatch.cpp
+++ b/lib/entry/online_dispatch.cpp
@@ -27,20 +27,18 @@
 void online_calls::dispatch_waiting() {
     if (waiting_.size() == 0)
         return;
-    std::set<std::string> exhausted_demands;
+    std::set<policy::service_demand> exhausted_demands;
     waiting_.offer([this, &exhausted_demands](exchange_id exchange) {
         call_state* call = find(exchange);
         if (call == nullptr)
             return true;
         const bool unrestricted =
             !crash_tracker_.is_suspect(call->fingerprint) && call->failed_endpoints.empty();
-        const std::string demand_key =
-            call->demand.service.str() + "\n" + call->demand.version + "\n" + call->demand.adapter;
-        if (unrestricted && exhausted_demands.count(demand_key) > 0)
+        if (unrestricted && exhausted_demands.count(call->demand) > 0)
             return false;
         const bool dispatched = try_dispatch(exchange);
         if (!dispatched && unrestricted)
-            exhausted_demands.insert(demand_key);
+            exhausted_demands.insert(call->demand);
         return dispatched;
     });
 }
@@ -96,6 +94,7 @@
     request.progress_timeout = milliseconds(context_.settings.progress_timeout_ms());
 
     call.endpoint = chosen.endpoint;
+    call.endpoint_software = facts->software;
     call.running = true;
     call.has_output = false;
     call.sent_at = now;
@@ -169,6 +168,8 @@
             call.done_received = true;
             continue;
         }
+        if (call.token_events.empty())
+            call.demand.software = call.endpoint_software;
         call.token_events.emplace_back(event_data(*event));
         forwarded += *event;
     }
@@ -267,6 +268,12 @@
                 run_state::no, default_retry_after});
         return;
     }
+    if (call.demand.software && !router_.can_serve(call.demand)) {
+        reject(exchange, {rejection_code::endpoint_failed,
+                          "no endpoint of the software version that began the answer is left",
+                          run_state::maybe, default_retry_after});
+        return;
+    }
     retry(call, failure.cause.text);
 }
 
--- a/lib/policy/endpoint.cpp
+++ b/lib/policy/endpoint.cpp
@@ -3,6 +3,8 @@
 namespace cassia::policy {
 
 bool serves(const endpoint_info& endpoint, const service_demand& demand) {
+    if (demand.software && *demand.software != endpoint.software)
+        return false;
     if (!endpoint.engine)
         return endpoint.service == demand.service;
     auto model = endpoint.models.find(demand.service);
