--- a/lib/gateway/item_resumption.cpp
+++ b/lib/gateway/item_resumption.cpp
@@ -33,7 +33,7 @@
 std::optional<policy::placement> item_runner::place_anew(held_item& item,
                                                          const schema::route& route, instant now) {
     const std::uint64_t last_event = std::exchange(item.last_event, 0);
-    const std::optional<policy::placement> placement = place(item, route, now);
+    std::optional<policy::placement> placement = place(item, route, now);
     item.last_event = last_event;
     if (placement)
         begin_anew(item, "version_busy");
