--- a/lib/entry/batch_items.cpp
+++ b/lib/entry/batch_items.cpp
@@ -51,7 +51,7 @@
     return demand;
 }
 
-// An item whose result nobody has may begin anew where its software is gone.
+// Tokens of an item that were not delivered are discarded if no endpoint has their version.
 void batch_task::discard_unservable(batch_item& item, policy::service_demand& demand) const {
     if (item.token_events.empty())
         return;
--- a/lib/gateway/dispatch_resumption.cpp
+++ b/lib/gateway/dispatch_resumption.cpp
@@ -106,8 +106,8 @@
     place(call);
 }
 
-// A caller whose stream stands still may still get its rest when an endpoint is back; one that has
-// nothing under way here is better told at once.
+// A stream under way waits for an endpoint to return. A request that has not run is rejected at
+// once, so that its caller can begin anew.
 bool dispatcher::is_unservable(const online_call& call) const {
     if (!call.origin_version)
         return false;
--- a/lib/policy/stream_origins.cpp
+++ b/lib/policy/stream_origins.cpp
@@ -64,7 +64,7 @@
 }
 
 // An attempt's first event comes once, so two different records of a stream contradict each other:
-// then nobody knows. If there is no room, the caller whose time ends first is forgotten first.
+// the origin is unknown. Without room, the record that expires first is evicted.
 void stream_origins::keep(const stream_origin& origin, instant now) {
     kept_record next{origin.began_by, now + std::min(origin.left, max_retention)};
     auto found = records_.find(origin.stream);
--- a/unittests/policy/stream_origins_test.cpp
+++ b/unittests/policy/stream_origins_test.cpp
@@ -224,7 +224,7 @@
     CHECK(known > 1000);
 }
 
-// Guards against an answer to an earlier process that is taken for one to a later lookup.
+// Guards against an answer to an earlier process being applied to a later lookup.
 TEST_CASE("an answer about another stream is ignored", "[policy][origins]") {
     stream_origins origins(entry_id("gateway-1"), zone_id("z1"));
     origins.set_gateways({{entry_id("gateway-2"), zone_id("z1"), false}});
