--- a/test/runner/fleet.cpp
+++ b/test/runner/fleet.cpp
@@ -75,6 +75,19 @@
     order_.push_back(name);
 }
 
+void fleet::add(const std::string& name, const std::string& program, const std::string& ip,
+                std::vector<std::string> arguments) {
+    process one;
+    one.name = name;
+    one.program = program;
+    one.ip = ip;
+    one.data_dir = state_ + "/data/" + name;
+    one.arguments = std::move(arguments);
+    one.arguments.insert(one.arguments.begin(), bin_ + "/" + program);
+    processes_[name] = one;
+    order_.push_back(name);
+}
+
 void fleet::make(const fleet_shape& shape) {
     std::ostringstream cluster;
     cluster << "[cluster]\nsecret = \"" << net::make_cluster_secret() << "\"\nwork_groups = 2\n";
--- a/test/runner/fleet.h
+++ b/test/runner/fleet.h
@@ -41,6 +41,11 @@
     ~fleet();
 
     void make(const fleet_shape& shape);
+    /// Adds a process that isn't one of the product's own.
+    void add(const std::string& name, const std::string& program, const std::string& ip,
+             std::vector<std::string> arguments);
+    /// An IP number of this block.
+    std::string ip_of(int kind, int number) const;
     /// \param most_file_bytes a write that makes a file larger fails, as on a full disk; 0: no
     /// limit
     void start(const std::string& name, std::uint64_t most_file_bytes = 0);
@@ -55,7 +60,6 @@
     const std::string& state() const { return state_; }
 
 private:
-    std::string ip_of(int kind, int number) const;
     std::string write_file(const std::string& name, const std::string& text);
     void add(const std::string& name, const std::string& program, const std::string& config,
              const std::string& ip, const std::map<std::string, std::string>& sets);
--- /dev/null
+++ b/test/runner/platform.lua
@@ -0,0 +1,409 @@
+-- The platform's programs and endpoints as processes of their own, load for them, and what the rules
+-- on repetitions (BUDGET) say of what reached the endpoints. Times are milliseconds.
+
+contact_ms = 3000         -- gateways that are connected know by then what one of them knows
+max_retries = 3           -- of a request that crashed three endpoints, later than that
+max_items_500 = 3         -- in multiples of the attempts that a route allows
+max_items_422 = 3
+time_left_slack_ms = 500
+local slots = 8
+local events = 12
+local restart_ms = 600
+
+controls, works, fronts, endpoints = {}, {}, {}, {}
+
+local kinds = { control = 11, work = 12, front = 13, endpoint = 14 }
+local repository = debug.getinfo(1, "S").source:match("^@(.*)test/runner/platform.lua$")
+local disturbances = {}   -- by process: times of kills, starts, freezes and thaws
+
+local function disturb(name)
+  disturbances[name] = disturbances[name] or {}
+  table.insert(disturbances[name], now())
+end
+local function disturbed(name, at, span)
+  for _, time in ipairs(disturbances[name] or {}) do
+    if time <= at and time > at - span then return true end
+  end
+  return false
+end
+local frozen = {}
+function disturb_kill(name) disturb(name); frozen[name] = nil; thaw(name); kill(name) end
+function disturb_start(name) disturb(name); start(name) end
+function disturb_freeze(name) disturb(name); frozen[name] = true; freeze(name) end
+function disturb_thaw(name) disturb(name); frozen[name] = nil; thaw(name) end
+function disturb_stop(name) disturb(name); stop(name) end
+
+-- A gateway in touch was not disturbed, nor was a keeper, for the time of contact.
+function in_touch(front, at)
+  if disturbed(front, at, contact_ms) then return false end
+  for _, list in ipairs({ controls, works }) do
+    for _, name in ipairs(list) do
+      if disturbed(name, at, contact_ms) then return false end
+    end
+  end
+  return true
+end
+
+local function read_file(path)
+  local file = assert(io.open(path))
+  local text = file:read("a")
+  file:close()
+  return text
+end
+
+-- Fills in a template of the platform's settings for one process.
+local function write_settings(template, name, zone, ip, seeds)
+  local values = { node = name, ip = ip, zone = zone, region = "region",
+    ["listen.control"] = ip .. ":9000", ["listen.directory"] = ip .. ":9001",
+    ["listen.front"] = ip .. ":9200", ["listen.readyAddr"] = ip .. ":9201",
+    ["portRange.0"] = "9100", ["portRange.1"] = "9101", dataDir = data_dir(name),
+    bootstrap = "true", ["bounds.graceS"] = "8", ["bounds.statusS"] = "120",
+    ["tolerate.machines"] = "1" }
+  local text = read_file(repository .. "platform/settings/" .. template .. ".toml")
+  text = text:gsub("{{#seeds}}.-{{/seeds}}", (seeds:gsub("%%", "%%%%")))
+  text = text:gsub("{{#bounds.quotaWindowS}}.-{{/bounds.quotaWindowS}}\n", "")
+  text = text:gsub("{{([%w.]+)}}", values)
+  local file = assert(io.open(state_folder() .. "/" .. name .. ".toml", "w"))
+  file:write(text)
+  file:close()
+end
+
+local function add_program(list, kind, number, template, program, zones, seeds)
+  local name = kind .. "-" .. number
+  local ip = ip_of(kinds[kind], number)
+  add_process(name, program, ip, { "--config", state_folder() .. "/" .. name .. ".toml" })
+  write_settings(template, name, "z" .. (number - 1) % zones + 1, ip, seeds)
+  list[#list + 1] = name
+end
+
+-- A configuration of four online routes, which differ in what may be repeated, and one of jobs.
+function platform_configuration(version)
+  local function route(name, prefix, kind, attempts, service, more)
+    return string.format('{"name":"%s","host":"shop.example","pathPrefix":"%s","kind":"%s",' ..
+      '"timeoutMs":5000,"sloMs":300,"priority":0,"service":"%s","maxAttempts":%d%s}', name, prefix,
+      kind, service, attempts, more or "")
+  end
+  local routes = {
+    route("stream", "/s/", "stream", 2, "llm", ',"resumable":true,"gapSloMs":400'),
+    route("thrice", "/thrice/s/", "stream", 3, "llm", ',"resumable":true,"gapSloMs":400'),
+    route("once", "/once/s/", "stream", 1, "llm", ',"resumable":false,"gapSloMs":400'),
+    route("safe", "/f/", "safe", 2, "llm"), route("unsafe", "/u/", "unsafe", 3, "llm"),
+    route("jobs", "/j/", "batch", 3, "llm",
+      ',"resultDueMs":18000,"maxWaitS":60,"maxQueued":2000000,"resumable":true') }
+  return '{"version":' .. version .. ',"routes":[' .. table.concat(routes, ",") ..
+    '],"services":[{"name":"llm","healthPath":"/healthz","maxConns":300,"engine":{"slots":' ..
+    slots .. ',"moves":false}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,' ..
+    '"headerTimeoutMs":3000,"idleTimeoutMs":15000}}'
+end
+
+local last_request = 0
+local function request_id()
+  last_request = last_request + 1
+  return string.format("r%d", last_request)
+end
+local function front_address(name) return ip_of(kinds.front, tonumber(name:match("%d+$"))) .. ":9200" end
+
+function begin_request(front, method, path, body, deadline_ms, id)
+  return begin_ask({ to = front_address(front), method = method, path = path, body = body,
+    timeout_ms = deadline_ms, headers = { Host = "shop.example",
+      ["X-Cassiarouter-Request-Id"] = id, ["X-Cassiarouter-Deadline-Ms"] = deadline_ms } })
+end
+
+-- Starts three control keepers and three work keepers, gateways and endpoints, and waits until each
+-- gateway serves.
+function platform_fleet(shape)
+  local zones = shape.zones or 3
+  local control_addresses, seeds = {}, {}
+  for i = 1, 3 do
+    control_addresses[i] = ip_of(kinds.control, i) .. ":9000"
+    seeds[i] = '"' .. control_addresses[i] .. '"'
+  end
+  seeds = table.concat(seeds, ", ")
+  for i = 1, 3 do
+    add_program(controls, "control", i, "control", "platform-keeper", zones, seeds)
+    add_program(works, "work", i, "work", "platform-keeper", zones, seeds)
+  end
+  for i = 1, shape.gateways or 3 do
+    add_program(fronts, "front", i, "gateway", "platform-gateway", zones, seeds)
+  end
+  for i = 1, shape.endpoints or 8 do
+    local name = "endpoint-" .. i
+    add_process(name, "platform-endpoint", ip_of(kinds.endpoint, i), { "--name", name, "--service",
+      "llm", "--address", ip_of(kinds.endpoint, i) .. ":9300", "--zone", "z" .. (i - 1) % zones + 1,
+      "--record", state_folder() .. "/" .. name .. ".record", "--slots", slots, "--events", events,
+      "--event-ms", shape.event_ms or 15, "--control", table.unpack(control_addresses) })
+    endpoints[i] = name
+  end
+  for _, list in ipairs({ controls, works, fronts, endpoints }) do
+    for _, name in ipairs(list) do start(name) end
+  end
+  local turn = 0
+  eventually(20000, "the configuration is accepted", function()
+    turn = turn % 3 + 1
+    return answer(begin_ask({ to = control_addresses[turn], method = "POST", timeout_ms = 2000,
+      path = "/cassiarouter/Config.Put", body = platform_configuration(1),
+      headers = { ["Content-Type"] = "application/json" } })).status == 200
+  end)
+  for _, front in ipairs(fronts) do
+    eventually(20000, front .. " serves", function()
+      return answer(begin_request(front, "POST", "/s/x", "ready", 2000, request_id())).status == 200
+    end)
+  end
+  sleep(contact_ms)
+end
+
+local sent, calls = {}, {}   -- by request id
+
+-- Sends a request at the gateways in turn, past those that are down.
+local front_turn = 0
+local function send_one(source, body)
+  for _ = 1, #fronts do
+    front_turn = front_turn % #fronts + 1
+    if is_running(fronts[front_turn]) then break end
+  end
+  local front, id = fronts[front_turn], request_id()
+  local deadline = source.deadline_ms or 4000
+  sent[id] = { at = now(), deadline = deadline, front = front, body = body, source = source,
+    attempts = source.attempts or 2 }
+  calls[#calls + 1] = { id = id, source = source, at = now(), ends = now() + deadline,
+    ask = begin_request(front, source.method or "POST", source.path or "/s/x", body, deadline, id) }
+end
+
+local open_from = 1
+local function leave_late_calls()
+  while open_from <= #calls and now() >= calls[open_from].ends do
+    local call = calls[open_from]
+    if not is_done(call.ask) then abandon(call.ask) end
+    open_from = open_from + 1
+  end
+end
+
+local ended = {}
+local function restart_ended()
+  for _, name in ipairs(endpoints) do
+    if not ended[name] and not is_running(name) then
+      ended[name] = now()
+    elseif ended[name] and now() >= ended[name] + restart_ms then
+      ended[name] = nil
+      start(name)
+    end
+  end
+end
+
+-- Sends requests for a time. Each source is { bodies = list or function(number), every_ms, path,
+-- method, deadline_ms, attempts, innocent, until_ms }; each trouble { at = ms, act = function }.
+function play(run_ms, sources, troubles)
+  local began = now()
+  troubles = troubles or {}
+  local next_trouble = 1
+  for _, source in ipairs(sources) do
+    source.next_at, source.count = began + (source.from_ms or 0), 0
+  end
+  while now() < began + run_ms do
+    for _, source in ipairs(sources) do
+      while now() >= source.next_at and now() < began + (source.until_ms or run_ms) do
+        source.next_at = source.next_at + source.every_ms
+        source.count = source.count + 1
+        local bodies = source.bodies
+        send_one(source, type(bodies) == "function" and bodies(source.count) or
+          bodies[(source.count - 1) % #bodies + 1])
+      end
+    end
+    while next_trouble <= #troubles and now() >= began + troubles[next_trouble].at do
+      troubles[next_trouble].act()
+      next_trouble = next_trouble + 1
+    end
+    restart_ended()
+    leave_late_calls()
+    sleep(4)
+  end
+  while open_from <= #calls do
+    restart_ended()
+    leave_late_calls()
+    sleep(10)
+  end
+  return began
+end
+
+-- Submits items with these bodies. Accepted again, a job is the same one.
+function submit_items(front, id, bodies)
+  local items = {}
+  for i, body in ipairs(bodies) do
+    items[i] = { id = id .. "-" .. i, path = "/j/x", headers = { ["X-Cassiarouter-Model"] = "m" },
+      body = to_base64(body), tokens = 10 }
+  end
+  return eventually(10000, "job " .. id .. " is accepted", function()
+    return answer(begin_request(front, "POST", "/j/submit", encode({ items = items }), 3000,
+      id)).status == 202
+  end)
+end
+
+local alphabet = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/"
+function to_base64(text)
+  local out = {}
+  for i = 1, #text, 3 do
+    local a, b, c = text:byte(i, i + 2)
+    local bits = a << 16 | (b or 0) << 8 | (c or 0)
+    for digit = 0, 3 do
+      local at = bits >> (18 - 6 * digit) & 63
+      local is_padding = (digit == 2 and not b) or (digit == 3 and not c)
+      out[#out + 1] = is_padding and "=" or alphabet:sub(at + 1, at + 1)
+    end
+  end
+  return table.concat(out)
+end
+
+-- What reached the endpoints, in order of time.
+function read_records()
+  local records = {}
+  for _, name in ipairs(endpoints) do
+    for line in read_file(state_folder() .. "/" .. name .. ".record"):gmatch("[^\n]+") do
+      local time, event, process, request, left, last, body =
+        line:match("^(%d+) (%S+) (%S+) (%S+) (%S+) (%S+) (.*)$")
+      records[#records + 1] = { time = tonumber(time), event = event, process = process,
+        endpoint = name, request = request, left = tonumber(left), last = last, body = body }
+    end
+  end
+  table.sort(records, function(a, b) return a.time < b.time end)
+  return records
+end
+
+-- Requests that ran at more endpoints than allowed, not counting those that ended or were disturbed.
+local function count_too_many_endpoints(records, crashed)
+  local ran, count = {}, 0
+  for _, one in ipairs(records) do
+    local request = sent[one.request]
+    if one.event == "run" and request and not crashed[one.process] and
+        not disturbed(one.endpoint, math.maxinteger, math.maxinteger) then
+      ran[one.request] = ran[one.request] or { count = 0 }
+      local list = ran[one.request]
+      if not list[one.process] then
+        list[one.process] = true
+        list.count = list.count + 1
+        count = count + (list.count == request.attempts + 1 and 1 or 0)
+      end
+    end
+  end
+  return count
+end
+
+-- Requests that reach an endpoint with more time than their callers have left: all, those from
+-- gateways in touch, and of these those that were sent once more.
+local function count_too_much_time(records)
+  local all, touched, again, late_sends, reached = 0, 0, 0, 0, {}
+  for _, one in ipairs(records) do
+    local request = sent[one.request]
+    if one.event == "reach" and request then
+      local is_again = reached[one.request] and one.time > reached[one.request] + time_left_slack_ms
+      reached[one.request] = reached[one.request] or one.time
+      late_sends = late_sends + (is_again and 1 or 0)
+      local over = one.left == nil or
+        one.time + one.left > request.at + request.deadline + time_left_slack_ms
+      if over then
+        all = all + 1
+        if in_touch(request.front, one.time) then
+          touched = touched + 1
+          again = again + (is_again and 1 or 0)
+        end
+      end
+    end
+  end
+  return { all = all, touched = touched, again = again, late_sends = late_sends }
+end
+
+-- Runs of requests, and of items, that had crashed three endpoints longer than the time of contact
+-- ago: of all and of the worst body, from gateways in touch for requests.
+local function count_late_runs(records)
+  local crashes, late, worst, ends = {}, {}, 0, 0
+  local total = 0
+  for _, one in ipairs(records) do
+    crashes[one.body] = crashes[one.body] or {}
+    if one.event == "crash" then
+      ends = ends + 1
+      table.insert(crashes[one.body], one.time)
+    elseif one.event == "reach" and crashes[one.body][3] and
+        one.time > crashes[one.body][3] + contact_ms and
+        (not sent[one.request] or in_touch(sent[one.request].front, one.time)) then
+      late[one.body] = (late[one.body] or 0) + 1
+      total = total + 1
+      worst = math.max(worst, late[one.body])
+    end
+  end
+  return { ends = ends, total = total, worst = worst }
+end
+
+-- Items that reach endpoints after as many failures as allowed.
+local function count_failed_items(records, attempts)
+  local answers, worst, over = {}, 0, 0
+  for _, one in ipairs(records) do
+    local status = tonumber(one.body:match("^status (%d+)"))
+    if status and not sent[one.request] and one.event == "run" then
+      answers[one.request] = (answers[one.request] or 0) + 1
+      worst = math.max(worst, answers[one.request])
+      local allowed = status == 422 and max_items_422 or max_items_500 * attempts
+      over = over + (answers[one.request] == allowed + 1 and 1 or 0)
+    end
+  end
+  return { worst = worst, over = over }
+end
+
+-- Other callers: served, sent, rejected as if they crashed endpoints; all and those sent from then on.
+function count_innocents(since)
+  local count = { sent = 0, served = 0, quarantined = 0, late_sent = 0, late_served = 0 }
+  for _, call in ipairs(calls) do
+    if call.source.innocent then
+      local got = wait_ask(call.ask)
+      local served = got.status == 200 and got.whole
+      count.sent, count.served = count.sent + 1, count.served + (served and 1 or 0)
+      count.quarantined = count.quarantined + (got.body:match("Endpoints crashed") and 1 or 0)
+      if call.at >= since then
+        count.late_sent, count.late_served = count.late_sent + 1, count.late_served + (served and 1 or 0)
+      end
+    end
+  end
+  return count
+end
+
+-- Counts each rule on repetitions, and prints the counts.
+function count_budget(title, since)
+  local records, crashed = read_records(), {}
+  for _, one in ipairs(records) do
+    if one.event == "crash" then crashed[one.process] = true end
+  end
+  local counts = { endpoints = count_too_many_endpoints(records, crashed),
+    time = count_too_much_time(records), crashes = count_late_runs(records),
+    items = count_failed_items(records, 3), others = count_innocents(since) }
+  print(string.format("%s: ends %d, late runs %d (%d of one); more endpoints than allowed %d; " ..
+    "too much time %d (%d in touch, %d again of %d); item runs %d (%d over); others served %d of %d, " ..
+    "%d of %d of the second half, %d quarantined", title, counts.crashes.ends, counts.crashes.total,
+    counts.crashes.worst, counts.endpoints, counts.time.all, counts.time.touched, counts.time.again,
+    counts.time.late_sends, counts.items.worst, counts.items.over, counts.others.served,
+    counts.others.sent, counts.others.late_served, counts.others.late_sent,
+    counts.others.quarantined))
+  return counts
+end
+
+-- The other callers' streams, one each `every_ms`.
+function innocent_streams(every_ms)
+  return { every_ms = every_ms, innocent = true, bodies = function(number) return "prompt " .. number end }
+end
+
+-- Bodies that crash endpoints in one way, told apart by their last word.
+function crashing_bodies(count, way)
+  local bodies = {}
+  for i = 1, count do bodies[i] = way .. " body-" .. i end
+  return bodies
+end
+
+-- Fails if a rule on repetitions is broken.
+function expect_budget(counts)
+  expect(counts.endpoints <= 3, "no more than three requests run at more endpoints than their routes " ..
+    "allow, not " .. counts.endpoints)
+  local time = counts.time
+  expect(time.touched <= 20 or time.touched * 5 <= time.touched + time.late_sends - time.again,
+    "endpoints aren't handed more time than is left: " .. time.touched)
+  expect(counts.crashes.worst <= max_retries, "a request that crashed three endpoints is sent no more " ..
+    "than three times later than the time of contact, not " .. counts.crashes.worst)
+  expect(counts.items.over == 0, "no item is run after as many failures as allowed, not " ..
+    counts.items.over)
+end
--- a/test/runner/verbs.cpp
+++ b/test/runner/verbs.cpp
@@ -146,6 +146,30 @@
     return 1;
 }
 
+static int verb_add_process(lua_State* lua) {
+    std::vector<std::string> arguments;
+    for (lua_Integer i = 1; i <= luaL_len(lua, 4); ++i) {
+        lua_rawgeti(lua, 4, i);
+        arguments.emplace_back(luaL_tolstring(lua, -1, nullptr));
+        lua_pop(lua, 2);
+    }
+    context_of(lua).processes.add(luaL_checkstring(lua, 1), luaL_checkstring(lua, 2),
+                                  luaL_checkstring(lua, 3), std::move(arguments));
+    return 0;
+}
+
+static int verb_ip_of(lua_State* lua) {
+    const std::string ip = context_of(lua).processes.ip_of(
+        static_cast<int>(luaL_checkinteger(lua, 1)), static_cast<int>(luaL_checkinteger(lua, 2)));
+    lua_pushstring(lua, ip.c_str());
+    return 1;
+}
+
+static int verb_state_folder(lua_State* lua) {
+    lua_pushstring(lua, context_of(lua).processes.state().c_str());
+    return 1;
+}
+
 static int verb_start(lua_State* lua) {
     context_of(lua).processes.start(luaL_checkstring(lua, 1),
                                     static_cast<std::uint64_t>(luaL_optinteger(lua, 2, 0)));
@@ -285,6 +309,9 @@
 
 void register_verbs(lua_State* lua, scenario_context& context) {
     const luaL_Reg verbs[] = {{"make_processes", verb_make},
+                              {"add_process", verb_add_process},
+                              {"ip_of", verb_ip_of},
+                              {"state_folder", verb_state_folder},
                               {"start_process", verb_start},
                               {"send_signal", verb_signal},
                               {"wait_exit", verb_wait_exit},
