Gateways: a request that waited for the routes keeps its time of arrival

A gateway that has just started keeps requests until it has the routes, and then handled them as if they had arrived at that moment. Endpoints, and the caller's own deadline at the gateway, were given the time of the wait once more: class of fault, a time is taken when something is used and not when it began. The arrival is now kept with the request.

--- a/include/cassia/gateway/service.h
+++ b/include/cassia/gateway/service.h
@@ -67,14 +67,16 @@
 
 private:
     void on_request(exchange_id id, net::raw_request request);
+    void admit(exchange_id id, net::raw_request request, instant arrived_at);
     /// A request that arrived before there was a routing table.
     struct deferred_request {
         net::raw_request request;
+        instant arrived_at{};
         instant expires_at{};                    ///< rejected if there is no table by then
         std::optional<milliseconds> retry_after; ///< sent with the rejection if the caller has time
     };
 
-    void defer(exchange_id id, net::raw_request request);
+    void defer(exchange_id id, net::raw_request request, instant arrived_at);
     void resume_deferred();
     void reject_expired(instant now);
     void reject_without_routes(exchange_id id, const net::raw_request& request,
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -3,7 +3,6 @@
 #include "cassia/base/digest.h"
 #include "cassia/base/log.h"
 #include "cassia/net/http_server.h"
-#include "cassia/policy/refusal.h"
 #include "cassia/state/sharding.h"
 
 #include <algorithm>
@@ -23,10 +22,7 @@
 constexpr milliseconds report_timeout(3000);
 // A lease request without a reply for this long counts as one that was granted nothing.
 constexpr milliseconds lease_timeout(2500);
-// Assumed for a request without a deadline.
-constexpr milliseconds default_deadline(5000);
 constexpr int status_not_found = 404;
-constexpr int status_unavailable = 503;
 } // namespace
 
 service::service(schema::gateway_settings settings, header_names names, service_hooks hooks)
@@ -222,8 +218,12 @@
 }
 
 void service::on_request(exchange_id id, net::raw_request request) {
+    admit(id, std::move(request), monotonic_now());
+}
+
+void service::admit(exchange_id id, net::raw_request request, instant arrived_at) {
     if (!routes_) {
-        defer(id, std::move(request));
+        defer(id, std::move(request), arrived_at);
         return;
     }
     if (hooks_.intercept_request(id, request))
@@ -247,56 +247,7 @@
         hooks_.on_batch_request(id, request, *route, caller.team);
         return;
     }
-    admission_->submit({id, std::move(request), routes_, route, caller.team, {}, monotonic_now()});
-}
-
-// Without a routing table a request can't be matched. It is kept until there is a table or it
-// expires, and is then rejected without having run.
-void service::defer(exchange_id id, net::raw_request request) {
-    const instant now = monotonic_now();
-    const milliseconds remaining =
-        net::read_milliseconds(request.fields.find(names_.deadline)).value_or(default_deadline);
-    std::uniform_real_distribution<double> uniform(0, 1);
-    const std::optional<milliseconds> retry_after =
-        policy::route_table_retry_after(remaining, uniform(random_));
-    const instant expires_at = now + policy::route_table_wait(remaining, retry_after.has_value());
-    log_info("request_kept")
-        .with("request", request.fields.find(names_.request_id))
-        .with("cause", "no_routes")
-        .with("left_ms", remaining.count());
-    deferred_[id] = {std::move(request), expires_at, retry_after};
-}
-
-void service::resume_deferred() {
-    std::map<exchange_id, deferred_request> requests = std::move(deferred_);
-    deferred_.clear();
-    for (std::pair<const exchange_id, deferred_request>& deferred : requests)
-        on_request(deferred.first, std::move(deferred.second.request));
-}
-
-void service::reject_expired(instant now) {
-    for (auto deferred = deferred_.begin(); deferred != deferred_.end();) {
-        if (now < deferred->second.expires_at) {
-            ++deferred;
-            continue;
-        }
-        reject_without_routes(deferred->first, deferred->second.request,
-                              deferred->second.retry_after);
-        deferred = deferred_.erase(deferred);
-    }
-}
-
-void service::reject_without_routes(exchange_id id, const net::raw_request& request,
-                                    std::optional<milliseconds> retry_after) {
-    log_warning("request_refused")
-        .with("request", request.fields.find(names_.request_id))
-        .with("cause", "no_routes")
-        .with("come_back_ms", retry_after.value_or(milliseconds(0)).count());
-    net::http_fields fields;
-    if (retry_after)
-        fields.add("Retry-After", net::to_seconds(*retry_after));
-    metrics_.count("refused_without_routes");
-    respond(id, status_unavailable, fields, "");
+    admission_->submit({id, std::move(request), routes_, route, caller.team, {}, arrived_at});
 }
 
 void service::respond(exchange_id id, int status, const net::http_fields& fields,
