--- a/include/cassia/base/ids.h
+++ b/include/cassia/base/ids.h
@@ -63,6 +63,7 @@
 using call_id = number_id<struct call_tag>;         ///< one HTTP request being made
 using timer_id = number_id<struct timer_tag>;
 using lookup_id = number_id<struct lookup_tag>;
+using trial_id = number_id<struct trial_tag>; ///< of a run of a suspect
 using grant_id = number_id<struct grant_tag>; ///< one slot of an endpoint in use
 
 } // namespace cassia
--- a/include/cassia/gateway/crash_monitor.h
+++ b/include/cassia/gateway/crash_monitor.h
@@ -9,6 +9,7 @@
 #include "cassia/policy/gossip_topology.h"
 #include "cassia/policy/poison_detector.h"
 #include "cassia/policy/slot_table.h"
+#include "cassia/policy/trial_schedule.h"
 #include "cassia/schema/messages.pb.h"
 
 #include <cstdint>
@@ -57,11 +58,18 @@
     void leave() { topology_.leave(); }
     /// The connection broke before the response was complete.
     void record_broken_run(const ended_run& run);
+    /// The endpoint closed an idle connection.
+    void record_idle_closed(const http_address& address);
     /// The response was complete, or the run was cancelled. What it began may still crash its
-    /// endpoint.
-    void record_ended_run(const ended_run& run);
-    /// The request was completed. Ignored unless it is under suspicion.
-    void record_success(const fingerprint& request);
+    /// endpoint; one that was complete speaks for its request only after that.
+    void record_ended_run(const ended_run& run, bool was_complete);
+    /// The run was given up as its endpoint was silent, which may mean that the run hangs it.
+    void record_silent_run(const ended_run& run);
+    /// Something was received from the endpoint.
+    void record_received(const policy::endpoint_process& process);
+    bool has_crashed(const policy::endpoint_process& process) const;
+    /// Gateways that judge requests, the preferred one first.
+    const std::vector<entry_id>& coordinators() const { return topology_.coordinators(); }
 
     /// Whether any request is under suspicion; if not, judge() need not be called.
     bool has_records() const { return detector_.has_published(); }
@@ -75,6 +83,7 @@
     void tick();
 
 private:
+    static constexpr std::size_t max_crashes = 1024;
     enum class crash_state { probing, undecided, confirmed };
     struct suspected_crash {
         http_address address;
@@ -84,12 +93,25 @@
         int probes = 0;
         net::connection_id probe;
         std::vector<ended_run> unreported;
+        std::vector<ended_run> unreported_complete; ///< runs that were complete before
+    };
+    struct recent_run {
+        instant ended_at{};
+        ended_run run;
+        bool was_complete = false;
     };
 
     void probe(const policy::endpoint_process& process);
     void on_probe_ended(net::connection_id id, bool refused, bool accepted);
     void add_recent_runs(const policy::endpoint_process& process, suspected_crash& crash);
+    void confirm_silent_crashes(const std::map<http_address, policy::endpoint_process>& processes);
+    void expire_runs(instant now);
+    /// Begins to find out whether the endpoint has crashed.
+    suspected_crash& suspect(const ended_run& run, instant broken_at);
     void confirm(const policy::endpoint_process& process, const std::string& evidence);
+    void receive_crash(const schema::crashed_endpoint& news, instant now);
+    /// Tells other gateways, which may know of further runs there.
+    void publish_crashes(instant now);
     void check_probes(instant now);
     void report_crashes(instant now);
     void report_crash(const policy::endpoint_process& process, suspected_crash& crash, instant now);
@@ -111,7 +133,10 @@
     std::unique_ptr<net::tcp_connections> probes_;
     std::map<policy::endpoint_process, suspected_crash> crashes_;
     std::map<net::connection_id, policy::endpoint_process> probed_;
-    std::deque<std::pair<instant, ended_run>> recent_runs_; ///< those that ended without a break
+    std::vector<policy::endpoint_process> unpublished_crashes_;
+    std::deque<recent_run> recent_runs_; ///< those that ended without a break
+    /// Runs that were given up at endpoints from which nothing was received since.
+    std::map<policy::endpoint_process, std::vector<recent_run>> silent_runs_;
     std::map<service_id, std::uint32_t> endpoint_counts_;
     std::map<fingerprint, std::uint32_t> successes_;   ///< not yet reported
     std::map<fingerprint, std::uint32_t> quarantines_; ///< logged, for each request
--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -10,6 +10,7 @@
 #include "cassia/gateway/online_call.h"
 #include "cassia/gateway/origin_exchange.h"
 #include "cassia/gateway/run_migration.h"
+#include "cassia/gateway/trial_exchange.h"
 #include "cassia/net/raw_client.h"
 #include "cassia/net/raw_server.h"
 #include "cassia/policy/request_queue.h"
@@ -53,8 +54,8 @@
 class dispatcher {
 public:
     dispatcher(net::raw_server& server, net::raw_client& client, policy::slot_table& slots,
-               crash_monitor& crashes, origin_exchange& origins, metrics& counts,
-               header_names names, dispatcher_hooks hooks);
+               crash_monitor& crashes, trial_exchange& trials, origin_exchange& origins,
+               metrics& counts, header_names names, dispatcher_hooks hooks);
     ~dispatcher();
 
     void submit(routed_request admitted);
@@ -80,8 +81,11 @@
 private:
     /// Sends the call to an endpoint with a slot for it, or queues it if there is none.
     void place(online_call& call);
-    /// Sends a suspect to an endpoint of its own, one at a time.
+    /// Sends a suspect to an endpoint of its own once it may run.
     void place_alone(online_call& call);
+    /// Where a suspect may run now, if anywhere.
+    std::optional<policy::placement> find_trial_endpoint(online_call& call, instant now);
+    void end_trial(online_call& call);
     static stream_key key_of(online_call& call, std::string_view first_attempt);
     /// The caller has part of the stream: finds out which software began it.
     void take_up(online_call& call);
@@ -98,7 +102,9 @@
     /// Ends the call of a quarantined request.
     void stop(online_call& call);
     static ended_run run_of(online_call& call);
-    void record_success(online_call& call);
+    void record_complete_run(online_call& call);
+    /// Gives the attempt up as its endpoint is silent.
+    void cancel_silent_attempt(online_call& call);
     /// Ends the call without another attempt.
     void fail_attempt(online_call& call, const std::string& cause);
     void send(online_call& call, const policy::placement& placement);
@@ -154,6 +160,7 @@
     net::raw_client& client_;
     policy::slot_table& slots_;
     crash_monitor& crashes_;
+    trial_exchange& trials_;
     origin_exchange& origins_;
     metrics& metrics_;
     header_names names_;
@@ -161,7 +168,8 @@
     migration_protocol migration_protocol_;
     std::map<exchange_id, std::unique_ptr<online_call>> calls_;
     std::map<lookup_id, exchange_id> lookups_;
-    std::map<service_id, exchange_id> running_alone_; ///< the suspect that runs, for each service
+    /// The suspect that runs without a coordinator, for each service.
+    std::map<service_id, exchange_id> running_alone_;
     policy::request_queue queue_;
     std::map<service_id, policy::stall_timeout_estimator> paces_;
     std::mt19937_64 random_;
--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -9,6 +9,7 @@
 #include "cassia/gateway/crash_monitor.h"
 #include "cassia/gateway/header_names.h"
 #include "cassia/gateway/sse_parser.h"
+#include "cassia/gateway/trial_exchange.h"
 #include "cassia/net/raw_client.h"
 #include "cassia/policy/slot_table.h"
 #include "cassia/routes/table.h"
@@ -41,8 +42,8 @@
 public:
     /// \param max_items no more leases are requested while this many items are held.
     item_runner(net::raw_client& client, policy::slot_table& slots, crash_monitor& crashes,
-                metrics& counts, header_names names, std::uint32_t max_items,
-                item_runner_hooks hooks);
+                trial_exchange& trials, metrics& counts, header_names names,
+                std::uint32_t max_items, item_runner_hooks hooks);
     ~item_runner();
 
     void set_routes(std::shared_ptr<const routes::table> table);
@@ -75,11 +76,15 @@
     const fingerprint& fingerprint_of(held_item& item) const;
     policy::request_verdict judge(held_item& item) const;
     ended_run run_of(held_item& item) const;
-    void record_success(held_item& item) const;
+    void record_complete_run(held_item& item) const;
+    /// Where a suspect may run now, if anywhere.
+    std::optional<policy::placement> find_trial_endpoint(held_item& item, instant now,
+                                                         const software_version& version);
+    void end_trial(held_item& item);
     /// Items that could start now but have no slot.
     std::size_t ready(instant now) const;
     /// Delays an item that is quarantined. \returns whether it has to wait.
-    bool waits_for_quarantine(held_item& item, instant now) const;
+    bool waits_for_quarantine(held_item& item, instant now);
     std::optional<policy::placement> place(held_item& item, const schema::route& route,
                                            instant now);
     /// Whether the item may go on behind its last event at some endpoint, however busy it is.
@@ -113,6 +118,7 @@
     net::raw_client& client_;
     policy::slot_table& slots_;
     crash_monitor& crashes_;
+    trial_exchange& trials_;
     metrics& metrics_;
     header_names names_;
     std::uint32_t max_items_;
--- a/include/cassia/gateway/online_call.h
+++ b/include/cassia/gateway/online_call.h
@@ -66,6 +66,8 @@
     std::set<endpoint_id> failed_endpoints; ///< those that failed or rejected this request
     bool holds_slot = false;
     std::uint32_t reserved_slots = 0; ///< kept free of others while it runs alone
+    std::optional<trial_id> trial;    ///< while a suspect waits to run alone, and runs
+    bool connection_broke = false;    ///< of the current attempt
     endpoint_id endpoint;             ///< of the last attempt
     std::uint64_t incarnation = 0;    ///< of that endpoint
     software_version endpoint_version;
--- a/include/cassia/gateway/service.h
+++ b/include/cassia/gateway/service.h
@@ -12,6 +12,7 @@
 #include "cassia/gateway/job_service.h"
 #include "cassia/gateway/origin_exchange.h"
 #include "cassia/gateway/request_admission.h"
+#include "cassia/gateway/trial_exchange.h"
 #include "cassia/net/raw_client.h"
 #include "cassia/net/raw_server.h"
 #include "cassia/net/task.h"
@@ -23,6 +24,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 namespace cassia::gateway {
@@ -68,11 +70,11 @@
 private:
     void on_request(exchange_id id, net::raw_request request);
     void admit(exchange_id id, net::raw_request request, instant arrived_at);
-    /// A request that arrived before there was a routing table.
+    /// A request that arrived before the gateway knew how to handle it.
     struct deferred_request {
         net::raw_request request;
         instant arrived_at{};
-        instant expires_at{};                    ///< rejected if there is no table by then
+        instant expires_at{};                    ///< rejected if it isn't known by then
         std::optional<milliseconds> retry_after; ///< sent with the rejection if the caller has time
     };
 
@@ -88,6 +90,10 @@
     void lease(const std::string& route, std::uint32_t limit,
                const item_runner_hooks::lease_done& done);
     void report(const schema::items_end& ends, const item_runner_hooks::report_done& done);
+    /// Where a suspect may run, for any gateway.
+    policy::trial_schedule::choice
+    choose_trial_endpoint(const policy::trial_request& request,
+                          const std::set<endpoint_id>& excluded) const;
     void tick();
     void shut_down();
     void check_shutdown(instant stop_at);
@@ -105,6 +111,7 @@
     std::unique_ptr<net::raw_client> client_;
     std::unique_ptr<cluster_client> cluster_;
     std::unique_ptr<crash_monitor> crashes_;
+    std::unique_ptr<trial_exchange> trials_;
     std::unique_ptr<origin_exchange> origins_;
     std::unique_ptr<dispatcher> dispatcher_;
     std::unique_ptr<request_admission> admission_;
--- /dev/null
+++ b/include/cassia/gateway/trial_exchange.h
@@ -0,0 +1,62 @@
+/// Asks coordinators when and where suspects may run, and answers other gateways that ask.
+#pragma once
+
+#include "cassia/base/clock.h"
+#include "cassia/base/ids.h"
+#include "cassia/policy/trial_schedule.h"
+#include "cassia/schema/messages.pb.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace cassia::gateway {
+
+struct trial_exchange_hooks {
+    /// Sends to another gateway. \returns false if its address is unknown.
+    std::function<bool(const entry_id& to, schema::envelope&)> send;
+    /// Gateways that schedule the runs of suspects, the preferred one first.
+    std::function<std::vector<entry_id>()> coordinators;
+    policy::trial_schedule::choose choose_endpoint;
+};
+
+class trial_exchange {
+public:
+    struct state {
+        bool is_scheduled = true; ///< false: no coordinator answers, the gateway decides itself
+        std::optional<endpoint_id> endpoint; ///< where it may run; nothing while it waits
+    };
+
+    trial_exchange(entry_id self, trial_exchange_hooks hooks);
+
+    /// Asks for a run. Nothing if another run of the request is asked for here, or too many are.
+    std::optional<trial_id> begin(const fingerprint& request, const service_id& service,
+                                  const software_version& version);
+    state find(trial_id id) const;
+    void end(trial_id id, policy::trial_outcome outcome);
+    void receive(const schema::poison_news& news);
+    void tick();
+
+private:
+    struct asked_trial {
+        policy::trial_request request;
+        entry_id coordinator;
+        std::size_t changes = 0; ///< of the coordinator, as one didn't answer
+        instant next_send_at{};
+        instant answered_at{};
+        std::optional<endpoint_id> endpoint;
+    };
+
+    void send(const entry_id& to, const schema::poison_news& news);
+    void ask(asked_trial& trial, instant now);
+    void answer(const policy::trial_key& key, const std::optional<endpoint_id>& endpoint);
+
+    entry_id self_;
+    trial_exchange_hooks hooks_;
+    policy::trial_schedule schedule_; ///< as a coordinator
+    std::map<trial_id, asked_trial> asked_;
+    std::uint64_t last_id_ = 0;
+};
+
+} // namespace cassia::gateway
--- a/include/cassia/policy/poison_detector.h
+++ b/include/cassia/policy/poison_detector.h
@@ -23,10 +23,11 @@
     friend auto operator<=>(const endpoint_process&, const endpoint_process&) = default;
 };
 
-/// A run that a crash of its endpoint ended.
+/// A run at an endpoint that crashed.
 struct crashed_run {
     fingerprint request;
-    milliseconds duration{0}; ///< from its sending to the crash
+    milliseconds duration{0};  ///< from its sending to the crash
+    bool was_complete = false; ///< it had ended, a short time before the crash
 };
 
 /// What one gateway knows of a crash.
@@ -44,12 +45,16 @@
     quarantined, ///< not run for a time
 };
 
+inline constexpr double default_late_crash_probability = 0.2;
+
 struct poison_record {
     fingerprint request;
     /// Grows with each change that all gateways have to know; 0 while none of them has to.
     std::uint64_t version = 0;
     request_verdict verdict = request_verdict::unsuspected;
-    double log_odds = 0;       ///< natural logarithm of the odds that it is poison
+    double log_odds = 0; ///< natural logarithm of the odds that it is poison
+    /// Probability that it crashes endpoints only after its responses, if it is poison.
+    double late_crash_probability = default_late_crash_probability;
     std::uint32_t crashes = 0; ///< counted ones, since it was last cleared
     std::uint32_t quarantines = 0;
     instant last_crash_at{};
@@ -99,6 +104,7 @@
     struct candidate {
         poison_record* record = nullptr;
         milliseconds duration{0};
+        bool was_complete = false;
         bool counts = false; ///< the run is independent of the crashes counted so far
     };
 
--- a/include/cassia/policy/slot_table.h
+++ b/include/cassia/policy/slot_table.h
@@ -127,6 +127,11 @@
     std::optional<placement> place_alone(const service_id& service,
                                          const std::set<endpoint_id>& excluded, instant now,
                                          const software_version& version = {}) const;
+    /// The same at this endpoint.
+    std::optional<placement> place_at(const service_id& service, const endpoint_id& endpoint,
+                                      instant now, const software_version& version = {}) const;
+    /// Endpoints of a service.
+    std::size_t count_endpoints(const service_id& service) const;
     /// Whether any endpoint of the service has this version, however busy it is.
     bool serves(const service_id& service, const software_version& version) const;
     /// Whether all endpoints of the service with this version have just failed.
--- /dev/null
+++ b/include/cassia/policy/trial_schedule.h
@@ -0,0 +1,105 @@
+/// Schedules the runs of suspects, requests that may crash their endpoints, for all gateways: one
+/// run of a suspect at a time, no two at one endpoint, and a part of a service's endpoints at most.
+/// Pure.
+#pragma once
+
+#include "cassia/base/clock.h"
+#include "cassia/base/ids.h"
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace cassia::policy {
+
+/// A crash may follow the end of the run that caused it by this time. An endpoint has survived a
+/// run once it has passed.
+inline constexpr milliseconds late_crash_time(1000);
+
+/// Of a service's endpoints suspects may use half at once.
+constexpr std::size_t max_trials(std::size_t endpoints) {
+    return endpoints < 4 ? 1 : endpoints / 2;
+}
+
+/// A run that a gateway asks for.
+struct trial_key {
+    entry_id gateway;
+    trial_id id; ///< unique at its gateway
+
+    friend auto operator<=>(const trial_key&, const trial_key&) = default;
+};
+
+struct trial_request {
+    trial_key key;
+    fingerprint request;
+    service_id service;
+    software_version version; ///< of the endpoint; any if empty
+};
+
+enum class trial_outcome : std::uint8_t {
+    unused,    ///< nothing was sent, or the endpoint didn't run it
+    completed, ///< the response was complete, or the run was stopped while its endpoint worked
+    crashed,   ///< the connection broke
+    silent,    ///< the run was given up as the endpoint was silent, and may hang it
+};
+
+struct trial_grant {
+    trial_key key;
+    endpoint_id endpoint;
+};
+
+class trial_schedule {
+public:
+    /// An endpoint for a run, other than those excluded; nothing if there is none. `limit` is how
+    /// many endpoints of the service suspects may use at once.
+    struct choice {
+        std::optional<endpoint_id> endpoint;
+        std::size_t limit = 1;
+    };
+    using choose = std::function<choice(const trial_request&, const std::set<endpoint_id>&)>;
+
+    /// Asks for a run, or says that it still waits or runs. One that isn't heard of for a time is
+    /// forgotten.
+    void refresh(const trial_request& request, instant now);
+    void end(const trial_key& key, trial_outcome outcome, instant now);
+    /// Grants the runs that may begin now, those that wait longest first.
+    std::vector<trial_grant> poll(instant now, const choose& choose_endpoint);
+    /// The endpoint granted to a run; nothing while it waits.
+    std::optional<endpoint_id> granted(const trial_key& key) const;
+    /// A request was quarantined: its runs no longer wait.
+    void drop(const fingerprint& request);
+    std::size_t size() const { return trials_.size(); }
+
+private:
+    struct trial {
+        trial_request asked;
+        instant asked_at{};
+        instant refreshed_at{};
+        std::optional<endpoint_id> endpoint; ///< while it runs
+    };
+    /// What a run that has ended keeps for a time.
+    struct hold {
+        fingerprint request; ///< empty if it didn't run
+        service_id service;
+        endpoint_id endpoint;
+        instant until{};
+    };
+    struct endpoint_use {
+        std::set<endpoint_id> by_trials;
+        std::set<endpoint_id> excluded; ///< and those that couldn't be used
+    };
+
+    void expire(instant now);
+    bool is_busy(const fingerprint& request) const;
+    endpoint_use use_of(const service_id& service) const;
+
+    std::map<trial_key, trial> trials_;
+    std::vector<hold> holds_;
+};
+
+} // namespace cassia::policy
--- a/lib/gateway/crash_monitor.cpp
+++ b/lib/gateway/crash_monitor.cpp
@@ -4,7 +4,6 @@
 #include "cassia/base/log.h"
 #include "cassia/gateway/request_fingerprint.h"
 #include "cassia/net/task.h"
-#include "poison_messages.h"
 
 #include <algorithm>
 #include <utility>
@@ -20,14 +19,11 @@
 // A crash that no probe confirms shows by the next process at the same address.
 constexpr milliseconds replacement_wait(5000);
 constexpr milliseconds crash_retention(10000);
-constexpr milliseconds successes_interval(200);
 constexpr milliseconds digest_interval(1000);
-constexpr std::size_t digest_receivers = 2;
-constexpr std::size_t max_records_sent = 512;
-// A crash may follow the end of the run that caused it by this time.
-constexpr milliseconds recent_run_time(250);
-constexpr std::size_t max_recent_runs = 1024;
-constexpr std::size_t max_crashes = 1024;
+constexpr std::size_t max_recent_runs = 4096;
+// An endpoint that a run hangs may end only after this time.
+constexpr milliseconds silent_run_time(10000);
+constexpr std::size_t max_silent_endpoints = 256;
 constexpr std::size_t max_runs_per_crash = 256;
 constexpr std::size_t max_requests_logged = 8;
 } // namespace
@@ -70,6 +66,25 @@
         if (is_replaced && crash.second.state != crash_state::confirmed)
             confirm(crash.first, "replaced");
     }
+    confirm_silent_crashes(listed);
+}
+
+// All runs at an endpoint that hung may have been given up, so that no connection was left to
+// break.
+void crash_monitor::confirm_silent_crashes(
+    const std::map<http_address, policy::endpoint_process>& processes) {
+    std::vector<policy::endpoint_process> replaced;
+    for (const std::pair<const policy::endpoint_process, std::vector<recent_run>>& silent :
+         silent_runs_) {
+        auto found = processes.find(silent.second.front().run.address);
+        const bool is_replaced = found != processes.end() && found->second != silent.first;
+        if (is_replaced && crashes_.count(silent.first) == 0 && crashes_.size() < max_crashes)
+            replaced.push_back(silent.first);
+    }
+    for (const policy::endpoint_process& process : replaced) {
+        suspect(silent_runs_.at(process).front().run, monotonic_now());
+        confirm(process, "replaced");
+    }
 }
 
 void crash_monitor::record_broken_run(const ended_run& run) {
@@ -85,28 +100,82 @@
         crash.unreported.push_back(run);
     if (is_known && !broke_again)
         return;
+    suspect(run, monotonic_now());
+    probe(run.process);
+}
+
+crash_monitor::suspected_crash& crash_monitor::suspect(const ended_run& run, instant broken_at) {
+    suspected_crash& crash = crashes_[run.process];
     crash.address = run.address;
     crash.service = run.service;
-    crash.broken_at = monotonic_now();
-    probe(run.process);
+    crash.broken_at = broken_at;
+    return crash;
 }
 
-void crash_monitor::record_ended_run(const ended_run& run) {
-    const instant now = monotonic_now();
-    recent_runs_.emplace_back(now, run);
-    while (recent_runs_.size() > max_recent_runs ||
-           now - recent_runs_.front().first > recent_run_time)
+// Endpoints close idle connections at any time; one that ran something a moment ago may have
+// crashed.
+void crash_monitor::record_idle_closed(const http_address& address) {
+    auto last =
+        std::find_if(recent_runs_.rbegin(), recent_runs_.rend(),
+                     [&address](const recent_run& one) { return one.run.address == address; });
+    if (last == recent_runs_.rend() || crashes_.count(last->run.process) > 0 ||
+        crashes_.size() >= max_crashes)
+        return;
+    suspect(last->run, monotonic_now());
+    probe(last->run.process);
+}
+
+void crash_monitor::record_ended_run(const ended_run& run, bool was_complete) {
+    if (recent_runs_.size() >= max_recent_runs)
         recent_runs_.pop_front();
+    recent_runs_.push_back({monotonic_now(), run, was_complete});
+}
+
+void crash_monitor::record_silent_run(const ended_run& run) {
+    if (silent_runs_.count(run.process) == 0 && silent_runs_.size() >= max_silent_endpoints)
+        return;
+    std::vector<recent_run>& runs = silent_runs_[run.process];
+    if (runs.size() < max_runs_per_crash)
+        runs.push_back({monotonic_now(), run, false});
+}
+
+void crash_monitor::record_received(const policy::endpoint_process& process) {
+    if (!silent_runs_.empty())
+        silent_runs_.erase(process);
 }
 
 void crash_monitor::add_recent_runs(const policy::endpoint_process& process,
                                     suspected_crash& crash) {
-    for (const std::pair<instant, ended_run>& recent : recent_runs_) {
-        const bool is_near = crash.broken_at - recent.first <= recent_run_time;
-        if (recent.second.process == process && is_near &&
-            crash.unreported.size() < max_runs_per_crash)
-            crash.unreported.push_back(recent.second);
+    for (const recent_run& recent : recent_runs_) {
+        const bool is_near = crash.broken_at - recent.ended_at <= policy::late_crash_time;
+        const bool has_room =
+            crash.unreported.size() + crash.unreported_complete.size() < max_runs_per_crash;
+        if (recent.run.process == process && is_near && has_room)
+            (recent.was_complete ? crash.unreported_complete : crash.unreported)
+                .push_back(recent.run);
+    }
+    std::erase_if(recent_runs_,
+                  [&process](const recent_run& one) { return one.run.process == process; });
+    auto silent = silent_runs_.find(process);
+    if (silent == silent_runs_.end())
+        return;
+    for (const recent_run& one : silent->second)
+        crash.unreported.push_back(one.run);
+    silent_runs_.erase(silent);
+}
+
+void crash_monitor::expire_runs(instant now) {
+    for (; !recent_runs_.empty() && now - recent_runs_.front().ended_at > policy::late_crash_time;
+         recent_runs_.pop_front()) {
+        const recent_run& survived = recent_runs_.front();
+        const policy::poison_record* record =
+            survived.was_complete ? detector_.find(survived.run.request) : nullptr;
+        if (record != nullptr && record->crashes > 0)
+            ++successes_[survived.run.request];
     }
+    std::erase_if(silent_runs_, [now](const auto& silent) {
+        return now - silent.second.back().ended_at > silent_run_time;
+    });
 }
 
 // A connection may break without a crash. The VM of an endpoint that has crashed refuses a new one.
@@ -140,21 +209,34 @@
     suspected_crash& crash = crashes_.at(process);
     crash.state = crash_state::confirmed;
     add_recent_runs(process, crash);
+    unpublished_crashes_.push_back(process);
     metrics_.count("endpoint_crashes");
     std::string requests;
-    for (std::size_t i = 0; i < std::min(crash.unreported.size(), max_requests_logged); ++i) {
-        const ended_run& run = crash.unreported[i];
-        requests += (i == 0 ? "" : ",") + run.request_id + ":" + short_form(run.request);
-    }
+    std::size_t logged = 0;
+    const auto add_to_log = [&requests, &logged](const ended_run& run, const std::string& mark) {
+        if (logged++ < max_requests_logged)
+            requests +=
+                (logged == 1 ? "" : ",") + run.request_id + ":" + short_form(run.request) + mark;
+    };
+    for (const ended_run& run : crash.unreported)
+        add_to_log(run, "");
+    for (const ended_run& run : crash.unreported_complete)
+        add_to_log(run, ":complete");
     log_info("endpoint_crashed")
         .with("endpoint", process.endpoint.str())
         .with("address", crash.address.str())
         .with("service", crash.service.str())
         .with("evidence", evidence)
         .with("runs", crash.unreported.size())
+        .with("runs_complete", crash.unreported_complete.size())
         .with("requests", requests);
 }
 
+bool crash_monitor::has_crashed(const policy::endpoint_process& process) const {
+    auto found = crashes_.find(process);
+    return found != crashes_.end() && found->second.state == crash_state::confirmed;
+}
+
 void crash_monitor::check_probes(instant now) {
     std::vector<net::connection_id> late;
     for (const std::pair<const net::connection_id, policy::endpoint_process>& probed : probed_) {
@@ -172,117 +254,6 @@
     });
 }
 
-void crash_monitor::report_crashes(instant now) {
-    for (std::pair<const policy::endpoint_process, suspected_crash>& crash : crashes_) {
-        if (crash.second.state == crash_state::confirmed && !crash.second.unreported.empty())
-            report_crash(crash.first, crash.second, now);
-    }
-}
-
-void crash_monitor::report_crash(const policy::endpoint_process& process, suspected_crash& crash,
-                                 instant now) {
-    policy::crash_report report;
-    report.process = process;
-    report.service = crash.service;
-    report.endpoints = std::max(endpoint_counts_[crash.service], 1U);
-    report.crashed_at = crash.broken_at;
-    for (const ended_run& run : std::exchange(crash.unreported, {}))
-        report.runs.push_back(
-            {run.request, std::chrono::duration_cast<milliseconds>(crash.broken_at - run.sent_at)});
-    schema::poison_news news;
-    encode(report, now, *news.add_crashes());
-    send_to_coordinators(news);
-}
-
-void crash_monitor::record_success(const fingerprint& request) {
-    const policy::poison_record* record = detector_.find(request);
-    if (record != nullptr && record->crashes > 0)
-        ++successes_[request];
-}
-
-void crash_monitor::report_successes(instant now) {
-    if (successes_.empty() || now < next_successes_at_)
-        return;
-    next_successes_at_ = now + successes_interval;
-    schema::poison_news news;
-    for (const std::pair<const fingerprint, std::uint32_t>& one : std::exchange(successes_, {})) {
-        schema::request_successes* successes = news.add_successes();
-        successes->set_fingerprint(one.first.str());
-        successes->set_runs(one.second);
-    }
-    send_to_coordinators(news);
-}
-
-void crash_monitor::send_to_coordinators(const schema::poison_news& news) {
-    for (const entry_id& coordinator : topology_.coordinators()) {
-        if (coordinator == self_)
-            receive(news);
-        else
-            send(coordinator, news);
-    }
-}
-
-void crash_monitor::send(const entry_id& to, const schema::poison_news& news) {
-    schema::envelope envelope;
-    *envelope.mutable_poison() = news;
-    envelope.mutable_poison()->set_gateway(self_.str());
-    hooks_.send(to, envelope);
-}
-
-void crash_monitor::publish(const std::vector<policy::poison_record>& records,
-                            const entry_id& except) {
-    if (records.empty())
-        return;
-    schema::poison_news news;
-    const instant now = monotonic_now();
-    for (const policy::poison_record& record : records)
-        encode(record, now, *news.add_records());
-    for (const entry_id& neighbor : topology_.neighbors()) {
-        if (neighbor != except)
-            send(neighbor, news);
-    }
-}
-
-void crash_monitor::receive(const schema::poison_news& news) {
-    const instant now = monotonic_now();
-    const entry_id from(news.gateway());
-    for (const schema::crash_report& crash : news.crashes())
-        detector_.record_crash(decode(crash, now), now);
-    for (const schema::request_successes& successes : news.successes())
-        detector_.record_successes(fingerprint(successes.fingerprint()), successes.runs(), now);
-    std::vector<policy::poison_record> fresh;
-    for (const schema::poison_record& encoded : news.records()) {
-        const policy::poison_record record = decode(encoded, now);
-        if (!detector_.merge(record, now))
-            continue;
-        fresh.push_back(record);
-        note_verdict(record);
-    }
-    if (topology_.is_relay())
-        publish(fresh, from);
-    if (!news.has_digest() || news.digest() == detector_.digest())
-        return;
-    schema::poison_news answer;
-    for (const policy::poison_record& record : detector_.published(max_records_sent))
-        encode(record, now, *answer.add_records());
-    answer.set_answers(true);
-    answer.set_has_digest(!news.answers());
-    answer.set_digest(detector_.digest());
-    send(from, answer);
-}
-
-// Repairs what messages didn't reach: gateways that were started, frozen or cut off meanwhile.
-void crash_monitor::send_digest() {
-    std::vector<entry_id> receivers = topology_.neighbors();
-    std::shuffle(receivers.begin(), receivers.end(), random_);
-    receivers.resize(std::min(receivers.size(), digest_receivers));
-    schema::poison_news news;
-    news.set_has_digest(true);
-    news.set_digest(detector_.digest());
-    for (const entry_id& receiver : receivers)
-        send(receiver, news);
-}
-
 void crash_monitor::log_findings(const policy::poison_findings& findings) const {
     for (const policy::attributed_crash& crash : findings.crashes) {
         std::vector<policy::poison_record> requests = crash.requests;
@@ -321,6 +292,8 @@
 void crash_monitor::tick() {
     const instant now = monotonic_now();
     check_probes(now);
+    expire_runs(now);
+    publish_crashes(now);
     report_crashes(now);
     report_successes(now);
     const policy::poison_findings findings = detector_.poll(now);
--- /dev/null
+++ b/lib/gateway/crash_monitor_messages.cpp
@@ -0,0 +1,170 @@
+// What gateways tell each other about crashes and the requests that may have caused them.
+
+#include "cassia/gateway/crash_monitor.h"
+#include "poison_messages.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassia::gateway {
+
+namespace {
+constexpr milliseconds successes_interval(200);
+constexpr std::size_t digest_receivers = 2;
+constexpr std::size_t max_records_sent = 512;
+} // namespace
+
+void crash_monitor::receive_crash(const schema::crashed_endpoint& news, instant now) {
+    const policy::endpoint_process process{endpoint_id(news.endpoint()), news.incarnation()};
+    auto known = crashes_.find(process);
+    if (known == crashes_.end()) {
+        if (crashes_.size() >= max_crashes)
+            return;
+        ended_run run;
+        run.process = process;
+        for (const recent_run& recent : recent_runs_) {
+            if (recent.run.process == process)
+                run = recent.run;
+        }
+        suspect(run, now - milliseconds(news.age_ms()));
+    } else if (known->second.state == crash_state::confirmed) {
+        return;
+    }
+    confirm(process, "reported");
+}
+
+void crash_monitor::publish_crashes(instant now) {
+    if (unpublished_crashes_.empty())
+        return;
+    schema::poison_news news;
+    for (const policy::endpoint_process& process : std::exchange(unpublished_crashes_, {})) {
+        auto crash = crashes_.find(process);
+        if (crash == crashes_.end())
+            continue;
+        schema::crashed_endpoint* told = news.add_crashed_endpoints();
+        told->set_endpoint(process.endpoint.str());
+        told->set_incarnation(process.incarnation);
+        const milliseconds age =
+            std::chrono::duration_cast<milliseconds>(now - crash->second.broken_at);
+        told->set_age_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(age.count(), 0)));
+    }
+    for (const entry_id& neighbor : topology_.neighbors())
+        send(neighbor, news);
+}
+
+void crash_monitor::report_crashes(instant now) {
+    for (std::pair<const policy::endpoint_process, suspected_crash>& crash : crashes_) {
+        const bool has_runs =
+            !crash.second.unreported.empty() || !crash.second.unreported_complete.empty();
+        if (crash.second.state == crash_state::confirmed && has_runs)
+            report_crash(crash.first, crash.second, now);
+    }
+}
+
+void crash_monitor::report_crash(const policy::endpoint_process& process, suspected_crash& crash,
+                                 instant now) {
+    policy::crash_report report;
+    report.process = process;
+    report.service = crash.service;
+    report.endpoints = std::max(endpoint_counts_[crash.service], 1U);
+    report.crashed_at = crash.broken_at;
+    const auto add_run = [&report, &crash](const ended_run& run, bool was_complete) {
+        report.runs.push_back(
+            {run.request, std::chrono::duration_cast<milliseconds>(crash.broken_at - run.sent_at),
+             was_complete});
+    };
+    for (const ended_run& run : std::exchange(crash.unreported, {}))
+        add_run(run, false);
+    for (const ended_run& run : std::exchange(crash.unreported_complete, {}))
+        add_run(run, true);
+    schema::poison_news news;
+    encode(report, now, *news.add_crashes());
+    send_to_coordinators(news);
+}
+
+void crash_monitor::report_successes(instant now) {
+    if (successes_.empty() || now < next_successes_at_)
+        return;
+    next_successes_at_ = now + successes_interval;
+    schema::poison_news news;
+    for (const std::pair<const fingerprint, std::uint32_t>& one : std::exchange(successes_, {})) {
+        schema::request_successes* successes = news.add_successes();
+        successes->set_fingerprint(one.first.str());
+        successes->set_runs(one.second);
+    }
+    send_to_coordinators(news);
+}
+
+void crash_monitor::send_to_coordinators(const schema::poison_news& news) {
+    for (const entry_id& coordinator : topology_.coordinators()) {
+        if (coordinator == self_)
+            receive(news);
+        else
+            send(coordinator, news);
+    }
+}
+
+void crash_monitor::send(const entry_id& to, const schema::poison_news& news) {
+    schema::envelope envelope;
+    *envelope.mutable_poison() = news;
+    envelope.mutable_poison()->set_gateway(self_.str());
+    hooks_.send(to, envelope);
+}
+
+void crash_monitor::publish(const std::vector<policy::poison_record>& records,
+                            const entry_id& except) {
+    if (records.empty())
+        return;
+    schema::poison_news news;
+    const instant now = monotonic_now();
+    for (const policy::poison_record& record : records)
+        encode(record, now, *news.add_records());
+    for (const entry_id& neighbor : topology_.neighbors()) {
+        if (neighbor != except)
+            send(neighbor, news);
+    }
+}
+
+void crash_monitor::receive(const schema::poison_news& news) {
+    const instant now = monotonic_now();
+    const entry_id from(news.gateway());
+    for (const schema::crash_report& crash : news.crashes())
+        detector_.record_crash(decode(crash, now), now);
+    for (const schema::request_successes& successes : news.successes())
+        detector_.record_successes(fingerprint(successes.fingerprint()), successes.runs(), now);
+    for (const schema::crashed_endpoint& crash : news.crashed_endpoints())
+        receive_crash(crash, now);
+    std::vector<policy::poison_record> fresh;
+    for (const schema::poison_record& encoded : news.records()) {
+        const policy::poison_record record = decode(encoded, now);
+        if (!detector_.merge(record, now))
+            continue;
+        fresh.push_back(record);
+        note_verdict(record);
+    }
+    if (topology_.is_relay())
+        publish(fresh, from);
+    if (!news.has_digest() || news.digest() == detector_.digest())
+        return;
+    schema::poison_news answer;
+    for (const policy::poison_record& record : detector_.published(max_records_sent))
+        encode(record, now, *answer.add_records());
+    answer.set_answers(true);
+    answer.set_has_digest(!news.answers());
+    answer.set_digest(detector_.digest());
+    send(from, answer);
+}
+
+// Repairs what messages didn't reach: gateways that were started, frozen or cut off meanwhile.
+void crash_monitor::send_digest() {
+    std::vector<entry_id> receivers = topology_.neighbors();
+    std::shuffle(receivers.begin(), receivers.end(), random_);
+    receivers.resize(std::min(receivers.size(), digest_receivers));
+    schema::poison_news news;
+    news.set_has_digest(true);
+    news.set_digest(detector_.digest());
+    for (const entry_id& receiver : receivers)
+        send(receiver, news);
+}
+
+} // namespace cassia::gateway
--- a/lib/gateway/dispatch_responses.cpp
+++ b/lib/gateway/dispatch_responses.cpp
@@ -30,6 +30,7 @@
         return;
     online_call& call = *found->second;
     call.last_progress_at = monotonic_now();
+    crashes_.record_received({call.endpoint, call.incarnation});
     const bool not_run = head.fields.has(names_.not_run) || head.status == status_misdirected;
     if (not_run) {
         call.not_run = true;
@@ -65,6 +66,7 @@
         return;
     online_call& call = *found->second;
     call.last_progress_at = monotonic_now();
+    crashes_.record_received({call.endpoint, call.incarnation});
     slots_.record_progress(call.endpoint);
     if (call.first_byte_at < call.sent_at)
         call.first_byte_at = call.last_progress_at;
@@ -157,7 +159,7 @@
     }
     begin_response(call);
     flush_events(call);
-    record_success(call);
+    record_complete_run(call);
     log_outcome(call, call.head.status, "answered");
     metrics_.count("answered");
     metrics_.observe("answer", monotonic_now() - call.arrived_at);
@@ -174,7 +176,7 @@
         return;
     }
     call.response_began_at = call.last_progress_at;
-    record_success(call);
+    record_complete_run(call);
     log_outcome(call, call.head.status, "answered");
     metrics_.count("answered");
     metrics_.observe("answer", monotonic_now() - call.arrived_at);
@@ -190,7 +192,8 @@
     if (found == calls_.end())
         return;
     online_call& call = *found->second;
-    if (failure.sent && !call.not_run)
+    call.connection_broke = failure.sent && !call.not_run;
+    if (call.connection_broke)
         crashes_.record_broken_run(run_of(call));
     if (defer_end_to_migration(call))
         return;
--- a/lib/gateway/dispatch_suspects.cpp
+++ b/lib/gateway/dispatch_suspects.cpp
@@ -37,27 +37,62 @@
             call.address,    call.service,         call.sent_at};
 }
 
-void dispatcher::record_success(online_call& call) {
-    crashes_.record_ended_run(run_of(call));
-    if (crashes_.has_records())
-        crashes_.record_success(fingerprint_of(call));
+void dispatcher::record_complete_run(online_call& call) {
+    crashes_.record_ended_run(run_of(call), true);
+}
+
+void dispatcher::cancel_silent_attempt(online_call& call) {
+    if (client_.was_sent(call.upstream_call) && !call.not_run)
+        crashes_.record_silent_run(run_of(call));
+    if (call.trial)
+        trials_.end(*std::exchange(call.trial, std::nullopt), policy::trial_outcome::silent);
+    cancel_attempt(call);
+}
+
+std::optional<policy::placement> dispatcher::find_trial_endpoint(online_call& call, instant now) {
+    const software_version version = call.required_version();
+    if (!call.trial)
+        call.trial = trials_.begin(fingerprint_of(call), call.service, version);
+    if (!call.trial)
+        return std::nullopt;
+    const trial_exchange::state state = trials_.find(*call.trial);
+    if (state.endpoint) {
+        const std::optional<policy::placement> found =
+            slots_.place_at(call.service, *state.endpoint, now, version);
+        if (!found)
+            end_trial(call);
+        return found;
+    }
+    if (state.is_scheduled || running_alone_.count(call.service) > 0)
+        return std::nullopt;
+    const std::optional<policy::placement> found =
+        slots_.place_alone(call.service, call.failed_endpoints, now, version);
+    if (found)
+        running_alone_[call.service] = call.id;
+    return found;
+}
+
+void dispatcher::end_trial(online_call& call) {
+    if (!call.trial)
+        return;
+    policy::trial_outcome outcome = policy::trial_outcome::unused;
+    if (call.connection_broke)
+        outcome = policy::trial_outcome::crashed;
+    else if (call.upstream_call != call_id() && !call.not_run)
+        outcome = policy::trial_outcome::completed;
+    trials_.end(*call.trial, outcome);
+    call.trial.reset();
 }
 
 void dispatcher::place_alone(online_call& call) {
     const instant now = monotonic_now();
-    const software_version version = call.required_version();
-    std::optional<policy::placement> found;
-    if (running_alone_.count(call.service) == 0)
-        found = slots_.place_alone(call.service, call.failed_endpoints, now, version);
-    if (!found && running_alone_.count(call.service) == 0 && !call.failed_endpoints.empty())
-        found = slots_.place_alone(call.service, {}, now, version);
+    const std::optional<policy::placement> found = find_trial_endpoint(call, now);
     if (!found) {
         queue_.remove(call.id);
         call.phase = call.phase == call_phase::responding ? call.phase : call_phase::queued;
         call.retry_at = now + place_alone_interval;
         return;
     }
-    running_alone_[call.service] = call.id;
     log_info("suspect_placed")
         .with("request", call.request_id)
         .with("fingerprint", short_form(fingerprint_of(call)))
@@ -67,6 +102,7 @@
 }
 
 void dispatcher::release_reserved_slots(online_call& call) {
+    end_trial(call);
     for (; call.reserved_slots > 0; --call.reserved_slots)
         slots_.release(call.endpoint, policy::work_kind::online);
     auto alone = running_alone_.find(call.service);
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -34,11 +34,11 @@
 } // namespace
 
 dispatcher::dispatcher(net::raw_server& server, net::raw_client& client, policy::slot_table& slots,
-                       crash_monitor& crashes, origin_exchange& origins, metrics& counts,
-                       header_names names, dispatcher_hooks hooks)
-    : server_(server), client_(client), slots_(slots), crashes_(crashes), origins_(origins),
-      metrics_(counts), names_(std::move(names)), hooks_(std::move(hooks)), random_(random_bits()) {
-}
+                       crash_monitor& crashes, trial_exchange& trials, origin_exchange& origins,
+                       metrics& counts, header_names names, dispatcher_hooks hooks)
+    : server_(server), client_(client), slots_(slots), crashes_(crashes), trials_(trials),
+      origins_(origins), metrics_(counts), names_(std::move(names)), hooks_(std::move(hooks)),
+      random_(random_bits()) {}
 
 dispatcher::~dispatcher() = default;
 
@@ -101,6 +101,7 @@
         place_alone(call);
         return;
     }
+    end_trial(call);
     const instant now = monotonic_now();
     std::uniform_real_distribution<double> uniform(0, 1);
     const double draw = uniform(random_);
@@ -154,6 +155,7 @@
     call.last_progress_at = call.sent_at;
     call.last_reclaim_at = call.sent_at;
     call.not_run = false;
+    call.connection_broke = false;
     call.forwards_error = false;
     call.body.clear();
     call.parser.reset();
@@ -205,13 +207,13 @@
 
 void dispatcher::cancel_attempt(online_call& call) {
     if (client_.was_sent(call.upstream_call) && !call.not_run)
-        crashes_.record_ended_run(run_of(call));
+        crashes_.record_ended_run(run_of(call), false);
+    release_reserved_slots(call);
     client_.cancel(call.upstream_call);
     call.upstream_call = call_id();
     if (call.holds_slot)
         slots_.release(call.endpoint, policy::work_kind::online);
     call.holds_slot = false;
-    release_reserved_slots(call);
 }
 
 void dispatcher::eject_endpoint(const online_call& call, instant now) {
--- a/lib/gateway/held_item.h
+++ b/lib/gateway/held_item.h
@@ -28,6 +28,8 @@
     service_id service;
     instant sent_at{};
     bool runs_alone = false;                        ///< as a suspect
+    std::optional<trial_id> trial;                  ///< while it waits for that, and runs
+    bool connection_broke = false;                  ///< of the current run
     std::uint32_t reserved_slots = 0;               ///< kept free of others meanwhile
     std::optional<cassia::fingerprint> fingerprint; ///< computed when it is first needed
     std::set<endpoint_id> failed_endpoints;         ///< those that failed or rejected this item
--- a/lib/gateway/item_responses.cpp
+++ b/lib/gateway/item_responses.cpp
@@ -28,6 +28,7 @@
         return;
     held_item& item = *found->second;
     item.last_progress_at = monotonic_now();
+    crashes_.record_received({item.endpoint, item.incarnation});
     item.not_run = head.fields.has(names_.not_run) || head.status == status_misdirected;
     item.status = head.status;
     if (item.not_run) {
@@ -50,6 +51,7 @@
         return;
     held_item& item = *found->second;
     item.last_progress_at = monotonic_now();
+    crashes_.record_received({item.endpoint, item.incarnation});
     if (item.not_run || item.status != status_ok)
         return;
     if (!append_events(item, bytes)) {
@@ -88,7 +90,7 @@
     if (item.status == status_ok && item.parser.has_partial_event())
         crashes_.record_broken_run(run_of(item));
     if (item.status == status_ok && !item.parser.has_partial_event() && item.last_event > 0) {
-        record_success(item);
+        record_complete_run(item);
         finish(key, schema::completed, false, "done");
         return;
     }
@@ -109,7 +111,8 @@
     if (found == items_.end())
         return;
     held_item& item = *found->second;
-    if (failure.sent && !item.not_run)
+    item.connection_broke = failure.sent && !item.not_run;
+    if (item.connection_broke)
         crashes_.record_broken_run(run_of(item));
     item.failed_endpoints.insert(item.endpoint);
     const bool stale_connection = failure.kept && !failure.answered;
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -35,10 +35,11 @@
 } // namespace
 
 item_runner::item_runner(net::raw_client& client, policy::slot_table& slots, crash_monitor& crashes,
-                         metrics& counts, header_names names, std::uint32_t max_items,
-                         item_runner_hooks hooks)
-    : client_(client), slots_(slots), crashes_(crashes), metrics_(counts), names_(std::move(names)),
-      max_items_(max_items), hooks_(std::move(hooks)), random_(random_bits()) {}
+                         trial_exchange& trials, metrics& counts, header_names names,
+                         std::uint32_t max_items, item_runner_hooks hooks)
+    : client_(client), slots_(slots), crashes_(crashes), trials_(trials), metrics_(counts),
+      names_(std::move(names)), max_items_(max_items), hooks_(std::move(hooks)),
+      random_(random_bits()) {}
 
 item_runner::~item_runner() = default;
 
@@ -216,6 +217,7 @@
     item.parser.reset();
     item.status = 0;
     item.not_run = false;
+    item.connection_broke = false;
     ++item.runs;
     metrics_.count(item.last_event > 0 ? "items_resumed" : "items_started");
     log_info("item_placed")
@@ -236,10 +238,11 @@
 }
 
 void item_runner::stop(held_item& item) {
+    end_trial(item);
     if (item.upstream_call == call_id())
         return;
     if (client_.was_sent(item.upstream_call) && !item.not_run)
-        crashes_.record_ended_run(run_of(item));
+        crashes_.record_ended_run(run_of(item), false);
     client_.cancel(item.upstream_call);
     item.upstream_call = call_id();
     slots_.release(item.endpoint, policy::work_kind::batch);
@@ -348,6 +351,10 @@
             continue;
         item.failed_endpoints.insert(item.endpoint);
         slots_.record_failure(item.endpoint, now);
+        if (client_.was_sent(item.upstream_call) && !item.not_run)
+            crashes_.record_silent_run(run_of(item));
+        if (item.trial)
+            trials_.end(*std::exchange(item.trial, std::nullopt), policy::trial_outcome::silent);
         requeue(item, milliseconds(0), "endpoint_silent");
     }
 }
--- a/lib/gateway/item_suspects.cpp
+++ b/lib/gateway/item_suspects.cpp
@@ -41,10 +41,42 @@
             item.sent_at};
 }
 
-void item_runner::record_success(held_item& item) const {
-    crashes_.record_ended_run(run_of(item));
-    if (crashes_.has_records())
-        crashes_.record_success(fingerprint_of(item));
+void item_runner::record_complete_run(held_item& item) const {
+    crashes_.record_ended_run(run_of(item), true);
+}
+
+void item_runner::end_trial(held_item& item) {
+    if (!item.trial)
+        return;
+    policy::trial_outcome outcome = policy::trial_outcome::unused;
+    if (item.connection_broke)
+        outcome = policy::trial_outcome::crashed;
+    else if (item.upstream_call != call_id() && !item.not_run)
+        outcome = policy::trial_outcome::completed;
+    trials_.end(*item.trial, outcome);
+    item.trial.reset();
+}
+
+std::optional<policy::placement> item_runner::find_trial_endpoint(held_item& item, instant now,
+                                                                  const software_version& version) {
+    if (!item.trial)
+        item.trial = trials_.begin(fingerprint_of(item), item.service, version);
+    if (!item.trial)
+        return std::nullopt;
+    const trial_exchange::state state = trials_.find(*item.trial);
+    if (state.endpoint) {
+        const std::optional<policy::placement> found =
+            slots_.place_at(item.service, *state.endpoint, now, version);
+        if (!found)
+            end_trial(item);
+        return found;
+    }
+    const bool another_runs = std::any_of(items_.begin(), items_.end(), [](const auto& keyed_item) {
+        return keyed_item.second->runs_alone && keyed_item.second->upstream_call != call_id();
+    });
+    if (state.is_scheduled || another_runs)
+        return std::nullopt;
+    return slots_.place_alone(item.service, {}, now, version);
 }
 
 std::size_t item_runner::ready(instant now) const {
@@ -55,11 +87,14 @@
         }));
 }
 
-bool item_runner::waits_for_quarantine(held_item& item, instant now) const {
+bool item_runner::waits_for_quarantine(held_item& item, instant now) {
     if (judge(item) != policy::request_verdict::quarantined)
         return false;
     item.ready_at = crashes_.last_crash(fingerprint_of(item)) + quarantined_item_interval;
-    return now < item.ready_at;
+    const bool waits = now < item.ready_at;
+    if (waits)
+        end_trial(item);
+    return waits;
 }
 
 std::optional<policy::placement> item_runner::place(held_item& item, const schema::route& route,
@@ -73,15 +108,13 @@
         item.service = service_id(routes::choose_target(route, uniform(random_)));
     }
     item.runs_alone = judge(item) != policy::request_verdict::unsuspected;
-    if (!item.runs_alone)
-        return slots_.place_batch(item.service, item.failed_endpoints, now, uniform(random_),
-                                  policy::is_urgent(item.leased.deadline(), route.result_due_ms(),
-                                                    to_unix_ms(wall_now())),
-                                  version);
-    const bool another_runs = std::any_of(items_.begin(), items_.end(), [](const auto& keyed_item) {
-        return keyed_item.second->runs_alone && keyed_item.second->upstream_call != call_id();
-    });
-    return another_runs ? std::nullopt : slots_.place_alone(item.service, {}, now, version);
+    if (item.runs_alone)
+        return find_trial_endpoint(item, now, version);
+    end_trial(item);
+    return slots_.place_batch(
+        item.service, item.failed_endpoints, now, uniform(random_),
+        policy::is_urgent(item.leased.deadline(), route.result_due_ms(), to_unix_ms(wall_now())),
+        version);
 }
 
 void item_runner::stop_quarantined() {
--- a/lib/gateway/poison_messages.cpp
+++ b/lib/gateway/poison_messages.cpp
@@ -19,6 +19,7 @@
         schema::crashed_run* encoded = out.add_runs();
         encoded->set_fingerprint(run.request.str());
         encoded->set_duration_ms(to_ms(run.duration));
+        encoded->set_was_complete(run.was_complete);
     }
 }
 
@@ -29,7 +30,8 @@
     out.endpoints = report.endpoints();
     out.crashed_at = now - milliseconds(report.age_ms());
     for (const schema::crashed_run& run : report.runs())
-        out.runs.push_back({fingerprint(run.fingerprint()), milliseconds(run.duration_ms())});
+        out.runs.push_back(
+            {fingerprint(run.fingerprint()), milliseconds(run.duration_ms()), run.was_complete()});
     return out;
 }
 
@@ -39,6 +41,7 @@
     out.set_verdict(static_cast<std::uint32_t>(record.verdict));
     out.set_log_odds(record.log_odds);
     out.set_crashes(record.crashes);
+    out.set_late_crash_probability(record.late_crash_probability);
     out.set_quarantines(record.quarantines);
     out.set_crash_age_ms(to_ms(now - record.last_crash_at));
     if (record.verdict == policy::request_verdict::quarantined)
@@ -57,6 +60,8 @@
             : policy::request_verdict::suspect;
     out.log_odds = record.log_odds();
     out.crashes = record.crashes();
+    if (record.late_crash_probability() > 0)
+        out.late_crash_probability = record.late_crash_probability();
     out.quarantines = record.quarantines();
     out.last_crash_at = now - milliseconds(record.crash_age_ms());
     if (out.verdict == policy::request_verdict::quarantined)
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -57,6 +57,19 @@
     crashes_ = std::make_unique<crash_monitor>(
         task_, net::ip_of(settings_.peer_address()), entry_id(settings_.name()),
         zone_id(settings_.zone()), metrics_, std::move(crash_callbacks));
+    trial_exchange_hooks trial_callbacks;
+    trial_callbacks.send = [this](const entry_id& to, schema::envelope& envelope) {
+        return cluster_->send_to_gateway(to, envelope);
+    };
+    trial_callbacks.coordinators = [this] { return crashes_->coordinators(); };
+    trial_callbacks.choose_endpoint = [this](const policy::trial_request& request,
+                                             const std::set<endpoint_id>& excluded) {
+        return choose_trial_endpoint(request, excluded);
+    };
+    trials_ =
+        std::make_unique<trial_exchange>(entry_id(settings_.name()), std::move(trial_callbacks));
+    client_->on_idle_closed(
+        [this](const http_address& address) { crashes_->record_idle_closed(address); });
     origin_exchange_hooks origin_callbacks;
     origin_callbacks.send = [this](const entry_id& to, schema::envelope& envelope) {
         return cluster_->send_to_gateway(to, envelope);
@@ -78,8 +91,8 @@
     dispatcher_callbacks.only_version = [this](const service_id& service) {
         return cluster_->only_version(service);
     };
-    dispatcher_ = std::make_unique<dispatcher>(*server_, *client_, slots_, *crashes_, *origins_,
-                                               metrics_, names_, dispatcher_callbacks);
+    dispatcher_ = std::make_unique<dispatcher>(*server_, *client_, slots_, *crashes_, *trials_,
+                                               *origins_, metrics_, names_, dispatcher_callbacks);
     dispatcher_->set_migration_protocol(hooks_.migration);
     item_runner_hooks item_callbacks;
     item_callbacks.lease = [this](const std::string& route, std::uint32_t limit,
@@ -90,7 +103,7 @@
                                    const item_runner_hooks::report_done& done) {
         report(ends, done);
     };
-    items_ = std::make_unique<item_runner>(*client_, slots_, *crashes_, metrics_, names_,
+    items_ = std::make_unique<item_runner>(*client_, slots_, *crashes_, *trials_, metrics_, names_,
                                            settings_.batch_window(), std::move(item_callbacks));
     cluster_hooks cluster_callbacks;
     cluster_callbacks.on_routes = [this](std::shared_ptr<const routes::table> table) {
@@ -111,6 +124,7 @@
     };
     cluster_callbacks.on_poison_news = [this](const schema::poison_news& news) {
         crashes_->receive(news);
+        trials_->receive(news);
     };
     cluster_callbacks.on_peers = [this](policy::peer_group own_zone, policy::peer_group all) {
         slots_.set_peers(own_zone, all);
@@ -319,11 +333,28 @@
     settings_.set_result_retention_s(changed.result_retention_s());
 }
 
+policy::trial_schedule::choice
+service::choose_trial_endpoint(const policy::trial_request& request,
+                               const std::set<endpoint_id>& excluded) const {
+    const instant now = monotonic_now();
+    std::set<endpoint_id> unusable = excluded;
+    std::optional<policy::placement> found =
+        slots_.place_alone(request.service, unusable, now, request.version);
+    // Without the control group endpoints that have crashed stay listed.
+    while (found && crashes_->has_crashed({found->endpoint, found->incarnation})) {
+        unusable.insert(found->endpoint);
+        found = slots_.place_alone(request.service, unusable, now, request.version);
+    }
+    return {found ? std::optional<endpoint_id>(found->endpoint) : std::nullopt,
+            policy::max_trials(slots_.count_endpoints(request.service))};
+}
+
 void service::tick() {
     const instant now = monotonic_now();
+    crashes_->tick();
     reject_expired(now);
     cluster_->quota().flush();
-    crashes_->tick();
+    trials_->tick();
     origins_->tick();
     dispatcher_->tick(now);
     items_->tick(now, wall_now());
--- /dev/null
+++ b/lib/gateway/trial_exchange.cpp
@@ -0,0 +1,153 @@
+#include "cassia/gateway/trial_exchange.h"
+
+#include "cassia/base/log.h"
+#include "cassia/gateway/request_fingerprint.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassia::gateway {
+
+namespace {
+// Messages are sent once, so a request is repeated; a coordinator forgets one that isn't.
+constexpr milliseconds repeat_interval(100);
+constexpr milliseconds answer_timeout(400);
+constexpr std::size_t max_coordinators_tried = 2;
+constexpr std::size_t max_asked = 64;
+} // namespace
+
+trial_exchange::trial_exchange(entry_id self, trial_exchange_hooks hooks)
+    : self_(std::move(self)), hooks_(std::move(hooks)) {}
+
+std::optional<trial_id> trial_exchange::begin(const fingerprint& request, const service_id& service,
+                                              const software_version& version) {
+    const bool is_asked = std::any_of(asked_.begin(), asked_.end(), [&request](const auto& one) {
+        return one.second.request.request == request;
+    });
+    if (is_asked || asked_.size() >= max_asked)
+        return std::nullopt;
+    const trial_id id(++last_id_);
+    asked_trial& trial = asked_[id];
+    trial.request = {{self_, id}, request, service, version};
+    ask(trial, monotonic_now());
+    return id;
+}
+
+trial_exchange::state trial_exchange::find(trial_id id) const {
+    auto found = asked_.find(id);
+    if (found == asked_.end())
+        return {};
+    return {found->second.changes < max_coordinators_tried, found->second.endpoint};
+}
+
+// A coordinator that is frozen or lost doesn't answer, and the next one is asked. Two that schedule
+// for different gateways allow two runs of a request at once, which is bearable.
+void trial_exchange::ask(asked_trial& trial, instant now) {
+    const std::vector<entry_id> coordinators = hooks_.coordinators();
+    const entry_id& coordinator = coordinators[trial.changes % coordinators.size()];
+    const bool is_silent = trial.coordinator == coordinator && trial.coordinator != self_ &&
+                           now - trial.answered_at >= answer_timeout;
+    if (is_silent && trial.changes < max_coordinators_tried && !trial.endpoint) {
+        ++trial.changes;
+        ask(trial, now);
+        return;
+    }
+    if (trial.coordinator != coordinator && !trial.endpoint) {
+        trial.coordinator = coordinator;
+        trial.answered_at = now;
+    }
+    trial.next_send_at = now + repeat_interval;
+    if (trial.coordinator == self_) {
+        schedule_.refresh(trial.request, now);
+        return;
+    }
+    schema::poison_news news;
+    schema::trial_request* request = news.add_trial_requests();
+    request->set_id(trial.request.key.id.value());
+    request->set_fingerprint(trial.request.request.str());
+    request->set_service(trial.request.service.str());
+    request->set_version(trial.request.version.str());
+    send(trial.coordinator, news);
+}
+
+void trial_exchange::end(trial_id id, policy::trial_outcome outcome) {
+    auto found = asked_.find(id);
+    if (found == asked_.end())
+        return;
+    const asked_trial trial = std::move(found->second);
+    asked_.erase(found);
+    if (trial.coordinator == self_) {
+        schedule_.end(trial.request.key, outcome, monotonic_now());
+        return;
+    }
+    schema::poison_news news;
+    schema::trial_end* ended = news.add_trial_ends();
+    ended->set_id(id.value());
+    ended->set_outcome(static_cast<std::uint32_t>(outcome));
+    send(trial.coordinator, news);
+}
+
+void trial_exchange::send(const entry_id& to, const schema::poison_news& news) {
+    schema::envelope envelope;
+    *envelope.mutable_poison() = news;
+    envelope.mutable_poison()->set_gateway(self_.str());
+    hooks_.send(to, envelope);
+}
+
+void trial_exchange::answer(const policy::trial_key& key,
+                            const std::optional<endpoint_id>& endpoint) {
+    if (key.gateway == self_) {
+        auto found = asked_.find(key.id);
+        if (found != asked_.end())
+            found->second.endpoint = endpoint;
+        return;
+    }
+    schema::poison_news news;
+    schema::trial_answer* answered = news.add_trial_answers();
+    answered->set_id(key.id.value());
+    if (endpoint)
+        answered->set_endpoint(endpoint->str());
+    send(key.gateway, news);
+}
+
+void trial_exchange::receive(const schema::poison_news& news) {
+    const instant now = monotonic_now();
+    const entry_id from(news.gateway());
+    for (const schema::trial_request& request : news.trial_requests()) {
+        const policy::trial_key key{from, trial_id(request.id())};
+        schedule_.refresh({key, fingerprint(request.fingerprint()), service_id(request.service()),
+                           software_version(request.version())},
+                          now);
+        answer(key, schedule_.granted(key));
+    }
+    for (const schema::trial_end& ended : news.trial_ends()) {
+        const std::uint32_t last = static_cast<std::uint32_t>(policy::trial_outcome::silent);
+        schedule_.end({from, trial_id(ended.id())},
+                      static_cast<policy::trial_outcome>(std::min(ended.outcome(), last)), now);
+    }
+    for (const schema::trial_answer& answered : news.trial_answers()) {
+        auto found = asked_.find(trial_id(answered.id()));
+        if (found == asked_.end() || found->second.coordinator != from)
+            continue;
+        found->second.answered_at = now;
+        if (!answered.endpoint().empty())
+            found->second.endpoint = endpoint_id(answered.endpoint());
+    }
+}
+
+void trial_exchange::tick() {
+    const instant now = monotonic_now();
+    for (std::pair<const trial_id, asked_trial>& one : asked_) {
+        if (now >= one.second.next_send_at)
+            ask(one.second, now);
+    }
+    for (const policy::trial_grant& grant : schedule_.poll(now, hooks_.choose_endpoint)) {
+        log_info("trial_granted")
+            .with("gateway", grant.key.gateway.str())
+            .with("endpoint", grant.endpoint.str())
+            .with("waiting_or_running", schedule_.size());
+        answer(grant.key, grant.endpoint);
+    }
+}
+
+} // namespace cassia::gateway
--- a/lib/net/raw_client.cpp
+++ b/lib/net/raw_client.cpp
@@ -59,6 +59,7 @@
     std::map<connection_id, http_address> idle_addresses;
     std::uint64_t last_call = 0;
     raw_client_counts counts;
+    std::function<void(const http_address&)> on_idle_closed = [](const http_address&) {};
     timer_id sweeper;
 
     bool take_idle(const http_address& to, connection_id& out);
@@ -178,7 +179,12 @@
 void raw_client::state::on_closed(connection_id id, bool clean) {
     auto user = users.find(id);
     if (user == users.end()) {
+        auto address = idle_addresses.find(id);
+        const http_address closed =
+            address == idle_addresses.end() ? http_address() : address->second;
         drop_idle(id);
+        if (!closed.empty())
+            on_idle_closed(closed);
         return;
     }
     const call_id call = user->second;
@@ -348,6 +354,10 @@
     state_->sockets->reset(connection);
 }
 
+void raw_client::on_idle_closed(std::function<void(const http_address&)> hook) {
+    state_->on_idle_closed = std::move(hook);
+}
+
 bool raw_client::was_sent(call_id id) const {
     auto found = state_->calls.find(id);
     return found != state_->calls.end() && found->second.sent;
--- a/lib/policy/poison_detector.cpp
+++ b/lib/policy/poison_detector.cpp
@@ -14,6 +14,12 @@
 // One request in a thousand is assumed to be poison.
 const double prior_log_odds = std::log(1e-3);
 const double suspect_log_odds = 0;
+// Several poison requests that run together explain each other's crashes, and only runs alone tell
+// them apart. So a request that ran at two crashes is suspected from here on.
+const double repeated_suspect_log_odds = -2.5;
+constexpr std::uint32_t repeated_crashes = 2;
+// One that ran at so many is, even if known poison ran beside it each time.
+constexpr std::uint32_t max_explained_crashes = 3;
 // From here on all gateways know of a request, so that runs which are completed speak for it.
 const double watch_log_odds = -3;
 const double quarantine_log_odds = std::log(400);
@@ -22,6 +28,8 @@
 constexpr double repeated_gain = 2;
 // Bounds what a single crash shows, so that it takes more than one to suspect a request.
 constexpr double max_gain = 5;
+// What a crash shows of a request if known poison explains it doesn't count.
+constexpr double min_gain = 0.01;
 // A poison request is assumed to crash every second of its runs at least.
 const double success_loss = std::log(2);
 // Gateways detect a crash within milliseconds of each other; a probe may take 50 ms.
@@ -47,6 +55,11 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+static bool is_suspicious(const poison_record& record) {
+    return record.log_odds >= suspect_log_odds || record.crashes >= max_explained_crashes ||
+           (record.crashes >= repeated_crashes && record.log_odds >= repeated_suspect_log_odds);
+}
+
 void poison_detector::record_crash(const crash_report& report, instant now) {
     if (crashes_.count(report.process) == 0 && crashes_.size() >= max_crashes)
         return;
@@ -75,14 +88,14 @@
     poison_record& record = found->second;
     end_quarantine(record, now);
     record.log_odds = std::max(prior_log_odds, record.log_odds - runs * success_loss);
-    const bool is_cleared =
-        record.verdict == request_verdict::suspect && record.log_odds < suspect_log_odds;
-    const bool is_forgiven = record.crashes > 0 && record.log_odds <= prior_log_odds &&
-                             record.verdict != request_verdict::quarantined;
-    if (is_cleared)
-        record.verdict = request_verdict::unsuspected;
+    if (record.verdict == request_verdict::quarantined)
+        return;
+    const bool is_forgiven = record.crashes > 0 && record.log_odds < repeated_suspect_log_odds;
     if (is_forgiven)
         record.crashes = 0;
+    const bool is_cleared = record.verdict == request_verdict::suspect && !is_suspicious(record);
+    if (is_cleared)
+        record.verdict = request_verdict::unsuspected;
     if (is_cleared || is_forgiven)
         publish(record);
 }
@@ -112,16 +125,17 @@
 
 std::vector<poison_detector::candidate> poison_detector::candidates(const known_crash& crash,
                                                                     instant now) {
-    std::map<fingerprint, milliseconds> durations;
+    std::map<fingerprint, crashed_run> runs;
     for (std::size_t i = crash.judged; i < crash.report.runs.size(); ++i) {
         const crashed_run& run = crash.report.runs[i];
-        milliseconds& longest = durations[run.request];
-        longest = std::max(longest, run.duration);
+        crashed_run& joined = runs.emplace(run.request, run).first->second;
+        joined.duration = std::max(joined.duration, run.duration);
+        joined.was_complete = joined.was_complete && run.was_complete;
     }
     std::vector<candidate> found;
-    for (const std::pair<const fingerprint, milliseconds>& run : durations)
+    for (const std::pair<const fingerprint, crashed_run>& run : runs)
         record_of(run.first, now); // may evict another record, so pointers are taken afterwards
-    for (const std::pair<const fingerprint, milliseconds>& run : durations) {
+    for (const std::pair<const fingerprint, crashed_run>& run : runs) {
         auto known = records_.find(run.first);
         if (known == records_.end())
             continue;
@@ -131,8 +145,8 @@
         // the first of these crashes shows something.
         const microseconds since_last = crash.report.crashed_at - record.last_crash_at;
         const bool counts = record.crashes == 0 || since_last > same_moment ||
-                            microseconds(run.second) <= since_last;
-        found.push_back({&record, run.second, counts});
+                            microseconds(run.second.duration) <= since_last;
+        found.push_back({&record, run.second.duration, run.second.was_complete, counts});
     }
     return found;
 }
@@ -178,24 +192,42 @@
     return std::min(max_probability, within_run + simultaneous / endpoints);
 }
 
+// Poison crashes its endpoint either while it runs or after its response.
+static double probability_of_kind(const poison_record& record, bool late) {
+    return late ? record.late_crash_probability : 1 - record.late_crash_probability;
+}
+
+static void update_kind(poison_record& record, bool late, double if_innocent) {
+    const double fits = probability_of_kind(record, late);
+    const double updated = fits / (fits + (1 - fits) * if_innocent);
+    const double bounded = std::clamp(updated, 1 - max_probability, max_probability);
+    record.late_crash_probability = late ? bounded : 1 - bounded;
+}
+
 // For each request: how much likelier is the crash if it is poison than if it isn't? If it isn't,
-// one of the others or the background must have caused the crash.
+// one of the others or the background must have caused the crash; so too if it is poison of the
+// kind that acts at once, but was complete.
 attributed_crash poison_detector::attribute(const endpoint_process& process, known_crash& crash,
                                             instant now) {
     const std::vector<candidate> all = candidates(crash, now);
     update_unexplained(crash);
+    std::vector<double> innocent;
     std::vector<double> gains;
     for (const candidate& one : all) {
         const fingerprint& request = one.record->request;
         const double if_innocent = 1 - (1 - background(process, crash, request, one.duration)) *
                                            unexplained_without(crash, request);
-        gains.push_back(std::min(max_gain, -std::log(if_innocent)));
+        const double fits = probability_of_kind(*one.record, one.was_complete);
+        const double if_poison = fits + (1 - fits) * if_innocent;
+        innocent.push_back(if_innocent);
+        gains.push_back(std::min(max_gain, std::log(if_poison / if_innocent)));
     }
     attributed_crash attributed{process, {}};
     for (std::size_t i = 0; i < all.size(); ++i) {
         poison_record& record = *all[i].record;
-        if (all[i].counts) {
+        if (all[i].counts && gains[i] >= min_gain) {
             record.log_odds += gains[i];
+            update_kind(record, all[i].was_complete, innocent[i]);
             ++record.crashes;
             record.last_crash_at = std::max(record.last_crash_at, crash.report.crashed_at);
             update_verdict(record, now);
@@ -216,10 +248,10 @@
         record.quarantined_until = now + first_quarantine * (1U << doublings);
         ++record.quarantines;
     } else if (record.verdict == request_verdict::unsuspected) {
-        if (record.log_odds < watch_log_odds)
-            return;
-        if (record.log_odds >= suspect_log_odds)
+        if (is_suspicious(record))
             record.verdict = request_verdict::suspect;
+        else if (record.log_odds < watch_log_odds)
+            return;
     }
     publish(record);
 }
--- a/lib/policy/slot_placement.cpp
+++ b/lib/policy/slot_placement.cpp
@@ -161,6 +161,22 @@
     return best == nullptr ? std::nullopt : std::optional<placement>(placed_at(*best));
 }
 
+std::optional<placement> slot_table::place_at(const service_id& service,
+                                              const endpoint_id& endpoint, instant now,
+                                              const software_version& version) const {
+    for (const candidate& one : candidates(service, version, {}, now)) {
+        if (one.endpoint->info.id == endpoint && one.free > 0)
+            return placed_at(one);
+    }
+    return std::nullopt;
+}
+
+std::size_t slot_table::count_endpoints(const service_id& service) const {
+    return static_cast<std::size_t>(
+        std::count_if(endpoints_.begin(), endpoints_.end(),
+                      [&service](const auto& one) { return one.second.info.service == service; }));
+}
+
 bool slot_table::serves(const service_id& service, const software_version& version) const {
     return !version.empty() &&
            std::any_of(endpoints_.begin(), endpoints_.end(), [&](const auto& one) {
--- /dev/null
+++ b/lib/policy/trial_schedule.cpp
@@ -0,0 +1,123 @@
+#include "cassia/policy/trial_schedule.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassia::policy {
+
+namespace {
+// Gateways refresh a trial some times in this time.
+constexpr milliseconds refresh_timeout(1000);
+// From a crash until its verdict is known to the gateways that ask for runs.
+constexpr milliseconds verdict_time(150);
+// Until an endpoint that a run hangs has ended or answers again.
+constexpr milliseconds hang_time(5000);
+// The gateway that asked couldn't use the endpoint, which may be gone.
+constexpr milliseconds unusable_time(1000);
+constexpr std::size_t max_known_trials = 4096;
+} // namespace
+
+void trial_schedule::refresh(const trial_request& request, instant now) {
+    auto found = trials_.find(request.key);
+    if (found == trials_.end()) {
+        if (trials_.size() >= max_known_trials)
+            return;
+        trials_[request.key] = {request, now, now, std::nullopt};
+        return;
+    }
+    found->second.refreshed_at = now;
+}
+
+void trial_schedule::end(const trial_key& key, trial_outcome outcome, instant now) {
+    auto found = trials_.find(key);
+    if (found == trials_.end())
+        return;
+    const trial ended = std::move(found->second);
+    trials_.erase(found);
+    if (!ended.endpoint)
+        return;
+    if (outcome == trial_outcome::unused) {
+        holds_.push_back(
+            {fingerprint(), ended.asked.service, *ended.endpoint, now + unusable_time});
+        return;
+    }
+    milliseconds time = late_crash_time;
+    if (outcome == trial_outcome::crashed)
+        time = verdict_time;
+    else if (outcome == trial_outcome::silent)
+        time = hang_time;
+    holds_.push_back({ended.asked.request, ended.asked.service, *ended.endpoint, now + time});
+}
+
+void trial_schedule::expire(instant now) {
+    std::erase_if(holds_, [now](const hold& one) { return now >= one.until; });
+    std::vector<trial_key> lost;
+    for (const std::pair<const trial_key, trial>& one : trials_) {
+        if (now - one.second.refreshed_at > refresh_timeout)
+            lost.push_back(one.first);
+    }
+    // A gateway that is lost may have left the run to itself.
+    for (const trial_key& key : lost)
+        end(key, trial_outcome::completed, now);
+}
+
+bool trial_schedule::is_busy(const fingerprint& request) const {
+    const bool runs = std::any_of(trials_.begin(), trials_.end(), [&request](const auto& one) {
+        return one.second.endpoint && one.second.asked.request == request;
+    });
+    return runs || std::any_of(holds_.begin(), holds_.end(),
+                               [&request](const hold& one) { return one.request == request; });
+}
+
+trial_schedule::endpoint_use trial_schedule::use_of(const service_id& service) const {
+    endpoint_use use;
+    for (const std::pair<const trial_key, trial>& one : trials_) {
+        if (one.second.endpoint && one.second.asked.service == service)
+            use.by_trials.insert(*one.second.endpoint);
+    }
+    use.excluded = use.by_trials;
+    for (const hold& one : holds_) {
+        if (one.service != service)
+            continue;
+        use.excluded.insert(one.endpoint);
+        if (!one.request.empty())
+            use.by_trials.insert(one.endpoint);
+    }
+    return use;
+}
+
+std::vector<trial_grant> trial_schedule::poll(instant now, const choose& choose_endpoint) {
+    expire(now);
+    std::vector<trial*> waiting;
+    for (std::pair<const trial_key, trial>& one : trials_) {
+        if (!one.second.endpoint)
+            waiting.push_back(&one.second);
+    }
+    std::sort(waiting.begin(), waiting.end(),
+              [](const trial* a, const trial* b) { return a->asked_at < b->asked_at; });
+    std::vector<trial_grant> grants;
+    for (trial* one : waiting) {
+        if (is_busy(one->asked.request))
+            continue;
+        const endpoint_use use = use_of(one->asked.service);
+        const choice chosen = choose_endpoint(one->asked, use.excluded);
+        if (!chosen.endpoint || use.by_trials.size() >= chosen.limit)
+            continue;
+        one->endpoint = chosen.endpoint;
+        grants.push_back({one->asked.key, *chosen.endpoint});
+    }
+    return grants;
+}
+
+std::optional<endpoint_id> trial_schedule::granted(const trial_key& key) const {
+    auto found = trials_.find(key);
+    return found == trials_.end() ? std::nullopt : found->second.endpoint;
+}
+
+void trial_schedule::drop(const fingerprint& request) {
+    std::erase_if(trials_, [&request](const auto& one) {
+        return !one.second.endpoint && one.second.asked.request == request;
+    });
+}
+
+} // namespace cassia::policy
--- a/unittests/policy/poison_detector_test.cpp
+++ b/unittests/policy/poison_detector_test.cpp
@@ -141,6 +141,9 @@
     SECTION("after two seconds") {
         model.poison_time = milliseconds(2000);
     }
+    SECTION("half a second after its response") {
+        model.poison_delay = milliseconds(500);
+    }
     SECTION("in a full fleet") {
         model.innocents_per_s = 90;
     }
--- a/unittests/policy/poison_simulation.h
+++ b/unittests/policy/poison_simulation.h
@@ -2,10 +2,12 @@
 #pragma once
 
 #include "cassia/policy/poison_detector.h"
+#include "cassia/policy/trial_schedule.h"
 
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -17,7 +19,6 @@
 struct poison_model {
     int endpoints = 12;
     int slots = 8;
-    int gateways = 8; ///< each runs one suspect at a time, alone at its endpoint
     milliseconds restart{3000};
     double innocents_per_s = 30;
     milliseconds innocent_time{600};
@@ -25,7 +26,8 @@
     int poisons = 0;         ///< different bodies
     double poison_per_s = 6; ///< of each body
     milliseconds poison_time{80};
-    int poison_every = 1; ///< each run of this number crashes
+    int poison_every = 1;         ///< each run of this number crashes
+    milliseconds poison_delay{0}; ///< from the end of a run to its crash
     /// Share of the endpoints that crash together for another reason, and how often.
     double outage_share = 0;
     milliseconds outage_interval{0};
@@ -73,18 +75,20 @@
         instant sent_at{};
         instant ends_at{};
         bool crashes = false;
-        bool alone = false;
         int runs = 1;
+        std::optional<trial_id> trial; ///< of a suspect, which runs alone
     };
     struct waiting_request {
         std::string body;
         instant since{};
         int runs = 1;
+        trial_id trial; ///< of a suspect
     };
     struct endpoint {
         std::uint64_t incarnation = 1;
         instant up_at{};
         std::vector<request_run> runs;
+        std::vector<request_run> ended; ///< that may still crash it
     };
 
     double uniform() { return std::uniform_real_distribution<double>(0, 1)(random_); }
@@ -98,36 +102,92 @@
             quarantined_.insert(body);
             return;
         }
-        std::vector<endpoint*> usable;
-        int alone = 0;
-        for (endpoint& one : endpoints_) {
-            const bool reserved = std::any_of(one.runs.begin(), one.runs.end(),
-                                              [](const request_run& run) { return run.alone; });
-            alone += reserved ? 1 : 0;
-            if (now_ >= one.up_at && !reserved &&
-                one.runs.size() < static_cast<std::size_t>(model_.slots))
-                usable.push_back(&one);
+        if (verdict == request_verdict::suspect) {
+            waiting_suspects_.push_back({body, since, runs, trial_id(++trials_)});
+            return;
         }
-        const bool runs_alone = verdict == request_verdict::suspect;
-        if (usable.empty() || (runs_alone && alone >= model_.gateways)) {
+        const std::vector<std::size_t> usable = usable_endpoints();
+        if (usable.empty()) {
             if (runs <= max_runs)
-                waiting_.push_back({body, since, runs});
+                waiting_.push_back({body, since, runs, trial_id()});
             return;
         }
-        if (body[0] == 'p')
-            count_late_run(body);
-        endpoint* chosen = usable[random_() % usable.size()];
-        if (runs_alone)
-            chosen = *std::min_element(usable.begin(), usable.end(), [](auto* a, auto* b) {
-                return a->runs.size() < b->runs.size();
-            });
+        begin_run(usable[random_() % usable.size()], body, runs, std::nullopt);
+    }
+
+    std::vector<std::size_t> usable_endpoints() const {
+        std::vector<std::size_t> usable;
+        for (std::size_t i = 0; i < endpoints_.size(); ++i) {
+            const endpoint& one = endpoints_[i];
+            const bool reserved = std::any_of(one.runs.begin(), one.runs.end(),
+                                              [](const request_run& run) { return run.trial; });
+            if (now_ >= one.up_at && !reserved &&
+                one.runs.size() < static_cast<std::size_t>(model_.slots))
+                usable.push_back(i);
+        }
+        return usable;
+    }
+
+    void begin_run(std::size_t index, const std::string& body, int runs,
+                   std::optional<trial_id> trial) {
         const bool poison = body[0] == 'p';
+        if (poison)
+            count_late_run(body);
         const bool crashes = poison && ++poison_runs_[body] % model_.poison_every == 0;
         const milliseconds time = poison ? model_.poison_time : model_.innocent_time;
         const auto taken = std::chrono::duration_cast<milliseconds>(time * (0.5 + uniform()));
-        chosen->runs.push_back({body, now_, now_ + taken, crashes, runs_alone, runs});
+        endpoints_[index].runs.push_back({body, now_, now_ + taken, crashes, runs, trial});
     }
 
+    static trial_key key_of(trial_id trial) { return {entry_id("gateway"), trial}; }
+
+    void begin_trials() {
+        const trial_schedule::choose fewest_runs =
+            [this](const trial_request&,
+                   const std::set<endpoint_id>& excluded) -> trial_schedule::choice {
+            std::optional<std::size_t> best;
+            for (const std::size_t index : usable_endpoints()) {
+                if (excluded.count(id_of(index)) == 0 &&
+                    (!best || endpoints_[index].runs.size() < endpoints_[*best].runs.size()))
+                    best = index;
+            }
+            return {best ? std::optional<endpoint_id>(id_of(*best)) : std::nullopt,
+                    max_trials(endpoints_.size())};
+        };
+        std::vector<waiting_request> left;
+        for (const waiting_request& one : std::exchange(waiting_suspects_, {})) {
+            const request_verdict verdict = detector_.judge(fingerprint(one.body), now_);
+            const bool is_over = now_ - one.since >= max_wait || one.runs > max_runs;
+            if (verdict != request_verdict::suspect || is_over) {
+                schedule_.end(key_of(one.trial), trial_outcome::unused, now_);
+                if (!is_over)
+                    send(one.body, one.runs, one.since);
+                continue;
+            }
+            schedule_.refresh({key_of(one.trial), fingerprint(one.body), service_id("llm"), {}},
+                              now_);
+            left.push_back(one);
+        }
+        waiting_suspects_.insert(waiting_suspects_.end(), left.begin(), left.end());
+        for (const endpoint& one : endpoints_) {
+            for (const request_run& run : one.runs) {
+                if (run.trial)
+                    schedule_.refresh({key_of(*run.trial), fingerprint(run.body), {}, {}}, now_);
+            }
+        }
+        for (const trial_grant& grant : schedule_.poll(now_, fewest_runs)) {
+            auto found = std::find_if(
+                waiting_suspects_.begin(), waiting_suspects_.end(),
+                [&grant](const waiting_request& one) { return one.trial == grant.key.id; });
+            const waiting_request granted = *found;
+            waiting_suspects_.erase(found);
+            begin_run(index_of(grant.endpoint), granted.body, granted.runs, granted.trial);
+        }
+    }
+
+    static endpoint_id id_of(std::size_t index) { return endpoint_id("e" + std::to_string(index)); }
+    static std::size_t index_of(const endpoint_id& id) { return std::stoul(id.str().substr(1)); }
+
     void count_late_run(const std::string& body) {
         const std::vector<instant>& crashes = crashes_of_[body];
         if (crashes.size() < 3 || now_ <= crashes[2] + contact_time)
@@ -154,43 +214,72 @@
         if (now_ < one.up_at)
             return;
         crash_report report;
-        report.process = {endpoint_id("e" + std::to_string(index)), one.incarnation};
+        report.process = {id_of(index), one.incarnation};
         report.service = service_id("llm");
         report.endpoints = static_cast<std::uint32_t>(model_.endpoints);
         report.crashed_at =
             now_ + std::chrono::duration_cast<milliseconds>(max_detection_time * uniform());
-        const std::vector<request_run> lost = std::move(one.runs);
-        one.runs.clear();
+        const std::vector<request_run> lost = std::exchange(one.runs, {});
+        const std::vector<request_run> ended = std::exchange(one.ended, {});
         ++one.incarnation;
         one.up_at = now_ + model_.restart;
-        for (const request_run& run : lost)
-            report.runs.push_back({fingerprint(run.body),
-                                   std::chrono::duration_cast<milliseconds>(now_ - run.sent_at)});
+        for (const std::vector<request_run>* runs : {&lost, &ended}) {
+            for (const request_run& run : *runs)
+                report.runs.push_back({fingerprint(run.body),
+                                       std::chrono::duration_cast<milliseconds>(now_ - run.sent_at),
+                                       runs == &ended});
+        }
         reports_.push_back(report);
-        for (const request_run& run : lost)
+        for (const request_run& run : lost) {
+            if (run.trial)
+                schedule_.end(key_of(*run.trial), trial_outcome::crashed, now_);
             send_again(run);
+        }
     }
 
     void end_runs(std::size_t index) {
+        endpoint& one = endpoints_[index];
         std::vector<request_run> ended;
-        std::vector<request_run>& runs = endpoints_[index].runs;
-        const auto middle = std::partition(runs.begin(), runs.end(),
-                                           [this](const auto& run) { return now_ < run.ends_at; });
-        ended.assign(middle, runs.end());
-        for (const request_run& run : ended) {
-            if (!run.crashes)
+        const auto middle =
+            std::partition(one.runs.begin(), one.runs.end(),
+                           [this](const request_run& run) { return now_ < run.ends_at; });
+        ended.assign(middle, one.runs.end());
+        const bool ends_at_once = model_.poison_delay == milliseconds(0);
+        if (!ends_at_once || std::none_of(ended.begin(), ended.end(),
+                                          [](const request_run& run) { return run.crashes; })) {
+            one.runs.erase(middle, one.runs.end());
+            for (const request_run& run : ended)
+                complete(one, run);
+        }
+        const std::vector<request_run>& crashing = ends_at_once ? ended : one.ended;
+        for (const request_run& run : crashing) {
+            if (!run.crashes || now_ < run.ends_at + model_.poison_delay)
                 continue;
             ++result_.crashes;
             crashes_of_[run.body].push_back(now_);
             crash(index);
             return;
         }
-        runs.erase(middle, runs.end());
-        for (const request_run& run : ended) {
-            result_.innocents_served += run.body[0] == 'p' ? 0 : 1;
-            if (detector_.find(fingerprint(run.body)) != nullptr)
+        judge_survived(one);
+    }
+
+    void complete(endpoint& at, const request_run& run) {
+        result_.innocents_served += run.body[0] == 'p' ? 0 : 1;
+        at.ended.push_back(run);
+        if (run.trial)
+            schedule_.end(key_of(*run.trial), trial_outcome::completed, now_);
+    }
+
+    // A run counts as completed once its endpoint has survived it.
+    void judge_survived(endpoint& at) {
+        for (const request_run& run : at.ended) {
+            if (now_ - run.ends_at >= late_crash_time &&
+                detector_.find(fingerprint(run.body)) != nullptr)
                 detector_.record_successes(fingerprint(run.body), 1, now_);
         }
+        std::erase_if(at.ended, [this](const request_run& run) {
+            return now_ - run.ends_at >= late_crash_time;
+        });
     }
 
     void outage() {
@@ -235,6 +324,7 @@
             reports_.erase(reports_.begin());
         }
         detector_.poll(now_);
+        begin_trials();
     }
 
     poison_model model_;
@@ -243,6 +333,9 @@
     std::vector<endpoint> endpoints_;
     std::vector<crash_report> reports_;
     std::vector<waiting_request> waiting_; ///< for a slot
+    std::vector<waiting_request> waiting_suspects_;
+    std::uint64_t trials_ = 0;
+    trial_schedule schedule_;
     std::map<std::string, int> poison_runs_;
     std::map<std::string, std::vector<instant>> crashes_of_;
     std::map<std::string, std::size_t> late_runs_;
