Gateways: one that starts learns what is quarantined before it serves

Cause: a new gateway served as soon as it had routes and asked others for what they know a second later. The class: state that is needed for a decision is fetched beside serving and not before.

A gateway asks each 50 ms until it is answered, others answer even if they know nothing either, and requests wait with those that have no routes yet, half a second at most.

--- a/include/cassia/gateway/crash_monitor.h
+++ b/include/cassia/gateway/crash_monitor.h
@@ -81,6 +81,9 @@
 
     void receive(const schema::poison_news& news);
     void tick();
+    /// Whether this gateway has heard since its start what another one knows, or no other answered
+    /// in time. Until then it doesn't know which requests are quarantined.
+    bool is_synchronized() const;
 
 private:
     static constexpr std::size_t max_crashes = 1024;
@@ -142,6 +145,8 @@
     std::map<fingerprint, std::uint32_t> quarantines_; ///< logged, for each request
     instant next_successes_at_{};
     instant next_digest_at_{};
+    instant started_at_ = monotonic_now();
+    bool synchronized_ = false;
     std::mt19937_64 random_;
 };
 
--- a/lib/gateway/crash_monitor.cpp
+++ b/lib/gateway/crash_monitor.cpp
@@ -20,6 +20,8 @@
 constexpr milliseconds replacement_wait(5000);
 constexpr milliseconds crash_retention(10000);
 constexpr milliseconds digest_interval(1000);
+constexpr milliseconds first_digest_interval(50);
+constexpr milliseconds synchronization_timeout(500);
 constexpr std::size_t max_recent_runs = 4096;
 // An endpoint that a run hangs may end only after this time.
 constexpr milliseconds silent_run_time(10000);
@@ -51,6 +53,8 @@
 
 void crash_monitor::set_gateways(const std::vector<policy::fleet_gateway>& others) {
     topology_.set_gateways(others);
+    if (!synchronized_)
+        next_digest_at_ = instant();
 }
 
 void crash_monitor::set_endpoints(const std::vector<policy::slot_endpoint>& endpoints) {
@@ -302,11 +306,15 @@
     for (const policy::poison_record& record : findings.changed)
         note_verdict(record);
     if (now >= next_digest_at_) {
-        next_digest_at_ = now + digest_interval;
+        next_digest_at_ = now + (synchronized_ ? digest_interval : first_digest_interval);
         send_digest();
     }
 }
 
+bool crash_monitor::is_synchronized() const {
+    return synchronized_ || monotonic_now() - started_at_ >= synchronization_timeout;
+}
+
 policy::request_verdict crash_monitor::judge(const fingerprint& request) const {
     return detector_.judge(request, monotonic_now());
 }
--- a/lib/gateway/crash_monitor_messages.cpp
+++ b/lib/gateway/crash_monitor_messages.cpp
@@ -144,7 +144,8 @@
     }
     if (topology_.is_relay())
         publish(fresh, from);
-    if (!news.has_digest() || news.digest() == detector_.digest())
+    synchronized_ = synchronized_ || news.answers();
+    if (!news.has_digest() || (news.digest() == detector_.digest() && !news.is_new()))
         return;
     schema::poison_news answer;
     for (const policy::poison_record& record : detector_.published(max_records_sent))
@@ -161,6 +162,7 @@
     std::shuffle(receivers.begin(), receivers.end(), random_);
     receivers.resize(std::min(receivers.size(), digest_receivers));
     schema::poison_news news;
+    news.set_is_new(!synchronized_);
     news.set_has_digest(true);
     news.set_digest(detector_.digest());
     for (const entry_id& receiver : receivers)
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -236,7 +236,7 @@
 }
 
 void service::admit(exchange_id id, net::raw_request request, instant arrived_at) {
-    if (!routes_) {
+    if (!routes_ || !crashes_->is_synchronized()) {
         defer(id, std::move(request), arrived_at);
         return;
     }
@@ -352,6 +352,7 @@
 void service::tick() {
     const instant now = monotonic_now();
     crashes_->tick();
+    resume_deferred();
     reject_expired(now);
     cluster_->quota().flush();
     trials_->tick();
--- a/lib/gateway/service_deferral.cpp
+++ b/lib/gateway/service_deferral.cpp
@@ -15,8 +15,9 @@
 constexpr int status_unavailable = 503;
 } // namespace
 
-// Without a routing table a request can't be matched. It is kept until there is a table or it
-// expires, and is then rejected without having run.
+// Without a routing table a request can't be matched, and one that others know to crash endpoints
+// must not run. It is kept until both are known or it expires, and is then rejected without having
+// run.
 void service::defer(exchange_id id, net::raw_request request, instant arrived_at) {
     const milliseconds remaining =
         net::read_milliseconds(request.fields.find(names_.deadline)).value_or(default_deadline);
@@ -27,12 +28,14 @@
         arrived_at + policy::route_table_wait(remaining, retry_after.has_value());
     log_info("request_kept")
         .with("request", request.fields.find(names_.request_id))
-        .with("cause", "no_routes")
+        .with("cause", routes_ ? "no_verdicts" : "no_routes")
         .with("left_ms", remaining.count());
     deferred_[id] = {std::move(request), arrived_at, expires_at, retry_after};
 }
 
 void service::resume_deferred() {
+    if (deferred_.empty() || !routes_ || !crashes_->is_synchronized())
+        return;
     std::map<exchange_id, deferred_request> requests = std::move(deferred_);
     deferred_.clear();
     for (std::pair<const exchange_id, deferred_request>& deferred : requests)
