Gateways: a run that ends at a hung endpoint in any way is kept as one that may hang it

Only a run that was given up for inactivity was known as silent; the last attempt isn't, it ends with its deadline or its caller, and then counted as a run that its endpoint had survived. Now each end of a run asks whether its endpoint has sent anything for 0.3 s.

--- a/include/cassia/gateway/crash_monitor.h
+++ b/include/cassia/gateway/crash_monitor.h
@@ -28,6 +28,9 @@
 
 namespace cassia::gateway {
 
+/// An endpoint that sent nothing for this time may hang.
+inline constexpr milliseconds silence_time(300);
+
 /// A run that has ended, in whatever way.
 struct ended_run {
     std::string request_id;
--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -103,8 +103,8 @@
     void stop(online_call& call);
     static ended_run run_of(online_call& call);
     void record_complete_run(online_call& call);
-    /// Gives the attempt up as its endpoint is silent.
-    void cancel_silent_attempt(online_call& call);
+    /// Whether the endpoint may run the attempt and has sent nothing for some time.
+    bool is_silent(const online_call& call) const;
     /// Ends the call without another attempt.
     void fail_attempt(online_call& call, const std::string& cause);
     void send(online_call& call, const policy::placement& placement);
--- a/lib/gateway/dispatch_suspects.cpp
+++ b/lib/gateway/dispatch_suspects.cpp
@@ -41,12 +41,9 @@
     crashes_.record_ended_run(run_of(call), true);
 }
 
-void dispatcher::cancel_silent_attempt(online_call& call) {
-    if (client_.was_sent(call.upstream_call) && !call.not_run)
-        crashes_.record_silent_run(run_of(call));
-    if (call.trial)
-        trials_.end(*std::exchange(call.trial, std::nullopt), policy::trial_outcome::silent);
-    cancel_attempt(call);
+bool dispatcher::is_silent(const online_call& call) const {
+    return client_.was_sent(call.upstream_call) && !call.not_run &&
+           monotonic_now() - call.last_progress_at >= silence_time;
 }
 
 std::optional<policy::placement> dispatcher::find_trial_endpoint(online_call& call, instant now) {
@@ -57,7 +54,7 @@
         return std::nullopt;
     const trial_exchange::state state = trials_.find(*call.trial);
     if (state.endpoint) {
-        const std::optional<policy::placement> found =
+        std::optional<policy::placement> found =
             slots_.place_at(call.service, *state.endpoint, now, version);
         if (!found)
             end_trial(call);
@@ -65,7 +62,7 @@
     }
     if (state.is_scheduled || running_alone_.count(call.service) > 0)
         return std::nullopt;
-    const std::optional<policy::placement> found =
+    std::optional<policy::placement> found =
         slots_.place_alone(call.service, call.failed_endpoints, now, version);
     if (found)
         running_alone_[call.service] = call.id;
@@ -79,7 +76,8 @@
     if (call.connection_broke)
         outcome = policy::trial_outcome::crashed;
     else if (call.upstream_call != call_id() && !call.not_run)
-        outcome = policy::trial_outcome::completed;
+        outcome =
+            is_silent(call) ? policy::trial_outcome::silent : policy::trial_outcome::completed;
     trials_.end(*call.trial, outcome);
     call.trial.reset();
 }
--- a/lib/gateway/dispatch_timeouts.cpp
+++ b/lib/gateway/dispatch_timeouts.cpp
@@ -67,7 +67,6 @@
     if (now - call.last_progress_at < inactivity_timeout(call))
         return;
     eject_endpoint(call, now);
-    cancel_silent_attempt(call);
     retry_or_fail(call, "endpoint_silent");
 }
 
@@ -94,7 +93,6 @@
     if (!placement) {
         if (now - call.last_progress_at >= inactivity_timeout(call)) {
             eject_endpoint(call, now);
-            cancel_silent_attempt(call);
             retry_or_fail(call, "endpoint_silent");
         }
         return;
@@ -108,7 +106,7 @@
         .with("silent_ms",
               std::chrono::duration_cast<milliseconds>(now - call.last_progress_at).count())
         .with("suspended_ms", ejection_time.count());
-    cancel_silent_attempt(call);
+    cancel_attempt(call);
     call.failed_endpoints.insert(call.endpoint);
     send(call, *placement);
 }
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -206,7 +206,9 @@
 }
 
 void dispatcher::cancel_attempt(online_call& call) {
-    if (client_.was_sent(call.upstream_call) && !call.not_run)
+    if (is_silent(call))
+        crashes_.record_silent_run(run_of(call));
+    else if (client_.was_sent(call.upstream_call) && !call.not_run)
         crashes_.record_ended_run(run_of(call), false);
     release_reserved_slots(call);
     client_.cancel(call.upstream_call);
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -241,7 +241,9 @@
     end_trial(item);
     if (item.upstream_call == call_id())
         return;
-    if (client_.was_sent(item.upstream_call) && !item.not_run)
+    if (is_silent(item))
+        crashes_.record_silent_run(run_of(item));
+    else if (client_.was_sent(item.upstream_call) && !item.not_run)
         crashes_.record_ended_run(run_of(item), false);
     client_.cancel(item.upstream_call);
     item.upstream_call = call_id();
@@ -351,10 +353,6 @@
             continue;
         item.failed_endpoints.insert(item.endpoint);
         slots_.record_failure(item.endpoint, now);
-        if (client_.was_sent(item.upstream_call) && !item.not_run)
-            crashes_.record_silent_run(run_of(item));
-        if (item.trial)
-            trials_.end(*std::exchange(item.trial, std::nullopt), policy::trial_outcome::silent);
         requeue(item, milliseconds(0), "endpoint_silent");
     }
 }
--- a/lib/gateway/item_suspects.cpp
+++ b/lib/gateway/item_suspects.cpp
@@ -45,6 +45,11 @@
     crashes_.record_ended_run(run_of(item), true);
 }
 
+bool item_runner::is_silent(const held_item& item) const {
+    return client_.was_sent(item.upstream_call) && !item.not_run &&
+           monotonic_now() - item.last_progress_at >= silence_time;
+}
+
 void item_runner::end_trial(held_item& item) {
     if (!item.trial)
         return;
@@ -52,7 +57,8 @@
     if (item.connection_broke)
         outcome = policy::trial_outcome::crashed;
     else if (item.upstream_call != call_id() && !item.not_run)
-        outcome = policy::trial_outcome::completed;
+        outcome =
+            is_silent(item) ? policy::trial_outcome::silent : policy::trial_outcome::completed;
     trials_.end(*item.trial, outcome);
     item.trial.reset();
 }
@@ -65,7 +71,7 @@
         return std::nullopt;
     const trial_exchange::state state = trials_.find(*item.trial);
     if (state.endpoint) {
-        const std::optional<policy::placement> found =
+        std::optional<policy::placement> found =
             slots_.place_at(item.service, *state.endpoint, now, version);
         if (!found)
             end_trial(item);
