--- a/lib/gateway/crash_monitor.cpp
+++ b/lib/gateway/crash_monitor.cpp
@@ -214,6 +214,8 @@
     crash.state = crash_state::confirmed;
     add_recent_runs(process, crash);
     unpublished_crashes_.push_back(process);
+    if (crash.unreported.empty() && crash.unreported_complete.empty())
+        return;
     metrics_.count("endpoint_crashes");
     std::string requests;
     std::size_t logged = 0;
