Gateways: a suspect that was never sent doesn't hold its endpoint

A connection that couldn't be made ended the run of a suspect as one that its endpoint had survived, and kept the request and the endpoint from further runs for a second. Found in reading the diff; also unused code of the schedule removed. unit_poison_spread and unit_policy pass.

--- a/include/cassia/policy/trial_schedule.h
+++ b/include/cassia/policy/trial_schedule.h
@@ -71,8 +71,6 @@
     std::vector<trial_grant> poll(instant now, const choose& choose_endpoint);
     /// The endpoint granted to a run; nothing while it waits.
     std::optional<endpoint_id> granted(const trial_key& key) const;
-    /// A request was quarantined: its runs no longer wait.
-    void drop(const fingerprint& request);
     std::size_t size() const { return trials_.size(); }
 
 private:
--- a/lib/gateway/dispatch_responses.cpp
+++ b/lib/gateway/dispatch_responses.cpp
@@ -201,6 +201,7 @@
     const bool stale_connection = failure.kept && !failure.answered;
     if (!call.not_run && !stale_connection)
         eject_endpoint(call, monotonic_now());
+    call.not_run = not_run;
     if (not_run)
         retry_not_run(call, failure.cause.text);
     else if (judge(call) == policy::request_verdict::suspect)
--- a/lib/gateway/item_responses.cpp
+++ b/lib/gateway/item_responses.cpp
@@ -111,7 +111,8 @@
     if (found == items_.end())
         return;
     held_item& item = *found->second;
-    item.connection_broke = failure.sent && !item.not_run;
+    item.not_run = item.not_run || !failure.sent;
+    item.connection_broke = !item.not_run;
     if (item.connection_broke)
         crashes_.record_broken_run(run_of(item));
     item.failed_endpoints.insert(item.endpoint);
--- a/lib/policy/trial_schedule.cpp
+++ b/lib/policy/trial_schedule.cpp
@@ -114,10 +114,4 @@
     return found == trials_.end() ? std::nullopt : found->second.endpoint;
 }
 
-void trial_schedule::drop(const fingerprint& request) {
-    std::erase_if(trials_, [&request](const auto& one) {
-        return !one.second.endpoint && one.second.asked.request == request;
-    });
-}
-
 } // namespace cassia::policy
