Gateways: only relays pass on what they are told of a crash

In a fleet of up to 21 each gateway told all others again what each had told it: some 400 messages for a crash instead of 20. Found in reading the diff; as with records, a gateway that found out itself tells its neighbours, and relays pass it on.

--- a/include/cassia/gateway/crash_monitor.h
+++ b/include/cassia/gateway/crash_monitor.h
@@ -114,7 +114,10 @@
     void expire_runs(instant now);
     /// Begins to find out whether the endpoint has crashed.
     suspected_crash& suspect(const ended_run& run, instant broken_at);
+    /// The endpoint has crashed, as this gateway found out.
     void confirm(const policy::endpoint_process& process, const std::string& evidence);
+    /// Gathers what ran at an endpoint that has crashed, to be reported.
+    void collect_runs(const policy::endpoint_process& process, const std::string& evidence);
     void receive_crash(const schema::crashed_endpoint& news, instant now);
     /// Tells other gateways, which may know of further runs there.
     void publish_crashes(instant now);
--- a/lib/gateway/crash_monitor.cpp
+++ b/lib/gateway/crash_monitor.cpp
@@ -210,10 +210,15 @@
 }
 
 void crash_monitor::confirm(const policy::endpoint_process& process, const std::string& evidence) {
+    collect_runs(process, evidence);
+    unpublished_crashes_.push_back(process);
+}
+
+void crash_monitor::collect_runs(const policy::endpoint_process& process,
+                                 const std::string& evidence) {
     suspected_crash& crash = crashes_.at(process);
     crash.state = crash_state::confirmed;
     add_recent_runs(process, crash);
-    unpublished_crashes_.push_back(process);
     if (crash.unreported.empty() && crash.unreported_complete.empty())
         return;
     metrics_.count("endpoint_crashes");
--- a/lib/gateway/crash_monitor_messages.cpp
+++ b/lib/gateway/crash_monitor_messages.cpp
@@ -30,7 +30,9 @@
     } else if (known->second.state == crash_state::confirmed) {
         return;
     }
-    confirm(process, "reported");
+    collect_runs(process, "reported");
+    if (topology_.is_relay())
+        unpublished_crashes_.push_back(process);
 }
 
 void crash_monitor::publish_crashes(instant now) {
