Platform runs: endpoints that ended or were disturbed are left out only while a request runs

The count of requests on more endpoints than their route allows left out each endpoint that was ever disturbed in a run, and each process that ever crashed; the rule leaves out those that end or are cut off meanwhile.

--- a/test/runner/platform.lua
+++ b/test/runner/platform.lua
@@ -268,13 +268,15 @@
   return records
 end
 
--- Requests that ran at more endpoints than allowed, not counting those that ended or were disturbed.
-local function count_too_many_endpoints(records, crashed)
+-- Requests that ran at more endpoints than allowed, not counting those that ended or were disturbed
+-- from the run on until the request's deadline.
+local function count_too_many_endpoints(records, crashed_at)
   local ran, count = {}, 0
   for _, one in ipairs(records) do
     local request = sent[one.request]
-    if one.event == "run" and request and not crashed[one.process] and
-        not disturbed(one.endpoint, math.maxinteger, math.maxinteger) then
+    local deadline = request and request.at + request.deadline
+    if one.event == "run" and request and (crashed_at[one.process] or math.huge) > deadline and
+        not disturbed(one.endpoint, deadline, deadline - one.time) then
       ran[one.request] = ran[one.request] or { count = 0 }
       local list = ran[one.request]
       if not list[one.process] then
@@ -375,11 +377,11 @@
 
 -- Counts each rule on repetitions, and prints the counts.
 function count_budget(title, since)
-  local records, crashed = read_records(), {}
+  local records, crashed_at = read_records(), {}
   for _, one in ipairs(records) do
-    if one.event == "crash" then crashed[one.process] = true end
+    if one.event == "crash" then crashed_at[one.process] = one.time end
   end
-  local counts = { endpoints = count_too_many_endpoints(records, crashed),
+  local counts = { endpoints = count_too_many_endpoints(records, crashed_at),
     time = count_too_much_time(records), crashes = count_late_runs(records),
     items = count_failed_items(records, 3), others = count_innocents(since) }
   print(string.format("%s: ends %d, late runs %d (%d of one); more endpoints than allowed %d; " ..
