Gateways: no copy of an endpoint's id for each event, and a suspect without a coordinator finds an endpoint

Found in reading the diff: each piece of each stream copied the endpoint's id to ask whether a hang was suspected there; now nothing is done while none is. A suspect whose coordinators don't answer waited if all endpoints had rejected it, where it was tried again before. Names and comments: a limit whose name said the opposite of what it does, and words that aren't the field's.

--- a/include/cassia/gateway/crash_monitor.h
+++ b/include/cassia/gateway/crash_monitor.h
@@ -69,7 +69,10 @@
     /// The run was given up as its endpoint was silent, which may mean that the run hangs it.
     void record_silent_run(const ended_run& run);
     /// Something was received from the endpoint.
-    void record_received(const policy::endpoint_process& process);
+    void record_received(const endpoint_id& endpoint, std::uint64_t incarnation) {
+        if (!silent_runs_.empty())
+            silent_runs_.erase({endpoint, incarnation});
+    }
     bool has_crashed(const policy::endpoint_process& process) const;
     /// Gateways that judge requests, the preferred one first.
     const std::vector<entry_id>& coordinators() const { return topology_.coordinators(); }
@@ -84,8 +87,8 @@
 
     void receive(const schema::poison_news& news);
     void tick();
-    /// Whether this gateway has heard since its start what another one knows, or no other answered
-    /// in time. Until then it doesn't know which requests are quarantined.
+    /// Whether this gateway has received another one's records since its start, or none was
+    /// received in time. Until then it doesn't know which requests are quarantined.
     bool is_synchronized() const;
 
 private:
@@ -119,7 +122,7 @@
     /// Gathers what ran at an endpoint that has crashed, to be reported.
     void collect_runs(const policy::endpoint_process& process, const std::string& evidence);
     void receive_crash(const schema::crashed_endpoint& news, instant now);
-    /// Tells other gateways, which may know of further runs there.
+    /// Reports crashes to other gateways, which may know of further runs there.
     void publish_crashes(instant now);
     void check_probes(instant now);
     void report_crashes(instant now);
--- a/include/cassia/policy/trial_schedule.h
+++ b/include/cassia/policy/trial_schedule.h
@@ -63,8 +63,8 @@
     };
     using choose = std::function<choice(const trial_request&, const std::set<endpoint_id>&)>;
 
-    /// Asks for a run, or says that it still waits or runs. One that isn't heard of for a time is
-    /// forgotten.
+    /// Asks for a run, or reports that it still waits or runs. One that isn't refreshed in time is
+    /// dropped.
     void refresh(const trial_request& request, instant now);
     void end(const trial_key& key, trial_outcome outcome, instant now);
     /// Grants the runs that may begin now, those that wait longest first.
--- a/lib/gateway/crash_monitor.cpp
+++ b/lib/gateway/crash_monitor.cpp
@@ -143,11 +143,6 @@
         runs.push_back({monotonic_now(), run, false});
 }
 
-void crash_monitor::record_received(const policy::endpoint_process& process) {
-    if (!silent_runs_.empty())
-        silent_runs_.erase(process);
-}
-
 void crash_monitor::add_recent_runs(const policy::endpoint_process& process,
                                     suspected_crash& crash) {
     for (const recent_run& recent : recent_runs_) {
--- a/lib/gateway/dispatch_responses.cpp
+++ b/lib/gateway/dispatch_responses.cpp
@@ -30,7 +30,7 @@
         return;
     online_call& call = *found->second;
     call.last_progress_at = monotonic_now();
-    crashes_.record_received({call.endpoint, call.incarnation});
+    crashes_.record_received(call.endpoint, call.incarnation);
     const bool not_run = head.fields.has(names_.not_run) || head.status == status_misdirected;
     if (not_run) {
         call.not_run = true;
@@ -66,7 +66,7 @@
         return;
     online_call& call = *found->second;
     call.last_progress_at = monotonic_now();
-    crashes_.record_received({call.endpoint, call.incarnation});
+    crashes_.record_received(call.endpoint, call.incarnation);
     slots_.record_progress(call.endpoint);
     if (call.first_byte_at < call.sent_at)
         call.first_byte_at = call.last_progress_at;
--- a/lib/gateway/dispatch_suspects.cpp
+++ b/lib/gateway/dispatch_suspects.cpp
@@ -64,6 +64,8 @@
         return std::nullopt;
     std::optional<policy::placement> found =
         slots_.place_alone(call.service, call.failed_endpoints, now, version);
+    if (!found && !call.failed_endpoints.empty())
+        found = slots_.place_alone(call.service, {}, now, version);
     if (found)
         running_alone_[call.service] = call.id;
     return found;
--- a/lib/gateway/item_responses.cpp
+++ b/lib/gateway/item_responses.cpp
@@ -28,7 +28,7 @@
         return;
     held_item& item = *found->second;
     item.last_progress_at = monotonic_now();
-    crashes_.record_received({item.endpoint, item.incarnation});
+    crashes_.record_received(item.endpoint, item.incarnation);
     item.not_run = head.fields.has(names_.not_run) || head.status == status_misdirected;
     item.status = head.status;
     if (item.not_run) {
@@ -51,7 +51,7 @@
         return;
     held_item& item = *found->second;
     item.last_progress_at = monotonic_now();
-    crashes_.record_received({item.endpoint, item.incarnation});
+    crashes_.record_received(item.endpoint, item.incarnation);
     if (item.not_run || item.status != status_ok)
         return;
     if (!append_events(item, bytes)) {
--- a/lib/policy/poison_detector.cpp
+++ b/lib/policy/poison_detector.cpp
@@ -18,8 +18,8 @@
 // them apart. So a request that ran at two crashes is suspected from here on.
 const double repeated_suspect_log_odds = -2.5;
 constexpr std::uint32_t repeated_crashes = 2;
-// One that ran at so many is, even if known poison ran beside it each time.
-constexpr std::uint32_t max_explained_crashes = 3;
+// One that ran at so many is suspected whatever its odds.
+constexpr std::uint32_t sufficient_crashes = 3;
 // From here on all gateways know of a request, so that runs which are completed speak for it.
 const double watch_log_odds = -3;
 const double quarantine_log_odds = std::log(400);
@@ -56,7 +56,7 @@
 }
 
 static bool is_suspicious(const poison_record& record) {
-    return record.log_odds >= suspect_log_odds || record.crashes >= max_explained_crashes ||
+    return record.log_odds >= suspect_log_odds || record.crashes >= sufficient_crashes ||
            (record.crashes >= repeated_crashes && record.log_odds >= repeated_suspect_log_odds);
 }
 
