Gateways and work leaders: log why items that are held or open don't run

No line told whether an unlisted item wasn't leased, was leased and not known to its holder, or was held and waited, and for what, so that the hypotheses on the item left lying could not be told apart.

item_waits names item, cause (retry, slot, version, trial, quarantine) and time, after a second in one state and then each 5 s; the metrics items_waiting_CAUSE count them. items_unfinished, each 5 s at the group's leader, has the numbers of unleased and leased items and the oldest job. Bounded: a gateway holds batch_window items at most, a leader writes one line in 5 s.

--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -27,6 +27,8 @@
 
 namespace cassia::gateway {
 
+enum class item_wait;
+
 struct item_runner_hooks {
     using lease_done = std::function<void(const std::vector<schema::leased_item>&)>;
     using report_done = std::function<void(bool durable)>;
@@ -113,6 +115,9 @@
     void finish(const item_key& key, schema::item_status status, bool failed_run,
                 const std::string& cause);
     void check_inactivity(instant now);
+    static void set_wait(held_item& item, item_wait wait);
+    /// Logs items that have waited in one way for long, and counts all that wait.
+    void report_waits(instant now);
     void save_progress(instant now);
     void send_reports();
     const schema::route* find_route(const held_item& item) const;
--- a/include/cassia/keeper/work_leader.h
+++ b/include/cassia/keeper/work_leader.h
@@ -88,6 +88,8 @@
     std::vector<policy::job_candidate> find_candidates(const std::string& service) const;
     void respond_to_settled_cancels(instant now);
     void release_lost_holders(instant now);
+    /// Logs how many items of this group aren't finished, by what is known of them here.
+    void log_unfinished(instant now, wall_time wall);
 
     const state::work_state& state_;
     milliseconds holder_timeout_;
@@ -105,6 +107,7 @@
     std::set<std::string> holders_being_released_;
     std::map<state::item_key, instant> leased_at_; ///< when each lease was applied or first seen
     instant next_expiry_check_{};
+    instant next_unfinished_log_{};
 };
 
 } // namespace cassia::keeper
--- a/lib/gateway/held_item.h
+++ b/lib/gateway/held_item.h
@@ -18,6 +18,16 @@
     return item.host().empty() ? item.team() : item.host();
 }
 
+/// Why an item that is held doesn't run.
+enum class item_wait {
+    none,       ///< it runs, or hasn't been looked at yet
+    retry,      ///< after a run that failed or was rejected
+    slot,       ///< no endpoint of its service has a free slot
+    version,    ///< no endpoint of the version that wrote its events has a free slot
+    trial,      ///< a suspect, until it may run alone
+    quarantine, ///< until it may be tried again
+};
+
 struct item_runner::held_item {
     schema::leased_item leased;
     call_id upstream_call; ///< the request to the endpoint; none while the item is not running
@@ -47,6 +57,9 @@
     std::string text;            ///< data of all complete events, joined by line feeds
     policy::software written_by; ///< of the endpoints that wrote `text`
     instant waits_for_version_since{};
+    item_wait wait = item_wait::none;
+    instant waits_since{};
+    instant wait_logged_at{};
 };
 
 } // namespace cassia::gateway
--- /dev/null
+++ b/lib/gateway/item_leases.cpp
@@ -0,0 +1,180 @@
+// How items are leased from the keepers, and what is reported to them.
+
+#include "cassia/base/log.h"
+#include "cassia/gateway/item_runner.h"
+#include "held_item.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassia::gateway {
+
+namespace {
+// Limit of items that wait for a slot at this gateway. It is low because other gateways can lease
+// only the items that are still with the keepers.
+constexpr std::uint32_t max_ready_items = 2;
+constexpr milliseconds lease_interval(100);
+// Interval at which the progress of running items is saved. If the gateway crashes, what came after
+// is run again.
+constexpr milliseconds progress_interval(2000);
+// Interval after a reply without items; longer, because each request costs the leader time.
+constexpr milliseconds lease_interval_idle(300);
+} // namespace
+
+// Requests a few items at a time: all gateways see the same free slots, and together they would
+// lease many times as many items as there are slots.
+void item_runner::request_leases(instant now) {
+    if (shutting_down_ || lease_in_flight_ || !routes_ || now < next_lease_at_ ||
+        items_.size() >= max_items_)
+        return;
+    const std::size_t ready_items = ready(now);
+    if (ready_items >= max_ready_items)
+        return;
+    for (const schema::route* route : routes_->of_kind(schema::route::batch)) {
+        const service_id service(route->targets(0).service());
+        const std::uint32_t room = slots_.batch_capacity(service, now);
+        if (room == 0)
+            continue;
+        const std::uint32_t limit =
+            std::min(room, max_ready_items - static_cast<std::uint32_t>(ready_items));
+        lease_in_flight_ = true;
+        hooks_.lease(route->name(), limit, [this](const std::vector<schema::leased_item>& items) {
+            lease_in_flight_ = false;
+            next_lease_at_ =
+                monotonic_now() + (items.empty() ? lease_interval_idle : milliseconds(0));
+            for (const schema::leased_item& item : items)
+                add(item);
+            start_ready_items(monotonic_now());
+        });
+    }
+    if (!lease_in_flight_)
+        next_lease_at_ = now + lease_interval;
+}
+
+void item_runner::add(const schema::leased_item& leased) {
+    const item_key key{job_id(leased.job()), leased.ordinal()};
+    auto found = items_.find(key);
+    if (found != items_.end()) {
+        // The item was leased to this gateway again while it was still held under an earlier lease.
+        // The keepers ignore reports of the earlier attempt.
+        stop(*found->second);
+        items_.erase(found);
+    }
+    std::unique_ptr<held_item> item = std::make_unique<held_item>();
+    item->leased = leased;
+    item->text = leased.progress();
+    item->last_event = leased.events();
+    item->saved_event = leased.events();
+    item->saved_at = monotonic_now();
+    log_info("item_leased")
+        .with("item", leased.item().custom_id())
+        .with("job", leased.job())
+        .with("attempt", leased.attempt())
+        .with("behind_event", leased.events())
+        .with("version", leased.written_by().version());
+    item->written_by = {service_id(leased.written_by().service()),
+                        software_version(leased.written_by().version())};
+    items_[key] = std::move(item);
+}
+
+void item_runner::cancel_jobs(const std::set<job_id>& jobs) {
+    std::vector<item_key> keys;
+    for (const std::pair<const item_key, std::unique_ptr<held_item>>& keyed_item : items_) {
+        if (jobs.count(keyed_item.first.first) > 0)
+            keys.push_back(keyed_item.first);
+    }
+    for (const item_key& key : keys) {
+        items_.at(key)->last_event = 0; // no resume follows, so the partial text is not reported
+        finish(key, schema::pending, false, "job_ended");
+    }
+    send_reports();
+}
+
+// Nothing is reported: the gateway that has the lease now will do so.
+void item_runner::drop_stale(const schema::stale_items& stale) {
+    for (const schema::held_job& job : stale.jobs()) {
+        for (int i = 0; i < job.ordinals_size(); ++i) {
+            auto found = items_.find({job_id(job.job()), job.ordinals(i)});
+            // The item was leased to this gateway again after it sent the list of items held.
+            if (found == items_.end() || found->second->leased.attempt() != job.attempts(i))
+                continue;
+            stop(*found->second);
+            log_info("item_dropped")
+                .with("item", found->second->leased.item().custom_id())
+                .with("job", job.job())
+                .with("attempt", job.attempts(i))
+                .with("cause", "lease_lost");
+            metrics_.count("items_dropped");
+            items_.erase(found);
+        }
+    }
+}
+
+void item_runner::shut_down() {
+    shutting_down_ = true;
+    std::vector<item_key> keys;
+    for (const std::pair<const item_key, std::unique_ptr<held_item>>& keyed_item : items_)
+        keys.push_back(keyed_item.first);
+    for (const item_key& key : keys)
+        finish(key, schema::pending, false, "leaving");
+    send_reports();
+}
+
+schema::held_items item_runner::held() const {
+    schema::held_items result;
+    const auto add_item = [&result](const std::string& job, std::uint32_t ordinal,
+                                    std::uint32_t attempt) {
+        const bool is_last_job =
+            result.jobs_size() > 0 && result.jobs(result.jobs_size() - 1).job() == job;
+        schema::held_job* held =
+            is_last_job ? result.mutable_jobs(result.jobs_size() - 1) : result.add_jobs();
+        held->set_job(job);
+        held->add_ordinals(ordinal);
+        held->add_attempts(attempt);
+    };
+    for (const std::pair<const item_key, std::unique_ptr<held_item>>& keyed_item : items_)
+        add_item(keyed_item.first.first.str(), keyed_item.first.second,
+                 keyed_item.second->leased.attempt());
+    for (const schema::item_end& ended : unsent_ends_.ends())
+        add_item(ended.job(), ended.ordinal(), ended.attempt());
+    for (const schema::item_end& ended : ends_in_flight_.ends())
+        add_item(ended.job(), ended.ordinal(), ended.attempt());
+    return result;
+}
+
+// Each save sends the whole text so far. The interval is long enough that an item's text is sent
+// about twice in total.
+void item_runner::save_progress(instant now) {
+    for (const std::pair<const item_key, std::unique_ptr<held_item>>& keyed_item : items_) {
+        held_item& item = *keyed_item.second;
+        if (item.last_event == item.saved_event || now - item.saved_at < progress_interval)
+            continue;
+        item.saved_event = item.last_event;
+        item.saved_at = now;
+        schema::item_end* progress = unsent_ends_.add_ends();
+        progress->set_job(keyed_item.first.first.str());
+        progress->set_ordinal(keyed_item.first.second);
+        progress->set_attempt(item.leased.attempt());
+        progress->set_status(schema::leased);
+        progress->set_body(item.text);
+        progress->set_events(item.last_event);
+        write_software(item, *progress);
+    }
+}
+
+// Sends one report at a time; items that end meanwhile go into the next one.
+void item_runner::send_reports() {
+    if (report_in_flight_ || (unsent_ends_.ends_size() == 0 && ends_in_flight_.ends_size() == 0))
+        return;
+    ends_in_flight_.MergeFrom(unsent_ends_);
+    unsent_ends_.Clear();
+    report_in_flight_ = true;
+    hooks_.report(ends_in_flight_, [this](bool durable) {
+        report_in_flight_ = false;
+        if (durable)
+            ends_in_flight_.Clear();
+        send_reports();
+    });
+}
+
+} // namespace cassia::gateway
--- /dev/null
+++ b/lib/gateway/item_waits.cpp
@@ -0,0 +1,69 @@
+// Items that are held and don't run: why, and for how long.
+
+#include "cassia/base/log.h"
+#include "cassia/gateway/item_runner.h"
+#include "held_item.h"
+
+#include <map>
+#include <string>
+
+namespace cassia::gateway {
+
+namespace {
+constexpr milliseconds long_wait(1000);
+constexpr milliseconds wait_log_interval(5000);
+} // namespace
+
+static const char* name_of(item_wait wait) {
+    switch (wait) {
+    case item_wait::none:
+        return "none";
+    case item_wait::retry:
+        return "retry";
+    case item_wait::slot:
+        return "slot";
+    case item_wait::version:
+        return "version";
+    case item_wait::trial:
+        return "trial";
+    case item_wait::quarantine:
+        return "quarantine";
+    }
+    return "unknown";
+}
+
+void item_runner::set_wait(held_item& item, item_wait wait) {
+    if (item.wait == wait)
+        return;
+    item.wait = wait;
+    item.waits_since = monotonic_now();
+    item.wait_logged_at = instant();
+}
+
+void item_runner::report_waits(instant now) {
+    std::map<item_wait, std::size_t> counts;
+    for (const std::pair<const item_key, std::unique_ptr<held_item>>& keyed_item : items_) {
+        held_item& item = *keyed_item.second;
+        if (item.wait == item_wait::none)
+            continue;
+        ++counts[item.wait];
+        const bool is_due =
+            now - item.waits_since >= long_wait && now - item.wait_logged_at >= wait_log_interval;
+        if (!is_due)
+            continue;
+        item.wait_logged_at = now;
+        log_info("item_waits")
+            .with("item", item.leased.item().custom_id())
+            .with("job", item.leased.job())
+            .with("cause", name_of(item.wait))
+            .with("service", item.service.str())
+            .with("behind_event", item.last_event)
+            .with("waited_ms",
+                  std::chrono::duration_cast<milliseconds>(now - item.waits_since).count());
+    }
+    for (const item_wait wait : {item_wait::retry, item_wait::slot, item_wait::version,
+                                 item_wait::trial, item_wait::quarantine})
+        metrics_.set(std::string("items_waiting_") + name_of(wait), counts[wait]);
+}
+
+} // namespace cassia::gateway
--- a/lib/keeper/work_leader.cpp
+++ b/lib/keeper/work_leader.cpp
@@ -18,6 +18,7 @@
 // after the lease was applied has never reached it.
 constexpr microseconds lease_reply_timeout = std::chrono::seconds(5);
 constexpr milliseconds expiry_check_interval(30000);
+constexpr milliseconds unfinished_log_interval(5000);
 } // namespace
 
 work_leader::work_leader(const state::work_state& state, milliseconds holder_timeout,
@@ -177,12 +178,40 @@
     }
 }
 
+void work_leader::log_unfinished(instant now, wall_time wall) {
+    if (now < next_unfinished_log_)
+        return;
+    next_unfinished_log_ = now + unfinished_log_interval;
+    std::size_t unleased = 0;
+    std::size_t leased = 0;
+    const state::batch_job* oldest = nullptr;
+    for (const std::pair<const job_id, state::batch_job>& known : state_.jobs()) {
+        const state::batch_job& job = known.second;
+        if (job.ended != 0 || job.status == state::job_status::loading)
+            continue;
+        for (const std::deque<std::uint32_t>& queue : job.pending)
+            unleased += queue.size();
+        leased += job.counts.running;
+        if (oldest == nullptr || job.created < oldest->created)
+            oldest = &job;
+    }
+    if (oldest == nullptr)
+        return;
+    const std::uint64_t unix_ms = to_unix_ms(wall);
+    log_info("items_unfinished")
+        .with("unleased", unleased)
+        .with("leased", leased)
+        .with("oldest_job", oldest->id.str())
+        .with("oldest_ms", unix_ms > oldest->created ? unix_ms - oldest->created : 0);
+}
+
 void work_leader::tick(instant now, wall_time wall) {
     if (!leading_)
         return;
     latest_time_ = now;
     respond_to_settled_cancels(now);
     release_lost_holders(now);
+    log_unfinished(now, wall);
     if (now < next_expiry_check_)
         return;
     next_expiry_check_ = now + expiry_check_interval;
