Item runner: a suspect's run is asked for where the item may go now

What callers saw: an accepted item that is neither listed nor at an endpoint although there is room, until its time limit.

Cause: what a trial asks for, service and version, is fixed when it begins, and the item kept it for as long as it waited. Once its route had moved to another service, or the version that wrote its events had left (the item then begins again, at any version), the coordinator looked for an endpoint that can't exist, and nothing ended the wait. The class of fault: a wait whose end depends on conditions that were copied when it began and that are never compared with the present.

Change: each look compares the trial with the service and version of the item and asks again if they differ. While it waits, the item keeps the service that was drawn, as long as its route still names it and it has endpoints, so that asking again is rare and doesn't cost the place in the queue. Online calls keep route table and service for as long as they live, and end by their deadline.

--- a/include/cassia/gateway/trial_exchange.h
+++ b/include/cassia/gateway/trial_exchange.h
@@ -34,6 +34,8 @@
     std::optional<trial_id> begin(const fingerprint& request, const service_id& service,
                                   const software_version& version);
     state find(trial_id id) const;
+    /// Whether the run was asked for at an endpoint of this service and version.
+    bool asks_for(trial_id id, const service_id& service, const software_version& version) const;
     void end(trial_id id, policy::trial_outcome outcome);
     void receive(const schema::poison_news& news);
     void tick();
--- a/lib/gateway/item_suspects.cpp
+++ b/lib/gateway/item_suspects.cpp
@@ -65,6 +65,9 @@
 
 std::optional<policy::placement> item_runner::find_trial_endpoint(held_item& item, instant now,
                                                                   const software_version& version) {
+    // The route or the version may have changed since the run was asked for.
+    if (item.trial && !trials_.asks_for(*item.trial, item.service, version))
+        end_trial(item);
     if (!item.trial)
         item.trial = trials_.begin(fingerprint_of(item), item.service, version);
     if (!item.trial)
@@ -103,6 +106,12 @@
     return waits;
 }
 
+// A suspect that waits for its run would lose its turn with each service that is drawn.
+bool item_runner::keeps_service(const held_item& item, const schema::route& route) const {
+    return item.trial && routes::is_target(route, item.service.str()) &&
+           slots_.count_endpoints(item.service) > 0;
+}
+
 std::optional<policy::placement> item_runner::place(held_item& item, const schema::route& route,
                                                     instant now) {
     std::uniform_real_distribution<double> uniform(0, 1);
@@ -110,7 +119,7 @@
     if (item.last_event > 0) {
         item.service = item.written_by.service;
         version = item.written_by.version;
-    } else {
+    } else if (!keeps_service(item, route)) {
         item.service = service_id(routes::choose_target(route, uniform(random_)));
     }
     item.runs_alone = judge(item) != policy::request_verdict::unsuspected;
--- a/lib/gateway/trial_exchange.cpp
+++ b/lib/gateway/trial_exchange.cpp
@@ -40,6 +40,13 @@
     return {found->second.changes < max_coordinators_tried, found->second.endpoint};
 }
 
+bool trial_exchange::asks_for(trial_id id, const service_id& service,
+                              const software_version& version) const {
+    auto found = asked_.find(id);
+    return found != asked_.end() && found->second.request.service == service &&
+           found->second.request.version == version;
+}
+
 // A coordinator that is frozen or lost doesn't answer, and the next one is asked. Two that schedule
 // for different gateways allow two runs of a request at once, which is bearable.
 void trial_exchange::ask(asked_trial& trial, instant now) {
