Item runner: a suspect whose version is busy begins again at another one

Cause: an item goes on behind its events only at the version that wrote them. If that version has no free slot for 2 s the events are discarded and the item begins again elsewhere, but suspects were left out of this: they waited for that version for as long as any endpoint of it was listed.

Change: a suspect for whose version no endpoint has a free slot gives its events up after the same 2 s, if another endpoint of its route has room; its run is then asked for at any version. While its version has room it keeps its events and its place in the queue.

--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -96,6 +96,9 @@
     bool may_go_on(const held_item& item, const schema::route& route) const;
     /// Delays an item whose version has no free slot. \returns false if it has waited for long.
     static bool waits_for_version(held_item& item, instant now);
+    bool has_room_at_version(const held_item& item, instant now) const;
+    /// Whether any target of the route has a free slot.
+    bool has_room(const schema::route& route, instant now) const;
     /// Places an item at any version; its events so far are discarded if there is a free slot.
     std::optional<policy::placement> place_anew(held_item& item, const schema::route& route,
                                                 instant now);
--- a/lib/gateway/item_resumption.cpp
+++ b/lib/gateway/item_resumption.cpp
@@ -4,6 +4,7 @@
 #include "cassia/gateway/item_runner.h"
 #include "held_item.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cassia::gateway {
@@ -30,8 +31,27 @@
     return true;
 }
 
+bool item_runner::has_room_at_version(const held_item& item, instant now) const {
+    return slots_.place_alone(item.written_by.service, {}, now, item.written_by.version)
+        .has_value();
+}
+
+bool item_runner::has_room(const schema::route& route, instant now) const {
+    return std::any_of(route.targets().begin(), route.targets().end(),
+                       [this, now](const schema::route_target& target) {
+                           return target.weight() > 0 &&
+                                  slots_.place_alone(service_id(target.service()), {}, now);
+                       });
+}
+
 std::optional<policy::placement> item_runner::place_anew(held_item& item,
                                                          const schema::route& route, instant now) {
+    // A suspect has no endpoint before its run is scheduled, which takes some time.
+    if (item.runs_alone) {
+        if (has_room(route, now))
+            begin_anew(item, "version_busy");
+        return std::nullopt;
+    }
     const std::uint64_t last_event = std::exchange(item.last_event, 0);
     std::optional<policy::placement> placement = place(item, route, now);
     item.last_event = last_event;
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -126,7 +126,7 @@
     if (item.last_event > 0 && !may_go_on(item, *route))
         begin_anew(item, "version_gone");
     std::optional<policy::placement> placement = place(item, *route, now);
-    if (!placement && item.last_event > 0 && !item.runs_alone) {
+    if (!placement && item.last_event > 0 && !(item.runs_alone && has_room_at_version(item, now))) {
         if (waits_for_version(item, now)) {
             set_wait(item, item_wait::version);
             return true;
