Item runner: an item without a free slot holds back none of other routes

Cause: a gateway starts its items by deadline and stopped at the first one without a free slot, and leased nothing while two items waited, whatever they waited for. An item whose service had no endpoint any more kept all that came after it from running, and two kept the gateway from leasing, also for services with room. The class of fault is head-of-line blocking: one queue for several resources.

Change: only the later items of the same route are passed over, and the limit of two items that wait holds for each route.

Evidence: the case of unit_items on an item behind another service's failed before; a new case, on items that aren't leased while two others wait, fails with the first half of the change alone (5 s without the item, then the bound).

--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -86,8 +86,8 @@
     bool keeps_service(const held_item& item, const schema::route& route) const;
     /// Whether the endpoint may run the item and has sent nothing for some time.
     bool is_silent(const held_item& item) const;
-    /// Items that could start now but have no slot.
-    std::size_t ready(instant now) const;
+    /// Items of the route that could start now but have no slot.
+    std::uint32_t count_ready(const schema::route& route, instant now) const;
     /// Delays an item that is quarantined. \returns whether it has to wait.
     bool waits_for_quarantine(held_item& item, instant now);
     std::optional<policy::placement> place(held_item& item, const schema::route& route,
--- a/lib/gateway/item_leases.cpp
+++ b/lib/gateway/item_leases.cpp
@@ -27,16 +27,15 @@
     if (shutting_down_ || lease_in_flight_ || !routes_ || now < next_lease_at_ ||
         items_.size() >= max_items_)
         return;
-    const std::size_t ready_items = ready(now);
-    if (ready_items >= max_ready_items)
-        return;
     for (const schema::route* route : routes_->of_kind(schema::route::batch)) {
-        const service_id service(route->targets(0).service());
-        const std::uint32_t room = slots_.batch_capacity(service, now);
-        if (room == 0)
+        const std::uint32_t ready_items = count_ready(*route, now);
+        if (ready_items >= max_ready_items)
             continue;
         const std::uint32_t limit =
-            std::min(room, max_ready_items - static_cast<std::uint32_t>(ready_items));
+            std::min(slots_.batch_capacity(service_id(route->targets(0).service()), now),
+                     max_ready_items - ready_items);
+        if (limit == 0)
+            continue;
         lease_in_flight_ = true;
         hooks_.lease(route->name(), limit, [this](const std::vector<schema::leased_item>& items) {
             lease_in_flight_ = false;
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -85,13 +85,26 @@
     }
     // By deadline, items without one first; those that would end too late come last.
     std::sort(ready.begin(), ready.end());
+    // Only the later items of the same route wait for the same slots.
+    std::set<const schema::route*> without_slot;
     for (const std::tuple<bool, std::uint64_t, item_key>& candidate : ready) {
         const item_key& key = std::get<item_key>(candidate);
-        if (!start(key, *items_.at(key), now))
-            return;
+        held_item& item = *items_.at(key);
+        const schema::route* route = find_route(item);
+        if (without_slot.count(route) == 0 && !start(key, item, now))
+            without_slot.insert(route);
     }
 }
 
+std::uint32_t item_runner::count_ready(const schema::route& route, instant now) const {
+    return static_cast<std::uint32_t>(
+        std::count_if(items_.begin(), items_.end(), [this, &route, now](const auto& keyed_item) {
+            const held_item& item = *keyed_item.second;
+            return item.upstream_call == call_id() && now >= item.ready_at &&
+                   find_route(item) == &route;
+        }));
+}
+
 net::raw_request item_runner::make_upstream_request(const held_item& item,
                                                     const endpoint_id& endpoint) const {
     const schema::item_body& source = item.leased.item();
--- a/lib/gateway/item_suspects.cpp
+++ b/lib/gateway/item_suspects.cpp
@@ -88,14 +88,6 @@
     return slots_.place_alone(item.service, {}, now, version);
 }
 
-std::size_t item_runner::ready(instant now) const {
-    return static_cast<std::size_t>(
-        std::count_if(items_.begin(), items_.end(), [now](const auto& keyed_item) {
-            const held_item& item = *keyed_item.second;
-            return item.upstream_call == call_id() && now >= item.ready_at;
-        }));
-}
-
 bool item_runner::waits_for_quarantine(held_item& item, instant now) {
     if (judge(item) != policy::request_verdict::quarantined)
         return false;
--- a/unittests/gateway/item_runner_test.cpp
+++ b/unittests/gateway/item_runner_test.cpp
@@ -309,6 +309,23 @@
     CHECK(fixture.is_received_in_time(endpoint, "b"));
 }
 
+// Guards against a gateway that leases nothing while two items wait for a service without
+// endpoints.
+TEST_CASE("items without a free slot keep none of another service from being leased",
+          "[.][items]") {
+    runner_fixture fixture;
+    fixture.add_unreachable_endpoint("first", "v1");
+    fixture.runner.set_routes(make_routes(1, {{"early", {"first"}}, {"late", {"second"}}}));
+    fixture.offer(fixture.make_item("a", "early", 1));
+    fixture.offer(fixture.make_item("b", "early", 2));
+    fixture.run_for(lease_time);
+    REQUIRE(fixture.runner.size() == 2);
+    fixture.remove_endpoints("first", "v1");
+    endpoint_stub& endpoint = fixture.add_endpoint("second", "v1");
+    fixture.offer(fixture.make_item("c", "late", 3));
+    CHECK(fixture.is_received_in_time(endpoint, "c"));
+}
+
 // Guards against items that aren't leased since the first target of their route has no room.
 TEST_CASE("items are leased while any target of their route has room", "[.][items]") {
     runner_fixture fixture;
