Item runner: items are leased while any target of their route has room

What callers saw: as before, accepted items that nobody runs although endpoints that may run them have free slots; here after a change of the configuration that gives the route a further target, while its first one has no endpoint or no free slot.

Cause: a gateway asked for items of a route by the free slots of the route's first target alone, and no gateway asked while that one was full, down or drained.

Change: the free slots of all targets with a weight are added up.

--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -88,6 +88,8 @@
     bool is_silent(const held_item& item) const;
     /// Items of the route that could start now but have no slot.
     std::uint32_t count_ready(const schema::route& route, instant now) const;
+    /// Slots that batch may take, at all targets of the route.
+    std::uint32_t batch_capacity(const schema::route& route, instant now) const;
     /// Delays an item that is quarantined. \returns whether it has to wait.
     bool waits_for_quarantine(held_item& item, instant now);
     std::optional<policy::placement> place(held_item& item, const schema::route& route,
--- a/lib/gateway/item_leases.cpp
+++ b/lib/gateway/item_leases.cpp
@@ -21,6 +21,15 @@
 constexpr milliseconds lease_interval_idle(300);
 } // namespace
 
+std::uint32_t item_runner::batch_capacity(const schema::route& route, instant now) const {
+    std::uint32_t sum = 0;
+    for (const schema::route_target& target : route.targets()) {
+        if (target.weight() > 0)
+            sum += slots_.batch_capacity(service_id(target.service()), now);
+    }
+    return sum;
+}
+
 // Requests a few items at a time: all gateways see the same free slots, and together they would
 // lease many times as many items as there are slots.
 void item_runner::request_leases(instant now) {
@@ -32,8 +41,7 @@
         if (ready_items >= max_ready_items)
             continue;
         const std::uint32_t limit =
-            std::min(slots_.batch_capacity(service_id(route->targets(0).service()), now),
-                     max_ready_items - ready_items);
+            std::min(batch_capacity(*route, now), max_ready_items - ready_items);
         if (limit == 0)
             continue;
         lease_in_flight_ = true;
