--- a/include/cassia/gateway/service.h
+++ b/include/cassia/gateway/service.h
@@ -10,6 +10,7 @@
 #include "cassia/gateway/header_names.h"
 #include "cassia/gateway/item_runner.h"
 #include "cassia/gateway/job_service.h"
+#include "cassia/gateway/lease_requests.h"
 #include "cassia/gateway/origin_exchange.h"
 #include "cassia/gateway/request_admission.h"
 #include "cassia/gateway/trial_exchange.h"
@@ -89,6 +90,8 @@
     void request_yield(const entry_id& holder, const endpoint_id& endpoint);
     void lease(const std::string& route, std::uint32_t limit,
                const item_runner_hooks::lease_done& done);
+    /// Tells the leaders which items are held and which lease requests are closed.
+    void send_held_items();
     void report(const schema::items_end& ends, const item_runner_hooks::report_done& done);
     /// Where a suspect may run, for any gateway.
     policy::trial_schedule::choice
@@ -120,7 +123,7 @@
     std::shared_ptr<const routes::table> routes_;
     std::map<exchange_id, deferred_request> deferred_;
     std::mt19937_64 random_;
-    std::uint32_t lease_requests_ = 0; ///< selects the work group of the next lease request
+    lease_requests lease_requests_;
     bool shutting_down_ = false;
     instant shutdown_began_at_{};
 };
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -187,18 +187,7 @@
         cluster_->share_usage(slots_.own_usage());
     });
     task_.every(traffic_log_interval, [this] { cluster_->peers().log_sent(); });
-    task_.every(held_items_interval, [this] {
-        const schema::held_items held = items_->held();
-        for (std::uint32_t group = 1; group <= settings_.cluster().work_groups(); ++group) {
-            schema::held_items part;
-            for (const schema::held_job& job : held.jobs()) {
-                if (state::group_of_job(job_id(job.job()), settings_.cluster().work_groups()) ==
-                    group_id(group))
-                    *part.add_jobs() = job;
-            }
-            cluster_->send_held_items(std::move(part), group_id(group));
-        }
-    });
+    task_.every(held_items_interval, [this] { send_held_items(); });
     log_info("gateway_started")
         .with("address", settings_.serve_address())
         .with("zone", settings_.zone());
@@ -283,8 +272,10 @@
                     const item_runner_hooks::lease_done& done) {
     // Each request goes to one work group; successive requests go through all groups.
     schema::keeper_request request;
-    request.set_group(1 + lease_requests_++ % settings_.cluster().work_groups());
+    const std::uint64_t number = lease_requests_.open();
+    request.set_group(static_cast<std::uint32_t>(1 + number % settings_.cluster().work_groups()));
     request.mutable_lease()->set_holder(cluster_->lease_holder());
+    request.mutable_lease()->set_number(number);
     schema::lease_want* want = request.mutable_lease()->add_wants();
     want->set_service(route);
     want->set_limit(limit);
@@ -293,9 +284,27 @@
     // Not resent: a request that was thought lost could be granted leases in addition to its
     // repetition.
     options.resend = false;
-    cluster_->send_request(std::move(request), options, [done](const schema::keeper_reply& reply) {
-        done({reply.work().leased().begin(), reply.work().leased().end()});
-    });
+    cluster_->send_request(std::move(request), options,
+                           [this, number, done](const schema::keeper_reply& reply) {
+                               lease_requests_.close(number);
+                               done({reply.work().leased().begin(), reply.work().leased().end()});
+                               if (reply.result() != schema::keeper_reply::done)
+                                   send_held_items();
+                           });
+}
+
+void service::send_held_items() {
+    const schema::held_items held = items_->held();
+    for (std::uint32_t group = 1; group <= settings_.cluster().work_groups(); ++group) {
+        schema::held_items part;
+        for (const schema::held_job& job : held.jobs()) {
+            if (state::group_of_job(job_id(job.job()), settings_.cluster().work_groups()) ==
+                group_id(group))
+                *part.add_jobs() = job;
+        }
+        part.set_closed_requests(lease_requests_.closed());
+        cluster_->send_held_items(std::move(part), group_id(group));
+    }
 }
 
 void service::report(const schema::items_end& ends, const item_runner_hooks::report_done& done) {
--- a/lib/keeper/work_leader.cpp
+++ b/lib/keeper/work_leader.cpp
@@ -78,6 +78,7 @@
         return stale;
     log_info("unknown_leases_returned")
         .with("holder", held.holder())
+        .with("closed_requests", held.closed_requests())
         .with("items", command.ends().ends_size());
     command.mutable_ends()->set_holder(held.holder());
     command.mutable_ends()->set_at(to_unix_ms(wall_now()));
--- a/lib/keeper/work_leader_leases.cpp
+++ b/lib/keeper/work_leader_leases.cpp
@@ -15,7 +15,6 @@
 
 /// What one request gets in a round.
 struct work_leader::lease_grant {
-    std::string holder;
     std::vector<schema::work_command> commands; ///< one for each job
     schema::keeper_reply reply;                 ///< the merged replies to the commands
     std::size_t outstanding = 0;                ///< commands without a reply
@@ -105,12 +104,13 @@
     return available;
 }
 
-static void add_lease(std::vector<schema::work_command>& commands, const std::string& holder,
-                      const state::item_key& key) {
+static void add_lease(std::vector<schema::work_command>& commands,
+                      const schema::lease_request& request, const state::item_key& key) {
     if (commands.empty() || commands.back().lease().job() != key.first.str()) {
         schema::item_lease* lease = commands.emplace_back().mutable_lease();
         lease->set_job(key.first.str());
-        lease->set_holder(holder);
+        lease->set_holder(request.holder());
+        lease->set_request(request.number());
     }
     commands.back().mutable_lease()->add_ordinals(key.second);
 }
@@ -127,11 +127,10 @@
     const std::shared_ptr<lease_round> round = std::make_shared<lease_round>();
     for (queued_lease& queued : requests) {
         lease_grant grant;
-        grant.holder = queued.request.holder();
         for (const schema::lease_want& want : queued.request.wants()) {
             available_items& items = available.at(want.service());
             for (std::uint32_t i = 0; i < want.limit() && items.next < items.items.size(); ++i)
-                add_lease(grant.commands, grant.holder, items.items[items.next++]);
+                add_lease(grant.commands, queued.request, items.items[items.next++]);
         }
         grant.reply.mutable_work();
         grant.outstanding = grant.commands.size();
--- a/lib/state/job_commands.cpp
+++ b/lib/state/job_commands.cpp
@@ -202,6 +202,7 @@
         leased->set_deadline(job.deadline);
         leased->set_strikes(item.strikes);
         leased->set_abandon_at(job.abandon_at);
+        leased->set_request(lease.request());
     }
     job.status = job_status::running;
     return reply;
