Work leaders: leases whose reply was lost are taken back by the requests that are closed

What callers saw: an accepted item that isn't listed, and that no endpoint has had for 5 s, with room.

Cause: a lease whose reply was lost was taken back by clocks: not before the holder had reported, in answer to a heartbeat sent 5 s after the lease was applied, that it doesn't have the item. With the age of the heartbeat and the interval of reports the item was out of reach for 6 to 7 s, above the bound of the rule. The class of fault: a time-out stands in for a fact that the other side could state.

Change: the number of the request is stored with the lease. A lease of a request that its holder names as closed, and that it doesn't report, is taken back at once; a gateway closes a request after 2.5 s and reports then. The order of the reports needs no clock: a report that is late or comes twice names a lower number. Holders that number nothing (entries, earlier releases) are judged by time as before.

--- a/include/cassia/keeper/work_leader.h
+++ b/include/cassia/keeper/work_leader.h
@@ -68,6 +68,11 @@
         instant deadline;
     };
 
+    struct granted_lease {
+        instant at{};              ///< when it was applied or first seen
+        std::uint64_t request = 0; ///< number of the holder's request; 0 if it isn't known
+    };
+
     // Leases (work_leader_leases.cpp).
     struct queued_lease {
         schema::lease_request request;
@@ -88,6 +93,8 @@
     std::vector<policy::job_candidate> find_candidates(const std::string& service) const;
     void respond_to_settled_cancels(instant now);
     void release_lost_holders(instant now);
+    /// Whether a lease that its holder doesn't report can't reach the holder any more.
+    static bool is_lost(const granted_lease& lease, const schema::held_items& held);
     /// Logs how many items of this group aren't finished, by what is known of them here.
     void log_unfinished(instant now, wall_time wall);
 
@@ -105,7 +112,7 @@
     std::vector<pending_cancel> pending_cancels_;
     std::map<std::string, instant> holders_last_seen_;
     std::set<std::string> holders_being_released_;
-    std::map<state::item_key, instant> leased_at_; ///< when each lease was applied or first seen
+    std::map<state::item_key, granted_lease> granted_;
     instant next_expiry_check_{};
     instant next_unfinished_log_{};
 };
--- a/lib/keeper/work_leader.cpp
+++ b/lib/keeper/work_leader.cpp
@@ -48,7 +48,15 @@
 
 void work_leader::on_lease_applied(const schema::keeper_reply& reply, instant now) {
     for (const schema::leased_item& item : reply.work().leased())
-        leased_at_[{job_id(item.job()), item.ordinal()}] = now;
+        granted_[{job_id(item.job()), item.ordinal()}] = {now, item.request()};
+}
+
+// A holder that says which of its requests are closed has no need of clocks: what such a request
+// was granted and the holder doesn't report is lost, or was ended and needs no lease.
+bool work_leader::is_lost(const granted_lease& lease, const schema::held_items& held) {
+    if (lease.request != 0 && lease.request <= held.closed_requests())
+        return true;
+    return lease.at + lease_reply_timeout <= from_us(held.keeper_clock_us());
 }
 
 // A gateway that never received the reply to its lease request doesn't know that it holds the
@@ -61,11 +69,10 @@
             reported.insert({job_id(job.job()), ordinal});
     }
     schema::work_command command;
-    const instant reported_at = from_us(held.keeper_clock_us());
     for (const state::item_key& key : state_.leases_of(held.holder())) {
-        // A lease without a time was applied before this process started; it counts from now.
-        instant& leased_at = leased_at_.try_emplace(key, now).first->second;
-        if (reported.count(key) > 0 || leased_at + lease_reply_timeout > reported_at)
+        // A lease that isn't known was applied before this process started; it counts from now.
+        const granted_lease& lease = granted_.try_emplace(key, granted_lease{now}).first->second;
+        if (reported.count(key) > 0 || !is_lost(lease, held))
             continue;
         schema::item_end* end = command.mutable_ends()->add_ends();
         end->set_job(key.first.str());
@@ -216,9 +223,9 @@
     if (now < next_expiry_check_)
         return;
     next_expiry_check_ = now + expiry_check_interval;
-    for (auto lease = leased_at_.begin(); lease != leased_at_.end();)
-        lease = state_.jobs().count(lease->first.first) == 0 ? leased_at_.erase(lease)
-                                                             : std::next(lease);
+    std::erase_if(granted_, [this](const auto& lease) {
+        return state_.jobs().count(lease.first.first) == 0;
+    });
     if (!state_.has_expired(to_unix_ms(wall)))
         return;
     schema::work_command command;
