Entries: number their lease requests as gateways do

The same cause as at the gateways: items whose lease reply was lost came back to their group by time alone, up to 8 s after the lease (3 s until the entry gives up, 5 s by the leader's clock, reports each 2 s). An entry now numbers its requests, names those that are closed in its report of held items, and reports at once when a request ended without leases.

--- a/include/cassia/entry/batch_task.h
+++ b/include/cassia/entry/batch_task.h
@@ -136,6 +136,7 @@
     std::map<group_id, bool> sending_ends_; ///< whether a request with ends is in flight
     std::set<group_id> groups_leasing_;     ///< groups with a lease request in flight
     std::uint32_t next_lease_group_ = 0;
+    std::uint64_t last_lease_request_ = 0; ///< number of it
     instant next_lease_at_{};
     bool draining_ = false;
     bool uses_changed_ = false;
--- a/lib/entry/batch_leases.cpp
+++ b/lib/entry/batch_leases.cpp
@@ -12,9 +12,8 @@
 namespace cassia::entry {
 
 namespace {
-// After 5 s the leader takes back a leased item that the entry does not report as held. A reply
-// that arrives later than this timeout is ignored, so that the leader and this entry never both
-// count on the same item.
+// A reply that arrives later than this timeout is ignored, so that the leader, which then takes
+// back what the entry doesn't report as held, and this entry never both count on the same item.
 constexpr milliseconds lease_timeout(3000);
 constexpr milliseconds empty_round_delay(100);
 constexpr std::size_t max_ends_per_request = 256;
@@ -77,6 +76,7 @@
     schema::keeper_request request;
     request.set_group(static_cast<std::uint32_t>(group.value()));
     request.mutable_lease()->set_holder(control_.holder());
+    request.mutable_lease()->set_number(++last_lease_request_);
     for (const std::pair<const service_id, std::uint32_t>& service : item_counts) {
         schema::lease_want* want = request.mutable_lease()->add_wants();
         want->set_service(service.first.str());
@@ -89,6 +89,8 @@
                           [this, group, now](const schema::keeper_reply& reply) {
                               groups_leasing_.erase(group);
                               on_lease_reply(reply, now);
+                              if (reply.result() != schema::keeper_reply::done)
+                                  report_held_items();
                           });
 }
 
@@ -144,11 +146,14 @@
         for (const std::pair<item_id, schema::item_end>& end : group.second)
             add(end.first);
     }
+    // One request is open at a time.
+    const std::uint64_t closed = last_lease_request_ - (groups_leasing_.empty() ? 0 : 1);
     for (std::pair<const group_id, schema::held_items>& group : by_group) {
         auto clock = view_->leader_clocks.find(group.first);
         if (clock == view_->leader_clocks.end())
             continue;
         group.second.set_keeper_clock_us(clock->second);
+        group.second.set_closed_requests(closed);
         schema::keeper_request request;
         request.set_group(static_cast<std::uint32_t>(group.first.value()));
         *request.mutable_held() = std::move(group.second);
