--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -27,6 +27,8 @@
 
 namespace cassia::gateway {
 
+enum class item_wait;
+
 struct item_runner_hooks {
     using lease_done = std::function<void(const std::vector<schema::leased_item>&)>;
     using report_done = std::function<void(bool durable)>;
@@ -81,10 +83,13 @@
     std::optional<policy::placement> find_trial_endpoint(held_item& item, instant now,
                                                          const software_version& version);
     void end_trial(held_item& item);
+    bool keeps_service(const held_item& item, const schema::route& route) const;
     /// Whether the endpoint may run the item and has sent nothing for some time.
     bool is_silent(const held_item& item) const;
-    /// Items that could start now but have no slot.
-    std::size_t ready(instant now) const;
+    /// Items of the route that could start now but have no slot.
+    std::uint32_t count_ready(const schema::route& route, instant now) const;
+    /// Slots that batch may take, at all targets of the route.
+    std::uint32_t batch_capacity(const schema::route& route, instant now) const;
     /// Delays an item that is quarantined. \returns whether it has to wait.
     bool waits_for_quarantine(held_item& item, instant now);
     std::optional<policy::placement> place(held_item& item, const schema::route& route,
@@ -93,6 +98,9 @@
     bool may_go_on(const held_item& item, const schema::route& route) const;
     /// Delays an item whose version has no free slot. \returns false if it has waited for long.
     static bool waits_for_version(held_item& item, instant now);
+    bool has_room_at_version(const held_item& item, instant now) const;
+    /// Whether any target of the route has a free slot.
+    bool has_room(const schema::route& route, instant now) const;
     /// Places an item at any version; its events so far are discarded if there is a free slot.
     std::optional<policy::placement> place_anew(held_item& item, const schema::route& route,
                                                 instant now);
@@ -113,6 +121,9 @@
     void finish(const item_key& key, schema::item_status status, bool failed_run,
                 const std::string& cause);
     void check_inactivity(instant now);
+    static void set_wait(held_item& item, item_wait wait);
+    /// Logs items that have waited in one way for long, and counts all that wait.
+    void report_waits(instant now);
     void save_progress(instant now);
     void send_reports();
     const schema::route* find_route(const held_item& item) const;
--- a/lib/keeper/work_leader.cpp
+++ b/lib/keeper/work_leader.cpp
@@ -18,6 +18,7 @@
 // after the lease was applied has never reached it.
 constexpr microseconds lease_reply_timeout = std::chrono::seconds(5);
 constexpr milliseconds expiry_check_interval(30000);
+constexpr milliseconds unfinished_log_interval(5000);
 } // namespace
 
 work_leader::work_leader(const state::work_state& state, milliseconds holder_timeout,
@@ -47,7 +48,15 @@
 
 void work_leader::on_lease_applied(const schema::keeper_reply& reply, instant now) {
     for (const schema::leased_item& item : reply.work().leased())
-        leased_at_[{job_id(item.job()), item.ordinal()}] = now;
+        granted_[{job_id(item.job()), item.ordinal()}] = {now, item.request()};
+}
+
+// A holder that says which of its requests are closed has no need of clocks: what such a request
+// was granted and the holder doesn't report is lost, or was ended and needs no lease.
+bool work_leader::is_lost(const granted_lease& lease, const schema::held_items& held) {
+    if (lease.request != 0 && lease.request <= held.closed_requests())
+        return true;
+    return lease.at + lease_reply_timeout <= from_us(held.keeper_clock_us());
 }
 
 // A gateway that never received the reply to its lease request doesn't know that it holds the
@@ -60,11 +69,10 @@
             reported.insert({job_id(job.job()), ordinal});
     }
     schema::work_command command;
-    const instant reported_at = from_us(held.keeper_clock_us());
     for (const state::item_key& key : state_.leases_of(held.holder())) {
-        // A lease without a time was applied before this process started; it counts from now.
-        instant& leased_at = leased_at_.try_emplace(key, now).first->second;
-        if (reported.count(key) > 0 || leased_at + lease_reply_timeout > reported_at)
+        // A lease that isn't known was applied before this process started; it counts from now.
+        const granted_lease& lease = granted_.try_emplace(key, granted_lease{now}).first->second;
+        if (reported.count(key) > 0 || !is_lost(lease, held))
             continue;
         schema::item_end* end = command.mutable_ends()->add_ends();
         end->set_job(key.first.str());
@@ -77,6 +85,7 @@
         return stale;
     log_info("unknown_leases_returned")
         .with("holder", held.holder())
+        .with("closed_requests", held.closed_requests())
         .with("items", command.ends().ends_size());
     command.mutable_ends()->set_holder(held.holder());
     command.mutable_ends()->set_at(to_unix_ms(wall_now()));
@@ -177,18 +186,46 @@
     }
 }
 
+void work_leader::log_unfinished(instant now, wall_time wall) {
+    if (now < next_unfinished_log_)
+        return;
+    next_unfinished_log_ = now + unfinished_log_interval;
+    std::size_t unleased = 0;
+    std::size_t leased = 0;
+    const state::batch_job* oldest = nullptr;
+    for (const std::pair<const job_id, state::batch_job>& known : state_.jobs()) {
+        const state::batch_job& job = known.second;
+        if (job.ended != 0 || job.status == state::job_status::loading)
+            continue;
+        for (const std::deque<std::uint32_t>& queue : job.pending)
+            unleased += queue.size();
+        leased += job.counts.running;
+        if (oldest == nullptr || job.created < oldest->created)
+            oldest = &job;
+    }
+    if (oldest == nullptr)
+        return;
+    const std::uint64_t unix_ms = to_unix_ms(wall);
+    log_info("items_unfinished")
+        .with("unleased", unleased)
+        .with("leased", leased)
+        .with("oldest_job", oldest->id.str())
+        .with("oldest_ms", unix_ms > oldest->created ? unix_ms - oldest->created : 0);
+}
+
 void work_leader::tick(instant now, wall_time wall) {
     if (!leading_)
         return;
     latest_time_ = now;
     respond_to_settled_cancels(now);
     release_lost_holders(now);
+    log_unfinished(now, wall);
     if (now < next_expiry_check_)
         return;
     next_expiry_check_ = now + expiry_check_interval;
-    for (auto lease = leased_at_.begin(); lease != leased_at_.end();)
-        lease = state_.jobs().count(lease->first.first) == 0 ? leased_at_.erase(lease)
-                                                             : std::next(lease);
+    std::erase_if(granted_, [this](const auto& lease) {
+        return state_.jobs().count(lease.first.first) == 0;
+    });
     if (!state_.has_expired(to_unix_ms(wall)))
         return;
     schema::work_command command;
