Gateways: a run that was stopped for a migration outlasts rejections

What callers saw: a stream that may not be repeated is cut long before its deadline. A sound endpoint that is silent for a moment is enough: its run is stopped and copied to another one, and if that one is full when the run is to go on, the gateway closes the caller's connection.

Cause: a rejection of the resumed run was handled as the end of the request, since the run may not be repeated; but nothing was repeated, and the copy is still at both endpoints.

Change: until an endpoint has resumed it, a stopped run is asked for again with the usual delay, in turn at the endpoint that holds the copy and at the one that ran it, until the deadline.

--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -129,6 +129,8 @@
     bool may_migrate(const online_call& call) const;
     void start_migration(online_call& call, instant now);
     void on_migration_response(exchange_id id);
+    /// The endpoint that was to resume the run has rejected it.
+    void retry_stopped_run(online_call& call, const std::string& cause);
     bool defer_end_to_migration(online_call& call);
     void cancel_migration(online_call& call);
     void forward_complete_response(online_call& call);
--- a/include/cassia/gateway/online_call.h
+++ b/include/cassia/gateway/online_call.h
@@ -33,6 +33,13 @@
     bool stream_ended = false; ///< the run's stream ended before that response
 };
 
+/// A run that its endpoint stopped for a migration, and that has not been resumed yet.
+struct stopped_run {
+    kv_cache_copy copy;
+    policy::placement next;  ///< to be asked next
+    policy::placement other; ///< the other endpoint that has the copy; may be the same
+};
+
 /// A request that was matched to a route and whose caller was identified.
 struct routed_request {
     exchange_id id;
@@ -95,7 +102,7 @@
     instant last_event_at{};
     microseconds longest_pause{0}; ///< between two events
     migration_state migration;
-    kv_cache_copy resume_source; ///< set while a request that resumes from a copy is sent
+    std::optional<gateway::stopped_run> stopped_run; ///< until an endpoint has resumed it
 
     /// The version that its next endpoint must have; empty if any will do.
     software_version required_version() const {
--- a/lib/gateway/dispatch_migration.cpp
+++ b/lib/gateway/dispatch_migration.cpp
@@ -80,16 +80,27 @@
         return;
     }
     metrics_.count("runs_moved");
-    policy::placement next = migration.target;
-    if (migration.status != status_ok) {
-        next.endpoint = call.endpoint;
-        next.address = call.address;
-    }
+    policy::placement source;
+    source.endpoint = call.endpoint;
+    source.incarnation = call.incarnation;
+    source.address = call.address;
+    source.version = call.endpoint_version;
+    const bool is_copied = migration.status == status_ok;
     const kv_cache_copy copy{call.address, *handle};
     cancel_attempt(call);
-    call.resume_source = copy;
-    send(call, next);
-    call.resume_source = kv_cache_copy{};
+    call.stopped_run = stopped_run{copy, is_copied ? migration.target : source, source};
+    send(call, call.stopped_run->next);
+}
+
+// The copy outlives a rejection, and no other endpoint can continue the run.
+void dispatcher::retry_stopped_run(online_call& call, const std::string& cause) {
+    std::swap(call.stopped_run->next, call.stopped_run->other);
+    metrics_.count("stopped_runs_rejected");
+    log_info("attempt_not_run")
+        .with("request", call.request_id)
+        .with("endpoint", call.endpoint.str())
+        .with("cause", cause);
+    retry_later(call);
 }
 
 // Called when the stream ends early. While a migration is pending, its response decides what
--- a/lib/gateway/dispatch_responses.cpp
+++ b/lib/gateway/dispatch_responses.cpp
@@ -38,6 +38,7 @@
         return;
     }
     call.rejections = 0;
+    call.stopped_run.reset();
     slots_.record_success(call.endpoint);
     if (!is_response_to(call, head)) {
         eject_endpoint(call, call.last_progress_at);
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -97,6 +97,10 @@
         end_unservable(call);
         return;
     }
+    if (call.stopped_run) {
+        send(call, call.stopped_run->next);
+        return;
+    }
     if (judge(call) == policy::request_verdict::suspect) {
         place_alone(call);
         return;
@@ -136,8 +140,8 @@
     request.fields.set(names_.expected_endpoint, endpoint.str());
     if (call.is_stream() && call.last_event > 0)
         request.fields.set(names_.last_event, std::to_string(call.last_event));
-    if (!call.resume_source.handle.empty())
-        migration_protocol_.resume_from_copy(request, call.resume_source);
+    if (call.stopped_run)
+        migration_protocol_.resume_from_copy(request, call.stopped_run->copy);
     return request;
 }
 
@@ -230,10 +234,8 @@
 void dispatcher::retry_not_run(online_call& call, const std::string& cause) {
     cancel_attempt(call);
     --call.runs;
-    // Its run was stopped at an earlier endpoint, and this one, which was to continue it, did not.
-    // Any further attempt would be a run too many.
-    if (call.runs > 0 && !may_retry(call)) {
-        fail(call, status_bad_gateway, cause);
+    if (call.stopped_run) {
+        retry_stopped_run(call, cause);
         return;
     }
     call.failed_endpoints.insert(call.endpoint);
