--- a/test/runner/platform.lua
+++ b/test/runner/platform.lua
@@ -15,6 +15,7 @@
 local kinds = { control = 11, work = 12, front = 13, endpoint = 14 }
 local repository = debug.getinfo(1, "S").source:match("^@(.*)test/runner/platform.lua$")
 local disturbances = {}   -- by process: times of kills, starts, freezes and thaws
+kills = {}                -- by process: times
 
 local function disturb(name)
   disturbances[name] = disturbances[name] or {}
@@ -27,7 +28,11 @@
   return false
 end
 local frozen = {}
-function disturb_kill(name) disturb(name); frozen[name] = nil; thaw(name); kill(name) end
+function disturb_kill(name)
+  disturb(name); frozen[name] = nil; thaw(name); kill(name)
+  kills[name] = kills[name] or {}
+  table.insert(kills[name], now())
+end
 function disturb_start(name) disturb(name); start(name) end
 function disturb_freeze(name) disturb(name); frozen[name] = true; freeze(name) end
 function disturb_thaw(name) disturb(name); frozen[name] = nil; thaw(name) end
@@ -96,6 +101,13 @@
     '"headerTimeoutMs":3000,"idleTimeoutMs":15000}}'
 end
 
+-- Sends a configuration to one of the three control keepers.
+function begin_configuration(number, body)
+  return begin_ask({ to = ip_of(kinds.control, number) .. ":9000", method = "POST", body = body,
+    path = "/cassiarouter/Config.Put", timeout_ms = 2000,
+    headers = { ["Content-Type"] = "application/json" } })
+end
+
 local last_request = 0
 local function request_id()
   last_request = last_request + 1
@@ -126,10 +138,12 @@
   for i = 1, shape.gateways or 3 do
     add_program(fronts, "front", i, "gateway", "platform-gateway", zones, seeds)
   end
+  local services = shape.services or { "llm" }
   for i = 1, shape.endpoints or 8 do
     local name = "endpoint-" .. i
     add_process(name, "platform-endpoint", ip_of(kinds.endpoint, i), { "--name", name, "--service",
-      "llm", "--address", ip_of(kinds.endpoint, i) .. ":9300", "--zone", "z" .. (i - 1) % zones + 1,
+      services[(i - 1) % #services + 1], "--address", ip_of(kinds.endpoint, i) .. ":9300",
+      "--zone", "z" .. (i - 1) % zones + 1,
       "--record", state_folder() .. "/" .. name .. ".record", "--slots", slots, "--events", events,
       "--event-ms", shape.event_ms or 15, "--control", table.unpack(control_addresses) })
     endpoints[i] = name
@@ -140,9 +154,7 @@
   local turn = 0
   eventually(20000, "the configuration is accepted", function()
     turn = turn % 3 + 1
-    return answer(begin_ask({ to = control_addresses[turn], method = "POST", timeout_ms = 2000,
-      path = "/cassiarouter/Config.Put", body = platform_configuration(1),
-      headers = { ["Content-Type"] = "application/json" } })).status == 200
+    return answer(begin_configuration(turn, platform_configuration(1))).status == 200
   end)
   for _, front in ipairs(fronts) do
     eventually(20000, front .. " serves", function()
