Test: a suspected item after an endpoint's silence, known to fail

What callers see: an accepted item isn't listed, and no endpoint has it for more than 5 s, with room for it.

Cause: trial_schedule holds back a request for hang_time, 5 s, after its run ended as silent. A sound endpoint that sends nothing for 1.5 s ends the run, and the item may not be asked for elsewhere for all of the time that it may go without an endpoint; the grant and the placement come on top. Each silent run of the item adds as much, and while it lasts the hold uses up one of the service's few trials.

--- a/unittests/gateway/item_runner_test.cpp
+++ b/unittests/gateway/item_runner_test.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -64,16 +65,24 @@
     endpoint_stub(net::task& owner, const http_address& address)
         : server_(owner, net::raw_server_limits(),
                   {[this](exchange_id id, const net::raw_request& request) {
+                       ++requests_;
                        received_.insert(std::string(request.fields.find("Cassia-Request-Id")));
                        answer(id, request);
                    },
-                   [](exchange_id) {}}) {
+                   [this](exchange_id) { ++abandoned_; }}) {
         REQUIRE(server_.listen(address));
     }
     bool has_received(const std::string& item) const { return received_.count(item) > 0; }
+    std::size_t requests() const { return requests_; }
+    /// Requests whose connection was closed before their response.
+    std::size_t abandoned() const { return abandoned_; }
+
+    bool is_silent = false; ///< sends no response
 
 private:
     void answer(exchange_id id, const net::raw_request& request) {
+        if (is_silent)
+            return;
         net::raw_head head;
         head.status = 200;
         head.fields.add("Cassia-Request-Id", request.fields.find("Cassia-Request-Id"));
@@ -82,6 +91,8 @@
     }
 
     std::set<std::string> received_;
+    std::size_t requests_ = 0;
+    std::size_t abandoned_ = 0;
     net::raw_server server_;
 };
 
@@ -334,3 +345,32 @@
     fixture.offer(fixture.make_item("a", "jobs", 1));
     CHECK(fixture.is_received_in_time(endpoint, "a"));
 }
+
+// Guards against a suspected item that waits too long after an endpoint was silent under it.
+TEST_CASE("a suspected item runs again in time after an endpoint was silent", "[.][silent_trial]") {
+    runner_fixture fixture;
+    endpoint_stub& first = fixture.add_endpoint("first", "v1");
+    endpoint_stub& second = fixture.add_endpoint("first", "v1");
+    first.is_silent = true;
+    second.is_silent = true;
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
+    const schema::leased_item item = fixture.make_item("a", "jobs", 1);
+    fixture.suspect(item);
+    fixture.offer(item);
+    const auto runs = [&] { return first.requests() + second.requests(); };
+    const auto wait_until = [&](const std::function<bool()>& is_done) {
+        const instant end = monotonic_now() + 2 * max_idle_time;
+        while (monotonic_now() < end && !is_done())
+            fixture.run_for(tick_interval);
+        REQUIRE(is_done());
+    };
+    wait_until([&] { return runs() == 1; });
+    wait_until([&] { return first.abandoned() + second.abandoned() == 1; });
+    const instant abandoned_at = monotonic_now();
+    first.is_silent = false;
+    second.is_silent = false;
+    wait_until([&] { return runs() == 2; });
+    const milliseconds idle_time =
+        std::chrono::duration_cast<milliseconds>(monotonic_now() - abandoned_at);
+    CHECK(idle_time < max_idle_time);
+}
