--- /dev/null
+++ b/unittests/gateway/item_runner_fixture.h
@@ -0,0 +1,259 @@
+/// An item runner with what it needs of its gateway, and endpoints on loopback.
+#pragma once
+
+#include "cassia/base/log.h"
+#include "cassia/gateway/item_runner.h"
+#include "cassia/gateway/request_fingerprint.h"
+#include "cassia/net/raw_server.h"
+#include "cassia/net/task.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cassia::gateway {
+
+// An accepted item that isn't listed runs within this time wherever an endpoint has room.
+constexpr milliseconds max_idle_time(5000);
+constexpr milliseconds tick_interval(20);
+constexpr milliseconds lease_time(200);
+constexpr std::uint32_t slots_per_endpoint = 4;
+
+struct route_spec {
+    std::string name;
+    std::vector<std::string> services;
+};
+
+inline std::shared_ptr<const routes::table> make_routes(std::uint64_t version,
+                                                        const std::vector<route_spec>& specs) {
+    schema::route_table source;
+    source.set_version(version);
+    std::set<std::string> services;
+    for (const route_spec& spec : specs) {
+        schema::route& route = *source.add_routes();
+        route.set_name(spec.name);
+        route.set_host("shop.example");
+        route.set_path_prefix("/" + spec.name + "/");
+        route.set_kind(schema::route::batch);
+        route.set_resumable(true);
+        route.set_timeout_ms(5000);
+        route.set_result_due_ms(18000);
+        for (const std::string& service : spec.services) {
+            schema::route_target& target = *route.add_targets();
+            target.set_service(service);
+            target.set_weight(1);
+            services.insert(service);
+        }
+    }
+    for (const std::string& service : services)
+        source.add_services()->set_name(service);
+    return routes::table::compile(source).value();
+}
+
+/// An endpoint on loopback. It begins a response to each item and completes it on request only.
+class endpoint_stub {
+public:
+    endpoint_stub(net::task& owner, const http_address& address)
+        : server_(owner, net::raw_server_limits(),
+                  {[this](exchange_id id, const net::raw_request& request) {
+                       received_.insert(std::string(request.fields.find("Cassia-Request-Id")));
+                       answer(id, request);
+                   },
+                   [](exchange_id) {}}) {
+        REQUIRE(server_.listen(address));
+    }
+    bool has_received(const std::string& item) const { return received_.count(item) > 0; }
+
+private:
+    void answer(exchange_id id, const net::raw_request& request) {
+        net::raw_head head;
+        head.status = 200;
+        head.fields.add("Cassia-Request-Id", request.fields.find("Cassia-Request-Id"));
+        head.fields.add("Cassia-Stamp", "stamp");
+        server_.respond(id, head, "id: 9\ndata: x\n\n");
+    }
+
+    std::set<std::string> received_;
+    net::raw_server server_;
+};
+
+/// An item runner with what it needs of its gateway, the only one of its fleet.
+class runner_fixture {
+public:
+    runner_fixture()
+        : client_(task_, ""), crashes_(task_, "", self, zone_id("z"), metrics_, crash_hooks()),
+          trials_(self, trial_hooks()),
+          runner(client_, slots_, crashes_, trials_, metrics_, header_names(), 16, item_hooks()) {
+        start_logs("test", log_level::error, "");
+        crashes_.set_gateways({});
+        task_.every(tick_interval, [this] {
+            crashes_.tick();
+            trials_.tick();
+            runner.tick(monotonic_now(), wall_now());
+        });
+    }
+
+    endpoint_stub& add_endpoint(const std::string& service, const std::string& version) {
+        const std::string number = std::to_string(stubs_.size() + 1);
+        const http_address address("127.77.3." + number + ":7301");
+        listed_.push_back({endpoint_id("e" + number), 1, address, zone_id("z"), service_id(service),
+                           slots_per_endpoint, software_version(version)});
+        publish();
+        stubs_.push_back(std::make_unique<endpoint_stub>(task_, address));
+        return *stubs_.back();
+    }
+    /// Lists an endpoint whose slots other gateways use.
+    void add_full_endpoint(const std::string& service, const std::string& version) {
+        const endpoint_id id("full" + std::to_string(listed_.size()));
+        listed_.push_back({id, 1, http_address("127.77.3.200:7301"), zone_id("z"),
+                           service_id(service), slots_per_endpoint, software_version(version)});
+        publish();
+        task_.every(tick_interval, [this, id] {
+            slots_.set_remote_usage(entry_id("other"), {{id, {slots_per_endpoint, 0, 0}}},
+                                    monotonic_now());
+        });
+    }
+    /// Lists an endpoint that nothing listens for.
+    void add_unreachable_endpoint(const std::string& service, const std::string& version) {
+        listed_.push_back({endpoint_id("unreachable"), 1, http_address("127.77.3.201:7301"),
+                           zone_id("z"), service_id(service), slots_per_endpoint,
+                           software_version(version)});
+        publish();
+    }
+    void remove_endpoints(const std::string& service, const std::string& version) {
+        std::erase_if(listed_, [&](const policy::slot_endpoint& one) {
+            return one.service.str() == service && one.version.str() == version;
+        });
+        publish();
+    }
+    /// \param deadline orders the items; later ones come later.
+    schema::leased_item make_item(const std::string& id, const std::string& route,
+                                  std::uint64_t deadline) const {
+        schema::leased_item leased;
+        leased.set_job("job-" + id);
+        leased.set_attempt(1);
+        leased.set_team("shop.example");
+        leased.set_host("shop.example");
+        leased.set_deadline(to_unix_ms(wall_now()) + 60000 + deadline);
+        leased.mutable_item()->set_custom_id(id);
+        leased.mutable_item()->set_url("/" + route + "/x");
+        leased.mutable_item()->set_body("prompt of " + id);
+        return leased;
+    }
+    static void add_progress(schema::leased_item& leased, const std::string& service,
+                             const std::string& version) {
+        leased.set_progress("x");
+        leased.set_events(1);
+        leased.mutable_written_by()->set_service(service);
+        leased.mutable_written_by()->set_version(version);
+    }
+    /// All gateways suspect that the item crashes endpoints.
+    void suspect(const schema::leased_item& leased) {
+        judge(leased, policy::request_verdict::suspect);
+    }
+    /// The item was quarantined a moment ago.
+    void quarantine(const schema::leased_item& leased) {
+        judge(leased, policy::request_verdict::quarantined);
+    }
+    void judge(const schema::leased_item& leased, policy::request_verdict verdict) {
+        schema::poison_news news;
+        schema::poison_record& record = *news.add_records();
+        record.set_fingerprint(
+            make_fingerprint("", leased.host(), "POST", leased.item().url(), leased.item().body())
+                .str());
+        record.set_version(1);
+        record.set_verdict(static_cast<std::uint32_t>(verdict));
+        if (verdict == policy::request_verdict::quarantined)
+            record.set_quarantine_left_ms(60000);
+        record.set_log_odds(1);
+        record.set_crashes(2);
+        crashes_.receive(news);
+    }
+    void offer(const schema::leased_item& leased) { offered_.push_back(leased); }
+    void run_for(milliseconds time) {
+        task_.after(time, [this] { task_.quit(); });
+        task_.run();
+    }
+    bool is_received_in_time(const endpoint_stub& endpoint, const std::string& item) {
+        const instant end = monotonic_now() + max_idle_time;
+        while (monotonic_now() < end && !endpoint.has_received(item))
+            run_for(tick_interval);
+        return endpoint.has_received(item);
+    }
+
+private:
+    void publish() {
+        slots_.set_endpoints(listed_);
+        crashes_.set_endpoints(listed_);
+    }
+    static crash_monitor_hooks crash_hooks() {
+        return {[](const entry_id&, schema::envelope&) { return false; }, [] {}};
+    }
+    trial_exchange_hooks trial_hooks() {
+        trial_exchange_hooks hooks;
+        hooks.send = [](const entry_id&, schema::envelope&) { return false; };
+        hooks.coordinators = [] { return std::vector<entry_id>{self}; };
+        hooks.choose_endpoint = [this](const policy::trial_request& request,
+                                       const std::set<endpoint_id>& excluded) {
+            if (!grants_trials)
+                return policy::trial_schedule::choice{std::nullopt, 1};
+            const std::optional<policy::placement> found =
+                slots_.place_alone(request.service, excluded, monotonic_now(), request.version);
+            return policy::trial_schedule::choice{
+                found ? std::optional<endpoint_id>(found->endpoint) : std::nullopt,
+                policy::max_trials(slots_.count_endpoints(request.service))};
+        };
+        return hooks;
+    }
+    item_runner_hooks item_hooks() {
+        item_runner_hooks hooks;
+        hooks.lease = [this](const std::string& route, std::uint32_t limit,
+                             const item_runner_hooks::lease_done& done) {
+            std::vector<schema::leased_item> granted;
+            const std::string prefix = "/" + route + "/";
+            for (auto item = offered_.begin(); item != offered_.end();) {
+                if (granted.size() < limit && item->item().url().rfind(prefix, 0) == 0) {
+                    granted.push_back(*item);
+                    item = offered_.erase(item);
+                } else {
+                    ++item;
+                }
+            }
+            leased_routes.push_back(route);
+            task_.after(lease_delay, [done, granted] { done(granted); });
+        };
+        hooks.report = [this](const schema::items_end& ends,
+                              const item_runner_hooks::report_done& done) {
+            for (const schema::item_end& end : ends.ends())
+                reported.insert(end.job());
+            task_.post([done] { done(true); });
+        };
+        return hooks;
+    }
+
+    inline static const entry_id self{"gateway"};
+    net::task task_{"test"};
+    metrics metrics_;
+    policy::slot_table slots_{zone_id("z")};
+    net::raw_client client_;
+    crash_monitor crashes_;
+    trial_exchange trials_;
+    std::vector<policy::slot_endpoint> listed_;
+    std::vector<std::unique_ptr<endpoint_stub>> stubs_;
+    std::vector<schema::leased_item> offered_;
+
+public:
+    bool grants_trials = true;              ///< endpoints are chosen for runs of suspects
+    milliseconds lease_delay{0};            ///< of the replies to lease requests
+    std::vector<std::string> leased_routes; ///< of each lease request
+    std::set<std::string> reported;         ///< jobs of the items whose end was reported
+    item_runner runner;
+};
+
+} // namespace cassia::gateway
