Test: a suspect keeps waiting at a full service, known to fail

Callers see an item that isn't listed and doesn't run while another target of its route has room. The service of a suspect is chosen once and kept for as long as its trial waits (keeps_service), and no room at that service ends the wait. unittest_gateway "[known_red]": not received within 5 s.

--- a/unittests/gateway/item_runner_test.cpp
+++ b/unittests/gateway/item_runner_test.cpp
@@ -94,3 +94,23 @@
     fixture.offer(fixture.make_item("a", "jobs", 1));
     CHECK(fixture.is_received_in_time(endpoint, "a"));
 }
+
+// Guards against a suspect that waits for a run at a full service while another target has room.
+TEST_CASE("a suspected item runs while any target of its route has room", "[.][known_red]") {
+    runner_fixture fixture;
+    fixture.add_endpoint("first", "v1");
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
+    const schema::leased_item item = fixture.make_item("a", "jobs", 1);
+    fixture.suspect(item);
+    fixture.grants_trials = false;
+    fixture.offer(item);
+    fixture.run_for(lease_time);
+    REQUIRE(fixture.runner.size() == 1);
+    fixture.remove_endpoints("first", "v1");
+    fixture.add_full_endpoint("first", "v1");
+    endpoint_stub& endpoint = fixture.add_endpoint("second", "v1");
+    fixture.runner.set_routes(make_routes(2, {{"jobs", {"first", "second"}}}));
+    fixture.run_for(lease_time);
+    fixture.grants_trials = true;
+    CHECK(fixture.is_received_in_time(endpoint, "a"));
+}
