Test: held items that may not run fill the window, known to fail

Callers see items that nobody leases while endpoints are free. Items that wait for a quarantine or a trial count against max_items but not as ready, so a gateway leases them until its window is full, and then leases nothing. unittest_gateway "[known_red]": 16 quarantined items in a window of 16, a sound one isn't received within 5 s.

--- a/unittests/gateway/item_runner_test.cpp
+++ b/unittests/gateway/item_runner_test.cpp
@@ -2,6 +2,8 @@
 
 #include "item_runner_fixture.h"
 
+#include <string>
+
 using namespace cassia;
 using namespace cassia::gateway;
 
@@ -114,3 +116,18 @@
     fixture.grants_trials = true;
     CHECK(fixture.is_received_in_time(endpoint, "a"));
 }
+
+// Guards against items that aren't leased while the window is full of items that may not run yet.
+TEST_CASE("quarantined items keep no others from being leased", "[.][known_red]") {
+    runner_fixture fixture;
+    endpoint_stub& endpoint = fixture.add_endpoint("first", "v1");
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
+    for (int i = 0; i < 16; ++i) {
+        const schema::leased_item item = fixture.make_item("q" + std::to_string(i), "jobs", 1);
+        fixture.quarantine(item);
+        fixture.offer(item);
+    }
+    fixture.run_for(std::chrono::seconds(1));
+    fixture.offer(fixture.make_item("a", "jobs", 1));
+    CHECK(fixture.is_received_in_time(endpoint, "a"));
+}
