Test: lease requests of a route skip work groups, known to fail

Callers would see items that nobody leases. One counter selects the work group for the requests of all routes. While each round asks for the same routes, a route reaches the groups of one residue only: with 2 routes and 4 groups, 2 of them. With one work group nothing is skipped. unittest_gateway "[known_red]": 2 of 4 groups for both routes in 5 s. The test repeats the selection of service::lease, which no unit test reaches.

--- a/unittests/gateway/item_runner_test.cpp
+++ b/unittests/gateway/item_runner_test.cpp
@@ -2,6 +2,11 @@
 
 #include "item_runner_fixture.h"
 
+#include "cassia/gateway/lease_requests.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
 #include <string>
 
 using namespace cassia;
@@ -145,3 +150,19 @@
     CHECK(fixture.reported.count("job-a") == 1);
     CHECK_FALSE(endpoint.has_received("a"));
 }
+
+// Guards against items that no gateway leases as the requests for their route skip a work group.
+TEST_CASE("lease requests of each route reach all work groups", "[.][known_red]") {
+    runner_fixture fixture;
+    fixture.add_endpoint("first", "v1");
+    fixture.add_endpoint("second", "v1");
+    fixture.runner.set_routes(make_routes(1, {{"early", {"first"}}, {"late", {"second"}}}));
+    fixture.run_for(max_idle_time);
+    constexpr std::uint64_t groups = 4;
+    std::map<std::string, std::set<std::uint64_t>> groups_of;
+    lease_requests requests;
+    for (const std::string& route : fixture.leased_routes)
+        groups_of[route].insert(requests.open() % groups);
+    CHECK(groups_of["early"].size() == groups);
+    CHECK(groups_of["late"].size() == groups);
+}
