Test: an unreadable item holds back its whole grant, known to fail

Callers see items that lie though they can be read. If one item of a grant can't be read, the reply brings none of its items, and all leases are taken back; each further grant with that item ends in the same way.

--- a/unittests/keeper/lost_lease_test.cpp
+++ b/unittests/keeper/lost_lease_test.cpp
@@ -30,12 +30,16 @@
                  {[this](const schema::work_command& command,
                          const work_leader_hooks::reply_callback& reply) { reply(apply(command)); },
                   [this](const storage::position& at) { return read(at); }}) {
+        submit_job("job");
+        leader.set_leading(true, start);
+    }
+    void submit_job(const std::string& id) {
         schema::work_command command;
         schema::job_submit& submit = *command.mutable_submit();
-        submit.mutable_begin()->set_job("job");
+        submit.mutable_begin()->set_job(id);
         submit.mutable_begin()->set_team("team");
         submit.mutable_begin()->set_total(items);
-        submit.mutable_items()->set_job("job");
+        submit.mutable_items()->set_job(id);
         for (std::uint32_t i = 0; i < items; ++i) {
             schema::item_body* item = submit.mutable_items()->add_items();
             item->set_custom_id("item-" + std::to_string(i));
@@ -43,8 +47,9 @@
             item->set_repeatable(true);
         }
         apply(command);
-        leader.set_leading(true, start);
     }
+    /// The log record of the latest command is damaged.
+    void damage_last_record() { damaged_ = storage::position{1, position_}; }
     /// \returns the ordinals that the reply brings.
     std::set<std::uint32_t> lease(const std::string& holder, std::uint64_t number,
                                   std::uint32_t limit, instant now) {
@@ -88,10 +93,13 @@
             leader.on_lease_applied(reply, now_);
         return reply;
     }
-    storage::result<std::string> read(const storage::position& at) const { return records_.at(at); }
+    storage::result<std::string> read(const storage::position& at) const {
+        return at == damaged_ ? std::string() : records_.at(at);
+    }
 
     std::map<storage::position, std::string> records_;
     std::uint64_t position_ = 0;
+    storage::position damaged_;
     instant now_ = start;
 };
 
@@ -121,3 +129,11 @@
     group.report_nothing_held("g1/1", 1, start + milliseconds(2400));
     CHECK(group.state.leases_of("g1/1").size() == 1);
 }
+
+// Guards against items that never run as one that can't be read is granted together with them.
+TEST_CASE("an item that can't be read holds back none of the same grant", "[.][known_red]") {
+    work_group_fixture group;
+    group.submit_job("damaged");
+    group.damage_last_record();
+    CHECK(group.lease("g1/1", 1, 2 * items, start).size() == items);
+}
