--- a/unittests/keeper/lost_lease_test.cpp
+++ b/unittests/keeper/lost_lease_test.cpp
@@ -50,6 +50,16 @@
     }
     /// The log record of the latest command is damaged.
     void damage_last_record() { damaged_ = storage::position{1, position_}; }
+    /// The leader takes the state from a snapshot, in which another holder has the lease.
+    void restore_with_lease(const std::string& holder, std::uint64_t request,
+                            std::uint32_t ordinal) {
+        schema::work_command command;
+        command.mutable_lease()->set_job("job");
+        command.mutable_lease()->add_ordinals(ordinal);
+        command.mutable_lease()->set_holder(holder);
+        command.mutable_lease()->set_request(request);
+        state.apply(command, {1, ++position_});
+    }
     /// \returns the ordinals that the reply brings.
     std::set<std::uint32_t> lease(const std::string& holder, std::uint64_t number,
                                   std::uint32_t limit, instant now) {
@@ -137,3 +147,16 @@
     group.damage_last_record();
     CHECK(group.lease("g1/1", 1, 2 * items, start).size() == items);
 }
+
+// Guards against a lease that is taken back while its reply is in transit, as the leader knows an
+// earlier one of another holder.
+TEST_CASE("a lease known from a snapshot isn't mistaken for an earlier one", "[.][known_red]") {
+    work_group_fixture group;
+    REQUIRE(group.lease("g1/1", 1, 1, start).size() == 1);
+    group.report_nothing_held("g1/1", 1, start + milliseconds(100));
+    REQUIRE(group.state.leases_of("g1/1").empty());
+    group.restore_with_lease("g2/1", 8, 0);
+    REQUIRE(group.state.leases_of("g2/1").size() == 1);
+    group.report_nothing_held("g2/1", 7, start + milliseconds(200));
+    CHECK(group.state.leases_of("g2/1").size() == 1);
+}
