--- a/unittests/net/raw_http_test.cpp
+++ b/unittests/net/raw_http_test.cpp
@@ -7,9 +7,14 @@
 
 #include <catch2/catch.hpp>
 
+#include <arpa/inet.h>
 #include <memory>
+#include <netinet/in.h>
 #include <optional>
 #include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
 #include <vector>
 
 using namespace cassia;
@@ -278,3 +283,57 @@
     CHECK((whole_body || cut_off));
     CHECK(fixture.endpoint.received.substr(head_end).find_first_not_of('b') == std::string::npos);
 }
+
+// Guards against idle connections that are closed with a request in them that was not read yet.
+TEST_CASE("a server that was suspended reads requests before it closes idle connections",
+          "[.][known_red]") {
+    constexpr milliseconds idle_timeout(600);
+    constexpr std::size_t connections = 400;
+    task owner("test");
+    std::size_t received = 0;
+    std::unique_ptr<raw_server> server;
+    raw_server_hooks served;
+    served.on_request = [&](exchange_id id, const raw_request&) {
+        ++received;
+        raw_head head;
+        head.status = 200;
+        server->respond(id, head, "");
+    };
+    served.on_gone = [](exchange_id) {};
+    raw_server_limits limits;
+    limits.idle_timeout = idle_timeout;
+    server = std::make_unique<raw_server>(owner, limits, served);
+    REQUIRE(server->listen(http_address("127.0.21.7:7001")));
+    sockaddr_in where{};
+    where.sin_family = AF_INET;
+    where.sin_port = htons(7001);
+    inet_pton(AF_INET, "127.0.21.7", &where.sin_addr);
+    std::vector<int> callers;
+    const auto run_for = [&owner](milliseconds time) {
+        owner.after(time, [&owner] { owner.quit(); });
+        owner.run();
+    };
+    const std::string request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+    const auto send_all = [&] {
+        for (const int caller : callers)
+            REQUIRE(send(caller, request.data(), request.size(), MSG_NOSIGNAL) > 0);
+    };
+    for (std::size_t i = 0; i < connections; ++i) {
+        callers.push_back(socket(AF_INET, SOCK_STREAM, 0));
+        REQUIRE(connect(callers.back(), reinterpret_cast<const sockaddr*>(&where), sizeof where) ==
+                0);
+        if (i % 50 == 49)
+            run_for(milliseconds(10));
+    }
+    send_all();
+    run_for(milliseconds(100));
+    REQUIRE(received == connections);
+    owner.post([&] {
+        send_all();
+        std::this_thread::sleep_for(2 * idle_timeout);
+    });
+    run_for(2 * idle_timeout);
+    CHECK(received == 2 * connections);
+    for (const int caller : callers)
+        close(caller);
+}
