Raw server: a connection with an unread request isn't closed as idle

What callers saw: a whole request on a kept connection gets neither an answer nor a refusal. A shorter idle timeout in a new configuration closes many connections at once; a gateway that was suspended for a second, or had no processor time, finds many that seem idle for too long.

The same holds for a request whose second half has arrived after the header timeout.

A peek costs one system call for each connection that is to be closed.

--- a/include/cassia/net/tcp_connections.h
+++ b/include/cassia/net/tcp_connections.h
@@ -54,6 +54,8 @@
     void reset(connection_id id);
     /// Bytes written that the socket didn't take yet.
     std::size_t unsent(connection_id id) const;
+    /// Whether bytes have arrived that no hook was called for yet.
+    bool has_unread(connection_id id) const;
     std::size_t open() const;
 
     struct state;
--- a/lib/net/raw_server.cpp
+++ b/lib/net/raw_server.cpp
@@ -180,10 +180,11 @@
         if (one.second.exchange != exchange_id())
             continue;
         const microseconds waited = now - one.second.since;
-        if (one.second.request_began && waited > limits.header_timeout)
-            slow.push_back(one.first);
-        if (!one.second.request_began && waited > patience)
-            idle.push_back(one.first);
+        const milliseconds limit = one.second.request_began ? limits.header_timeout : patience;
+        // What has arrived is read first: this process may have been suspended meanwhile.
+        if (waited <= limit || sockets->has_unread(one.first))
+            continue;
+        (one.second.request_began ? slow : idle).push_back(one.first);
     }
     for (const connection_id id : idle) {
         callers.erase(id);
--- a/lib/net/tcp_connections.cpp
+++ b/lib/net/tcp_connections.cpp
@@ -351,6 +351,13 @@
     return found == state_->open.end() ? 0 : found->second.out.size();
 }
 
+bool tcp_connections::has_unread(connection_id id) const {
+    auto found = state_->open.find(id);
+    char byte = 0;
+    return found != state_->open.end() &&
+           recv(found->second.descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 std::size_t tcp_connections::open() const {
     return state_->open.size();
 }
