Item runner: a suspect leaves a full service if another target has room

Cause: a suspect that waits for its run keeps its service so that it doesn't lose its turn, as long as the service has endpoints. If all of these are full, other targets of its route weren't looked at.

Change: it keeps the service while that has a free slot, or while no target has one.

--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -83,7 +83,7 @@
     std::optional<policy::placement> find_trial_endpoint(held_item& item, instant now,
                                                          const software_version& version);
     void end_trial(held_item& item);
-    bool keeps_service(const held_item& item, const schema::route& route) const;
+    bool keeps_service(const held_item& item, const schema::route& route, instant now) const;
     /// Whether the endpoint may run the item and has sent nothing for some time.
     bool is_silent(const held_item& item) const;
     /// Items of the route that could start now but have no slot.
--- a/lib/gateway/item_suspects.cpp
+++ b/lib/gateway/item_suspects.cpp
@@ -100,9 +100,11 @@
 }
 
 // A suspect that waits for its run would lose its turn with each service that is drawn.
-bool item_runner::keeps_service(const held_item& item, const schema::route& route) const {
-    return item.trial && routes::is_target(route, item.service.str()) &&
-           slots_.count_endpoints(item.service) > 0;
+bool item_runner::keeps_service(const held_item& item, const schema::route& route,
+                                instant now) const {
+    if (!item.trial || !routes::is_target(route, item.service.str()))
+        return false;
+    return slots_.place_alone(item.service, {}, now) || !has_room(route, now);
 }
 
 std::optional<policy::placement> item_runner::place(held_item& item, const schema::route& route,
@@ -112,7 +114,7 @@
     if (item.last_event > 0) {
         item.service = item.written_by.service;
         version = item.written_by.version;
-    } else if (!keeps_service(item, route)) {
+    } else if (!keeps_service(item, route, now)) {
         item.service = service_id(routes::choose_target(route, uniform(random_)));
     }
     item.runs_alone = judge(item) != policy::request_verdict::unsuspected;
--- a/unittests/gateway/item_runner_test.cpp
+++ b/unittests/gateway/item_runner_test.cpp
@@ -104,7 +104,7 @@
 }
 
 // Guards against a suspect that waits for a run at a full service while another target has room.
-TEST_CASE("a suspected item runs while any target of its route has room", "[.][known_red]") {
+TEST_CASE("a suspected item runs while any target of its route has room", "[.][items]") {
     runner_fixture fixture;
     fixture.add_endpoint("first", "v1");
     fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
--- a/unittests/net/raw_http_test.cpp
+++ b/unittests/net/raw_http_test.cpp
@@ -285,8 +285,7 @@
 }
 
 // Guards against idle connections that are closed with a request in them that was not read yet.
-TEST_CASE("a server that was suspended reads requests before it closes idle connections",
-          "[raw]") {
+TEST_CASE("a server that was suspended reads requests before it closes idle connections", "[raw]") {
     constexpr milliseconds idle_timeout(600);
     constexpr std::size_t connections = 400;
     task owner("test");
