Gateways: lease requests of each route go to all work groups in turn

Cause: the work group of a request was taken from one counter over all routes. With as many batch routes as groups, or a common divisor, the requests of a route reach some of the groups only.

Change: the groups are taken in turn for each route.

The case now asks the code that chooses the group, where it repeated the formula before.

--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -270,10 +270,10 @@
 
 void service::lease(const std::string& route, std::uint32_t limit,
                     const item_runner_hooks::lease_done& done) {
-    // Each request goes to one work group; successive requests go through all groups.
     schema::keeper_request request;
     const std::uint64_t number = lease_requests_.open();
-    request.set_group(static_cast<std::uint32_t>(1 + number % settings_.cluster().work_groups()));
+    const group_id group = lease_requests_.next_group(route, settings_.cluster().work_groups());
+    request.set_group(static_cast<std::uint32_t>(group.value()));
     request.mutable_lease()->set_holder(cluster_->lease_holder());
     request.mutable_lease()->set_number(number);
     schema::lease_want* want = request.mutable_lease()->add_wants();
--- a/unittests/gateway/item_runner_test.cpp
+++ b/unittests/gateway/item_runner_test.cpp
@@ -153,17 +153,17 @@
 }
 
 // Guards against items that no gateway leases as the requests for their route skip a work group.
-TEST_CASE("lease requests of each route reach all work groups", "[.][known_red]") {
+TEST_CASE("lease requests of each route reach all work groups", "[.][items]") {
     runner_fixture fixture;
     fixture.add_endpoint("first", "v1");
     fixture.add_endpoint("second", "v1");
     fixture.runner.set_routes(make_routes(1, {{"early", {"first"}}, {"late", {"second"}}}));
     fixture.run_for(max_idle_time);
-    constexpr std::uint64_t groups = 4;
-    std::map<std::string, std::set<std::uint64_t>> groups_of;
+    constexpr std::uint32_t groups = 4;
+    std::map<std::string, std::set<group_id>> groups_of;
     lease_requests requests;
     for (const std::string& route : fixture.leased_routes)
-        groups_of[route].insert(requests.open() % groups);
+        groups_of[route].insert(requests.next_group(route, groups));
     CHECK(groups_of["early"].size() == groups);
     CHECK(groups_of["late"].size() == groups);
 }
