Work leaders: an item that can't be read holds back no other item

What callers saw: accepted items that no endpoint has, since the log record of another item is damaged or missing.

Cause: the whole reply to a lease request was given up when the body of one of its items couldn't be read. All of its items were leased, taken back and leased together again, without end.

Change: the readable items are granted. The others are logged as errors and left out of grants for 10 s, so that they don't cost a commit each second; their leases come back with the holder's next report.

What becomes of an item whose record no member can read is open: it is never listed before its time limit.

--- a/include/cassia/keeper/work_leader.h
+++ b/include/cassia/keeper/work_leader.h
@@ -12,6 +12,7 @@
 #include "cassia/state/work_state.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -85,6 +86,9 @@
     void serve_lease_requests();
     void start_lease_round(std::vector<queued_lease> requests);
     std::vector<queued_lease> take_waiting_requests();
+    bool is_readable(const state::item_key& item) const;
+    std::uint32_t count_readable(const job_id& job,
+                                 const std::deque<std::uint32_t>& ordinals) const;
     available_items choose_items(const std::string& service, std::uint32_t limit);
     void finish_command(const std::shared_ptr<lease_round>& round, lease_grant& grant,
                         const schema::keeper_reply& reply);
@@ -113,6 +117,7 @@
     std::map<std::string, instant> holders_last_seen_;
     std::set<std::string> holders_being_released_;
     std::map<state::item_key, granted_lease> granted_;
+    std::map<state::item_key, instant> unreadable_until_;
     instant next_expiry_check_{};
     instant next_unfinished_log_{};
 };
--- a/include/cassia/state/work_state.h
+++ b/include/cassia/state/work_state.h
@@ -125,7 +125,9 @@
     /// Answers a read-only query. Bodies are read from the log with `read`.
     schema::work_reply query(const schema::work_query& query, const record_reader& read) const;
     /// Adds bodies and saved progress to the leased items of a reply to an item_lease command.
-    result<void> fill_leased_items(schema::work_reply& reply, const record_reader& read) const;
+    /// Removes those whose body can't be read. \returns these.
+    std::vector<item_key> fill_leased_items(schema::work_reply& reply,
+                                            const record_reader& read) const;
     /// Adds the stored response to the reply to a key_claim command, if the key has one.
     result<void> fill_answer(schema::work_reply& reply, const std::string& team,
                              const std::string& key, const record_reader& read) const;
--- a/lib/keeper/work_leader.cpp
+++ b/lib/keeper/work_leader.cpp
@@ -226,6 +226,7 @@
     std::erase_if(granted_, [this](const auto& lease) {
         return state_.jobs().count(lease.first.first) == 0;
     });
+    std::erase_if(unreadable_until_, [now](const auto& item) { return now >= item.second; });
     if (!state_.has_expired(to_unix_ms(wall)))
         return;
     schema::work_command command;
--- a/lib/keeper/work_leader_leases.cpp
+++ b/lib/keeper/work_leader_leases.cpp
@@ -11,6 +11,8 @@
 namespace {
 // A gateway waits 2.5 s for the reply; the rest is for the way there and back.
 constexpr milliseconds max_lease_turnaround(2300);
+// An item whose record couldn't be read isn't leased again for this time.
+constexpr milliseconds unreadable_pause(10000);
 } // namespace
 
 /// What one request gets in a round.
@@ -70,6 +72,16 @@
     return requests;
 }
 
+std::uint32_t work_leader::count_readable(const job_id& job,
+                                          const std::deque<std::uint32_t>& ordinals) const {
+    if (unreadable_until_.empty())
+        return static_cast<std::uint32_t>(ordinals.size());
+    return static_cast<std::uint32_t>(
+        std::count_if(ordinals.begin(), ordinals.end(), [this, &job](std::uint32_t ordinal) {
+            return is_readable({job, ordinal});
+        }));
+}
+
 std::vector<policy::job_candidate> work_leader::find_candidates(const std::string& service) const {
     std::vector<policy::job_candidate> candidates;
     for (const std::pair<const job_id, state::batch_job>& known_job : state_.jobs()) {
@@ -82,13 +94,19 @@
             // Most jobs have no items to lease, so that is checked before the name is compared.
             if (job.pending[i].empty() || job.services[i] != service)
                 continue;
-            candidates.push_back({job.id, job.team, job.deadline, job.created,
-                                  static_cast<std::uint32_t>(job.pending[i].size())});
+            const std::uint32_t waiting = count_readable(job.id, job.pending[i]);
+            if (waiting > 0)
+                candidates.push_back({job.id, job.team, job.deadline, job.created, waiting});
         }
     }
     return candidates;
 }
 
+bool work_leader::is_readable(const state::item_key& item) const {
+    auto found = unreadable_until_.find(item);
+    return found == unreadable_until_.end() || latest_time_ >= found->second;
+}
+
 work_leader::available_items work_leader::choose_items(const std::string& service,
                                                        std::uint32_t limit) {
     available_items available;
@@ -98,8 +116,13 @@
         const state::batch_job& job = state_.jobs().at(choice.job);
         const auto found = std::find(job.services.begin(), job.services.end(), service);
         const std::deque<std::uint32_t>& unleased = job.pending[found - job.services.begin()];
-        for (std::uint32_t i = 0; i < choice.items; ++i)
-            available.items.emplace_back(choice.job, unleased[i]);
+        std::uint32_t left = choice.items;
+        for (auto ordinal = unleased.begin(); left > 0 && ordinal != unleased.end(); ++ordinal) {
+            if (!is_readable({choice.job, *ordinal}))
+                continue;
+            available.items.emplace_back(choice.job, *ordinal);
+            --left;
+        }
     }
     return available;
 }
@@ -161,14 +184,12 @@
     grant.reply.mutable_work()->MergeFrom(reply.work());
     if (--grant.outstanding > 0)
         return;
-    const state::result<void> completed =
-        state_.fill_leased_items(*grant.reply.mutable_work(), hooks_.read_record);
-    if (!completed) {
-        log_error("lease_failed").with("cause", completed.error().text);
-        grant.reply.set_result(schema::keeper_reply::unavailable);
-        // An item without its body can't be run. Its lease is taken back, as the holder doesn't
-        // know of it.
-        grant.reply.mutable_work()->clear_leased();
+    // Items without their bodies can't be run. The holder doesn't know of their leases, and each
+    // further lease would cost a commit.
+    for (const state::item_key& key :
+         state_.fill_leased_items(*grant.reply.mutable_work(), hooks_.read_record)) {
+        log_error("item_unreadable").with("job", key.first.str()).with("ordinal", key.second);
+        unreadable_until_[key] = latest_time_ + unreadable_pause;
     }
     grant.send_reply(std::move(grant.reply));
     if (--round->outstanding > 0 || round != lease_round_)
--- a/lib/state/work_query.cpp
+++ b/lib/state/work_query.cpp
@@ -178,28 +178,31 @@
     return reply;
 }
 
-result<void> work_state::fill_leased_items(schema::work_reply& reply,
-                                           const record_reader& read) const {
+std::vector<item_key> work_state::fill_leased_items(schema::work_reply& reply,
+                                                    const record_reader& read) const {
     command_cache bodies(read);
     command_cache results(read);
+    std::vector<item_key> unreadable;
+    schema::work_reply readable;
     for (schema::leased_item& leased : *reply.mutable_leased()) {
-        auto found = jobs_.find(job_id(leased.job()));
-        if (found == jobs_.end())
-            return failure(error{errc::lost_body, "leased job doesn't exist: " + leased.job()});
-        const batch_item& item = found->second.items[leased.ordinal()];
-        const schema::item_body* body = find_body(item, bodies);
-        if (body == nullptr)
-            return failure(
-                error{errc::lost_body,
-                      "the log record of an item is missing or damaged, job " + leased.job()});
+        const item_key key{job_id(leased.job()), leased.ordinal()};
+        auto found = jobs_.find(key.first);
+        const schema::item_body* body =
+            found == jobs_.end() ? nullptr : find_body(found->second.items[key.second], bodies);
+        if (body == nullptr) {
+            unreadable.push_back(key);
+            continue;
+        }
         *leased.mutable_item() = *body;
-        if (const schema::item_end* progress = find_end(item, results)) {
+        if (const schema::item_end* progress = find_end(found->second.items[key.second], results)) {
             leased.set_progress(progress->body());
             leased.set_events(progress->events());
             *leased.mutable_written_by() = progress->written_by();
         }
+        *readable.add_leased() = std::move(leased);
     }
-    return success();
+    reply.mutable_leased()->Swap(readable.mutable_leased());
+    return unreadable;
 }
 
 } // namespace cassia::state
--- a/unittests/keeper/lost_lease_test.cpp
+++ b/unittests/keeper/lost_lease_test.cpp
@@ -141,7 +141,7 @@
 }
 
 // Guards against items that never run as one that can't be read is granted together with them.
-TEST_CASE("an item that can't be read holds back none of the same grant", "[.][known_red]") {
+TEST_CASE("an item that can't be read holds back none of the same grant", "[.][leases]") {
     work_group_fixture group;
     group.submit_job("damaged");
     group.damage_last_record();
--- a/unittests/state/work_state_test.cpp
+++ b/unittests/state/work_state_test.cpp
@@ -113,7 +113,7 @@
     }
     schema::leased_item lease_first_item(const std::string& job, const std::string& holder) {
         schema::work_reply reply = lease(job, holder, {0});
-        REQUIRE(state.fill_leased_items(reply, reader()));
+        REQUIRE(state.fill_leased_items(reply, reader()).empty());
         REQUIRE(reply.leased_size() == 1);
         return reply.leased(0);
     }
