--- a/include/cassia/keeper/work_leader.h
+++ b/include/cassia/keeper/work_leader.h
@@ -44,7 +44,7 @@
                 work_leader_hooks hooks);
 
     /// Records whether this member leads the group. A change fails queued lease requests and
-    /// pending cancellations as `unavailable`, and forgets what was known about holders.
+    /// pending cancellations as `unavailable`.
     void set_leading(bool leading, instant now);
     void set_weight(const team_id& team, double weight);
 
@@ -55,7 +55,7 @@
     /// doesn't know of.
     /// \returns items that the holder has without a lease, and must stop.
     schema::stale_items reconcile(const schema::held_items& held, instant now);
-    /// This incarnation of a gateway is alive.
+    /// This incarnation of a gateway is alive; also called on members that don't lead.
     void mark_holder_alive(const std::string& holder, instant now);
     /// A lease was applied; also called on members that don't lead.
     void on_lease_applied(const schema::keeper_reply& reply, instant now);
@@ -97,6 +97,7 @@
     schema::stale_items find_stale_items(const schema::held_items& held) const;
     std::vector<policy::job_candidate> find_candidates(const std::string& service) const;
     void respond_to_settled_cancels(instant now);
+    void discount_own_silence(instant now);
     void release_lost_holders(instant now);
     /// Whether a lease that its holder doesn't report can't reach the holder any more.
     static bool is_lost(const granted_lease& lease, const schema::held_items& held);
--- a/lib/keeper/service_gateways.cpp
+++ b/lib/keeper/service_gateways.cpp
@@ -66,10 +66,8 @@
     if (hosts_control() && uses_seeds())
         roster_.observe(heartbeat, now);
     const std::string holder = holder_name(heartbeat);
-    for (std::pair<const group_id, work_group>& group : work_groups_) {
-        if (replicas_.at(group.first)->raft().leads())
-            group.second.leader->mark_holder_alive(holder, now);
-    }
+    for (std::pair<const group_id, work_group>& group : work_groups_)
+        group.second.leader->mark_holder_alive(holder, now);
     send_beacon(gateway);
 }
 
--- a/lib/keeper/work_leader.cpp
+++ b/lib/keeper/work_leader.cpp
@@ -18,6 +18,9 @@
 // after the lease was applied has never reached it.
 constexpr microseconds lease_reply_timeout = std::chrono::seconds(5);
 constexpr milliseconds expiry_check_interval(30000);
+constexpr milliseconds holder_retention(600000);
+// Holders send heartbeats to each member of the group at this interval.
+constexpr milliseconds heartbeat_interval(1000);
 constexpr milliseconds unfinished_log_interval(5000);
 } // namespace
 
@@ -31,8 +34,9 @@
     leading_ = leading;
     role_changed_at_ = now;
     reject_lease_requests();
-    holders_last_seen_.clear();
     holders_being_released_.clear();
+    if (leading_)
+        discount_own_silence(now);
     std::vector<pending_cancel> dropped = std::move(pending_cancels_);
     pending_cancels_.clear();
     for (const pending_cancel& cancel : dropped) {
@@ -42,6 +46,21 @@
     }
 }
 
+// A member that received nothing for a while, as it was suspended or cut off, doesn't take holders
+// for lost: only what they sent less than others counts.
+void work_leader::discount_own_silence(instant now) {
+    instant latest{};
+    for (const std::pair<const std::string, instant>& holder : holders_last_seen_)
+        latest = std::max(latest, holder.second);
+    const microseconds own_silence = now - latest - heartbeat_interval;
+    if (own_silence <= microseconds(0))
+        return;
+    for (std::pair<const std::string, instant>& holder : holders_last_seen_) {
+        if (holder.second != instant())
+            holder.second += own_silence;
+    }
+}
+
 void work_leader::set_weight(const team_id& team, double weight) {
     schedule_.set_weight(team, weight);
 }
@@ -161,6 +180,9 @@
     const bool is_new = holders_last_seen_.insert_or_assign(holder, now).second;
     if (!is_new)
         return;
+    std::erase_if(holders_last_seen_, [this, now](const auto& known) {
+        return now - known.second > holder_retention && state_.leases_of(known.first).empty();
+    });
     // Any other incarnation of the same gateway is presumed to be an earlier process, now dead.
     const std::string gateway_prefix = holder.substr(0, holder.rfind('/') + 1);
     for (const std::string& other : state_.holders()) {
--- a/unittests/keeper/lost_holder_test.cpp
+++ b/unittests/keeper/lost_holder_test.cpp
@@ -2,6 +2,7 @@
 
 #include "cassia/keeper/work_leader.h"
 #include "cassia/schema/messages.pb.h"
+#include "cassia/schema/settings.pb.h"
 
 #include <catch2/catch.hpp>
 
@@ -18,7 +19,7 @@
 constexpr milliseconds max_idle_time(5000);
 constexpr milliseconds tick_interval(25);
 constexpr milliseconds heartbeat_interval(1000);
-constexpr milliseconds holder_timeout(5000); ///< the default of the settings
+const milliseconds holder_timeout(schema::keeper_settings().holder_timeout_ms());
 constexpr milliseconds holder_lifetime(10000);
 constexpr milliseconds max_wait(60000);
 
@@ -58,7 +59,8 @@
                 leader_ = &second_leader_;
                 second_leader_.set_leading(true, now);
             }
-            leader_->mark_holder_alive("g2/1", now);
+            first_leader_.mark_holder_alive("g2/1", now);
+            second_leader_.mark_holder_alive("g2/1", now);
             leader_->tick(now, wall_time());
             if (time >= max_wait || lease("g2/1", now))
                 return time;
