Trial schedule: an item may run again 3 s after its endpoint was silent

What callers saw: an accepted item that isn't listed, and that no endpoint has for more than 5 s, with room. A sound endpoint that falls silent for 1.5 s is enough, if the item is under suspicion.

Cause: after a run that ended as its endpoint was silent, the request is held for 5 s, so that an endpoint that it hangs has time to end and the crash can be held against it. For an item that is all of the time that it may be idle. Each silent endpoint under it adds as much.

Change: trials say whether they are of an item; for these the hold of the request ends after 3 s. The endpoint is held for 5 s as before, so that the next run is at another one, and online requests wait as before: they end by their deadline.

A new case in [trials] has the hold alone.

--- a/include/cassia/policy/trial_schedule.h
+++ b/include/cassia/policy/trial_schedule.h
@@ -5,6 +5,7 @@
 
 #include "cassia/base/clock.h"
 #include "cassia/base/ids.h"
+#include "cassia/policy/slot_table.h"
 
 #include <compare>
 #include <cstddef>
@@ -39,6 +40,7 @@
     fingerprint request;
     service_id service;
     software_version version; ///< of the endpoint; any if empty
+    work_kind kind = work_kind::online;
 };
 
 enum class trial_outcome : std::uint8_t {
@@ -86,6 +88,7 @@
         service_id service;
         endpoint_id endpoint;
         instant until{};
+        instant until_for_batch{}; ///< an item may run again from then on
     };
     struct endpoint_use {
         std::set<endpoint_id> by_trials;
@@ -93,7 +96,7 @@
     };
 
     void expire(instant now);
-    bool is_busy(const fingerprint& request) const;
+    bool is_busy(const trial_request& asked, instant now) const;
     endpoint_use use_of(const service_id& service) const;
 
     std::map<trial_key, trial> trials_;
--- a/lib/gateway/dispatch_suspects.cpp
+++ b/lib/gateway/dispatch_suspects.cpp
@@ -49,7 +49,8 @@
 std::optional<policy::placement> dispatcher::find_trial_endpoint(online_call& call, instant now) {
     const software_version version = call.required_version();
     if (!call.trial)
-        call.trial = trials_.begin(fingerprint_of(call), call.service, version);
+        call.trial =
+            trials_.begin(fingerprint_of(call), call.service, version, policy::work_kind::online);
     if (!call.trial)
         return std::nullopt;
     const trial_exchange::state state = trials_.find(*call.trial);
--- a/lib/gateway/item_suspects.cpp
+++ b/lib/gateway/item_suspects.cpp
@@ -69,7 +69,8 @@
     if (item.trial && !trials_.asks_for(*item.trial, item.service, version))
         end_trial(item);
     if (!item.trial)
-        item.trial = trials_.begin(fingerprint_of(item), item.service, version);
+        item.trial =
+            trials_.begin(fingerprint_of(item), item.service, version, policy::work_kind::batch);
     if (!item.trial)
         return std::nullopt;
     const trial_exchange::state state = trials_.find(*item.trial);
--- a/lib/gateway/trial_exchange.cpp
+++ b/lib/gateway/trial_exchange.cpp
@@ -20,7 +20,8 @@
     : self_(std::move(self)), hooks_(std::move(hooks)) {}
 
 std::optional<trial_id> trial_exchange::begin(const fingerprint& request, const service_id& service,
-                                              const software_version& version) {
+                                              const software_version& version,
+                                              policy::work_kind kind) {
     const bool is_asked = std::any_of(asked_.begin(), asked_.end(), [&request](const auto& one) {
         return one.second.request.request == request;
     });
@@ -28,7 +29,7 @@
         return std::nullopt;
     const trial_id id(++last_id_);
     asked_trial& trial = asked_[id];
-    trial.request = {{self_, id}, request, service, version};
+    trial.request = {{self_, id}, request, service, version, kind};
     ask(trial, monotonic_now());
     return id;
 }
@@ -74,6 +75,7 @@
     request->set_fingerprint(trial.request.request.str());
     request->set_service(trial.request.service.str());
     request->set_version(trial.request.version.str());
+    request->set_batch(trial.request.kind == policy::work_kind::batch);
     send(trial.coordinator, news);
 }
 
@@ -123,7 +125,8 @@
     for (const schema::trial_request& request : news.trial_requests()) {
         const policy::trial_key key{from, trial_id(request.id())};
         schedule_.refresh({key, fingerprint(request.fingerprint()), service_id(request.service()),
-                           software_version(request.version())},
+                           software_version(request.version()),
+                           request.batch() ? policy::work_kind::batch : policy::work_kind::online},
                           now);
         answer(key, schedule_.granted(key));
     }
--- a/lib/policy/trial_schedule.cpp
+++ b/lib/policy/trial_schedule.cpp
@@ -12,6 +12,8 @@
 constexpr milliseconds verdict_time(150);
 // Until an endpoint that a run hangs has ended or answers again.
 constexpr milliseconds hang_time(5000);
+// An accepted item must not be idle for as long as that.
+constexpr milliseconds hang_time_for_batch(3000);
 // The gateway that asked couldn't use the endpoint, which may be gone.
 constexpr milliseconds unusable_time(1000);
 constexpr std::size_t max_known_trials = 4096;
@@ -38,7 +40,7 @@
         return;
     if (outcome == trial_outcome::unused) {
         holds_.push_back(
-            {fingerprint(), ended.asked.service, *ended.endpoint, now + unusable_time});
+            {fingerprint(), ended.asked.service, *ended.endpoint, now + unusable_time, now});
         return;
     }
     milliseconds time = late_crash_time;
@@ -46,7 +48,8 @@
         time = verdict_time;
     else if (outcome == trial_outcome::silent)
         time = hang_time;
-    holds_.push_back({ended.asked.request, ended.asked.service, *ended.endpoint, now + time});
+    holds_.push_back({ended.asked.request, ended.asked.service, *ended.endpoint, now + time,
+                      now + std::min(time, hang_time_for_batch)});
 }
 
 void trial_schedule::expire(instant now) {
@@ -61,12 +64,15 @@
         end(key, trial_outcome::completed, now);
 }
 
-bool trial_schedule::is_busy(const fingerprint& request) const {
-    const bool runs = std::any_of(trials_.begin(), trials_.end(), [&request](const auto& one) {
-        return one.second.endpoint && one.second.asked.request == request;
+bool trial_schedule::is_busy(const trial_request& asked, instant now) const {
+    const bool runs = std::any_of(trials_.begin(), trials_.end(), [&asked](const auto& one) {
+        return one.second.endpoint && one.second.asked.request == asked.request;
     });
-    return runs || std::any_of(holds_.begin(), holds_.end(),
-                               [&request](const hold& one) { return one.request == request; });
+    return runs || std::any_of(holds_.begin(), holds_.end(), [&asked, now](const hold& one) {
+               const instant until =
+                   asked.kind == work_kind::batch ? one.until_for_batch : one.until;
+               return one.request == asked.request && now < until;
+           });
 }
 
 trial_schedule::endpoint_use trial_schedule::use_of(const service_id& service) const {
@@ -97,7 +103,7 @@
               [](const trial* a, const trial* b) { return a->asked_at < b->asked_at; });
     std::vector<trial_grant> grants;
     for (trial* one : waiting) {
-        if (is_busy(one->asked.request))
+        if (is_busy(one->asked, now))
             continue;
         const endpoint_use use = use_of(one->asked.service);
         const choice chosen = choose_endpoint(one->asked, use.excluded);
--- a/unittests/policy/trial_schedule_test.cpp
+++ b/unittests/policy/trial_schedule_test.cpp
@@ -60,6 +60,20 @@
     CHECK(schedule.poll(ended + held, choose_of(8)).size() == 1);
 }
 
+// Guards against an accepted item that is idle for 5 s since the endpoint of its run was silent.
+TEST_CASE("a suspected item runs again soon after its endpoint was silent", "[trials]") {
+    trial_schedule schedule;
+    trial_request item = request_of("a", 1, "p");
+    item.kind = work_kind::batch;
+    schedule.refresh(item, start);
+    REQUIRE(schedule.poll(start, choose_of(8)).at(0).endpoint == endpoint_id("e0"));
+    schedule.end(item.key, trial_outcome::silent, start);
+    item.key.id = trial_id(2);
+    const instant later = start + milliseconds(4000);
+    schedule.refresh(item, later);
+    CHECK(schedule.poll(later, choose_of(8)).at(0).endpoint == endpoint_id("e1"));
+}
+
 // Guards against a choice that is repeated until the caller's time is over.
 TEST_CASE("an endpoint that couldn't be used isn't granted again at once", "[trials]") {
     trial_schedule schedule;
