--- a/test/runner/platform.lua
+++ b/test/runner/platform.lua
@@ -20,7 +20,8 @@
   disturbances[name] = disturbances[name] or {}
   table.insert(disturbances[name], now())
 end
-local function disturbed(name, at, span)
+-- Whether the process was disturbed in the span that ends then.
+function disturbed(name, at, span)
   for _, time in ipairs(disturbances[name] or {}) do
     if time <= at and time > at - span then return true end
   end
@@ -86,6 +87,7 @@
   local routes = {
     route("stream", "/s/", "stream", 2, "llm", ',"resumable":true,"gapSloMs":400'),
     route("thrice", "/thrice/s/", "stream", 3, "llm", ',"resumable":true,"gapSloMs":400'),
+    route("prompts", "/p/s/", "stream", 2, "llm", ',"resumable":true,"gapSloMs":400,"sticky":true'),
     route("once", "/once/s/", "stream", 1, "llm", ',"resumable":false,"gapSloMs":400'),
     route("safe", "/f/", "safe", 2, "llm"), route("unsafe", "/u/", "unsafe", 3, "llm"),
     route("jobs", "/j/", "batch", 3, "llm",
@@ -103,22 +105,29 @@
 end
 local function front_address(name) return ip_of(kinds.front, tonumber(name:match("%d+$"))) .. ":9200" end
 
-function begin_request(front, method, path, body, deadline_ms, id)
+function begin_request(front, method, path, body, deadline_ms, id, parts)
   return begin_ask({ to = front_address(front), method = method, path = path, body = body,
     timeout_ms = deadline_ms, headers = { Host = "shop.example",
-      ["X-Cassiarouter-Request-Id"] = id, ["X-Cassiarouter-Deadline-Ms"] = deadline_ms } })
+      ["X-Cassiarouter-Request-Id"] = id, ["X-Cassiarouter-Deadline-Ms"] = deadline_ms,
+      ["X-Cassiarouter-Prompt-Prefix"] = parts } })
 end
 
 -- Starts three control keepers and three work keepers, gateways and endpoints, and waits until each
 -- gateway serves.
 function platform_fleet(shape)
   local zones = shape.zones or 3
+  restart_ms = shape.restart_ms or restart_ms
   local control_addresses, seeds = {}, {}
   for i = 1, 3 do
     control_addresses[i] = ip_of(kinds.control, i) .. ":9000"
     seeds[i] = '"' .. control_addresses[i] .. '"'
   end
   seeds = table.concat(seeds, ", ")
+  local options = { "--control", table.unpack(control_addresses) }
+  for id, way in pairs(shape.bad_parts or {}) do
+    table.insert(options, "--bad-part")
+    table.insert(options, id .. " " .. way)
+  end
   for i = 1, 3 do
     add_program(controls, "control", i, "control", "platform-keeper", zones, seeds)
     add_program(works, "work", i, "work", "platform-keeper", zones, seeds)
@@ -131,7 +140,7 @@
     add_process(name, "platform-endpoint", ip_of(kinds.endpoint, i), { "--name", name, "--service",
       "llm", "--address", ip_of(kinds.endpoint, i) .. ":9300", "--zone", "z" .. (i - 1) % zones + 1,
       "--record", state_folder() .. "/" .. name .. ".record", "--slots", slots, "--events", events,
-      "--event-ms", shape.event_ms or 15, "--control", table.unpack(control_addresses) })
+      "--event-ms", shape.event_ms or 15, table.unpack(options) })
     endpoints[i] = name
   end
   for _, list in ipairs({ controls, works, fronts, endpoints }) do
@@ -152,7 +161,7 @@
   sleep(contact_ms)
 end
 
-local sent, calls = {}, {}   -- by request id
+sent, calls = {}, {}   -- by request id; in order of time
 
 -- Sends a request at the gateways in turn, past those that are down.
 local front_turn = 0
@@ -163,10 +172,12 @@
   end
   local front, id = fronts[front_turn], request_id()
   local deadline = source.deadline_ms or 4000
+  local parts = source.parts and source.parts(source.count)
   sent[id] = { at = now(), deadline = deadline, front = front, body = body, source = source,
-    attempts = source.attempts or 2 }
+    attempts = source.attempts or 2, parts = parts }
   calls[#calls + 1] = { id = id, source = source, at = now(), ends = now() + deadline,
-    ask = begin_request(front, source.method or "POST", source.path or "/s/x", body, deadline, id) }
+    ask = begin_request(front, source.method or "POST", source.path or "/s/x", body, deadline, id,
+      parts) }
 end
 
 local open_from = 1
@@ -191,7 +202,8 @@
 end
 
 -- Sends requests for a time. Each source is { bodies = list or function(number), every_ms, path,
--- method, deadline_ms, attempts, innocent, until_ms }; each trouble { at = ms, act = function }.
+-- method, deadline_ms, attempts, innocent, from_ms, until_ms, parts = function(number) }; each trouble
+-- { at = ms, act = function }.
 function play(run_ms, sources, troubles)
   local began = now()
   troubles = troubles or {}
@@ -258,10 +270,11 @@
   local records = {}
   for _, name in ipairs(endpoints) do
     for line in read_file(state_folder() .. "/" .. name .. ".record"):gmatch("[^\n]+") do
-      local time, event, process, request, left, last, body =
-        line:match("^(%d+) (%S+) (%S+) (%S+) (%S+) (%S+) (.*)$")
+      local time, event, process, request, left, last, parts, body =
+        line:match("^(%d+) (%S+) (%S+) (%S+) (%S+) (%S+) (%S+) (.*)$")
       records[#records + 1] = { time = tonumber(time), event = event, process = process,
-        endpoint = name, request = request, left = tonumber(left), last = last, body = body }
+        endpoint = name, request = request, left = tonumber(left), last = last, parts = parts,
+        body = body }
     end
   end
   table.sort(records, function(a, b) return a.time < b.time end)
