Parts of prompts that crash endpoints, in virtual time, known to fail

Callers saw requests of one kind crash endpoint after endpoint: no two were alike, but one part of their prompts was in all of them. Requests are judged by caller, path and body, so that none of these was ever met again, and each crashed one endpoint or two more.

The simulation plays prompts of three shared parts, one of which crashes endpoints. Crash reports and runs have room for parts, which nothing judges yet.

--- a/include/cassia/policy/poison_detector.h
+++ b/include/cassia/policy/poison_detector.h
@@ -1,6 +1,6 @@
-/// Detects poison requests, which crash the endpoints that run them. Each crash raises the odds of
-/// the requests that ran there: the less, the more another of them or other crashes of that time
-/// explain it. Pure.
+/// Detects poison requests, and poison parts of prompts, which crash the endpoints that run them.
+/// Each crash raises the odds of the requests and parts that ran there: the less, the more another
+/// of them or other crashes of that time explain it. Pure.
 #pragma once
 
 #include "cassia/base/clock.h"
@@ -26,8 +26,15 @@
 /// A run at an endpoint that crashed.
 struct crashed_run {
     fingerprint request;
-    milliseconds duration{0};  ///< from its sending to the crash
-    bool was_complete = false; ///< it had ended, a short time before the crash
+    milliseconds duration{0};         ///< from its sending to the crash
+    bool was_complete = false;        ///< it had ended, a short time before the crash
+    std::vector<fingerprint> parts{}; ///< of its prompt, those that other requests may share
+};
+
+/// Runs with a part of a prompt that their endpoints survived, as one gateway counted them.
+struct part_history {
+    fingerprint part;
+    std::uint32_t survived_runs = 0;
 };
 
 /// What one gateway knows of a crash.
@@ -37,6 +44,8 @@
     std::uint32_t endpoints = 1; ///< of the service, when it crashed
     instant crashed_at{};
     std::vector<crashed_run> runs;
+    std::vector<part_history> parts{};
+    std::uint32_t survived_runs = 0; ///< of the service, lately at this gateway
 };
 
 enum class request_verdict : std::uint8_t {
--- /dev/null
+++ b/unittests/policy/part_detector_test.cpp
@@ -0,0 +1,120 @@
+// Which parts of prompts are held to crash endpoints, and which are not.
+
+#include "part_simulation.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <iostream>
+
+using namespace cassia;
+using namespace cassia::policy;
+
+namespace {
+
+constexpr std::uint64_t seeds = 20;
+constexpr std::size_t max_late_runs = 3;
+
+void check(const part_model& model, std::size_t causes) {
+    std::size_t crashes = 0;
+    std::size_t refused = 0;
+    std::size_t delayed = 0;
+    std::size_t sound = 0;
+    std::size_t late = 0;
+    milliseconds suspicion{0};
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        const part_result result = part_simulation(model, seed).run();
+        CAPTURE(seed, result.crashes, result.sound, result.delayed, result.innocent);
+        CHECK(result.late_runs <= max_late_runs);
+        CHECK(result.quarantined == causes);
+        CHECK(result.innocent.empty());
+        CHECK(result.refused == 0);
+        CHECK(result.longest_suspicion <= milliseconds(3000));
+        crashes = std::max(crashes, result.crashes);
+        late = std::max(late, result.late_runs);
+        refused += result.refused;
+        delayed += result.delayed;
+        sound += result.sound;
+        suspicion = std::max(suspicion, result.longest_suspicion);
+    }
+    if (std::getenv("CASSIA_PRINT_PARTS") != nullptr)
+        std::cout << "most crashes " << crashes << ", late runs " << late << ", sound " << sound
+                  << ", refused " << refused << ", delayed " << delayed << ", suspicion ms "
+                  << suspicion.count() << "\n";
+}
+
+} // namespace
+
+// Guards against a part of prompts that takes all endpoints away, in requests of which no two are
+// alike.
+TEST_CASE("in virtual time, a part that crashes endpoints is stopped", "[.parts]") {
+    part_model model;
+    std::size_t causes = 1;
+    SECTION("at each position and rate") {
+        model.bad_position = GENERATE(0U, 1U, 2U);
+        model.sound_per_s = GENERATE(1.0, 10.0, 40.0);
+    }
+    SECTION("in larger fleets") {
+        model.endpoints = GENERATE(60, 300);
+        model.sound_per_s = 200;
+        model.gateways = 20;
+    }
+    SECTION("among many gateways with few requests") {
+        model.gateways = 60;
+        model.sound_per_s = 10;
+    }
+    SECTION("beside a second one") {
+        model.bad_parts = 2;
+        causes = 2;
+    }
+    SECTION("beside a body that does so") {
+        model.bad_bodies = 1;
+        causes = 2;
+    }
+    SECTION("after its responses") {
+        model.bad_delay = milliseconds(400);
+    }
+    SECTION("after a second") {
+        model.bad_time = milliseconds(1000);
+    }
+    SECTION("mostly met with a sound one") {
+        model.companion_share = 0.9;
+        model.companion_per_s = 1;
+    }
+    SECTION("beside outages of a third") {
+        model.endpoints = 12;
+        model.outage_share = 0.33;
+        model.outage_interval = milliseconds(4000);
+        model.outage_step = milliseconds(100);
+    }
+    SECTION("right after the start") {
+        model.bad_position = GENERATE(0U, 1U);
+        model.history = milliseconds(0);
+    }
+    check(model, causes);
+}
+
+// Guards against sound parts, which nearly all requests have, that are stopped since endpoints
+// crash for other reasons.
+TEST_CASE("in virtual time, outages stop no sound part", "[.parts]") {
+    part_model model;
+    model.bad_parts = 0;
+    model.endpoints = GENERATE(12, 60);
+    model.history = GENERATE(milliseconds(0), milliseconds(500), milliseconds(10000));
+    model.length = milliseconds(10000);
+    SECTION("a rack at once") {
+        model.outage_share = 0.33;
+        model.outage_interval = milliseconds(1000);
+    }
+    SECTION("a third, one after the other") {
+        model.outage_share = 0.33;
+        model.outage_interval = milliseconds(2500);
+        model.outage_step = milliseconds(GENERATE(30, 100, 500));
+    }
+    SECTION("all, one after the other") {
+        model.outage_share = 1;
+        model.outage_interval = milliseconds(4000);
+        model.outage_step = milliseconds(GENERATE(30, 100));
+    }
+    check(model, 0);
+}
