Policy: a part of prompts that crashes endpoints is found

Requests that share a part which crashes endpoints were each unknown to the detector, which judges requests. Parts of prompts are now causes beside requests, and explain each other's crashes.

A part that nearly every request has runs at every crash. Crashes beside others raise the odds of a part only until it is a suspect; it is quarantined for crashes of its runs on trial alone, if runs without it are known to survive.

--- a/include/cassia/policy/poison_detector.h
+++ b/include/cassia/policy/poison_detector.h
@@ -29,6 +29,7 @@
     milliseconds duration{0};         ///< from its sending to the crash
     bool was_complete = false;        ///< it had ended, a short time before the crash
     std::vector<fingerprint> parts{}; ///< of its prompt, those that other requests may share
+    bool on_trial = false;            ///< it ran alone, as a suspect
 };
 
 /// Runs with a part of a prompt that their endpoints survived, as one gateway counted them.
@@ -45,7 +46,8 @@
     instant crashed_at{};
     std::vector<crashed_run> runs;
     std::vector<part_history> parts{};
-    std::uint32_t survived_runs = 0; ///< of the service, lately at this gateway
+    entry_id gateway{};
+    std::uint32_t survived_runs = 0; ///< of the service, at this gateway
 };
 
 enum class request_verdict : std::uint8_t {
@@ -56,8 +58,10 @@
 
 inline constexpr double default_late_crash_probability = 0.2;
 
+/// What is known of a cause of crashes: a request, or a part of prompts.
 struct poison_record {
-    fingerprint request;
+    fingerprint request; ///< or the part's key
+    bool is_part = false;
     /// Grows with each change that all gateways have to know; 0 while none of them has to.
     std::uint64_t version = 0;
     request_verdict verdict = request_verdict::unsuspected;
@@ -66,11 +70,13 @@
     double late_crash_probability = default_late_crash_probability;
     std::uint32_t crashes = 0; ///< counted ones, since it was last cleared
     std::uint32_t quarantines = 0;
+    std::uint32_t survived_runs = 0; ///< of a part, bounded
+    std::uint32_t trial_crashes = 0; ///< of a part, of those counted: in runs on trial
     instant last_crash_at{};
     instant quarantined_until{};
 };
 
-/// A crash and the records, after it, of the requests that ran there.
+/// A crash and the records, after it, of the requests and parts that ran there.
 struct attributed_crash {
     endpoint_process process;
     std::vector<poison_record> requests;
@@ -85,8 +91,10 @@
 public:
     /// Collects what gateways report of a crash.
     void record_crash(const crash_report& report, instant now);
-    /// Runs of the request were completed.
+    /// Runs of the request, or with the part, were completed, and their endpoints survived them.
     void record_successes(const fingerprint& request, std::uint32_t runs, instant now);
+    /// Takes over what a gateway counted before the part came under suspicion.
+    void record_history(const part_history& history, instant now);
     /// Attributes the crashes on which all reports should have arrived.
     poison_findings poll(instant now);
     /// Takes over a record that another gateway published. \returns whether it was news.
@@ -105,16 +113,28 @@
 private:
     struct known_crash {
         crash_report report;
-        instant first_reported_at{}; ///< of the runs not yet judged
-        std::size_t judged = 0;      ///< runs that were; those of late reports follow
-        std::set<fingerprint> requests;
+        instant first_reported_at{};  ///< of the runs not yet judged
+        std::size_t judged = 0;       ///< runs that were; those of late reports follow
+        std::set<fingerprint> causes; ///< requests and parts that ran there
         double unexplained = 1; ///< as of the latest poll: that none of its requests is poison
     };
     struct candidate {
         poison_record* record = nullptr;
         milliseconds duration{0};
         bool was_complete = false;
+        bool on_trial = false;
         bool counts = false; ///< the run is independent of the crashes counted so far
+        double background = 0;
+        /// Of causes that ran at the same crashes, with like odds: one is blamed, the others follow
+        /// if crashes go on without it.
+        bool is_follower = false;
+        double without_twins = 1; ///< probability that none of the others of these is poison
+        double gain = 0;
+        double if_innocent = 0;
+    };
+    struct service_history {
+        std::map<entry_id, std::uint32_t> survived_runs; ///< by gateway
+        instant reported_at{};
     };
 
     attributed_crash attribute(const endpoint_process& process, known_crash& crash, instant now);
@@ -123,12 +143,18 @@
     /// Probability that none of the requests that ran there, except this one, is poison.
     double unexplained_without(const known_crash& crash, const fingerprint& request) const;
     void update_unexplained(known_crash& crash) const;
-    /// Probability that the endpoint crashed within a run of this length for another reason than
-    /// one of its requests, if `request` isn't poison.
-    double background(const endpoint_process& process, const known_crash& crash,
-                      const fingerprint& request, milliseconds duration) const;
+    /// For each candidate the probability that the endpoint crashed within a run of its length for
+    /// another reason than one of its causes, if the candidate isn't poison.
+    void set_background(const endpoint_process& process, const known_crash& crash,
+                        std::vector<candidate>& candidates) const;
+    /// Marks the candidates that no crash tells apart.
+    void find_twins(std::vector<candidate>& candidates) const;
     poison_record& record_of(const fingerprint& request, instant now);
-    void update_verdict(poison_record& record, instant now);
+    /// \returns whether the number was news.
+    static bool raise_survived(poison_record& record, std::uint32_t survived_runs);
+    /// Runs of the service that survived without the part, as far as is known.
+    std::uint64_t control_runs(const poison_record& record, const service_id& service) const;
+    void update_verdict(poison_record& record, const service_id& service, instant now);
     void publish(poison_record& record);
     void end_quarantine(poison_record& record, instant now) const;
     void evict_one();
@@ -136,6 +162,7 @@
 
     std::map<fingerprint, poison_record> records_;
     std::map<endpoint_process, known_crash> crashes_;
+    std::map<service_id, service_history> services_;
     std::vector<fingerprint> changed_;
     std::size_t published_ = 0; ///< records with a version
 };
--- /dev/null
+++ b/lib/policy/poison_background.cpp
@@ -0,0 +1,123 @@
+// What else may explain a crash: other causes that ran there, and crashes of that time.
+
+#include "cassia/policy/poison_detector.h"
+
+#include "poison_odds.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace cassia::policy {
+
+namespace {
+// A series of crashes begins with a higher rate than that of the whole window.
+constexpr milliseconds burst_window(1000);
+constexpr double min_running_share = 0.25;
+// Causes whose odds differ by more aren't taken for each other.
+constexpr double twin_distance = 1;
+} // namespace
+
+double poison_detector::probability_of(const fingerprint& request) const {
+    auto found = records_.find(request);
+    return to_probability(found == records_.end() ? prior_log_odds : found->second.log_odds);
+}
+
+void poison_detector::update_unexplained(known_crash& crash) const {
+    crash.unexplained = 1;
+    for (const fingerprint& cause : crash.causes)
+        crash.unexplained *= 1 - probability_of(cause);
+}
+
+double poison_detector::unexplained_without(const known_crash& crash,
+                                            const fingerprint& request) const {
+    const bool ran_there = crash.causes.count(request) > 0;
+    return ran_there ? std::min(1.0, crash.unexplained / (1 - probability_of(request)))
+                     : crash.unexplained;
+}
+
+// By what is known now: a cause that was found out since explains its earlier crashes.
+void poison_detector::set_background(const endpoint_process& process, const known_crash& crash,
+                                     std::vector<candidate>& candidates) const {
+    struct counted {
+        double recent = 0;
+        double burst = 0;
+        double simultaneous = 0;
+        void add(microseconds distance, double unexplained) {
+            simultaneous += distance <= same_moment ? unexplained : 0;
+            recent += distance > same_moment ? unexplained : 0;
+            burst += distance > same_moment && distance <= burst_window ? unexplained : 0;
+        }
+    };
+    counted all;
+    std::map<fingerprint, counted> corrections;
+    for (const candidate& one : candidates)
+        corrections[one.record->request] = {};
+    for (const std::pair<const endpoint_process, known_crash>& other : crashes_) {
+        const crash_report& report = other.second.report;
+        const microseconds distance = crash.report.crashed_at - report.crashed_at;
+        const bool is_near = distance >= -same_moment && distance <= background_window;
+        if (other.first == process || report.service != crash.report.service || !is_near)
+            continue;
+        all.add(distance, other.second.unexplained);
+        for (std::pair<const fingerprint, counted>& one : corrections) {
+            if (other.second.causes.count(one.first) > 0)
+                one.second.add(distance, unexplained_without(other.second, one.first) -
+                                             other.second.unexplained);
+        }
+    }
+    const double endpoints = std::max(crash.report.endpoints, 1U);
+    for (candidate& one : candidates) {
+        const counted& correction = corrections.at(one.record->request);
+        const double recent = (all.recent + correction.recent) / to_seconds(background_window);
+        double rate = recent / endpoints;
+        if (one.record->is_part) {
+            // The endpoints that crashed a moment ago don't run anything now.
+            const double burst = all.burst + correction.burst;
+            const double running = std::max(endpoints - burst, endpoints * min_running_share);
+            rate = std::max(rate, burst / (running * to_seconds(burst_window)));
+        }
+        const double within_run = 1 - std::exp(-rate * to_seconds(one.duration));
+        one.background = std::min(
+            max_probability, within_run + (all.simultaneous + correction.simultaneous) / endpoints);
+    }
+}
+
+void poison_detector::find_twins(std::vector<candidate>& candidates) const {
+    std::map<std::set<endpoint_process>, std::vector<candidate*>> groups;
+    for (candidate& one : candidates) {
+        if (one.record->crashes == 0)
+            continue;
+        std::set<endpoint_process> crashes;
+        for (const std::pair<const endpoint_process, known_crash>& crash : crashes_) {
+            if (crash.second.causes.count(one.record->request) > 0)
+                crashes.insert(crash.first);
+        }
+        groups[crashes].push_back(&one);
+    }
+    for (std::pair<const std::set<endpoint_process>, std::vector<candidate*>>& group : groups) {
+        std::vector<candidate*>& members = group.second;
+        std::sort(members.begin(), members.end(), [](const candidate* a, const candidate* b) {
+            return std::make_tuple(a->record->log_odds, !a->record->is_part, a->record->request) >
+                   std::make_tuple(b->record->log_odds, !b->record->is_part, b->record->request);
+        });
+        const poison_record& leader = *members.front()->record;
+        std::erase_if(members, [&leader](const candidate* one) {
+            return one->record->log_odds < leader.log_odds - twin_distance;
+        });
+        // Requests alone are told apart by their runs alone.
+        if (std::none_of(members.begin(), members.end(),
+                         [](const candidate* one) { return one->record->is_part; }))
+            continue;
+        for (candidate* one : members) {
+            one->is_follower = one != members.front();
+            for (const candidate* other : members) {
+                if (other != one)
+                    one->without_twins *= 1 - to_probability(other->record->log_odds);
+            }
+        }
+    }
+}
+
+} // namespace cassia::policy
--- /dev/null
+++ b/lib/policy/poison_records.cpp
@@ -0,0 +1,129 @@
+// Records of requests and parts: their publication, quarantine and expiry.
+
+#include "cassia/policy/poison_detector.h"
+
+#include "cassia/base/digest.h"
+#include "poison_odds.h"
+
+#include <algorithm>
+#include <string>
+#include <tuple>
+#include <utility>
+
+namespace cassia::policy {
+
+namespace {
+constexpr std::size_t max_records = 4096;
+} // namespace
+
+void poison_detector::publish(poison_record& record) {
+    if (record.version++ == 0)
+        ++published_;
+    changed_.push_back(record.request);
+}
+
+void poison_detector::end_quarantine(poison_record& record, instant now) const {
+    if (record.verdict != request_verdict::quarantined || now < record.quarantined_until)
+        return;
+    record.verdict = request_verdict::suspect;
+    record.log_odds = quarantine_log_odds - repeated_gain;
+    record.crashes = min_crashes_to_quarantine - 1;
+}
+
+poison_record& poison_detector::record_of(const fingerprint& request, instant now) {
+    auto found = records_.find(request);
+    if (found != records_.end())
+        return found->second;
+    if (records_.size() >= max_records)
+        evict_one();
+    poison_record& record = records_[request];
+    record.request = request;
+    record.log_odds = prior_log_odds;
+    record.last_crash_at = now;
+    return record;
+}
+
+// What is least suspected goes first, of that the oldest.
+void poison_detector::evict_one() {
+    auto first =
+        std::min_element(records_.begin(), records_.end(), [](const auto& a, const auto& b) {
+            return std::make_tuple(a.second.verdict, a.second.last_crash_at) <
+                   std::make_tuple(b.second.verdict, b.second.last_crash_at);
+        });
+    published_ -= first->second.version > 0 ? 1 : 0;
+    records_.erase(first);
+}
+
+static bool is_expired(const poison_record& record, instant now) {
+    return now > std::max(record.last_crash_at, record.quarantined_until) + retention;
+}
+
+void poison_detector::expire(instant now) {
+    std::erase_if(services_,
+                  [now](const auto& one) { return now > one.second.reported_at + retention; });
+    std::erase_if(crashes_, [now](const auto& one) {
+        return now > one.second.report.crashed_at + background_window &&
+               now > one.second.first_reported_at + background_window;
+    });
+    for (auto one = records_.begin(); one != records_.end();) {
+        if (!is_expired(one->second, now)) {
+            ++one;
+            continue;
+        }
+        published_ -= one->second.version > 0 ? 1 : 0;
+        one = records_.erase(one);
+    }
+}
+
+bool poison_detector::merge(const poison_record& record, instant now) {
+    if (record.version == 0 || is_expired(record, now))
+        return false;
+    poison_record& known = record_of(record.request, now);
+    const bool is_newer = std::make_tuple(record.version, record.verdict, record.log_odds) >
+                          std::make_tuple(known.version, known.verdict, known.log_odds);
+    if (!is_newer)
+        return false;
+    const bool is_same = record.version == known.version && record.verdict == known.verdict;
+    published_ += known.version == 0 ? 1 : 0;
+    known = record;
+    return !is_same;
+}
+
+request_verdict poison_detector::judge(const fingerprint& request, instant now) const {
+    const poison_record* record = find(request);
+    if (record == nullptr)
+        return request_verdict::unsuspected;
+    const bool is_over =
+        record->verdict == request_verdict::quarantined && now >= record->quarantined_until;
+    return is_over ? request_verdict::suspect : record->verdict;
+}
+
+const poison_record* poison_detector::find(const fingerprint& request) const {
+    auto found = records_.find(request);
+    return found == records_.end() || found->second.version == 0 ? nullptr : &found->second;
+}
+
+std::vector<poison_record> poison_detector::published(std::size_t limit) const {
+    std::vector<poison_record> out;
+    for (const std::pair<const fingerprint, poison_record>& one : records_) {
+        if (one.second.version > 0)
+            out.push_back(one.second);
+    }
+    std::sort(out.begin(), out.end(), [](const poison_record& a, const poison_record& b) {
+        return std::make_tuple(a.verdict, a.last_crash_at) >
+               std::make_tuple(b.verdict, b.last_crash_at);
+    });
+    out.resize(std::min(out.size(), limit));
+    return out;
+}
+
+std::uint64_t poison_detector::digest() const {
+    std::uint64_t digest = 0;
+    for (const std::pair<const fingerprint, poison_record>& one : records_) {
+        if (one.second.version > 0)
+            digest ^= stable_hash(one.first.str() + " " + std::to_string(one.second.version));
+    }
+    return digest;
+}
+
+} // namespace cassia::policy
--- /dev/null
+++ b/unittests/policy/part_model.h
@@ -0,0 +1,49 @@
+/// What a fleet in virtual time is made of whose prompts share parts.
+#pragma once
+
+#include "cassia/base/clock.h"
+
+#include <cstddef>
+#include <set>
+#include <string>
+
+namespace cassia::policy {
+
+struct part_model {
+    int endpoints = 8;
+    std::size_t slots = 8;
+    std::size_t gateways = 3;
+    milliseconds restart{2000};
+    double sound_per_s = 40;
+    milliseconds sound_time{600};
+    std::size_t bad_position = 1; ///< of three: one first part, 12 second ones, five third ones
+    int bad_parts = 1;
+    double bad_per_s = 10; ///< of each bad part
+    milliseconds bad_time{100};
+    milliseconds bad_delay{0}; ///< from the end of a run to its crash
+    int bad_bodies = 0;        ///< requests that crash endpoints and repeat, with sound parts
+    /// Share of the requests with a bad part, and rate of sound ones, that have one more part.
+    double companion_share = 0;
+    double companion_per_s = 0;
+    milliseconds history{10000}; ///< sound requests come for this time before anything crashes
+    /// Share of the endpoints that crash for another reason, the interval of these outages and the
+    /// time from one crash of an outage to the next.
+    double outage_share = 0;
+    milliseconds outage_interval{0};
+    milliseconds outage_step{0};
+    milliseconds length{20000}; ///< from the first bad request on
+    milliseconds verdict_delay{60};
+};
+
+struct part_result {
+    std::size_t crashes = 0;          ///< that bad parts caused
+    std::size_t late_runs = 0;        ///< of one part, later than 3 s after its fifth crash
+    std::size_t quarantined = 0;      ///< bad parts and bodies
+    std::set<std::string> innocent;   ///< other causes that were quarantined
+    std::size_t sound = 0;            ///< sent
+    std::size_t refused = 0;          ///< sound ones, as quarantined
+    std::size_t delayed = 0;          ///< sound ones that waited for a second as suspects
+    milliseconds longest_suspicion{}; ///< of a sound part, without a pause
+};
+
+} // namespace cassia::policy
--- a/unittests/policy/part_simulation.h
+++ b/unittests/policy/part_simulation.h
@@ -1,6 +1,8 @@
 /// A fleet in virtual time whose prompts share parts, one of which may crash endpoints.
 #pragma once
 
+#include "part_model.h"
+
 #include "cassia/policy/poison_detector.h"
 #include "cassia/policy/trial_schedule.h"
 
@@ -16,43 +18,6 @@
 
 namespace cassia::policy {
 
-struct part_model {
-    int endpoints = 8;
-    std::size_t slots = 8;
-    std::size_t gateways = 3;
-    milliseconds restart{2000};
-    double sound_per_s = 40;
-    milliseconds sound_time{600};
-    std::size_t bad_position = 1; ///< of three: one first part, 12 second ones, five third ones
-    int bad_parts = 1;
-    double bad_per_s = 10; ///< of each bad part
-    milliseconds bad_time{100};
-    milliseconds bad_delay{0}; ///< from the end of a run to its crash
-    int bad_bodies = 0;        ///< requests that crash endpoints and repeat, with sound parts
-    /// Share of the requests with a bad part, and rate of sound ones, that have one more part.
-    double companion_share = 0;
-    double companion_per_s = 0;
-    milliseconds history{10000}; ///< sound requests come for this time before anything crashes
-    /// Share of the endpoints that crash for another reason, the interval of these outages and the
-    /// time from one crash of an outage to the next.
-    double outage_share = 0;
-    milliseconds outage_interval{0};
-    milliseconds outage_step{0};
-    milliseconds length{20000}; ///< from the first bad request on
-    milliseconds verdict_delay{60};
-};
-
-struct part_result {
-    std::size_t crashes = 0;          ///< that bad parts caused
-    std::size_t late_runs = 0;        ///< of one part, later than 3 s after its fifth crash
-    std::size_t quarantined = 0;      ///< bad parts and bodies
-    std::set<std::string> innocent;   ///< other causes that were quarantined
-    std::size_t sound = 0;            ///< sent
-    std::size_t refused = 0;          ///< sound ones, as quarantined
-    std::size_t delayed = 0;          ///< sound ones that waited for a second as suspects
-    milliseconds longest_suspicion{}; ///< of a sound part, without a pause
-};
-
 class part_simulation {
 public:
     part_simulation(const part_model& model, std::uint64_t seed)
@@ -274,6 +239,7 @@
             report.service = service_id("llm");
             report.endpoints = static_cast<std::uint32_t>(model_.endpoints);
             report.crashed_at = now_;
+            report.gateway = entry_id("g" + std::to_string(gateway));
             report.survived_runs = survived_runs_[gateway];
             for (const std::vector<running>* runs : {&lost, &ended}) {
                 for (const running& run : *runs) {
@@ -296,7 +262,9 @@
     void add_run(crash_report& report, const running& run, bool was_complete) {
         crashed_run reported{fingerprint(run.what.body),
                              std::chrono::duration_cast<milliseconds>(now_ - run.began_at),
-                             was_complete};
+                             was_complete,
+                             {},
+                             run.alone};
         for (const std::string& part : run.what.parts) {
             reported.parts.emplace_back(part);
             report.parts.push_back(
@@ -349,6 +317,14 @@
         }
     }
 
+    // All gateways report what they know of a part that comes under suspicion.
+    void report_history(const poison_record& record) {
+        for (std::map<fingerprint, std::uint32_t>& history : history_) {
+            if (record.is_part)
+                detector_.record_history({record.request, history[record.request]}, now_);
+        }
+    }
+
     void outage() {
         if (model_.outage_interval == milliseconds(0) || now_ < begin + model_.history)
             return;
@@ -421,7 +397,8 @@
             detector_.record_crash(reports_.front(), now_ - milliseconds(50));
             reports_.erase(reports_.begin());
         }
-        detector_.poll(now_);
+        for (const poison_record& changed : detector_.poll(now_).changed)
+            report_history(changed);
         note_suspicion();
         begin_trials();
     }
