Gateways: a part of prompts that crashes endpoints is held back

Requests with such a part were sent to endpoint after endpoint. A suspected part runs alone, one run at a time over all gateways; requests with a quarantined part are rejected with what is left of the quarantine, and those that have run get 502. Items wait as quarantined items do.

--- a/include/cassia/base/ids.h
+++ b/include/cassia/base/ids.h
@@ -51,6 +51,8 @@
 using software_version = string_id<struct software_version_tag>;
 using job_id = string_id<struct job_tag>;
 using fingerprint = string_id<struct fingerprint_tag>; ///< SHA-256 in hexadecimal
+/// Of a part of prompts, which requests may share.
+using prompt_part_id = string_id<struct prompt_part_tag>;
 /// Digest of a stream's first attempt and its request.
 using stream_key = string_id<struct stream_key_tag>;
 using peer_address = string_id<struct peer_address_tag>; ///< IP:PORT of a ZeroMQ socket
--- a/include/cassia/gateway/crash_monitor.h
+++ b/include/cassia/gateway/crash_monitor.h
@@ -5,6 +5,7 @@
 #include "cassia/base/clock.h"
 #include "cassia/base/ids.h"
 #include "cassia/base/metrics.h"
+#include "cassia/gateway/prompt_parts.h"
 #include "cassia/net/tcp_connections.h"
 #include "cassia/policy/gossip_topology.h"
 #include "cassia/policy/poison_detector.h"
@@ -18,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -39,6 +41,15 @@
     http_address address;
     service_id service;
     instant sent_at{};
+    std::vector<fingerprint> parts{}; ///< keys of its prompt's parts
+    bool on_trial = false;            ///< it ran alone, as a suspect
+    bool has_output = true;           ///< the endpoint wrote a response that is no error
+};
+
+/// What a request is judged by: itself or a part of its prompt.
+struct judged_cause {
+    policy::request_verdict verdict = policy::request_verdict::unsuspected;
+    fingerprint cause;
 };
 
 struct crash_monitor_hooks {
@@ -79,11 +90,14 @@
 
     /// Whether any request is under suspicion; if not, judge() need not be called.
     bool has_records() const { return detector_.has_published(); }
-    policy::request_verdict judge(const fingerprint& request) const;
+    policy::request_verdict judge(const fingerprint& cause) const;
+    /// The gravest verdict on a request and the parts of its prompt; of like ones that with the
+    /// highest odds.
+    judged_cause judge(const fingerprint& request, const std::vector<fingerprint>& parts) const;
     /// What is left of the quarantine; 0 if there is none.
-    milliseconds quarantine_left(const fingerprint& request) const;
+    milliseconds quarantine_left(const fingerprint& cause) const;
     /// When it last crashed an endpoint, as far as is known.
-    instant last_crash(const fingerprint& request) const;
+    instant last_crash(const fingerprint& cause) const;
 
     void receive(const schema::poison_news& news);
     void tick();
@@ -115,6 +129,9 @@
     void add_recent_runs(const policy::endpoint_process& process, suspected_crash& crash);
     void confirm_silent_crashes(const std::map<http_address, policy::endpoint_process>& processes);
     void expire_runs(instant now);
+    void record_survived(const ended_run& run);
+    /// Reports runs that the record of a part doesn't count yet.
+    void report_history(const policy::poison_record& record);
     /// Begins to find out whether the endpoint has crashed.
     suspected_crash& suspect(const ended_run& run, instant broken_at);
     /// The endpoint has crashed, as this gateway found out.
@@ -150,6 +167,9 @@
     /// Runs that were given up at endpoints from which nothing was received since.
     std::map<policy::endpoint_process, std::vector<recent_run>> silent_runs_;
     std::map<service_id, std::uint32_t> endpoint_counts_;
+    prompt_part_counts survived_parts_; ///< runs with each part
+    std::map<service_id, std::uint32_t> survived_runs_;
+    std::set<fingerprint> histories_;                  ///< of parts, not yet reported
     std::map<fingerprint, std::uint32_t> successes_;   ///< not yet reported
     std::map<fingerprint, std::uint32_t> quarantines_; ///< logged, for each request
     instant next_successes_at_{};
--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -9,6 +9,7 @@
 #include "cassia/gateway/header_names.h"
 #include "cassia/gateway/online_call.h"
 #include "cassia/gateway/origin_exchange.h"
+#include "cassia/gateway/prompt_parts.h"
 #include "cassia/gateway/run_migration.h"
 #include "cassia/gateway/trial_exchange.h"
 #include "cassia/net/raw_client.h"
@@ -63,6 +64,10 @@
     void set_migration_protocol(migration_protocol protocol) {
         migration_protocol_ = std::move(protocol);
     }
+    /// Without it requests have no parts of prompts.
+    void set_prompt_parts_reader(prompt_parts_reader reader) {
+        read_prompt_parts_ = std::move(reader);
+    }
     /// The caller disconnected before its response was complete.
     void on_caller_gone(exchange_id id);
     /// Ends the calls of requests that are quarantined by now.
@@ -97,12 +102,13 @@
     /// Whether no endpoint may go on with the call's stream.
     bool is_unservable(const online_call& call) const;
     void end_unservable(online_call& call);
-    policy::request_verdict judge(online_call& call) const;
+    judged_cause judge(online_call& call) const;
     static const fingerprint& fingerprint_of(online_call& call);
     /// Ends the call of a quarantined request.
     void stop(online_call& call);
     static ended_run run_of(online_call& call);
-    void record_complete_run(online_call& call);
+    /// The response was complete. \param has_output false if it is an error.
+    void record_complete_run(online_call& call, bool has_output);
     /// Whether the endpoint may run the attempt and has sent nothing for some time.
     bool is_silent(const online_call& call) const;
     /// Ends the call without another attempt.
@@ -166,6 +172,7 @@
     header_names names_;
     dispatcher_hooks hooks_;
     migration_protocol migration_protocol_;
+    prompt_parts_reader read_prompt_parts_;
     std::map<exchange_id, std::unique_ptr<online_call>> calls_;
     std::map<lookup_id, exchange_id> lookups_;
     /// The suspect that runs without a coordinator, for each service.
--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -8,6 +8,7 @@
 #include "cassia/base/metrics.h"
 #include "cassia/gateway/crash_monitor.h"
 #include "cassia/gateway/header_names.h"
+#include "cassia/gateway/prompt_parts.h"
 #include "cassia/gateway/sse_parser.h"
 #include "cassia/gateway/trial_exchange.h"
 #include "cassia/net/raw_client.h"
@@ -46,6 +47,10 @@
                 std::uint32_t max_items, item_runner_hooks hooks);
     ~item_runner();
 
+    /// Without it items have no parts of prompts.
+    void set_prompt_parts_reader(prompt_parts_reader reader) {
+        read_prompt_parts_ = std::move(reader);
+    }
     void set_routes(std::shared_ptr<const routes::table> table);
     void tick(instant now, wall_time wall);
     /// Interrupts items at an endpoint, those started last first; they are resumed later.
@@ -74,7 +79,8 @@
     void start_ready_items(instant now);
     bool start(const item_key& key, held_item& item, instant now);
     const fingerprint& fingerprint_of(held_item& item) const;
-    policy::request_verdict judge(held_item& item) const;
+    judged_cause judge(held_item& item) const;
+    std::vector<fingerprint> parts_of(held_item& item) const;
     ended_run run_of(held_item& item) const;
     void record_complete_run(held_item& item) const;
     /// Where a suspect may run now, if anywhere.
@@ -124,6 +130,7 @@
     metrics& metrics_;
     header_names names_;
     std::uint32_t max_items_;
+    prompt_parts_reader read_prompt_parts_;
     item_runner_hooks hooks_;
     std::shared_ptr<const routes::table> routes_;
     std::map<item_key, std::unique_ptr<held_item>> items_;
--- a/include/cassia/gateway/online_call.h
+++ b/include/cassia/gateway/online_call.h
@@ -3,6 +3,7 @@
 
 #include "cassia/base/clock.h"
 #include "cassia/base/ids.h"
+#include "cassia/gateway/prompt_parts.h"
 #include "cassia/gateway/run_migration.h"
 #include "cassia/gateway/sse_parser.h"
 #include "cassia/net/raw_http.h"
@@ -14,6 +15,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace cassia::gateway {
 
@@ -51,6 +53,7 @@
     std::optional<cassia::fingerprint> fingerprint; ///< computed when it is first needed
     std::shared_ptr<const routes::table> table;     ///< owns `route` and `team`
     const schema::route* route = nullptr;
+    std::vector<prompt_part_id> prompt_parts;
     const teams::team* team = nullptr;
     policy::quota_grant grant; ///< refunded if the request never runs
     service_id service;
@@ -67,6 +70,7 @@
     bool holds_slot = false;
     std::uint32_t reserved_slots = 0; ///< kept free of others while it runs alone
     std::optional<trial_id> trial;    ///< while a suspect waits to run alone, and runs
+    bool runs_alone = false;          ///< the current attempt, as a suspect
     bool connection_broke = false;    ///< of the current attempt
     endpoint_id endpoint;             ///< of the last attempt
     std::uint64_t incarnation = 0;    ///< of that endpoint
--- a/include/cassia/gateway/request_fingerprint.h
+++ b/include/cassia/gateway/request_fingerprint.h
@@ -12,7 +12,7 @@
 fingerprint make_fingerprint(std::string_view team, std::string_view host, std::string_view method,
                              std::string_view target, std::string_view body);
 
-/// The first digits, for logs.
+/// The first digits, or the whole key of a part of prompts, for logs.
 std::string short_form(const fingerprint& request);
 
 } // namespace cassia::gateway
--- a/include/cassia/gateway/service.h
+++ b/include/cassia/gateway/service.h
@@ -40,6 +40,8 @@
         on_batch_request;
     /// How runs migrate between endpoints; empty if they can't.
     migration_protocol migration;
+    /// Empty if prompts have no parts that requests share.
+    prompt_parts_reader read_prompt_parts;
 };
 
 class service {
--- a/include/cassia/policy/poison_detector.h
+++ b/include/cassia/policy/poison_detector.h
@@ -32,6 +32,9 @@
     bool on_trial = false;            ///< it ran alone, as a suspect
 };
 
+/// Further survived runs of a part say nothing more of it.
+inline constexpr std::uint32_t max_survived_runs = 50;
+
 /// Runs with a part of a prompt that their endpoints survived, as one gateway counted them.
 struct part_history {
     fingerprint part;
--- a/lib/gateway/crash_monitor.cpp
+++ b/lib/gateway/crash_monitor.cpp
@@ -167,16 +167,31 @@
     for (; !recent_runs_.empty() && now - recent_runs_.front().ended_at > policy::late_crash_time;
          recent_runs_.pop_front()) {
         const recent_run& survived = recent_runs_.front();
-        const policy::poison_record* record =
-            survived.was_complete ? detector_.find(survived.run.request) : nullptr;
-        if (record != nullptr && record->crashes > 0)
-            ++successes_[survived.run.request];
+        if (survived.was_complete)
+            record_survived(survived.run);
     }
     std::erase_if(silent_runs_, [now](const auto& silent) {
         return now - silent.second.back().ended_at > silent_run_time;
     });
 }
 
+void crash_monitor::record_survived(const ended_run& run) {
+    const auto count = [this](const fingerprint& cause) {
+        const policy::poison_record* record = detector_.find(cause);
+        if (record != nullptr && record->crashes > 0)
+            ++successes_[cause];
+    };
+    count(run.request);
+    // An endpoint that wrote nothing says nothing of parts, which crash it when it does.
+    if (!run.has_output)
+        return;
+    ++survived_runs_[run.service];
+    for (const fingerprint& part : run.parts) {
+        survived_parts_.add(part);
+        count(part);
+    }
+}
+
 // A connection may break without a crash. The VM of an endpoint that has crashed refuses a new one.
 void crash_monitor::probe(const policy::endpoint_process& process) {
     auto found = crashes_.find(process);
@@ -218,8 +233,11 @@
         return;
     metrics_.count("endpoint_crashes");
     std::string requests;
+    std::set<fingerprint> parts;
     std::size_t logged = 0;
-    const auto add_to_log = [&requests, &logged](const ended_run& run, const std::string& mark) {
+    const auto add_to_log = [&requests, &parts, &logged](const ended_run& run,
+                                                         const std::string& mark) {
+        parts.insert(run.parts.begin(), run.parts.end());
         if (logged++ < max_requests_logged)
             requests +=
                 (logged == 1 ? "" : ",") + run.request_id + ":" + short_form(run.request) + mark;
@@ -235,7 +253,8 @@
         .with("evidence", evidence)
         .with("runs", crash.unreported.size())
         .with("runs_complete", crash.unreported_complete.size())
-        .with("requests", requests);
+        .with("requests", requests)
+        .with("parts", parts.size());
 }
 
 bool crash_monitor::has_crashed(const policy::endpoint_process& process) const {
@@ -284,8 +303,8 @@
     std::uint32_t& logged = quarantines_[record.request];
     if (std::exchange(logged, record.quarantines) == record.quarantines)
         return;
-    metrics_.count("requests_quarantined");
-    log_warning("request_quarantined")
+    metrics_.count(record.is_part ? "prompt_parts_quarantined" : "requests_quarantined");
+    log_warning(record.is_part ? "prompt_part_quarantined" : "request_quarantined")
         .with("fingerprint", short_form(record.request))
         .with("crashes", record.crashes)
         .with("log_odds", std::to_string(record.log_odds))
@@ -305,8 +324,10 @@
     const policy::poison_findings findings = detector_.poll(now);
     log_findings(findings);
     publish(findings.changed, entry_id());
-    for (const policy::poison_record& record : findings.changed)
+    for (const policy::poison_record& record : findings.changed) {
         note_verdict(record);
+        report_history(record);
+    }
     if (now >= next_digest_at_) {
         next_digest_at_ = now + (synchronized_ ? digest_interval : first_digest_interval);
         send_digest();
@@ -317,20 +338,34 @@
     return synchronized_ || monotonic_now() - started_at_ >= synchronization_timeout;
 }
 
-policy::request_verdict crash_monitor::judge(const fingerprint& request) const {
-    return detector_.judge(request, monotonic_now());
+policy::request_verdict crash_monitor::judge(const fingerprint& cause) const {
+    return detector_.judge(cause, monotonic_now());
+}
+
+judged_cause crash_monitor::judge(const fingerprint& request,
+                                  const std::vector<fingerprint>& parts) const {
+    judged_cause gravest{judge(request), request};
+    for (const fingerprint& part : parts) {
+        const policy::request_verdict verdict = judge(part);
+        if (verdict == policy::request_verdict::unsuspected || verdict < gravest.verdict)
+            continue;
+        if (verdict > gravest.verdict ||
+            detector_.find(part)->log_odds > detector_.find(gravest.cause)->log_odds)
+            gravest = {verdict, part};
+    }
+    return gravest;
 }
 
-milliseconds crash_monitor::quarantine_left(const fingerprint& request) const {
-    const policy::poison_record* record = detector_.find(request);
+milliseconds crash_monitor::quarantine_left(const fingerprint& cause) const {
+    const policy::poison_record* record = detector_.find(cause);
     if (record == nullptr || record->verdict != policy::request_verdict::quarantined)
         return milliseconds(0);
     const microseconds left = record->quarantined_until - monotonic_now();
     return std::max(std::chrono::duration_cast<milliseconds>(left), milliseconds(0));
 }
 
-instant crash_monitor::last_crash(const fingerprint& request) const {
-    const policy::poison_record* record = detector_.find(request);
+instant crash_monitor::last_crash(const fingerprint& cause) const {
+    const policy::poison_record* record = detector_.find(cause);
     return record == nullptr ? instant() : record->last_crash_at;
 }
 
--- a/lib/gateway/crash_monitor_messages.cpp
+++ b/lib/gateway/crash_monitor_messages.cpp
@@ -70,22 +70,27 @@
     report.service = crash.service;
     report.endpoints = std::max(endpoint_counts_[crash.service], 1U);
     report.crashed_at = crash.broken_at;
-    const auto add_run = [&report, &crash](const ended_run& run, bool was_complete) {
+    report.survived_runs = survived_runs_[crash.service];
+    std::set<fingerprint> parts;
+    const auto add_run = [&report, &crash, &parts](const ended_run& run, bool was_complete) {
         report.runs.push_back(
             {run.request, std::chrono::duration_cast<milliseconds>(crash.broken_at - run.sent_at),
-             was_complete});
+             was_complete, run.parts, run.on_trial});
+        parts.insert(run.parts.begin(), run.parts.end());
     };
     for (const ended_run& run : std::exchange(crash.unreported, {}))
         add_run(run, false);
     for (const ended_run& run : std::exchange(crash.unreported_complete, {}))
         add_run(run, true);
+    for (const fingerprint& part : parts)
+        report.parts.push_back({part, survived_parts_.find(part)});
     schema::poison_news news;
     encode(report, now, *news.add_crashes());
     send_to_coordinators(news);
 }
 
 void crash_monitor::report_successes(instant now) {
-    if (successes_.empty() || now < next_successes_at_)
+    if ((successes_.empty() && histories_.empty()) || now < next_successes_at_)
         return;
     next_successes_at_ = now + successes_interval;
     schema::poison_news news;
@@ -94,9 +99,18 @@
         successes->set_fingerprint(one.first.str());
         successes->set_runs(one.second);
     }
+    for (const fingerprint& part : std::exchange(histories_, {}))
+        encode(policy::part_history{part, survived_parts_.find(part)}, *news.add_histories());
     send_to_coordinators(news);
 }
 
+void crash_monitor::report_history(const policy::poison_record& record) {
+    const bool is_news = record.is_part && record.survived_runs < policy::max_survived_runs &&
+                         record.survived_runs < survived_parts_.find(record.request);
+    if (is_news)
+        histories_.insert(record.request);
+}
+
 void crash_monitor::send_to_coordinators(const schema::poison_news& news) {
     for (const entry_id& coordinator : topology_.coordinators()) {
         if (coordinator == self_)
@@ -130,10 +144,15 @@
 void crash_monitor::receive(const schema::poison_news& news) {
     const instant now = monotonic_now();
     const entry_id from(news.gateway());
-    for (const schema::crash_report& crash : news.crashes())
-        detector_.record_crash(decode(crash, now), now);
+    for (const schema::crash_report& crash : news.crashes()) {
+        policy::crash_report report = decode(crash, now);
+        report.gateway = from;
+        detector_.record_crash(report, now);
+    }
     for (const schema::request_successes& successes : news.successes())
         detector_.record_successes(fingerprint(successes.fingerprint()), successes.runs(), now);
+    for (const schema::part_history& history : news.histories())
+        detector_.record_history(decode(history), now);
     for (const schema::crashed_endpoint& crash : news.crashed_endpoints())
         receive_crash(crash, now);
     std::vector<policy::poison_record> fresh;
@@ -143,6 +162,7 @@
             continue;
         fresh.push_back(record);
         note_verdict(record);
+        report_history(record);
     }
     if (topology_.is_relay())
         publish(fresh, from);
--- a/lib/gateway/dispatch_responses.cpp
+++ b/lib/gateway/dispatch_responses.cpp
@@ -159,7 +159,7 @@
     }
     begin_response(call);
     flush_events(call);
-    record_complete_run(call);
+    record_complete_run(call, true);
     log_outcome(call, call.head.status, "answered");
     metrics_.count("answered");
     metrics_.observe("answer", monotonic_now() - call.arrived_at);
@@ -176,7 +176,7 @@
         return;
     }
     call.response_began_at = call.last_progress_at;
-    record_complete_run(call);
+    record_complete_run(call, is_success(call.head.status));
     log_outcome(call, call.head.status, "answered");
     metrics_.count("answered");
     metrics_.observe("answer", monotonic_now() - call.arrived_at);
@@ -204,7 +204,7 @@
     call.not_run = not_run;
     if (not_run)
         retry_not_run(call, failure.cause.text);
-    else if (judge(call) == policy::request_verdict::suspect)
+    else if (judge(call).verdict == policy::request_verdict::suspect)
         fail_attempt(call, failure.cause.text);
     else
         retry_or_fail(call, failure.cause.text);
--- a/lib/gateway/dispatch_suspects.cpp
+++ b/lib/gateway/dispatch_suspects.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds place_alone_interval(20);
 constexpr std::string_view quarantine_text =
     "Endpoints crashed while they ran this request. It was not run again.\n";
+constexpr std::string_view part_quarantine_text =
+    "Endpoints crashed while they ran requests with a part of this prompt. It was not run.\n";
 } // namespace
 
 const fingerprint& dispatcher::fingerprint_of(online_call& call) {
@@ -26,19 +28,28 @@
 }
 
 // While nothing is under suspicion, requests are not hashed.
-policy::request_verdict dispatcher::judge(online_call& call) const {
-    return crashes_.has_records() ? crashes_.judge(fingerprint_of(call))
-                                  : policy::request_verdict::unsuspected;
+judged_cause dispatcher::judge(online_call& call) const {
+    return crashes_.has_records() ? crashes_.judge(fingerprint_of(call),
+                                                   make_part_keys(call.service, call.prompt_parts))
+                                  : judged_cause();
 }
 
 ended_run dispatcher::run_of(online_call& call) {
     const policy::endpoint_process process{call.endpoint, call.incarnation};
-    return {call.request_id, fingerprint_of(call), process,
-            call.address,    call.service,         call.sent_at};
+    return {call.request_id,
+            fingerprint_of(call),
+            process,
+            call.address,
+            call.service,
+            call.sent_at,
+            make_part_keys(call.service, call.prompt_parts),
+            call.runs_alone};
 }
 
-void dispatcher::record_complete_run(online_call& call) {
-    crashes_.record_ended_run(run_of(call), true);
+void dispatcher::record_complete_run(online_call& call, bool has_output) {
+    ended_run run = run_of(call);
+    run.has_output = has_output;
+    crashes_.record_ended_run(run, true);
 }
 
 bool dispatcher::is_silent(const online_call& call) const {
@@ -49,7 +60,7 @@
 std::optional<policy::placement> dispatcher::find_trial_endpoint(online_call& call, instant now) {
     const software_version version = call.required_version();
     if (!call.trial)
-        call.trial = trials_.begin(fingerprint_of(call), call.service, version);
+        call.trial = trials_.begin(judge(call).cause, call.service, version);
     if (!call.trial)
         return std::nullopt;
     const trial_exchange::state state = trials_.find(*call.trial);
@@ -96,7 +107,9 @@
     log_info("suspect_placed")
         .with("request", call.request_id)
         .with("fingerprint", short_form(fingerprint_of(call)))
+        .with("cause", short_form(judge(call).cause))
         .with("endpoint", found->endpoint.str());
+    call.runs_alone = true;
     send(call, *found);
     call.reserved_slots = slots_.reserve_free_slots(call.endpoint);
 }
@@ -117,13 +130,16 @@
 }
 
 void dispatcher::stop(online_call& call) {
+    const fingerprint cause = judge(call).cause;
+    const bool is_part = cause != fingerprint_of(call);
     log_info("request_stopped")
         .with("request", call.request_id)
         .with("fingerprint", short_form(fingerprint_of(call)))
+        .with("cause", short_form(cause))
         .with("runs", call.runs);
     if (call.runs == 0)
-        reject(call, "quarantined", crashes_.quarantine_left(fingerprint_of(call)),
-               quarantine_text);
+        reject(call, "quarantined", crashes_.quarantine_left(cause),
+               is_part ? part_quarantine_text : quarantine_text);
     else
         fail_attempt(call, "quarantined");
 }
@@ -131,7 +147,7 @@
 void dispatcher::stop_quarantined() {
     std::vector<exchange_id> ids;
     for (const std::pair<const exchange_id, std::unique_ptr<online_call>>& call : calls_) {
-        if (judge(*call.second) == policy::request_verdict::quarantined)
+        if (judge(*call.second).verdict == policy::request_verdict::quarantined)
             ids.push_back(call.first);
     }
     for (const exchange_id id : ids) {
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -81,10 +81,12 @@
     request.fields.erase_hop_by_hop();
     if (call.table->needs_keys())
         set_team_header(request.fields, names_, call.team == nullptr ? "" : call.team->id.str());
+    if (read_prompt_parts_)
+        call.prompt_parts = read_prompt_parts_(request.fields);
     call.request = std::move(request);
     calls_[call.id] = std::move(new_call);
     metrics_.count("requests");
-    if (judge(call) == policy::request_verdict::quarantined)
+    if (judge(call).verdict == policy::request_verdict::quarantined)
         stop(call);
     else if (call.is_stream() && call.last_event > 0)
         take_up(call);
@@ -97,11 +99,12 @@
         end_unservable(call);
         return;
     }
-    if (judge(call) == policy::request_verdict::suspect) {
+    if (judge(call).verdict == policy::request_verdict::suspect) {
         place_alone(call);
         return;
     }
     end_trial(call);
+    call.runs_alone = false;
     const instant now = monotonic_now();
     std::uniform_real_distribution<double> uniform(0, 1);
     const double draw = uniform(random_);
--- a/lib/gateway/held_item.h
+++ b/lib/gateway/held_item.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace cassia::gateway {
 
@@ -27,13 +28,14 @@
     software_version endpoint_version;
     service_id service;
     instant sent_at{};
-    bool runs_alone = false;                        ///< as a suspect
-    std::optional<trial_id> trial;                  ///< while it waits for that, and runs
-    bool connection_broke = false;                  ///< of the current run
-    std::uint32_t reserved_slots = 0;               ///< kept free of others meanwhile
-    std::optional<cassia::fingerprint> fingerprint; ///< computed when it is first needed
-    std::set<endpoint_id> failed_endpoints;         ///< those that failed or rejected this item
-    instant ready_at{};                             ///< not started again before then
+    bool runs_alone = false;                                 ///< as a suspect
+    std::optional<trial_id> trial;                           ///< while it waits for that, and runs
+    std::optional<std::vector<prompt_part_id>> prompt_parts; ///< read when first needed
+    bool connection_broke = false;                           ///< of the current run
+    std::uint32_t reserved_slots = 0;                        ///< kept free of others meanwhile
+    std::optional<cassia::fingerprint> fingerprint;          ///< computed when it is first needed
+    std::set<endpoint_id> failed_endpoints; ///< those that failed or rejected this item
+    instant ready_at{};                     ///< not started again before then
     instant last_progress_at{};     ///< when it was started or its endpoint last sent something
     std::uint64_t start_number = 0; ///< grows with each start of any item; the last yields first
     std::uint32_t runs = 0;         ///< starts of this item by this gateway
--- a/lib/gateway/item_suspects.cpp
+++ b/lib/gateway/item_suspects.cpp
@@ -26,9 +26,20 @@
     return *item.fingerprint;
 }
 
-policy::request_verdict item_runner::judge(held_item& item) const {
-    return crashes_.has_records() ? crashes_.judge(fingerprint_of(item))
-                                  : policy::request_verdict::unsuspected;
+std::vector<fingerprint> item_runner::parts_of(held_item& item) const {
+    if (!item.prompt_parts) {
+        net::http_fields fields;
+        for (const schema::header_field& header : item.leased.item().headers())
+            fields.add(header.name(), header.value());
+        item.prompt_parts =
+            read_prompt_parts_ ? read_prompt_parts_(fields) : std::vector<prompt_part_id>();
+    }
+    return make_part_keys(item.service, *item.prompt_parts);
+}
+
+judged_cause item_runner::judge(held_item& item) const {
+    return crashes_.has_records() ? crashes_.judge(fingerprint_of(item), parts_of(item))
+                                  : judged_cause();
 }
 
 ended_run item_runner::run_of(held_item& item) const {
@@ -38,7 +49,9 @@
             process,
             item.address,
             item.service,
-            item.sent_at};
+            item.sent_at,
+            parts_of(item),
+            item.runs_alone};
 }
 
 void item_runner::record_complete_run(held_item& item) const {
@@ -66,7 +79,7 @@
 std::optional<policy::placement> item_runner::find_trial_endpoint(held_item& item, instant now,
                                                                   const software_version& version) {
     if (!item.trial)
-        item.trial = trials_.begin(fingerprint_of(item), item.service, version);
+        item.trial = trials_.begin(judge(item).cause, item.service, version);
     if (!item.trial)
         return std::nullopt;
     const trial_exchange::state state = trials_.find(*item.trial);
@@ -94,9 +107,13 @@
 }
 
 bool item_runner::waits_for_quarantine(held_item& item, instant now) {
-    if (judge(item) != policy::request_verdict::quarantined)
+    const schema::route* route = find_route(item);
+    if (item.service.empty() && route != nullptr)
+        item.service = service_id(route->targets(0).service());
+    const judged_cause judged = judge(item);
+    if (judged.verdict != policy::request_verdict::quarantined)
         return false;
-    item.ready_at = crashes_.last_crash(fingerprint_of(item)) + quarantined_item_interval;
+    item.ready_at = crashes_.last_crash(judged.cause) + quarantined_item_interval;
     const bool waits = now < item.ready_at;
     if (waits)
         end_trial(item);
@@ -113,7 +130,7 @@
     } else {
         item.service = service_id(routes::choose_target(route, uniform(random_)));
     }
-    item.runs_alone = judge(item) != policy::request_verdict::unsuspected;
+    item.runs_alone = judge(item).verdict != policy::request_verdict::unsuspected;
     if (item.runs_alone)
         return find_trial_endpoint(item, now, version);
     end_trial(item);
@@ -128,7 +145,7 @@
         held_item& item = *keyed_item.second;
         const bool runs = item.upstream_call != call_id();
         // A run that was started alone, at its interval, goes on.
-        if (runs && !item.runs_alone && judge(item) == policy::request_verdict::quarantined)
+        if (runs && !item.runs_alone && judge(item).verdict == policy::request_verdict::quarantined)
             requeue(item, milliseconds(0), "quarantined");
     }
 }
--- a/lib/gateway/poison_messages.h
+++ b/lib/gateway/poison_messages.h
@@ -7,6 +7,8 @@
 
 namespace cassia::gateway {
 
+void encode(const policy::part_history& history, schema::part_history& out);
+policy::part_history decode(const schema::part_history& history);
 void encode(const policy::crash_report& report, instant now, schema::crash_report& out);
 policy::crash_report decode(const schema::crash_report& report, instant now);
 void encode(const policy::poison_record& record, instant now, schema::poison_record& out);
--- a/lib/gateway/request_fingerprint.cpp
+++ b/lib/gateway/request_fingerprint.cpp
@@ -23,7 +23,9 @@
 }
 
 std::string short_form(const fingerprint& request) {
-    return request.str().substr(0, short_length);
+    // Keys of parts are no digests.
+    const bool is_part = request.str().rfind("part:", 0) == 0;
+    return is_part ? request.str() : request.str().substr(0, short_length);
 }
 
 } // namespace cassia::gateway
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -94,6 +94,7 @@
     dispatcher_ = std::make_unique<dispatcher>(*server_, *client_, slots_, *crashes_, *trials_,
                                                *origins_, metrics_, names_, dispatcher_callbacks);
     dispatcher_->set_migration_protocol(hooks_.migration);
+    dispatcher_->set_prompt_parts_reader(hooks_.read_prompt_parts);
     item_runner_hooks item_callbacks;
     item_callbacks.lease = [this](const std::string& route, std::uint32_t limit,
                                   const item_runner_hooks::lease_done& done) {
@@ -105,6 +106,7 @@
     };
     items_ = std::make_unique<item_runner>(*client_, slots_, *crashes_, *trials_, metrics_, names_,
                                            settings_.batch_window(), std::move(item_callbacks));
+    items_->set_prompt_parts_reader(hooks_.read_prompt_parts);
     cluster_hooks cluster_callbacks;
     cluster_callbacks.on_routes = [this](std::shared_ptr<const routes::table> table) {
         set_routes(std::move(table));
--- a/lib/policy/poison_detector.cpp
+++ b/lib/policy/poison_detector.cpp
@@ -27,7 +27,6 @@
 // A part that crashes endpoints crashes each that begins to write an answer on it, so a survived
 // run says more of a part than of a request.
 const double part_success_loss = std::log(50);
-constexpr std::uint32_t max_survived_runs = 50;
 // Of its prompt parts a request has several, which share what a crash shows.
 const double part_watch_log_odds = -4.5;
 // Parts that most runs of a service have were at most of its crashes, whatever caused them. So
