--- a/lib/gateway/crash_monitor.cpp
+++ b/lib/gateway/crash_monitor.cpp
@@ -246,6 +246,12 @@
         add_to_log(run, "");
     for (const ended_run& run : crash.unreported_complete)
         add_to_log(run, ":complete");
+    std::string part_names;
+    logged = 0;
+    for (const fingerprint& part : parts) {
+        if (logged++ < max_requests_logged)
+            part_names += (logged == 1 ? "" : ",") + part.str();
+    }
     log_info("endpoint_crashed")
         .with("endpoint", process.endpoint.str())
         .with("address", crash.address.str())
@@ -254,7 +260,7 @@
         .with("runs", crash.unreported.size())
         .with("runs_complete", crash.unreported_complete.size())
         .with("requests", requests)
-        .with("parts", parts.size());
+        .with("parts", part_names);
 }
 
 bool crash_monitor::has_crashed(const policy::endpoint_process& process) const {
--- a/unittests/gateway/crash_monitor_test.cpp
+++ b/unittests/gateway/crash_monitor_test.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds contact_time(3000);
 constexpr milliseconds tick_interval(20);
 const fingerprint poison("poison");
+const fingerprint bad_part("part:llm:0bad");
+const fingerprint sound_part("part:llm:5c1e");
 
 /// Monitors of many gateways, connected without a network.
 class monitor_fleet {
@@ -70,6 +72,41 @@
         run.sent_at = monotonic_now() - milliseconds(50);
         monitors_[gateway]->record_broken_run(run);
     }
+    void list_endpoints(int count) {
+        std::vector<policy::slot_endpoint> endpoints;
+        for (int i = 0; i < count; ++i) {
+            policy::slot_endpoint endpoint;
+            endpoint.id = endpoint_id("listed-" + std::to_string(i));
+            endpoint.service = service_id("llm");
+            endpoint.address = http_address("127.77.2.2:" + std::to_string(7300 + i));
+            endpoints.push_back(endpoint);
+        }
+        for (const std::unique_ptr<crash_monitor>& monitor : monitors_)
+            monitor->set_endpoints(endpoints);
+    }
+    /// A run of its own request, which an endpoint survives or which crashes it.
+    void run_parts(std::size_t gateway, int endpoint, const std::vector<fingerprint>& parts,
+                   bool crashes) {
+        ended_run run;
+        run.request_id = "r" + std::to_string(++requests_);
+        run.request = fingerprint(run.request_id);
+        run.process = {endpoint_id("e" + std::to_string(endpoint)), 1};
+        run.address = http_address("127.77.2.1:7201");
+        run.service = service_id("llm");
+        run.sent_at = monotonic_now() - milliseconds(50);
+        run.parts = parts;
+        run.on_trial = crashes;
+        if (crashes)
+            monitors_[gateway]->record_broken_run(run);
+        else
+            monitors_[gateway]->record_ended_run(run, true);
+    }
+    std::size_t gateways_with(const fingerprint& cause, policy::request_verdict verdict) const {
+        std::size_t count = 0;
+        for (const std::unique_ptr<crash_monitor>& monitor : monitors_)
+            count += monitor->judge(cause) == verdict ? 1 : 0;
+        return count;
+    }
     void run_for(milliseconds time) {
         task_.after(time, [this] { task_.quit(); });
         task_.run();
@@ -118,6 +155,7 @@
     }
 
     net::task task_{"test"};
+    int requests_ = 0;
     std::vector<policy::fleet_gateway> members_;
     std::vector<std::unique_ptr<metrics>> metrics_;
     std::vector<std::unique_ptr<crash_monitor>> monitors_;
@@ -174,3 +212,27 @@
     fleet.update_lists();
     CHECK(fleet.wait_until_known() < contact_time);
 }
+
+// Guards against gateways that run requests with a part which crashed endpoints of others.
+TEST_CASE("a verdict on a part of prompts reaches all gateways in time", "[poison]") {
+    const int gateways = GENERATE(1, 3, 60);
+    monitor_fleet fleet(gateways);
+    fleet.list_endpoints(12);
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        for (int run = 0; run < 10; ++run)
+            fleet.run_parts(i, 1000, {sound_part}, false);
+    }
+    fleet.run_for(milliseconds(1100));
+    for (int i = 0; i < 5; ++i) {
+        fleet.run_parts(static_cast<std::size_t>(7 * i) % fleet.size(), i, {sound_part, bad_part},
+                        true);
+        fleet.run_for(milliseconds(150));
+    }
+    const instant began = monotonic_now();
+    const policy::request_verdict quarantined = policy::request_verdict::quarantined;
+    while (fleet.gateways_with(bad_part, quarantined) < fleet.size() &&
+           monotonic_now() - began < 2 * contact_time)
+        fleet.run_for(tick_interval);
+    CHECK(monotonic_now() - began < contact_time);
+    CHECK(fleet.gateways_with(sound_part, policy::request_verdict::unsuspected) == fleet.size());
+}
--- a/unittests/policy/part_detector_test.cpp
+++ b/unittests/policy/part_detector_test.cpp
@@ -74,6 +74,10 @@
         model.gateways = 60;
         model.sound_per_s = 10;
     }
+    SECTION("in a small fleet") {
+        model.endpoints = GENERATE(2, 4);
+        model.sound_per_s = 10;
+    }
     SECTION("beside a second one") {
         model.bad_parts = 2;
         causes = 2;
--- a/unittests/policy/part_model.h
+++ b/unittests/policy/part_model.h
@@ -2,10 +2,15 @@
 #pragma once
 
 #include "cassia/base/clock.h"
+#include "cassia/base/ids.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace cassia::policy {
 
@@ -46,4 +51,36 @@
     milliseconds longest_suspicion{}; ///< of a sound part, without a pause
 };
 
+/// A request with shared parts of its prompt; bad causes begin with B.
+struct part_request {
+    std::string body;
+    std::vector<std::string> parts;
+    std::size_t gateway = 0;
+    instant sent_at{};
+    int runs = 0;
+    trial_id trial;
+    bool was_suspect = false;
+
+    std::optional<std::string> crashes_by() const {
+        if (body[0] == 'B')
+            return body;
+        for (const std::string& part : parts) {
+            if (part[0] == 'B')
+                return part;
+        }
+        return std::nullopt;
+    }
+};
+
+inline part_request make_part_request(std::mt19937_64& random, std::uint64_t number,
+                                      std::size_t gateways, instant now) {
+    part_request made;
+    made.body = "r" + std::to_string(number);
+    made.parts = {"first", "second" + std::to_string(random() % 12),
+                  "third" + std::to_string(random() % 5)};
+    made.gateway = random() % gateways;
+    made.sent_at = now;
+    return made;
+}
+
 } // namespace cassia::policy
--- a/unittests/policy/part_simulation.h
+++ b/unittests/policy/part_simulation.h
@@ -39,6 +39,7 @@
     }
 
 private:
+    using request = part_request;
     static constexpr milliseconds step{10};
     static constexpr instant begin = instant() + milliseconds(1000000);
     static constexpr int max_runs = 4; ///< two attempts of a caller at two endpoints each
@@ -46,25 +47,6 @@
     static constexpr milliseconds caller_pause{100};
     static constexpr milliseconds contact_time{3000};
 
-    struct request {
-        std::string body;
-        std::vector<std::string> parts;
-        std::size_t gateway = 0;
-        instant sent_at{};
-        int runs = 0;
-        trial_id trial;
-        bool was_suspect = false;
-
-        std::optional<std::string> crashes_by() const {
-            if (body[0] == 'B')
-                return body;
-            for (const std::string& part : parts) {
-                if (part[0] == 'B')
-                    return part;
-            }
-            return std::nullopt;
-        }
-    };
     struct running {
         request what;
         instant began_at{};
@@ -83,15 +65,8 @@
     int events(double per_s) { return std::poisson_distribution<int>(per_s * 0.01)(random_); }
     static endpoint_id id_of(std::size_t index) { return endpoint_id("e" + std::to_string(index)); }
     static trial_key key_of(trial_id trial) { return {entry_id("gateway"), trial}; }
-
     request make_request() {
-        request made;
-        made.body = "r" + std::to_string(++last_body_);
-        made.parts = {"first", "second" + std::to_string(random_() % 12),
-                      "third" + std::to_string(random_() % 5)};
-        made.gateway = random_() % model_.gateways;
-        made.sent_at = now_;
-        return made;
+        return make_part_request(random_, ++last_body_, model_.gateways, now_);
     }
 
     request_verdict verdict(const std::string& cause) {
@@ -156,11 +131,9 @@
 
     void start(std::size_t index, request one, bool alone) {
         const std::optional<std::string> cause = one.crashes_by();
-        if (cause) {
-            const std::vector<instant>& crashes = crashes_of_[*cause];
-            if (crashes.size() >= 5 && now_ > crashes[4] + contact_time)
-                ++late_runs_[*cause];
-        }
+        const std::vector<instant>& crashes = crashes_of_[cause.value_or("")];
+        if (crashes.size() >= 5 && now_ > crashes[4] + contact_time)
+            ++late_runs_[*cause];
         ++one.runs;
         const milliseconds time = cause ? model_.bad_time : model_.sound_time;
         const auto taken = std::chrono::duration_cast<milliseconds>(time * (0.5 + uniform()));
@@ -180,11 +153,10 @@
             return {best ? std::optional<endpoint_id>(id_of(*best)) : std::nullopt,
                     max_trials(endpoints_.size())};
         };
-        const std::vector<std::pair<request, std::string>> before = std::exchange(suspects_, {});
-        for (const std::pair<request, std::string>& one : before) {
-            const std::size_t waiting = suspects_.size();
+        for (const std::pair<request, std::string>& one : std::exchange(suspects_, {})) {
+            const std::size_t before = suspects_.size();
             place(one.first);
-            if (suspects_.size() == waiting) {
+            if (suspects_.size() == before) {
                 schedule_.end(key_of(one.first.trial), trial_outcome::unused, now_);
                 continue;
             }
@@ -387,8 +359,7 @@
         for (std::size_t i = 0; i < endpoints_.size(); ++i)
             end_runs(i);
         outage();
-        const std::vector<request> waiting = std::exchange(waiting_, {});
-        for (const request& one : waiting)
+        for (const request& one : std::exchange(waiting_, {}))
             place(one);
         for (; !later_.empty() && later_.begin()->first <= now_; later_.erase(later_.begin()))
             place(later_.begin()->second);
