--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -8,6 +8,7 @@
 #include "cassia/base/metrics.h"
 #include "cassia/gateway/crash_monitor.h"
 #include "cassia/gateway/header_names.h"
+#include "cassia/gateway/prompt_parts.h"
 #include "cassia/gateway/sse_parser.h"
 #include "cassia/gateway/trial_exchange.h"
 #include "cassia/net/raw_client.h"
@@ -27,6 +28,8 @@
 
 namespace cassia::gateway {
 
+enum class item_wait;
+
 struct item_runner_hooks {
     using lease_done = std::function<void(const std::vector<schema::leased_item>&)>;
     using report_done = std::function<void(bool durable)>;
@@ -40,12 +43,16 @@
 
 class item_runner {
 public:
-    /// \param max_items no more leases are requested while this many items are held.
+    /// \param max_items no more leases are requested while this many items are held that may run.
     item_runner(net::raw_client& client, policy::slot_table& slots, crash_monitor& crashes,
                 trial_exchange& trials, metrics& counts, header_names names,
                 std::uint32_t max_items, item_runner_hooks hooks);
     ~item_runner();
 
+    /// Without it items have no parts of prompts.
+    void set_prompt_parts_reader(prompt_parts_reader reader) {
+        read_prompt_parts_ = std::move(reader);
+    }
     void set_routes(std::shared_ptr<const routes::table> table);
     void tick(instant now, wall_time wall);
     /// Interrupts items at an endpoint, those started last first; they are resumed later.
@@ -69,22 +76,29 @@
     using item_key = std::pair<job_id, std::uint32_t>; ///< job and ordinal of the item
     struct held_item;
 
+    bool is_window_full() const;
     void request_leases(instant now);
     void add(const schema::leased_item& leased);
+    /// Returns all items to the keepers.
+    void return_items();
     void start_ready_items(instant now);
     bool start(const item_key& key, held_item& item, instant now);
     const fingerprint& fingerprint_of(held_item& item) const;
-    policy::request_verdict judge(held_item& item) const;
+    judged_cause judge(held_item& item) const;
+    std::vector<fingerprint> parts_of(held_item& item) const;
     ended_run run_of(held_item& item) const;
     void record_complete_run(held_item& item) const;
     /// Where a suspect may run now, if anywhere.
     std::optional<policy::placement> find_trial_endpoint(held_item& item, instant now,
                                                          const software_version& version);
     void end_trial(held_item& item);
+    bool keeps_service(const held_item& item, const schema::route& route, instant now) const;
     /// Whether the endpoint may run the item and has sent nothing for some time.
     bool is_silent(const held_item& item) const;
-    /// Items that could start now but have no slot.
-    std::size_t ready(instant now) const;
+    /// Items of the route that could start now but have no slot.
+    std::uint32_t count_ready(const schema::route& route, instant now) const;
+    /// Slots that batch may take, at all targets of the route.
+    std::uint32_t batch_capacity(const schema::route& route, instant now) const;
     /// Delays an item that is quarantined. \returns whether it has to wait.
     bool waits_for_quarantine(held_item& item, instant now);
     std::optional<policy::placement> place(held_item& item, const schema::route& route,
@@ -93,6 +107,9 @@
     bool may_go_on(const held_item& item, const schema::route& route) const;
     /// Delays an item whose version has no free slot. \returns false if it has waited for long.
     static bool waits_for_version(held_item& item, instant now);
+    bool has_room_at_version(const held_item& item, instant now) const;
+    /// Whether any target of the route has a free slot.
+    bool has_room(const schema::route& route, instant now) const;
     /// Places an item at any version; its events so far are discarded if there is a free slot.
     std::optional<policy::placement> place_anew(held_item& item, const schema::route& route,
                                                 instant now);
@@ -113,6 +130,9 @@
     void finish(const item_key& key, schema::item_status status, bool failed_run,
                 const std::string& cause);
     void check_inactivity(instant now);
+    static void set_wait(held_item& item, item_wait wait);
+    /// Logs items that have waited in one way for long, and counts all that wait.
+    void report_waits(instant now);
     void save_progress(instant now);
     void send_reports();
     const schema::route* find_route(const held_item& item) const;
@@ -124,6 +144,7 @@
     metrics& metrics_;
     header_names names_;
     std::uint32_t max_items_;
+    prompt_parts_reader read_prompt_parts_;
     item_runner_hooks hooks_;
     std::shared_ptr<const routes::table> routes_;
     std::map<item_key, std::unique_ptr<held_item>> items_;
--- a/include/cassia/gateway/trial_exchange.h
+++ b/include/cassia/gateway/trial_exchange.h
@@ -32,8 +32,10 @@
 
     /// Asks for a run. Nothing if another run of the request is asked for here, or too many are.
     std::optional<trial_id> begin(const fingerprint& request, const service_id& service,
-                                  const software_version& version);
+                                  const software_version& version, policy::work_kind kind);
     state find(trial_id id) const;
+    /// Whether the run was asked for at an endpoint of this service and version.
+    bool asks_for(trial_id id, const service_id& service, const software_version& version) const;
     void end(trial_id id, policy::trial_outcome outcome);
     void receive(const schema::poison_news& news);
     void tick();
--- a/include/cassia/keeper/work_leader.h
+++ b/include/cassia/keeper/work_leader.h
@@ -12,6 +12,7 @@
 #include "cassia/state/work_state.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -43,7 +44,7 @@
                 work_leader_hooks hooks);
 
     /// Records whether this member leads the group. A change fails queued lease requests and
-    /// pending cancellations as `unavailable`, and forgets what was known about holders.
+    /// pending cancellations as `unavailable`.
     void set_leading(bool leading, instant now);
     void set_weight(const team_id& team, double weight);
 
@@ -54,7 +55,7 @@
     /// doesn't know of.
     /// \returns items that the holder has without a lease, and must stop.
     schema::stale_items reconcile(const schema::held_items& held, instant now);
-    /// This incarnation of a gateway is alive.
+    /// This incarnation of a gateway is alive; also called on members that don't lead.
     void mark_holder_alive(const std::string& holder, instant now);
     /// A lease was applied; also called on members that don't lead.
     void on_lease_applied(const schema::keeper_reply& reply, instant now);
@@ -68,6 +69,12 @@
         instant deadline;
     };
 
+    struct granted_lease {
+        instant at{};              ///< when it was applied or first seen
+        std::uint64_t request = 0; ///< number of the holder's request; 0 if it isn't known
+        std::uint32_t attempt = 0; ///< of the item; tells its leases apart
+    };
+
     // Leases (work_leader_leases.cpp).
     struct queued_lease {
         schema::lease_request request;
@@ -80,6 +87,9 @@
     void serve_lease_requests();
     void start_lease_round(std::vector<queued_lease> requests);
     std::vector<queued_lease> take_waiting_requests();
+    bool is_readable(const state::item_key& item) const;
+    std::uint32_t count_readable(const job_id& job,
+                                 const std::deque<std::uint32_t>& ordinals) const;
     available_items choose_items(const std::string& service, std::uint32_t limit);
     void finish_command(const std::shared_ptr<lease_round>& round, lease_grant& grant,
                         const schema::keeper_reply& reply);
@@ -87,7 +97,12 @@
     schema::stale_items find_stale_items(const schema::held_items& held) const;
     std::vector<policy::job_candidate> find_candidates(const std::string& service) const;
     void respond_to_settled_cancels(instant now);
+    void discount_own_silence(instant now);
     void release_lost_holders(instant now);
+    /// Whether a lease that its holder doesn't report can't reach the holder any more.
+    static bool is_lost(const granted_lease& lease, const schema::held_items& held);
+    /// Logs how many items of this group aren't finished, by what is known of them here.
+    void log_unfinished(instant now, wall_time wall);
 
     const state::work_state& state_;
     milliseconds holder_timeout_;
@@ -103,8 +118,10 @@
     std::vector<pending_cancel> pending_cancels_;
     std::map<std::string, instant> holders_last_seen_;
     std::set<std::string> holders_being_released_;
-    std::map<state::item_key, instant> leased_at_; ///< when each lease was applied or first seen
+    std::map<state::item_key, granted_lease> granted_;
+    std::map<state::item_key, instant> unreadable_until_;
     instant next_expiry_check_{};
+    instant next_unfinished_log_{};
 };
 
 } // namespace cassia::keeper
--- a/lib/gateway/held_item.h
+++ b/lib/gateway/held_item.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace cassia::gateway {
 
@@ -18,6 +19,16 @@
     return item.host().empty() ? item.team() : item.host();
 }
 
+/// Why an item that is held doesn't run.
+enum class item_wait {
+    none,       ///< it runs, or hasn't been looked at yet
+    retry,      ///< after a run that failed or was rejected
+    slot,       ///< no endpoint of its service has a free slot
+    version,    ///< no endpoint of the version that wrote its events has a free slot
+    trial,      ///< a suspect, until it may run alone
+    quarantine, ///< until it may be tried again
+};
+
 struct item_runner::held_item {
     schema::leased_item leased;
     call_id upstream_call; ///< the request to the endpoint; none while the item is not running
@@ -27,13 +38,14 @@
     software_version endpoint_version;
     service_id service;
     instant sent_at{};
-    bool runs_alone = false;                        ///< as a suspect
-    std::optional<trial_id> trial;                  ///< while it waits for that, and runs
-    bool connection_broke = false;                  ///< of the current run
-    std::uint32_t reserved_slots = 0;               ///< kept free of others meanwhile
-    std::optional<cassia::fingerprint> fingerprint; ///< computed when it is first needed
-    std::set<endpoint_id> failed_endpoints;         ///< those that failed or rejected this item
-    instant ready_at{};                             ///< not started again before then
+    bool runs_alone = false;                                 ///< as a suspect
+    std::optional<trial_id> trial;                           ///< while it waits for that, and runs
+    std::optional<std::vector<prompt_part_id>> prompt_parts; ///< read when first needed
+    bool connection_broke = false;                           ///< of the current run
+    std::uint32_t reserved_slots = 0;                        ///< kept free of others meanwhile
+    std::optional<cassia::fingerprint> fingerprint;          ///< computed when it is first needed
+    std::set<endpoint_id> failed_endpoints; ///< those that failed or rejected this item
+    instant ready_at{};                     ///< not started again before then
     instant last_progress_at{};     ///< when it was started or its endpoint last sent something
     std::uint64_t start_number = 0; ///< grows with each start of any item; the last yields first
     std::uint32_t runs = 0;         ///< starts of this item by this gateway
@@ -47,6 +59,9 @@
     std::string text;            ///< data of all complete events, joined by line feeds
     policy::software written_by; ///< of the endpoints that wrote `text`
     instant waits_for_version_since{};
+    item_wait wait = item_wait::none;
+    instant waits_since{};
+    instant wait_logged_at{};
 };
 
 } // namespace cassia::gateway
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -94,6 +94,7 @@
     dispatcher_ = std::make_unique<dispatcher>(*server_, *client_, slots_, *crashes_, *trials_,
                                                *origins_, metrics_, names_, dispatcher_callbacks);
     dispatcher_->set_migration_protocol(hooks_.migration);
+    dispatcher_->set_prompt_parts_reader(hooks_.read_prompt_parts);
     item_runner_hooks item_callbacks;
     item_callbacks.lease = [this](const std::string& route, std::uint32_t limit,
                                   const item_runner_hooks::lease_done& done) {
@@ -105,6 +106,7 @@
     };
     items_ = std::make_unique<item_runner>(*client_, slots_, *crashes_, *trials_, metrics_, names_,
                                            settings_.batch_window(), std::move(item_callbacks));
+    items_->set_prompt_parts_reader(hooks_.read_prompt_parts);
     cluster_hooks cluster_callbacks;
     cluster_callbacks.on_routes = [this](std::shared_ptr<const routes::table> table) {
         set_routes(std::move(table));
@@ -187,18 +189,7 @@
         cluster_->share_usage(slots_.own_usage());
     });
     task_.every(traffic_log_interval, [this] { cluster_->peers().log_sent(); });
-    task_.every(held_items_interval, [this] {
-        const schema::held_items held = items_->held();
-        for (std::uint32_t group = 1; group <= settings_.cluster().work_groups(); ++group) {
-            schema::held_items part;
-            for (const schema::held_job& job : held.jobs()) {
-                if (state::group_of_job(job_id(job.job()), settings_.cluster().work_groups()) ==
-                    group_id(group))
-                    *part.add_jobs() = job;
-            }
-            cluster_->send_held_items(std::move(part), group_id(group));
-        }
-    });
+    task_.every(held_items_interval, [this] { send_held_items(); });
     log_info("gateway_started")
         .with("address", settings_.serve_address())
         .with("zone", settings_.zone());
@@ -281,10 +272,12 @@
 
 void service::lease(const std::string& route, std::uint32_t limit,
                     const item_runner_hooks::lease_done& done) {
-    // Each request goes to one work group; successive requests go through all groups.
     schema::keeper_request request;
-    request.set_group(1 + lease_requests_++ % settings_.cluster().work_groups());
+    const std::uint64_t number = lease_requests_.open();
+    const group_id group = lease_requests_.next_group(route, settings_.cluster().work_groups());
+    request.set_group(static_cast<std::uint32_t>(group.value()));
     request.mutable_lease()->set_holder(cluster_->lease_holder());
+    request.mutable_lease()->set_number(number);
     schema::lease_want* want = request.mutable_lease()->add_wants();
     want->set_service(route);
     want->set_limit(limit);
@@ -293,9 +286,27 @@
     // Not resent: a request that was thought lost could be granted leases in addition to its
     // repetition.
     options.resend = false;
-    cluster_->send_request(std::move(request), options, [done](const schema::keeper_reply& reply) {
-        done({reply.work().leased().begin(), reply.work().leased().end()});
-    });
+    cluster_->send_request(std::move(request), options,
+                           [this, number, done](const schema::keeper_reply& reply) {
+                               lease_requests_.close(number);
+                               done({reply.work().leased().begin(), reply.work().leased().end()});
+                               if (reply.result() != schema::keeper_reply::done)
+                                   send_held_items();
+                           });
+}
+
+void service::send_held_items() {
+    const schema::held_items held = items_->held();
+    for (std::uint32_t group = 1; group <= settings_.cluster().work_groups(); ++group) {
+        schema::held_items part;
+        for (const schema::held_job& job : held.jobs()) {
+            if (state::group_of_job(job_id(job.job()), settings_.cluster().work_groups()) ==
+                group_id(group))
+                *part.add_jobs() = job;
+        }
+        part.set_closed_requests(lease_requests_.closed());
+        cluster_->send_held_items(std::move(part), group_id(group));
+    }
 }
 
 void service::report(const schema::items_end& ends, const item_runner_hooks::report_done& done) {
--- a/lib/keeper/work_leader.cpp
+++ b/lib/keeper/work_leader.cpp
@@ -18,6 +18,10 @@
 // after the lease was applied has never reached it.
 constexpr microseconds lease_reply_timeout = std::chrono::seconds(5);
 constexpr milliseconds expiry_check_interval(30000);
+constexpr milliseconds holder_retention(600000);
+// Holders send heartbeats to each member of the group at this interval.
+constexpr milliseconds heartbeat_interval(1000);
+constexpr milliseconds unfinished_log_interval(5000);
 } // namespace
 
 work_leader::work_leader(const state::work_state& state, milliseconds holder_timeout,
@@ -30,8 +34,9 @@
     leading_ = leading;
     role_changed_at_ = now;
     reject_lease_requests();
-    holders_last_seen_.clear();
     holders_being_released_.clear();
+    if (leading_)
+        discount_own_silence(now);
     std::vector<pending_cancel> dropped = std::move(pending_cancels_);
     pending_cancels_.clear();
     for (const pending_cancel& cancel : dropped) {
@@ -41,13 +46,36 @@
     }
 }
 
+// A member that received nothing for a while, as it was suspended or cut off, doesn't take holders
+// for lost: only what they sent less than others counts.
+void work_leader::discount_own_silence(instant now) {
+    instant latest{};
+    for (const std::pair<const std::string, instant>& holder : holders_last_seen_)
+        latest = std::max(latest, holder.second);
+    const microseconds own_silence = now - latest - heartbeat_interval;
+    if (own_silence <= microseconds(0))
+        return;
+    for (std::pair<const std::string, instant>& holder : holders_last_seen_) {
+        if (holder.second != instant())
+            holder.second += own_silence;
+    }
+}
+
 void work_leader::set_weight(const team_id& team, double weight) {
     schedule_.set_weight(team, weight);
 }
 
 void work_leader::on_lease_applied(const schema::keeper_reply& reply, instant now) {
     for (const schema::leased_item& item : reply.work().leased())
-        leased_at_[{job_id(item.job()), item.ordinal()}] = now;
+        granted_[{job_id(item.job()), item.ordinal()}] = {now, item.request(), item.attempt()};
+}
+
+// A holder that says which of its requests are closed has no need of clocks: what such a request
+// was granted and the holder doesn't report is lost, or was ended and needs no lease.
+bool work_leader::is_lost(const granted_lease& lease, const schema::held_items& held) {
+    if (lease.request != 0 && lease.request <= held.closed_requests())
+        return true;
+    return lease.at + lease_reply_timeout <= from_us(held.keeper_clock_us());
 }
 
 // A gateway that never received the reply to its lease request doesn't know that it holds the
@@ -60,16 +88,18 @@
             reported.insert({job_id(job.job()), ordinal});
     }
     schema::work_command command;
-    const instant reported_at = from_us(held.keeper_clock_us());
     for (const state::item_key& key : state_.leases_of(held.holder())) {
-        // A lease without a time was applied before this process started; it counts from now.
-        instant& leased_at = leased_at_.try_emplace(key, now).first->second;
-        if (reported.count(key) > 0 || leased_at + lease_reply_timeout > reported_at)
+        const std::uint32_t attempt = state_.jobs().at(key.first).items[key.second].attempts;
+        granted_lease& lease = granted_[key];
+        // A lease that isn't known was applied before this process started, or came in a snapshot.
+        if (lease.attempt != attempt)
+            lease = {now, 0, attempt};
+        if (reported.count(key) > 0 || !is_lost(lease, held))
             continue;
         schema::item_end* end = command.mutable_ends()->add_ends();
         end->set_job(key.first.str());
         end->set_ordinal(key.second);
-        end->set_attempt(state_.jobs().at(key.first).items[key.second].attempts);
+        end->set_attempt(attempt);
         end->set_status(schema::pending);
     }
     schema::stale_items stale = find_stale_items(held);
@@ -77,6 +107,7 @@
         return stale;
     log_info("unknown_leases_returned")
         .with("holder", held.holder())
+        .with("closed_requests", held.closed_requests())
         .with("items", command.ends().ends_size());
     command.mutable_ends()->set_holder(held.holder());
     command.mutable_ends()->set_at(to_unix_ms(wall_now()));
@@ -149,6 +180,9 @@
     const bool is_new = holders_last_seen_.insert_or_assign(holder, now).second;
     if (!is_new)
         return;
+    std::erase_if(holders_last_seen_, [this, now](const auto& known) {
+        return now - known.second > holder_retention && state_.leases_of(known.first).empty();
+    });
     // Any other incarnation of the same gateway is presumed to be an earlier process, now dead.
     const std::string gateway_prefix = holder.substr(0, holder.rfind('/') + 1);
     for (const std::string& other : state_.holders()) {
@@ -177,18 +211,47 @@
     }
 }
 
+void work_leader::log_unfinished(instant now, wall_time wall) {
+    if (now < next_unfinished_log_)
+        return;
+    next_unfinished_log_ = now + unfinished_log_interval;
+    std::size_t unleased = 0;
+    std::size_t leased = 0;
+    const state::batch_job* oldest = nullptr;
+    for (const std::pair<const job_id, state::batch_job>& known : state_.jobs()) {
+        const state::batch_job& job = known.second;
+        if (job.ended != 0 || job.status == state::job_status::loading)
+            continue;
+        for (const std::deque<std::uint32_t>& queue : job.pending)
+            unleased += queue.size();
+        leased += job.counts.running;
+        if (oldest == nullptr || job.created < oldest->created)
+            oldest = &job;
+    }
+    if (oldest == nullptr)
+        return;
+    const std::uint64_t unix_ms = to_unix_ms(wall);
+    log_info("items_unfinished")
+        .with("unleased", unleased)
+        .with("leased", leased)
+        .with("oldest_job", oldest->id.str())
+        .with("oldest_ms", unix_ms > oldest->created ? unix_ms - oldest->created : 0);
+}
+
 void work_leader::tick(instant now, wall_time wall) {
     if (!leading_)
         return;
     latest_time_ = now;
     respond_to_settled_cancels(now);
     release_lost_holders(now);
+    log_unfinished(now, wall);
     if (now < next_expiry_check_)
         return;
     next_expiry_check_ = now + expiry_check_interval;
-    for (auto lease = leased_at_.begin(); lease != leased_at_.end();)
-        lease = state_.jobs().count(lease->first.first) == 0 ? leased_at_.erase(lease)
-                                                             : std::next(lease);
+    std::erase_if(granted_, [this](const auto& lease) {
+        return state_.jobs().count(lease.first.first) == 0;
+    });
+    std::erase_if(unreadable_until_, [now](const auto& item) { return now >= item.second; });
     if (!state_.has_expired(to_unix_ms(wall)))
         return;
     schema::work_command command;
--- /dev/null
+++ b/unittests/gateway/item_runner_test.cpp
@@ -0,0 +1,198 @@
+// When held batch items run, and which items are leased.
+
+#include "item_runner_fixture.h"
+
+#include "cassia/gateway/lease_requests.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+using namespace cassia;
+using namespace cassia::gateway;
+
+// Guards against a suspected item that waits for a run at a service which its route has left.
+TEST_CASE("a suspected item runs after its route has moved to another service", "[.][items]") {
+    runner_fixture fixture;
+    fixture.add_endpoint("first", "v1");
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
+    const schema::leased_item item = fixture.make_item("a", "jobs", 1);
+    fixture.suspect(item);
+    fixture.grants_trials = false;
+    fixture.offer(item);
+    fixture.run_for(lease_time);
+    REQUIRE(fixture.runner.size() == 1);
+    fixture.remove_endpoints("first", "v1");
+    endpoint_stub& endpoint = fixture.add_endpoint("second", "v1");
+    fixture.runner.set_routes(make_routes(2, {{"jobs", {"second"}}}));
+    fixture.grants_trials = true;
+    CHECK(fixture.is_received_in_time(endpoint, "a"));
+}
+
+// Guards against a suspected item that waits for a run at a version which no endpoint has any more.
+TEST_CASE("a suspected item runs after the version that wrote its events has left", "[.][items]") {
+    runner_fixture fixture;
+    fixture.add_endpoint("first", "v1");
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
+    schema::leased_item item = fixture.make_item("a", "jobs", 1);
+    runner_fixture::add_progress(item, "first", "v1");
+    fixture.suspect(item);
+    fixture.grants_trials = false;
+    fixture.offer(item);
+    fixture.run_for(lease_time);
+    REQUIRE(fixture.runner.size() == 1);
+    fixture.remove_endpoints("first", "v1");
+    endpoint_stub& endpoint = fixture.add_endpoint("first", "v2");
+    fixture.grants_trials = true;
+    CHECK(fixture.is_received_in_time(endpoint, "a"));
+}
+
+// Guards against a suspected item that waits for a free slot at its version for as long as it
+// lives.
+TEST_CASE("a suspected item whose version is busy begins again at another one", "[.][items]") {
+    runner_fixture fixture;
+    fixture.add_full_endpoint("first", "v1");
+    endpoint_stub& endpoint = fixture.add_endpoint("first", "v2");
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
+    schema::leased_item item = fixture.make_item("a", "jobs", 1);
+    runner_fixture::add_progress(item, "first", "v1");
+    fixture.suspect(item);
+    fixture.offer(item);
+    CHECK(fixture.is_received_in_time(endpoint, "a"));
+}
+
+// Guards against an item that waits behind one of another service which has no endpoint.
+TEST_CASE("an item without a free slot holds back none of another service", "[.][items]") {
+    runner_fixture fixture;
+    fixture.add_unreachable_endpoint("first", "v1");
+    fixture.runner.set_routes(make_routes(1, {{"early", {"first"}}, {"late", {"second"}}}));
+    fixture.offer(fixture.make_item("a", "early", 1));
+    fixture.run_for(lease_time);
+    REQUIRE(fixture.runner.size() == 1);
+    fixture.remove_endpoints("first", "v1");
+    endpoint_stub& endpoint = fixture.add_endpoint("second", "v1");
+    fixture.offer(fixture.make_item("b", "late", 2));
+    CHECK(fixture.is_received_in_time(endpoint, "b"));
+}
+
+// Guards against a gateway that leases nothing while two items wait for a service without
+// endpoints.
+TEST_CASE("items without a free slot keep none of another service from being leased",
+          "[.][items]") {
+    runner_fixture fixture;
+    fixture.add_unreachable_endpoint("first", "v1");
+    fixture.runner.set_routes(make_routes(1, {{"early", {"first"}}, {"late", {"second"}}}));
+    fixture.offer(fixture.make_item("a", "early", 1));
+    fixture.offer(fixture.make_item("b", "early", 2));
+    fixture.run_for(lease_time);
+    REQUIRE(fixture.runner.size() == 2);
+    fixture.remove_endpoints("first", "v1");
+    endpoint_stub& endpoint = fixture.add_endpoint("second", "v1");
+    fixture.offer(fixture.make_item("c", "late", 3));
+    CHECK(fixture.is_received_in_time(endpoint, "c"));
+}
+
+// Guards against items that aren't leased since the first target of their route has no room.
+TEST_CASE("items are leased while any target of their route has room", "[.][items]") {
+    runner_fixture fixture;
+    endpoint_stub& endpoint = fixture.add_endpoint("second", "v1");
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first", "second"}}}));
+    fixture.offer(fixture.make_item("a", "jobs", 1));
+    CHECK(fixture.is_received_in_time(endpoint, "a"));
+}
+
+// Guards against a suspect that waits for a run at a full service while another target has room.
+TEST_CASE("a suspected item runs while any target of its route has room", "[.][items]") {
+    runner_fixture fixture;
+    fixture.add_endpoint("first", "v1");
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
+    const schema::leased_item item = fixture.make_item("a", "jobs", 1);
+    fixture.suspect(item);
+    fixture.grants_trials = false;
+    fixture.offer(item);
+    fixture.run_for(lease_time);
+    REQUIRE(fixture.runner.size() == 1);
+    fixture.remove_endpoints("first", "v1");
+    fixture.add_full_endpoint("first", "v1");
+    endpoint_stub& endpoint = fixture.add_endpoint("second", "v1");
+    fixture.runner.set_routes(make_routes(2, {{"jobs", {"first", "second"}}}));
+    fixture.run_for(lease_time);
+    fixture.grants_trials = true;
+    CHECK(fixture.is_received_in_time(endpoint, "a"));
+}
+
+// Guards against items that aren't leased while the window is full of items that may not run yet.
+TEST_CASE("quarantined items keep no others from being leased", "[.][items]") {
+    runner_fixture fixture;
+    endpoint_stub& endpoint = fixture.add_endpoint("first", "v1");
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
+    for (int i = 0; i < 16; ++i) {
+        const schema::leased_item item = fixture.make_item("q" + std::to_string(i), "jobs", 1);
+        fixture.quarantine(item);
+        fixture.offer(item);
+    }
+    fixture.run_for(std::chrono::seconds(1));
+    fixture.offer(fixture.make_item("a", "jobs", 1));
+    CHECK(fixture.is_received_in_time(endpoint, "a"));
+}
+
+// Guards against items that a gateway is granted after its shutdown began and never returns.
+TEST_CASE("items granted during a shutdown are returned", "[.][items]") {
+    runner_fixture fixture;
+    endpoint_stub& endpoint = fixture.add_endpoint("first", "v1");
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
+    fixture.lease_delay = lease_time;
+    fixture.offer(fixture.make_item("a", "jobs", 1));
+    fixture.run_for(lease_time / 2);
+    fixture.runner.shut_down();
+    fixture.run_for(2 * lease_time);
+    CHECK(fixture.reported.count("job-a") == 1);
+    CHECK_FALSE(endpoint.has_received("a"));
+}
+
+// Guards against items that no gateway leases as the requests for their route skip a work group.
+TEST_CASE("lease requests of each route reach all work groups", "[.][items]") {
+    runner_fixture fixture;
+    fixture.add_endpoint("first", "v1");
+    fixture.add_endpoint("second", "v1");
+    fixture.runner.set_routes(make_routes(1, {{"early", {"first"}}, {"late", {"second"}}}));
+    fixture.run_for(max_idle_time);
+    constexpr std::uint32_t groups = 4;
+    std::map<std::string, std::set<group_id>> groups_of;
+    lease_requests requests;
+    for (const std::string& route : fixture.leased_routes)
+        groups_of[route].insert(requests.next_group(route, groups));
+    CHECK(groups_of["early"].size() == groups);
+    CHECK(groups_of["late"].size() == groups);
+}
+
+// Guards against a suspected item that waits too long after an endpoint was silent under it.
+TEST_CASE("a suspected item runs again in time after an endpoint was silent", "[.][silent_trial]") {
+    runner_fixture fixture;
+    endpoint_stub& first = fixture.add_endpoint("first", "v1");
+    endpoint_stub& second = fixture.add_endpoint("first", "v1");
+    first.is_silent = true;
+    second.is_silent = true;
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
+    const schema::leased_item item = fixture.make_item("a", "jobs", 1);
+    fixture.suspect(item);
+    fixture.offer(item);
+    const auto runs = [&] { return first.requests() + second.requests(); };
+    const auto wait_until = [&](const std::function<bool()>& is_done) {
+        const instant end = monotonic_now() + 2 * max_idle_time;
+        while (monotonic_now() < end && !is_done())
+            fixture.run_for(tick_interval);
+        REQUIRE(is_done());
+    };
+    wait_until([&] { return runs() == 1; });
+    wait_until([&] { return first.abandoned() + second.abandoned() == 1; });
+    const instant abandoned_at = monotonic_now();
+    first.is_silent = false;
+    second.is_silent = false;
+    wait_until([&] { return runs() == 2; });
+    const milliseconds idle_time =
+        std::chrono::duration_cast<milliseconds>(monotonic_now() - abandoned_at);
+    CHECK(idle_time < max_idle_time);
+}
