--- a/include/cassia/gateway/lease_requests.h
+++ b/include/cassia/gateway/lease_requests.h
@@ -1,5 +1,5 @@
-/// Numbers the lease requests of this process, tells which of them are closed, and distributes them
-/// over the work groups.
+/// Numbers the lease requests of this process, tracks which of them are closed, and distributes
+/// them over the work groups.
 #pragma once
 
 #include "cassia/base/ids.h"
--- a/include/cassia/gateway/service.h
+++ b/include/cassia/gateway/service.h
@@ -92,7 +92,7 @@
     void request_yield(const entry_id& holder, const endpoint_id& endpoint);
     void lease(const std::string& route, std::uint32_t limit,
                const item_runner_hooks::lease_done& done);
-    /// Tells the leaders which items are held and which lease requests are closed.
+    /// Reports to the leaders which items are held and which lease requests are closed.
     void send_held_items();
     void report(const schema::items_end& ends, const item_runner_hooks::report_done& done);
     /// Where a suspect may run, for any gateway.
