Crashes: a probe that a dying process resets is repeated

Cause: a gateway probes an endpoint whose connection broke. A process that ends resets connections that wait in its listening socket, and a probe that ended neither accepted nor refused left the crash undecided at once, for 2.2 s in the run traced, until the endpoint's next process reported itself. A second accepted probe, 50 ms later, had the same effect while a process took longer to end.

Change: up to four probes, after delays of 50, 100 and 200 ms; only one without any answer for 0.8 s ends them.

--- a/include/cassia/gateway/crash_monitor.h
+++ b/include/cassia/gateway/crash_monitor.h
@@ -108,6 +108,7 @@
 private:
     static constexpr std::size_t max_crashes = 1024;
     enum class crash_state { probing, undecided, confirmed };
+    enum class probe_result { refused, inconclusive, timed_out };
     struct suspected_crash {
         http_address address;
         service_id service;
@@ -125,7 +126,7 @@
     };
 
     void probe(const policy::endpoint_process& process);
-    void on_probe_ended(net::connection_id id, bool refused, bool accepted);
+    void on_probe_ended(net::connection_id id, probe_result result);
     void add_recent_runs(const policy::endpoint_process& process, suspected_crash& crash);
     void confirm_silent_crashes(const std::map<http_address, policy::endpoint_process>& processes);
     void expire_runs(instant now);
--- a/lib/gateway/crash_monitor.cpp
+++ b/lib/gateway/crash_monitor.cpp
@@ -11,11 +11,11 @@
 namespace cassia::gateway {
 
 namespace {
-// A process that ends closes its sockets one by one, so a probe may still be accepted; a second one
-// after this delay is not.
-constexpr milliseconds probe_retry_delay(50);
-constexpr int max_probes = 2;
-constexpr milliseconds probe_timeout(400);
+// A process that ends closes its sockets one by one, so a probe may still be accepted or reset; one
+// of those that follow, after delays that double, is refused.
+constexpr milliseconds first_probe_delay(50);
+constexpr int max_probes = 4;
+constexpr milliseconds probe_timeout(800);
 // A crash that no probe confirms shows by the next process at the same address.
 constexpr milliseconds replacement_wait(5000);
 constexpr milliseconds crash_retention(10000);
@@ -39,11 +39,13 @@
     probe_hooks.on_bytes = [](net::connection_id, std::string_view) {};
     probe_hooks.on_connected = [this](net::connection_id id) {
         probes_->reset(id);
-        on_probe_ended(id, false, true);
+        on_probe_ended(id, probe_result::inconclusive);
+    };
+    probe_hooks.on_refused = [this](net::connection_id id) {
+        on_probe_ended(id, probe_result::refused);
     };
-    probe_hooks.on_refused = [this](net::connection_id id) { on_probe_ended(id, true, false); };
     probe_hooks.on_closed = [this](net::connection_id id, bool) {
-        on_probe_ended(id, false, false);
+        on_probe_ended(id, probe_result::inconclusive);
     };
     probes_ =
         std::make_unique<net::tcp_connections>(owner, net::tcp_settings(), std::move(probe_hooks));
@@ -202,7 +204,7 @@
     probed_[found->second.probe] = process;
 }
 
-void crash_monitor::on_probe_ended(net::connection_id id, bool refused, bool accepted) {
+void crash_monitor::on_probe_ended(net::connection_id id, probe_result result) {
     auto probed = probed_.find(id);
     if (probed == probed_.end())
         return;
@@ -211,10 +213,11 @@
     auto found = crashes_.find(process);
     if (found == crashes_.end() || found->second.state != crash_state::probing)
         return;
-    if (refused)
+    const int probes = found->second.probes;
+    if (result == probe_result::refused)
         confirm(process, "refused");
-    else if (accepted && found->second.probes < max_probes)
-        owner_.after(probe_retry_delay, [this, process] { probe(process); });
+    else if (result == probe_result::inconclusive && probes < max_probes)
+        owner_.after(first_probe_delay * (1 << (probes - 1)), [this, process] { probe(process); });
     else
         found->second.state = crash_state::undecided;
 }
@@ -277,7 +280,7 @@
     }
     for (const net::connection_id id : late) {
         probes_->reset(id);
-        on_probe_ended(id, false, false);
+        on_probe_ended(id, probe_result::timed_out);
     }
     std::erase_if(crashes_, [now](const auto& crash) {
         const bool is_confirmed = crash.second.state == crash_state::confirmed;
--- a/unittests/gateway/crash_monitor_test.cpp
+++ b/unittests/gateway/crash_monitor_test.cpp
@@ -3,6 +3,7 @@
 #include "cassia/base/log.h"
 #include "cassia/gateway/crash_monitor.h"
 #include "cassia/net/task.h"
+#include "cassia/net/tcp_connections.h"
 
 #include <catch2/catch.hpp>
 
@@ -10,6 +11,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -61,16 +63,11 @@
             monitors_[i]->set_gateways(others);
         }
     }
-    /// An endpoint that nothing listens for any more crashes under the request.
-    void crash(std::size_t gateway, int endpoint) {
-        ended_run run;
-        run.request_id = "r" + std::to_string(endpoint);
-        run.request = poison;
-        run.process = {endpoint_id("e" + std::to_string(endpoint)), 1};
-        run.address = http_address("127.77.2.1:7201");
-        run.service = service_id("llm");
-        run.sent_at = monotonic_now() - milliseconds(50);
-        monitors_[gateway]->record_broken_run(run);
+    /// An endpoint crashes under the request. Nothing listens at its address any more, unless it is
+    /// another one.
+    void crash(std::size_t gateway, int endpoint,
+               const http_address& address = http_address("127.77.2.1:7201")) {
+        monitors_[gateway]->record_broken_run(run_at(endpoint, address, poison));
     }
     void list_endpoints(int count) {
         std::vector<policy::slot_endpoint> endpoints;
@@ -87,13 +84,7 @@
     /// A run of its own request, which an endpoint survives or which crashes it.
     void run_parts(std::size_t gateway, int endpoint, const std::vector<fingerprint>& parts,
                    bool crashes) {
-        ended_run run;
-        run.request_id = "r" + std::to_string(++requests_);
-        run.request = fingerprint(run.request_id);
-        run.process = {endpoint_id("e" + std::to_string(endpoint)), 1};
-        run.address = http_address("127.77.2.1:7201");
-        run.service = service_id("llm");
-        run.sent_at = monotonic_now() - milliseconds(50);
+        ended_run run = run_at(endpoint, http_address("127.77.2.1:7201"), fingerprint());
         run.parts = parts;
         run.on_trial = crashes;
         if (crashes)
@@ -128,12 +119,24 @@
         return std::chrono::duration_cast<milliseconds>(monotonic_now() - began);
     }
     std::size_t size() const { return monitors_.size(); }
+    net::task& task() { return task_; }
 
     std::set<std::size_t> stopped;
     std::set<std::size_t> cut_off;
     std::size_t messages = 0;
 
 private:
+    /// A run of a request; of one like no other if it is empty.
+    ended_run run_at(int endpoint, const http_address& address, const fingerprint& request) {
+        ended_run run;
+        run.request_id = "r" + std::to_string(++requests_);
+        run.request = request.empty() ? fingerprint(run.request_id) : request;
+        run.process = {endpoint_id("e" + std::to_string(endpoint)), 1};
+        run.address = address;
+        run.service = service_id("llm");
+        run.sent_at = monotonic_now() - milliseconds(50);
+        return run;
+    }
     static entry_id name_of(std::size_t index) {
         return entry_id("gateway-" + std::to_string(index));
     }
@@ -162,6 +165,23 @@
     std::deque<std::pair<std::pair<std::size_t, entry_id>, schema::envelope>> envelopes_;
 };
 
+/// Accepts connections at an address until it is destroyed.
+class listener {
+public:
+    listener(net::task& owner, const http_address& address) {
+        net::tcp_hooks hooks;
+        hooks.on_accepted = [](net::connection_id) {};
+        hooks.on_bytes = [](net::connection_id, std::string_view) {};
+        hooks.on_closed = [](net::connection_id, bool) {};
+        connections_ =
+            std::make_unique<net::tcp_connections>(owner, net::tcp_settings(), std::move(hooks));
+        REQUIRE(connections_->listen(address));
+    }
+
+private:
+    std::unique_ptr<net::tcp_connections> connections_;
+};
+
 } // namespace
 
 // Guards against gateways that run a request again which crashed endpoints of others.
@@ -236,3 +256,17 @@
     CHECK(monotonic_now() - began < contact_time);
     CHECK(fleet.gateways_with(sound_part, policy::request_verdict::unsuspected) == fleet.size());
 }
+
+// Guards against a crash that stays unknown until the endpoint's replacement reports itself.
+TEST_CASE("an endpoint that resets the probe as it ends has crashed", "[poison]") {
+    const http_address address("127.77.2.3:7401");
+    monitor_fleet fleet(1);
+    for (int i = 0; i < 3; ++i) {
+        {
+            const listener ending(fleet.task(), address);
+            fleet.crash(0, i, address);
+        }
+        fleet.run_for(milliseconds(300));
+    }
+    CHECK(fleet.wait_until_known() < contact_time);
+}
