Gateways: nothing is placed at an endpoint whose process has crashed

Cause: gateways learn of a crash, by a probe or from another gateway, but only the runs of suspects keep away from the endpoint. All others are sent there again after 250 ms, until it is no longer listed, and a request that has been sent six times is rejected.

Change: a crash suspends the endpoint for five seconds, or until another process runs there.

--- a/include/cassia/gateway/crash_monitor.h
+++ b/include/cassia/gateway/crash_monitor.h
@@ -55,6 +55,7 @@
 struct crash_monitor_hooks {
     /// Sends to another gateway. \returns false if its address is unknown.
     std::function<bool(const entry_id& to, schema::envelope&)> send;
+    std::function<void(const policy::endpoint_process& process)> on_crash;
     /// Some request was quarantined.
     std::function<void()> on_quarantine;
 };
--- a/include/cassia/policy/slot_table.h
+++ b/include/cassia/policy/slot_table.h
@@ -89,6 +89,9 @@
     /// A request failed there. The endpoint is suspended, for longer with each failure, and then on
     /// trial until a request succeeds. \returns the length of the suspension.
     milliseconds record_failure(const endpoint_id& endpoint, instant now);
+    /// The process of the endpoint crashed: nothing is placed there for some seconds, or until
+    /// another process runs there.
+    void record_crash(const endpoint_id& endpoint, std::uint64_t incarnation, instant now);
     /// A request was rejected there without having run. The endpoint counts as full, for longer
     /// with each rejection in a row. This isn't a failure, and isn't reported to peers.
     void record_rejection(const endpoint_id& endpoint, instant now);
--- a/lib/gateway/crash_monitor.cpp
+++ b/lib/gateway/crash_monitor.cpp
@@ -163,6 +163,7 @@
                                  const std::string& evidence) {
     suspected_crash& crash = crashes_.at(process);
     crash.state = crash_state::confirmed;
+    hooks_.on_crash(process);
     add_recent_runs(process, crash);
     if (crash.unreported.empty() && crash.unreported_complete.empty())
         return;
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -50,6 +50,9 @@
     crash_callbacks.send = [this](const entry_id& to, schema::envelope& envelope) {
         return cluster_->send_to_gateway(to, envelope);
     };
+    crash_callbacks.on_crash = [this](const policy::endpoint_process& process) {
+        slots_.record_crash(process.endpoint, process.incarnation, monotonic_now());
+    };
     crash_callbacks.on_quarantine = [this] {
         dispatcher_->stop_quarantined();
         items_->stop_quarantined();
--- a/lib/policy/slot_table.cpp
+++ b/lib/policy/slot_table.cpp
@@ -14,6 +14,9 @@
 constexpr milliseconds first_suspension(250);
 constexpr milliseconds max_suspension(4000);
 constexpr std::uint32_t max_doublings = 5;
+// Until then an endpoint that has crashed is replaced or no longer listed. It may be wrong, so it
+// ends.
+constexpr milliseconds crash_suspension(5000);
 // An endpoint that rejected a request counts as full for this long, doubled with each further
 // rejection. Slots become free all the time, so the longest is short compared with the time that
 // callers wait.
@@ -113,6 +116,14 @@
     return pause;
 }
 
+void slot_table::record_crash(const endpoint_id& endpoint, std::uint64_t incarnation, instant now) {
+    auto found = endpoints_.find(endpoint);
+    if (found == endpoints_.end() || found->second.info.incarnation != incarnation)
+        return;
+    found->second.suspended_until = now + crash_suspension;
+    ++found->second.failures;
+}
+
 bool slot_table::counts_as_full(const endpoint_state& endpoint, instant now) {
     return now < endpoint.rejected_at + endpoint.full_time;
 }
--- a/unittests/gateway/crash_monitor_test.cpp
+++ b/unittests/gateway/crash_monitor_test.cpp
@@ -48,6 +48,7 @@
             envelopes_.emplace_back(std::make_pair(index, to), envelope);
             return true;
         };
+        hooks.on_crash = [](const policy::endpoint_process&) {};
         hooks.on_quarantine = [] {};
         monitors_.push_back(std::make_unique<crash_monitor>(task_, "", members_[index].id,
                                                             members_[index].zone, *metrics_.back(),
--- a/unittests/gateway/item_runner_fixture.h
+++ b/unittests/gateway/item_runner_fixture.h
@@ -212,8 +212,14 @@
         slots_.set_endpoints(listed_);
         crashes_.set_endpoints(listed_);
     }
-    static crash_monitor_hooks crash_hooks() {
-        return {[](const entry_id&, schema::envelope&) { return false; }, [] {}};
+    crash_monitor_hooks crash_hooks() {
+        crash_monitor_hooks hooks;
+        hooks.send = [](const entry_id&, schema::envelope&) { return false; };
+        hooks.on_crash = [this](const policy::endpoint_process& process) {
+            slots_.record_crash(process.endpoint, process.incarnation, monotonic_now());
+        };
+        hooks.on_quarantine = [] {};
+        return hooks;
     }
     trial_exchange_hooks trial_hooks() {
         trial_exchange_hooks hooks;
--- a/unittests/policy/slots_test.cpp
+++ b/unittests/policy/slots_test.cpp
@@ -384,6 +384,21 @@
     CHECK(table.batch_capacity(model, later) == 8);
 }
 
+// Guards against requests that are placed at an endpoint whose process has crashed.
+TEST_CASE("an endpoint that crashed is used again when another process runs there", "[slots]") {
+    slot_table table{zone_id("a")};
+    slot_endpoint crashed = endpoint("crashed", "a", 8);
+    table.set_endpoints({crashed});
+    table.record_crash(crashed.id, crashed.incarnation + 1, start);
+    CHECK(table.place_online(model, {}, start, 0.5));
+    table.record_crash(crashed.id, crashed.incarnation, start);
+    CHECK_FALSE(table.place_online(model, {}, start + milliseconds(4000), 0.5));
+    CHECK(table.place_online(model, {}, start + milliseconds(6000), 0.5));
+    ++crashed.incarnation;
+    table.set_endpoints({crashed});
+    CHECK(table.place_online(model, {}, start + milliseconds(100), 0.5));
+}
+
 TEST_CASE("an endpoint is on trial if two other gateways suspect it, but not if one does",
           "[slots]") {
     slot_table table{zone_id("a")};
