Gateways: only sends that reach an endpoint count against the limit

What callers saw: a request is rejected with 503 after three connections that couldn't be made and three rejections by endpoints that had just started, 1.5 s after its arrival, with 2.5 s left.

Cause: six sends end a request that hasn't run; connections that were refused counted, though nothing had been sent. The limit is there to spare endpoints.

Change: they no longer count. Each such endpoint is suspended and not tried again by the request, and its time limit stays.

--- a/include/cassia/gateway/online_call.h
+++ b/include/cassia/gateway/online_call.h
@@ -71,6 +71,7 @@
     call_phase phase = call_phase::queued;
     std::uint32_t runs = 0;       ///< sends whose request may have been executed
     std::uint32_t sends = 0;      ///< requests sent to endpoints, including those never executed
+    std::uint32_t unreached = 0;  ///< sends of which nothing reached the endpoint
     std::uint32_t rejections = 0; ///< latest sends that were not run, without another in between
     instant retry_at{};           ///< neither sent nor queued before then
     std::set<endpoint_id> failed_endpoints; ///< those that failed or rejected this request
--- a/lib/gateway/dispatch_responses.cpp
+++ b/lib/gateway/dispatch_responses.cpp
@@ -203,6 +203,7 @@
     if (!call.not_run && !stale_connection)
         eject_endpoint(call, monotonic_now());
     call.not_run = not_run;
+    call.unreached += failure.sent ? 0 : 1;
     if (not_run)
         retry_not_run(call, failure.cause.text);
     else if (judge(call).verdict == policy::request_verdict::suspect)
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -249,7 +249,7 @@
         .with("cause", cause);
     if (call.runs > 0)
         retry_later(call);
-    else if (call.sends < max_sends && monotonic_now() < call.send_deadline)
+    else if (call.sends - call.unreached < max_sends && monotonic_now() < call.send_deadline)
         place(call);
     else
         reject(call, cause);
