Prompt parts: an outage doesn't explain a part that no endpoint survives

Cause: what else may explain a crash is the rate of unexplained crashes times the run's length. With runs of 3 s and eight crashes in half a second that is nearly one, so that a crash shows nothing: in the trace the part's log odds were -5.0 after all eight endpoints had ended, -2.2 after another eight. Ruled out: other parts aboard (their odds were below -30, they had been survived).

--- a/unittests/policy/part_detector_test.cpp
+++ b/unittests/policy/part_detector_test.cpp
@@ -92,6 +92,10 @@
     SECTION("after a second") {
         model.bad_time = milliseconds(1000);
     }
+    SECTION("after the time of contact") {
+        model.bad_time = milliseconds(3000);
+        model.bad_per_s = 16;
+    }
     SECTION("mostly met with a sound one") {
         model.companion_share = 0.9;
         model.companion_per_s = 1;
@@ -121,6 +125,13 @@
     check(model, 0);
 }
 
+// Guards against sound parts that are stopped since they have come for the first time in an outage.
+TEST_CASE("in virtual time, outages stop no part that few requests have", "[.parts]") {
+    part_model model = outages();
+    model.companion_per_s = GENERATE(0.5, 3.0);
+    check(model, 0);
+}
+
 // Guards against the same when no run has succeeded yet.
 TEST_CASE("in virtual time, outages right after the start stop no sound part",
           "[.parts-at-start]") {
