Trial schedule: an item that has waited for 2 s may use three quarters

Callers saw a suspected item of a job idle for 4 to 6.4 s beside endpoints with room (item_waits cause=trial). Suspects may use half of a service's endpoints, and an endpoint that was silent under one counts as used for 3 s after the 1.5 s until its run is given up: four suspects that hang four of eight endpoints keep all other suspects waiting for 4.5 s, and more of them for longer. Ruled out: the item's own hold (none here), and missing room (four endpoints free).

An item that has waited for 2 s may now use half as many endpoints again, or one more where suspects may use one. A request still runs once at a time over all gateways and no two suspects at one endpoint, so a single request gains no runs at once; but suspects that hang endpoints may take three quarters of a service instead of half once they have waited for 2 s. Counting no holds at all for such items was weighed and dropped: eight suspects that hang endpoints would then take all of eight.

Test "a suspected item runs soon although others hang half of the endpoints": waits 4,500 ms before (fails, 4,000 allowed), 2,000 ms after, in virtual time (unittest_policy -s). Waits aren't bounded if more suspects that have waited as long hang all three quarters.

--- a/include/cassia/policy/trial_schedule.h
+++ b/include/cassia/policy/trial_schedule.h
@@ -1,12 +1,13 @@
 /// Schedules the runs of suspects, requests that may crash their endpoints, for all gateways: one
-/// run of a suspect at a time, no two at one endpoint, and a part of a service's endpoints at most.
-/// Pure.
+/// run of a suspect at a time, no two at one endpoint, and a part of a service's endpoints at most,
+/// a larger one for items that have waited for long. Pure.
 #pragma once
 
 #include "cassia/base/clock.h"
 #include "cassia/base/ids.h"
 #include "cassia/policy/slot_table.h"
 
+#include <algorithm>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
@@ -27,6 +28,11 @@
     return endpoints < 4 ? 1 : endpoints / 2;
 }
 
+/// The same for items of jobs that have waited for long: three quarters, or two endpoints.
+constexpr std::size_t max_overdue_trials(std::size_t trials) {
+    return trials + std::max<std::size_t>(trials / 2, 1);
+}
+
 /// A run that a gateway asks for.
 struct trial_key {
     entry_id gateway;
--- a/lib/policy/trial_schedule.cpp
+++ b/lib/policy/trial_schedule.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds hang_time(5000);
 // An accepted item must not be idle for as long as that.
 constexpr milliseconds hang_time_for_batch(3000);
+// An item that has waited for so long may use more endpoints, so that it isn't idle for 5 s.
+constexpr milliseconds overdue_time(2000);
 // The gateway that asked couldn't use the endpoint, which may be gone.
 constexpr milliseconds unusable_time(1000);
 constexpr std::size_t max_known_trials = 4096;
@@ -110,7 +112,10 @@
             continue;
         const endpoint_use use = use_for(one->asked, now);
         const choice chosen = choose_endpoint(one->asked, use.excluded);
-        if (!chosen.endpoint || use.by_trials.size() >= chosen.limit)
+        const bool is_overdue =
+            one->asked.kind == work_kind::batch && now - one->asked_at >= overdue_time;
+        const std::size_t limit = is_overdue ? max_overdue_trials(chosen.limit) : chosen.limit;
+        if (!chosen.endpoint || use.by_trials.size() >= limit)
             continue;
         one->endpoint = chosen.endpoint;
         grants.push_back({one->asked.key, *chosen.endpoint});
--- a/unittests/policy/trial_schedule_test.cpp
+++ b/unittests/policy/trial_schedule_test.cpp
@@ -4,7 +4,14 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <map>
+#include <numeric>
+#include <optional>
 #include <random>
+#include <set>
+#include <string>
+#include <vector>
 
 using namespace cassia;
 using namespace cassia::policy;
@@ -12,12 +19,20 @@
 namespace {
 
 constexpr instant start = instant() + milliseconds(1000000);
+// From the last byte of an endpoint until an item's run there is given up.
+constexpr milliseconds item_inactivity(1500);
 const service_id service("llm");
 
 trial_request request_of(const std::string& gateway, std::uint64_t id, const std::string& body) {
     return {{entry_id(gateway), trial_id(id)}, fingerprint(body), service, {}};
 }
 
+trial_request item_of(std::uint64_t id, const std::string& body) {
+    trial_request item = request_of("a", id, body);
+    item.kind = work_kind::batch;
+    return item;
+}
+
 // The first endpoint that isn't excluded.
 trial_schedule::choose choose_of(std::size_t endpoints) {
     return [endpoints](const trial_request&, const std::set<endpoint_id>& excluded) {
@@ -84,6 +99,65 @@
     CHECK(schedule.poll(start, choose_of(8)).at(0).endpoint == endpoint_id("e1"));
 }
 
+// Guards against an accepted item that waits while endpoints hang under other suspects.
+TEST_CASE("a suspected item runs soon although others hang half of the endpoints", "[trials]") {
+    constexpr std::size_t endpoints = 8;
+    trial_schedule schedule;
+    std::set<endpoint_id> hanging;
+    for (std::uint64_t i = 0; i < max_trials(endpoints); ++i)
+        schedule.refresh(item_of(i, "p" + std::to_string(i)), start);
+    for (const trial_grant& grant : schedule.poll(start, choose_of(endpoints)))
+        hanging.insert(grant.endpoint);
+    REQUIRE(hanging.size() == max_trials(endpoints));
+    const trial_request item = item_of(100, "i");
+    std::optional<milliseconds> waited;
+    for (milliseconds time{0}; time < milliseconds(6000) && !waited; time += milliseconds(100)) {
+        const instant now = start + time;
+        for (std::uint64_t i = 0; i < max_trials(endpoints); ++i) {
+            const std::string body = "p" + std::to_string(i);
+            if (time == item_inactivity)
+                schedule.end(item_of(i, body).key, trial_outcome::silent, now);
+            schedule.refresh(item_of(i + (time < item_inactivity ? 0 : 10), body), now);
+        }
+        schedule.refresh(item, now);
+        for (const trial_grant& grant : schedule.poll(now, choose_of(endpoints))) {
+            CHECK(hanging.count(grant.endpoint) == 0);
+            if (grant.key == item.key)
+                waited = time;
+        }
+    }
+    REQUIRE(waited);
+    CHECK(*waited < milliseconds(4000));
+}
+
+// Guards against suspects that take all endpoints as soon as they have waited for a time.
+TEST_CASE("suspected items that hang endpoints leave a quarter of them", "[trials]") {
+    const std::size_t endpoints = GENERATE(4, 8, 9, 12);
+    trial_schedule schedule;
+    std::map<endpoint_id, instant> hangs_until;
+    std::map<trial_key, instant> began;
+    std::vector<std::uint64_t> ids(2 * endpoints);
+    std::iota(ids.begin(), ids.end(), 0);
+    for (instant now = start; now < start + milliseconds(30000); now += milliseconds(100)) {
+        for (std::uint64_t i = 0; i < ids.size(); ++i) {
+            const std::string body = "p" + std::to_string(i);
+            const auto run = began.find(item_of(ids[i], body).key);
+            if (run != began.end() && now - run->second >= item_inactivity) {
+                schedule.end(run->first, trial_outcome::silent, now);
+                ids[i] += ids.size();
+            }
+            schedule.refresh(item_of(ids[i], body), now);
+        }
+        for (const trial_grant& grant : schedule.poll(now, choose_of(endpoints))) {
+            began[grant.key] = now;
+            hangs_until[grant.endpoint] = now + item_inactivity + milliseconds(3000);
+        }
+        const auto hanging = std::count_if(hangs_until.begin(), hangs_until.end(),
+                                           [now](const auto& one) { return now < one.second; });
+        REQUIRE(hanging <= static_cast<std::ptrdiff_t>(endpoints - endpoints / 4));
+    }
+}
+
 // Guards against suspects that hide each other, or wait for a gateway that is gone.
 TEST_CASE("in random orders, suspects are kept apart and none waits forever", "[trials]") {
     constexpr std::size_t endpoints = 8;
