Trial schedule: endpoints that are gone don't count as used

Callers saw suspects wait although most endpoints had room and ran no other suspect. Suspects may use half of the endpoints that are listed, but the holds of endpoints that had crashed meanwhile, and so had left the list, still counted as used: with four of eight gone, four holds stood against a limit of two, and no suspect ran for up to 3 s (5 s for requests). Half was taken from the present, the use from the past.

Endpoints that aren't listed any more don't count. Their requests are still held as before, so no request runs again sooner.

Test "endpoints that are gone don't count as used by suspects": no grant before (fails), one after, in virtual time. Without the control group crashed endpoints stay listed; there both sides still count them.

--- a/include/cassia/gateway/trial_exchange.h
+++ b/include/cassia/gateway/trial_exchange.h
@@ -19,6 +19,7 @@
     /// Gateways that schedule the runs of suspects, the preferred one first.
     std::function<std::vector<entry_id>()> coordinators;
     policy::trial_schedule::choose choose_endpoint;
+    policy::trial_schedule::is_listed is_listed; ///< if empty, all endpoints are
 };
 
 class trial_exchange {
--- a/include/cassia/policy/trial_schedule.h
+++ b/include/cassia/policy/trial_schedule.h
@@ -70,13 +70,16 @@
         std::size_t limit = 1;
     };
     using choose = std::function<choice(const trial_request&, const std::set<endpoint_id>&)>;
+    using is_listed = std::function<bool(const endpoint_id&)>;
 
     /// Asks for a run, or reports that it still waits or runs. One that isn't refreshed in time is
     /// dropped.
     void refresh(const trial_request& request, instant now);
     void end(const trial_key& key, trial_outcome outcome, instant now);
     /// Grants the runs that may begin now, those that wait longest first.
-    std::vector<trial_grant> poll(instant now, const choose& choose_endpoint);
+    /// \param listed whether an endpoint still exists; if empty, all do.
+    std::vector<trial_grant> poll(instant now, const choose& choose_endpoint,
+                                  const is_listed& listed = {});
     /// The endpoint granted to a run; nothing while it waits.
     std::optional<endpoint_id> granted(const trial_key& key) const;
     std::size_t size() const { return trials_.size(); }
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -66,6 +66,7 @@
                                              const std::set<endpoint_id>& excluded) {
         return choose_trial_endpoint(request, excluded);
     };
+    trial_callbacks.is_listed = [this](const endpoint_id& one) { return slots_.contains(one); };
     trials_ =
         std::make_unique<trial_exchange>(entry_id(settings_.name()), std::move(trial_callbacks));
     client_->on_idle_closed(
--- a/lib/gateway/trial_exchange.cpp
+++ b/lib/gateway/trial_exchange.cpp
@@ -151,7 +151,8 @@
         if (now >= one.second.next_send_at)
             ask(one.second, now);
     }
-    for (const policy::trial_grant& grant : schedule_.poll(now, hooks_.choose_endpoint)) {
+    for (const policy::trial_grant& grant :
+         schedule_.poll(now, hooks_.choose_endpoint, hooks_.is_listed)) {
         log_info("trial_granted")
             .with("gateway", grant.key.gateway.str())
             .with("endpoint", grant.endpoint.str())
--- a/lib/policy/trial_schedule.cpp
+++ b/lib/policy/trial_schedule.cpp
@@ -97,7 +97,8 @@
     return use;
 }
 
-std::vector<trial_grant> trial_schedule::poll(instant now, const choose& choose_endpoint) {
+std::vector<trial_grant> trial_schedule::poll(instant now, const choose& choose_endpoint,
+                                              const is_listed& listed) {
     expire(now);
     std::vector<trial*> waiting;
     for (std::pair<const trial_key, trial>& one : trials_) {
@@ -110,7 +111,11 @@
     for (trial* one : waiting) {
         if (is_busy(one->asked, now))
             continue;
-        const endpoint_use use = use_for(one->asked, now);
+        endpoint_use use = use_for(one->asked, now);
+        // The limit is a part of the endpoints that are left.
+        if (listed)
+            std::erase_if(use.by_trials,
+                          [&listed](const endpoint_id& endpoint) { return !listed(endpoint); });
         const choice chosen = choose_endpoint(one->asked, use.excluded);
         const bool is_overdue =
             one->asked.kind == work_kind::batch && now - one->asked_at >= overdue_time;
--- a/unittests/policy/trial_schedule_test.cpp
+++ b/unittests/policy/trial_schedule_test.cpp
@@ -158,6 +158,28 @@
     }
 }
 
+// Guards against endpoints that have crashed and still use up what suspects may use.
+TEST_CASE("endpoints that are gone don't count as used by suspects", "[trials]") {
+    trial_schedule schedule;
+    for (std::uint64_t i = 0; i < 4; ++i)
+        schedule.refresh(item_of(i, "p" + std::to_string(i)), start);
+    std::set<endpoint_id> gone;
+    for (const trial_grant& grant : schedule.poll(start, choose_of(8))) {
+        gone.insert(grant.endpoint);
+        schedule.end(grant.key, trial_outcome::silent, start);
+    }
+    REQUIRE(gone.size() == 4);
+    schedule.refresh(item_of(10, "i"), start);
+    const trial_schedule::choose choose = [&gone](const trial_request& asked,
+                                                  const std::set<endpoint_id>& excluded) {
+        std::set<endpoint_id> unusable = excluded;
+        unusable.insert(gone.begin(), gone.end());
+        return trial_schedule::choice{choose_of(8)(asked, unusable).endpoint, max_trials(4)};
+    };
+    const auto is_listed = [&gone](const endpoint_id& one) { return gone.count(one) == 0; };
+    CHECK(schedule.poll(start, choose, is_listed).size() == 1);
+}
+
 // Guards against suspects that hide each other, or wait for a gateway that is gone.
 TEST_CASE("in random orders, suspects are kept apart and none waits forever", "[trials]") {
     constexpr std::size_t endpoints = 8;
