Trial schedule: an item whose endpoint couldn't be used keeps its turn

A suspected item is granted an endpoint by the coordinator's view of free slots. Where its gateway finds the slot taken, or the route's service or version has changed, the run ends unused and is asked for anew, behind all suspects that asked meanwhile; while most slots are taken that may repeat without end, and the time that it has waited begins at 0 each time. Found by reading; no run was traced to it.

Requests are as before.

Test "an item whose endpoint couldn't be used keeps its turn": the item that asked later was granted first before (fails), the one that waits longest after.

--- a/include/cassia/policy/trial_schedule.h
+++ b/include/cassia/policy/trial_schedule.h
@@ -99,18 +99,25 @@
         instant until{};
         instant until_for_batch{}; ///< an item may run again from then on
     };
+    /// When an item began to wait whose run ended unused, and until when that is kept.
+    struct kept_turn {
+        instant asked_at{};
+        instant until{};
+    };
     struct endpoint_use {
         std::set<endpoint_id> by_trials;
         std::set<endpoint_id> excluded; ///< and those that couldn't be used
     };
 
     void expire(instant now);
+    void keep_turn(const trial& unused, instant now);
     static bool holds_back(const hold& one, const trial_request& asked, instant now);
     bool is_busy(const trial_request& asked, instant now) const;
     endpoint_use use_for(const trial_request& asked, instant now) const;
 
     std::map<trial_key, trial> trials_;
     std::vector<hold> holds_;
+    std::map<fingerprint, kept_turn> kept_turns_; ///< of items
 };
 
 } // namespace cassia::policy
--- a/lib/policy/trial_schedule.cpp
+++ b/lib/policy/trial_schedule.cpp
@@ -26,7 +26,11 @@
     if (found == trials_.end()) {
         if (trials_.size() >= max_known_trials)
             return;
-        trials_[request.key] = {request, now, now, std::nullopt};
+        auto kept = kept_turns_.find(request.request);
+        const instant asked_at = kept == kept_turns_.end() ? now : kept->second.asked_at;
+        if (kept != kept_turns_.end())
+            kept_turns_.erase(kept);
+        trials_[request.key] = {request, asked_at, now, std::nullopt};
         return;
     }
     found->second.refreshed_at = now;
@@ -38,6 +42,8 @@
         return;
     const trial ended = std::move(found->second);
     trials_.erase(found);
+    if (outcome == trial_outcome::unused)
+        keep_turn(ended, now);
     if (!ended.endpoint)
         return;
     if (outcome == trial_outcome::unused) {
@@ -54,8 +60,15 @@
                       now + std::min(time, hang_time_for_batch)});
 }
 
+// An item has been idle since, and is asked for again at once.
+void trial_schedule::keep_turn(const trial& unused, instant now) {
+    if (unused.asked.kind == work_kind::batch && kept_turns_.size() < max_known_trials)
+        kept_turns_[unused.asked.request] = {unused.asked_at, now + unusable_time};
+}
+
 void trial_schedule::expire(instant now) {
     std::erase_if(holds_, [now](const hold& one) { return now >= one.until; });
+    std::erase_if(kept_turns_, [now](const auto& one) { return now >= one.second.until; });
     std::vector<trial_key> lost;
     for (const std::pair<const trial_key, trial>& one : trials_) {
         if (now - one.second.refreshed_at > refresh_timeout)
--- a/unittests/policy/trial_schedule_test.cpp
+++ b/unittests/policy/trial_schedule_test.cpp
@@ -180,6 +180,18 @@
     CHECK(schedule.poll(start, choose, is_listed).size() == 1);
 }
 
+// Guards against an item that begins to wait anew each time its endpoint can't be used.
+TEST_CASE("an item whose endpoint couldn't be used keeps its turn", "[trials]") {
+    trial_schedule schedule;
+    schedule.refresh(item_of(1, "a"), start);
+    REQUIRE(schedule.poll(start, choose_of(3)).size() == 1);
+    schedule.refresh(item_of(2, "b"), start + milliseconds(100));
+    const instant later = start + milliseconds(200);
+    schedule.end(item_of(1, "a").key, trial_outcome::unused, later);
+    schedule.refresh(item_of(3, "a"), later);
+    CHECK(schedule.poll(later, choose_of(3)).at(0).key == item_of(3, "a").key);
+}
+
 // Guards against suspects that hide each other, or wait for a gateway that is gone.
 TEST_CASE("in random orders, suspects are kept apart and none waits forever", "[trials]") {
     constexpr std::size_t endpoints = 8;
