Items: a suspect with a slot of its own doesn't wait behind other items

Of a route's items that are ready, none is started in a tick once one of them has found no slot. Suspects were held back too, though they don't compete for these slots: their run is granted an endpoint by the coordinator, and one free slot is enough, while other items leave an eighth to requests. So a suspected item with a later deadline waited as long as the other one had no slot, and its grant, refreshed meanwhile, kept its endpoint from all other suspects. Found by reading; no run was traced to it.

Suspects are looked at in any case.

The other item still waits. The fixture gained use_slots(). [items] and [silent_trial] pass.

--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -91,7 +91,10 @@
         const item_key& key = std::get<item_key>(candidate);
         held_item& item = *items_.at(key);
         const schema::route* route = find_route(item);
-        if (without_slot.count(route) == 0 && !start(key, item, now))
+        // A suspect may have been granted a slot of its own.
+        const bool waits = without_slot.count(route) > 0 &&
+                           judge(item).verdict == policy::request_verdict::unsuspected;
+        if (!waits && !start(key, item, now))
             without_slot.insert(route);
     }
 }
--- a/unittests/gateway/item_runner_fixture.h
+++ b/unittests/gateway/item_runner_fixture.h
@@ -134,9 +134,13 @@
         listed_.push_back({id, 1, http_address(own_net() + ".200:7301"), zone_id("z"),
                            service_id(service), slots_per_endpoint, software_version(version)});
         publish();
-        task_.every(tick_interval, [this, id] {
-            slots_.set_remote_usage(entry_id("other"), {{id, {slots_per_endpoint, 0, 0}}},
-                                    monotonic_now());
+        use_slots(id, slots_per_endpoint);
+    }
+    /// Another gateway uses slots of an endpoint.
+    void use_slots(const endpoint_id& endpoint, std::uint32_t slots) {
+        task_.every(tick_interval, [this, endpoint, slots] {
+            slots_.set_remote_usage(entry_id("user of " + endpoint.str()),
+                                    {{endpoint, {slots, 0, 0}}}, monotonic_now());
         });
     }
     /// Lists an endpoint that nothing listens for.
--- a/unittests/gateway/item_runner_test.cpp
+++ b/unittests/gateway/item_runner_test.cpp
@@ -123,6 +123,28 @@
     CHECK(fixture.is_received_in_time(endpoint, "a"));
 }
 
+// Guards against a suspect that holds an endpoint without a run, behind an item without a slot.
+TEST_CASE("a suspected item doesn't wait behind one without a free slot", "[.][items]") {
+    runner_fixture fixture;
+    fixture.add_unreachable_endpoint("first", "v1");
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
+    const schema::leased_item item = fixture.make_item("b", "jobs", 2);
+    fixture.suspect(item);
+    fixture.offer(fixture.make_item("a", "jobs", 1));
+    fixture.offer(item);
+    fixture.run_for(lease_time);
+    REQUIRE(fixture.runner.size() == 2);
+    fixture.remove_endpoints("first", "v1");
+    // One slot is left, which is kept for requests.
+    fixture.use_slots(endpoint_id("full0"), slots_per_endpoint);
+    fixture.use_slots(endpoint_id("e1"), slots_per_endpoint - 1);
+    fixture.run_for(lease_time);
+    fixture.add_full_endpoint("first", "v1");
+    endpoint_stub& endpoint = fixture.add_endpoint("first", "v1");
+    CHECK(fixture.is_received_in_time(endpoint, "b"));
+    CHECK_FALSE(endpoint.has_received("a"));
+}
+
 // Guards against items that aren't leased while the window is full of items that may not run yet.
 TEST_CASE("quarantined items keep no others from being leased", "[.][items]") {
     runner_fixture fixture;
