Items: a late crash of its own doesn't keep a quarantined one for longer

A quarantined item runs again 18 s after its last crash. A run that was given up at a silent endpoint is held responsible for a crash up to 10 s later, so that the item was idle for up to 28 s since its own last run, more than the 20 s that a failed run excuses, while it may be innocent.

The 18 s count from the item's own last run, or its lease, if the crash came within 10 s after it. Crashes that come later, and those of a part of its prompt, count as before: they are other runs', and a run of each item with the same content, or of each with the same part, would follow.

--- a/include/cassia/gateway/crash_monitor.h
+++ b/include/cassia/gateway/crash_monitor.h
@@ -33,6 +33,9 @@
 /// An endpoint that sent nothing for this time may hang.
 inline constexpr milliseconds silence_time(300);
 
+/// An endpoint that a run hangs may end only this long after the run was given up.
+inline constexpr milliseconds silent_run_time(10000);
+
 /// A run that has ended, in whatever way.
 struct ended_run {
     std::string request_id;
--- a/lib/gateway/crash_monitor.cpp
+++ b/lib/gateway/crash_monitor.cpp
@@ -23,8 +23,6 @@
 constexpr milliseconds first_digest_interval(50);
 constexpr milliseconds synchronization_timeout(500);
 constexpr std::size_t max_recent_runs = 4096;
-// An endpoint that a run hangs may end only after this time.
-constexpr milliseconds silent_run_time(10000);
 constexpr std::size_t max_silent_endpoints = 256;
 constexpr std::size_t max_runs_per_crash = 256;
 constexpr std::size_t max_requests_logged = 8;
--- a/lib/gateway/held_item.h
+++ b/lib/gateway/held_item.h
@@ -45,6 +45,7 @@
     std::uint32_t reserved_slots = 0;                        ///< kept free of others meanwhile
     std::optional<cassia::fingerprint> fingerprint;          ///< computed when it is first needed
     std::set<endpoint_id> failed_endpoints; ///< those that failed or rejected this item
+    instant idle_since{};                   ///< when it was leased or its last run ended
     instant ready_at{};                     ///< not started again before then
     instant last_progress_at{};     ///< when it was started or its endpoint last sent something
     std::uint64_t start_number = 0; ///< grows with each start of any item; the last yields first
--- a/lib/gateway/item_leases.cpp
+++ b/lib/gateway/item_leases.cpp
@@ -87,6 +87,7 @@
     item->last_event = leased.events();
     item->saved_event = leased.events();
     item->saved_at = monotonic_now();
+    item->idle_since = item->saved_at;
     log_info("item_leased")
         .with("item", leased.item().custom_id())
         .with("job", leased.job())
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -206,6 +206,7 @@
         crashes_.record_ended_run(run_of(item), false);
     client_.cancel(item.upstream_call);
     item.upstream_call = call_id();
+    item.idle_since = monotonic_now();
     slots_.release(item.endpoint, policy::work_kind::batch);
     for (; item.reserved_slots > 0; --item.reserved_slots)
         slots_.release(item.endpoint, policy::work_kind::online);
--- a/lib/gateway/item_suspects.cpp
+++ b/lib/gateway/item_suspects.cpp
@@ -102,6 +102,14 @@
     return slots_.place_alone(item.service, {}, now, version);
 }
 
+// A crash that its own last run may have caused must not make it wait for longer.
+instant item_runner::quarantined_since(held_item& item, const fingerprint& cause) const {
+    const instant last_crash = crashes_.last_crash(cause);
+    const bool may_be_own = cause == fingerprint_of(item) && last_crash > item.idle_since &&
+                            last_crash - item.idle_since <= silent_run_time;
+    return may_be_own ? item.idle_since : last_crash;
+}
+
 bool item_runner::waits_for_quarantine(held_item& item, instant now) {
     const schema::route* route = find_route(item);
     if (item.service.empty() && route != nullptr)
@@ -109,7 +117,7 @@
     const judged_cause judged = judge(item);
     if (judged.verdict != policy::request_verdict::quarantined)
         return false;
-    item.ready_at = crashes_.last_crash(judged.cause) + quarantined_item_interval;
+    item.ready_at = quarantined_since(item, judged.cause) + quarantined_item_interval;
     const bool waits = now < item.ready_at;
     if (waits)
         end_trial(item);
--- a/unittests/gateway/item_runner_fixture.h
+++ b/unittests/gateway/item_runner_fixture.h
@@ -181,22 +181,23 @@
     void suspect(const schema::leased_item& leased) {
         judge(leased, policy::request_verdict::suspect);
     }
-    /// The item was quarantined a moment ago.
-    void quarantine(const schema::leased_item& leased) {
-        judge(leased, policy::request_verdict::quarantined);
+    /// The item was quarantined a moment ago, or a further crash is held against it.
+    void quarantine(const schema::leased_item& leased, std::uint32_t crashes = 2) {
+        judge(leased, policy::request_verdict::quarantined, crashes);
     }
-    void judge(const schema::leased_item& leased, policy::request_verdict verdict) {
+    void judge(const schema::leased_item& leased, policy::request_verdict verdict,
+               std::uint32_t crashes = 2) {
         schema::poison_news news;
         schema::poison_record& record = *news.add_records();
         record.set_fingerprint(
             make_fingerprint("", leased.host(), "POST", leased.item().url(), leased.item().body())
                 .str());
-        record.set_version(1);
+        record.set_version(crashes);
         record.set_verdict(static_cast<std::uint32_t>(verdict));
         if (verdict == policy::request_verdict::quarantined)
             record.set_quarantine_left_ms(60000);
         record.set_log_odds(1);
-        record.set_crashes(2);
+        record.set_crashes(crashes);
         crashes_.receive(news);
     }
     void offer(const schema::leased_item& leased) { offered_.push_back(leased); }
--- a/unittests/gateway/item_runner_test.cpp
+++ b/unittests/gateway/item_runner_test.cpp
@@ -160,6 +160,25 @@
     CHECK(fixture.is_received_in_time(endpoint, "a"));
 }
 
+// Guards against a quarantined item that is idle for longer as a crash becomes known late.
+TEST_CASE("a quarantined item runs 18 s after its own last run", "[.][quarantined_item]") {
+    constexpr milliseconds time_to_crash(9000);
+    constexpr milliseconds max_quarantine_wait(20000);
+    runner_fixture fixture;
+    endpoint_stub& endpoint = fixture.add_endpoint("first", "v1");
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
+    const schema::leased_item item = fixture.make_item("a", "jobs", 1);
+    fixture.quarantine(item);
+    fixture.offer(item);
+    const instant began = monotonic_now();
+    fixture.run_for(time_to_crash);
+    fixture.quarantine(item, 3);
+    while (monotonic_now() - began < max_quarantine_wait && !endpoint.has_received("a"))
+        fixture.run_for(tick_interval);
+    CHECK(endpoint.has_received("a"));
+    CHECK(monotonic_now() - began >= 2 * time_to_crash);
+}
+
 // Guards against items that a gateway is granted after its shutdown began and never returns.
 TEST_CASE("items granted during a shutdown are returned", "[.][items]") {
     runner_fixture fixture;
