Trial schedule: items that hang one endpoint after the other are put back

A suspected item that hangs its endpoint asks again as soon as its run is given up, 3 s before it may run, and so goes before all items that asked in these 3 s; with the larger share for items that have waited for 2 s it also gained runs.

An item whose runs were given up at two silent endpoints within 20 s of each other counts as having asked 5 s later and gets no larger share. One silent endpoint changes nothing, as it may be chance. It isn't put back further, so it doesn't wait without end. Requests are as before.

Test "an item that was silent at two endpoints lets others run first": the hanging item was granted first before (fails).

--- a/include/cassia/policy/trial_schedule.h
+++ b/include/cassia/policy/trial_schedule.h
@@ -76,7 +76,8 @@
     /// dropped.
     void refresh(const trial_request& request, instant now);
     void end(const trial_key& key, trial_outcome outcome, instant now);
-    /// Grants the runs that may begin now, those that wait longest first.
+    /// Grants the runs that may begin now, those that wait longest first. Items whose runs were
+    /// given up at several silent endpoints count as having waited for less.
     /// \param listed whether an endpoint still exists; if empty, all do.
     std::vector<trial_grant> poll(instant now, const choose& choose_endpoint,
                                   const is_listed& listed = {});
@@ -104,6 +105,11 @@
         instant asked_at{};
         instant until{};
     };
+    /// Runs of a request that were given up at silent endpoints.
+    struct silent_ends {
+        std::uint32_t count = 0;
+        instant last_at{};
+    };
     struct endpoint_use {
         std::set<endpoint_id> by_trials;
         std::set<endpoint_id> excluded; ///< and those that couldn't be used
@@ -111,6 +117,10 @@
 
     void expire(instant now);
     void keep_turn(const trial& unused, instant now);
+    /// Whether it is an item whose runs were given up at several silent endpoints.
+    bool is_put_back(const trial& one) const;
+    /// Since when a run counts as waiting.
+    instant waits_since(const trial& one) const;
     static bool holds_back(const hold& one, const trial_request& asked, instant now);
     bool is_busy(const trial_request& asked, instant now) const;
     endpoint_use use_for(const trial_request& asked, instant now) const;
@@ -118,6 +128,7 @@
     std::map<trial_key, trial> trials_;
     std::vector<hold> holds_;
     std::map<fingerprint, kept_turn> kept_turns_; ///< of items
+    std::map<fingerprint, silent_ends> silent_ends_;
 };
 
 } // namespace cassia::policy
--- a/lib/policy/trial_schedule.cpp
+++ b/lib/policy/trial_schedule.cpp
@@ -16,6 +16,11 @@
 constexpr milliseconds hang_time_for_batch(3000);
 // An item that has waited for so long may use more endpoints, so that it isn't idle for 5 s.
 constexpr milliseconds overdue_time(2000);
+// One silent endpoint may be chance; an item with more of them in this time is put back.
+constexpr std::uint32_t max_silent_ends = 1;
+constexpr milliseconds silent_end_retention(20000);
+// Longer than an item is held after a silent endpoint, so that others may run in between.
+constexpr milliseconds put_back_time(5000);
 // The gateway that asked couldn't use the endpoint, which may be gone.
 constexpr milliseconds unusable_time(1000);
 constexpr std::size_t max_known_trials = 4096;
@@ -56,6 +61,11 @@
         time = verdict_time;
     else if (outcome == trial_outcome::silent)
         time = hang_time;
+    if (outcome == trial_outcome::silent &&
+        (silent_ends_.size() < max_known_trials || silent_ends_.count(ended.asked.request) > 0)) {
+        silent_ends& known = silent_ends_[ended.asked.request];
+        known = {known.count + 1, now};
+    }
     holds_.push_back({ended.asked.request, ended.asked.service, *ended.endpoint, now + time,
                       now + std::min(time, hang_time_for_batch)});
 }
@@ -66,9 +76,22 @@
         kept_turns_[unused.asked.request] = {unused.asked_at, now + unusable_time};
 }
 
+bool trial_schedule::is_put_back(const trial& one) const {
+    auto found = silent_ends_.find(one.asked.request);
+    return one.asked.kind == work_kind::batch && found != silent_ends_.end() &&
+           found->second.count > max_silent_ends;
+}
+
+instant trial_schedule::waits_since(const trial& one) const {
+    return is_put_back(one) ? one.asked_at + put_back_time : one.asked_at;
+}
+
 void trial_schedule::expire(instant now) {
     std::erase_if(holds_, [now](const hold& one) { return now >= one.until; });
     std::erase_if(kept_turns_, [now](const auto& one) { return now >= one.second.until; });
+    std::erase_if(silent_ends_, [now](const auto& one) {
+        return now - one.second.last_at > silent_end_retention;
+    });
     std::vector<trial_key> lost;
     for (const std::pair<const trial_key, trial>& one : trials_) {
         if (now - one.second.refreshed_at > refresh_timeout)
@@ -119,7 +142,7 @@
             waiting.push_back(&one.second);
     }
     std::sort(waiting.begin(), waiting.end(),
-              [](const trial* a, const trial* b) { return a->asked_at < b->asked_at; });
+              [this](const trial* a, const trial* b) { return waits_since(*a) < waits_since(*b); });
     std::vector<trial_grant> grants;
     for (trial* one : waiting) {
         if (is_busy(one->asked, now))
@@ -130,8 +153,8 @@
             std::erase_if(use.by_trials,
                           [&listed](const endpoint_id& endpoint) { return !listed(endpoint); });
         const choice chosen = choose_endpoint(one->asked, use.excluded);
-        const bool is_overdue =
-            one->asked.kind == work_kind::batch && now - one->asked_at >= overdue_time;
+        const bool is_overdue = one->asked.kind == work_kind::batch && !is_put_back(*one) &&
+                                now - one->asked_at >= overdue_time;
         const std::size_t limit = is_overdue ? max_overdue_trials(chosen.limit) : chosen.limit;
         if (!chosen.endpoint || use.by_trials.size() >= limit)
             continue;
--- a/unittests/policy/trial_schedule_test.cpp
+++ b/unittests/policy/trial_schedule_test.cpp
@@ -158,6 +158,27 @@
     }
 }
 
+// Guards against items that wait behind one that hangs one endpoint after the other.
+TEST_CASE("an item that was silent at two endpoints lets others run first", "[trials]") {
+    const milliseconds time_to_next(4500);
+    trial_schedule schedule;
+    for (std::uint64_t run = 0; run < 2; ++run) {
+        const instant begin = start + run * time_to_next;
+        schedule.refresh(item_of(run, "p"), begin);
+        REQUIRE(schedule.poll(begin, choose_of(3)).size() == 1);
+        schedule.end(item_of(run, "p").key, trial_outcome::silent, begin + item_inactivity);
+    }
+    const instant end = start + time_to_next + item_inactivity;
+    const instant later = start + 2 * time_to_next;
+    for (instant now = end; now < later; now += milliseconds(100)) {
+        schedule.refresh(item_of(2, "p"), now);
+        if (later - now <= milliseconds(1000))
+            schedule.refresh(item_of(10, "i"), now);
+        REQUIRE(schedule.poll(now, choose_of(3)).empty());
+    }
+    CHECK(schedule.poll(later, choose_of(3)).at(0).key == item_of(10, "i").key);
+}
+
 // Guards against endpoints that have crashed and still use up what suspects may use.
 TEST_CASE("endpoints that are gone don't count as used by suspects", "[trials]") {
     trial_schedule schedule;
