--- a/include/cassia/policy/trial_schedule.h
+++ b/include/cassia/policy/trial_schedule.h
@@ -1,12 +1,13 @@
 /// Schedules the runs of suspects, requests that may crash their endpoints, for all gateways: one
-/// run of a suspect at a time, no two at one endpoint, and a part of a service's endpoints at most.
-/// Pure.
+/// run of a suspect at a time, no two at one endpoint, and a part of a service's endpoints at most,
+/// a larger one for items that have waited for long. Pure.
 #pragma once
 
 #include "cassia/base/clock.h"
 #include "cassia/base/ids.h"
 #include "cassia/policy/slot_table.h"
 
+#include <algorithm>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
@@ -27,6 +28,11 @@
     return endpoints < 4 ? 1 : endpoints / 2;
 }
 
+/// The same for items of jobs that have waited for long: three quarters, or two endpoints.
+constexpr std::size_t max_overdue_trials(std::size_t trials) {
+    return trials + std::max<std::size_t>(trials / 2, 1);
+}
+
 /// A run that a gateway asks for.
 struct trial_key {
     entry_id gateway;
@@ -64,13 +70,17 @@
         std::size_t limit = 1;
     };
     using choose = std::function<choice(const trial_request&, const std::set<endpoint_id>&)>;
+    using is_listed = std::function<bool(const endpoint_id&)>;
 
     /// Asks for a run, or reports that it still waits or runs. One that isn't refreshed in time is
     /// dropped.
     void refresh(const trial_request& request, instant now);
     void end(const trial_key& key, trial_outcome outcome, instant now);
-    /// Grants the runs that may begin now, those that wait longest first.
-    std::vector<trial_grant> poll(instant now, const choose& choose_endpoint);
+    /// Grants the runs that may begin now, those that wait longest first. Items whose runs were
+    /// given up at several silent endpoints count as having waited for less.
+    /// \param listed whether an endpoint still exists; if empty, all do.
+    std::vector<trial_grant> poll(instant now, const choose& choose_endpoint,
+                                  const is_listed& listed = {});
     /// The endpoint granted to a run; nothing while it waits.
     std::optional<endpoint_id> granted(const trial_key& key) const;
     std::size_t size() const { return trials_.size(); }
@@ -90,18 +100,35 @@
         instant until{};
         instant until_for_batch{}; ///< an item may run again from then on
     };
+    /// When an item began to wait whose run ended unused, and until when that is kept.
+    struct kept_turn {
+        instant asked_at{};
+        instant until{};
+    };
+    /// Runs of a request that were given up at silent endpoints.
+    struct silent_ends {
+        std::uint32_t count = 0;
+        instant last_at{};
+    };
     struct endpoint_use {
         std::set<endpoint_id> by_trials;
         std::set<endpoint_id> excluded; ///< and those that couldn't be used
     };
 
     void expire(instant now);
+    void keep_turn(const trial& unused, instant now);
+    /// Whether it is an item whose runs were given up at several silent endpoints.
+    bool is_put_back(const trial& one) const;
+    /// Since when a run counts as waiting.
+    instant waits_since(const trial& one) const;
     static bool holds_back(const hold& one, const trial_request& asked, instant now);
     bool is_busy(const trial_request& asked, instant now) const;
     endpoint_use use_for(const trial_request& asked, instant now) const;
 
     std::map<trial_key, trial> trials_;
     std::vector<hold> holds_;
+    std::map<fingerprint, kept_turn> kept_turns_; ///< of items
+    std::map<fingerprint, silent_ends> silent_ends_;
 };
 
 } // namespace cassia::policy
--- a/lib/gateway/crash_monitor_runs.cpp
+++ b/lib/gateway/crash_monitor_runs.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 constexpr std::size_t max_recent_runs = 4096;
-// An endpoint that a run hangs may end only after this time.
-constexpr milliseconds silent_run_time(10000);
 constexpr std::size_t max_silent_endpoints = 256;
 } // namespace
 
--- a/lib/policy/trial_schedule.cpp
+++ b/lib/policy/trial_schedule.cpp
@@ -14,6 +14,13 @@
 constexpr milliseconds hang_time(5000);
 // An accepted item must not be idle for as long as that.
 constexpr milliseconds hang_time_for_batch(3000);
+// An item that has waited for so long may use more endpoints, so that it isn't idle for 5 s.
+constexpr milliseconds overdue_time(2000);
+// One silent endpoint may be chance; an item with more of them in this time is put back.
+constexpr std::uint32_t max_silent_ends = 1;
+constexpr milliseconds silent_end_retention(20000);
+// Longer than an item is held after a silent endpoint, so that others may run in between.
+constexpr milliseconds put_back_time(5000);
 // The gateway that asked couldn't use the endpoint, which may be gone.
 constexpr milliseconds unusable_time(1000);
 constexpr std::size_t max_known_trials = 4096;
@@ -24,7 +31,11 @@
     if (found == trials_.end()) {
         if (trials_.size() >= max_known_trials)
             return;
-        trials_[request.key] = {request, now, now, std::nullopt};
+        auto kept = kept_turns_.find(request.request);
+        const instant asked_at = kept == kept_turns_.end() ? now : kept->second.asked_at;
+        if (kept != kept_turns_.end())
+            kept_turns_.erase(kept);
+        trials_[request.key] = {request, asked_at, now, std::nullopt};
         return;
     }
     found->second.refreshed_at = now;
@@ -36,6 +47,8 @@
         return;
     const trial ended = std::move(found->second);
     trials_.erase(found);
+    if (outcome == trial_outcome::unused)
+        keep_turn(ended, now);
     if (!ended.endpoint)
         return;
     if (outcome == trial_outcome::unused) {
@@ -48,12 +61,37 @@
         time = verdict_time;
     else if (outcome == trial_outcome::silent)
         time = hang_time;
+    if (outcome == trial_outcome::silent &&
+        (silent_ends_.size() < max_known_trials || silent_ends_.count(ended.asked.request) > 0)) {
+        silent_ends& known = silent_ends_[ended.asked.request];
+        known = {known.count + 1, now};
+    }
     holds_.push_back({ended.asked.request, ended.asked.service, *ended.endpoint, now + time,
                       now + std::min(time, hang_time_for_batch)});
 }
 
+// An item has been idle since, and is asked for again at once.
+void trial_schedule::keep_turn(const trial& unused, instant now) {
+    if (unused.asked.kind == work_kind::batch && kept_turns_.size() < max_known_trials)
+        kept_turns_[unused.asked.request] = {unused.asked_at, now + unusable_time};
+}
+
+bool trial_schedule::is_put_back(const trial& one) const {
+    auto found = silent_ends_.find(one.asked.request);
+    return one.asked.kind == work_kind::batch && found != silent_ends_.end() &&
+           found->second.count > max_silent_ends;
+}
+
+instant trial_schedule::waits_since(const trial& one) const {
+    return is_put_back(one) ? one.asked_at + put_back_time : one.asked_at;
+}
+
 void trial_schedule::expire(instant now) {
     std::erase_if(holds_, [now](const hold& one) { return now >= one.until; });
+    std::erase_if(kept_turns_, [now](const auto& one) { return now >= one.second.until; });
+    std::erase_if(silent_ends_, [now](const auto& one) {
+        return now - one.second.last_at > silent_end_retention;
+    });
     std::vector<trial_key> lost;
     for (const std::pair<const trial_key, trial>& one : trials_) {
         if (now - one.second.refreshed_at > refresh_timeout)
@@ -95,7 +133,8 @@
     return use;
 }
 
-std::vector<trial_grant> trial_schedule::poll(instant now, const choose& choose_endpoint) {
+std::vector<trial_grant> trial_schedule::poll(instant now, const choose& choose_endpoint,
+                                              const is_listed& listed) {
     expire(now);
     std::vector<trial*> waiting;
     for (std::pair<const trial_key, trial>& one : trials_) {
@@ -103,14 +142,21 @@
             waiting.push_back(&one.second);
     }
     std::sort(waiting.begin(), waiting.end(),
-              [](const trial* a, const trial* b) { return a->asked_at < b->asked_at; });
+              [this](const trial* a, const trial* b) { return waits_since(*a) < waits_since(*b); });
     std::vector<trial_grant> grants;
     for (trial* one : waiting) {
         if (is_busy(one->asked, now))
             continue;
-        const endpoint_use use = use_for(one->asked, now);
+        endpoint_use use = use_for(one->asked, now);
+        // The limit is a part of the endpoints that are left.
+        if (listed)
+            std::erase_if(use.by_trials,
+                          [&listed](const endpoint_id& endpoint) { return !listed(endpoint); });
         const choice chosen = choose_endpoint(one->asked, use.excluded);
-        if (!chosen.endpoint || use.by_trials.size() >= chosen.limit)
+        const bool is_overdue = one->asked.kind == work_kind::batch && !is_put_back(*one) &&
+                                now - one->asked_at >= overdue_time;
+        const std::size_t limit = is_overdue ? max_overdue_trials(chosen.limit) : chosen.limit;
+        if (!chosen.endpoint || use.by_trials.size() >= limit)
             continue;
         one->endpoint = chosen.endpoint;
         grants.push_back({one->asked.key, *chosen.endpoint});
--- a/unittests/gateway/item_runner_fixture.h
+++ b/unittests/gateway/item_runner_fixture.h
@@ -134,9 +134,13 @@
         listed_.push_back({id, 1, http_address(own_net() + ".200:7301"), zone_id("z"),
                            service_id(service), slots_per_endpoint, software_version(version)});
         publish();
-        task_.every(tick_interval, [this, id] {
-            slots_.set_remote_usage(entry_id("other"), {{id, {slots_per_endpoint, 0, 0}}},
-                                    monotonic_now());
+        use_slots(id, slots_per_endpoint);
+    }
+    /// Another gateway uses slots of an endpoint.
+    void use_slots(const endpoint_id& endpoint, std::uint32_t slots) {
+        task_.every(tick_interval, [this, endpoint, slots] {
+            slots_.set_remote_usage(entry_id("user of " + endpoint.str()),
+                                    {{endpoint, {slots, 0, 0}}}, monotonic_now());
         });
     }
     /// Lists an endpoint that nothing listens for.
@@ -177,22 +181,23 @@
     void suspect(const schema::leased_item& leased) {
         judge(leased, policy::request_verdict::suspect);
     }
-    /// The item was quarantined a moment ago.
-    void quarantine(const schema::leased_item& leased) {
-        judge(leased, policy::request_verdict::quarantined);
+    /// The item was quarantined a moment ago, or a further crash is held against it.
+    void quarantine(const schema::leased_item& leased, std::uint32_t crashes = 2) {
+        judge(leased, policy::request_verdict::quarantined, crashes);
     }
-    void judge(const schema::leased_item& leased, policy::request_verdict verdict) {
+    void judge(const schema::leased_item& leased, policy::request_verdict verdict,
+               std::uint32_t crashes = 2) {
         schema::poison_news news;
         schema::poison_record& record = *news.add_records();
         record.set_fingerprint(
             make_fingerprint("", leased.host(), "POST", leased.item().url(), leased.item().body())
                 .str());
-        record.set_version(1);
+        record.set_version(crashes);
         record.set_verdict(static_cast<std::uint32_t>(verdict));
         if (verdict == policy::request_verdict::quarantined)
             record.set_quarantine_left_ms(60000);
         record.set_log_odds(1);
-        record.set_crashes(2);
+        record.set_crashes(crashes);
         crashes_.receive(news);
     }
     void offer(const schema::leased_item& leased) { offered_.push_back(leased); }
