Keepers: a gateway that left and follows again gets the whole list of endpoints

Cause: a gateway whose keeper has no quorum for a moment drops that keeper's list and follows another one. The keeper isn't told, goes on pushing changes, and the next push that says that it is in touch brings the gateway back, with no list. The keeper takes what it sent lately, the drain included, for in transit and sends only changes behind it, which the gateway ignores, until that expires after 3 s. The gateway keeps the endpoints that it knew meanwhile, for up to 3 s. Two of three members keep a quorum only while both answer, hence the leader that is cut off.

Ruled out by reading: acknowledgements before a majority has the drain (counted by revision); lists of the keeper that is cut off (it says so within 0.5 s); requests that wait for an endpoint (it is chosen when they are sent).

Change: the keeper that a gateway leaves gets a heartbeat that says so at once, and drops what it counts as in transit to it, before the queue of heartbeats, which keeps the latest only.

Why this works: after the heartbeat nothing counts as in transit, so the first report of a gateway that returns is answered with the whole list.

--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -152,6 +152,7 @@
                        const group_replica::reply_callback& reply);
     std::string leader_node(const group_replica& replica) const;
     void queue_heartbeat(const schema::entry_hello& heartbeat);
+    void on_unfollowed(const std::string& name);
     void respond_to_queued_heartbeats();
     void on_gateway_heartbeat(const schema::entry_hello& heartbeat);
     void forget_old_gateways(instant now);
--- a/lib/gateway/cluster_client.cpp
+++ b/lib/gateway/cluster_client.cpp
@@ -126,10 +126,10 @@
     const peer_address followed = followed_.choose(now);
     if (roster_.follow(followed))
         log_info("keeper_followed").with("keeper", followed.str());
+    // The keeper followed before learns that its list is dropped.
+    std::set<peer_address> recipients{endpoints_.source(), followed};
+    recipients.erase(peer_address());
     endpoints_.follow(followed, std::min(now, last_control_beacon_at_));
-    std::set<peer_address> recipients;
-    if (!followed.empty())
-        recipients.insert(followed);
     const bool includes_all = followed_.is_in_touch() ? scope == heartbeat_scope::all_keepers
                                                       : scope != heartbeat_scope::followed_keeper;
     if (followed.empty() || includes_all) {
--- a/lib/keeper/service_gateways.cpp
+++ b/lib/keeper/service_gateways.cpp
@@ -31,12 +31,24 @@
 // Raft messages must be handled in time however many gateways there are, so a heartbeat is
 // responded to only after the messages that have already arrived.
 void service::queue_heartbeat(const schema::entry_hello& heartbeat) {
+    // At once: the queue keeps only the latest heartbeat, and the gateway may follow again by then.
+    if (!heartbeat.follows())
+        on_unfollowed(heartbeat.entry());
     heartbeat_queue_.add(heartbeat);
     if (std::exchange(heartbeats_scheduled_, true))
         return;
     task_.post([this] { respond_to_queued_heartbeats(); });
 }
 
+// The gateway has dropped the list of endpoints of this keeper, also what is still in transit.
+void service::on_unfollowed(const std::string& name) {
+    auto found = gateways_.find(name);
+    if (found == gateways_.end())
+        return;
+    found->second.heartbeat.set_follows(false);
+    found->second.endpoint_list.reset();
+}
+
 void service::respond_to_queued_heartbeats() {
     for (std::size_t i = 0; i < heartbeat_batch; ++i) {
         if (const std::optional<schema::entry_hello> heartbeat = heartbeat_queue_.next())
--- a/unittests/keeper/endpoint_list_test.cpp
+++ b/unittests/keeper/endpoint_list_test.cpp
@@ -146,6 +146,31 @@
     CHECK(gateway.serving(switched + milliseconds(3200)).size() == 1);
 }
 
+// Guards against gateways that send to a drained endpoint since their keeper counts the list that
+// they dropped as in transit.
+TEST_CASE("a gateway that follows a keeper again gets its whole list at once", "[membership]") {
+    followed_pair keeper(1);
+    followed_pair next(2);
+    followed_endpoints gateway;
+    gateway.follow(first_keeper, start);
+    keeper.announce(2, 1, start);
+    CHECK(keeper.send_beacon(first_keeper, gateway, start) == 2);
+    keeper.announce(3, 1, start + milliseconds(250), 2);
+    CHECK(keeper.send_beacon(first_keeper, gateway, start + milliseconds(250)) == 1);
+    CHECK(keeper.send_beacon(first_keeper, gateway, start + milliseconds(500)) == 0);
+    gateway.follow(second_keeper, start + milliseconds(600));
+    next.announce(3, 1, start + milliseconds(600));
+    next.send_beacon(second_keeper, gateway, start + milliseconds(600));
+    schema::endpoint_record leaving = announcement(0, 2);
+    leaving.set_leaving(true);
+    const instant drained = start + milliseconds(700);
+    keeper.directory.merge_announcement(leaving, drained);
+    gateway.follow(first_keeper, drained);
+    CHECK(keeper.send_beacon(first_keeper, gateway, drained) == 3);
+    CHECK(gateway.serving(drained).size() == 2);
+    CHECK(keeper.send_beacon(first_keeper, gateway, drained + milliseconds(250)) == 0);
+}
+
 // Guards against a keeper that was frozen and takes all endpoints out of service after the thaw.
 TEST_CASE("a keeper that was suspended waits for announcements anew", "[membership]") {
     followed_pair keeper(1);
