Gateways: a keeper that replies again goes before one that is cut off

What callers may see, by reading and a unit test; no run has shown it: a gateway that found each keeper in touch unresponsive for 0.8 s, one after the other, avoids all of them for 5 s. Meanwhile it follows one that is cut off from its group, if that replies, and copies lists without the drains of that time, though the others reply again.

Change: if no other keeper in touch is usable, one that has replied since it failed is chosen. Only then one out of touch.

Test: "a keeper that replies again is preferred to one out of touch" failed before (the keeper that is cut off was chosen). unittest_membership passes.

Why this works: a keeper that replied after its failure and says that it is in touch has the lists of the group; the one that is cut off says itself that it doesn't.

--- a/include/cassia/membership/followed_keeper.h
+++ b/include/cassia/membership/followed_keeper.h
@@ -37,7 +37,10 @@
         instant avoided_until{};
     };
 
-    peer_address best_candidate(bool in_touch, instant now) const;
+    /// \param recovered among those that replied again after they failed, else among those that are
+    /// usable.
+    peer_address best_candidate(bool in_touch, bool recovered, instant now) const;
+    static bool has_recovered(const candidate& state, instant now);
     bool is_usable(const peer_address& keeper, const candidate& state, instant now) const;
 
     std::string self_;
--- a/lib/membership/followed_keeper.cpp
+++ b/lib/membership/followed_keeper.cpp
@@ -41,16 +41,22 @@
     return now - state.last_reply < limit;
 }
 
+bool followed_keeper::has_recovered(const candidate& state, instant now) {
+    const instant failed_at = state.avoided_until - avoid_failed_for;
+    return state.last_reply > failed_at && now - state.last_reply < other_reply_timeout;
+}
+
 // Prefers the entry's own zone, so that beacons don't cross zones.
-peer_address followed_keeper::best_candidate(bool in_touch, instant now) const {
+peer_address followed_keeper::best_candidate(bool in_touch, bool recovered, instant now) const {
     const auto rank = [this](const std::pair<const peer_address, candidate>& keeper) {
         return std::make_tuple(keeper.second.zone != zone_, stable_hash(self_ + keeper.first.str()),
                                keeper.first);
     };
     const std::pair<const peer_address, candidate>* found = nullptr;
     for (const std::pair<const peer_address, candidate>& keeper : candidates_) {
-        const bool eligible =
-            keeper.second.in_touch == in_touch && is_usable(keeper.first, keeper.second, now);
+        const bool usable = recovered ? has_recovered(keeper.second, now)
+                                      : is_usable(keeper.first, keeper.second, now);
+        const bool eligible = keeper.second.in_touch == in_touch && usable;
         if (eligible && (found == nullptr || rank(keeper) < rank(*found)))
             found = &keeper;
     }
@@ -61,10 +67,15 @@
     auto current = candidates_.find(current_);
     if (current != candidates_.end() && !is_usable(current_, current->second, now))
         current->second.avoided_until = now + avoid_failed_for;
-    peer_address next = best_candidate(true, now);
+    peer_address next = best_candidate(true, false, now);
+    // One that failed lately has newer lists than one that is cut off from the group.
+    if (next.empty())
+        next = best_candidate(true, true, now);
     if (next.empty())
-        next = best_candidate(false, now);
+        next = best_candidate(false, false, now);
     if (next != current_) {
+        if (!next.empty())
+            candidates_[next].avoided_until = instant();
         current_ = next;
         current_since_ = now;
     }
--- a/unittests/membership/followed_keeper_test.cpp
+++ b/unittests/membership/followed_keeper_test.cpp
@@ -56,6 +56,34 @@
     CHECK(selection.is_in_touch());
 }
 
+// Guards against an entry that copies the lists of a keeper that is cut off, since both others
+// failed for a moment one after the other.
+TEST_CASE("a keeper that replies again is preferred to one out of touch", "[follow]") {
+    followed_keeper selection = follower_of_all();
+    instant now = start;
+    const auto reply = [&](const peer_address& keeper) {
+        selection.record_reply(keeper, keeper != own_zone_keeper, now);
+    };
+    reply(own_zone_keeper);
+    const peer_address first = selection.choose(now);
+    now += milliseconds(900);
+    const peer_address second = selection.choose(now);
+    CHECK(second != first);
+    now += milliseconds(900);
+    reply(own_zone_keeper);
+    CHECK(selection.choose(now) == own_zone_keeper);
+    now += milliseconds(100);
+    reply(first);
+    CHECK(selection.choose(now) == first);
+    CHECK(selection.is_in_touch());
+    now += milliseconds(300);
+    reply(first);
+    CHECK(selection.choose(now) == first);
+    now += milliseconds(900);
+    reply(own_zone_keeper);
+    CHECK(selection.choose(now) == own_zone_keeper);
+}
+
 // Guards against an entry that gets no updates at all while the group has no leader.
 TEST_CASE("if no keeper is in touch, one is chosen nevertheless", "[follow]") {
     followed_keeper selection = follower_of_all();
