Poison: runs of both kinds at a crash don't show whether it comes late

What callers saw: a part of prompts that crashes endpoints soon after its responses, at a high rate, runs up to 5 times later than 3 s after its fifth crash (3 allowed).

Cause: a cause that had both complete runs and others under way at a crash was taken to have crashed it while it ran. Some such crashes drove the probability that it crashes endpoints late down to 0.001, so that its first crash in a run alone, after the response, said next to nothing (log odds 0.01, then 0.2, 1.5, 2.6 and 2.7 in a traced run on real processes); a crash that others caused does the same. Each trial that says nothing costs 1.2 s.

Change: runs of both kinds fit a crash whichever way the cause acts, and don't change the probability. It stays between 0.05 and 0.95.

Ruled out: crashes of the first waves as background: 16 in 10 s at 8 endpoints, 0.06 for a run that crashes its endpoint after 0.3 s, leave log odds of 2.8 to a trial.

"[poison]": all pass, before and now.

The fleet of poison_simulation.h reports now which runs were on trial, as gateways do.

--- a/include/cassia/policy/poison_detector.h
+++ b/include/cassia/policy/poison_detector.h
@@ -124,7 +124,8 @@
     struct candidate {
         poison_record* record = nullptr;
         milliseconds duration{0};
-        bool was_complete = false;
+        bool was_complete = false; ///< some run of it was complete
+        bool was_running = false;  ///< some run of it wasn't
         bool on_trial = false;
         bool counts = false; ///< the run is independent of the crashes counted so far
         double background = 0;
--- a/lib/policy/poison_detector.cpp
+++ b/lib/policy/poison_detector.cpp
@@ -38,6 +38,8 @@
 constexpr std::uint32_t crashes_without_control = 5;
 // Of causes that no crash tells apart, those that aren't blamed stay at these odds.
 const double follower_log_odds = quarantine_log_odds - part_success_loss;
+// Crashes that others caused may have shown the wrong kind.
+constexpr double min_kind_probability = 0.05;
 // A poison request is assumed to crash every second of its runs at least.
 const double success_loss = std::log(2);
 // Gateways detect a crash within milliseconds of each other; a probe may take 50 ms.
@@ -162,7 +164,8 @@
                                                                     instant now) {
     struct joined_runs {
         milliseconds duration{0};
-        bool was_complete = true;
+        bool was_complete = false;
+        bool was_running = false;
         bool is_part = false;
         bool on_trial = false;
     };
@@ -170,7 +173,8 @@
     const auto join = [&runs](const fingerprint& cause, const crashed_run& run, bool is_part) {
         joined_runs& joined = runs[cause];
         joined.duration = std::max(joined.duration, run.duration);
-        joined.was_complete = joined.was_complete && run.was_complete;
+        joined.was_complete = joined.was_complete || run.was_complete;
+        joined.was_running = joined.was_running || !run.was_complete;
         joined.is_part = is_part;
         joined.on_trial = joined.on_trial || run.on_trial;
     };
@@ -201,22 +205,26 @@
         const microseconds since_last = crash.report.crashed_at - record.last_crash_at;
         const bool counts = record.crashes == 0 || since_last > same_moment ||
                             microseconds(run.second.duration) <= since_last;
-        found.push_back(
-            {&record, run.second.duration, run.second.was_complete, run.second.on_trial, counts});
+        found.push_back({&record, run.second.duration, run.second.was_complete,
+                         run.second.was_running, run.second.on_trial, counts});
     }
     return found;
 }
 
-// Poison crashes its endpoint either while it runs or after its response.
-static double probability_of_kind(const poison_record& record, bool late) {
-    return late ? record.late_crash_probability : 1 - record.late_crash_probability;
+// Poison crashes its endpoint either while it runs or after its response. Of several runs there
+// either kind may have done so.
+static double probability_of_kind(const poison_record& record, bool completed, bool running) {
+    return (completed ? record.late_crash_probability : 0) +
+           (running ? 1 - record.late_crash_probability : 0);
 }
 
-static void update_kind(poison_record& record, bool late, double if_innocent) {
-    const double fits = probability_of_kind(record, late);
+static void update_kind(poison_record& record, bool completed, bool running, double if_innocent) {
+    if (completed && running)
+        return;
+    const double fits = probability_of_kind(record, completed, running);
     const double updated = fits / (fits + (1 - fits) * if_innocent);
-    const double bounded = std::clamp(updated, 1 - max_probability, max_probability);
-    record.late_crash_probability = late ? bounded : 1 - bounded;
+    const double bounded = std::clamp(updated, min_kind_probability, 1 - min_kind_probability);
+    record.late_crash_probability = completed ? bounded : 1 - bounded;
 }
 
 // For each request: how much likelier is the crash if it is poison than if it isn't? If it isn't,
@@ -232,7 +240,7 @@
         const double unexplained =
             std::min(1.0, unexplained_without(crash, one.record->request) / one.without_twins);
         one.if_innocent = 1 - (1 - one.background) * unexplained;
-        const double fits = probability_of_kind(*one.record, one.was_complete);
+        const double fits = probability_of_kind(*one.record, one.was_complete, one.was_running);
         const double if_poison = fits + (1 - fits) * one.if_innocent;
         one.gain = std::min(max_gain, std::log(if_poison / one.if_innocent));
     }
@@ -247,7 +255,7 @@
                 limit = follower_log_odds;
             record.log_odds =
                 std::max(record.log_odds, std::min(record.log_odds + one.gain, limit));
-            update_kind(record, one.was_complete, one.if_innocent);
+            update_kind(record, one.was_complete, one.was_running, one.if_innocent);
             ++record.crashes;
             record.trial_crashes += record.is_part && one.on_trial ? 1 : 0;
             record.last_crash_at = std::max(record.last_crash_at, crash.report.crashed_at);
--- a/unittests/policy/part_detector_test.cpp
+++ b/unittests/policy/part_detector_test.cpp
@@ -89,6 +89,12 @@
     SECTION("after its responses") {
         model.bad_delay = milliseconds(400);
     }
+    SECTION("soon after its responses, at a high rate") {
+        model.bad_position = 2;
+        model.bad_per_s = 17;
+        model.bad_time = milliseconds(190);
+        model.bad_delay = milliseconds(100);
+    }
     SECTION("after a second") {
         model.bad_time = milliseconds(1000);
     }
--- a/unittests/policy/poison_detector_test.cpp
+++ b/unittests/policy/poison_detector_test.cpp
@@ -231,3 +231,18 @@
         CHECK(result.most_late_runs <= max_late_runs);
     }
 }
+
+// Guards against the same when their crashes come after their responses, beside other runs.
+TEST_CASE("in virtual time, several requests that crash endpoints late are stopped in time",
+          "[.several-late]") {
+    poison_model model;
+    model.poisons = GENERATE(1, 3, 10);
+    model.poison_delay = GENERATE(milliseconds(100), milliseconds(300), milliseconds(400));
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        const poison_result result = play(model, seed);
+        CAPTURE(model.poisons, model.poison_delay.count(), seed, result.crashes);
+        CHECK(result.poisons_quarantined == static_cast<std::size_t>(model.poisons));
+        CHECK(result.innocents_quarantined == 0);
+        CHECK(result.most_late_runs <= max_late_runs);
+    }
+}
--- a/unittests/policy/poison_simulation.h
+++ b/unittests/policy/poison_simulation.h
@@ -227,7 +227,9 @@
             for (const request_run& run : *runs)
                 report.runs.push_back({fingerprint(run.body),
                                        std::chrono::duration_cast<milliseconds>(now_ - run.sent_at),
-                                       runs == &ended});
+                                       runs == &ended,
+                                       {},
+                                       run.trial.has_value()});
         }
         reports_.push_back(report);
         for (const request_run& run : lost) {
