Poison: crashes in runs alone don't hide each other

What callers saw: of ten requests that crash endpoints after their responses, one runs 4 to 17 times later than 3 s after its third crash (3 allowed).

Cause: the rate of unexplained crashes of the last 10 s is the background of each crash. Those of other suspects, each in a run alone at its own endpoint, are in it until they are explained, so that several runs alone show little of each other's causes.

Change: the rate, and the share of endpoints that crash at the same moment, are taken from the endpoints where no suspect ran alone, scaled up to all: suspects use half of a service's endpoints at most, so that the others see a half of any other cause at least. It is never more than the rate of all crashes, which stays in force where there are no such endpoints.

Ruled out: none of the outages of "[poison]" and "[parts]" quarantines an innocent cause by it.

--- a/include/cassia/policy/poison_detector.h
+++ b/include/cassia/policy/poison_detector.h
@@ -119,7 +119,8 @@
         instant first_reported_at{};  ///< of the runs not yet judged
         std::size_t judged = 0;       ///< runs that were; those of late reports follow
         std::set<fingerprint> causes; ///< requests and parts that ran there
-        double unexplained = 1; ///< as of the latest poll: that none of its requests is poison
+        double unexplained = 1;    ///< as of the latest poll: that none of its requests is poison
+        bool was_on_trial = false; ///< a suspect ran there alone
     };
     struct candidate {
         poison_record* record = nullptr;
--- a/lib/policy/poison_background.cpp
+++ b/lib/policy/poison_background.cpp
@@ -1,6 +1,7 @@
 // What else may explain a crash: other causes that ran there, and crashes of that time.
 
 #include "cassia/policy/poison_detector.h"
+#include "cassia/policy/trial_schedule.h"
 
 #include "poison_odds.h"
 
@@ -19,6 +20,16 @@
 constexpr double twin_distance = 1;
 } // namespace
 
+// Suspects may crash the endpoints that they run alone at. The others show how often endpoints
+// crash anyway, if there are any.
+static double without_trials(double crashes, double on_trial, std::uint32_t endpoints) {
+    const std::size_t controls =
+        endpoints - std::min<std::size_t>(endpoints, max_trials(endpoints));
+    if (controls == 0)
+        return crashes;
+    return std::min(crashes, (crashes - on_trial) * endpoints / static_cast<double>(controls));
+}
+
 double poison_detector::probability_of(const fingerprint& request) const {
     auto found = records_.find(request);
     return to_probability(found == records_.end() ? prior_log_odds : found->second.log_odds);
@@ -42,12 +53,19 @@
                                      std::vector<candidate>& candidates) const {
     struct counted {
         double recent = 0;
+        double recent_on_trial = 0;
         double burst = 0;
         double simultaneous = 0;
-        void add(microseconds distance, double unexplained) {
-            simultaneous += distance <= same_moment ? unexplained : 0;
-            recent += distance > same_moment ? unexplained : 0;
-            burst += distance > same_moment && distance <= burst_window ? unexplained : 0;
+        double simultaneous_on_trial = 0;
+        void add(microseconds distance, double unexplained, bool on_trial) {
+            if (distance <= same_moment) {
+                simultaneous += unexplained;
+                simultaneous_on_trial += on_trial ? unexplained : 0;
+                return;
+            }
+            recent += unexplained;
+            recent_on_trial += on_trial ? unexplained : 0;
+            burst += distance <= burst_window ? unexplained : 0;
         }
     };
     counted all;
@@ -60,18 +78,25 @@
         const bool is_near = distance >= -same_moment && distance <= background_window;
         if (other.first == process || report.service != crash.report.service || !is_near)
             continue;
-        all.add(distance, other.second.unexplained);
+        all.add(distance, other.second.unexplained, other.second.was_on_trial);
         for (std::pair<const fingerprint, counted>& one : corrections) {
             if (other.second.causes.count(one.first) > 0)
-                one.second.add(distance, unexplained_without(other.second, one.first) -
-                                             other.second.unexplained);
+                one.second.add(distance,
+                               unexplained_without(other.second, one.first) -
+                                   other.second.unexplained,
+                               other.second.was_on_trial);
         }
     }
     const double endpoints = std::max(crash.report.endpoints, 1U);
     for (candidate& one : candidates) {
         const counted& correction = corrections.at(one.record->request);
-        const double recent = (all.recent + correction.recent) / to_seconds(background_window);
-        double rate = recent / endpoints;
+        const double recent = without_trials(all.recent + correction.recent,
+                                             all.recent_on_trial + correction.recent_on_trial,
+                                             crash.report.endpoints);
+        const double simultaneous = without_trials(
+            all.simultaneous + correction.simultaneous,
+            all.simultaneous_on_trial + correction.simultaneous_on_trial, crash.report.endpoints);
+        double rate = recent / to_seconds(background_window) / endpoints;
         if (one.record->is_part) {
             // The endpoints that crashed a moment ago don't run anything now.
             const double burst = all.burst + correction.burst;
@@ -79,8 +104,7 @@
             rate = std::max(rate, burst / (running * to_seconds(burst_window)));
         }
         const double within_run = 1 - std::exp(-rate * to_seconds(one.duration));
-        one.background = std::min(
-            max_probability, within_run + (all.simultaneous + correction.simultaneous) / endpoints);
+        one.background = std::min(max_probability, within_run + simultaneous / endpoints);
     }
 }
 
--- a/lib/policy/poison_detector.cpp
+++ b/lib/policy/poison_detector.cpp
@@ -86,6 +86,7 @@
         if (known.report.runs.size() >= max_runs_per_crash)
             break;
         known.report.runs.push_back(run);
+        known.was_on_trial = known.was_on_trial || run.on_trial;
         known.causes.insert(run.request);
         known.causes.insert(run.parts.begin(), run.parts.end());
     }
