--- a/include/cassia/policy/poison_detector.h
+++ b/include/cassia/policy/poison_detector.h
@@ -119,12 +119,14 @@
         instant first_reported_at{};  ///< of the runs not yet judged
         std::size_t judged = 0;       ///< runs that were; those of late reports follow
         std::set<fingerprint> causes; ///< requests and parts that ran there
-        double unexplained = 1; ///< as of the latest poll: that none of its requests is poison
+        double unexplained = 1;    ///< as of the latest poll: that none of its requests is poison
+        bool was_on_trial = false; ///< a suspect ran there alone
     };
     struct candidate {
         poison_record* record = nullptr;
         milliseconds duration{0};
-        bool was_complete = false;
+        bool was_complete = false; ///< some run of it was complete
+        bool was_running = false;  ///< some run of it wasn't
         bool on_trial = false;
         bool counts = false; ///< the run is independent of the crashes counted so far
         double background = 0;
--- a/lib/gateway/crash_monitor.cpp
+++ b/lib/gateway/crash_monitor.cpp
@@ -11,11 +11,11 @@
 namespace cassia::gateway {
 
 namespace {
-// A process that ends closes its sockets one by one, so a probe may still be accepted or reset; one
-// of those that follow, after delays that double, is refused.
+// A process that ends closes its sockets one by one, so a probe may still be accepted, and be
+// reset. Later ones are not; each waits twice as long as the one before.
 constexpr milliseconds first_probe_delay(50);
 constexpr int max_probes = 4;
-constexpr milliseconds probe_timeout(800);
+constexpr milliseconds probe_timeout(400);
 // A crash that no probe confirms shows by the next process at the same address.
 constexpr milliseconds replacement_wait(5000);
 constexpr milliseconds crash_retention(10000);
@@ -34,13 +34,13 @@
     probe_hooks.on_bytes = [](net::connection_id, std::string_view) {};
     probe_hooks.on_connected = [this](net::connection_id id) {
         probes_->reset(id);
-        on_probe_ended(id, probe_result::inconclusive);
+        on_probe_ended(id, probe_answer::other);
     };
     probe_hooks.on_refused = [this](net::connection_id id) {
-        on_probe_ended(id, probe_result::refused);
+        on_probe_ended(id, probe_answer::refused);
     };
     probe_hooks.on_closed = [this](net::connection_id id, bool) {
-        on_probe_ended(id, probe_result::inconclusive);
+        on_probe_ended(id, probe_answer::other);
     };
     probes_ =
         std::make_unique<net::tcp_connections>(owner, net::tcp_settings(), std::move(probe_hooks));
@@ -136,7 +136,7 @@
     probed_[found->second.probe] = process;
 }
 
-void crash_monitor::on_probe_ended(net::connection_id id, probe_result result) {
+void crash_monitor::on_probe_ended(net::connection_id id, probe_answer answer) {
     auto probed = probed_.find(id);
     if (probed == probed_.end())
         return;
@@ -146,10 +146,10 @@
     if (found == crashes_.end() || found->second.state != crash_state::probing)
         return;
     const int probes = found->second.probes;
-    if (result == probe_result::refused)
+    if (answer == probe_answer::refused)
         confirm(process, "refused");
-    else if (result == probe_result::inconclusive && probes < max_probes)
-        owner_.after(first_probe_delay * (1 << (probes - 1)), [this, process] { probe(process); });
+    else if (answer == probe_answer::other && probes < max_probes)
+        owner_.after(first_probe_delay * (1U << (probes - 1)), [this, process] { probe(process); });
     else
         found->second.state = crash_state::undecided;
 }
@@ -213,19 +213,12 @@
     }
     for (const net::connection_id id : late) {
         probes_->reset(id);
-        on_probe_ended(id, probe_result::timed_out);
-    }
-    for (auto crash = crashes_.begin(); crash != crashes_.end();) {
-        const bool is_confirmed = crash->second.state == crash_state::confirmed;
-        const milliseconds kept = is_confirmed ? crash_retention : replacement_wait;
-        if (now - crash->second.broken_at <= kept) {
-            ++crash;
-            continue;
-        }
-        if (!is_confirmed)
-            forget_undecided_runs(crash->first);
-        crash = crashes_.erase(crash);
+        on_probe_ended(id, probe_answer::none);
     }
+    std::erase_if(crashes_, [now](const auto& crash) {
+        const bool is_confirmed = crash.second.state == crash_state::confirmed;
+        return now - crash.second.broken_at > (is_confirmed ? crash_retention : replacement_wait);
+    });
 }
 
 void crash_monitor::log_findings(const policy::poison_findings& findings) const {
--- a/lib/gateway/crash_monitor_runs.cpp
+++ b/lib/gateway/crash_monitor_runs.cpp
@@ -1,14 +1,17 @@
-// What ran at endpoints a moment ago: blamed for a crash that follows, or counted as survived.
+// Runs that have ended, and whether their endpoints survived them.
 
 #include "cassia/gateway/crash_monitor.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cassia::gateway {
 
 namespace {
 constexpr std::size_t max_recent_runs = 4096;
 constexpr std::size_t max_silent_endpoints = 256;
+// What was received before a connection broke may be read a moment after it.
+constexpr milliseconds max_reading_delay(400);
 } // namespace
 
 void crash_monitor::record_ended_run(const ended_run& run, bool was_complete) {
@@ -25,16 +28,36 @@
         runs.push_back({monotonic_now(), run, false});
 }
 
+void crash_monitor::record_received(const endpoint_id& endpoint, std::uint64_t incarnation) {
+    if (silent_runs_.empty() && crashes_.empty())
+        return;
+    const policy::endpoint_process process{endpoint, incarnation};
+    silent_runs_.erase(process);
+    auto doubted = crashes_.find(process);
+    const bool has_survived = doubted != crashes_.end() &&
+                              doubted->second.state == crash_state::undecided &&
+                              monotonic_now() - doubted->second.broken_at > max_reading_delay;
+    if (!has_survived)
+        return;
+    const std::vector<recent_run> survived = std::move(doubted->second.doubtful);
+    crashes_.erase(doubted);
+    for (const recent_run& one : survived)
+        expire_run(one);
+}
+
 void crash_monitor::add_recent_runs(const policy::endpoint_process& process,
                                     suspected_crash& crash) {
-    for (const recent_run& recent : recent_runs_) {
+    const auto add = [&process, &crash](const recent_run& recent) {
         const bool is_near = crash.broken_at - recent.ended_at <= policy::late_crash_time;
         const bool has_room =
             crash.unreported.size() + crash.unreported_complete.size() < max_runs_per_crash;
         if (recent.run.process == process && is_near && has_room)
             (recent.was_complete ? crash.unreported_complete : crash.unreported)
                 .push_back(recent.run);
-    }
+    };
+    const std::vector<recent_run> doubtful = std::exchange(crash.doubtful, {});
+    std::for_each(doubtful.begin(), doubtful.end(), add);
+    std::for_each(recent_runs_.begin(), recent_runs_.end(), add);
     std::erase_if(recent_runs_,
                   [&process](const recent_run& one) { return one.run.process == process; });
     auto silent = silent_runs_.find(process);
@@ -45,38 +68,28 @@
     silent_runs_.erase(silent);
 }
 
-bool crash_monitor::is_undecided(const recent_run& recent) const {
-    auto crash = crashes_.find(recent.run.process);
-    return crash != crashes_.end() && crash->second.state != crash_state::confirmed &&
-           recent.ended_at <= crash->second.broken_at &&
-           crash->second.broken_at - recent.ended_at <= policy::late_crash_time;
-}
-
-// They say nothing of what they ran: their endpoint may have lost its VM.
-void crash_monitor::forget_undecided_runs(const policy::endpoint_process& process) {
-    std::erase_if(recent_runs_, [this, &process](const recent_run& one) {
-        return one.run.process == process && is_undecided(one);
-    });
-}
-
 void crash_monitor::expire_runs(instant now) {
-    const auto first_recent =
-        std::find_if(recent_runs_.begin(), recent_runs_.end(), [now](const recent_run& one) {
-            return now - one.ended_at <= policy::late_crash_time;
-        });
-    const auto first_expired =
-        std::stable_partition(recent_runs_.begin(), first_recent,
-                              [this](const recent_run& one) { return is_undecided(one); });
-    for (auto one = first_expired; one != first_recent; ++one) {
-        if (one->was_complete)
-            record_survived(one->run);
-    }
-    recent_runs_.erase(first_expired, first_recent);
+    for (; !recent_runs_.empty() && now - recent_runs_.front().ended_at > policy::late_crash_time;
+         recent_runs_.pop_front())
+        expire_run(recent_runs_.front());
     std::erase_if(silent_runs_, [now](const auto& silent) {
         return now - silent.second.back().ended_at > silent_run_time;
     });
 }
 
+// Nobody knows yet whether an endpoint survived a run if its connections broke since.
+void crash_monitor::expire_run(const recent_run& run) {
+    auto doubted = crashes_.find(run.run.process);
+    if (doubted == crashes_.end()) {
+        if (run.was_complete)
+            record_survived(run.run);
+        return;
+    }
+    suspected_crash& crash = doubted->second;
+    if (crash.state != crash_state::confirmed && crash.doubtful.size() < max_runs_per_crash)
+        crash.doubtful.push_back(run);
+}
+
 void crash_monitor::record_survived(const ended_run& run) {
     const auto count = [this](const fingerprint& cause) {
         const policy::poison_record* record = detector_.find(cause);
