Policy: a request that waits to run alone is held back by its latest cause

What callers saw: right after the start, while a part of prompts that crashes endpoints is a suspect, two requests with it run at once, though one at a time is allowed, and each ends an endpoint.

Cause: a request asked for its run by the suspected part of that moment. While it waited, that part was cleared, but the schedule kept it as what the run is counted for.

Change: gateways pass on the latest cause of a run that waits, and the schedule takes it over.

Why it works: the schedule compares causes, and now compares those that are suspected when it grants a run.

--- a/include/cassia/gateway/trial_exchange.h
+++ b/include/cassia/gateway/trial_exchange.h
@@ -33,6 +33,8 @@
     /// Asks for a run. Nothing if another run of the request is asked for here, or too many are.
     std::optional<trial_id> begin(const fingerprint& request, const service_id& service,
                                   const software_version& version, policy::work_kind kind);
+    /// What a run that still waits is suspected for now.
+    void set_cause(trial_id id, const fingerprint& cause);
     state find(trial_id id) const;
     /// Whether the run was asked for at an endpoint of this service and version.
     bool asks_for(trial_id id, const service_id& service, const software_version& version) const;
--- a/lib/gateway/dispatch_suspects.cpp
+++ b/lib/gateway/dispatch_suspects.cpp
@@ -59,9 +59,11 @@
 
 std::optional<policy::placement> dispatcher::find_trial_endpoint(online_call& call, instant now) {
     const software_version version = call.required_version();
-    if (!call.trial)
-        call.trial =
-            trials_.begin(judge(call).cause, call.service, version, policy::work_kind::online);
+    const fingerprint cause = judge(call).cause;
+    if (call.trial)
+        trials_.set_cause(*call.trial, cause);
+    else
+        call.trial = trials_.begin(cause, call.service, version, policy::work_kind::online);
     if (!call.trial)
         return std::nullopt;
     const trial_exchange::state state = trials_.find(*call.trial);
--- a/lib/gateway/item_suspects.cpp
+++ b/lib/gateway/item_suspects.cpp
@@ -81,9 +81,11 @@
     // The route or the version may have changed since the run was asked for.
     if (item.trial && !trials_.asks_for(*item.trial, item.service, version))
         end_trial(item);
-    if (!item.trial)
-        item.trial =
-            trials_.begin(judge(item).cause, item.service, version, policy::work_kind::batch);
+    const fingerprint cause = judge(item).cause;
+    if (item.trial)
+        trials_.set_cause(*item.trial, cause);
+    else
+        item.trial = trials_.begin(cause, item.service, version, policy::work_kind::batch);
     if (!item.trial)
         return std::nullopt;
     const trial_exchange::state state = trials_.find(*item.trial);
--- a/lib/gateway/trial_exchange.cpp
+++ b/lib/gateway/trial_exchange.cpp
@@ -34,6 +34,14 @@
     return id;
 }
 
+void trial_exchange::set_cause(trial_id id, const fingerprint& cause) {
+    auto found = asked_.find(id);
+    if (found == asked_.end() || found->second.endpoint || found->second.request.request == cause)
+        return;
+    found->second.request.request = cause;
+    ask(found->second, monotonic_now());
+}
+
 trial_exchange::state trial_exchange::find(trial_id id) const {
     auto found = asked_.find(id);
     if (found == asked_.end())
--- a/lib/policy/trial_schedule.cpp
+++ b/lib/policy/trial_schedule.cpp
@@ -28,6 +28,8 @@
         return;
     }
     found->second.refreshed_at = now;
+    if (!found->second.endpoint)
+        found->second.asked = request;
 }
 
 void trial_schedule::end(const trial_key& key, trial_outcome outcome, instant now) {
--- a/unittests/policy/trial_schedule_test.cpp
+++ b/unittests/policy/trial_schedule_test.cpp
@@ -33,6 +33,17 @@
 
 } // namespace
 
+// Guards against a request that still waits as what it was suspected for first, beside a run of the
+// part that it is suspected for now.
+TEST_CASE("a run that waits is held back by its latest cause", "[trials]") {
+    trial_schedule schedule;
+    schedule.refresh(request_of("a", 1, "part"), start);
+    REQUIRE(schedule.poll(start, choose_of(8)).size() == 1);
+    schedule.refresh(request_of("b", 1, "cleared"), start);
+    schedule.refresh(request_of("b", 1, "part"), start);
+    CHECK(schedule.poll(start, choose_of(8)).empty());
+}
+
 // Guards against a suspect that runs at several gateways before one of its crashes is judged.
 TEST_CASE("a suspect runs once at a time over all gateways", "[trials]") {
     trial_schedule schedule;
