Policy: a run alone that an outage hits proves no part guilty

What callers saw: when all endpoints crash one after the other in the first seconds, requests with sound parts of prompts are refused as quarantined.

Cause: the background of a crash in a run alone is the rate of the last second. At the front of an outage that goes from endpoint to endpoint this rate is still low, and runs alone go to the free endpoints just ahead of it, so that a crash soon after their start spoke strongly against the part.

Change: a crash of a run alone doesn't count as one if two other crashes that nothing explains happened in the 250 ms before.

The new test fails before: the part is quarantined. Why it works: a part that isn't aboard these other crashes can't have caused them, so something else ends endpoints at that moment.

--- a/lib/policy/poison_background.cpp
+++ b/lib/policy/poison_background.cpp
@@ -15,6 +15,9 @@
 // A series of crashes begins with a higher rate than that of the whole window.
 constexpr milliseconds burst_window(1000);
 constexpr double min_running_share = 0.25;
+// So many other crashes in this time are an outage, which a run alone has no part in.
+constexpr milliseconds outage_window(250);
+constexpr double outage_crashes = 2;
 // Causes whose odds differ by more aren't taken for each other.
 constexpr double twin_distance = 1;
 } // namespace
@@ -44,7 +47,9 @@
         double recent = 0;
         double burst = 0;
         double simultaneous = 0;
+        double latest = 0;
         void add(microseconds distance, double unexplained) {
+            latest += distance <= outage_window ? unexplained : 0;
             simultaneous += distance <= same_moment ? unexplained : 0;
             recent += distance > same_moment ? unexplained : 0;
             burst += distance > same_moment && distance <= burst_window ? unexplained : 0;
@@ -76,6 +81,7 @@
             // The endpoints that crashed a moment ago don't run anything now.
             const double burst = all.burst + correction.burst;
             const double running = std::max(endpoints - burst, endpoints * min_running_share);
+            one.on_trial = one.on_trial && all.latest + correction.latest < outage_crashes;
             rate = std::max(rate, burst / (running * to_seconds(burst_window)));
         }
         const double within_run = 1 - std::exp(-rate * to_seconds(one.duration));
--- a/unittests/policy/part_detector_test.cpp
+++ b/unittests/policy/part_detector_test.cpp
@@ -6,6 +6,7 @@
 
 #include <cstdlib>
 #include <iostream>
+#include <string>
 
 using namespace cassia;
 using namespace cassia::policy;
@@ -54,8 +55,54 @@
     return model;
 }
 
+constexpr instant start = instant() + milliseconds(1000000);
+const service_id service("llm");
+
+/// Crashes of a service of 60 endpoints, each with one run of a request of its own.
+class crash_series {
+public:
+    void crash(const std::string& part, instant at, bool on_trial, std::uint32_t survived_runs) {
+        const std::string number = std::to_string(++crashes_);
+        crash_report report;
+        report.process = {endpoint_id("e" + number), 1};
+        report.service = service;
+        report.endpoints = 60;
+        report.crashed_at = at;
+        report.gateway = entry_id("gateway");
+        report.survived_runs = survived_runs;
+        report.runs = {
+            {fingerprint("r" + number), milliseconds(20), false, {fingerprint(part)}, on_trial}};
+        detector.record_crash(report, at);
+        detector.poll(at + milliseconds(50));
+    }
+
+    poison_detector detector;
+
+private:
+    int crashes_ = 0;
+};
+
 } // namespace
 
+// Guards against a sound part that is stopped since outages hit its runs alone.
+TEST_CASE("a crash of a run alone in an outage proves no part guilty", "[poison]") {
+    constexpr std::uint32_t survived_runs = 100;
+    const bool in_outage = GENERATE(true, false);
+    crash_series series;
+    for (int i = 0; i < 2; ++i)
+        series.crash("part", start + milliseconds(100) * i, false, survived_runs);
+    REQUIRE(series.detector.judge(fingerprint("part"), start) == request_verdict::suspect);
+    for (int i = 1; i <= 3; ++i) {
+        const instant at = start + milliseconds(4000) * i;
+        for (int before = 3; in_outage && before > 0; --before)
+            series.crash("other" + std::to_string(3 * i + before), at - milliseconds(50) * before,
+                         false, survived_runs);
+        series.crash("part", at, true, survived_runs);
+    }
+    CHECK(series.detector.judge(fingerprint("part"), start) ==
+          (in_outage ? request_verdict::suspect : request_verdict::quarantined));
+}
+
 // Guards against a part of prompts that takes all endpoints away, in requests of which no two are
 // alike.
 TEST_CASE("in virtual time, a part that crashes endpoints is stopped", "[.parts]") {
