Policy: a suspected part waits for the runs without it that tell it from sound ones

What callers saw: a part of prompts that crashes endpoints from the first second on goes on to end them for seconds after it is suspected, and sound requests wait meanwhile.

Cause: no run has succeeded yet, so that no crash of a run alone can quarantine the part. Its runs alone go on all the same, some four a second, and take the few endpoints that are up from the runs without it, of which the first success would clear the part that all have.

Change: while fewer than three runs without the part are known to have succeeded, a second lies between a crash of a run alone and the next one. Only the likeliest of the parts of these crashes waits, since runs of the others are the control. Coordinators apply it, and so does the simulation that the tests use.

Tried and dropped: suspecting a part without control only after as many crashes as the service has endpoints (5 to 20).

The new test needs the new function, so it can't run before. Why it works: the crash of a run alone adds nothing until there is control, and the endpoints that it leaves bring that sooner.

--- a/include/cassia/gateway/crash_monitor.h
+++ b/include/cassia/gateway/crash_monitor.h
@@ -94,6 +94,10 @@
     /// The gravest verdict on a request and the parts of its prompt; of like ones that with the
     /// highest odds.
     judged_cause judge(const fingerprint& request, const std::vector<fingerprint>& parts) const;
+    /// Whether a run of a part would only tell what is known; for coordinators.
+    bool awaits_control(const fingerprint& part, const service_id& service) const {
+        return detector_.awaits_control(part, service, monotonic_now());
+    }
     /// What is left of the quarantine; 0 if there is none.
     milliseconds quarantine_left(const fingerprint& cause) const;
     /// When it last crashed an endpoint, as far as is known.
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -348,6 +348,8 @@
 service::choose_trial_endpoint(const policy::trial_request& request,
                                const std::set<endpoint_id>& excluded) const {
     const instant now = monotonic_now();
+    if (crashes_->awaits_control(request.request, request.service))
+        return {};
     std::set<endpoint_id> unusable = excluded;
     std::optional<policy::placement> found =
         slots_.place_alone(request.service, unusable, now, request.version);
--- a/lib/policy/poison_detector.cpp
+++ b/lib/policy/poison_detector.cpp
@@ -35,6 +35,8 @@
 constexpr std::uint32_t min_control_runs = 3;
 constexpr std::uint32_t ample_control_runs = 20;
 constexpr std::uint32_t min_trial_crashes = 2;
+// From one crash of a run alone to the next run while control runs are missing.
+constexpr milliseconds pause_without_control(1000);
 constexpr std::uint32_t crashes_without_control = 5;
 // Of causes that no crash tells apart, those that aren't blamed stay at these odds.
 const double follower_log_odds = quarantine_log_odds - part_success_loss;
@@ -271,6 +273,26 @@
     return survived_runs - std::min<std::uint64_t>(survived_runs, record.survived_runs);
 }
 
+bool poison_detector::awaits_control(const fingerprint& part, const service_id& service,
+                                     instant now) const {
+    const poison_record* record = find(part);
+    if (record == nullptr || !record->is_part || record->trial_crashes == 0 ||
+        now >= record->last_crash_at + pause_without_control ||
+        control_runs(*record, service) >= min_control_runs)
+        return false;
+    // Runs of the less suspected parts, without this one, are the control.
+    for (const std::pair<const endpoint_process, known_crash>& crash : crashes_) {
+        if (crash.second.report.service != service || crash.second.causes.count(part) == 0)
+            continue;
+        for (const fingerprint& cause : crash.second.causes) {
+            const poison_record* other = find(cause);
+            if (other != nullptr && other->is_part && other->log_odds > record->log_odds)
+                return false;
+        }
+    }
+    return true;
+}
+
 void poison_detector::update_verdict(poison_record& record, const service_id& service,
                                      instant now) {
     const std::uint64_t control = control_runs(record, service);
--- a/unittests/policy/part_detector_test.cpp
+++ b/unittests/policy/part_detector_test.cpp
@@ -103,6 +103,21 @@
           (in_outage ? request_verdict::suspect : request_verdict::quarantined));
 }
 
+// Guards against runs with a part that crashes endpoints while none could stop it yet.
+TEST_CASE("a part waits for runs without it that succeed", "[poison]") {
+    const std::uint32_t survived_runs = GENERATE(0U, 3U);
+    crash_series series;
+    for (int i = 0; i < 60; ++i)
+        series.crash("part", start + milliseconds(30) * i, false, survived_runs);
+    const instant at = start + milliseconds(3000);
+    const fingerprint part("part");
+    CHECK(!series.detector.awaits_control(part, service, at));
+    series.crash("part", at, true, survived_runs);
+    CHECK(series.detector.awaits_control(part, service, at + milliseconds(999)) ==
+          (survived_runs == 0));
+    CHECK(!series.detector.awaits_control(part, service, at + milliseconds(1000)));
+}
+
 // Guards against a part of prompts that takes all endpoints away, in requests of which no two are
 // alike.
 TEST_CASE("in virtual time, a part that crashes endpoints is stopped", "[.parts]") {
--- a/unittests/policy/part_simulation.h
+++ b/unittests/policy/part_simulation.h
@@ -142,8 +142,10 @@
 
     void begin_trials() {
         const trial_schedule::choose fewest_runs =
-            [this](const trial_request&,
+            [this](const trial_request& asked,
                    const std::set<endpoint_id>& excluded) -> trial_schedule::choice {
+            if (detector_.awaits_control(asked.request, asked.service, now_))
+                return {};
             std::optional<std::size_t> best;
             for (const std::size_t index : usable_endpoints()) {
                 if (excluded.count(id_of(index)) == 0 &&
