--- a/lib/policy/poison_background.cpp
+++ b/lib/policy/poison_background.cpp
@@ -18,6 +18,9 @@
 constexpr double min_running_share = 0.25;
 // Crashes for other reasons end some runs with a part, not all.
 constexpr double max_background_never_survived = 0.1;
+// So many other crashes in this time are an outage, which a run alone has no part in.
+constexpr milliseconds outage_window(250);
+constexpr double outage_crashes = 2;
 // Causes whose odds differ by more aren't taken for each other.
 constexpr double twin_distance = 1;
 } // namespace
@@ -58,8 +61,10 @@
         double recent_on_trial = 0;
         double burst = 0;
         double simultaneous = 0;
+        double latest = 0;
         double simultaneous_on_trial = 0;
         void add(microseconds distance, double unexplained, bool on_trial) {
+            latest += distance <= outage_window ? unexplained : 0;
             if (distance <= same_moment) {
                 simultaneous += unexplained;
                 simultaneous_on_trial += on_trial ? unexplained : 0;
@@ -103,6 +108,7 @@
             // The endpoints that crashed a moment ago don't run anything now.
             const double burst = all.burst + correction.burst;
             const double running = std::max(endpoints - burst, endpoints * min_running_share);
+            one.on_trial = one.on_trial && all.latest + correction.latest < outage_crashes;
             rate = std::max(rate, burst / (running * to_seconds(burst_window)));
         }
         const double within_run = 1 - std::exp(-rate * to_seconds(one.duration));
