Trial schedule: items that share a suspected part don't wait for the sum of their runs

Cause: a suspect runs once at a time over all gateways. A part of prompts is a suspect too, and all items with it are one cause, so that each waited for the run, some 3.4 s, and the second after it, of each before it. The class is the one of the other faults: a wait for others that has no bound.

Change: an item that has waited for 2 s may run beside one other run of its cause, and beside twice as many after each further second, within what suspects may use. Requests are as before. A cause that crashes endpoints within its first runs alone is quarantined before.

Evidence: the new test failed before: eight items of one cause, with runs of 3.4 s, began after up to 30.8 s; all within 5 s now (4.4 s).

--- a/include/cassia/policy/trial_schedule.h
+++ b/include/cassia/policy/trial_schedule.h
@@ -122,7 +122,9 @@
     /// Since when a run counts as waiting.
     instant waits_since(const trial& one) const;
     static bool holds_back(const hold& one, const trial_request& asked, instant now);
-    bool is_busy(const trial_request& asked, instant now) const;
+    /// How many runs of a cause may be under way at once, with one for which an item has waited.
+    static std::ptrdiff_t max_runs(milliseconds waited);
+    bool is_busy(const trial_request& asked, milliseconds waited, instant now) const;
     endpoint_use use_for(const trial_request& asked, instant now) const;
 
     std::map<trial_key, trial> trials_;
--- a/lib/policy/trial_schedule.cpp
+++ b/lib/policy/trial_schedule.cpp
@@ -16,6 +16,9 @@
 constexpr milliseconds hang_time_for_batch(3000);
 // An item that has waited for so long may use more endpoints, so that it isn't idle for 5 s.
 constexpr milliseconds overdue_time(2000);
+// And from then on may run beside others of its cause, twice as many after each of these times.
+constexpr milliseconds runs_doubling_time(1000);
+constexpr std::int64_t max_runs_doublings = 5;
 // One silent endpoint may be chance; an item with more of them in this time is put back.
 constexpr std::uint32_t max_silent_ends = 1;
 constexpr milliseconds silent_end_retention(20000);
@@ -108,11 +111,22 @@
     return now < (asked.kind == work_kind::batch ? one.until_for_batch : one.until);
 }
 
-bool trial_schedule::is_busy(const trial_request& asked, instant now) const {
-    const bool runs = std::any_of(trials_.begin(), trials_.end(), [&asked](const auto& one) {
-        return one.second.endpoint && one.second.asked.request == asked.request;
-    });
-    return runs || std::any_of(holds_.begin(), holds_.end(), [&asked, now](const hold& one) {
+// Items that share a suspected part would wait for the sum of their runs.
+std::ptrdiff_t trial_schedule::max_runs(milliseconds waited) {
+    if (waited < overdue_time)
+        return 1;
+    const std::int64_t doublings =
+        std::min((waited - overdue_time) / runs_doubling_time, max_runs_doublings);
+    return std::ptrdiff_t{2} << doublings;
+}
+
+bool trial_schedule::is_busy(const trial_request& asked, milliseconds waited, instant now) const {
+    const std::ptrdiff_t runs =
+        std::count_if(trials_.begin(), trials_.end(), [&asked](const auto& one) {
+            return one.second.endpoint && one.second.asked.request == asked.request;
+        });
+    return runs >= max_runs(waited) ||
+           std::any_of(holds_.begin(), holds_.end(), [&asked, now](const hold& one) {
                return one.request == asked.request && holds_back(one, asked, now);
            });
 }
@@ -147,7 +161,11 @@
               [this](const trial* a, const trial* b) { return waits_since(*a) < waits_since(*b); });
     std::vector<trial_grant> grants;
     for (trial* one : waiting) {
-        if (is_busy(one->asked, now))
+        const bool may_be_overdue = one->asked.kind == work_kind::batch && !is_put_back(*one);
+        const milliseconds waited =
+            may_be_overdue ? std::chrono::duration_cast<milliseconds>(now - one->asked_at)
+                           : milliseconds(0);
+        if (is_busy(one->asked, waited, now))
             continue;
         endpoint_use use = use_for(one->asked, now);
         // The limit is a part of the endpoints that are left.
@@ -155,9 +173,8 @@
             std::erase_if(use.by_trials,
                           [&listed](const endpoint_id& endpoint) { return !listed(endpoint); });
         const choice chosen = choose_endpoint(one->asked, use.excluded);
-        const bool is_overdue = one->asked.kind == work_kind::batch && !is_put_back(*one) &&
-                                now - one->asked_at >= overdue_time;
-        const std::size_t limit = is_overdue ? max_overdue_trials(chosen.limit) : chosen.limit;
+        const std::size_t limit =
+            waited >= overdue_time ? max_overdue_trials(chosen.limit) : chosen.limit;
         if (!chosen.endpoint || use.by_trials.size() >= limit)
             continue;
         one->endpoint = chosen.endpoint;
--- a/unittests/policy/trial_schedule_test.cpp
+++ b/unittests/policy/trial_schedule_test.cpp
@@ -141,6 +141,30 @@
     CHECK(*waited < milliseconds(4000));
 }
 
+// Guards against items that are idle since they share a suspected part with others.
+TEST_CASE("items of one cause don't wait for the sum of their runs", "[trials]") {
+    constexpr std::uint64_t items = 8;
+    constexpr milliseconds run_time(3400);
+    trial_schedule schedule;
+    std::map<std::uint64_t, milliseconds> began;
+    for (milliseconds time{0}; time < 2 * items * run_time; time += milliseconds(100)) {
+        const instant now = start + time;
+        for (std::uint64_t i = 0; i < items; ++i) {
+            const bool has_ended = began.count(i) > 0 && time >= began.at(i) + run_time;
+            if (has_ended)
+                schedule.end(item_of(i, "part").key, trial_outcome::completed, now);
+            else
+                schedule.refresh(item_of(i, "part"), now);
+        }
+        for (const trial_grant& grant : schedule.poll(now, choose_of(24)))
+            began.emplace(grant.key.id.value(), time);
+    }
+    CHECK(began.at(1) >= milliseconds(2000));
+    CHECK(began.at(2) >= milliseconds(3000));
+    for (std::uint64_t i = 0; i < items; ++i)
+        CHECK(began.at(i) < milliseconds(5000));
+}
+
 // Guards against suspects that take all endpoints as soon as they have waited for a time.
 TEST_CASE("suspected items that hang endpoints leave a quarter of them", "[trials]") {
     const std::size_t endpoints = GENERATE(4, 8, 9, 12);
