--- a/include/cassia/policy/trial_schedule.h
+++ b/include/cassia/policy/trial_schedule.h
@@ -59,6 +59,7 @@
 struct trial_grant {
     trial_key key;
     endpoint_id endpoint;
+    fingerprint request;
 };
 
 class trial_schedule {
--- a/lib/gateway/item_waits.cpp
+++ b/lib/gateway/item_waits.cpp
@@ -2,6 +2,7 @@
 
 #include "cassia/base/log.h"
 #include "cassia/gateway/item_runner.h"
+#include "cassia/gateway/request_fingerprint.h"
 #include "held_item.h"
 
 #include <map>
@@ -52,12 +53,16 @@
         if (!is_due)
             continue;
         item.wait_logged_at = now;
+        const judged_cause judged = judge(item);
         log_info("item_waits")
             .with("item", item.leased.item().custom_id())
             .with("job", item.leased.job())
             .with("cause", name_of(item.wait))
             .with("service", item.service.str())
             .with("behind_event", item.last_event)
+            .with("suspect", judged.verdict == policy::request_verdict::unsuspected
+                                 ? std::string()
+                                 : short_form(judged.cause))
             .with("waited_ms",
                   std::chrono::duration_cast<milliseconds>(now - item.waits_since).count());
     }
--- a/lib/gateway/trial_exchange.cpp
+++ b/lib/gateway/trial_exchange.cpp
@@ -164,6 +164,7 @@
         log_info("trial_granted")
             .with("gateway", grant.key.gateway.str())
             .with("endpoint", grant.endpoint.str())
+            .with("cause", short_form(grant.request))
             .with("waiting_or_running", schedule_.size());
         answer(grant.key, grant.endpoint);
     }
--- a/lib/policy/trial_schedule.cpp
+++ b/lib/policy/trial_schedule.cpp
@@ -178,7 +178,7 @@
         if (!chosen.endpoint || use.by_trials.size() >= limit)
             continue;
         one->endpoint = chosen.endpoint;
-        grants.push_back({one->asked.key, *chosen.endpoint});
+        grants.push_back({one->asked.key, *chosen.endpoint, one->asked.request});
     }
     return grants;
 }
