Trial exchange: a gateway asks for runs of several items of one cause

Cause: a gateway asked for one run of a cause at a time. The other items with the part waited without being known to the schedule, which so counted none of their time, and each began to wait when the run before it at its gateway had ended. For requests that is meant: one run decides for all, and they may be rejected. Accepted items may not.

Change: up to 16 items of a cause are asked for at a gateway, and 64 in all beside the 64 requests, so that items don't keep requests out.

Evidence: the new test failed before: of four items one had begun after 5 s; now all.

--- a/include/cassia/gateway/trial_exchange.h
+++ b/include/cassia/gateway/trial_exchange.h
@@ -31,7 +31,8 @@
 
     trial_exchange(entry_id self, trial_exchange_hooks hooks);
 
-    /// Asks for a run. Nothing if another run of the request is asked for here, or too many are.
+    /// Asks for a run. Nothing if another run of the request, or many of such items, are asked for
+    /// here, or too many in all.
     std::optional<trial_id> begin(const fingerprint& request, const service_id& service,
                                   const software_version& version, policy::work_kind kind);
     /// What a run that still waits is suspected for now.
@@ -53,6 +54,8 @@
         std::optional<endpoint_id> endpoint;
     };
 
+    /// Whether a further run of this cause may be asked for.
+    bool may_ask(const fingerprint& request, policy::work_kind kind) const;
     void send(const entry_id& to, const schema::poison_news& news);
     void ask(asked_trial& trial, instant now);
     void answer(const policy::trial_key& key, const std::optional<endpoint_id>& endpoint);
--- a/lib/gateway/trial_exchange.cpp
+++ b/lib/gateway/trial_exchange.cpp
@@ -13,7 +13,8 @@
 constexpr milliseconds repeat_interval(100);
 constexpr milliseconds answer_timeout(400);
 constexpr std::size_t max_coordinators_tried = 2;
-constexpr std::size_t max_asked = 64;
+constexpr std::size_t max_asked = 64; // of requests, and of items
+constexpr std::size_t max_items_of_cause = 16;
 } // namespace
 
 trial_exchange::trial_exchange(entry_id self, trial_exchange_hooks hooks)
@@ -22,10 +23,7 @@
 std::optional<trial_id> trial_exchange::begin(const fingerprint& request, const service_id& service,
                                               const software_version& version,
                                               policy::work_kind kind) {
-    const bool is_asked = std::any_of(asked_.begin(), asked_.end(), [&request](const auto& one) {
-        return one.second.request.request == request;
-    });
-    if (is_asked || asked_.size() >= max_asked)
+    if (!may_ask(request, kind))
         return std::nullopt;
     const trial_id id(++last_id_);
     asked_trial& trial = asked_[id];
@@ -34,6 +32,20 @@
     return id;
 }
 
+// One run decides for all requests that wait for it. An accepted item has to run in time, and the
+// schedule knows how long it has waited only if it is asked for.
+bool trial_exchange::may_ask(const fingerprint& request, policy::work_kind kind) const {
+    std::size_t of_kind = 0;
+    std::size_t of_cause = 0;
+    for (const std::pair<const trial_id, asked_trial>& one : asked_) {
+        const bool is_same_kind = one.second.request.kind == kind;
+        of_kind += is_same_kind ? 1 : 0;
+        of_cause += is_same_kind && one.second.request.request == request ? 1 : 0;
+    }
+    const bool is_item = kind == policy::work_kind::batch;
+    return of_kind < max_asked && of_cause < (is_item ? max_items_of_cause : 1);
+}
+
 void trial_exchange::set_cause(trial_id id, const fingerprint& cause) {
     auto found = asked_.find(id);
     if (found == asked_.end() || found->second.endpoint || found->second.request.request == cause)
--- a/unittests/gateway/trial_exchange_test.cpp
+++ b/unittests/gateway/trial_exchange_test.cpp
@@ -4,6 +4,13 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
 using namespace cassia;
 using namespace cassia::gateway;
 
@@ -33,3 +40,33 @@
     trials.tick();
     CHECK(trials.find(first).endpoint.has_value() != trials.find(second).endpoint.has_value());
 }
+
+// Guards against items that are idle since their gateway asks for one run of their cause at a time.
+TEST_CASE("items of one cause at one gateway don't wait for one another's runs", "[trials]") {
+    constexpr milliseconds max_idle_time(5000);
+    constexpr milliseconds tick_interval(50);
+    const entry_id self("gateway");
+    std::uint64_t endpoints = 0;
+    trial_exchange_hooks hooks;
+    hooks.coordinators = [&self] { return std::vector<entry_id>{self}; };
+    hooks.choose_endpoint = [&endpoints](const policy::trial_request&,
+                                         const std::set<endpoint_id>&) {
+        return policy::trial_schedule::choice{endpoint_id("e" + std::to_string(++endpoints)), 4};
+    };
+    trial_exchange trials(self, hooks);
+    std::vector<std::optional<trial_id>> items(4);
+    const auto has_begun = [&trials](const std::optional<trial_id>& item) {
+        return item && trials.find(*item).endpoint.has_value();
+    };
+    const instant began = monotonic_now();
+    while (monotonic_now() - began < max_idle_time) {
+        for (std::optional<trial_id>& item : items) {
+            if (!item)
+                item = trials.begin(fingerprint("part"), service_id("llm"), {},
+                                    policy::work_kind::batch);
+        }
+        trials.tick();
+        std::this_thread::sleep_for(tick_interval);
+    }
+    CHECK(std::all_of(items.begin(), items.end(), has_begun));
+}
