--- a/lib/policy/poison_background.cpp
+++ b/lib/policy/poison_background.cpp
@@ -16,8 +16,6 @@
 // A series of crashes begins with a higher rate than that of the whole window.
 constexpr milliseconds burst_window(1000);
 constexpr double min_running_share = 0.25;
-// Crashes for other reasons end some runs with a part, not all.
-constexpr double max_background_never_survived = 0.1;
 // So many other crashes in this time are an outage, which a run alone has no part in.
 constexpr milliseconds outage_window(250);
 constexpr double outage_crashes = 2;
@@ -113,11 +111,6 @@
         }
         const double within_run = 1 - std::exp(-rate * to_seconds(one.duration));
         one.background = std::min(max_probability, within_run + simultaneous / endpoints);
-        const bool never_survived =
-            one.record->is_part && one.record->survived_runs == 0 &&
-            control_runs(*one.record, crash.report.service) >= ample_control_runs;
-        if (never_survived)
-            one.background = std::min(one.background, max_background_never_survived);
     }
 }
 
--- a/lib/policy/poison_detector.cpp
+++ b/lib/policy/poison_detector.cpp
@@ -33,6 +33,7 @@
 // these raise their odds only until they run on trial, and only crashes of such runs prove one
 // guilty, if runs without it are known to succeed.
 constexpr std::uint32_t min_control_runs = 3;
+constexpr std::uint32_t ample_control_runs = 20;
 constexpr std::uint32_t min_trial_crashes = 2;
 // From one crash of a run alone to the next run while control runs are missing.
 constexpr milliseconds pause_without_control(1000);
--- a/lib/policy/poison_odds.h
+++ b/lib/policy/poison_odds.h
@@ -16,8 +16,6 @@
 inline constexpr std::uint32_t min_crashes_to_quarantine = 3;
 // After a quarantine a crash that says this much is enough for the next one.
 inline constexpr double repeated_gain = 2;
-// So many survived runs without a part show that endpoints survive other runs.
-inline constexpr std::uint32_t ample_control_runs = 20;
 // Crashes within this time of each other may have one cause, such as a loss of power.
 inline constexpr milliseconds same_moment(25);
 // Crashes of this time show how often endpoints crash for other reasons.
