Trial schedule: runs that have ended don't keep overdue items of their cause away

What callers saw (LOST): as before, items that wait for a run alone beside endpoints with room.

Cause: a cause is held for 1 s after a completed run, for 3 s after a silent one. With several runs of a part at once some hold was nearly always in force, so that items that had waited for 2 s gained little.

Change: what is held counts as one run of the cause, as two if the endpoint was silent, against the number that an overdue item allows. Up to 2 s, and for requests, it keeps all others away as before.

--- a/include/cassia/policy/trial_schedule.h
+++ b/include/cassia/policy/trial_schedule.h
@@ -100,6 +100,7 @@
         endpoint_id endpoint;
         instant until{};
         instant until_for_batch{}; ///< an item may run again from then on
+        bool is_silent = false;    ///< the run may still hang the endpoint
     };
     /// When an item began to wait whose run ended unused, and until when that is kept.
     struct kept_turn {
@@ -124,7 +125,7 @@
     instant waits_since(const trial& one) const;
     static bool holds_back(const hold& one, const trial_request& asked, instant now);
     /// How many runs of a cause may be under way at once, with one for which an item has waited.
-    static std::ptrdiff_t max_runs(milliseconds waited);
+    static std::size_t max_runs(milliseconds waited);
     bool is_busy(const trial_request& asked, milliseconds waited, instant now) const;
     endpoint_use use_for(const trial_request& asked, instant now) const;
 
--- a/lib/policy/trial_schedule.cpp
+++ b/lib/policy/trial_schedule.cpp
@@ -19,6 +19,8 @@
 // And from then on may run beside others of its cause, twice as many after each of these times.
 constexpr milliseconds runs_doubling_time(1000);
 constexpr std::int64_t max_runs_doublings = 5;
+// A run that may still hang its endpoint keeps others away for longer than one that ended.
+constexpr std::size_t silent_run_weight = 2;
 // One silent endpoint may be chance; an item with more of them in this time is put back.
 constexpr std::uint32_t max_silent_ends = 1;
 constexpr milliseconds silent_end_retention(20000);
@@ -72,7 +74,7 @@
         known = {known.count + 1, now};
     }
     holds_.push_back({ended.asked.request, ended.asked.service, *ended.endpoint, now + time,
-                      now + std::min(time, hang_time_for_batch)});
+                      now + std::min(time, hang_time_for_batch), outcome == trial_outcome::silent});
 }
 
 // An item has been idle since, and is asked for again at once.
@@ -112,23 +114,23 @@
 }
 
 // Items that share a suspected part would wait for the sum of their runs.
-std::ptrdiff_t trial_schedule::max_runs(milliseconds waited) {
+std::size_t trial_schedule::max_runs(milliseconds waited) {
     if (waited < overdue_time)
         return 1;
     const std::int64_t doublings =
         std::min((waited - overdue_time) / runs_doubling_time, max_runs_doublings);
-    return std::ptrdiff_t{2} << doublings;
+    return std::size_t{2} << doublings;
 }
 
 bool trial_schedule::is_busy(const trial_request& asked, milliseconds waited, instant now) const {
-    const std::ptrdiff_t runs =
-        std::count_if(trials_.begin(), trials_.end(), [&asked](const auto& one) {
-            return one.second.endpoint && one.second.asked.request == asked.request;
-        });
-    return runs >= max_runs(waited) ||
-           std::any_of(holds_.begin(), holds_.end(), [&asked, now](const hold& one) {
-               return one.request == asked.request && holds_back(one, asked, now);
-           });
+    std::size_t runs = 0;
+    for (const std::pair<const trial_key, trial>& one : trials_)
+        runs += one.second.endpoint && one.second.asked.request == asked.request ? 1 : 0;
+    for (const hold& one : holds_) {
+        if (one.request == asked.request && holds_back(one, asked, now))
+            runs += one.is_silent ? silent_run_weight : 1;
+    }
+    return runs >= max_runs(waited);
 }
 
 trial_schedule::endpoint_use trial_schedule::use_for(const trial_request& asked,
