Crashes: a second break doesn't drop the runs that were in doubt

Found by a review, no run was traced to it. While it isn't known whether an endpoint crashed, its complete runs are kept in doubt. A further connection that broke began the record anew, as if the endpoint had survived the first break, and dropped them: if the crash was confirmed then, it was blamed on the second connection's request alone. Undecided means unknown, so they stay in doubt. No test of its own; unittest_gateway "[poison]" passes.

--- a/lib/gateway/crash_monitor.cpp
+++ b/lib/gateway/crash_monitor.cpp
@@ -95,8 +95,11 @@
     suspected_crash& crash = crashes_[run.process];
     // The endpoint survived what broke connections before.
     const bool broke_again = crash.state == crash_state::undecided;
-    if (broke_again)
+    if (broke_again) {
+        std::vector<recent_run> doubtful = std::move(crash.doubtful);
         crash = suspected_crash();
+        crash.doubtful = std::move(doubtful);
+    }
     if (crash.unreported.size() < max_runs_per_crash)
         crash.unreported.push_back(run);
     if (is_known && !broke_again)
