Read again: one set-up of a lone keeper in tests, briefs that say more

Two keeper tests had the same settings; they share them now, each fixture with a folder of its own. Briefs of on_crash, awaits_control and quarantined_since.

--- a/include/cassia/gateway/crash_monitor.h
+++ b/include/cassia/gateway/crash_monitor.h
@@ -58,6 +58,7 @@
 struct crash_monitor_hooks {
     /// Sends to another gateway. \returns false if its address is unknown.
     std::function<bool(const entry_id& to, schema::envelope&)> send;
+    /// The process of an endpoint has crashed, as this gateway or another one found out.
     std::function<void(const policy::endpoint_process& process)> on_crash;
     /// Some request was quarantined.
     std::function<void()> on_quarantine;
@@ -95,7 +96,7 @@
     /// The gravest verdict on a request and the parts of its prompt; of like ones that with the
     /// highest odds.
     judged_cause judge(const fingerprint& request, const std::vector<fingerprint>& parts) const;
-    /// Whether a run of a part would only tell what is known; for coordinators.
+    /// See policy::poison_detector; for coordinators.
     bool awaits_control(const fingerprint& part, const service_id& service) const {
         return detector_.awaits_control(part, service, monotonic_now());
     }
--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -99,6 +99,7 @@
     std::uint32_t count_ready(const schema::route& route, instant now) const;
     /// Slots that batch may take, at all targets of the route.
     std::uint32_t batch_capacity(const schema::route& route, instant now) const;
+    /// From when on the interval between runs of a quarantined item counts.
     instant quarantined_since(held_item& item, const fingerprint& cause) const;
     /// Delays an item that is quarantined. \returns whether it has to wait.
     bool waits_for_quarantine(held_item& item, instant now);
--- a/include/cassia/policy/poison_detector.h
+++ b/include/cassia/policy/poison_detector.h
@@ -104,8 +104,8 @@
     bool merge(const poison_record& record, instant now);
 
     request_verdict judge(const fingerprint& request, instant now) const;
-    /// Whether a further run alone of a part would only tell what is known, since no run of the
-    /// service without it is known to have succeeded.
+    /// Whether a further run alone of a part can prove nothing yet, since too few runs of the
+    /// service without it are known to have succeeded.
     bool awaits_control(const fingerprint& part, const service_id& service, instant now) const;
     /// The published record of a request; null if there is none.
     const poison_record* find(const fingerprint& request) const;
--- a/lib/gateway/crash_monitor_runs.cpp
+++ b/lib/gateway/crash_monitor_runs.cpp
@@ -77,7 +77,7 @@
     });
 }
 
-// Nobody knows yet whether an endpoint survived a run if its connections broke since.
+// While a crash isn't decided, it isn't known whether the endpoint survived the run.
 void crash_monitor::expire_run(const recent_run& run) {
     auto doubted = crashes_.find(run.run.process);
     if (doubted == crashes_.end()) {
--- a/unittests/keeper/followed_again_test.cpp
+++ b/unittests/keeper/followed_again_test.cpp
@@ -2,11 +2,11 @@
 
 #include "cassia/keeper/service.h"
 #include "cassia/net/peer_hub.h"
+#include "lone_keeper_settings.h"
 
 #include <catch2/catch.hpp>
 #include <glib.h>
 
-#include <cstdlib>
 #include <functional>
 #include <string>
 
@@ -18,26 +18,11 @@
 const std::string keeper_address("127.79.2.1:9100");
 const std::string gateway_address("127.79.2.2:9100");
 
-schema::keeper_settings make_settings() {
-    static char folder[] = "/tmp/cassia-followed-again-XXXXXX";
-    static const std::string data_dir = mkdtemp(folder);
-    schema::keeper_settings settings;
-    settings.set_name("keeper");
-    settings.set_zone("z1");
-    settings.set_data_dir(data_dir);
-    settings.set_peer_address(keeper_address);
-    settings.set_groups("control");
-    settings.mutable_cluster()->set_security("none");
-    settings.mutable_cluster()->set_work_groups(1);
-    settings.mutable_cluster()->add_seed("127.79.2.1:9000");
-    return settings;
-}
-
 /// A keeper with its endpoints, and the other end of its messages to a gateway.
 class followed_again_fixture {
 public:
     followed_again_fixture()
-        : keeper(make_settings()),
+        : keeper(make_lone_keeper_settings("127.79.2.1")),
           hub_(gateway_, {"gateway", peer_address(gateway_address), peer_address(), "", false},
                [this](schema::envelope& message) {
                    ++beacons;
--- a/unittests/keeper/keeper_news_test.cpp
+++ b/unittests/keeper/keeper_news_test.cpp
@@ -2,11 +2,11 @@
 
 #include "cassia/keeper/service.h"
 #include "cassia/net/peer_hub.h"
+#include "lone_keeper_settings.h"
 
 #include <catch2/catch.hpp>
 #include <glib.h>
 
-#include <cstdlib>
 #include <functional>
 #include <string>
 
@@ -17,21 +17,6 @@
 constexpr int endpoint_count = 500;
 const std::string keeper_address("127.79.1.1:9100");
 
-schema::keeper_settings make_settings() {
-    static char folder[] = "/tmp/cassia-keeper-news-XXXXXX";
-    static const std::string data_dir = mkdtemp(folder);
-    schema::keeper_settings settings;
-    settings.set_name("keeper");
-    settings.set_zone("z1");
-    settings.set_data_dir(data_dir);
-    settings.set_peer_address(keeper_address);
-    settings.set_groups("control");
-    settings.mutable_cluster()->set_security("none");
-    settings.mutable_cluster()->set_work_groups(1);
-    settings.mutable_cluster()->add_seed("127.79.1.1:9000");
-    return settings;
-}
-
 /// The other end of a keeper's messages.
 class peer_keeper {
 public:
@@ -92,7 +77,7 @@
 
 class keeper_fixture {
 public:
-    keeper_fixture() : keeper(make_settings()) {
+    keeper_fixture() : keeper(make_lone_keeper_settings("127.79.1.1")) {
         REQUIRE(keeper.open().empty());
         for (int i = 0; i < endpoint_count; ++i)
             announce(i, false);
