Poison detection: copies that crashed most of a service are suspects

Callers of a service with three endpoints saw it go away, come back and go away again within a second, and a request that had crashed three endpoints reached endpoints up to 18 times more.

Cause: crashes of one moment count once for a request, since an outage may have caused them, and each other crash of the moment explains a part of 1 / endpoints of it. So three crashes under copies of one request left it unsuspected, at log odds of -5.95. Its copies, also those that had waited for the service, then began at all endpoints together once these were back (virtual time, trace of 3 endpoints, 2 bodies: 18 late runs of one body in one moment).

A request that ran at three crashes of the last ten seconds, at half of the service's endpoints or more, is suspected now, whatever the moment, unless other causes that ran there explain the crashes: it runs alone until a run is survived. The odds stay as they were, so no request is quarantined for it. Ruled out: to count each crash of a moment, which a request that many callers send would meet in each outage.

--- a/include/cassia/policy/poison_detector.h
+++ b/include/cassia/policy/poison_detector.h
@@ -163,6 +163,8 @@
     /// Runs of the service that survived without the part, as far as is known.
     std::uint64_t control_runs(const poison_record& record, const service_id& service) const;
     void update_verdict(poison_record& record, const service_id& service, instant now);
+    /// Suspects a request that ran at crashes of most of a service's endpoints, at whatever moment.
+    void suspect_if_crashed_most(poison_record& record, const crash_report& report);
     void publish(poison_record& record);
     void end_quarantine(poison_record& record, instant now) const;
     void evict_one();
--- a/lib/policy/poison_detector.cpp
+++ b/lib/policy/poison_detector.cpp
@@ -40,6 +40,8 @@
 constexpr std::uint32_t crashes_without_control = 5;
 // Of causes that no crash tells apart, those that aren't blamed stay at these odds.
 const double follower_log_odds = quarantine_log_odds - part_success_loss;
+// A crash isn't held to be explained by other causes that ran there below this probability.
+constexpr double min_unexplained = 0.5;
 // Crashes that others caused may have shown the wrong kind.
 constexpr double min_kind_probability = 0.05;
 // A poison request is assumed to crash every second of its runs at least.
@@ -264,6 +266,7 @@
             record.last_crash_at = std::max(record.last_crash_at, crash.report.crashed_at);
             update_verdict(record, crash.report.service, now);
         }
+        suspect_if_crashed_most(record, crash.report);
         attributed.requests.push_back(record);
     }
     crash.judged = crash.report.runs.size();
@@ -271,6 +274,24 @@
     return attributed;
 }
 
+// Crashes of one moment may have another cause, and say little. But if copies of the request were
+// aboard, and so many of the endpoints crashed, the next copies could take away what is left.
+void poison_detector::suspect_if_crashed_most(poison_record& record, const crash_report& report) {
+    if (record.is_part || record.verdict != request_verdict::unsuspected)
+        return;
+    std::size_t crashes = 0;
+    for (const std::pair<const endpoint_process, known_crash>& one : crashes_) {
+        const bool was_aboard = one.second.report.service == report.service &&
+                                one.second.causes.count(record.request) > 0;
+        if (was_aboard && unexplained_without(one.second, record.request) > min_unexplained)
+            ++crashes;
+    }
+    if (crashes < min_crashes_to_quarantine || 2 * crashes < report.endpoints)
+        return;
+    record.verdict = request_verdict::suspect;
+    publish(record);
+}
+
 std::uint64_t poison_detector::control_runs(const poison_record& record,
                                             const service_id& service) const {
     auto found = services_.find(service);
--- a/unittests/policy/small_service_test.cpp
+++ b/unittests/policy/small_service_test.cpp
@@ -43,6 +43,8 @@
     model.poisons = load.bodies;
     model.poison_copies = load.copies;
     model.poison_per_s = load.per_s;
+    // Twice what three crashes of each body take if the endpoints crash in turn.
+    model.length = std::max(model.length, load.bodies * 6 / endpoints * model.restart);
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         const poison_result result = poison_simulation(model, seed).run();
         CAPTURE(endpoints, load.bodies, load.copies, load.per_s, seed, result.crashes);
