Poison detection: two crashes in runs alone are enough at a small service

A request that crashes endpoints of a small service and was found out as a suspect was run alone four or five times more, each time at the cost of a third of the service.

Cause: what such a run shows was shared with all requests that had been answered there in the second before, as one of them might crash endpoints late. A small service has dozens of them at each endpoint, some with raised odds from earlier crashes, and so a run that crashed its endpoint within 9 ms gained 1.9 instead of 4.1 (trace, virtual time). And one crash was bounded to 5, of the 12.9 that a quarantine takes, so that three were needed even in a calm fleet.

A late crash is spread over the second after a response, so runs that are complete explain a crash in a run alone only by the part of that second that the run took. For parts of prompts the bound is as before.

--- a/include/cassia/policy/poison_detector.h
+++ b/include/cassia/policy/poison_detector.h
@@ -155,6 +155,10 @@
     /// another reason than one of its causes, if the candidate isn't poison.
     void set_background(const endpoint_process& process, const known_crash& crash,
                         std::vector<candidate>& candidates) const;
+    /// A factor, at most 1, by which runs that were complete before make the probability too low
+    /// that nothing else explains a crash in a run alone.
+    double late_explanations(const std::vector<candidate>& candidates,
+                             const candidate& trial) const;
     /// Marks the candidates that no crash tells apart.
     void find_twins(std::vector<candidate>& candidates) const;
     poison_record& record_of(const fingerprint& request, instant now);
--- a/lib/policy/poison_background.cpp
+++ b/lib/policy/poison_background.cpp
@@ -51,6 +51,24 @@
                      : crash.unexplained;
 }
 
+// A run that was complete before may crash the endpoint at any time of the second after it, and
+// seldom does so just within a short run alone.
+double poison_detector::late_explanations(const std::vector<candidate>& candidates,
+                                          const candidate& trial) const {
+    if (!trial.on_trial)
+        return 1;
+    const double within_trial =
+        std::min(1.0, to_seconds(trial.duration) / to_seconds(late_crash_time));
+    double correction = 1;
+    for (const candidate& other : candidates) {
+        if (&other == &trial || other.was_running)
+            continue;
+        const double probability = to_probability(other.record->log_odds);
+        correction *= (1 - probability) / (1 - probability * within_trial);
+    }
+    return correction;
+}
+
 // By what is known now: a cause that was found out since explains its earlier crashes.
 void poison_detector::set_background(const endpoint_process& process, const known_crash& crash,
                                      std::vector<candidate>& candidates) const {
--- a/lib/policy/poison_detector.cpp
+++ b/lib/policy/poison_detector.cpp
@@ -22,6 +22,8 @@
 const double watch_log_odds = -3;
 // Bounds what a single crash shows, so that it takes more than one to suspect a request.
 constexpr double max_gain = 5;
+// In runs alone two crashes have to be enough: each takes a part of a small service away.
+const double max_trial_gain = (quarantine_log_odds - prior_log_odds) / 2;
 // What a crash shows of a request if known poison explains it doesn't count.
 constexpr double min_gain = 0.01;
 // A part that crashes endpoints crashes each that begins to write an answer on it, so a survived
@@ -243,11 +245,14 @@
     find_twins(all);
     for (candidate& one : all) {
         const double unexplained =
-            std::min(1.0, unexplained_without(crash, one.record->request) / one.without_twins);
+            std::min(1.0, unexplained_without(crash, one.record->request) / one.without_twins /
+                              late_explanations(all, one));
         one.if_innocent = 1 - (1 - one.background) * unexplained;
         const double fits = probability_of_kind(*one.record, one.was_complete, one.was_running);
         const double if_poison = fits + (1 - fits) * one.if_innocent;
-        one.gain = std::min(max_gain, std::log(if_poison / one.if_innocent));
+        const bool runs_alone = one.on_trial && !one.record->is_part;
+        one.gain =
+            std::min(runs_alone ? max_trial_gain : max_gain, std::log(if_poison / one.if_innocent));
     }
     attributed_crash attributed{process, {}};
     for (const candidate& one : all) {
