Poison detection: only copies that broke off make a request suspected at once

Cause: nearly all copies of such a request had been answered in the second before the crash, and counted as if they had broken off with it.

Tried and dropped: leaving the last running endpoint of a service to others for 4 s after runs alone had crashed others.

--- a/lib/policy/poison_detector.cpp
+++ b/lib/policy/poison_detector.cpp
@@ -279,16 +279,20 @@
     return attributed;
 }
 
-// Crashes of one moment may have another cause, and say little. But if copies of the request were
-// aboard, and so many of the endpoints crashed, the next copies could take away what is left.
+// Crashes of one moment may have another cause, and say little. But if copies of the request
+// broke off, and so many of the endpoints crashed, the next copies could take away what is left.
 void poison_detector::suspect_if_crashed_most(poison_record& record, const crash_report& report) {
     if (record.is_part || record.verdict != request_verdict::unsuspected)
         return;
     std::size_t crashes = 0;
     for (const std::pair<const endpoint_process, known_crash>& one : crashes_) {
-        const bool was_aboard = one.second.report.service == report.service &&
-                                one.second.causes.count(record.request) > 0;
-        if (was_aboard && unexplained_without(one.second, record.request) > min_unexplained)
+        const std::vector<crashed_run>& runs = one.second.report.runs;
+        const bool was_running =
+            one.second.report.service == report.service &&
+            std::any_of(runs.begin(), runs.end(), [&record](const crashed_run& run) {
+                return run.request == record.request && !run.was_complete;
+            });
+        if (was_running && unexplained_without(one.second, record.request) > min_unexplained)
             ++crashes;
     }
     if (crashes < min_crashes_to_quarantine || 2 * crashes < report.endpoints)
