Items: each is judged by itself, not with all that have its text

Callers of jobs had sound items wait for 12 to 16 s and longer, with all endpoints idle, after a burst of crashes: an item under which one endpoint crashed was quarantined, or waited for the runs alone of others, since other items had the same text and path and were at the other crashes. Ten jobs with the same twenty texts, endpoints of twelve killed five times a third in 2 s, thrice (real processes, scenario_platform_items_equal_texts): 7 of 200 items without an endpoint for up to 15.5 s of the calm in one of two runs.

Cause: items were identified by caller, path and text, as requests are. But a request that comes again is one request, and ten items are ten that are owed.

An item is identified by its job and its id now, wherever it runs again. The new test in unit_items failed before (the second item with a quarantined text wasn't received in 5 s) and passes; the scenario passes in 3 of 3 runs; unit_items and unit_quarantined_item pass. Ruled out: no quarantine for items at all, which would let an item that does crash endpoints run each few seconds.

--- a/include/cassia/gateway/request_fingerprint.h
+++ b/include/cassia/gateway/request_fingerprint.h
@@ -12,6 +12,9 @@
 fingerprint make_fingerprint(std::string_view team, std::string_view host, std::string_view method,
                              std::string_view target, std::string_view body);
 
+/// An item of a job is identified by itself: several may have the same text, and each is owed.
+fingerprint make_item_fingerprint(std::string_view job, std::string_view item);
+
 /// The first digits, or the whole key of a part of prompts, for logs.
 std::string short_form(const fingerprint& request);
 
--- a/lib/gateway/item_suspects.cpp
+++ b/lib/gateway/item_suspects.cpp
@@ -17,12 +17,8 @@
 } // namespace
 
 const fingerprint& item_runner::fingerprint_of(held_item& item) const {
-    if (!item.fingerprint) {
-        const schema::item_body& source = item.leased.item();
-        item.fingerprint =
-            make_fingerprint(item.leased.has_team() ? item.leased.team() : "", host_of(item.leased),
-                             "POST", source.url(), source.body());
-    }
+    if (!item.fingerprint)
+        item.fingerprint = make_item_fingerprint(item.leased.job(), item.leased.item().custom_id());
     return *item.fingerprint;
 }
 
--- a/lib/gateway/request_fingerprint.cpp
+++ b/lib/gateway/request_fingerprint.cpp
@@ -22,6 +22,12 @@
     return fingerprint(sha256_hex(text));
 }
 
+fingerprint make_item_fingerprint(std::string_view job, std::string_view item) {
+    std::string text("item\n");
+    text.append(job).append("\n").append(item);
+    return fingerprint(sha256_hex(text));
+}
+
 std::string short_form(const fingerprint& request) {
     // Keys of parts are no digests.
     const bool is_part = request.str().rfind("part:", 0) == 0;
--- a/unittests/gateway/item_runner_fixture.h
+++ b/unittests/gateway/item_runner_fixture.h
@@ -190,8 +190,7 @@
         schema::poison_news news;
         schema::poison_record& record = *news.add_records();
         record.set_fingerprint(
-            make_fingerprint("", leased.host(), "POST", leased.item().url(), leased.item().body())
-                .str());
+            make_item_fingerprint(leased.job(), leased.item().custom_id()).str());
         record.set_version(crashes);
         record.set_verdict(static_cast<std::uint32_t>(verdict));
         if (verdict == policy::request_verdict::quarantined)
--- a/unittests/gateway/item_runner_test.cpp
+++ b/unittests/gateway/item_runner_test.cpp
@@ -160,6 +160,21 @@
     CHECK(fixture.is_received_in_time(endpoint, "a"));
 }
 
+// Guards against a sound item that waits for the quarantine of another one with the same text.
+TEST_CASE("a quarantined item holds back none with the same text", "[.][items]") {
+    runner_fixture fixture;
+    endpoint_stub& endpoint = fixture.add_endpoint("first", "v1");
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
+    const schema::leased_item quarantined = fixture.make_item("a", "jobs", 1);
+    schema::leased_item sound = fixture.make_item("b", "jobs", 2);
+    sound.mutable_item()->set_body(quarantined.item().body());
+    fixture.quarantine(quarantined);
+    fixture.offer(quarantined);
+    fixture.offer(sound);
+    CHECK(fixture.is_received_in_time(endpoint, "b"));
+    CHECK_FALSE(endpoint.has_received("a"));
+}
+
 // Guards against a quarantined item that is idle for longer as a crash becomes known late.
 TEST_CASE("a quarantined item runs 18 s after its own last run", "[.][quarantined_item]") {
     constexpr milliseconds time_to_crash(9000);
