Gateways: a response without an end is given up after 8 MiB

Callers whose endpoint sent bytes without an end (a body, a rejection's body, an event) got 504 at their deadline, and the gateway kept all that came until then: 195 to 209 MB for one request in 4 s (real sockets, unit_platform); an item held its slot as long as its endpoint went on.

Cause: bytes that belong to no complete event, or to a body that is kept until it is whole, were bounded by time alone. Each piece counted as progress.

An attempt that received more than 8 MiB behind the last complete event ends now: its endpoint is suspended like one that failed, which doubles each time, and the request goes on elsewhere as after any failure, or ends with 502; after a rejection it counts as not run. Heads were bounded already.

The new cases in unit_platform failed before (504 in all, over 4.0 s and 195 MB in two); they pass now, for requests, streams and items. Not bounded by this: valid events without an end, until the deadline; what a slow caller doesn't read.

--- a/include/cassia/gateway/online_call.h
+++ b/include/cassia/gateway/online_call.h
@@ -92,10 +92,11 @@
     instant first_byte_at{};    ///< of the body; earlier than sent_at until the attempt has one
     instant response_began_at{};
 
-    bool not_run = false;        ///< the response says that the request was not run
-    bool forwards_error = false; ///< the response is an error, forwarded as it is
-    net::raw_head head;          ///< of the response; a resumed stream keeps the first one
-    std::string body;            ///< of a response that is an error or isn't a stream
+    bool not_run = false;         ///< the response says that the request was not run
+    bool forwards_error = false;  ///< the response is an error, forwarded as it is
+    net::raw_head head;           ///< of the response; a resumed stream keeps the first one
+    std::string body;             ///< of a response that is an error or isn't a stream
+    std::size_t unused_bytes = 0; ///< received in this attempt, behind the last complete event
     sse_parser parser;
     std::string buffered_events; ///< not yet forwarded, to be sent together with later ones
     instant buffered_since{};
--- a/lib/gateway/dispatch_responses.cpp
+++ b/lib/gateway/dispatch_responses.cpp
@@ -65,9 +65,20 @@
 
 void dispatcher::on_body(exchange_id id, std::string_view bytes) {
     auto found = calls_.find(id);
-    if (found == calls_.end() || found->second->not_run)
+    if (found == calls_.end())
         return;
     online_call& call = *found->second;
+    call.unused_bytes += bytes.size();
+    if (call.unused_bytes > max_unused_bytes) {
+        eject_endpoint(call, monotonic_now());
+        if (call.not_run)
+            retry_not_run(call, "response_too_long");
+        else
+            retry_or_fail(call, "response_too_long");
+        return;
+    }
+    if (call.not_run)
+        return;
     call.last_progress_at = monotonic_now();
     crashes_.record_received(call.endpoint, call.incarnation);
     slots_.record_progress(call.endpoint);
@@ -77,8 +88,11 @@
         call.body.append(bytes);
         return;
     }
-    if (!forward_events(call, bytes))
+    if (!forward_events(call, bytes)) {
         retry_or_fail(call, "event_out_of_order");
+        return;
+    }
+    call.unused_bytes = call.parser.partial_size();
 }
 
 void dispatcher::begin_response(online_call& call) {
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -165,6 +165,7 @@
     call.connection_broke = false;
     call.forwards_error = false;
     call.body.clear();
+    call.unused_bytes = 0;
     call.parser.reset();
     ++call.sends;
     ++call.runs;
--- a/lib/gateway/held_item.h
+++ b/lib/gateway/held_item.h
@@ -53,6 +53,7 @@
     int status = 0;                 ///< of the response that is being received
     bool not_run = false;           ///< the response says that the item was not run
 
+    std::size_t unused_bytes = 0; ///< received in this run, behind the last complete event
     sse_parser parser;
     std::uint64_t last_event = 0;  ///< id of the last complete event in `text`
     std::uint64_t saved_event = 0; ///< last event that was reported to the keepers
--- a/lib/gateway/item_responses.cpp
+++ b/lib/gateway/item_responses.cpp
@@ -53,6 +53,13 @@
         return;
     held_item& item = *found->second;
     item.last_progress_at = monotonic_now();
+    item.unused_bytes += bytes.size();
+    if (item.unused_bytes > max_unused_bytes) {
+        item.failed_endpoints.insert(item.endpoint);
+        slots_.record_failure(item.endpoint, item.last_progress_at);
+        requeue(item, unusable_response_delay, "response_too_long");
+        return;
+    }
     if (item.not_run)
         return;
     crashes_.record_received(item.endpoint, item.incarnation);
@@ -62,7 +69,9 @@
         // The events do not follow the last one received; another run resumes after that one.
         item.failed_endpoints.insert(item.endpoint);
         requeue(item, unusable_response_delay, "event_out_of_order");
+        return;
     }
+    item.unused_bytes = item.parser.partial_size();
 }
 
 bool item_runner::append_events(held_item& item, std::string_view bytes) {
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -174,6 +174,7 @@
     item.start_number = ++start_count_;
     set_wait(item, item_wait::none);
     item.parser.reset();
+    item.unused_bytes = 0;
     item.status = 0;
     item.not_run = false;
     item.connection_broke = false;
