Hedge repeatable calls that are late with a second attempt

Cause: a repeatable call waits for the endpoint that it was sent to, however slow that endpoint is at the time; another one may be free.

Change: policy/hedging decides when a second attempt is due and keeps a budget for each service; dispatch_hedging sends it beside the first, forwards the first complete success and cancels the other.

--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -14,6 +14,7 @@
 #include "cassia/gateway/trial_exchange.h"
 #include "cassia/net/raw_client.h"
 #include "cassia/net/raw_server.h"
+#include "cassia/policy/hedging.h"
 #include "cassia/policy/request_queue.h"
 #include "cassia/policy/slot_table.h"
 #include "cassia/policy/stream_pace.h"
@@ -39,6 +40,8 @@
     std::function<void(const policy::quota_grant&)> refund_quota;
     /// The software version of all endpoints that the service had lately, if there was but one.
     std::function<std::optional<software_version>(const service_id&)> only_version;
+    /// Whether an endpoint of the service has reported its pace. Only then are its calls hedged.
+    std::function<bool(const service_id&)> reports_pace = [](const service_id&) { return false; };
 };
 
 constexpr int status_bad_gateway = 502;
@@ -68,6 +71,8 @@
     void set_prompt_parts_reader(prompt_parts_reader reader) {
         read_prompt_parts_ = std::move(reader);
     }
+    /// Largest share of a service's calls that get a second attempt; 0, the default, for none.
+    void set_hedge_percent(std::uint32_t percent) { hedging_ = policy::hedging(percent); }
     /// The caller disconnected before its response was complete.
     void on_caller_gone(exchange_id id);
     /// Ends the calls of requests that are quarantined by now.
@@ -132,6 +137,19 @@
     /// A free slot for a stalled stream at another endpoint than its own.
     std::optional<policy::placement> place_elsewhere(const online_call& call, instant now);
     void resume_elsewhere(online_call& call, instant now);
+    /// Makes the attempt with this number the call's current one. Each event of an endpoint is
+    /// handled as one of the current attempt.
+    void select_attempt(exchange_id id, std::uint32_t attempt);
+    bool may_hedge(online_call& call, instant now) const;
+    /// \returns whether a second attempt was sent.
+    bool hedge_if_late(online_call& call, instant now);
+    /// Time limits of a call with two attempts.
+    void check_hedged(online_call& call, instant now);
+    /// The current attempt has ended without a response. \returns whether another one runs, which
+    /// is the current one from now on.
+    bool continue_with_other(online_call& call, const std::string& cause);
+    void cancel_other(online_call& call);
+    void record_response_time(const online_call& call, bool is_success);
     bool may_migrate(const online_call& call) const;
     void start_migration(online_call& call, instant now);
     void on_migration_response(exchange_id id);
@@ -180,6 +198,7 @@
     /// The suspect that runs without a coordinator, for each service.
     std::map<service_id, exchange_id> running_alone_;
     policy::request_queue queue_;
+    policy::hedging hedging_;
     std::map<service_id, policy::stall_timeout_estimator> paces_;
     std::mt19937_64 random_;
 };
--- a/include/cassia/gateway/online_call.h
+++ b/include/cassia/gateway/online_call.h
@@ -6,6 +6,7 @@
 #include "cassia/gateway/prompt_parts.h"
 #include "cassia/gateway/run_migration.h"
 #include "cassia/gateway/sse_parser.h"
+#include "cassia/gateway/upstream_attempt.h"
 #include "cassia/net/raw_http.h"
 #include "cassia/policy/quota_enforcer.h"
 #include "cassia/policy/slot_table.h"
@@ -84,7 +85,9 @@
     std::uint64_t incarnation = 0;    ///< of that endpoint
     software_version endpoint_version;
     http_address address;
-    call_id upstream_call; ///< the request to the endpoint; none while there is none
+    call_id upstream_call;     ///< the request to the endpoint; none while there is none
+    std::uint32_t attempt = 0; ///< number of the current attempt, by `sends`
+    hedge_state hedge;
     instant first_sent_at{};
     instant sent_at{};          ///< of the current attempt
     instant last_reclaim_at{};  ///< when the attempt was sent or a batch item last asked to yield
--- a/lib/gateway/dispatch_responses.cpp
+++ b/lib/gateway/dispatch_responses.cpp
@@ -185,14 +185,16 @@
 }
 
 void dispatcher::forward_complete_response(online_call& call) {
-    const bool retry = call.head.status >= status_server_error && call.is_repeatable() &&
-                       call.runs < call.route->max_attempts() &&
-                       monotonic_now() < call.send_deadline;
+    const bool allowed = call.is_repeatable() && call.runs < call.route->max_attempts() &&
+                         monotonic_now() < call.send_deadline;
+    const bool retry =
+        call.head.status >= status_server_error && (allowed || call.hedge.other.has_value());
     if (retry) {
         retry_or_fail(call, "endpoint_failed");
         return;
     }
     call.response_began_at = call.last_progress_at;
+    record_response_time(call, is_success(call.head.status));
     record_complete_run(call, is_success(call.head.status));
     log_outcome(call, call.head.status, "answered");
     metrics_.count("answered");
@@ -222,7 +224,7 @@
     call.unreached += failure.sent ? 0 : 1;
     if (not_run)
         retry_not_run(call, failure.cause.text);
-    else if (judge(call).verdict == policy::request_verdict::suspect)
+    else if (!call.hedge.other && judge(call).verdict == policy::request_verdict::suspect)
         fail_attempt(call, failure.cause.text);
     else
         retry_or_fail(call, failure.cause.text);
--- a/lib/gateway/dispatch_timeouts.cpp
+++ b/lib/gateway/dispatch_timeouts.cpp
@@ -53,6 +53,12 @@
         }
         return;
     }
+    if (call.hedge.other) {
+        check_hedged(call, now);
+        return;
+    }
+    if (hedge_if_late(call, now))
+        return;
     const bool stalled =
         call.phase == call_phase::responding && now - call.last_progress_at >= stall_timeout(call);
     if (!may_retry(call)) {
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -185,11 +185,24 @@
         .with("send", call.sends)
         .with("behind_event", call.last_event);
     const exchange_id id = call.id;
+    const std::uint32_t attempt = call.attempt = call.sends;
     net::raw_call_hooks hooks;
-    hooks.on_head = [this, id](const net::raw_head& head) { on_head(id, head); };
-    hooks.on_piece = [this, id](std::string_view bytes) { on_body(id, bytes); };
-    hooks.on_end = [this, id] { on_end(id); };
-    hooks.on_failure = [this, id](const net::raw_failure& failure) { on_failure(id, failure); };
+    hooks.on_head = [this, id, attempt](const net::raw_head& head) {
+        select_attempt(id, attempt);
+        on_head(id, head);
+    };
+    hooks.on_piece = [this, id, attempt](std::string_view bytes) {
+        select_attempt(id, attempt);
+        on_body(id, bytes);
+    };
+    hooks.on_end = [this, id, attempt] {
+        select_attempt(id, attempt);
+        on_end(id);
+    };
+    hooks.on_failure = [this, id, attempt](const net::raw_failure& failure) {
+        select_attempt(id, attempt);
+        on_failure(id, failure);
+    };
     net::raw_call outgoing;
     outgoing.to = placement.address;
     outgoing.request = make_upstream_request(call, placement.endpoint);
@@ -248,6 +261,8 @@
         .with("request", call.request_id)
         .with("endpoint", call.endpoint.str())
         .with("cause", cause);
+    if (continue_with_other(call, cause))
+        return;
     if (call.runs > 0)
         retry_later(call);
     else if (call.sends - call.unreached < max_sends && monotonic_now() < call.send_deadline)
@@ -273,6 +288,8 @@
     cancel_attempt(call);
     call.failed_endpoints.insert(call.endpoint);
     metrics_.count("attempts_lost");
+    if (continue_with_other(call, cause))
+        return;
     const bool allowed = call.is_repeatable() && call.runs < call.route->max_attempts();
     if (allowed && monotonic_now() + min_remaining_time < call.deadline) {
         log_info("request_retried")
@@ -331,6 +348,7 @@
     if (found == calls_.end())
         return;
     cancel_attempt(*found->second);
+    cancel_other(*found->second);
     cancel_migration(*found->second);
     cancel_lookup(*found->second);
     if (found->second->runs == 0)
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -97,6 +97,7 @@
     };
     dispatcher_ = std::make_unique<dispatcher>(*server_, *client_, slots_, *crashes_, *trials_,
                                                *origins_, metrics_, names_, dispatcher_callbacks);
+    dispatcher_->set_hedge_percent(settings_.hedge_percent());
     dispatcher_->set_migration_protocol(hooks_.migration);
     dispatcher_->set_prompt_parts_reader(hooks_.read_prompt_parts);
     item_runner_hooks item_callbacks;
