Test that a crash under one of two attempts is held against its endpoint

Cause: the crash monitor gets each broken run with its endpoint, and two attempts of one call have different ones; no test covered that.

Change: a test with sockets that ends the first or the second endpoint while both run the call.

Conclusion: both are attributed to the endpoint that ended.

--- a/unittests/gateway/hedged_call_test.cpp
+++ b/unittests/gateway/hedged_call_test.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -43,25 +44,32 @@
 public:
     endpoint(net::task& owner, int number)
         : owner_(owner),
-          server_(owner, net::raw_server_limits(),
-                  {[this](exchange_id id, const net::raw_request& request) {
-                       ++requests;
-                       const std::string name(request.fields.find("Cassia-Request-Id"));
-                       owner_.after(next.after,
-                                    [this, id, name, what = next] { answer(id, name, what); });
-                   },
-                   [this](exchange_id) { ++abandoned; }}) {
-        REQUIRE(server_.listen(http_address(address_of(number))));
+          server_(std::make_unique<net::raw_server>(
+              owner, net::raw_server_limits(),
+              net::raw_server_hooks{[this](exchange_id id, const net::raw_request& request) {
+                                        ++requests;
+                                        const std::string name(
+                                            request.fields.find("Cassia-Request-Id"));
+                                        owner_.after(next.after, [this, id, name, what = next] {
+                                            answer(id, name, what);
+                                        });
+                                    },
+                                    [this](exchange_id) { ++abandoned; }})) {
+        REQUIRE(server_->listen(http_address(address_of(number))));
     }
 
+    void end_process() { server_.reset(); }
+
     reply next;
     int requests = 0;
     int abandoned = 0; ///< requests whose connection was closed before their response
 
 private:
     void answer(exchange_id id, const std::string& name, const reply& what) {
+        if (!server_)
+            return;
         if (what.status == 0) {
-            server_.abort(id);
+            server_->abort(id);
             return;
         }
         net::raw_head head;
@@ -70,11 +78,11 @@
         head.fields.add("Cassia-Stamp", "stamp");
         if (what.not_run)
             head.fields.add("Cassia-Not-Run", "1");
-        server_.respond(id, head, "by " + name);
+        server_->respond(id, head, "by " + name);
     }
 
     net::task& owner_;
-    net::raw_server server_;
+    std::unique_ptr<net::raw_server> server_; ///< none after the end of the process
 };
 
 /// A dispatcher with what it needs of its gateway, and two endpoints. Only the first one is listed
@@ -150,6 +158,9 @@
         task_.after(milliseconds(20), [this] { list({1, 2}); });
         return ask(leaves_after);
     }
+    void after(milliseconds time, std::function<void()> action) {
+        task_.after(time, std::move(action));
+    }
     void run_for(milliseconds time) {
         task_.after(time, [this] { task_.quit(); });
         task_.run();
@@ -188,10 +199,12 @@
         slots_.set_endpoints(listed);
         crashes_.set_endpoints(listed);
     }
-    static crash_monitor_hooks crash_hooks() {
+    crash_monitor_hooks crash_hooks() {
         crash_monitor_hooks hooks;
         hooks.send = [](const entry_id&, schema::envelope&) { return false; };
-        hooks.on_crash = [](const policy::endpoint_process&) {};
+        hooks.on_crash = [this](const policy::endpoint_process& process) {
+            crashed.push_back(process.endpoint.str());
+        };
         hooks.on_quarantine = [] {};
         return hooks;
     }
@@ -235,6 +248,7 @@
     bool reports_pace = true;
     int refunds = 0;
     int responses = 0;
+    std::vector<std::string> crashed; ///< endpoints
 };
 
 void check_nothing_is_left(hedging_fixture& fixture) {
@@ -297,6 +311,19 @@
     check_nothing_is_left(fixture);
 }
 
+// Guards against a crash that is held against the endpoint of the other attempt.
+TEST_CASE("an endpoint that ends under one of two attempts has crashed", "[hedged]") {
+    const bool first_crashes = GENERATE(true, false);
+    hedging_fixture fixture;
+    endpoint& crashing = first_crashes ? fixture.first : fixture.second;
+    fixture.first.next.after = fixture.second.next.after = milliseconds(500);
+    fixture.after(milliseconds(250), [&] { crashing.end_process(); });
+    CHECK(fixture.ask_both().first == 200);
+    CHECK(fixture.first.requests + fixture.second.requests == 2);
+    CHECK(fixture.crashed == std::vector<std::string>{first_crashes ? "e1" : "e2"});
+    check_nothing_is_left(fixture);
+}
+
 // Guards against a run that goes on for a caller that has left.
 TEST_CASE("both attempts are cancelled when the caller leaves", "[hedged]") {
     hedging_fixture fixture;
