Tests of hedged calls: attempt limit of the route, incarnations of endpoints

Cause: with the check of the attempt limit removed, or the incarnations of the two attempts mixed up, the tests of hedged calls passed.

Change: calls of a repeatable route with one attempt, and endpoints of different incarnations.

--- a/unittests/gateway/hedged_call_test.cpp
+++ b/unittests/gateway/hedged_call_test.cpp
@@ -89,8 +89,9 @@
 /// at the start, so it gets the first attempts.
 class hedging_fixture {
 public:
-    explicit hedging_fixture(schema::route::route_kind kind = schema::route::repeatable)
-        : routes_(make_routes(kind)),
+    explicit hedging_fixture(schema::route::route_kind kind = schema::route::repeatable,
+                             std::uint32_t max_attempts = 2)
+        : routes_(make_routes(kind, max_attempts)),
           server_(task_, net::raw_server_limits(),
                   {[this](exchange_id id, net::raw_request request) {
                        dispatcher_.submit({id,
@@ -173,7 +174,8 @@
     std::size_t open_calls() const { return dispatcher_.open_calls() + client_.open_calls(); }
 
 private:
-    static std::shared_ptr<const routes::table> make_routes(schema::route::route_kind kind) {
+    static std::shared_ptr<const routes::table> make_routes(schema::route::route_kind kind,
+                                                            std::uint32_t max_attempts) {
         schema::route_table source;
         source.set_version(1);
         schema::route& route = *source.add_routes();
@@ -183,7 +185,7 @@
         route.set_kind(kind);
         route.set_timeout_ms(1500);
         route.set_target_ms(target.count());
-        route.set_max_attempts(2);
+        route.set_max_attempts(max_attempts);
         schema::route_target& to = *route.add_targets();
         to.set_service("web");
         to.set_weight(1);
@@ -193,9 +195,10 @@
     void list(const std::vector<int>& numbers) {
         std::vector<policy::slot_endpoint> listed;
         for (const int number : numbers)
-            listed.push_back({endpoint_id("e" + std::to_string(number)), 1,
-                              http_address(address_of(number)), zone_id("z"), service_id("web"),
-                              slots_per_endpoint, software_version("v")});
+            listed.push_back({endpoint_id("e" + std::to_string(number)),
+                              static_cast<std::uint64_t>(number), http_address(address_of(number)),
+                              zone_id("z"), service_id("web"), slots_per_endpoint,
+                              software_version("v")});
         slots_.set_endpoints(listed);
         crashes_.set_endpoints(listed);
     }
@@ -203,7 +206,7 @@
         crash_monitor_hooks hooks;
         hooks.send = [](const entry_id&, schema::envelope&) { return false; };
         hooks.on_crash = [this](const policy::endpoint_process& process) {
-            crashed.push_back(process.endpoint.str());
+            crashed.push_back(process.endpoint.str() + "/" + std::to_string(process.incarnation));
         };
         hooks.on_quarantine = [] {};
         return hooks;
@@ -248,7 +251,7 @@
     bool reports_pace = true;
     int refunds = 0;
     int responses = 0;
-    std::vector<std::string> crashed; ///< endpoints
+    std::vector<std::string> crashed; ///< endpoints and their incarnations
 };
 
 void check_nothing_is_left(hedging_fixture& fixture) {
@@ -271,11 +274,16 @@
     CHECK(fixture.first.abandoned == 1);
 }
 
-// Guards against second runs of requests that may run once, and of services without a known pace.
+// Guards against second runs of requests that may run once, by their kind or their route's limit,
+// and of services without a known pace.
 TEST_CASE("some calls are never sent to a second endpoint", "[hedged]") {
-    const bool repeatable = GENERATE(true, false);
-    hedging_fixture fixture(repeatable ? schema::route::repeatable : schema::route::at_most_once);
-    fixture.reports_pace = !repeatable;
+    const auto [kind, max_attempts, reports_pace] =
+        GENERATE(table<schema::route::route_kind, std::uint32_t, bool>(
+            {{schema::route::at_most_once, 2, true},
+             {schema::route::repeatable, 1, true},
+             {schema::route::repeatable, 2, false}}));
+    hedging_fixture fixture(kind, max_attempts);
+    fixture.reports_pace = reports_pace;
     fixture.first.next.after = milliseconds(300);
     CHECK(fixture.ask_both().first == 200);
     CHECK(fixture.first.requests + fixture.second.requests == 1);
@@ -320,7 +328,7 @@
     fixture.after(milliseconds(250), [&] { crashing.end_process(); });
     CHECK(fixture.ask_both().first == 200);
     CHECK(fixture.first.requests + fixture.second.requests == 2);
-    CHECK(fixture.crashed == std::vector<std::string>{first_crashes ? "e1" : "e2"});
+    CHECK(fixture.crashed == std::vector<std::string>{first_crashes ? "e1/1" : "e2/2"});
     check_nothing_is_left(fixture);
 }
 
