--- a/unittests/gateway/hedged_call_test.cpp
+++ b/unittests/gateway/hedged_call_test.cpp
@@ -319,6 +319,20 @@
     check_nothing_is_left(fixture);
 }
 
+// Guards against a call that isn't retried any more, or more often than allowed, once it was
+// hedged.
+TEST_CASE("a hedged call is retried as far as its route allows", "[hedged]") {
+    hedging_fixture fixture(schema::route::repeatable, 3);
+    fixture.first.next.after = milliseconds(3000);
+    fixture.second.next = {usual_time, 0};
+    fixture.after(milliseconds(300), [&] { fixture.second.next = fixture.first.next = {}; });
+    const auto [status, time] = fixture.ask_both();
+    CHECK(status == 200);
+    CHECK(time < milliseconds(1400));
+    CHECK(fixture.first.requests + fixture.second.requests == 3);
+    check_nothing_is_left(fixture);
+}
+
 // Guards against a crash that is held against the endpoint of the other attempt.
 TEST_CASE("an endpoint that ends under one of two attempts has crashed", "[hedged]") {
     const bool first_crashes = GENERATE(true, false);
