--- a/include/cassia/gateway/cluster_client.h
+++ b/include/cassia/gateway/cluster_client.h
@@ -105,6 +105,14 @@
     /// Keepers that get a heartbeat. The followed keeper is the one of the control group from which
     /// this gateway copies the list of gateways; see membership::followed_keeper.
     enum class heartbeat_scope { followed_keeper, work_keepers, all_keepers };
+    /// The control keepers that get a heartbeat of this scope.
+    std::set<peer_address> control_recipients(const peer_address& followed, heartbeat_scope scope,
+                                              instant now) const;
+    bool is_starting(instant now) const;
+    std::vector<peer_address> ranked_seeds() const;
+    /// Asks one more seed for as long as there is no routing table.
+    void ask_next_seed();
+    peer_address choose_followed(instant now);
     void send_heartbeat(heartbeat_scope scope);
     net::peer_watch watch_for(const peer_address& keeper, const peer_address& followed) const;
     void on_message(const schema::envelope& message);
@@ -121,11 +129,13 @@
     net::task& owner_;
     schema::gateway_settings settings_;
     cluster_hooks hooks_;
+    instant started_at_ = monotonic_now();
     std::uint64_t incarnation_;
     std::string lease_holder_;
     net::peer_hub hub_;
     entry::keeper_client keeper_client_;
     std::set<peer_address> seeds_;
+    std::size_t asked_seeds_ = 0;
     std::map<peer_address, instant> control_keepers_; ///< when each was last heard or listed
     std::map<peer_address, instant> work_keepers_;    ///< when each was last listed
     std::map<peer_address, keeper_state> keepers_;
--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -160,7 +160,8 @@
     void send_beacon(known_gateway& gateway);
     /// Writes whether this keeper leads or hears the leader of the control group, and the
     /// configuration, routes, endpoints and keepers that the gateway lacks.
-    void write_control_state(const known_gateway& gateway, schema::keeper_beacon& beacon) const;
+    void write_control_state(const known_gateway& gateway, schema::keeper_beacon& beacon);
+    void update_gateway_routes();
     void write_gateways(const known_gateway& gateway, schema::keeper_beacon& beacon) const;
     void write_keepers(const known_gateway& gateway, schema::keeper_beacon& beacon) const;
     /// Writes what a gateway that follows this keeper lacks of the list of endpoints, which
@@ -245,6 +246,7 @@
     std::string node_; ///< name of this keeper among the members of groups
 
     state::control_state control_state_;
+    std::unique_ptr<schema::route_table> gateway_routes_; ///< as sent to gateways
     std::map<group_id, work_group> work_groups_;
     std::map<group_id, std::unique_ptr<group_replica>> replicas_;
     std::map<group_id, group_change_logger> change_loggers_;
--- a/lib/consensus/raft_election.cpp
+++ b/lib/consensus/raft_election.cpp
@@ -11,6 +11,9 @@
 namespace {
 // Interval between election rounds after a restart of all members: a few round trips between zones.
 constexpr milliseconds restart_election_interval(25);
+// A member that has granted another one's pre-vote after a restart leaves the rounds to that one
+// for this long. Rounds of all members would keep small VMs busy just when gateways start as well.
+constexpr milliseconds restart_election_pause(100);
 } // namespace
 
 void raft_group::reset_election_timer(instant now) {
@@ -36,16 +39,22 @@
 // A pre-vote doesn't increase the term: a member that was partitioned finds out that it can't win
 // an election without deposing a working leader.
 void raft_group::start_election(bool pre_vote, election_cause cause, instant now) {
+    const bool was_in_pre_vote = role_ == raft_role::candidate && in_pre_vote_;
     role_ = raft_role::candidate;
     leader_ = disk_id();
+    const bool is_restart_pre_vote = pre_vote && cause == election_cause::restart;
+    // A voter that has just started has no leader to protect, so its pre-vote holds in later
+    // rounds: on busy VMs the replies of all voters don't arrive within one round.
+    const bool continues_round =
+        is_restart_pre_vote && was_in_pre_vote && election_cause_ == election_cause::restart;
+    if (!continues_round)
+        votes_ = {self_};
     in_pre_vote_ = pre_vote;
     election_cause_ = cause;
-    const bool is_restart_pre_vote = pre_vote && cause == election_cause::restart;
     if (!is_restart_pre_vote)
         reset_election_timer(now);
     if (!pre_vote)
         set_term(term_number(vote_.term.value() + 1), self_);
-    votes_ = {self_};
     if (votes_.size() >= votes_needed()) {
         if (pre_vote)
             start_election(false, cause, now);
@@ -125,6 +134,8 @@
     const bool granted = !keeps_leader && up_to_date && free_to_vote && !outranked;
     if (keeps_leader && !pre_vote)
         return;
+    if (granted && pre_vote && message.restart())
+        restart_election_due_ = now + restart_election_pause;
     if (granted && !pre_vote) {
         set_term(term, candidate);
         reset_election_timer(now);
--- a/lib/keeper/service_gateways.cpp
+++ b/lib/keeper/service_gateways.cpp
@@ -89,8 +89,7 @@
     });
 }
 
-void service::write_control_state(const known_gateway& gateway,
-                                  schema::keeper_beacon& beacon) const {
+void service::write_control_state(const known_gateway& gateway, schema::keeper_beacon& beacon) {
     const instant now = monotonic_now();
     const consensus::raft_group& control = replicas_.at(control_group)->raft();
     beacon.set_beacon_term(control.term().value());
@@ -106,16 +105,25 @@
     }
     // Route tables need no lease: a table that a member has applied is committed, and gateways
     // never go back to a lower version.
+    update_gateway_routes();
     const std::uint64_t latest = control_state_.routes().version();
     if (uses_seeds() &&
         gateway.route_table.is_due(latest, gateway.heartbeat.routes_version(), now)) {
-        *beacon.mutable_routes() = control_state_.routes();
-        // Gateways don't need the original document; only keepers return it.
-        beacon.mutable_routes()->clear_document();
+        // Released by send_beacon(): a copy for each gateway takes four times as long as sending
+        // it.
+        beacon.set_allocated_routes(gateway_routes_.get());
     }
     write_keepers(gateway, beacon);
 }
 
+// Gateways don't need the original document; only keepers return it.
+void service::update_gateway_routes() {
+    if (gateway_routes_ && gateway_routes_->version() == control_state_.routes().version())
+        return;
+    gateway_routes_ = std::make_unique<schema::route_table>(control_state_.routes());
+    gateway_routes_->clear_document();
+}
+
 void service::write_endpoints(known_gateway& gateway, schema::keeper_beacon& beacon,
                               instant now) const {
     beacon.set_directory_epoch(directory_epoch_);
@@ -220,6 +228,8 @@
         is_occasional_peer ? net::peer_watch::relaxed : net::peer_watch::steady;
     hub_->send(peer_address(gateway.heartbeat.peer_address()), envelope,
                uses_seeds() ? watch : net::peer_watch::close);
+    if (beacon->has_routes())
+        static_cast<void>(beacon->release_routes());
 }
 
 void service::on_config_applied() {
--- a/lib/net/peer_hub.cpp
+++ b/lib/net/peer_hub.cpp
@@ -46,8 +46,13 @@
 // keeper that is back was not heard for up to a second. An attempt that is given up sooner, and
 // made anew soon, finds it at once.
 constexpr int connect_limit_ms = 200;
-// Between attempts to reach a peer that is watched loosely, at most; there are many of these.
-constexpr int longest_reconnect_ms = 300;
+// A VM that has just started refuses connections until its process listens. After a loss of all VMs
+// every peer is in this state, and each wait for the next attempt delays the first request. The
+// interval doubles with each attempt.
+constexpr int first_reconnect_ms = 20;
+constexpr int longest_reconnect_ms = 150;
+// The same for a peer that is watched loosely; there are many of these.
+constexpr int longest_relaxed_reconnect_ms = 300;
 constexpr int most_frames_at_once = 256;
 constexpr std::size_t arena_block_bytes = 64UL * 1024;
 
@@ -323,8 +328,9 @@
         zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, secret.c_str(), z85_key_chars + 1);
     }
     set_option(socket, ZMQ_CONNECT_TIMEOUT, connect_limit_ms);
-    if (watch == peer_watch::relaxed)
-        set_option(socket, ZMQ_RECONNECT_IVL_MAX, longest_reconnect_ms);
+    set_option(socket, ZMQ_RECONNECT_IVL, first_reconnect_ms);
+    set_option(socket, ZMQ_RECONNECT_IVL_MAX,
+               watch == peer_watch::relaxed ? longest_relaxed_reconnect_ms : longest_reconnect_ms);
     // From the own IP number, so that a VM with several is known by the one in its settings.
     const std::string& own = hub->settings.bind.str();
     const std::string source = own.substr(0, own.rfind(':')) + ":0;";
