Return after a loss: one seed and one reply, elections that outlast a round

Cause: after a loss of all VMs of a fleet of 70 gateways the first request was placed 0.61 s after power was back (median; 1.04 s at the last gateway). The control keepers' processors were the bound: each gateway greeted three seeds, which all connected back and sent the routing table, and then asked one of them again for its lists; attempts to connect to processes that didn't listen yet were repeated after 100 to 200 ms; restarted members lost pre-votes at the end of each round of 25 ms, which busy processors made too short, so that they waited for an election timeout.

Change: a gateway that starts greets one seed and follows it at once, the next one each 120 ms without a reply, and the other control keepers after 1 s. Pre-votes after a restart hold over rounds, and a member that grants one pauses its own.

The three new tests fail on the code before.

--- a/unittests/consensus/raft_rules_test.cpp
+++ b/unittests/consensus/raft_rules_test.cpp
@@ -259,6 +259,24 @@
     CHECK(now - last_start <= milliseconds(125));
 }
 
+// Guards against elections that take an election timeout on busy VMs: the replies of all voters
+// don't arrive within one round.
+TEST_CASE("pre-votes of all restarted members may arrive in several rounds", "[consensus]") {
+    raft_group group = make_member(3, 3, start);
+    const auto reply = [&group](std::uint64_t from, instant at) {
+        schema::raft_message message = request(schema::raft_message::pre_vote_reply, from, 3, 2);
+        message.set_restart(true);
+        group.receive(message, at);
+    };
+    group.tick(start + milliseconds(25));
+    reply(1, start + milliseconds(40));
+    group.tick(start + milliseconds(75));
+    reply(2, start + milliseconds(90));
+    const raft_actions actions = group.take_actions();
+    CHECK(std::any_of(actions.messages_after_sync.begin(), actions.messages_after_sync.end(),
+                      [](const auto& sent) { return sent.kind() == schema::raft_message::vote; }));
+}
+
 // Guards against stale reads from a partitioned leader with a valid lease: the other two members
 // restart, elect a leader and acknowledge a change that the partitioned one's readers don't see.
 TEST_CASE("two restarted members elect no leader while a third may hold a lease", "[consensus]") {
--- a/unittests/gateway/cluster_client_test.cpp
+++ b/unittests/gateway/cluster_client_test.cpp
@@ -67,6 +67,38 @@
 
 } // namespace
 
+// Guards against keepers on small VMs that are busy with connections of all gateways after a loss
+// of all VMs: each gateway had asked all seeds, and a second time for its lists.
+TEST_CASE("a gateway that starts asks one seed for all it needs", "[follow]") {
+    net::task task("gateway");
+    followed_peer first(task, "127.79.3.1:9100");
+    followed_peer second(task, "127.79.3.2:9100");
+    gateway::cluster_client client(task, make_settings(), no_hooks());
+    REQUIRE(client.open().empty());
+    const instant started = monotonic_now();
+    while (monotonic_now() < started + milliseconds(100))
+        g_main_context_iteration(task.context(), FALSE);
+    const followed_peer& asked = first.follows.empty() ? second : first;
+    const followed_peer& other = first.follows.empty() ? first : second;
+    REQUIRE_FALSE(asked.follows.empty());
+    CHECK(asked.follows.front());
+    CHECK(other.follows.empty());
+}
+
+// Guards against a start that waits for a seed whose VM is down.
+TEST_CASE("a gateway that starts asks the next seed if the first doesn't reply", "[follow]") {
+    for (const std::string address : {"127.79.3.1:9100", "127.79.3.2:9100"}) {
+        net::task task("gateway");
+        followed_peer only(task, address);
+        gateway::cluster_client client(task, make_settings(), no_hooks());
+        REQUIRE(client.open().empty());
+        const instant started = monotonic_now();
+        while (only.follows.empty() && monotonic_now() < started + milliseconds(1000))
+            g_main_context_iteration(task.context(), FALSE);
+        CHECK_FALSE(only.follows.empty());
+    }
+}
+
 // Guards against keepers that count as in transit what a gateway has dropped.
 TEST_CASE("a keeper that a gateway follows no more learns it at once", "[follow]") {
     net::task task("gateway");
