Memory of endpoints: placement keeps within it, large requests reserve it

Cause: an endpoint ends when the requests that it holds exceed its memory, and no gateway knew what the others had sent there.

Change: requests state their tokens (X-Cassiarouter-Tokens, `tokens` of items), the configuration the memory of an endpoint (engine.kvCapacity). Usage messages carry the tokens in use. Placement leaves out endpoints that lack memory, less a margin for what isn't reported yet. A request larger than a slot's share reserves memory and is sent once the other gateways know. One that no endpoint can hold gets 413; such an item ends as failed.

--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -10,6 +10,7 @@
 #include "cassia/gateway/online_call.h"
 #include "cassia/gateway/origin_exchange.h"
 #include "cassia/gateway/prompt_parts.h"
+#include "cassia/gateway/request_tokens.h"
 #include "cassia/gateway/run_migration.h"
 #include "cassia/gateway/trial_exchange.h"
 #include "cassia/net/raw_client.h"
@@ -68,6 +69,10 @@
     void set_prompt_parts_reader(prompt_parts_reader reader) {
         read_prompt_parts_ = std::move(reader);
     }
+    /// Without it no request states how much memory it takes.
+    void set_request_tokens_reader(request_tokens_reader reader) {
+        read_request_tokens_ = std::move(reader);
+    }
     /// The caller disconnected before its response was complete.
     void on_caller_gone(exchange_id id);
     /// Ends the calls of requests that are quarantined by now.
@@ -86,6 +91,15 @@
 private:
     /// Sends the call to an endpoint with a slot for it, or queues it if there is none.
     void place(online_call& call);
+    /// Whether the endpoints of the call's service can't hold the request. Limits may change.
+    bool is_oversized(const online_call& call) const {
+        return slots_.exceeds_memory(call.service, call.tokens);
+    }
+    void end_oversized(online_call& call);
+    /// An endpoint with a slot and memory for the call, if there is one.
+    std::optional<policy::placement> find_endpoint(online_call& call, instant now);
+    /// Reserves memory for a large request, and asks a batch item there to yield.
+    void reserve_memory(online_call& call, instant now);
     /// Sends a suspect to an endpoint of its own once it may run.
     void place_alone(online_call& call);
     /// Where a suspect may run now, if anywhere.
@@ -158,6 +172,8 @@
     /// Ends the call with a response that guarantees that the request has not run.
     void reject(online_call& call, const std::string& cause,
                 milliseconds retry_after = default_retry_after, std::string_view text = "");
+    void reject_with(online_call& call, const net::raw_head& head, const std::string& cause,
+                     std::string_view text);
     /// Ends the call; the request may have run.
     void fail(online_call& call, int status, const std::string& cause);
     void check_timeouts(online_call& call, instant now);
@@ -175,6 +191,7 @@
     dispatcher_hooks hooks_;
     migration_protocol migration_protocol_;
     prompt_parts_reader read_prompt_parts_;
+    request_tokens_reader read_request_tokens_;
     std::map<exchange_id, std::unique_ptr<online_call>> calls_;
     std::map<lookup_id, exchange_id> lookups_;
     /// The suspect that runs without a coordinator, for each service.
--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -9,6 +9,7 @@
 #include "cassia/gateway/crash_monitor.h"
 #include "cassia/gateway/header_names.h"
 #include "cassia/gateway/prompt_parts.h"
+#include "cassia/gateway/request_tokens.h"
 #include "cassia/gateway/sse_parser.h"
 #include "cassia/gateway/trial_exchange.h"
 #include "cassia/net/raw_client.h"
@@ -53,6 +54,10 @@
     void set_prompt_parts_reader(prompt_parts_reader reader) {
         read_prompt_parts_ = std::move(reader);
     }
+    /// Without it only items that state their tokens themselves take memory.
+    void set_request_tokens_reader(request_tokens_reader reader) {
+        read_request_tokens_ = std::move(reader);
+    }
     void set_routes(std::shared_ptr<const routes::table> table);
     void tick(instant now, wall_time wall);
     /// Interrupts items at an endpoint, those started last first; they are resumed later.
@@ -105,6 +110,11 @@
     bool waits_for_quarantine(held_item& item, instant now);
     std::optional<policy::placement> place(held_item& item, const schema::route& route,
                                            instant now);
+    std::uint64_t tokens_of(const schema::item_body& item) const;
+    /// Ends an item that no endpoint of its route can hold. \returns whether it did.
+    bool end_oversized(const item_key& key, const held_item& item, const schema::route& route);
+    /// Delays an item that waits for the memory that it reserved. \returns whether it does.
+    bool waits_for_memory(held_item& item, instant now);
     /// Whether the item may go on behind its last event at some endpoint, however busy it is.
     bool may_go_on(const held_item& item, const schema::route& route) const;
     /// Delays an item whose version has no free slot. \returns false if it has waited for long.
@@ -147,6 +157,7 @@
     header_names names_;
     std::uint32_t max_items_;
     prompt_parts_reader read_prompt_parts_;
+    request_tokens_reader read_request_tokens_;
     item_runner_hooks hooks_;
     std::shared_ptr<const routes::table> routes_;
     std::map<item_key, std::unique_ptr<held_item>> items_;
--- a/include/cassia/gateway/online_call.h
+++ b/include/cassia/gateway/online_call.h
@@ -61,6 +61,7 @@
     std::shared_ptr<const routes::table> table;     ///< owns `route` and `team`
     const schema::route* route = nullptr;
     std::vector<prompt_part_id> prompt_parts;
+    std::uint64_t tokens = 0; ///< of the prompt and the longest response; 0 if unknown
     const teams::team* team = nullptr;
     policy::quota_grant grant; ///< refunded if the request never runs
     service_id service;
--- a/include/cassia/gateway/service.h
+++ b/include/cassia/gateway/service.h
@@ -13,6 +13,7 @@
 #include "cassia/gateway/lease_requests.h"
 #include "cassia/gateway/origin_exchange.h"
 #include "cassia/gateway/request_admission.h"
+#include "cassia/gateway/request_tokens.h"
 #include "cassia/gateway/trial_exchange.h"
 #include "cassia/net/raw_client.h"
 #include "cassia/net/raw_server.h"
@@ -43,6 +44,8 @@
     migration_protocol migration;
     /// Empty if prompts have no parts that requests share.
     prompt_parts_reader read_prompt_parts;
+    /// Empty if requests don't state how much memory they take.
+    request_tokens_reader read_request_tokens;
 };
 
 class service {
--- a/include/cassia/policy/request_queue.h
+++ b/include/cassia/policy/request_queue.h
@@ -16,16 +16,18 @@
     team_id team;               ///< empty for routes that need no key
     std::uint32_t priority = 0; ///< 0 is the highest
     instant arrived{};
-    instant target_deadline{}; ///< dispatched later, its answer misses the latency target
-    instant expires_at{};      ///< dispatched later, it can't be answered in time
-    bool has_run = false;      ///< its run was cut and is to be continued
-    software_version version;  ///< only endpoints of this version may serve it; any if empty
+    instant target_deadline{};    ///< dispatched later, its answer misses the latency target
+    instant expires_at{};         ///< dispatched later, it can't be answered in time
+    bool has_run = false;         ///< its run was cut and is to be continued
+    software_version version;     ///< only endpoints of this version may serve it; any if empty
+    bool reserves_memory = false; ///< it may wait for memory while others need a slot only
 };
 
 /// Requests that the same endpoints may serve wait in one line.
 struct queue_line {
     service_id service;
     software_version version;
+    bool reserves_memory = false;
 
     friend auto operator<=>(const queue_line&, const queue_line&) = default;
 };
@@ -43,7 +45,8 @@
     std::optional<exchange_id> next(const queue_line& line, instant now) const;
     /// Requests that are past their `expires_at`.
     std::vector<exchange_id> expired(instant now) const;
-    /// Lines with requests, those that wait for one version first: they have fewer endpoints.
+    /// Lines with requests, those that wait for one version or for memory first: they have fewer
+    /// endpoints.
     std::vector<queue_line> lines() const;
     std::size_t size() const { return waiting_.size(); }
     std::size_t size(const service_id& service) const;
--- a/include/cassia/policy/slot_table.h
+++ b/include/cassia/policy/slot_table.h
@@ -3,19 +3,20 @@
 
 #include "cassia/base/clock.h"
 #include "cassia/base/ids.h"
+#include "cassia/policy/endpoint_memory.h"
 #include "cassia/policy/send_forecast.h"
+#include "cassia/policy/work_kind.h"
 
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cassia::policy {
 
-enum class work_kind : std::uint8_t { online, batch };
-
 /// What endpoints run. Only endpoints of the same software go on with what it began.
 struct software {
     service_id service;
@@ -42,6 +43,7 @@
     std::uint32_t online = 0;
     std::uint32_t batch = 0;
     std::uint32_t suspected_by = 0; ///< gateways whose latest requests there failed
+    std::uint64_t tokens = 0; ///< of these requests, and reserved; those that state none excluded
 
     friend bool operator==(const slot_usage&, const slot_usage&) = default;
 };
@@ -81,11 +83,38 @@
     /// Drops the usage of gateways that have been silent: their requests have ended with them.
     void expire_remote_usage(instant now);
 
-    void acquire(const endpoint_id& endpoint, work_kind kind);
-    void release(const endpoint_id& endpoint, work_kind kind);
+    /// \param tokens of the request; 0 if unknown.
+    void acquire(const endpoint_id& endpoint, work_kind kind, std::uint64_t tokens = 0);
+    void release(const endpoint_id& endpoint, work_kind kind, std::uint64_t tokens = 0);
     /// Usage of this gateway, and the endpoints that it suspects, to be sent to the others.
     slot_usage_map own_usage() const;
 
+    /// Memory of an endpoint of each service, in tokens; unknown for services that aren't listed.
+    void set_memory_limits(std::map<service_id, std::uint64_t> limits) {
+        memory_.set_limits(std::move(limits));
+    }
+    /// 0 if unknown.
+    std::uint64_t memory_limit(const service_id& service) const { return memory_.limit(service); }
+    /// Whether no endpoint of the service can hold the request, even without others.
+    bool exceeds_memory(const service_id& service, std::uint64_t tokens) const {
+        return memory_limit(service) > 0 && tokens > memory_limit(service);
+    }
+    /// Whether the request takes more than a slot's share of the memory, and so has to reserve it.
+    bool needs_reservation(const service_id& service, std::uint64_t tokens) const;
+    /// Reserves memory for such a request or renews its reservation; to be called before each
+    /// attempt to place it. The request is placed there once other gateways know of it.
+    /// \returns the endpoint if it is a new one.
+    std::optional<endpoint_id> reserve_memory(const service_id& service, work_kind kind,
+                                              std::uint64_t tokens,
+                                              const std::set<endpoint_id>& excluded, instant now,
+                                              double random_fraction,
+                                              const software_version& version = {});
+    /// Tokens that all gateways have or have reserved there, as far as is known.
+    std::uint64_t tokens_in_use(const endpoint_id& endpoint) const;
+    /// The highest of these, of all endpoints.
+    std::uint64_t most_tokens_in_use() const;
+    std::size_t memory_reservations() const { return memory_.reservations().size(); }
+
     /// A request failed there. The endpoint is suspended, for longer with each failure, and then on
     /// trial until a request succeeds. \returns the length of the suspension.
     milliseconds record_failure(const endpoint_id& endpoint, instant now);
@@ -105,7 +134,8 @@
     void record_progress(const endpoint_id& endpoint);
 
     /// In all of these `version` limits the endpoints to those of one software version; an empty
-    /// one allows all.
+    /// one allows all. `tokens` leaves out endpoints whose memory the request would exceed; 0 if
+    /// unknown.
     /// Places an online request: at a free slot in this zone, in another zone, or at a slot held by
     /// batch. Nothing if no usable slot is left. Where peers will have taken the free slots of a
     /// zone, it may be an endpoint whose slots are in use.
@@ -113,26 +143,31 @@
     std::optional<placement> place_online(const service_id& service,
                                           const std::set<endpoint_id>& excluded, instant now,
                                           double random_fraction,
-                                          const software_version& version = {}) const;
+                                          const software_version& version = {},
+                                          std::uint64_t tokens = 0) const;
     /// Places a stalled stream at a free slot; never on trial and never at the cost of a batch
     /// item.
     std::optional<placement> place_stalled(const service_id& service,
                                            const std::set<endpoint_id>& excluded, instant now,
                                            double random_fraction,
-                                           const software_version& version = {}) const;
+                                           const software_version& version = {},
+                                           std::uint64_t tokens = 0) const;
     /// Places a batch item in the same way, but at no other item's cost, if more than the online
     /// reserve is free or if it is urgent.
     std::optional<placement> place_batch(const service_id& service,
                                          const std::set<endpoint_id>& excluded, instant now,
                                          double random_fraction, bool urgent = false,
-                                         const software_version& version = {}) const;
+                                         const software_version& version = {},
+                                         std::uint64_t tokens = 0) const;
     /// Places a request that may crash its endpoint: where the fewest others run.
     std::optional<placement> place_alone(const service_id& service,
                                          const std::set<endpoint_id>& excluded, instant now,
-                                         const software_version& version = {}) const;
+                                         const software_version& version = {},
+                                         std::uint64_t tokens = 0) const;
     /// The same at this endpoint.
     std::optional<placement> place_at(const service_id& service, const endpoint_id& endpoint,
-                                      instant now, const software_version& version = {}) const;
+                                      instant now, const software_version& version = {},
+                                      std::uint64_t tokens = 0) const;
     /// Endpoints of a service.
     std::size_t count_endpoints(const service_id& service) const;
     /// Whether any endpoint of the service has this version, however busy it is.
@@ -180,7 +215,27 @@
     slot_usage total_use(const endpoint_id& endpoint) const;
     std::uint32_t remote_suspicions(const endpoint_id& endpoint) const;
     std::vector<candidate> candidates(const service_id& service, const software_version& version,
-                                      const std::set<endpoint_id>& excluded, instant now) const;
+                                      const std::set<endpoint_id>& excluded, instant now,
+                                      const memory_need& need = {}) const;
+    /// Limits and margins that hold for all endpoints of one service.
+    struct memory_check {
+        memory_need need;
+        std::uint64_t limit = 0; ///< 0: nothing is to be checked
+        std::uint64_t own_zone_margin = 0;
+        std::uint64_t other_zones_margin = 0;
+    };
+    memory_check make_memory_check(const service_id& service, const memory_need& need) const;
+    std::map<service_id, in_flight_count> count_in_flight() const;
+    std::uint32_t free_slots(const slot_endpoint& endpoint) const;
+    bool has_memory(const endpoint_state& endpoint, const memory_check& check, instant now) const;
+    /// Lower is better for a reservation there.
+    int reservation_rank(const candidate& one, std::uint64_t limit, std::uint64_t tokens) const;
+    int best_reservation_rank(const std::vector<candidate>& all, std::uint64_t limit,
+                              std::uint64_t tokens) const;
+    const candidate* choose_for_reservation(const std::vector<candidate>& all, std::uint64_t limit,
+                                            std::uint64_t tokens, double random_fraction) const;
+    bool keeps_reservation(const memory_reservation& held, const std::vector<candidate>& all,
+                           instant now) const;
     static placement placed_at(const candidate& chosen);
     const candidate* pick_free(const std::vector<candidate>& all, bool own_zone, bool on_trial,
                                double unreported_sends, double random_fraction) const;
@@ -192,6 +247,7 @@
     peer_group own_zone_peers_;
     peer_group all_peers_;
     send_forecast forecast_;
+    endpoint_memory memory_;
     std::map<endpoint_id, endpoint_state> endpoints_;
     slot_usage_map own_;
     std::map<entry_id, remote_usage> remote_;
--- a/include/cassia/routes/table.h
+++ b/include/cassia/routes/table.h
@@ -24,6 +24,9 @@
     const schema::route* match(std::string_view host, std::string_view path) const;
     const schema::route* find(const std::string& name) const;
     const schema::routed_service* service(const std::string& name) const;
+    const google::protobuf::RepeatedPtrField<schema::routed_service>& services() const {
+        return source_.services();
+    }
     /// All routes of one kind.
     std::vector<const schema::route*> of_kind(schema::route::route_kind kind) const;
     std::uint64_t version() const { return source_.version(); }
--- a/lib/gateway/dispatch_migration.cpp
+++ b/lib/gateway/dispatch_migration.cpp
@@ -29,7 +29,7 @@
     if (!placement)
         return;
     slots_.record_stall(call.endpoint, now);
-    slots_.acquire(placement->endpoint, policy::work_kind::online);
+    slots_.acquire(placement->endpoint, policy::work_kind::online, call.tokens);
     call.migration = migration_state{};
     call.migration.attempted = true;
     call.migration.target = *placement;
@@ -65,7 +65,7 @@
     online_call& call = *found->second;
     const migration_state migration = std::exchange(call.migration, migration_state{});
     call.migration.attempted = true;
-    slots_.release(migration.target.endpoint, policy::work_kind::online);
+    slots_.release(migration.target.endpoint, policy::work_kind::online, call.tokens);
     const std::optional<std::string> handle = migration_protocol_.read_handle(migration.body);
     log_info("run_moved")
         .with("request", call.request_id)
@@ -118,7 +118,7 @@
     if (call.migration.pending_call == call_id())
         return;
     client_.cancel(call.migration.pending_call);
-    slots_.release(call.migration.target.endpoint, policy::work_kind::online);
+    slots_.release(call.migration.target.endpoint, policy::work_kind::online, call.tokens);
     call.migration = migration_state{};
     call.migration.attempted = true;
 }
--- a/lib/gateway/dispatch_suspects.cpp
+++ b/lib/gateway/dispatch_suspects.cpp
@@ -69,7 +69,7 @@
     const trial_exchange::state state = trials_.find(*call.trial);
     if (state.endpoint) {
         std::optional<policy::placement> found =
-            slots_.place_at(call.service, *state.endpoint, now, version);
+            slots_.place_at(call.service, *state.endpoint, now, version, call.tokens);
         if (!found)
             end_trial(call);
         return found;
@@ -77,9 +77,9 @@
     if (state.is_scheduled || running_alone_.count(call.service) > 0)
         return std::nullopt;
     std::optional<policy::placement> found =
-        slots_.place_alone(call.service, call.failed_endpoints, now, version);
+        slots_.place_alone(call.service, call.failed_endpoints, now, version, call.tokens);
     if (!found && !call.failed_endpoints.empty())
-        found = slots_.place_alone(call.service, {}, now, version);
+        found = slots_.place_alone(call.service, {}, now, version, call.tokens);
     if (found)
         running_alone_[call.service] = call.id;
     return found;
--- a/lib/gateway/dispatch_timeouts.cpp
+++ b/lib/gateway/dispatch_timeouts.cpp
@@ -83,7 +83,7 @@
     excluded.insert(call.endpoint);
     std::uniform_real_distribution<double> uniform(0, 1);
     return slots_.place_stalled(call.service, excluded, now, uniform(random_),
-                                call.endpoint_version);
+                                call.endpoint_version, call.tokens);
 }
 
 // A lost packet delays all events after it by 200 ms or more. If another endpoint has a free slot,
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -77,7 +77,9 @@
                                       call.arrived_at + max_caller_wait(route) - first_event_time);
     call.last_event = net::read_number(request.fields.find(names_.last_event)).value_or(0);
     std::uniform_real_distribution<double> uniform(0, 1);
-    call.service = service_id(routes::choose_target(route, uniform(random_)));
+    if (read_request_tokens_)
+        call.tokens = read_request_tokens_(request.fields).value_or(0);
+    call.service = choose_service(route, slots_, call.tokens, uniform(random_));
     request.fields.erase_hop_by_hop();
     if (call.table->needs_keys())
         set_team_header(request.fields, names_, call.team == nullptr ? "" : call.team->id.str());
@@ -99,6 +101,10 @@
         end_unservable(call);
         return;
     }
+    if (is_oversized(call)) {
+        end_oversized(call);
+        return;
+    }
     if (call.stopped_run) {
         send(call, call.stopped_run->next);
         return;
@@ -110,14 +116,7 @@
     end_trial(call);
     call.runs_alone = false;
     const instant now = monotonic_now();
-    std::uniform_real_distribution<double> uniform(0, 1);
-    const double draw = uniform(random_);
-    const software_version version = call.required_version();
-    std::optional<policy::placement> found =
-        slots_.place_online(call.service, call.failed_endpoints, now, draw, version);
-    if (!found && !call.failed_endpoints.empty())
-        found = slots_.place_online(call.service, {}, now, draw, version);
-    if (found) {
+    if (const std::optional<policy::placement> found = find_endpoint(call, now)) {
         send(call, *found);
         return;
     }
@@ -131,7 +130,8 @@
     queue_.add({call.id, call.service, call.team == nullptr ? team_id() : call.team->id,
                 call.priority(), call.arrived_at,
                 call.arrived_at + milliseconds(call.route->target_ms()) - first_event_time,
-                call.send_deadline, call.runs > 0, version});
+                call.send_deadline, call.runs > 0, call.required_version(),
+                slots_.needs_reservation(call.service, call.tokens)});
 }
 
 net::raw_request dispatcher::make_upstream_request(const online_call& call,
@@ -152,7 +152,7 @@
     if (placement.yielding_gateway)
         hooks_.request_yield(*placement.yielding_gateway, placement.endpoint);
     queue_.remove_served(call.id);
-    slots_.acquire(placement.endpoint, policy::work_kind::online);
+    slots_.acquire(placement.endpoint, policy::work_kind::online, call.tokens);
     call.holds_slot = true;
     call.endpoint = placement.endpoint;
     call.incarnation = placement.incarnation;
@@ -222,7 +222,7 @@
     client_.cancel(call.upstream_call);
     call.upstream_call = call_id();
     if (call.holds_slot)
-        slots_.release(call.endpoint, policy::work_kind::online);
+        slots_.release(call.endpoint, policy::work_kind::online, call.tokens);
     call.holds_slot = false;
 }
 
@@ -292,6 +292,11 @@
     head.status = status_unavailable;
     head.fields.add(names_.request_id, call.request_id);
     head.fields.add("Retry-After", net::to_seconds(retry_after));
+    reject_with(call, head, cause, text);
+}
+
+void dispatcher::reject_with(online_call& call, const net::raw_head& head, const std::string& cause,
+                             std::string_view text) {
     log_outcome(call, head.status, cause);
     metrics_.count("refused_" + cause);
     const exchange_id id = call.id;
--- a/lib/gateway/held_item.h
+++ b/lib/gateway/held_item.h
@@ -24,6 +24,7 @@
     none,       ///< it runs, or hasn't been looked at yet
     retry,      ///< after a run that failed or was rejected
     slot,       ///< no endpoint of its service has a free slot
+    memory,     ///< until the memory that it reserved is free
     version,    ///< no endpoint of the version that wrote its events has a free slot
     trial,      ///< a suspect, until it may run alone
     quarantine, ///< until it may be tried again
@@ -37,6 +38,7 @@
     http_address address;
     software_version endpoint_version;
     service_id service;
+    std::uint64_t tokens = 0; ///< of the prompt and the longest response; 0 if unknown
     instant sent_at{};
     bool runs_alone = false;                                 ///< as a suspect
     std::optional<trial_id> trial;                           ///< while it waits for that, and runs
--- a/lib/gateway/item_leases.cpp
+++ b/lib/gateway/item_leases.cpp
@@ -83,6 +83,7 @@
     }
     std::unique_ptr<held_item> item = std::make_unique<held_item>();
     item->leased = leased;
+    item->tokens = tokens_of(leased.item());
     item->text = leased.progress();
     item->last_event = leased.events();
     item->saved_event = leased.events();
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -135,6 +135,8 @@
             finish(key, schema::failed, false, "route_gone");
         return true;
     }
+    if (end_oversized(key, item, *route))
+        return true;
     if (waits_for_quarantine(item, now)) {
         set_wait(item, item_wait::quarantine);
         return true;
@@ -155,13 +157,15 @@
         set_wait(item, item_wait::trial);
         return true;
     }
+    if (!placement && waits_for_memory(item, now))
+        return true;
     if (!placement) {
         // The other endpoints have no free slot: those that failed may be tried again.
         item.failed_endpoints.clear();
         set_wait(item, item_wait::slot);
         return false;
     }
-    slots_.acquire(placement->endpoint, policy::work_kind::batch);
+    slots_.acquire(placement->endpoint, policy::work_kind::batch, item.tokens);
     item.endpoint = placement->endpoint;
     item.incarnation = placement->incarnation;
     item.address = placement->address;
@@ -208,7 +212,7 @@
     client_.cancel(item.upstream_call);
     item.upstream_call = call_id();
     item.idle_since = monotonic_now();
-    slots_.release(item.endpoint, policy::work_kind::batch);
+    slots_.release(item.endpoint, policy::work_kind::batch, item.tokens);
     for (; item.reserved_slots > 0; --item.reserved_slots)
         slots_.release(item.endpoint, policy::work_kind::online);
     item.runs_alone = false;
--- a/lib/gateway/item_suspects.cpp
+++ b/lib/gateway/item_suspects.cpp
@@ -87,7 +87,7 @@
     const trial_exchange::state state = trials_.find(*item.trial);
     if (state.endpoint) {
         std::optional<policy::placement> found =
-            slots_.place_at(item.service, *state.endpoint, now, version);
+            slots_.place_at(item.service, *state.endpoint, now, version, item.tokens);
         if (!found)
             end_trial(item);
         return found;
@@ -97,7 +97,7 @@
     });
     if (state.is_scheduled || another_runs)
         return std::nullopt;
-    return slots_.place_alone(item.service, {}, now, version);
+    return slots_.place_alone(item.service, {}, now, version, item.tokens);
 }
 
 // A crash that its own last run may have caused must not make it wait for longer.
@@ -138,16 +138,18 @@
         item.service = item.written_by.service;
         version = item.written_by.version;
     } else if (!keeps_service(item, route, now)) {
-        item.service = service_id(routes::choose_target(route, uniform(random_)));
+        item.service = choose_service(route, slots_, item.tokens, uniform(random_));
     }
     item.runs_alone = judge(item).verdict != policy::request_verdict::unsuspected;
     if (item.runs_alone)
         return find_trial_endpoint(item, now, version);
     end_trial(item);
+    slots_.reserve_memory(item.service, policy::work_kind::batch, item.tokens,
+                          item.failed_endpoints, now, uniform(random_), version);
     return slots_.place_batch(
         item.service, item.failed_endpoints, now, uniform(random_),
         policy::is_urgent(item.leased.deadline(), route.result_due_ms(), to_unix_ms(wall_now())),
-        version);
+        version, item.tokens);
 }
 
 void item_runner::stop_quarantined() {
--- a/lib/gateway/item_waits.cpp
+++ b/lib/gateway/item_waits.cpp
@@ -23,6 +23,8 @@
         return "retry";
     case item_wait::slot:
         return "slot";
+    case item_wait::memory:
+        return "memory";
     case item_wait::version:
         return "version";
     case item_wait::trial:
@@ -66,8 +68,8 @@
             .with("waited_ms",
                   std::chrono::duration_cast<milliseconds>(now - item.waits_since).count());
     }
-    for (const item_wait wait : {item_wait::retry, item_wait::slot, item_wait::version,
-                                 item_wait::trial, item_wait::quarantine})
+    for (const item_wait wait : {item_wait::retry, item_wait::slot, item_wait::memory,
+                                 item_wait::version, item_wait::trial, item_wait::quarantine})
         metrics_.set(std::string("items_waiting_") + name_of(wait), counts[wait]);
 }
 
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -99,6 +99,7 @@
                                                *origins_, metrics_, names_, dispatcher_callbacks);
     dispatcher_->set_migration_protocol(hooks_.migration);
     dispatcher_->set_prompt_parts_reader(hooks_.read_prompt_parts);
+    dispatcher_->set_request_tokens_reader(hooks_.read_request_tokens);
     item_runner_hooks item_callbacks;
     item_callbacks.lease = [this](const std::string& route, std::uint32_t limit,
                                   const item_runner_hooks::lease_done& done) {
@@ -111,6 +112,7 @@
     items_ = std::make_unique<item_runner>(*client_, slots_, *crashes_, *trials_, metrics_, names_,
                                            settings_.batch_window(), std::move(item_callbacks));
     items_->set_prompt_parts_reader(hooks_.read_prompt_parts);
+    items_->set_request_tokens_reader(hooks_.read_request_tokens);
     cluster_hooks cluster_callbacks;
     cluster_callbacks.on_routes = [this](std::shared_ptr<const routes::table> table) {
         set_routes(std::move(table));
@@ -205,6 +207,10 @@
 void service::set_routes(std::shared_ptr<const routes::table> table) {
     routes_ = std::move(table);
     items_->set_routes(routes_);
+    std::map<service_id, std::uint64_t> memory_limits;
+    for (const schema::routed_service& one : routes_->services())
+        memory_limits[service_id(one.name())] = one.memory_tokens();
+    slots_.set_memory_limits(std::move(memory_limits));
     const schema::request_limits& limits = routes_->limits();
     net::raw_server_limits server_limits;
     server_limits.header_bytes = limits.header_bytes();
--- a/lib/gateway/service_status.cpp
+++ b/lib/gateway/service_status.cpp
@@ -41,6 +41,8 @@
     metrics_.set("online_waiting", dispatcher_->queued_calls());
     metrics_.set("stream_origins_kept", origins_->records());
     metrics_.set("quota_waiting", admission_->awaiting_quota());
+    metrics_.set("endpoint_tokens_most", slots_.most_tokens_in_use());
+    metrics_.set("memory_reservations", slots_.memory_reservations());
     metrics_.set("items_held", items_->size());
     metrics_.set("items_running", items_->running());
     metrics_.set("endpoint_connections_made", client_->counts().connections_made);
@@ -68,7 +70,8 @@
     for (const std::pair<const endpoint_id, policy::slot_usage>& endpoint_usage :
          slots_.own_usage())
         usage[endpoint_usage.first.str()] = {{"online", endpoint_usage.second.online},
-                                             {"batch", endpoint_usage.second.batch}};
+                                             {"batch", endpoint_usage.second.batch},
+                                             {"tokens", endpoint_usage.second.tokens}};
     out["own_uses"] = std::move(usage);
     return boost::json::serialize(out);
 }
--- a/lib/gateway/usage_coordinator.cpp
+++ b/lib/gateway/usage_coordinator.cpp
@@ -20,6 +20,7 @@
         use->set_online(endpoint_usage.second.online);
         use->set_batch(endpoint_usage.second.batch);
         use->set_suspects(endpoint_usage.second.suspected_by);
+        use->set_tokens(endpoint_usage.second.tokens);
     }
 }
 
@@ -28,8 +29,9 @@
     slot_usage_map usage;
     // Senders list the endpoints in the map's order.
     for (const schema::endpoint_use& use : message.uses())
-        usage.insert_or_assign(usage.end(), endpoint_id(use.endpoint()),
-                               policy::slot_usage{use.online(), use.batch(), use.suspects()});
+        usage.insert_or_assign(
+            usage.end(), endpoint_id(use.endpoint()),
+            policy::slot_usage{use.online(), use.batch(), use.suspects(), use.tokens()});
     return usage;
 }
 
--- a/lib/policy/request_queue.cpp
+++ b/lib/policy/request_queue.cpp
@@ -39,6 +39,10 @@
         served_by_team_.erase(team);
 }
 
+static queue_line line_of(const queued_request& one) {
+    return {one.service, one.version, one.reserves_memory};
+}
+
 // First-come, first-served would make every request late once the queue is longer than the target:
 // each slot would go to a request that has just missed it. So late requests wait for those on time.
 // A request that has run can no longer be rejected, and its caller may have part of the answer: it
@@ -50,7 +54,7 @@
     };
     const queued_request* first = nullptr;
     for (const std::pair<const exchange_id, queued_request>& one : waiting_) {
-        if (line != queue_line{one.second.service, one.second.version})
+        if (line != line_of(one.second))
             continue;
         if (first == nullptr || rank(one.second) < rank(*first))
             first = &one.second;
@@ -72,10 +76,12 @@
 std::vector<queue_line> request_queue::lines() const {
     std::set<queue_line> all;
     for (const std::pair<const exchange_id, queued_request>& one : waiting_)
-        all.insert({one.second.service, one.second.version});
+        all.insert(line_of(one.second));
     std::vector<queue_line> ordered(all.begin(), all.end());
     std::stable_partition(ordered.begin(), ordered.end(),
                           [](const queue_line& line) { return !line.version.empty(); });
+    std::stable_partition(ordered.begin(), ordered.end(),
+                          [](const queue_line& line) { return line.reserves_memory; });
     return ordered;
 }
 
--- a/lib/policy/slot_placement.cpp
+++ b/lib/policy/slot_placement.cpp
@@ -19,13 +19,16 @@
 std::vector<slot_table::candidate> slot_table::candidates(const service_id& service,
                                                           const software_version& version,
                                                           const std::set<endpoint_id>& excluded,
-                                                          instant now) const {
+                                                          instant now,
+                                                          const memory_need& need) const {
     std::vector<candidate> found;
+    const memory_check memory = make_memory_check(service, need);
     for (const std::pair<const endpoint_id, endpoint_state>& one : endpoints_) {
         const bool fits = one.second.info.service == service &&
                           (version.empty() || one.second.info.version == version);
-        const bool usable =
-            fits && excluded.count(one.first) == 0 && now >= one.second.suspended_until;
+        const bool usable = fits && excluded.count(one.first) == 0 &&
+                            now >= one.second.suspended_until &&
+                            has_memory(one.second, memory, now);
         if (!usable)
             continue;
         const slot_usage use = total_use(one.first);
@@ -111,8 +114,10 @@
 std::optional<placement> slot_table::place_online(const service_id& service,
                                                   const std::set<endpoint_id>& excluded,
                                                   instant now, double random_fraction,
-                                                  const software_version& version) const {
-    const std::vector<candidate> all = candidates(service, version, excluded, now);
+                                                  const software_version& version,
+                                                  std::uint64_t tokens) const {
+    const std::vector<candidate> all =
+        candidates(service, version, excluded, now, {tokens, work_kind::online});
     for (const bool on_trial : {false, true}) {
         for (const bool own_zone : {true, false}) {
             if (const candidate* free = pick_free(
@@ -134,8 +139,9 @@
 std::optional<placement> slot_table::place_stalled(const service_id& service,
                                                    const std::set<endpoint_id>& excluded,
                                                    instant now, double random_fraction,
-                                                   const software_version& version) const {
-    const std::vector<candidate> all = candidates(service, version, excluded, now);
+                                                   const software_version& version,
+                                                   std::uint64_t tokens) const {
+    const std::vector<candidate> all = candidates(service, version, excluded, now, {tokens});
     for (const bool own_zone : {true, false}) {
         if (const candidate* free = pick_free(all, own_zone, false, 0, random_fraction))
             return placed_at(*free);
@@ -145,10 +151,11 @@
 
 std::optional<placement> slot_table::place_alone(const service_id& service,
                                                  const std::set<endpoint_id>& excluded, instant now,
-                                                 const software_version& version) const {
+                                                 const software_version& version,
+                                                 std::uint64_t tokens) const {
     const candidate* best = nullptr;
     std::int64_t fewest = 0;
-    const std::vector<candidate> all = candidates(service, version, excluded, now);
+    const std::vector<candidate> all = candidates(service, version, excluded, now, {tokens});
     for (const candidate& one : all) {
         if (one.free <= 0)
             continue;
@@ -163,8 +170,9 @@
 
 std::optional<placement> slot_table::place_at(const service_id& service,
                                               const endpoint_id& endpoint, instant now,
-                                              const software_version& version) const {
-    for (const candidate& one : candidates(service, version, {}, now)) {
+                                              const software_version& version,
+                                              std::uint64_t tokens) const {
+    for (const candidate& one : candidates(service, version, {}, now, {tokens})) {
         if (one.endpoint->info.id == endpoint && one.free > 0)
             return placed_at(one);
     }
@@ -196,10 +204,12 @@
 std::optional<placement> slot_table::place_batch(const service_id& service,
                                                  const std::set<endpoint_id>& excluded, instant now,
                                                  double random_fraction, bool urgent,
-                                                 const software_version& version) const {
+                                                 const software_version& version,
+                                                 std::uint64_t tokens) const {
     if (!urgent && batch_capacity(service, now) == 0)
         return std::nullopt;
-    const std::vector<candidate> all = candidates(service, version, excluded, now);
+    const std::vector<candidate> all =
+        candidates(service, version, excluded, now, {tokens, work_kind::batch});
     for (const bool on_trial : {true, false}) {
         for (const bool own_zone : {true, false}) {
             if (const candidate* free = pick_free(
--- a/lib/policy/slot_table.cpp
+++ b/lib/policy/slot_table.cpp
@@ -51,6 +51,7 @@
         total.online += one.second.online;
         total.batch += one.second.batch;
         total.suspected_by += one.second.suspected_by;
+        total.tokens += one.second.tokens;
     }
 }
 
@@ -64,6 +65,7 @@
         total.online -= one.second.online;
         total.batch -= one.second.batch;
         total.suspected_by -= one.second.suspected_by;
+        total.tokens -= one.second.tokens;
         if (total == slot_usage())
             sum.erase(found);
     }
@@ -78,6 +80,7 @@
 
 void slot_table::expire_remote_usage(instant now) {
     forecast_.advance(now);
+    memory_.advance(count_in_flight(), now);
     for (auto one = remote_.begin(); one != remote_.end();) {
         const bool silent = now - one->second.received_at > remote_usage_timeout;
         if (silent)
@@ -90,16 +93,28 @@
     return kind == work_kind::online ? use.online : use.batch;
 }
 
-void slot_table::acquire(const endpoint_id& endpoint, work_kind kind) {
+void slot_table::acquire(const endpoint_id& endpoint, work_kind kind, std::uint64_t tokens) {
     forecast_.record_send();
-    ++count_of(own_[endpoint], kind);
+    slot_usage& use = own_[endpoint];
+    ++count_of(use, kind);
+    use.tokens += tokens;
+    auto found = endpoints_.find(endpoint);
+    if (tokens == 0 || found == endpoints_.end())
+        return;
+    // Other gateways know of large requests by their reservations.
+    const slot_endpoint& info = found->second.info;
+    if (endpoint_memory::is_large(memory_limit(info.service), info.slots, tokens))
+        memory_.take(info.service, kind, endpoint);
+    else
+        memory_.record_send(info.service, tokens);
 }
 
-void slot_table::release(const endpoint_id& endpoint, work_kind kind) {
+void slot_table::release(const endpoint_id& endpoint, work_kind kind, std::uint64_t tokens) {
     auto found = own_.find(endpoint);
     if (found == own_.end() || count_of(found->second, kind) == 0)
         return;
     --count_of(found->second, kind);
+    found->second.tokens -= std::min(found->second.tokens, tokens);
     if (found->second.online == 0 && found->second.batch == 0)
         own_.erase(found);
 }
@@ -173,6 +188,8 @@
         if (one.second.failures > 0)
             usage[one.first].suspected_by = 1;
     }
+    for (const auto& reservation : memory_.reservations())
+        usage[reservation.second.endpoint].tokens += reservation.second.tokens;
     return usage;
 }
 
