Memory of endpoints: fewer gateways send where all would fill an endpoint at once

Cause: an endpoint that has just become empty attracts requests of all gateways before any of them is reported. With 300 gateways and requests of 95,000 tokens among small ones, up to 21 small requests reached such an endpoint within 0.1 s and exceeded its memory.

Change: the margin of an endpoint follows from its share in the draw. Where the expected inflow exceeds 0.4 of the room, a matching part of the gateways may send, another in each period of the reports' age.

Conclusion: limits learned from crashes are left out, as coordinators would need the tokens held in the crash report.

--- a/include/cassia/policy/endpoint_memory.h
+++ b/include/cassia/policy/endpoint_memory.h
@@ -39,6 +39,7 @@
     std::uint64_t limit = 0; ///< 0 if unknown
     std::uint64_t used = 0;  ///< by all gateways, reservations included
     std::uint32_t slots = 1;
+    double share = 0; ///< of the small requests that other gateways send
 };
 
 /// Requests at the endpoints of a service.
@@ -61,15 +62,11 @@
     /// Advances time; to be called several times a second.
     /// \param in_flight requests at endpoints, of services whose memory is known.
     void advance(const std::map<service_id, in_flight_count>& in_flight, instant now);
-    /// Tokens of small requests that other gateways have probably sent to an endpoint and that
-    /// aren't in their reports yet.
-    /// \param age of their reports.
-    /// \param share of these requests that the endpoint gets.
-    std::uint64_t margin(const service_id& service, milliseconds age, double share) const;
+    /// Distinguishes this gateway's choices from those of others.
+    void set_seed(std::uint64_t seed) { seed_ = seed; }
     /// Whether a request may be sent to the endpoint now.
     bool admits(const service_id& service, const endpoint_id& endpoint, const memory_need& need,
-                const memory_state& state, std::uint64_t margin, const peer_group& group,
-                instant now) const;
+                const memory_state& state, const peer_group& group, instant now) const;
 
     const memory_reservation* find(const service_id& service, work_kind kind) const;
     /// Renews the reservation of a request. \returns whether the request is within its tokens.
@@ -99,6 +96,16 @@
         std::uint32_t others_now = 0; ///< in flight of the other gateways, the latest count
     };
 
+    /// Small requests that other gateways have sent in this time, and their tokens' margin.
+    double unknown_sends(const send_record& record, milliseconds age, double share) const;
+    static double margin(const send_record& record, double unknown);
+    bool admits_small(const service_id& service, const endpoint_id& endpoint, std::uint64_t tokens,
+                      const memory_state& state, const peer_group& group, instant now) const;
+    bool admits_large(const memory_reservation& own, std::uint64_t tokens,
+                      const memory_state& state, const service_id& service, const peer_group& group,
+                      instant now) const;
+
+    std::uint64_t seed_ = 0;
     std::map<service_id, std::uint64_t> limits_;
     std::map<service_id, send_record> sends_;
     instant counted_from_{};
--- a/include/cassia/policy/slot_table.h
+++ b/include/cassia/policy/slot_table.h
@@ -93,6 +93,8 @@
     void set_memory_limits(std::map<service_id, std::uint64_t> limits) {
         memory_.set_limits(std::move(limits));
     }
+    /// Distinguishes the choices of this gateway from those of others.
+    void set_memory_seed(std::uint64_t seed) { memory_.set_seed(seed); }
     /// 0 if unknown.
     std::uint64_t memory_limit(const service_id& service) const { return memory_.limit(service); }
     /// Whether no endpoint of the service can hold the request, even without others.
@@ -221,12 +223,12 @@
     struct memory_check {
         memory_need need;
         std::uint64_t limit = 0; ///< 0: nothing is to be checked
-        std::uint64_t own_zone_margin = 0;
-        std::uint64_t other_zones_margin = 0;
+        slot_weights own_zone{0};
+        slot_weights other_zones{0};
     };
     memory_check make_memory_check(const service_id& service, const memory_need& need) const;
     std::map<service_id, in_flight_count> count_in_flight() const;
-    std::uint32_t free_slots(const slot_endpoint& endpoint) const;
+    std::int64_t free_slots(const slot_endpoint& endpoint) const;
     bool has_memory(const endpoint_state& endpoint, const memory_check& check, instant now) const;
     /// Lower is better for a reservation there.
     int reservation_rank(const candidate& one, std::uint64_t limit, std::uint64_t tokens) const;
--- a/lib/policy/endpoint_memory.cpp
+++ b/lib/policy/endpoint_memory.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <functional>
+#include <string>
 
 namespace cassia::policy {
 
@@ -21,6 +23,8 @@
 constexpr double excess_exponent = 9.2;
 // What others send changes within the age of their reports, and the run time is an estimate.
 constexpr double concentration = 1.5;
+// Of the room at an endpoint, what others may be expected to take.
+constexpr double usable_part = 0.4;
 // A margin excludes endpoints, and the others get their requests too. In virtual time 18 to 300
 // gateways crashed most endpoints with margins above this part of the memory, as all of them chose
 // the few that had room.
@@ -90,50 +94,92 @@
 
 // The rate at which others send follows from what they have in flight, by Little's law: a single
 // gateway may send too few requests for an estimate of its own, but their durations are alike.
-// The result is the lower of two bounds of a sum of a Poisson number of requests: that number times
-// the largest request, and Bernstein's inequality, which is lower for many requests of unlike
-// sizes.
-std::uint64_t endpoint_memory::margin(const service_id& service, milliseconds age,
+double endpoint_memory::unknown_sends(const send_record& record, milliseconds age,
                                       double share) const {
-    auto found = sends_.find(service);
-    if (found == sends_.end() || found->second.sends_per_s <= 0)
-        return 0;
-    const send_record& record = found->second;
     const double run_s = (record.in_flight + prior_sends_per_s * prior_run_s) /
                          (record.sends_per_s + prior_sends_per_s);
-    const double unknown = concentration * share * record.others_now / std::max(run_s, min_run_s) *
-                           std::chrono::duration<double>(age).count();
+    return share * record.others_now / std::max(run_s, min_run_s) *
+           std::chrono::duration<double>(age).count();
+}
+
+// The lower of two bounds of a sum of a Poisson number of requests: that number times the largest
+// request, and Bernstein's inequality, which is lower for many requests of unlike sizes.
+double endpoint_memory::margin(const send_record& record, double unknown) {
+    if (record.sends_per_s <= 0)
+        return 0;
     const double mean = record.tokens_per_s / record.sends_per_s;
     const double square = record.squares_per_s / record.sends_per_s;
     const double by_count = poisson_bound(unknown) * record.largest;
     const double by_variance = unknown * mean + std::sqrt(2 * excess_exponent * unknown * square) +
                                excess_exponent * record.largest / 3;
-    return static_cast<std::uint64_t>(std::min(by_count, by_variance));
+    return std::min(by_count, by_variance);
+}
+
+// 0 to 1, another for each gateway, endpoint and period.
+static double draw_for(std::uint64_t seed, const endpoint_id& endpoint, std::int64_t period) {
+    std::uint64_t mixed = seed ^ std::hash<std::string>()(endpoint.str());
+    for (const std::uint64_t value : {static_cast<std::uint64_t>(period), std::uint64_t{0}}) {
+        mixed = (mixed ^ value) * 0x9e3779b97f4a7c15U;
+        mixed ^= mixed >> 32U;
+    }
+    return static_cast<double>(mixed >> 11U) / static_cast<double>(std::uint64_t{1} << 53U);
+}
+
+// An endpoint that looks empty attracts requests of all gateways before any of them is reported.
+// Where these would fill it, only a part of the gateways may send there, others in each period of
+// the reports' age.
+bool endpoint_memory::admits_small(const service_id& service, const endpoint_id& endpoint,
+                                   std::uint64_t tokens, const memory_state& state,
+                                   const peer_group& group, instant now) const {
+    if (state.used + tokens > state.limit)
+        return false;
+    auto found = sends_.find(service);
+    if (found == sends_.end() || group.gateways == 0 || found->second.sends_per_s <= 0)
+        return true;
+    const send_record& record = found->second;
+    double unknown = concentration * unknown_sends(record, group.usage_age, state.share);
+    const double expected = unknown * record.tokens_per_s / record.sends_per_s;
+    const double room = static_cast<double>(state.limit - state.used - tokens);
+    const double part = expected <= 0 ? 1 : room * usable_part / expected;
+    if (part < 1) {
+        const std::int64_t period = now.time_since_epoch() / group.usage_age;
+        if (draw_for(seed_, endpoint, period) >= part)
+            return false;
+        unknown *= part;
+    }
+    return std::min(margin(record, unknown),
+                    static_cast<double>(state.limit) / max_margin_divisor) <= room;
 }
 
 // A large request is known to all gateways once its reservation is older than their reports. What
 // they sent before they knew is covered by the margin, and is in their reports after the same time
 // again.
+bool endpoint_memory::admits_large(const memory_reservation& own, std::uint64_t tokens,
+                                   const memory_state& state, const service_id& service,
+                                   const peer_group& group, instant now) const {
+    const bool alone = group.gateways == 0;
+    const milliseconds age = alone ? milliseconds(0) : group.usage_age;
+    const milliseconds slack = alone ? milliseconds(0) : report_slack;
+    const std::uint64_t used = state.used - std::min(state.used, own.tokens) + tokens;
+    if (now - own.since < age + slack || used > state.limit)
+        return false;
+    auto found = sends_.find(service);
+    if (now - own.since >= 2 * age + slack || found == sends_.end())
+        return true;
+    const double unknown = concentration * unknown_sends(found->second, age, state.share);
+    return margin(found->second, unknown) <= static_cast<double>(state.limit - used);
+}
+
 bool endpoint_memory::admits(const service_id& service, const endpoint_id& endpoint,
                              const memory_need& need, const memory_state& state,
-                             std::uint64_t margin, const peer_group& group, instant now) const {
+                             const peer_group& group, instant now) const {
     if (state.limit == 0 || need.tokens == 0)
         return true;
-    std::uint64_t used = state.used;
-    std::uint64_t kept_free = std::min(margin, state.limit / max_margin_divisor);
-    if (need.reserved_as && is_large(state.limit, state.slots, need.tokens)) {
-        const memory_reservation* own = find(service, *need.reserved_as);
-        if (own == nullptr || own->endpoint != endpoint || own->tokens < need.tokens)
-            return false;
-        used -= std::min(used, own->tokens);
-        const milliseconds age = group.gateways == 0 ? milliseconds(0) : group.usage_age;
-        const milliseconds slack = group.gateways == 0 ? milliseconds(0) : report_slack;
-        if (now - own->since < age + slack)
-            return false;
-        if (now - own->since >= 2 * age + slack)
-            kept_free = 0;
-    }
-    return used + need.tokens + kept_free <= state.limit;
+    if (!need.reserved_as || !is_large(state.limit, state.slots, need.tokens))
+        return admits_small(service, endpoint, need.tokens, state, group, now);
+    const memory_reservation* own = find(service, *need.reserved_as);
+    return own != nullptr && own->endpoint == endpoint && own->tokens >= need.tokens &&
+           admits_large(*own, need.tokens, state, service, group, now);
 }
 
 const memory_reservation* endpoint_memory::find(const service_id& service, work_kind kind) const {
--- a/lib/policy/slot_memory.cpp
+++ b/lib/policy/slot_memory.cpp
@@ -7,10 +7,6 @@
 
 namespace cassia::policy {
 
-namespace {
-constexpr int memory_rounds = 4;
-} // namespace
-
 std::uint64_t slot_table::tokens_in_use(const endpoint_id& endpoint) const {
     const auto tokens_of = [&endpoint](const slot_usage_map& usage) {
         auto found = usage.find(endpoint);
@@ -36,9 +32,9 @@
     });
 }
 
-std::uint32_t slot_table::free_slots(const slot_endpoint& endpoint) const {
+std::int64_t slot_table::free_slots(const slot_endpoint& endpoint) const {
     const slot_usage use = total_use(endpoint.id);
-    return endpoint.slots - std::min(endpoint.slots, use.online + use.batch);
+    return std::int64_t{endpoint.slots} - use.online - use.batch;
 }
 
 std::map<service_id, in_flight_count> slot_table::count_in_flight() const {
@@ -56,30 +52,22 @@
     return counts;
 }
 
-// Other gateways send to the endpoints that they find to have memory. The fewer these are, the more
-// each gets and the larger the margin has to be, so that fewer have enough: a few rounds settle it.
+// Other gateways draw endpoints by the same weights.
 slot_table::memory_check slot_table::make_memory_check(const service_id& service,
                                                        const memory_need& need) const {
     memory_check check{need, need.tokens == 0 ? 0 : memory_limit(service)};
     if (check.limit == 0)
         return check;
-    std::vector<std::uint64_t> used;
-    for (const std::pair<const endpoint_id, endpoint_state>& one : endpoints_) {
-        if (one.second.info.service == service && free_slots(one.second.info) > 0)
-            used.push_back(tokens_in_use(one.first));
-    }
-    std::size_t admitting = used.size();
-    for (int round = 0; round < memory_rounds && admitting > 0; ++round) {
-        const double share = 1.0 / static_cast<double>(admitting);
-        check.own_zone_margin = memory_.margin(service, own_zone_peers_.usage_age, share);
-        check.other_zones_margin = memory_.margin(service, all_peers_.usage_age, share);
-        const std::size_t before = admitting;
-        admitting = static_cast<std::size_t>(
-            std::count_if(used.begin(), used.end(), [&check](std::uint64_t tokens) {
-                return tokens + check.need.tokens + check.own_zone_margin <= check.limit;
-            }));
-        if (admitting == before)
-            break;
+    for (const bool own_zone : {true, false}) {
+        slot_weights& weights = own_zone ? check.own_zone : check.other_zones;
+        weights = slot_weights(unreported_sends(own_zone, false));
+        for (const std::pair<const endpoint_id, endpoint_state>& one : endpoints_) {
+            const slot_endpoint& info = one.second.info;
+            const bool fits = info.service == service && (info.zone == own_zone_) == own_zone &&
+                              tokens_in_use(info.id) + need.tokens <= check.limit;
+            if (fits)
+                weights.add(free_slots(info), info.slots);
+        }
     }
     return check;
 }
@@ -90,9 +78,10 @@
         return true;
     const slot_endpoint& info = endpoint.info;
     const bool own_zone = info.zone == own_zone_;
+    const slot_weights& weights = own_zone ? check.own_zone : check.other_zones;
     return memory_.admits(info.service, info.id, check.need,
-                          {check.limit, tokens_in_use(info.id), info.slots},
-                          own_zone ? check.own_zone_margin : check.other_zones_margin,
+                          {check.limit, tokens_in_use(info.id), info.slots,
+                           weights.weight(free_slots(info), info.slots)},
                           own_zone ? own_zone_peers_ : all_peers_, now);
 }
 
--- a/unittests/policy/memory_simulation.h
+++ b/unittests/policy/memory_simulation.h
@@ -70,6 +70,7 @@
             gateways_.emplace_back();
             gateways_.back().table.set_endpoints(listed);
             gateways_.back().table.set_peers(peers_, peers_);
+            gateways_.back().table.set_memory_seed(random_());
             gateways_.back().table.set_memory_limits({{model, limit}});
         }
     }
