Memory of endpoints: one pass over the endpoints for a placement

Cause: the shares of the draw were computed in two passes over all endpoints, and a group of gateways without an age of its reports would have divided by zero.

Change: one pass, and such a group counts as alone.

--- a/lib/policy/endpoint_memory.cpp
+++ b/lib/policy/endpoint_memory.cpp
@@ -134,7 +134,8 @@
     if (state.used + tokens > state.limit)
         return false;
     auto found = sends_.find(service);
-    if (found == sends_.end() || group.gateways == 0 || found->second.sends_per_s <= 0)
+    const bool is_alone = group.gateways == 0 || group.usage_age <= milliseconds(0);
+    if (is_alone || found == sends_.end() || found->second.sends_per_s <= 0)
         return true;
     const send_record& record = found->second;
     double unknown = concentration * unknown_sends(record, group.usage_age, state.share);
--- a/lib/policy/slot_memory.cpp
+++ b/lib/policy/slot_memory.cpp
@@ -58,16 +58,15 @@
     memory_check check{need, need.tokens == 0 ? 0 : memory_limit(service)};
     if (check.limit == 0)
         return check;
-    for (const bool own_zone : {true, false}) {
-        slot_weights& weights = own_zone ? check.own_zone : check.other_zones;
-        weights = slot_weights(unreported_sends(own_zone, false));
-        for (const std::pair<const endpoint_id, endpoint_state>& one : endpoints_) {
-            const slot_endpoint& info = one.second.info;
-            const bool fits = info.service == service && (info.zone == own_zone_) == own_zone &&
-                              tokens_in_use(info.id) + need.tokens <= check.limit;
-            if (fits)
-                weights.add(free_slots(info), info.slots);
-        }
+    check.own_zone = slot_weights(unreported_sends(true, false));
+    check.other_zones = slot_weights(unreported_sends(false, false));
+    for (const std::pair<const endpoint_id, endpoint_state>& one : endpoints_) {
+        const slot_endpoint& info = one.second.info;
+        const bool fits =
+            info.service == service && tokens_in_use(info.id) + need.tokens <= check.limit;
+        if (fits)
+            (info.zone == own_zone_ ? check.own_zone : check.other_zones)
+                .add(free_slots(info), info.slots);
     }
     return check;
 }
