--- a/lib/gateway/dispatch_hedging.cpp
+++ b/lib/gateway/dispatch_hedging.cpp
@@ -62,7 +62,7 @@
     excluded.insert(call.endpoint);
     std::uniform_real_distribution<double> uniform(0, 1);
     const std::optional<policy::placement> placement =
-        slots_.place_stalled(call.service, excluded, now, uniform(random_));
+        slots_.place_stalled(call.service, excluded, now, uniform(random_), {}, call.tokens);
     if (!placement)
         return false;
     hedging_.record_hedge(call.service);
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -28,6 +28,7 @@
 service::service(schema::gateway_settings settings, header_names names, service_hooks hooks)
     : settings_(std::move(settings)), names_(std::move(names)), hooks_(std::move(hooks)),
       task_("gateway"), slots_(zone_id(settings_.zone())), random_(random_bits()) {
+    slots_.set_memory_seed(random_bits());
     net::raw_server_hooks server_callbacks;
     server_callbacks.on_request = [this](exchange_id id, net::raw_request request) {
         on_request(id, std::move(request));
@@ -100,6 +101,7 @@
     dispatcher_->set_hedge_percent(settings_.hedge_percent());
     dispatcher_->set_migration_protocol(hooks_.migration);
     dispatcher_->set_prompt_parts_reader(hooks_.read_prompt_parts);
+    dispatcher_->set_request_tokens_reader(hooks_.read_request_tokens);
     item_runner_hooks item_callbacks;
     item_callbacks.lease = [this](const std::string& route, std::uint32_t limit,
                                   const item_runner_hooks::lease_done& done) {
@@ -112,6 +114,7 @@
     items_ = std::make_unique<item_runner>(*client_, slots_, *crashes_, *trials_, metrics_, names_,
                                            settings_.batch_window(), std::move(item_callbacks));
     items_->set_prompt_parts_reader(hooks_.read_prompt_parts);
+    items_->set_request_tokens_reader(hooks_.read_request_tokens);
     cluster_hooks cluster_callbacks;
     cluster_callbacks.on_routes = [this](std::shared_ptr<const routes::table> table) {
         set_routes(std::move(table));
@@ -206,6 +209,10 @@
 void service::set_routes(std::shared_ptr<const routes::table> table) {
     routes_ = std::move(table);
     items_->set_routes(routes_);
+    std::map<service_id, std::uint64_t> memory_limits;
+    for (const schema::routed_service& one : routes_->services())
+        memory_limits[service_id(one.name())] = one.memory_tokens();
+    slots_.set_memory_limits(std::move(memory_limits));
     const schema::request_limits& limits = routes_->limits();
     net::raw_server_limits server_limits;
     server_limits.header_bytes = limits.header_bytes();
