Pace of endpoints: placement by how long work takes there

Cause: the load header of endpoints wasn't read, and placement counted slots only. Calls went to endpoints that were slow for a moment as often as to their peers until their slots filled.

Change: gateways read the header from responses (no probes) and estimate a factor for each endpoint. Draws weight endpoints by the fourth power of their speed; another zone is used while those of the own zone are slower by 30%; batch that isn't urgent prefers slow endpoints; batch_capacity counts slots / factor. Reports that runs contradict are ignored (load_report_contradicted). Runs are compared with runs of the same size and load. If all factors are 1, each draw chooses the endpoint that it chose before.

--- a/include/cassia/gateway/header_names.h
+++ b/include/cassia/gateway/header_names.h
@@ -24,6 +24,8 @@
     std::string key = "Cassia-Key";
     /// Name of the caller's team; set on requests to endpoints.
     std::string team = "Cassia-Team";
+    /// Load of the endpoint, set by endpoints on their responses; see load_report.h.
+    std::string load = "Cassia-Load";
 };
 
 } // namespace cassia::gateway
--- a/include/cassia/policy/slot_table.h
+++ b/include/cassia/policy/slot_table.h
@@ -3,6 +3,7 @@
 
 #include "cassia/base/clock.h"
 #include "cassia/base/ids.h"
+#include "cassia/policy/endpoint_pace.h"
 #include "cassia/policy/send_forecast.h"
 
 #include <cstdint>
@@ -145,6 +146,8 @@
     std::uint32_t reserve_free_slots(const endpoint_id& endpoint);
     /// Whether all slots are in use, as far as is known; true for an unknown endpoint.
     bool is_full(const endpoint_id& endpoint) const;
+    /// Slots in use, as far as is known.
+    std::uint32_t in_use(const endpoint_id& endpoint) const;
     /// A gateway that runs batch items there: this one (empty) if it does, else any other.
     std::optional<entry_id> batch_holder(const endpoint_id& endpoint) const;
     /// The same if all slots are in use; nothing while some are free.
@@ -153,6 +156,9 @@
     std::uint32_t batch_capacity(const service_id& service, instant now) const;
     std::uint32_t total_slots(const service_id& service, instant now) const;
     bool contains(const endpoint_id& endpoint) const { return endpoints_.count(endpoint) > 0; }
+    /// How long work takes at the endpoints; placement prefers those where it takes less.
+    endpoint_pace& pace() { return pace_; }
+    const endpoint_pace& pace() const { return pace_; }
 
 private:
     struct endpoint_state {
@@ -174,6 +180,15 @@
         std::int64_t free_or_batch = 0; ///< slots that run no online request
         bool on_trial = false;          ///< online uses it only as a last resort
         bool rejecting = false;         ///< rejected a request just now
+        double pace = 1;                ///< its factor, see endpoint_pace.h
+    };
+    /// Endpoints that a request may be drawn from.
+    struct draw_group {
+        bool own_zone = true;
+        bool on_trial = false;
+        bool all_zones = false;  ///< overrides `own_zone`
+        bool slow_first = false; ///< prefers slow endpoints to fast ones
+        double unreported_sends = 0;
     };
 
     static bool counts_as_full(const endpoint_state& endpoint, instant now);
@@ -182,8 +197,11 @@
     std::vector<candidate> candidates(const service_id& service, const software_version& version,
                                       const std::set<endpoint_id>& excluded, instant now) const;
     static placement placed_at(const candidate& chosen);
-    const candidate* pick_free(const std::vector<candidate>& all, bool own_zone, bool on_trial,
-                               double unreported_sends, double random_fraction) const;
+    const candidate* pick_free(const std::vector<candidate>& all, const draw_group& group,
+                               double random_fraction) const;
+    /// The same among all zones if the endpoints of the own zone are slow. Nothing otherwise.
+    const candidate* pick_in_faster_zone(const std::vector<candidate>& all, double unreported_sends,
+                                         double random_fraction) const;
     double unreported_sends(bool own_zone, bool on_trial) const;
     const candidate* pick_yielding(const std::vector<candidate>& all, bool own_zone, bool on_trial,
                                    double random_fraction) const;
@@ -192,6 +210,7 @@
     peer_group own_zone_peers_;
     peer_group all_peers_;
     send_forecast forecast_;
+    endpoint_pace pace_;
     std::map<endpoint_id, endpoint_state> endpoints_;
     slot_usage_map own_;
     std::map<entry_id, remote_usage> remote_;
--- a/lib/gateway/dispatch_responses.cpp
+++ b/lib/gateway/dispatch_responses.cpp
@@ -2,6 +2,7 @@
 
 #include "cassia/base/log.h"
 #include "cassia/gateway/dispatcher.h"
+#include "cassia/gateway/load_report.h"
 
 #include <algorithm>
 #include <utility>
@@ -12,6 +13,8 @@
 constexpr int status_misdirected = 421;
 constexpr int status_redirection = 300;
 constexpr int status_server_error = 500;
+// The mean time between fewer events than this says little about the endpoint.
+constexpr std::uint64_t min_timed_events = 5;
 } // namespace
 
 static bool is_success(int status) {
@@ -24,6 +27,25 @@
     return head.fields.find(names_.request_id) == call.request_id;
 }
 
+// Runs of several attempts, and streams that began elsewhere, say nothing about one endpoint.
+static void record_run_time(policy::slot_table& slots, const online_call& call, bool resumed) {
+    if (call.sends > 1 || resumed || call.forwards_error)
+        return;
+    policy::run_shape shape;
+    shape.is_stream = call.is_stream();
+    microseconds duration =
+        std::chrono::duration_cast<microseconds>(call.last_progress_at - call.sent_at);
+    if (!shape.is_stream)
+        shape.bytes = call.request.body.size() + call.body.size();
+    else if (call.last_event >= min_timed_events)
+        duration =
+            std::chrono::duration_cast<microseconds>(call.last_event_at - call.response_began_at) /
+            static_cast<std::int64_t>(call.last_event - 1);
+    else
+        return;
+    record_run(slots, call.endpoint, shape, duration, call.last_progress_at);
+}
+
 void dispatcher::on_head(exchange_id id, const net::raw_head& head) {
     auto found = calls_.find(id);
     if (found == calls_.end())
@@ -31,8 +53,11 @@
     online_call& call = *found->second;
     call.last_progress_at = monotonic_now();
     // Another process at the address says so.
-    if (head.status != status_misdirected)
+    if (head.status != status_misdirected) {
         crashes_.record_received(call.endpoint, call.incarnation);
+        record_load(slots_, metrics_, call.endpoint, head.fields.find(names_.load),
+                    call.last_progress_at);
+    }
     const bool not_run = head.fields.has(names_.not_run) || head.status == status_misdirected;
     if (not_run) {
         call.not_run = true;
@@ -177,6 +202,7 @@
     begin_response(call);
     flush_events(call);
     record_complete_run(call, true);
+    record_run_time(slots_, call, call.request.fields.has(names_.last_event));
     log_outcome(call, call.head.status, "answered");
     metrics_.count("answered");
     metrics_.observe("answer", monotonic_now() - call.arrived_at);
@@ -194,6 +220,7 @@
     }
     call.response_began_at = call.last_progress_at;
     record_complete_run(call, is_success(call.head.status));
+    record_run_time(slots_, call, false);
     log_outcome(call, call.head.status, "answered");
     metrics_.count("answered");
     metrics_.observe("answer", monotonic_now() - call.arrived_at);
--- a/lib/gateway/item_responses.cpp
+++ b/lib/gateway/item_responses.cpp
@@ -2,6 +2,7 @@
 
 #include "cassia/base/log.h"
 #include "cassia/gateway/item_runner.h"
+#include "cassia/gateway/load_report.h"
 #include "held_item.h"
 
 #include <utility>
@@ -29,8 +30,11 @@
     held_item& item = *found->second;
     item.last_progress_at = monotonic_now();
     // Another process at the address says so.
-    if (head.status != status_misdirected)
+    if (head.status != status_misdirected) {
         crashes_.record_received(item.endpoint, item.incarnation);
+        record_load(slots_, metrics_, item.endpoint, head.fields.find(names_.load),
+                    item.last_progress_at);
+    }
     item.not_run = head.fields.has(names_.not_run) || head.status == status_misdirected;
     item.status = head.status;
     if (item.not_run) {
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -2,6 +2,7 @@
 
 #include "cassia/base/digest.h"
 #include "cassia/base/log.h"
+#include "cassia/gateway/load_report.h"
 #include "cassia/net/http_server.h"
 #include "cassia/state/sharding.h"
 
@@ -28,6 +29,7 @@
 service::service(schema::gateway_settings settings, header_names names, service_hooks hooks)
     : settings_(std::move(settings)), names_(std::move(names)), hooks_(std::move(hooks)),
       task_("gateway"), slots_(zone_id(settings_.zone())), random_(random_bits()) {
+    slots_.pace().set_source(read_pace_source(settings_.endpoint_pace()));
     net::raw_server_hooks server_callbacks;
     server_callbacks.on_request = [this](exchange_id id, net::raw_request request) {
         on_request(id, std::move(request));
--- a/lib/gateway/service_status.cpp
+++ b/lib/gateway/service_status.cpp
@@ -13,6 +13,8 @@
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
+// Endpoints that take at least this many times as long as usual are counted as slow.
+constexpr double slow_factor = 1.2;
 } // namespace
 
 void service::on_admin_request(exchange_id id, const net::raw_request& request) {
@@ -45,6 +47,8 @@
     metrics_.set("items_running", items_->running());
     metrics_.set("endpoint_connections_made", client_->counts().connections_made);
     metrics_.set("endpoint_connections_reused", client_->counts().connections_reused);
+    metrics_.set("endpoints_slow", slots_.pace().count_slower(slow_factor, monotonic_now()));
+    metrics_.set("endpoints_with_ignored_reports", slots_.pace().count_contradicted());
     metrics_.set("log_lines_dropped", dropped_log_lines());
     cluster_->peers().count_sent(metrics_);
     return metrics_.to_text("cassia_gateway_");
--- a/lib/policy/slot_placement.cpp
+++ b/lib/policy/slot_placement.cpp
@@ -3,6 +3,7 @@
 #include "cassia/policy/slot_table.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cassia::policy {
 
@@ -14,6 +15,17 @@
 // A single gateway may be the only one that can't reach an endpoint; if two can't, the endpoint is
 // at fault. Otherwise each gateway would lose requests of its own to an unreachable endpoint.
 constexpr std::uint32_t min_suspecting_gateways = 2;
+// The time that an endpoint needs counts by this power: with 4, one that takes 2.5 times as long
+// gets a fortieth of the requests of its peers.
+constexpr double pace_exponent = 4;
+// Batch items that aren't urgent prefer slow endpoints by this power.
+constexpr double batch_pace_exponent = 2;
+// Another zone is used if its fastest endpoint is faster than those of the own zone by this factor.
+constexpr double max_zone_slowdown = 1.3;
+
+double pace_weight(double factor, bool slow_first) {
+    return std::pow(factor, slow_first ? batch_pace_exponent : -pace_exponent);
+}
 } // namespace
 
 std::vector<slot_table::candidate> slot_table::candidates(const service_id& service,
@@ -32,6 +44,7 @@
         const std::int64_t slots = one.second.info.slots;
         candidate found_candidate{&one.second, slots - use.online - use.batch, slots - use.online,
                                   false};
+        found_candidate.pace = pace_.factor(one.first, now);
         found_candidate.rejecting = counts_as_full(one.second, now);
         if (found_candidate.rejecting)
             found_candidate.free = found_candidate.free_or_batch = 0;
@@ -67,24 +80,45 @@
     return last;
 }
 
-const slot_table::candidate* slot_table::pick_free(const std::vector<candidate>& all, bool own_zone,
-                                                   bool on_trial, double unreported_sends,
+const slot_table::candidate* slot_table::pick_free(const std::vector<candidate>& all,
+                                                   const draw_group& group,
                                                    double random_fraction) const {
-    const auto fits = [this, own_zone, on_trial](const candidate& one) {
-        return !one.rejecting && one.on_trial == on_trial &&
-               (one.endpoint->info.zone == own_zone_) == own_zone;
+    const auto fits = [this, &group](const candidate& one) {
+        return !one.rejecting && one.on_trial == group.on_trial &&
+               (group.all_zones || (one.endpoint->info.zone == own_zone_) == group.own_zone);
     };
-    slot_weights weights(unreported_sends);
+    slot_weights weights(group.unreported_sends);
     for (const candidate& one : all) {
         if (fits(one))
             weights.add(one.free, one.endpoint->info.slots);
     }
-    const auto weight = [&weights, &fits](const candidate& one) {
-        return fits(one) ? weights.weight(one.free, one.endpoint->info.slots) : 0.0;
+    const auto weight = [&weights, &fits, &group](const candidate& one) {
+        return fits(one) ? weights.weight(one.free, one.endpoint->info.slots) *
+                               pace_weight(one.pace, group.slow_first)
+                         : 0.0;
     };
     return draw_by_weight(all, weight, random_fraction);
 }
 
+const slot_table::candidate* slot_table::pick_in_faster_zone(const std::vector<candidate>& all,
+                                                             double unreported_sends,
+                                                             double random_fraction) const {
+    std::optional<double> own;
+    std::optional<double> other;
+    for (const candidate& one : all) {
+        if (one.on_trial || one.rejecting || one.free <= 0)
+            continue;
+        std::optional<double>& least = one.endpoint->info.zone == own_zone_ ? own : other;
+        least = std::min(least.value_or(one.pace), one.pace);
+    }
+    if (!own || !other || *own <= *other * max_zone_slowdown)
+        return nullptr;
+    draw_group group;
+    group.all_zones = true;
+    group.unreported_sends = unreported_sends;
+    return pick_free(all, group, random_fraction);
+}
+
 // Each gateway has at most one request at an endpoint on trial, so the forecast doesn't apply.
 double slot_table::unreported_sends(bool own_zone, bool on_trial) const {
     return on_trial ? 0 : forecast_.unreported_sends(own_zone ? own_zone_peers_ : all_peers_);
@@ -103,7 +137,9 @@
         const bool fits = one.free_or_batch > 0 && one.on_trial == on_trial &&
                           (one.endpoint->info.zone == own_zone_) == own_zone &&
                           total_use(one.endpoint->info.id).batch > 0;
-        return fits ? static_cast<double>(one.free_or_batch * one.free_or_batch) : 0.0;
+        return fits ? static_cast<double>(one.free_or_batch * one.free_or_batch) *
+                          pace_weight(one.pace, false)
+                    : 0.0;
     };
     return draw_by_weight(all, weight, random_fraction);
 }
@@ -113,10 +149,14 @@
                                                   instant now, double random_fraction,
                                                   const software_version& version) const {
     const std::vector<candidate> all = candidates(service, version, excluded, now);
+    if (const candidate* faster =
+            pick_in_faster_zone(all, unreported_sends(false, false), random_fraction))
+        return placed_at(*faster);
     for (const bool on_trial : {false, true}) {
         for (const bool own_zone : {true, false}) {
-            if (const candidate* free = pick_free(
-                    all, own_zone, on_trial, unreported_sends(own_zone, on_trial), random_fraction))
+            const draw_group group{own_zone, on_trial, false, false,
+                                   unreported_sends(own_zone, on_trial)};
+            if (const candidate* free = pick_free(all, group, random_fraction))
                 return placed_at(*free);
         }
         for (const bool own_zone : {true, false}) {
@@ -136,8 +176,12 @@
                                                    instant now, double random_fraction,
                                                    const software_version& version) const {
     const std::vector<candidate> all = candidates(service, version, excluded, now);
+    if (const candidate* faster = pick_in_faster_zone(all, 0, random_fraction))
+        return placed_at(*faster);
     for (const bool own_zone : {true, false}) {
-        if (const candidate* free = pick_free(all, own_zone, false, 0, random_fraction))
+        draw_group group;
+        group.own_zone = own_zone;
+        if (const candidate* free = pick_free(all, group, random_fraction))
             return placed_at(*free);
     }
     return std::nullopt;
@@ -202,8 +246,9 @@
     const std::vector<candidate> all = candidates(service, version, excluded, now);
     for (const bool on_trial : {true, false}) {
         for (const bool own_zone : {true, false}) {
-            if (const candidate* free = pick_free(
-                    all, own_zone, on_trial, unreported_sends(own_zone, on_trial), random_fraction))
+            const draw_group group{own_zone, on_trial, false, !urgent,
+                                   unreported_sends(own_zone, on_trial)};
+            if (const candidate* free = pick_free(all, group, random_fraction))
                 return placed_at(*free);
         }
     }
@@ -211,13 +256,14 @@
 }
 
 std::uint32_t slot_table::batch_capacity(const service_id& service, instant now) const {
-    std::int64_t free = 0;
-    std::int64_t slots = 0;
+    double free = 0;
+    double slots = 0;
     for (const candidate& one : candidates(service, {}, {}, now)) {
-        free += std::max<std::int64_t>(one.free, 0);
-        slots += one.endpoint->info.slots;
+        const double pace = std::max(one.pace, 1.0);
+        free += static_cast<double>(std::max<std::int64_t>(one.free, 0)) / pace;
+        slots += one.endpoint->info.slots / pace;
     }
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(free - slots / reserve_divisor, 0));
+    return static_cast<std::uint32_t>(std::max(free - std::floor(slots / reserve_divisor), 0.0));
 }
 
 std::uint32_t slot_table::total_slots(const service_id& service, instant now) const {
--- a/lib/policy/slot_table.cpp
+++ b/lib/policy/slot_table.cpp
@@ -26,7 +26,9 @@
 
 void slot_table::set_endpoints(const std::vector<slot_endpoint>& endpoints) {
     std::map<endpoint_id, endpoint_state> next;
+    std::map<endpoint_id, service_id> services;
     for (const slot_endpoint& one : endpoints) {
+        services[one.id] = one.service;
         endpoint_state& known = next[one.id];
         known.info = one;
         auto before = endpoints_.find(one.id);
@@ -41,6 +43,7 @@
         }
     }
     endpoints_ = std::move(next);
+    pace_.set_endpoints(services);
 }
 
 void add_usage(slot_usage_map& sum, const slot_usage_map& usage) {
@@ -196,8 +199,12 @@
 
 bool slot_table::is_full(const endpoint_id& endpoint) const {
     auto found = endpoints_.find(endpoint);
+    return found == endpoints_.end() || in_use(endpoint) >= found->second.info.slots;
+}
+
+std::uint32_t slot_table::in_use(const endpoint_id& endpoint) const {
     const slot_usage use = total_use(endpoint);
-    return found == endpoints_.end() || use.online + use.batch >= found->second.info.slots;
+    return use.online + use.batch;
 }
 
 std::optional<entry_id> slot_table::batch_holder(const endpoint_id& endpoint) const {
