--- a/lib/policy/endpoint_pace.cpp
+++ b/lib/policy/endpoint_pace.cpp
@@ -97,7 +97,8 @@
                                                             microseconds expected,
                                                             microseconds actual, instant now) {
     auto found = endpoints_.find(endpoint);
-    if (found == endpoints_.end() || expected <= microseconds(0) || actual <= microseconds(0))
+    if (source_ == pace_source::none || found == endpoints_.end() || expected <= microseconds(0) ||
+        actual <= microseconds(0))
         return std::nullopt;
     endpoint_state& known = found->second;
     const double ratio =
--- a/test/runner/platform.lua
+++ b/test/runner/platform.lua
@@ -143,6 +143,8 @@
     table.insert(options, "--bad-part")
     table.insert(options, id .. " " .. way)
   end
+  for _, option in ipairs(shape.endpoint_options or {}) do table.insert(options, option) end
+  slots = shape.slots or slots
   for i = 1, 3 do
     add_program(controls, "control", i, "control", "platform-keeper", zones, seeds)
     add_program(works, "work", i, "work", "platform-keeper", zones, seeds)
--- a/unittests/policy/endpoint_pace_test.cpp
+++ b/unittests/policy/endpoint_pace_test.cpp
@@ -111,6 +111,9 @@
     CHECK(pace.factor(one, start) == 2.5);
     pace.set_source(pace_source::none);
     CHECK(pace.factor(one, start) == 1);
+    for (int i = 0; i < 100; ++i)
+        CHECK_FALSE(pace.record_run(one, milliseconds(100), milliseconds(100),
+                                    start + milliseconds(100 * i)));
 }
 
 TEST_CASE("an endpoint that is always slow keeps its factor between reports", "[pace]") {
