--- a/include/cassia/policy/slot_table.h
+++ b/include/cassia/policy/slot_table.h
@@ -4,6 +4,7 @@
 #include "cassia/base/clock.h"
 #include "cassia/base/ids.h"
 #include "cassia/policy/endpoint_memory.h"
+#include "cassia/policy/endpoint_pace.h"
 #include "cassia/policy/send_forecast.h"
 #include "cassia/policy/work_kind.h"
 
@@ -182,6 +183,8 @@
     std::uint32_t reserve_free_slots(const endpoint_id& endpoint);
     /// Whether all slots are in use, as far as is known; true for an unknown endpoint.
     bool is_full(const endpoint_id& endpoint) const;
+    /// Slots in use, as far as is known.
+    std::uint32_t in_use(const endpoint_id& endpoint) const;
     /// A gateway that runs batch items there: this one (empty) if it does, else any other.
     std::optional<entry_id> batch_holder(const endpoint_id& endpoint) const;
     /// The same if all slots are in use; nothing while some are free.
@@ -190,6 +193,9 @@
     std::uint32_t batch_capacity(const service_id& service, instant now) const;
     std::uint32_t total_slots(const service_id& service, instant now) const;
     bool contains(const endpoint_id& endpoint) const { return endpoints_.count(endpoint) > 0; }
+    /// How long work takes at the endpoints; placement prefers those where it takes less.
+    endpoint_pace& pace() { return pace_; }
+    const endpoint_pace& pace() const { return pace_; }
 
 private:
     struct endpoint_state {
@@ -211,6 +217,15 @@
         std::int64_t free_or_batch = 0; ///< slots that run no online request
         bool on_trial = false;          ///< online uses it only as a last resort
         bool rejecting = false;         ///< rejected a request just now
+        double pace = 1;                ///< its factor, see endpoint_pace.h
+    };
+    /// Endpoints that a request may be drawn from.
+    struct draw_group {
+        bool own_zone = true;
+        bool on_trial = false;
+        bool all_zones = false;  ///< overrides `own_zone`
+        bool slow_first = false; ///< prefers slow endpoints to fast ones
+        double unreported_sends = 0;
     };
 
     static bool counts_as_full(const endpoint_state& endpoint, instant now);
@@ -239,8 +254,11 @@
     bool keeps_reservation(const memory_reservation& held, const std::vector<candidate>& all,
                            instant now) const;
     static placement placed_at(const candidate& chosen);
-    const candidate* pick_free(const std::vector<candidate>& all, bool own_zone, bool on_trial,
-                               double unreported_sends, double random_fraction) const;
+    const candidate* pick_free(const std::vector<candidate>& all, const draw_group& group,
+                               double random_fraction) const;
+    /// The same among all zones if the endpoints of the own zone are slow. Nothing otherwise.
+    const candidate* pick_in_faster_zone(const std::vector<candidate>& all, double unreported_sends,
+                                         double random_fraction) const;
     double unreported_sends(bool own_zone, bool on_trial) const;
     const candidate* pick_yielding(const std::vector<candidate>& all, bool own_zone, bool on_trial,
                                    double random_fraction) const;
@@ -250,6 +268,7 @@
     peer_group all_peers_;
     send_forecast forecast_;
     endpoint_memory memory_;
+    endpoint_pace pace_;
     std::map<endpoint_id, endpoint_state> endpoints_;
     slot_usage_map own_;
     std::map<entry_id, remote_usage> remote_;
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -2,6 +2,7 @@
 
 #include "cassia/base/digest.h"
 #include "cassia/base/log.h"
+#include "cassia/gateway/load_report.h"
 #include "cassia/net/http_server.h"
 #include "cassia/state/sharding.h"
 
@@ -29,6 +30,7 @@
     : settings_(std::move(settings)), names_(std::move(names)), hooks_(std::move(hooks)),
       task_("gateway"), slots_(zone_id(settings_.zone())), random_(random_bits()) {
     slots_.set_memory_seed(random_bits());
+    slots_.pace().set_source(read_pace_source(settings_.endpoint_pace()));
     net::raw_server_hooks server_callbacks;
     server_callbacks.on_request = [this](exchange_id id, net::raw_request request) {
         on_request(id, std::move(request));
@@ -96,6 +98,9 @@
     dispatcher_callbacks.only_version = [this](const service_id& service) {
         return cluster_->only_version(service);
     };
+    dispatcher_callbacks.reports_pace = [this](const service_id& service) {
+        return slots_.pace().reports_pace(service);
+    };
     dispatcher_ = std::make_unique<dispatcher>(*server_, *client_, slots_, *crashes_, *trials_,
                                                *origins_, metrics_, names_, dispatcher_callbacks);
     dispatcher_->set_hedge_percent(settings_.hedge_percent());
