Scarce slots: order by the teams' use of the fleet, rejection by a forecast of slots

Cause: each gateway queued by itself. A team far above its usual rate delayed the others, as its use at other gateways was unknown, and a request without a chance was rejected only when its time was over.

Known and not yet mended: after 2,000 callers return at once, nothing is rejected ahead, since some slot always seems free.

--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -15,8 +15,10 @@
 #include "cassia/net/raw_client.h"
 #include "cassia/net/raw_server.h"
 #include "cassia/policy/request_queue.h"
+#include "cassia/policy/slot_forecast.h"
 #include "cassia/policy/slot_table.h"
 #include "cassia/policy/stream_pace.h"
+#include "cassia/policy/team_shares.h"
 #include "cassia/routes/table.h"
 
 #include <functional>
@@ -68,6 +70,14 @@
     void set_prompt_parts_reader(prompt_parts_reader reader) {
         read_prompt_parts_ = std::move(reader);
     }
+    /// Orders queued requests by the teams of the table of routes, if it has any.
+    void set_teams(const teams::team_table& teams);
+    /// Rejects requests ahead that won't get a slot in time.
+    void set_refuse_ahead(bool enabled) { refuses_ahead_ = enabled; }
+    /// Use of slots by teams, to be exchanged with other gateways.
+    policy::team_shares& shares() { return shares_; }
+    /// Logs the largest users of slots and their shares.
+    void log_shares() const;
     /// The caller disconnected before its response was complete.
     void on_caller_gone(exchange_id id);
     /// Ends the calls of requests that are quarantined by now.
@@ -154,6 +164,24 @@
     /// Time without a byte after which an attempt is considered lost.
     microseconds inactivity_timeout(const online_call& call) const;
     void cancel_attempt(online_call& call);
+    /// Slots that teams over their share leave to others are the only free ones.
+    bool holds_back_over_share(const service_id& service, instant now) const;
+    /// Whether the call has to wait although a slot may be free.
+    bool is_held_back(const online_call& call, instant now) const;
+    static team_id team_of(const online_call& call);
+    policy::slot_forecast& forecast_for(const online_call& call, instant now);
+    policy::fleet_slots fleet_for(const online_call& call, instant now) const;
+    void note_queued(online_call& call, instant now);
+    void note_slot(online_call& call, bool acquired);
+    /// Rejects queued requests that won't get a slot in time.
+    void reject_hopeless(instant now);
+    void reject_hopeless(const policy::queue_line& line, instant now);
+    void reject_ahead(online_call& call, const policy::fleet_slots& fleet, std::size_t ahead,
+                      instant now);
+    std::optional<milliseconds> plan_return(online_call& call, const policy::fleet_slots& fleet,
+                                            std::size_t queued, instant now);
+    /// For a call whose time for being sent is over.
+    milliseconds retry_after_wait(online_call& call, instant now);
     void release_reserved_slots(online_call& call);
     /// Ends the call with a response that guarantees that the request has not run.
     void reject(online_call& call, const std::string& cause,
@@ -180,6 +208,10 @@
     /// The suspect that runs without a coordinator, for each service.
     std::map<service_id, exchange_id> running_alone_;
     policy::request_queue queue_;
+    policy::team_shares shares_;
+    bool refuses_ahead_ = false;
+    /// By service, and whether the team is over its share: such requests wait for longer.
+    std::map<std::pair<service_id, bool>, policy::slot_forecast> forecasts_;
     std::map<service_id, policy::stall_timeout_estimator> paces_;
     std::mt19937_64 random_;
 };
--- a/include/cassia/gateway/service.h
+++ b/include/cassia/gateway/service.h
@@ -87,6 +87,8 @@
     void reject_without_routes(exchange_id id, const net::raw_request& request,
                                std::optional<milliseconds> retry_after);
     void on_admin_request(exchange_id id, const net::raw_request& request);
+    /// Expires old reports of other gateways and sends them the use of slots here.
+    void share_usage();
     void set_routes(std::shared_ptr<const routes::table> table);
     /// \param holder of the slot; empty for this gateway.
     void request_yield(const entry_id& holder, const endpoint_id& endpoint);
--- a/include/cassia/gateway/usage_coordinator.h
+++ b/include/cassia/gateway/usage_coordinator.h
@@ -17,6 +17,8 @@
     std::function<bool(const entry_id& to, schema::envelope&)> send;
     /// Slots in use by another gateway or by a whole zone, under its key in the slot table.
     std::function<void(const entry_id& holder, policy::slot_usage_map)> on_usage;
+    /// Slot time of teams at another gateway, or at all others.
+    std::function<void(const entry_id& holder, policy::team_use_map)> on_team_use;
     /// Another gateway needs slots that batch items of this one hold.
     std::function<void(const endpoint_id&, std::uint32_t slots)> on_yield_request;
 };
@@ -29,8 +31,8 @@
     policy::peer_group peers(bool own_zone_only) const { return exchange_.peers(own_zone_only); }
     /// This gateway no longer acts as a relay.
     void leave() { exchange_.leave(); }
-    /// Sends the slots in use here to other gateways when due.
-    void share(const policy::slot_usage_map& usage);
+    /// Sends the slots in use here, and the teams that use them, to other gateways when due.
+    void share(const policy::slot_usage_map& usage, const policy::team_use_map& teams);
     /// \param holder a gateway, or a zone by its key in the slot table.
     void request_yield(const entry_id& holder, const endpoint_id& endpoint, std::uint32_t slots);
     /// Handles a message of another gateway; ignores messages of other kinds.
--- a/include/cassia/policy/slot_table.h
+++ b/include/cassia/policy/slot_table.h
@@ -4,6 +4,7 @@
 #include "cassia/base/clock.h"
 #include "cassia/base/ids.h"
 #include "cassia/policy/send_forecast.h"
+#include "cassia/policy/slot_forecast.h"
 
 #include <cstdint>
 #include <map>
@@ -152,6 +153,11 @@
     /// Free slots of a service above the online reserve.
     std::uint32_t batch_capacity(const service_id& service, instant now) const;
     std::uint32_t total_slots(const service_id& service, instant now) const;
+    /// Slots of all endpoints.
+    std::uint32_t capacity() const;
+    /// Slots of the service's endpoints of this version that aren't suspended, for a forecast.
+    fleet_slots fleet_load(const service_id& service, const software_version& version,
+                           instant now) const;
     bool contains(const endpoint_id& endpoint) const { return endpoints_.count(endpoint) > 0; }
 
 private:
--- a/include/cassia/policy/usage_exchange.h
+++ b/include/cassia/policy/usage_exchange.h
@@ -7,6 +7,7 @@
 #include "cassia/base/ids.h"
 #include "cassia/policy/gossip_topology.h"
 #include "cassia/policy/slot_table.h"
+#include "cassia/policy/team_shares.h"
 
 #include <cstdint>
 #include <map>
@@ -30,6 +31,10 @@
     content kind = content::own_use;
     slot_usage_map own;   ///< for `own_use` and `report`
     zone_usage_map zones; ///< for `sums`: those that have changed or are repeated
+    /// The largest users: of the sender with `own`; with `sums`, of the sender's zone, and for a
+    /// gateway of that zone, of all zones less what the receiver reported. Only sent along with
+    /// usage and at intervals, as decaying use changes all the time.
+    std::optional<team_use_map> teams = std::nullopt;
 };
 
 /// Next hop of a request that a batch item yields its slot.
@@ -47,11 +52,13 @@
     /// Stops being a relay before shutdown.
     void leave();
     /// Advances time. \returns the messages due now. \param own usage of this gateway.
-    std::vector<usage_message> poll(const slot_usage_map& own, instant now);
-    void receive_report(const entry_id& from, slot_usage_map usage, instant now);
+    std::vector<usage_message> poll(const slot_usage_map& own, instant now,
+                                    const team_use_map& own_teams = {});
+    void receive_report(const entry_id& from, slot_usage_map usage, instant now,
+                        std::optional<team_use_map> teams = std::nullopt);
     /// \returns whether the sums are to be used: sums for the own zone only from the current relay.
     bool receive_sums(const entry_id& relay, const zone_id& zone, const zone_usage_map& zones,
-                      instant now);
+                      instant now, std::optional<team_use_map> teams = std::nullopt);
 
     /// Whether the fleet is too large for each gateway to send to all others.
     bool uses_relays() const;
@@ -68,30 +75,45 @@
     static entry_id zone_key(const zone_id& zone);
 
 private:
+    struct reported_teams {
+        team_use_map use;
+        instant received_at{};
+    };
     struct report {
         slot_usage_map usage;
         instant received_at{};
+        reported_teams teams;
+        instant teams_sent_at{};
         slot_usage_map sent_own_zone; ///< sum last sent to it
         zone_usage_map sent_zones;    ///< the same for other zones
         instant sent_at{};            ///< when the own zone's sum was sent
     };
     struct zone_sum {
         std::shared_ptr<const slot_usage_map> usage;
+        reported_teams teams;
         entry_id relay;
         instant received_at{};
     };
     struct sent_usage {
         slot_usage_map usage;
         instant at{};
+        instant teams_at{}; ///< when the use of teams was last sent
     };
 
     void rank_relays();
     void send_to_all(const slot_usage_map& own, instant now, std::vector<usage_message>& out);
     void report_to_relay(const slot_usage_map& own, instant now, std::vector<usage_message>& out);
     std::optional<usage_message> sums_for(const entry_id& to, report& reporter,
-                                          const slot_usage_map& all, instant now) const;
+                                          const slot_usage_map& all, const team_use_map& teams,
+                                          instant now) const;
+    /// The own teams if they are due, then noted as sent.
+    std::optional<team_use_map> due_teams(const team_use_map& teams, instant& sent_at,
+                                          instant now) const;
+    /// Of the own zone, with this gateway.
+    team_use_map sum_teams(instant now) const;
+    void add_other_zones(team_use_map& sum, instant now) const;
     void publish(const slot_usage_map& own, instant now, std::vector<usage_message>& out);
-    void send_to_other_zones(const slot_usage_map& own_zone, instant now,
+    void send_to_other_zones(const slot_usage_map& own_zone, const team_use_map& teams, instant now,
                              std::vector<usage_message>& out);
     void choose_relay(instant now);
     void expire_silent(instant now);
@@ -109,6 +131,7 @@
     std::map<entry_id, report> reports_;
     std::map<zone_id, zone_sum> zones_; ///< other zones
     slot_usage_map own_;
+    team_use_map own_teams_;
     std::map<entry_id, sent_usage> sent_to_all_;
     sent_usage sent_to_relay_;
     sent_usage sent_to_zones_;
--- a/lib/gateway/dispatch_timeouts.cpp
+++ b/lib/gateway/dispatch_timeouts.cpp
@@ -34,7 +34,7 @@
     if (!call.buffered_events.empty() && now - call.buffered_since >= max_event_delay)
         flush_events(call);
     if (waits_for_slot && call.runs == 0 && now > call.send_deadline) {
-        reject(call, "no_slot_in_time");
+        reject(call, "no_slot_in_time", retry_after_wait(call, now));
         return;
     }
     if (now >= call.deadline) {
@@ -151,6 +151,7 @@
     }
     end_unservable();
     dispatch_queued();
+    reject_hopeless(now);
 }
 
 } // namespace cassia::gateway
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -38,7 +38,9 @@
                        metrics& counts, header_names names, dispatcher_hooks hooks)
     : server_(server), client_(client), slots_(slots), crashes_(crashes), trials_(trials),
       origins_(origins), metrics_(counts), names_(std::move(names)), hooks_(std::move(hooks)),
-      random_(random_bits()) {}
+      random_(random_bits()) {
+    queue_.set_shares(&shares_);
+}
 
 dispatcher::~dispatcher() = default;
 
@@ -113,21 +115,27 @@
     std::uniform_real_distribution<double> uniform(0, 1);
     const double draw = uniform(random_);
     const software_version version = call.required_version();
-    std::optional<policy::placement> found =
-        slots_.place_online(call.service, call.failed_endpoints, now, draw, version);
-    if (!found && !call.failed_endpoints.empty())
+    const bool held_back = is_held_back(call, now);
+    std::optional<policy::placement> found;
+    if (!held_back)
+        found = slots_.place_online(call.service, call.failed_endpoints, now, draw, version);
+    if (!found && !held_back && !call.failed_endpoints.empty())
         found = slots_.place_online(call.service, {}, now, draw, version);
     if (found) {
         send(call, *found);
         return;
     }
     call.phase = call.phase == call_phase::responding ? call.phase : call_phase::queued;
-    if (!queue_.contains(call.id))
+    if (!queue_.contains(call.id)) {
+        note_queued(call, now);
         log_info("request_queued")
             .with("request", call.request_id)
             .with("service", call.service.str())
             .with("waiting", queue_.size())
-            .with("slots", slots_.total_slots(call.service, now));
+            .with("slots", slots_.total_slots(call.service, now))
+            .with("forecast_ms", call.slot_forecast.count())
+            .with("over_share", call.was_over_share ? 1 : 0);
+    }
     queue_.add({call.id, call.service, call.team == nullptr ? team_id() : call.team->id,
                 call.priority(), call.arrived_at,
                 call.arrived_at + milliseconds(call.route->target_ms()) - first_event_time,
@@ -153,7 +161,7 @@
         hooks_.request_yield(*placement.yielding_gateway, placement.endpoint);
     queue_.remove_served(call.id);
     slots_.acquire(placement.endpoint, policy::work_kind::online);
-    call.holds_slot = true;
+    note_slot(call, true);
     call.endpoint = placement.endpoint;
     call.incarnation = placement.incarnation;
     call.endpoint_version = placement.version;
@@ -196,23 +204,6 @@
     call.upstream_call = client_.start(std::move(outgoing), std::move(hooks));
 }
 
-void dispatcher::dispatch_queued() {
-    const instant now = monotonic_now();
-    for (const policy::queue_line& line : queue_.lines()) {
-        const bool is_suspended =
-            !line.version.empty() && slots_.all_suspended(line.service, line.version, now);
-        if (is_suspended)
-            continue;
-        while (const std::optional<exchange_id> next = queue_.next(line, now)) {
-            online_call& call = *calls_.at(*next);
-            const std::size_t queued_before = queue_.size();
-            place(call);
-            if (queue_.size() == queued_before)
-                break;
-        }
-    }
-}
-
 void dispatcher::cancel_attempt(online_call& call) {
     if (is_silent(call))
         crashes_.record_silent_run(run_of(call));
@@ -221,9 +212,10 @@
     release_reserved_slots(call);
     client_.cancel(call.upstream_call);
     call.upstream_call = call_id();
-    if (call.holds_slot)
+    if (call.holds_slot) {
         slots_.release(call.endpoint, policy::work_kind::online);
-    call.holds_slot = false;
+        note_slot(call, false);
+    }
 }
 
 void dispatcher::eject_endpoint(const online_call& call, instant now) {
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -98,6 +98,7 @@
     dispatcher_ = std::make_unique<dispatcher>(*server_, *client_, slots_, *crashes_, *trials_,
                                                *origins_, metrics_, names_, dispatcher_callbacks);
     dispatcher_->set_migration_protocol(hooks_.migration);
+    dispatcher_->set_refuse_ahead(settings_.refuse_ahead());
     dispatcher_->set_prompt_parts_reader(hooks_.read_prompt_parts);
     item_runner_hooks item_callbacks;
     item_callbacks.lease = [this](const std::string& route, std::uint32_t limit,
@@ -117,6 +118,7 @@
     };
     cluster_callbacks.on_endpoints = [this](const std::vector<policy::slot_endpoint>& endpoints) {
         slots_.set_endpoints(endpoints);
+        dispatcher_->shares().set_capacity(slots_.capacity());
         crashes_->set_endpoints(endpoints);
         dispatcher_->end_unservable();
         dispatcher_->dispatch_queued();
@@ -138,6 +140,9 @@
     cluster_callbacks.on_usage = [this](const entry_id& holder, policy::slot_usage_map usage) {
         slots_.set_remote_usage(holder, std::move(usage), monotonic_now());
     };
+    cluster_callbacks.on_team_use = [this](const entry_id& holder, policy::team_use_map use) {
+        dispatcher_->shares().set_remote_use(holder, std::move(use), monotonic_now());
+    };
     cluster_callbacks.on_yield_request = [this](const endpoint_id& endpoint, std::uint32_t slots) {
         items_->yield(endpoint, slots);
     };
@@ -188,11 +193,11 @@
     net::on_signal(task_, SIGINT, [this] { shut_down(); });
     net::on_signal(task_, SIGUSR1, [this] { log_info("state_dump").with("dump", dump()); });
     task_.every(tick_interval, [this] { tick(); });
-    task_.every(usage_interval, [this] {
-        slots_.expire_remote_usage(monotonic_now());
-        cluster_->share_usage(slots_.own_usage());
+    task_.every(usage_interval, [this] { share_usage(); });
+    task_.every(traffic_log_interval, [this] {
+        cluster_->peers().log_sent();
+        dispatcher_->log_shares();
     });
-    task_.every(traffic_log_interval, [this] { cluster_->peers().log_sent(); });
     task_.every(held_items_interval, [this] { send_held_items(); });
     log_info("gateway_started")
         .with("address", settings_.serve_address())
@@ -205,6 +210,7 @@
 void service::set_routes(std::shared_ptr<const routes::table> table) {
     routes_ = std::move(table);
     items_->set_routes(routes_);
+    dispatcher_->set_teams(routes_->teams());
     const schema::request_limits& limits = routes_->limits();
     net::raw_server_limits server_limits;
     server_limits.header_bytes = limits.header_bytes();
--- a/lib/gateway/service_status.cpp
+++ b/lib/gateway/service_status.cpp
@@ -73,4 +73,13 @@
     return boost::json::serialize(out);
 }
 
+void service::share_usage() {
+    const instant now = monotonic_now();
+    policy::team_shares& shares = dispatcher_->shares();
+    slots_.expire_remote_usage(now);
+    shares.expire(now);
+    cluster_->share_usage(slots_.own_usage(),
+                          shares.is_enabled() ? shares.own_use(now) : policy::team_use_map());
+}
+
 } // namespace cassia::gateway
--- a/lib/gateway/usage_coordinator.cpp
+++ b/lib/gateway/usage_coordinator.cpp
@@ -5,6 +5,7 @@
 #include <google/protobuf/arena.h>
 
 #include <map>
+#include <optional>
 #include <utility>
 
 namespace cassia::gateway {
@@ -12,6 +13,11 @@
 using policy::slot_usage_map;
 using policy::usage_message;
 
+// The relay's list of teams covers all gateways but the receiver.
+static entry_id all_others() {
+    return entry_id("all others");
+}
+
 template <class Message>
 static void encode_usage(const slot_usage_map& usage, Message& message) {
     for (const std::pair<const endpoint_id, policy::slot_usage>& endpoint_usage : usage) {
@@ -33,6 +39,28 @@
     return usage;
 }
 
+template <class Message>
+static void encode_teams(const std::optional<policy::team_use_map>& teams, Message& message) {
+    if (!teams)
+        return;
+    for (const std::pair<const team_id, double>& team : *teams) {
+        schema::team_use* use = message.add_teams();
+        use->set_team(team.first.str());
+        use->set_slot_ms(static_cast<std::uint64_t>(team.second));
+    }
+}
+
+// A sender that had nothing to tell about teams keeps what it told before.
+template <class Message>
+static std::optional<policy::team_use_map> decode_teams(const Message& message) {
+    if (message.teams().empty())
+        return std::nullopt;
+    policy::team_use_map teams;
+    for (const schema::team_use& use : message.teams())
+        teams[team_id(use.team())] += static_cast<double>(use.slot_ms());
+    return teams;
+}
+
 usage_coordinator::usage_coordinator(entry_id self, zone_id zone, usage_hooks hooks)
     : self_(std::move(self)), zone_(std::move(zone)), hooks_(std::move(hooks)),
       exchange_(self_, zone_) {}
@@ -41,8 +69,8 @@
     exchange_.set_gateways(std::move(others));
 }
 
-void usage_coordinator::share(const slot_usage_map& usage) {
-    for (const usage_message& message : exchange_.poll(usage, monotonic_now()))
+void usage_coordinator::share(const slot_usage_map& usage, const policy::team_use_map& teams) {
+    for (const usage_message& message : exchange_.poll(usage, monotonic_now(), teams))
         send(message);
     const entry_id relay = exchange_.relay().value_or(entry_id());
     if (relay == last_logged_relay_)
@@ -56,6 +84,8 @@
     if (message.to == self_) {
         for (const policy::zone_usage_map::value_type& zone_use : message.zones)
             hooks_.on_usage(policy::usage_exchange::zone_key(zone_use.first), *zone_use.second);
+        if (message.teams)
+            hooks_.on_team_use(all_others(), *message.teams);
         return;
     }
     // A relay sends the use of each endpoint to each gateway of its zone several times a second; on
@@ -65,9 +95,11 @@
     if (message.kind == usage_message::content::own_use) {
         envelope.mutable_rumor()->set_entry(self_.str());
         encode_usage(message.own, *envelope.mutable_rumor());
+        encode_teams(message.teams, *envelope.mutable_rumor());
     } else if (message.kind == usage_message::content::report) {
         envelope.mutable_usage()->set_entry(self_.str());
         encode_usage(message.own, *envelope.mutable_usage());
+        encode_teams(message.teams, *envelope.mutable_usage());
     } else {
         schema::usage_sums* sums = envelope.mutable_sums();
         sums->set_entry(self_.str());
@@ -77,6 +109,8 @@
             zone->set_zone(zone_use.first.str());
             encode_usage(*zone_use.second, *zone);
         }
+        if (!message.zones.empty())
+            encode_teams(message.teams, *sums->mutable_zones(0));
     }
     hooks_.send(message.to, envelope);
 }
@@ -85,10 +119,12 @@
     switch (message.body_case()) {
     case schema::envelope::kRumor:
         hooks_.on_usage(entry_id(message.rumor().entry()), decode_usage(message.rumor()));
+        if (std::optional<policy::team_use_map> teams = decode_teams(message.rumor()))
+            hooks_.on_team_use(entry_id(message.rumor().entry()), std::move(*teams));
         break;
     case schema::envelope::kUsage:
         exchange_.receive_report(entry_id(message.usage().entry()), decode_usage(message.usage()),
-                                 monotonic_now());
+                                 monotonic_now(), decode_teams(message.usage()));
         break;
     case schema::envelope::kSums:
         on_zone_sums(message.sums());
@@ -104,18 +140,23 @@
 void usage_coordinator::on_zone_sums(const schema::usage_sums& sums) {
     const entry_id relay(sums.entry());
     const zone_id sender_zone(sums.zone());
+    std::optional<policy::team_use_map> teams;
+    if (sums.zones_size() > 0)
+        teams = decode_teams(sums.zones(0));
     if (sender_zone == zone_) {
         if (!exchange_.receive_sums(relay, sender_zone, {}, monotonic_now()))
             return;
         for (const schema::zone_usage& zone : sums.zones())
             hooks_.on_usage(policy::usage_exchange::zone_key(zone_id(zone.zone())),
                             decode_usage(zone));
+        if (teams)
+            hooks_.on_team_use(all_others(), std::move(*teams));
         return;
     }
     policy::zone_usage_map zones;
     for (const schema::zone_usage& zone : sums.zones())
         zones[zone_id(zone.zone())] = std::make_shared<slot_usage_map>(decode_usage(zone));
-    if (!exchange_.receive_sums(relay, sender_zone, zones, monotonic_now()))
+    if (!exchange_.receive_sums(relay, sender_zone, zones, monotonic_now(), std::move(teams)))
         return;
     for (const policy::zone_usage_map::value_type& zone : zones)
         hooks_.on_usage(policy::usage_exchange::zone_key(zone.first), *zone.second);
--- a/lib/policy/request_queue.cpp
+++ b/lib/policy/request_queue.cpp
@@ -43,7 +43,10 @@
 // each slot would go to a request that has just missed it. So late requests wait for those on time.
 // A request that has run can no longer be rejected, and its caller may have part of the answer: it
 // never counts as late.
-std::optional<exchange_id> request_queue::next(const queue_line& line, instant now) const {
+std::optional<exchange_id> request_queue::next(const queue_line& line, instant now,
+                                               bool skip_over_share) const {
+    if (uses_shares())
+        return next_by_share(line, now, skip_over_share);
     const auto rank = [this, now](const queued_request& one) {
         return std::make_tuple(!one.has_run && now > one.target_deadline, one.priority,
                                served_by_team_.at(one.team), one.target_deadline, one.id);
@@ -60,6 +63,71 @@
     return first->id;
 }
 
+static bool is_late(const queued_request& request, instant now) {
+    return !request.has_run && now > request.target_deadline;
+}
+
+// A request that has run is never held back: its caller may have part of the answer.
+bool request_queue::is_over_share(const queued_request& request, instant now) const {
+    return uses_shares() && !request.has_run && shares_->is_over_share(request.team, now);
+}
+
+std::optional<exchange_id> request_queue::next_by_share(const queue_line& line, instant now,
+                                                        bool skip_over_share) const {
+    std::map<team_id, std::pair<bool, double>> use;
+    const queued_request* first = nullptr;
+    const auto rank = [&use, now](const queued_request& one) {
+        const std::pair<bool, double>& share = use.at(one.team);
+        return std::make_tuple(is_late(one, now), one.priority, !one.has_run && share.first,
+                               share.second, one.target_deadline, one.id);
+    };
+    for (const std::pair<const exchange_id, queued_request>& one : waiting_) {
+        const queued_request& request = one.second;
+        if (line != queue_line{request.service, request.version})
+            continue;
+        if (use.count(request.team) == 0)
+            use[request.team] = {shares_->is_over_share(request.team, now),
+                                 shares_->relative_use(request.team, now)};
+        if (skip_over_share && !request.has_run && use.at(request.team).first)
+            continue;
+        if (first == nullptr || rank(request) < rank(*first))
+            first = &request;
+    }
+    return first == nullptr ? std::nullopt : std::optional<exchange_id>(first->id);
+}
+
+// Each request of a team counts as a run for those behind it, as it will once it is sent.
+std::vector<queued_request> request_queue::in_order(const queue_line& line, instant now) const {
+    using key = std::tuple<bool, std::uint32_t, bool, double, instant, exchange_id>;
+    std::vector<std::pair<key, queued_request>> ranked;
+    for (const std::pair<const exchange_id, queued_request>& one : waiting_) {
+        const queued_request& request = one.second;
+        if (line == queue_line{request.service, request.version})
+            ranked.push_back({{is_late(request, now), request.priority, is_over_share(request, now),
+                               0, request.target_deadline, request.id},
+                              request});
+    }
+    const auto by_key = [](const auto& a, const auto& b) { return a.first < b.first; };
+    std::sort(ranked.begin(), ranked.end(), by_key);
+    std::map<team_id, double> use;
+    for (std::pair<key, queued_request>& one : ranked) {
+        const team_id& team = one.second.team;
+        const bool by_share = uses_shares();
+        if (use.count(team) == 0)
+            use[team] = by_share ? shares_->relative_use(team, now)
+                                 : static_cast<double>(served_by_team_.at(team));
+        std::get<3>(one.first) = use[team];
+        use[team] +=
+            by_share ? static_cast<double>(assumed_run.count()) / shares_->weight(team) : 1;
+    }
+    std::sort(ranked.begin(), ranked.end(), by_key);
+    std::vector<queued_request> ordered;
+    ordered.reserve(ranked.size());
+    for (const std::pair<key, queued_request>& one : ranked)
+        ordered.push_back(one.second);
+    return ordered;
+}
+
 std::vector<exchange_id> request_queue::expired(instant now) const {
     std::vector<exchange_id> expired_ids;
     for (const std::pair<const exchange_id, queued_request>& one : waiting_) {
--- a/lib/policy/slot_placement.cpp
+++ b/lib/policy/slot_placement.cpp
@@ -227,4 +227,31 @@
     return slots;
 }
 
+std::uint32_t slot_table::capacity() const {
+    std::uint32_t slots = 0;
+    for (const std::pair<const endpoint_id, endpoint_state>& one : endpoints_)
+        slots += one.second.info.slots;
+    return slots;
+}
+
+// An endpoint that has just rejected a request counts with the slots that are known to be in use:
+// it is full for some ten milliseconds only.
+fleet_slots slot_table::fleet_load(const service_id& service, const software_version& version,
+                                   instant now) const {
+    fleet_slots load;
+    load.gateways = all_peers_.gateways + 1;
+    for (const std::pair<const endpoint_id, endpoint_state>& one : endpoints_) {
+        const bool fits = one.second.info.service == service &&
+                          (version.empty() || one.second.info.version == version);
+        if (!fits || now < one.second.suspended_until)
+            continue;
+        const slot_usage use = total_use(one.first);
+        const std::uint32_t slots = one.second.info.slots;
+        load.slots += slots;
+        load.busy += std::min(use.online, slots);
+        load.batch += std::min(use.batch, slots);
+    }
+    return load;
+}
+
 } // namespace cassia::policy
--- a/lib/policy/usage_exchange.cpp
+++ b/lib/policy/usage_exchange.cpp
@@ -74,14 +74,18 @@
     ranked_[zone_]; // choose_relay() needs the own zone also if none of its gateways can be a relay
 }
 
-void usage_exchange::receive_report(const entry_id& from, slot_usage_map usage, instant now) {
+void usage_exchange::receive_report(const entry_id& from, slot_usage_map usage, instant now,
+                                    std::optional<team_use_map> teams) {
     report& reporter = reports_[from];
     reporter.usage = std::move(usage);
+    if (teams)
+        reporter.teams = {std::move(*teams), now};
     reporter.received_at = now;
 }
 
 bool usage_exchange::receive_sums(const entry_id& relay, const zone_id& zone,
-                                  const zone_usage_map& zones, instant now) {
+                                  const zone_usage_map& zones, instant now,
+                                  std::optional<team_use_map> teams) {
     if (zone == zone_) {
         if (relay != relay_)
             return false;
@@ -91,7 +95,12 @@
     auto found = zones.find(zone);
     if (found == zones.end())
         return false;
-    zones_[zone] = {found->second, relay, now};
+    zone_sum& sum = zones_[zone];
+    sum.usage = found->second;
+    sum.relay = relay;
+    sum.received_at = now;
+    if (teams)
+        sum.teams = {std::move(*teams), now};
     return true;
 }
 
@@ -126,9 +135,11 @@
     sent_to_relay_ = sent_usage();
 }
 
-std::vector<usage_message> usage_exchange::poll(const slot_usage_map& own, instant now) {
+std::vector<usage_message> usage_exchange::poll(const slot_usage_map& own, instant now,
+                                                const team_use_map& own_teams) {
     std::vector<usage_message> out;
     own_ = own;
+    own_teams_ = own_teams;
     expire_silent(now);
     if (!uses_relays()) {
         send_to_all(own, now, out);
@@ -150,8 +161,13 @@
         sent_usage& sent = sent_to_all_[one.id];
         if (sent.usage == own && now - sent.at < repeat_interval)
             continue;
-        sent = {own, now};
-        out.push_back({one.id, usage_message::content::own_use, own, {}});
+        sent.usage = own;
+        sent.at = now;
+        out.push_back({one.id,
+                       usage_message::content::own_use,
+                       own,
+                       {},
+                       due_teams(own_teams_, sent.teams_at, now)});
     }
 }
 
@@ -159,13 +175,39 @@
                                      std::vector<usage_message>& out) {
     if (sent_to_relay_.usage == own && now - sent_to_relay_.at < repeat_interval)
         return;
-    sent_to_relay_ = {own, now};
-    out.push_back({relay_, usage_message::content::report, own, {}});
+    sent_to_relay_.usage = own;
+    sent_to_relay_.at = now;
+    out.push_back({relay_,
+                   usage_message::content::report,
+                   own,
+                   {},
+                   due_teams(own_teams_, sent_to_relay_.teams_at, now)});
+}
+
+team_use_map usage_exchange::sum_teams(instant now) const {
+    team_use_map sum = own_teams_;
+    for (const std::pair<const entry_id, report>& one : reports_)
+        add_team_use(sum, one.second.teams.use, now - one.second.teams.received_at);
+    return sum;
+}
+
+void usage_exchange::add_other_zones(team_use_map& sum, instant now) const {
+    for (const std::pair<const zone_id, zone_sum>& zone : zones_)
+        add_team_use(sum, zone.second.teams.use, now - zone.second.teams.received_at);
+}
+
+std::optional<team_use_map> usage_exchange::due_teams(const team_use_map& teams, instant& sent_at,
+                                                      instant now) const {
+    if (teams.empty() || now - sent_at < team_use_interval)
+        return std::nullopt;
+    sent_at = now;
+    return largest_users(teams);
 }
 
 // Another zone's sum is sent only when a new one was received; that zone's relay repeats it.
 std::optional<usage_message> usage_exchange::sums_for(const entry_id& to, report& reporter,
                                                       const slot_usage_map& all,
+                                                      const team_use_map& teams,
                                                       instant now) const {
     usage_message message{to, usage_message::content::sums, {}, {}};
     for (const std::pair<const zone_id, zone_sum>& zone : zones_) {
@@ -184,6 +226,11 @@
     }
     if (message.zones.empty())
         return std::nullopt;
+    if (now - reporter.teams_sent_at >= team_use_interval) {
+        team_use_map others = teams;
+        subtract_team_use(others, reporter.teams.use, now - reporter.teams.received_at);
+        message.teams = due_teams(others, reporter.teams_sent_at, now);
+    }
     return message;
 }
 
@@ -199,32 +246,40 @@
         add_usage(others, one.second.usage);
     slot_usage_map all = others;
     add_usage(all, own);
+    const team_use_map zone_teams = sum_teams(now);
+    team_use_map teams = zone_teams;
+    add_other_zones(teams, now);
     for (std::pair<const entry_id, report>& one : reports_) {
-        if (std::optional<usage_message> message = sums_for(one.first, one.second, all, now))
+        if (std::optional<usage_message> message = sums_for(one.first, one.second, all, teams, now))
             out.push_back(std::move(*message));
     }
     if (relay_ != self_)
         return;
     usage_message to_self{self_, usage_message::content::sums, {}, {}};
     to_self.zones[zone_] = std::make_shared<slot_usage_map>(std::move(others));
+    subtract_team_use(teams, own_teams_, microseconds(0));
+    to_self.teams = std::move(teams);
     out.push_back(std::move(to_self));
-    send_to_other_zones(all, now, out);
+    send_to_other_zones(all, zone_teams, now, out);
 }
 
-void usage_exchange::send_to_other_zones(const slot_usage_map& own_zone, instant now,
-                                         std::vector<usage_message>& out) {
+void usage_exchange::send_to_other_zones(const slot_usage_map& own_zone, const team_use_map& teams,
+                                         instant now, std::vector<usage_message>& out) {
     const milliseconds interval =
         own_zone == sent_to_zones_.usage ? repeat_interval : zones_interval;
     if (now - sent_to_zones_.at < interval)
         return;
-    sent_to_zones_ = {own_zone, now};
+    sent_to_zones_.usage = own_zone;
+    sent_to_zones_.at = now;
+    const std::optional<team_use_map> due = due_teams(teams, sent_to_zones_.teams_at, now);
     const std::shared_ptr<const slot_usage_map> shared = std::make_shared<slot_usage_map>(own_zone);
     for (const std::pair<const zone_id, std::vector<entry_id>>& zone : ranked_) {
         if (zone.first == zone_)
             continue;
         const std::size_t count = std::min(relays_per_zone, zone.second.size());
         for (std::size_t i = 0; i < count; ++i)
-            out.push_back({zone.second[i], usage_message::content::sums, {}, {{zone_, shared}}});
+            out.push_back(
+                {zone.second[i], usage_message::content::sums, {}, {{zone_, shared}}, due});
     }
 }
 
