--- a/include/cassia/policy/slot_table.h
+++ b/include/cassia/policy/slot_table.h
@@ -6,6 +6,7 @@
 #include "cassia/policy/endpoint_memory.h"
 #include "cassia/policy/endpoint_pace.h"
 #include "cassia/policy/send_forecast.h"
+#include "cassia/policy/slot_forecast.h"
 #include "cassia/policy/work_kind.h"
 
 #include <cstdint>
@@ -192,6 +193,11 @@
     /// Free slots of a service above the online reserve.
     std::uint32_t batch_capacity(const service_id& service, instant now) const;
     std::uint32_t total_slots(const service_id& service, instant now) const;
+    /// Slots of all endpoints.
+    std::uint32_t capacity() const;
+    /// Slots of the service's endpoints of this version that aren't suspended, for a forecast.
+    fleet_slots fleet_load(const service_id& service, const software_version& version,
+                           instant now) const;
     bool contains(const endpoint_id& endpoint) const { return endpoints_.count(endpoint) > 0; }
     /// How long work takes at the endpoints; placement prefers those where it takes less.
     endpoint_pace& pace() { return pace_; }
