Connections: pausing, draining, and peers that read slowly

Callers that read slowly were reset after 1.5 s, since TCP_USER_TIMEOUT also counts the time in which a peer acknowledges probes of its closed window. What waited to be sent was one string, from whose front each send erased.

Connections can be paused and resumed, tell when they drain, and keep what waits in blocks that are freed as they are sent; large bodies are sent without a copy. With waits_for_readers, accepted connections end when the peer acknowledges nothing, or takes nothing for 15 s. Without it, and for connections that a process makes, all is as before.

--- a/include/cassia/net/raw_client.h
+++ b/include/cassia/net/raw_client.h
@@ -33,6 +33,7 @@
     bool sent = false;     ///< false: certainly nothing of the request reached the other end
     bool kept = false;     ///< the connection had carried a request before
     bool answered = false; ///< part of an answer had come
+    bool paused = false;   ///< the answer wasn't read: the other end may have given it up
 };
 
 struct raw_call_hooks {
@@ -58,6 +59,9 @@
     call_id start(raw_call call, raw_call_hooks hooks);
     /// Drops the call and its connection; no hook runs for it any more.
     void cancel(call_id id);
+    /// Leaves the rest of the answer unread; at most what was read already still comes.
+    void pause(call_id id);
+    void resume(call_id id);
     /// Whether the call is open and something of its request was sent.
     bool was_sent(call_id id) const;
     /// Calls the hook when the other end closes an idle connection.
--- a/include/cassia/net/raw_http.h
+++ b/include/cassia/net/raw_http.h
@@ -4,6 +4,7 @@
 #include "cassia/base/clock.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -41,6 +42,12 @@
     std::string target; ///< as it stood in the request line, with the query
     http_fields fields;
     std::string body;
+    /// In place of `body`, if it is set: copies of the request have it in common.
+    std::shared_ptr<const std::string> shared_body;
+
+    std::string_view whole_body() const { return shared_body ? *shared_body : body; }
+    /// Makes copies of the request cheap from now on.
+    void share_body();
 };
 
 /// How a body's end is marked.
@@ -61,6 +68,8 @@
 
 /// The bytes of a request, with its body.
 std::string to_bytes(const raw_request& request);
+/// The same without the body.
+std::string head_bytes(const raw_request& request);
 /// The bytes of a head; `close` announces the end of the connection.
 std::string to_bytes(const raw_head& head, bool close);
 /// The bytes of one chunk.
--- a/include/cassia/net/tcp_connections.h
+++ b/include/cassia/net/tcp_connections.h
@@ -5,6 +5,7 @@
 #include "cassia/base/ids.h"
 #include "cassia/net/error.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -28,11 +29,19 @@
     /// Called in place of on_closed, if it is set, when the other end refused the connection: its
     /// VM responds, and no process listens there.
     std::function<void(connection_id)> on_refused;
+    /// Some of the bytes that the socket didn't take at once have been sent; see unsent(). May be
+    /// empty.
+    std::function<void(connection_id)> on_drained;
 };
 
 struct tcp_settings {
     /// Longest time that sent bytes may stay unacknowledged, and that a silent peer is probed.
     milliseconds silence_limit{1500};
+    /// Accepted connections whose peer is there but doesn't read stay open until `unread_limit`;
+    /// otherwise they end after `silence_limit`.
+    bool waits_for_readers = false;
+    /// Longest time in which the peer takes nothing of the bytes that wait for it.
+    milliseconds unread_limit{15000};
 };
 
 class tcp_connections {
@@ -48,12 +57,24 @@
 
     /// Sends now what the socket takes, and the rest as it drains.
     void write(connection_id id, std::string_view bytes);
+    /// The same without a copy of the bytes.
+    void write_shared(connection_id id, std::shared_ptr<const std::string> bytes);
+    /// Leaves what arrives in the socket, whose window then closes: the other end can't send more.
+    /// Its orderly close isn't noticed until reading is resumed, its reset is.
+    void pause_reading(connection_id id);
+    void resume_reading(connection_id id);
+    /// Ends the own half of the connection once everything written is sent; the other half is read
+    /// on.
+    void finish_writing(connection_id id);
     /// Closes once everything written is sent.
     void close(connection_id id);
     /// Closes at once; the other end sees a reset.
     void reset(connection_id id);
     /// Bytes written that the socket didn't take yet.
     std::size_t unsent(connection_id id) const;
+    /// Bytes that the socket took since the connection stands.
+    std::uint64_t sent(connection_id id) const;
+    bool contains(connection_id id) const;
     /// Whether bytes have arrived that no hook was called for yet.
     bool has_unread(connection_id id) const;
     std::size_t open() const;
--- a/lib/net/raw_client.cpp
+++ b/lib/net/raw_client.cpp
@@ -4,11 +4,8 @@
 #include "cassia/net/task.h"
 #include "cassia/net/tcp_connections.h"
 
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include "response_reader.h"
 
-#include <algorithm>
-#include <charconv>
 #include <map>
 #include <optional>
 #include <utility>
@@ -17,18 +14,10 @@
 namespace cassia::net {
 
 namespace {
-namespace http = boost::beast::http;
-using response_parser = http::response_parser<http::string_body>;
-
 constexpr milliseconds sweep_interval(100);
-// A server that names no time for idle connections keeps them for less than a second.
-constexpr milliseconds unnamed_idle_limit(400);
-// A request that is sent as the server closes is lost with the connection.
-constexpr milliseconds idle_margin(600);
-constexpr milliseconds most_idle(10000);
-constexpr std::uint32_t header_bytes = 64 * 1024;
+// A larger body is sent from where it is, as a packet of its own.
+constexpr std::size_t max_copied_body = 16UL * 1024;
 constexpr std::size_t most_idle_each = 32; ///< kept connections to one address
-constexpr unsigned informational_end = 200;
 
 struct call_state {
     raw_call call;
@@ -37,6 +26,7 @@
     bool kept = false;
     bool sent = false;
     bool head_given = false;
+    bool paused = false;
     std::string unread;
     milliseconds idle_limit{0}; ///< how long the connection may be kept after this call
     instant connect_by{};
@@ -76,51 +66,6 @@
     void sweep();
 };
 
-static std::unique_ptr<response_parser> make_parser(const raw_request& request) {
-    std::unique_ptr<response_parser> parser = std::make_unique<response_parser>();
-    parser->eager(true);
-    parser->header_limit(header_bytes);
-    parser->body_limit(boost::none);
-    if (request.method == "HEAD")
-        parser->skip(true);
-    return parser;
-}
-
-static bool is_informational(const response_parser& parser) {
-    return parser.get().result_int() < informational_end;
-}
-
-static raw_head take_head(const response_parser& parser) {
-    const response_parser::value_type& message = parser.get();
-    raw_head head;
-    head.status = static_cast<int>(message.result_int());
-    head.reason = std::string(message.reason());
-    for (const response_parser::value_type::value_type& field : message)
-        head.fields.add({field.name_string().data(), field.name_string().size()},
-                        {field.value().data(), field.value().size()});
-    if (parser.chunked()) {
-        head.framing = body_framing::chunked;
-    } else if (parser.content_length()) {
-        head.framing = body_framing::length;
-        head.length = *parser.content_length();
-    } else if (parser.need_eof()) {
-        head.framing = body_framing::until_close;
-    }
-    return head;
-}
-
-// How long the other end keeps the connection while nothing happens, less the way there.
-static milliseconds idle_limit_of(const http_fields& fields) {
-    constexpr std::string_view parameter = "timeout=";
-    const std::string_view text = fields.find("Keep-Alive");
-    const std::size_t at = text.find(parameter);
-    if (at == std::string_view::npos)
-        return unnamed_idle_limit;
-    int seconds = 0;
-    std::from_chars(text.data() + at + parameter.size(), text.data() + text.size(), seconds);
-    return std::min<milliseconds>(std::chrono::seconds(seconds) - idle_margin, most_idle);
-}
-
 // Connections used last come first: the others run out and are closed.
 bool raw_client::state::take_idle(const http_address& to, connection_id& out) {
     auto found = idle.find(to);
@@ -154,7 +99,14 @@
 
 void raw_client::state::send_request(call_state& one) {
     one.sent = true;
-    sockets->write(one.connection, to_bytes(one.call.request));
+    raw_request& request = one.call.request;
+    if (request.whole_body().size() <= max_copied_body) {
+        sockets->write(one.connection, to_bytes(request));
+        return;
+    }
+    request.share_body();
+    sockets->write(one.connection, head_bytes(request));
+    sockets->write_shared(one.connection, std::exchange(request.shared_body, nullptr));
 }
 
 void raw_client::state::on_connected(connection_id id) {
@@ -269,6 +221,7 @@
     const bool keep = reusable && one.parser->keep_alive() && !one.parser->need_eof() &&
                       one.idle_limit > milliseconds(0) && kept.size() < most_idle_each;
     if (keep) {
+        sockets->resume_reading(one.connection);
         kept.push_back({one.connection, monotonic_now() + one.idle_limit});
         idle_addresses[one.connection] = one.call.to;
     } else {
@@ -283,7 +236,7 @@
     calls.erase(found);
     users.erase(one.connection);
     sockets->reset(one.connection);
-    one.hooks.on_failure({error{code, cause}, one.sent, one.kept, one.head_given});
+    one.hooks.on_failure({error{code, cause}, one.sent, one.kept, one.head_given, one.paused});
 }
 
 void raw_client::state::sweep() {
@@ -354,6 +307,20 @@
     state_->sockets->reset(connection);
 }
 
+void raw_client::pause(call_id id) {
+    auto found = state_->calls.find(id);
+    if (found == state_->calls.end() || std::exchange(found->second.paused, true))
+        return;
+    state_->sockets->pause_reading(found->second.connection);
+}
+
+void raw_client::resume(call_id id) {
+    auto found = state_->calls.find(id);
+    if (found == state_->calls.end() || !std::exchange(found->second.paused, false))
+        return;
+    state_->sockets->resume_reading(found->second.connection);
+}
+
 void raw_client::on_idle_closed(std::function<void(const http_address&)> hook) {
     state_->on_idle_closed = std::move(hook);
 }
--- a/lib/net/raw_http.cpp
+++ b/lib/net/raw_http.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <charconv>
 #include <memory>
+#include <utility>
 
 namespace cassia::net {
 
@@ -98,16 +99,25 @@
     }
 }
 
-std::string to_bytes(const raw_request& request) {
+void raw_request::share_body() {
+    if (!shared_body)
+        shared_body = std::make_shared<const std::string>(std::exchange(body, std::string()));
+}
+
+std::string head_bytes(const raw_request& request) {
     std::string out;
     out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
     append_fields(out, request.fields);
-    const bool bodiless = request.body.empty() && request.method != "POST" &&
-                          request.method != "PUT" && request.method != "PATCH";
+    const std::size_t size = request.whole_body().size();
+    const bool bodiless = size == 0 && request.method != "POST" && request.method != "PUT" &&
+                          request.method != "PATCH";
     if (!bodiless)
-        out.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
-    out.append("\r\n").append(request.body);
-    return out;
+        out.append("Content-Length: ").append(std::to_string(size)).append("\r\n");
+    return out.append("\r\n");
+}
+
+std::string to_bytes(const raw_request& request) {
+    return head_bytes(request).append(request.whole_body());
 }
 
 std::string to_bytes(const raw_head& head, bool close) {
--- /dev/null
+++ b/lib/net/response_reader.h
@@ -0,0 +1,22 @@
+/// Reading of responses as they arrive.
+#pragma once
+
+#include "cassia/net/raw_http.h"
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <memory>
+
+namespace cassia::net {
+
+namespace http = boost::beast::http;
+using response_parser = http::response_parser<http::string_body>;
+
+std::unique_ptr<response_parser> make_parser(const raw_request& request);
+bool is_informational(const response_parser& parser);
+raw_head take_head(const response_parser& parser);
+/// How long the connection may be kept after the response.
+milliseconds idle_limit_of(const http_fields& fields);
+
+} // namespace cassia::net
--- /dev/null
+++ b/lib/net/socket_options.h
@@ -0,0 +1,36 @@
+/// Options and state of TCP sockets.
+#pragma once
+
+#include "cassia/base/clock.h"
+
+#include <netinet/in.h>
+
+#include <cstdint>
+#include <string>
+
+namespace cassia::net {
+
+struct tcp_settings;
+
+void set_option(int descriptor, int level, int option, int value);
+/// For a connection made by this process.
+void prepare_socket(int descriptor, const tcp_settings& settings);
+/// For a connection that was accepted.
+void prepare_accepted(int descriptor, const tcp_settings& settings);
+/// Closing the socket then resets its connection.
+void abort_at_close(int descriptor);
+/// \returns false if the text isn't an IP number.
+bool to_socket_address(const std::string& ip, std::uint16_t port, sockaddr_in& out);
+
+/// What the kernel knows of the other end of a connection.
+struct peer_silence {
+    unsigned retransmissions = 0; ///< of the oldest packet that isn't acknowledged
+    unsigned probes = 0;          ///< of a closed window, since the last acknowledgement
+    milliseconds since_ack{0};    ///< time since the last acknowledgement
+};
+peer_silence read_silence(int descriptor);
+/// Whether a peer has vanished. One that only doesn't read acknowledges each probe of its window.
+/// \param unanswered how long something has been unacknowledged.
+bool has_vanished(const peer_silence& silence, milliseconds unanswered, milliseconds limit);
+
+} // namespace cassia::net
