Byte budgets: what a gateway holds for its callers is bounded

The responses that callers haven't read yet and the request bodies of a gateway had no bound in total; each body was held up to four times.

policy::byte_budget decides by the setting memory_mib (0: nothing is bounded): above a call's share its endpoint isn't read, above the responses' part of the budget the slowest callers are dropped, and bodies that don't fit are refused with 503 before they are read. gateway::flow_control carries this out. Responses that aren't streams are forwarded as they come above the share. A body is held once, from its parser to the socket of the endpoint.

--- a/include/cassia/base/digest.h
+++ b/include/cassia/base/digest.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 
@@ -10,6 +11,9 @@
 /// SHA-256 of `data` in lower-case hexadecimal.
 std::string sha256_hex(std::string_view data);
 
+/// The same of data in several parts, without joining them.
+std::string sha256_hex_of_parts(std::initializer_list<std::string_view> parts);
+
 /// HMAC-SHA-256 of `data` in lower-case hexadecimal.
 std::string keyed_hash(std::string_view secret, std::string_view data);
 
--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -6,6 +6,7 @@
 #include "cassia/base/ids.h"
 #include "cassia/base/metrics.h"
 #include "cassia/gateway/crash_monitor.h"
+#include "cassia/gateway/flow_control.h"
 #include "cassia/gateway/header_names.h"
 #include "cassia/gateway/online_call.h"
 #include "cassia/gateway/origin_exchange.h"
@@ -68,6 +69,8 @@
     void set_prompt_parts_reader(prompt_parts_reader reader) {
         read_prompt_parts_ = std::move(reader);
     }
+    /// Without it nothing that is held for callers is bounded.
+    void set_flow_control(flow_control* flow) { flow_ = flow; }
     /// The caller disconnected before its response was complete.
     void on_caller_gone(exchange_id id);
     /// Ends the calls of requests that are quarantined by now.
@@ -124,6 +127,11 @@
     /// Forwards complete events. \returns false if one is out of order.
     bool forward_events(online_call& call, std::string_view bytes);
     void begin_response(online_call& call);
+    /// Forwards what was gathered of a response that isn't a stream, if it is too long to be kept.
+    void forward_part(online_call& call);
+    bool is_paused(const online_call& call) const;
+    /// The endpoint gave up a response that its caller didn't read.
+    void on_unread_response(online_call& call);
     void buffer_event(online_call& call, const std::string& event);
     void flush_events(online_call& call);
     /// Asks a batch item at the call's endpoint to yield its slot if all slots there are taken.
@@ -175,6 +183,7 @@
     dispatcher_hooks hooks_;
     migration_protocol migration_protocol_;
     prompt_parts_reader read_prompt_parts_;
+    flow_control* flow_ = nullptr;
     std::map<exchange_id, std::unique_ptr<online_call>> calls_;
     std::map<lookup_id, exchange_id> lookups_;
     /// The suspect that runs without a coordinator, for each service.
--- a/include/cassia/gateway/online_call.h
+++ b/include/cassia/gateway/online_call.h
@@ -96,6 +96,7 @@
     bool forwards_error = false;  ///< the response is an error, forwarded as it is
     net::raw_head head;           ///< of the response; a resumed stream keeps the first one
     std::string body;             ///< of a response that is an error or isn't a stream
+    bool forwards_parts = false;  ///< `body` is forwarded as it comes: it became too long to keep
     std::size_t unused_bytes = 0; ///< received in this attempt, behind the last complete event
     sse_parser parser;
     std::string buffered_events; ///< not yet forwarded, to be sent together with later ones
--- a/include/cassia/gateway/service.h
+++ b/include/cassia/gateway/service.h
@@ -7,6 +7,7 @@
 #include "cassia/gateway/cluster_client.h"
 #include "cassia/gateway/crash_monitor.h"
 #include "cassia/gateway/dispatcher.h"
+#include "cassia/gateway/flow_control.h"
 #include "cassia/gateway/header_names.h"
 #include "cassia/gateway/item_runner.h"
 #include "cassia/gateway/job_service.h"
@@ -71,6 +72,7 @@
     bool is_shutting_down() const { return shutting_down_; }
 
 private:
+    void make_flow_control();
     void on_request(exchange_id id, net::raw_request request);
     void admit(exchange_id id, net::raw_request request, instant arrived_at);
     /// A request that arrived before the gateway knew how to handle it.
@@ -111,6 +113,7 @@
     net::task task_;
     metrics metrics_;
     policy::slot_table slots_;
+    std::unique_ptr<flow_control> flow_;
     std::unique_ptr<net::raw_server> server_;
     std::unique_ptr<net::raw_server> admin_server_;
     std::unique_ptr<net::raw_client> client_;
--- a/include/cassia/net/raw_client.h
+++ b/include/cassia/net/raw_client.h
@@ -33,7 +33,7 @@
     bool sent = false;     ///< false: certainly nothing of the request reached the other end
     bool kept = false;     ///< the connection had carried a request before
     bool answered = false; ///< part of an answer had come
-    bool paused = false;   ///< the answer wasn't read: the other end may have given it up
+    bool paused = false;   ///< reading was paused: the other end may have given the answer up
 };
 
 struct raw_call_hooks {
--- a/include/cassia/net/raw_server.h
+++ b/include/cassia/net/raw_server.h
@@ -6,9 +6,12 @@
 #include "cassia/base/ids.h"
 #include "cassia/net/error.h"
 #include "cassia/net/raw_http.h"
+#include "cassia/net/tcp_connections.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -29,9 +32,29 @@
     std::function<void(exchange_id)> on_gone;
 };
 
+/// What is held for a caller's connection.
+struct caller_bytes {
+    std::uint64_t body = 0;   ///< of its request, until that is answered; all of it if known before
+    std::uint64_t unsent = 0; ///< of its answers
+    std::uint64_t sent = 0;   ///< since the connection stands
+};
+
+/// Control of what a server holds for its callers. Callers that don't read are then waited for.
+struct raw_server_flow {
+    /// Called when the head of a request with a body has come, with the body's length, or, if that
+    /// isn't known, each time more has come, with all bytes so far.
+    /// \returns nothing if the body may be received, or fields of the 503 that the request is
+    /// answered with; its body is then discarded.
+    std::function<std::optional<http_fields>(connection_id, const http_fields&, std::uint64_t)>
+        refuse_body;
+    /// What is held for the connection has become less.
+    std::function<void(connection_id)> on_released;
+};
+
 class raw_server {
 public:
-    raw_server(task& owner, raw_server_limits limits, raw_server_hooks hooks);
+    raw_server(task& owner, raw_server_limits limits, raw_server_hooks hooks,
+               std::optional<raw_server_flow> flow = std::nullopt);
     ~raw_server();
 
     result<void> listen(const http_address& address);
@@ -46,6 +69,13 @@
     /// Breaks the connection of an answer that can't be completed: it must not look whole.
     void abort(exchange_id id);
 
+    /// The connection of an exchange; none if it is over.
+    connection_id connection_of(exchange_id id) const;
+    bool contains(connection_id id) const;
+    caller_bytes bytes_of(connection_id id) const;
+    /// Resets a connection, also one that only sends the rest of its last answer.
+    void drop(connection_id id);
+
     /// From now on each answer is the last of its connection, and idle connections close.
     void wind_down(milliseconds idle_grace);
     void stop_listening();
--- a/lib/base/digest.cpp
+++ b/lib/base/digest.cpp
@@ -15,6 +15,16 @@
     return result;
 }
 
+std::string sha256_hex_of_parts(std::initializer_list<std::string_view> parts) {
+    GChecksum* checksum = g_checksum_new(G_CHECKSUM_SHA256);
+    for (const std::string_view part : parts)
+        g_checksum_update(checksum, reinterpret_cast<const guchar*>(part.data()),
+                          static_cast<gssize>(part.size()));
+    std::string result(g_checksum_get_string(checksum));
+    g_checksum_free(checksum);
+    return result;
+}
+
 std::string keyed_hash(std::string_view secret, std::string_view data) {
     char* hex = g_compute_hmac_for_data(
         G_CHECKSUM_SHA256, reinterpret_cast<const guchar*>(secret.data()), secret.size(),
--- a/lib/gateway/dispatch_responses.cpp
+++ b/lib/gateway/dispatch_responses.cpp
@@ -86,6 +86,7 @@
         call.first_byte_at = call.last_progress_at;
     if (!call.is_stream() || call.forwards_error) {
         call.body.append(bytes);
+        forward_part(call);
         return;
     }
     if (!forward_events(call, bytes)) {
@@ -125,6 +126,48 @@
         return;
     server_.piece(call.id, call.buffered_events);
     call.buffered_events.clear();
+    if (flow_ != nullptr)
+        flow_->on_forwarded(call.id);
+}
+
+// A response that is kept until it is whole can be repeated elsewhere if its endpoint fails; one of
+// more than a call's share of the memory can't be kept.
+void dispatcher::forward_part(online_call& call) {
+    if (flow_ == nullptr)
+        return;
+    if (!call.forwards_parts && !flow_->on_gathered(call.id, call.body.size()))
+        return;
+    if (!call.forwards_parts) {
+        call.forwards_parts = true;
+        call.phase = call_phase::responding;
+        call.response_began_at = call.last_progress_at;
+        if (call.head.framing == net::body_framing::until_close)
+            call.head.framing = net::body_framing::chunked;
+        server_.begin(call.id, call.head);
+    }
+    server_.piece(call.id, std::exchange(call.body, std::string()));
+    flow_->on_gathered(call.id, 0);
+}
+
+bool dispatcher::is_paused(const online_call& call) const {
+    return flow_ != nullptr && flow_->is_paused(call.id);
+}
+
+// The endpoint isn't to blame, and neither is the request. A stream that may be taken up goes on
+// once its caller has read what is held for it.
+void dispatcher::on_unread_response(online_call& call) {
+    cancel_attempt(call);
+    metrics_.count("responses_unread");
+    if (!call.is_stream() || !may_retry(call)) {
+        fail(call, status_bad_gateway, "response_unread");
+        return;
+    }
+    log_info("request_retried")
+        .with("request", call.request_id)
+        .with("endpoint", call.endpoint.str())
+        .with("behind_event", call.last_event)
+        .with("cause", "response_unread");
+    call.retry_at = monotonic_now();
 }
 
 // Only complete events are forwarded: a stream that breaks within an event is resumed after the
@@ -185,14 +228,14 @@
 }
 
 void dispatcher::forward_complete_response(online_call& call) {
-    const bool retry = call.head.status >= status_server_error && call.is_repeatable() &&
-                       call.runs < call.route->max_attempts() &&
+    const bool retry = call.head.status >= status_server_error && may_retry(call) &&
                        monotonic_now() < call.send_deadline;
     if (retry) {
         retry_or_fail(call, "endpoint_failed");
         return;
     }
-    call.response_began_at = call.last_progress_at;
+    if (!call.forwards_parts)
+        call.response_began_at = call.last_progress_at;
     record_complete_run(call, is_success(call.head.status));
     log_outcome(call, call.head.status, "answered");
     metrics_.count("answered");
@@ -200,8 +243,12 @@
     const net::raw_head head = std::move(call.head);
     const std::string body = std::move(call.body);
     const exchange_id id = call.id;
+    const bool ends_parts = call.forwards_parts;
     close(id);
-    server_.respond(id, head, body);
+    if (ends_parts)
+        server_.end(id);
+    else
+        server_.respond(id, head, body);
 }
 
 void dispatcher::on_failure(exchange_id id, const net::raw_failure& failure) {
@@ -209,6 +256,10 @@
     if (found == calls_.end())
         return;
     online_call& call = *found->second;
+    if (failure.paused && call.phase == call_phase::responding) {
+        on_unread_response(call);
+        return;
+    }
     call.connection_broke = failure.sent && !call.not_run;
     if (call.connection_broke)
         crashes_.record_broken_run(run_of(call));
--- a/lib/gateway/dispatch_suspects.cpp
+++ b/lib/gateway/dispatch_suspects.cpp
@@ -23,7 +23,7 @@
     if (!call.fingerprint)
         call.fingerprint = make_fingerprint(call.team == nullptr ? "" : call.team->id.str(),
                                             call.request.fields.find("Host"), call.request.method,
-                                            call.request.target, call.request.body);
+                                            call.request.target, call.request.whole_body());
     return *call.fingerprint;
 }
 
--- a/lib/gateway/dispatch_timeouts.cpp
+++ b/lib/gateway/dispatch_timeouts.cpp
@@ -33,6 +33,11 @@
     const bool waits_for_slot = call.upstream_call == call_id();
     if (!call.buffered_events.empty() && now - call.buffered_since >= max_event_delay)
         flush_events(call);
+    // Nothing is read from the endpoint: its silence says nothing.
+    if (is_paused(call)) {
+        call.last_progress_at = now;
+        call.last_event_at = instant();
+    }
     if (waits_for_slot && call.runs == 0 && now > call.send_deadline) {
         reject(call, "no_slot_in_time");
         return;
@@ -47,7 +52,7 @@
         now - call.last_reclaim_at >= reclaim_delay)
         reclaim_slot(call, now);
     if (waits_for_slot) {
-        if (call.retry_at != instant() && now >= call.retry_at) {
+        if (call.retry_at != instant() && now >= call.retry_at && !is_paused(call)) {
             call.retry_at = instant();
             place(call);
         }
@@ -72,7 +77,7 @@
 
 // The last attempt is not ended for inactivity: no other attempt could follow it.
 bool dispatcher::may_retry(const online_call& call) const {
-    return call.is_repeatable() && call.runs < call.route->max_attempts();
+    return call.is_repeatable() && !call.forwards_parts && call.runs < call.route->max_attempts();
 }
 
 // A run that goes on from a copy goes on at its own version, also before its first event.
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -83,6 +83,7 @@
         set_team_header(request.fields, names_, call.team == nullptr ? "" : call.team->id.str());
     if (read_prompt_parts_)
         call.prompt_parts = read_prompt_parts_(request.fields);
+    request.share_body();
     call.request = std::move(request);
     calls_[call.id] = std::move(new_call);
     metrics_.count("requests");
@@ -194,6 +195,9 @@
     outgoing.to = placement.address;
     outgoing.request = make_upstream_request(call, placement.endpoint);
     call.upstream_call = client_.start(std::move(outgoing), std::move(hooks));
+    if (flow_ != nullptr)
+        flow_->on_attempt({call.id, call.request_id,
+                           call.team == nullptr ? team_id() : call.team->id, call.upstream_call});
 }
 
 void dispatcher::dispatch_queued() {
@@ -273,8 +277,7 @@
     cancel_attempt(call);
     call.failed_endpoints.insert(call.endpoint);
     metrics_.count("attempts_lost");
-    const bool allowed = call.is_repeatable() && call.runs < call.route->max_attempts();
-    if (allowed && monotonic_now() + min_remaining_time < call.deadline) {
+    if (may_retry(call) && monotonic_now() + min_remaining_time < call.deadline) {
         log_info("request_retried")
             .with("request", call.request_id)
             .with("endpoint", call.endpoint.str())
@@ -336,6 +339,8 @@
     if (found->second->runs == 0)
         hooks_.refund_quota(found->second->grant);
     queue_.remove(id);
+    if (flow_ != nullptr)
+        flow_->on_closed(id);
     calls_.erase(found);
     dispatch_queued();
 }
--- a/lib/gateway/request_fingerprint.cpp
+++ b/lib/gateway/request_fingerprint.cpp
@@ -12,14 +12,9 @@
 
 fingerprint make_fingerprint(std::string_view team, std::string_view host, std::string_view method,
                              std::string_view target, std::string_view body) {
-    std::string text;
     // A line feed can't be part of a header value, a method or a target.
-    for (const std::string_view part : {team, host, method, target}) {
-        text.append(part);
-        text.push_back('\n');
-    }
-    text.append(body);
-    return fingerprint(sha256_hex(text));
+    constexpr std::string_view end = "\n";
+    return fingerprint(sha256_hex_of_parts({team, end, host, end, method, end, target, end, body}));
 }
 
 fingerprint make_item_fingerprint(std::string_view job, std::string_view item) {
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -37,7 +37,11 @@
         admission_->on_caller_gone(id);
         dispatcher_->on_caller_gone(id);
     };
-    server_ = std::make_unique<net::raw_server>(task_, net::raw_server_limits(), server_callbacks);
+    client_ = std::make_unique<net::raw_client>(task_, net::ip_of(settings_.peer_address()));
+    make_flow_control();
+    server_ = std::make_unique<net::raw_server>(task_, net::raw_server_limits(), server_callbacks,
+                                                flow_->server_flow());
+    flow_->bind(*server_);
     net::raw_server_hooks admin_callbacks;
     admin_callbacks.on_request = [this](exchange_id id, const net::raw_request& request) {
         on_admin_request(id, request);
@@ -45,7 +49,6 @@
     admin_callbacks.on_gone = [](exchange_id) {};
     admin_server_ =
         std::make_unique<net::raw_server>(task_, net::raw_server_limits(), admin_callbacks);
-    client_ = std::make_unique<net::raw_client>(task_, net::ip_of(settings_.peer_address()));
     crash_monitor_hooks crash_callbacks;
     crash_callbacks.send = [this](const entry_id& to, schema::envelope& envelope) {
         return cluster_->send_to_gateway(to, envelope);
@@ -99,6 +102,7 @@
                                                *origins_, metrics_, names_, dispatcher_callbacks);
     dispatcher_->set_migration_protocol(hooks_.migration);
     dispatcher_->set_prompt_parts_reader(hooks_.read_prompt_parts);
+    dispatcher_->set_flow_control(flow_.get());
     item_runner_hooks item_callbacks;
     item_callbacks.lease = [this](const std::string& route, std::uint32_t limit,
                                   const item_runner_hooks::lease_done& done) {
@@ -261,6 +265,7 @@
 
 void service::respond(exchange_id id, int status, const net::http_fields& fields,
                       std::string_view body) {
+    flow_->on_answer(id);
     net::raw_head head;
     head.status = status;
     head.fields = fields;
@@ -375,6 +380,7 @@
     trials_->tick();
     origins_->tick();
     dispatcher_->tick(now);
+    flow_->tick(now);
     items_->tick(now, wall_now());
 }
 
--- a/lib/gateway/service_status.cpp
+++ b/lib/gateway/service_status.cpp
@@ -15,6 +15,19 @@
 constexpr int status_unavailable = 503;
 } // namespace
 
+// Before there are routes no key is known, and all callers share what one team may hold.
+void service::make_flow_control() {
+    constexpr std::uint64_t bytes_in_mib = 1024ULL * 1024;
+    flow_ = std::make_unique<flow_control>(
+        *client_, metrics_, names_, settings_.memory_mib() * bytes_in_mib,
+        [this](const net::http_fields& fields) {
+            if (!routes_)
+                return team_id();
+            const caller_identity caller = identify_caller(*routes_, nullptr, fields, names_);
+            return caller.team == nullptr ? team_id() : caller.team->id;
+        });
+}
+
 void service::on_admin_request(exchange_id id, const net::raw_request& request) {
     const std::string_view path = net::path_of(request.target);
     net::raw_head head;
@@ -34,6 +47,7 @@
 }
 
 std::string service::metrics_text() {
+    flow_->set_metrics();
     metrics_.set("routes_version", routes_ ? routes_->version() : 0);
     metrics_.set("exchanges", server_->open_exchanges());
     metrics_.set("connections", server_->open_connections());
--- a/lib/net/raw_client.cpp
+++ b/lib/net/raw_client.cpp
@@ -27,6 +27,7 @@
     bool sent = false;
     bool head_given = false;
     bool paused = false;
+    bool was_paused = false;
     std::string unread;
     milliseconds idle_limit{0}; ///< how long the connection may be kept after this call
     instant connect_by{};
@@ -236,7 +237,7 @@
     calls.erase(found);
     users.erase(one.connection);
     sockets->reset(one.connection);
-    one.hooks.on_failure({error{code, cause}, one.sent, one.kept, one.head_given, one.paused});
+    one.hooks.on_failure({error{code, cause}, one.sent, one.kept, one.head_given, one.was_paused});
 }
 
 void raw_client::state::sweep() {
@@ -311,6 +312,7 @@
     auto found = state_->calls.find(id);
     if (found == state_->calls.end() || std::exchange(found->second.paused, true))
         return;
+    found->second.was_paused = true;
     state_->sockets->pause_reading(found->second.connection);
 }
 
