--- a/test/runner/platform.lua
+++ b/test/runner/platform.lua
@@ -10,6 +10,7 @@
 local events = 12
 local restart_ms = 600
 local work_groups = 1
+local memory_mib   -- of a gateway; none: not bounded
 
 controls, works, fronts, endpoints = {}, {}, {}, {}
 
@@ -65,11 +66,15 @@
     ["listen.front"] = ip .. ":9200", ["listen.readyAddr"] = ip .. ":9201",
     ["portRange.0"] = "9100", ["portRange.1"] = "9101", dataDir = data_dir(name),
     bootstrap = "true", ["bounds.graceS"] = "8", ["bounds.statusS"] = "120",
-    ["tolerate.machines"] = "1" }
+    ["tolerate.machines"] = "1", ["limits.memoryMb"] = memory_mib }
   local text = read_file(repository .. "platform/settings/" .. template .. ".toml")
   text = text:gsub("{{#seeds}}.-{{/seeds}}", (seeds:gsub("%%", "%%%%")))
   text = text:gsub("{{#bounds.quotaWindowS}}.-{{/bounds.quotaWindowS}}\n", "")
-  text = text:gsub("{{#limits.memoryMb}}.-{{/limits.memoryMb}}\n", "")
+  if memory_mib then
+    text = text:gsub("{{[#/]limits.memoryMb}}\n", "")
+  else
+    text = text:gsub("{{#limits.memoryMb}}.-{{/limits.memoryMb}}\n", "")
+  end
   text = text:gsub("{{([%w.]+)}}", values)
   text = text:gsub("work_groups = %d+", "work_groups = " .. work_groups)
   local file = assert(io.open(state_folder() .. "/" .. name .. ".toml", "w"))
@@ -118,7 +123,7 @@
   last_request = last_request + 1
   return string.format("r%d", last_request)
 end
-local function front_address(name) return ip_of(kinds.front, tonumber(name:match("%d+$"))) .. ":9200" end
+function front_address(name) return ip_of(kinds.front, tonumber(name:match("%d+$"))) .. ":9200" end
 
 function begin_request(front, method, path, body, deadline_ms, id, parts)
   return begin_ask({ to = front_address(front), method = method, path = path, body = body,
@@ -133,6 +138,8 @@
   local zones = shape.zones or 3
   work_groups = shape.work_groups or work_groups
   restart_ms = shape.restart_ms or restart_ms
+  slots = shape.slots or slots
+  memory_mib = shape.memory_mib
   local control_addresses, seeds = {}, {}
   for i = 1, 3 do
     control_addresses[i] = ip_of(kinds.control, i) .. ":9000"
--- a/test/runner/verbs.cpp
+++ b/test/runner/verbs.cpp
@@ -293,6 +293,21 @@
     return 0;
 }
 
+// The most memory that a process has had so far, in MiB, rounded up.
+static int verb_memory_peak_mib(lua_State* lua) {
+    constexpr lua_Integer kib_in_mib = 1024;
+    const process& one = context_of(lua).processes.find(luaL_checkstring(lua, 1));
+    std::ifstream status("/proc/" + std::to_string(one.pid) + "/status");
+    const std::string key = "VmHWM:";
+    lua_Integer kib = 0;
+    for (std::string word; status >> word;) {
+        if (word == key)
+            status >> kib;
+    }
+    lua_pushinteger(lua, (kib + kib_in_mib - 1) / kib_in_mib);
+    return 1;
+}
+
 static int verb_now(lua_State* lua) {
     lua_pushinteger(lua, monotonic_now().time_since_epoch().count() / 1000);
     return 1;
@@ -330,6 +345,7 @@
                               {"encode", verb_encode},
                               {"sleep", verb_sleep},
                               {"now", verb_now},
+                              {"memory_peak_mib", verb_memory_peak_mib},
                               {"log_of", verb_log_of}};
     for (const luaL_Reg& verb : verbs) {
         lua_pushlightuserdata(lua, &context);
