Events: what fills several packets isn't held back

Events are held for up to 40 ms to share packets. At 10 MB a second that was 400 KB a call, which no budget counted.

--- a/lib/gateway/dispatch_responses.cpp
+++ b/lib/gateway/dispatch_responses.cpp
@@ -12,6 +12,8 @@
 constexpr int status_misdirected = 421;
 constexpr int status_redirection = 300;
 constexpr int status_server_error = 500;
+// More events than this fill several packets: holding them back saves none.
+constexpr std::size_t max_buffered_events = 16UL * 1024;
 } // namespace
 
 static bool is_success(int status) {
@@ -117,7 +119,8 @@
     if (call.buffered_events.empty())
         call.buffered_since = now;
     call.buffered_events.append(event);
-    if (is_caller_waiting || now - call.buffered_since >= max_event_delay)
+    if (is_caller_waiting || now - call.buffered_since >= max_event_delay ||
+        call.buffered_events.size() >= max_buffered_events)
         flush_events(call);
 }
 
