--- a/include/cassia/net/raw_server.h
+++ b/include/cassia/net/raw_server.h
@@ -81,6 +81,8 @@
     void stop_listening();
     std::size_t open_exchanges() const;
     std::size_t open_connections() const;
+    /// Bytes of answers that callers haven't read yet, also of those that are complete.
+    std::size_t unsent() const;
 
     struct state;
 
--- a/include/cassia/net/tcp_connections.h
+++ b/include/cassia/net/tcp_connections.h
@@ -75,6 +75,8 @@
     /// Bytes that the socket took since the connection stands.
     std::uint64_t sent(connection_id id) const;
     bool contains(connection_id id) const;
+    /// The same as unsent(id) of all connections.
+    std::size_t unsent() const;
     /// Whether bytes have arrived that no hook was called for yet.
     bool has_unread(connection_id id) const;
     std::size_t open() const;
--- a/lib/gateway/service_shutdown.cpp
+++ b/lib/gateway/service_shutdown.cpp
@@ -43,8 +43,8 @@
         server_->stop_listening();
     else
         return;
-    const bool done =
-        server_->open_exchanges() == 0 && items_->unreported() == 0 && lease_requests_.all_closed();
+    const bool done = server_->open_exchanges() == 0 && server_->unsent() == 0 &&
+                      items_->unreported() == 0 && lease_requests_.all_closed();
     if (done || now >= stop_at)
         task_.quit();
 }
--- a/lib/net/raw_server.cpp
+++ b/lib/net/raw_server.cpp
@@ -182,4 +182,8 @@
     return state_->callers.size();
 }
 
+std::size_t raw_server::unsent() const {
+    return state_->sockets->unsent();
+}
+
 } // namespace cassia::net
--- a/lib/net/tcp_connections.cpp
+++ b/lib/net/tcp_connections.cpp
@@ -188,6 +188,13 @@
     return found == state_->open.end() ? 0 : found->second.sent;
 }
 
+std::size_t tcp_connections::unsent() const {
+    std::size_t bytes = 0;
+    for (const std::pair<const connection_id, connection>& one : state_->open)
+        bytes += one.second.out.size();
+    return bytes;
+}
+
 bool tcp_connections::contains(connection_id id) const {
     return state_->open.count(id) > 0;
 }
