--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -6,6 +6,7 @@
 #include "cassia/base/ids.h"
 #include "cassia/base/metrics.h"
 #include "cassia/gateway/crash_monitor.h"
+#include "cassia/gateway/flow_control.h"
 #include "cassia/gateway/header_names.h"
 #include "cassia/gateway/online_call.h"
 #include "cassia/gateway/origin_exchange.h"
@@ -88,6 +89,8 @@
     policy::team_shares& shares() { return shares_; }
     /// Logs the largest users of slots and their shares.
     void log_shares() const;
+    /// Without it nothing that is held for callers is bounded.
+    void set_flow_control(flow_control* flow) { flow_ = flow; }
     /// The caller disconnected before its response was complete.
     void on_caller_gone(exchange_id id);
     /// Ends the calls of requests that are quarantined by now.
@@ -153,6 +156,11 @@
     /// Forwards complete events. \returns false if one is out of order.
     bool forward_events(online_call& call, std::string_view bytes);
     void begin_response(online_call& call);
+    /// Forwards what was gathered of a response that isn't a stream, if it is too long to be kept.
+    void forward_part(online_call& call);
+    bool is_paused(const online_call& call) const;
+    /// The endpoint gave up a response that its caller didn't read.
+    void on_unread_response(online_call& call);
     void buffer_event(online_call& call, const std::string& event);
     void flush_events(online_call& call);
     /// Asks a batch item at the call's endpoint to yield its slot if all slots there are taken.
@@ -173,6 +181,10 @@
     /// is the current one from now on.
     bool continue_with_other(online_call& call, const std::string& cause);
     void cancel_other(online_call& call);
+    /// Makes flow control act on the current attempt.
+    void control_flow(const online_call& call);
+    /// Ends the other attempt: the caller gets the response of the current one.
+    void keep_current(online_call& call);
     void record_response_time(const online_call& call, bool is_success);
     bool may_migrate(const online_call& call) const;
     void start_migration(online_call& call, instant now);
@@ -239,6 +251,7 @@
     migration_protocol migration_protocol_;
     prompt_parts_reader read_prompt_parts_;
     request_tokens_reader read_request_tokens_;
+    flow_control* flow_ = nullptr;
     std::map<exchange_id, std::unique_ptr<online_call>> calls_;
     std::map<lookup_id, exchange_id> lookups_;
     /// The suspect that runs without a coordinator, for each service.
--- a/lib/gateway/dispatch_hedging.cpp
+++ b/lib/gateway/dispatch_hedging.cpp
@@ -100,6 +100,7 @@
         .with("cause", cause);
     swap_attempts(call);
     call.hedge.other.reset();
+    control_flow(call);
     return true;
 }
 
@@ -111,6 +112,16 @@
     cancel_attempt(call);
 }
 
+void dispatcher::keep_current(online_call& call) {
+    if (!call.hedge.other)
+        return;
+    swap_attempts(call);
+    cancel_attempt(call);
+    swap_attempts(call);
+    call.hedge.other.reset();
+    control_flow(call);
+}
+
 void dispatcher::record_response_time(const online_call& call, bool is_success) {
     if (!hedging_.is_enabled() || call.is_stream() || !call.is_repeatable())
         return;
