Endpoints on trial: a large fleet doesn't fill them, and suspects them for a limited time

And a gateway at which an endpoint had failed reported it as suspected until a request of its own succeeded there, which it had no occasion to send without batch items.

Change: with 20 other gateways or more, only gateways at which an endpoint failed try it with batch items, and reports of a suspected endpoint end 2 s after its suspension. An item that gets nothing for 1.5 s at an endpoint that is full by what is known moves on without blaming it.

Both new tests fail on the code before.

--- a/include/cassia/policy/slot_table.h
+++ b/include/cassia/policy/slot_table.h
@@ -208,6 +208,7 @@
         slot_endpoint info;
         instant suspended_until{};
         std::uint32_t failures = 0; ///< consecutive
+        instant suspected_until{};  ///< reported as suspected to peers of a large fleet
         bool stalled = false;       ///< a stream stalled, and nothing was received since
         instant rejected_at{};
         milliseconds full_time{0};    ///< after `rejected_at`, counts as full
@@ -232,8 +233,11 @@
         bool all_zones = false;  ///< overrides `own_zone`
         bool slow_first = false; ///< prefers slow endpoints to fast ones
         double unreported_sends = 0;
+        bool failed_here = false; ///< only endpoints that failed a request of this gateway
     };
 
+    /// Whether the gateways are too many for each to try an endpoint on trial at the same time.
+    bool is_large_fleet() const;
     static bool counts_as_full(const endpoint_state& endpoint, instant now);
     slot_usage total_use(const endpoint_id& endpoint) const;
     std::uint32_t remote_suspicions(const endpoint_id& endpoint) const;
@@ -273,6 +277,7 @@
     peer_group own_zone_peers_;
     peer_group all_peers_;
     send_forecast forecast_;
+    instant advanced_at_{}; ///< latest call of expire_remote_usage()
     endpoint_memory memory_;
     endpoint_pace pace_;
     std::map<endpoint_id, endpoint_state> endpoints_;
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -253,7 +253,10 @@
         if (item.upstream_call == call_id() || now - item.last_progress_at < inactivity_timeout)
             continue;
         item.failed_endpoints.insert(item.endpoint);
-        slots_.record_failure(item.endpoint, now);
+        // At a full endpoint the item may only have waited for others. Taken for a failure, this
+        // would keep the endpoint on trial, where it gets the items of all gateways and stays full.
+        if (!slots_.is_full(item.endpoint))
+            slots_.record_failure(item.endpoint, now);
         requeue(item, milliseconds(0), "endpoint_silent");
     }
 }
--- a/lib/policy/slot_placement.cpp
+++ b/lib/policy/slot_placement.cpp
@@ -88,6 +88,7 @@
                                                    double random_fraction) const {
     const auto fits = [this, &group](const candidate& one) {
         return !one.rejecting && one.on_trial == group.on_trial &&
+               (!group.failed_here || one.endpoint->failures > 0) &&
                (group.all_zones || (one.endpoint->info.zone == own_zone_) == group.own_zone);
     };
     slot_weights weights(group.unreported_sends);
@@ -244,7 +245,8 @@
     });
 }
 
-// Batch items go to endpoints on trial first: an item that fails is retried elsewhere in time.
+// Batch items go to endpoints on trial first: an item that fails is retried elsewhere in time. In a
+// large fleet only the gateways at which the endpoint failed try it: items of all would fill it.
 std::optional<placement> slot_table::place_batch(const service_id& service,
                                                  const std::set<endpoint_id>& excluded, instant now,
                                                  double random_fraction, bool urgent,
@@ -256,8 +258,9 @@
         candidates(service, version, excluded, now, {tokens, work_kind::batch});
     for (const bool on_trial : {true, false}) {
         for (const bool own_zone : {true, false}) {
-            const draw_group group{own_zone, on_trial, false, !urgent,
-                                   unreported_sends(own_zone, on_trial)};
+            draw_group group{own_zone, on_trial, false, !urgent,
+                             unreported_sends(own_zone, on_trial)};
+            group.failed_here = on_trial && is_large_fleet();
             if (const candidate* free = pick_free(all, group, random_fraction))
                 return placed_at(*free);
         }
--- a/lib/policy/slot_table.cpp
+++ b/lib/policy/slot_table.cpp
@@ -14,6 +14,12 @@
 constexpr milliseconds first_suspension(250);
 constexpr milliseconds max_suspension(4000);
 constexpr std::uint32_t max_doublings = 5;
+// More gateways than an endpoint has slots, by some: each probe of an endpoint on trial takes one.
+constexpr std::uint32_t large_fleet = 20;
+// How long after its suspension an endpoint is reported as suspected in a large fleet. Without a
+// limit an endpoint was lost to all others for as long as the gateways at which it had failed had
+// no request to try there.
+constexpr milliseconds suspicion_time(2000);
 // Until then an endpoint that has crashed is replaced or no longer listed. It may be wrong, so it
 // ends.
 constexpr milliseconds crash_suspension(5000);
@@ -37,6 +43,7 @@
         if (same) {
             known.suspended_until = before->second.suspended_until;
             known.failures = before->second.failures;
+            known.suspected_until = before->second.suspected_until;
             known.rejected_at = before->second.rejected_at;
             known.full_time = before->second.full_time;
             known.rejections = before->second.rejections;
@@ -83,6 +90,7 @@
 
 void slot_table::expire_remote_usage(instant now) {
     forecast_.advance(now);
+    advanced_at_ = now;
     memory_.advance(count_in_flight(), now);
     for (auto one = remote_.begin(); one != remote_.end();) {
         const bool silent = now - one->second.received_at > remote_usage_timeout;
@@ -131,6 +139,7 @@
     const std::uint32_t doublings = std::min(known.failures - 1, max_doublings);
     const milliseconds pause = std::min(max_suspension, first_suspension * (1U << doublings));
     known.suspended_until = std::max(known.suspended_until, now + pause);
+    known.suspected_until = known.suspended_until + suspicion_time;
     return pause;
 }
 
@@ -139,9 +148,14 @@
     if (found == endpoints_.end() || found->second.info.incarnation != incarnation)
         return;
     found->second.suspended_until = now + crash_suspension;
+    found->second.suspected_until = found->second.suspended_until + suspicion_time;
     ++found->second.failures;
 }
 
+bool slot_table::is_large_fleet() const {
+    return all_peers_.gateways >= large_fleet;
+}
+
 bool slot_table::counts_as_full(const endpoint_state& endpoint, instant now) {
     return now < endpoint.rejected_at + endpoint.full_time;
 }
@@ -188,7 +202,8 @@
 slot_usage_map slot_table::own_usage() const {
     slot_usage_map usage = own_;
     for (const std::pair<const endpoint_id, endpoint_state>& one : endpoints_) {
-        if (one.second.failures > 0)
+        const bool expired = is_large_fleet() && advanced_at_ >= one.second.suspected_until;
+        if (one.second.failures > 0 && !expired)
             usage[one.first].suspected_by = 1;
     }
     for (const auto& reservation : memory_.reservations())
--- a/unittests/policy/slots_test.cpp
+++ b/unittests/policy/slots_test.cpp
@@ -384,6 +384,33 @@
     CHECK(table.batch_capacity(model, later) == 8);
 }
 
+// Guards against items of a whole fleet that fill an endpoint on trial, so that they wait there
+// until it counts as failed again.
+TEST_CASE("in a large fleet only gateways where an endpoint failed try it", "[slots]") {
+    slot_table table{zone_id("a")};
+    table.set_endpoints({endpoint("suspected", "a", 8), endpoint("fine", "a", 8)});
+    table.set_peers({69, milliseconds(350)}, {69, milliseconds(350)});
+    for (const std::string peer : {"one", "two"})
+        table.set_remote_usage(entry_id(peer), {{endpoint_id("suspected"), {0, 0, 1}}}, start);
+    for (int i = 0; i < 20; ++i)
+        CHECK(table.place_batch(model, {}, start, i / 20.0)->endpoint == endpoint_id("fine"));
+    const instant later = start + table.record_failure(endpoint_id("suspected"), start);
+    CHECK(table.place_batch(model, {}, later, 0.5)->endpoint == endpoint_id("suspected"));
+}
+
+// Guards against endpoints that a large fleet doesn't use for as long as gateways at which they
+// failed have nothing to try there.
+TEST_CASE("in a large fleet an endpoint is reported as suspected for a limited time", "[slots]") {
+    slot_table table{zone_id("a")};
+    table.set_endpoints({endpoint("dark", "a", 8)});
+    table.set_peers({69, milliseconds(350)}, {69, milliseconds(350)});
+    table.record_failure(endpoint_id("dark"), start);
+    table.expire_remote_usage(start + milliseconds(1000));
+    CHECK(table.own_usage().at(endpoint_id("dark")).suspected_by == 1);
+    table.expire_remote_usage(start + milliseconds(5000));
+    CHECK(table.own_usage().empty());
+}
+
 // Guards against requests that are placed at an endpoint whose process has crashed.
 TEST_CASE("an endpoint that crashed is used again when another process runs there", "[slots]") {
     slot_table table{zone_id("a")};
