Pass the reported pace of endpoints on between gateways

A gateway of a large fleet sees only the reports on its own responses, which are too old for slow spans of 600 ms. Gateways now send these reports with the usage messages that are sent anyway: each report once to each gateway, if it is younger than a second and the sender's runs don't contradict it. Relays keep the youngest report of each endpoint and include it in their sums. Ages add up on the way, so no clocks are compared. Nothing is added where no pace is reported.

--- a/include/cassia/gateway/cluster_client.h
+++ b/include/cassia/gateway/cluster_client.h
@@ -45,6 +45,7 @@
     std::function<void(policy::peer_group own_zone, policy::peer_group all_zones)> on_peers;
     /// The slots in use by another gateway or by a whole zone.
     std::function<void(const entry_id&, policy::slot_usage_map)> on_usage;
+    std::function<void(const policy::pace_report_map&)> on_paces;
     /// Another gateway needs slots that batch items of this one hold.
     std::function<void(const endpoint_id&, std::uint32_t slots)> on_yield_request;
     /// Jobs whose items must stop.
@@ -75,7 +76,9 @@
     /// Tells the group's leader, if it is known, which items are held. Sent once, without a reply.
     void send_held_items(schema::held_items held, group_id group);
     /// Sends the slots in use here to other gateways when due.
-    void share_usage(const policy::slot_usage_map& usage) { usage_.share(usage); }
+    void share_usage(const policy::slot_usage_map& usage, const policy::pace_report_map& paces) {
+        usage_.share(usage, paces);
+    }
     /// \param holder a gateway, or a zone by its key in the slot table.
     void request_yield(const entry_id& holder, const endpoint_id& endpoint, std::uint32_t slots) {
         usage_.request_yield(holder, endpoint, slots);
--- a/include/cassia/gateway/usage_coordinator.h
+++ b/include/cassia/gateway/usage_coordinator.h
@@ -17,6 +17,8 @@
     std::function<bool(const entry_id& to, schema::envelope&)> send;
     /// Slots in use by another gateway or by a whole zone, under its key in the slot table.
     std::function<void(const entry_id& holder, policy::slot_usage_map)> on_usage;
+    /// Pace reports of endpoints that other gateways received.
+    std::function<void(const policy::pace_report_map&)> on_paces;
     /// Another gateway needs slots that batch items of this one hold.
     std::function<void(const endpoint_id&, std::uint32_t slots)> on_yield_request;
 };
@@ -29,8 +31,8 @@
     policy::peer_group peers(bool own_zone_only) const { return exchange_.peers(own_zone_only); }
     /// This gateway no longer acts as a relay.
     void leave() { exchange_.leave(); }
-    /// Sends the slots in use here to other gateways when due.
-    void share(const policy::slot_usage_map& usage);
+    /// Sends the slots in use here, and the pace reports received here, to other gateways when due.
+    void share(const policy::slot_usage_map& usage, const policy::pace_report_map& paces);
     /// \param holder a gateway, or a zone by its key in the slot table.
     void request_yield(const entry_id& holder, const endpoint_id& endpoint, std::uint32_t slots);
     /// Handles a message of another gateway; ignores messages of other kinds.
@@ -38,6 +40,7 @@
 
 private:
     void send(const policy::usage_message& message);
+    void use_paces(const policy::pace_report_map& paces);
     void on_zone_sums(const schema::usage_sums& sums);
     void handle_yield_request(const schema::yield_request& request);
     void forward_yield_request(const schema::yield_request& request);
--- a/include/cassia/policy/endpoint_pace.h
+++ b/include/cassia/policy/endpoint_pace.h
@@ -24,6 +24,21 @@
     friend bool operator==(const load_report&, const load_report&) = default;
 };
 
+/// The usual value of a reported pace.
+constexpr std::uint32_t usual_pace_percent = 100;
+/// Older reports aren't passed on: slow spans last for about half of this.
+constexpr milliseconds max_shared_pace_age(1000);
+
+/// Pace that an endpoint reported, as gateways pass it on.
+struct pace_report {
+    std::uint32_t percent = 0;
+    instant reported_at{}; ///< by the clock of this gateway
+
+    friend bool operator==(const pace_report&, const pace_report&) = default;
+};
+
+using pace_report_map = std::map<endpoint_id, pace_report>;
+
 enum class pace_source : std::uint8_t {
     none,    ///< all factors are 1
     reports, ///< endpoints that never report a pace have a factor of 1
@@ -44,6 +59,11 @@
     void set_endpoints(const std::map<endpoint_id, service_id>& endpoints);
 
     void record_report(const endpoint_id& endpoint, const load_report& report, instant now);
+    /// Records what other gateways were reported. It says nothing of the load at the endpoints.
+    void record_shared(const pace_report_map& reports);
+    /// Reports on responses to this gateway that are to be passed on: young ones that the runs
+    /// here don't contradict.
+    pace_report_map own_reports(instant now) const;
     /// Records a complete run. What it is expected to take is known from the runs of the same shape
     /// at all endpoints of the service.
     std::optional<pace_contradiction> record_run(const endpoint_id& endpoint,
@@ -81,6 +101,7 @@
         service_id service;
         std::optional<std::uint32_t> load; ///< running and waiting, as reported last
         estimate reported;
+        pace_report own_report; ///< the latest on a response to this gateway
         estimate observed;
         double mismatch = 0; ///< mean logarithm of observed divided by reported factors
         std::uint32_t runs = 0;
@@ -88,6 +109,7 @@
         bool contradicted = false;
     };
 
+    void add_report(endpoint_state& endpoint, double pace_percent, instant now);
     double factor(const endpoint_state& endpoint, instant now) const;
     static std::optional<pace_contradiction> compare(endpoint_state& endpoint, double observed,
                                                      instant now);
--- a/include/cassia/policy/usage_exchange.h
+++ b/include/cassia/policy/usage_exchange.h
@@ -1,11 +1,13 @@
 /// Distributes the slot usage of each gateway to the others. In a small fleet each sends it to all
 /// others; in a larger one each reports to a relay of its availability zone, and relays send sums.
+/// Pace reports of endpoints go with these messages, each to each gateway once.
 /// Pure.
 #pragma once
 
 #include "cassia/base/clock.h"
 #include "cassia/base/ids.h"
 #include "cassia/policy/gossip_topology.h"
+#include "cassia/policy/pace_reports.h"
 #include "cassia/policy/slot_table.h"
 
 #include <cstdint>
@@ -28,8 +30,9 @@
     };
     entry_id to; ///< if this gateway itself: for its own slot table
     content kind = content::own_use;
-    slot_usage_map own;   ///< for `own_use` and `report`
-    zone_usage_map zones; ///< for `sums`: those that have changed or are repeated
+    slot_usage_map own;    ///< for `own_use` and `report`
+    zone_usage_map zones;  ///< for `sums`: those that have changed or are repeated
+    pace_report_map paces; ///< with `sums`, only if these include the own zone of the sender
 };
 
 /// Next hop of a request that a batch item yields its slot.
@@ -47,11 +50,14 @@
     /// Stops being a relay before shutdown.
     void leave();
     /// Advances time. \returns the messages due now. \param own usage of this gateway.
-    std::vector<usage_message> poll(const slot_usage_map& own, instant now);
-    void receive_report(const entry_id& from, slot_usage_map usage, instant now);
+    /// \param own_paces pace reports on responses to this gateway.
+    std::vector<usage_message> poll(const slot_usage_map& own, instant now,
+                                    const pace_report_map& own_paces = {});
+    void receive_report(const entry_id& from, slot_usage_map usage, instant now,
+                        const pace_report_map& paces = {});
     /// \returns whether the sums are to be used: sums for the own zone only from the current relay.
     bool receive_sums(const entry_id& relay, const zone_id& zone, const zone_usage_map& zones,
-                      instant now);
+                      instant now, const pace_report_map& paces = {});
 
     /// Whether the fleet is too large for each gateway to send to all others.
     bool uses_relays() const;
@@ -71,9 +77,11 @@
     struct report {
         slot_usage_map usage;
         instant received_at{};
-        slot_usage_map sent_own_zone; ///< sum last sent to it
-        zone_usage_map sent_zones;    ///< the same for other zones
-        instant sent_at{};            ///< when the own zone's sum was sent
+        slot_usage_map sent_own_zone;       ///< sum last sent to it
+        zone_usage_map sent_zones;          ///< the same for other zones
+        instant sent_at{};                  ///< when the own zone's sum was sent
+        std::uint64_t sent_own_paces = 0;   ///< revision of these reports when they were sent
+        std::uint64_t sent_other_paces = 0; ///< the same for other zones
     };
     struct zone_sum {
         std::shared_ptr<const slot_usage_map> usage;
@@ -83,6 +91,7 @@
     struct sent_usage {
         slot_usage_map usage;
         instant at{};
+        std::uint64_t paces = 0; ///< revision of the own zone's reports
     };
 
     void rank_relays();
@@ -93,6 +102,10 @@
     void publish(const slot_usage_map& own, instant now, std::vector<usage_message>& out);
     void send_to_other_zones(const slot_usage_map& own_zone, instant now,
                              std::vector<usage_message>& out);
+    /// Whether the usage of this gateway is to be sent again.
+    bool is_due(const sent_usage& sent, const slot_usage_map& own, instant now) const;
+    /// Adds the paces that the reporter hasn't been sent.
+    void add_paces(report& reporter, usage_message& message, instant now) const;
     void choose_relay(instant now);
     void expire_silent(instant now);
 
@@ -108,6 +121,11 @@
     std::map<entry_id, instant> avoided_until_; ///< relays that were silent
     std::map<entry_id, report> reports_;
     std::map<zone_id, zone_sum> zones_; ///< other zones
+    /// Reports of other zones go to gateways of this zone only, so that none returns to where it
+    /// came from: the time on the network isn't known, so it would seem younger than it is.
+    pace_reports own_zone_paces_;
+    pace_reports other_zone_paces_;
+    std::uint64_t used_paces_ = 0; ///< revision when this relay passed them to itself
     slot_usage_map own_;
     std::map<entry_id, sent_usage> sent_to_all_;
     sent_usage sent_to_relay_;
--- a/lib/gateway/cluster_client.cpp
+++ b/lib/gateway/cluster_client.cpp
@@ -57,7 +57,7 @@
              {[this](const entry_id& to, schema::envelope& envelope) {
                   return send_to_gateway(to, envelope);
               },
-              hooks_.on_usage, hooks_.on_yield_request}),
+              hooks_.on_usage, hooks_.on_paces, hooks_.on_yield_request}),
       quota_(
           entry_id(settings.name()), incarnation_,
           {settings.quota_overshoot(), settings.quota_overshoot_part(), settings.quota_window_s()},
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -147,6 +147,10 @@
     cluster_callbacks.on_usage = [this](const entry_id& holder, policy::slot_usage_map usage) {
         slots_.set_remote_usage(holder, std::move(usage), monotonic_now());
     };
+    cluster_callbacks.on_paces = [this](const policy::pace_report_map& reports) {
+        metrics_.count("pace_reports_received", reports.size());
+        slots_.pace().record_shared(reports);
+    };
     cluster_callbacks.on_yield_request = [this](const endpoint_id& endpoint, std::uint32_t slots) {
         items_->yield(endpoint, slots);
     };
@@ -199,7 +203,7 @@
     task_.every(tick_interval, [this] { tick(); });
     task_.every(usage_interval, [this] {
         slots_.expire_remote_usage(monotonic_now());
-        cluster_->share_usage(slots_.own_usage());
+        cluster_->share_usage(slots_.own_usage(), slots_.pace().own_reports(monotonic_now()));
     });
     task_.every(traffic_log_interval, [this] { cluster_->peers().log_sent(); });
     task_.every(held_items_interval, [this] { send_held_items(); });
--- a/lib/gateway/usage_coordinator.cpp
+++ b/lib/gateway/usage_coordinator.cpp
@@ -1,6 +1,7 @@
 #include "cassia/gateway/usage_coordinator.h"
 
 #include "cassia/base/log.h"
+#include "cassia/gateway/usage_codec.h"
 
 #include <google/protobuf/arena.h>
 
@@ -9,30 +10,14 @@
 
 namespace cassia::gateway {
 
+using policy::pace_report_map;
 using policy::slot_usage_map;
 using policy::usage_message;
 
-template <class Message>
-static void encode_usage(const slot_usage_map& usage, Message& message) {
-    for (const std::pair<const endpoint_id, policy::slot_usage>& endpoint_usage : usage) {
-        schema::endpoint_use* use = message.add_uses();
-        use->set_endpoint(endpoint_usage.first.str());
-        use->set_online(endpoint_usage.second.online);
-        use->set_batch(endpoint_usage.second.batch);
-        use->set_suspects(endpoint_usage.second.suspected_by);
-        use->set_tokens(endpoint_usage.second.tokens);
-    }
-}
-
-template <class Message>
-static slot_usage_map decode_usage(const Message& message) {
-    slot_usage_map usage;
-    // Senders list the endpoints in the map's order.
-    for (const schema::endpoint_use& use : message.uses())
-        usage.insert_or_assign(
-            usage.end(), endpoint_id(use.endpoint()),
-            policy::slot_usage{use.online(), use.batch(), use.suspects(), use.tokens()});
-    return usage;
+static pace_report_map received_paces(const endpoint_uses& uses) {
+    pace_report_map paces;
+    decode_paces(uses, monotonic_now(), paces);
+    return paces;
 }
 
 usage_coordinator::usage_coordinator(entry_id self, zone_id zone, usage_hooks hooks)
@@ -43,8 +28,8 @@
     exchange_.set_gateways(std::move(others));
 }
 
-void usage_coordinator::share(const slot_usage_map& usage) {
-    for (const usage_message& message : exchange_.poll(usage, monotonic_now()))
+void usage_coordinator::share(const slot_usage_map& usage, const pace_report_map& paces) {
+    for (const usage_message& message : exchange_.poll(usage, monotonic_now(), paces))
         send(message);
     const entry_id relay = exchange_.relay().value_or(entry_id());
     if (relay == last_logged_relay_)
@@ -58,39 +43,27 @@
     if (message.to == self_) {
         for (const policy::zone_usage_map::value_type& zone_use : message.zones)
             hooks_.on_usage(policy::usage_exchange::zone_key(zone_use.first), *zone_use.second);
+        use_paces(message.paces);
         return;
     }
     // A relay sends the use of each endpoint to each gateway of its zone several times a second; on
     // an arena these parts need no allocation of their own.
     google::protobuf::Arena arena;
     schema::envelope& envelope = *google::protobuf::Arena::CreateMessage<schema::envelope>(&arena);
-    if (message.kind == usage_message::content::own_use) {
-        envelope.mutable_rumor()->set_entry(self_.str());
-        encode_usage(message.own, *envelope.mutable_rumor());
-    } else if (message.kind == usage_message::content::report) {
-        envelope.mutable_usage()->set_entry(self_.str());
-        encode_usage(message.own, *envelope.mutable_usage());
-    } else {
-        schema::usage_sums* sums = envelope.mutable_sums();
-        sums->set_entry(self_.str());
-        sums->set_zone(zone_.str());
-        for (const policy::zone_usage_map::value_type& zone_use : message.zones) {
-            schema::zone_usage* zone = sums->add_zones();
-            zone->set_zone(zone_use.first.str());
-            encode_usage(*zone_use.second, *zone);
-        }
-    }
+    encode_usage(message, self_, zone_, monotonic_now(), envelope);
     hooks_.send(message.to, envelope);
 }
 
 void usage_coordinator::receive(const schema::envelope& message) {
     switch (message.body_case()) {
     case schema::envelope::kRumor:
-        hooks_.on_usage(entry_id(message.rumor().entry()), decode_usage(message.rumor()));
+        hooks_.on_usage(entry_id(message.rumor().entry()), decode_usage(message.rumor().uses()));
+        use_paces(received_paces(message.rumor().uses()));
         break;
     case schema::envelope::kUsage:
-        exchange_.receive_report(entry_id(message.usage().entry()), decode_usage(message.usage()),
-                                 monotonic_now());
+        exchange_.receive_report(entry_id(message.usage().entry()),
+                                 decode_usage(message.usage().uses()), monotonic_now(),
+                                 received_paces(message.usage().uses()));
         break;
     case schema::envelope::kSums:
         on_zone_sums(message.sums());
@@ -103,22 +76,32 @@
     }
 }
 
+void usage_coordinator::use_paces(const pace_report_map& paces) {
+    if (!paces.empty())
+        hooks_.on_paces(paces);
+}
+
 void usage_coordinator::on_zone_sums(const schema::usage_sums& sums) {
     const entry_id relay(sums.entry());
     const zone_id sender_zone(sums.zone());
+    pace_report_map paces;
+    for (const schema::zone_usage& zone : sums.zones())
+        decode_paces(zone.uses(), monotonic_now(), paces);
     if (sender_zone == zone_) {
         if (!exchange_.receive_sums(relay, sender_zone, {}, monotonic_now()))
             return;
         for (const schema::zone_usage& zone : sums.zones())
             hooks_.on_usage(policy::usage_exchange::zone_key(zone_id(zone.zone())),
-                            decode_usage(zone));
+                            decode_usage(zone.uses()));
+        use_paces(paces);
         return;
     }
     policy::zone_usage_map zones;
     for (const schema::zone_usage& zone : sums.zones())
-        zones[zone_id(zone.zone())] = std::make_shared<slot_usage_map>(decode_usage(zone));
-    if (!exchange_.receive_sums(relay, sender_zone, zones, monotonic_now()))
+        zones[zone_id(zone.zone())] = std::make_shared<slot_usage_map>(decode_usage(zone.uses()));
+    if (!exchange_.receive_sums(relay, sender_zone, zones, monotonic_now(), paces))
         return;
+    use_paces(paces);
     for (const policy::zone_usage_map::value_type& zone : zones)
         hooks_.on_usage(policy::usage_exchange::zone_key(zone.first), *zone.second);
 }
--- a/lib/policy/endpoint_pace.cpp
+++ b/lib/policy/endpoint_pace.cpp
@@ -71,9 +71,36 @@
     found->second.load = report.running + report.waiting;
     if (!report.pace_percent)
         return;
-    reporting_.insert(found->second.service);
-    found->second.reported.add(std::clamp(*report.pace_percent / percent, min_factor, max_factor),
-                               now);
+    add_report(found->second, *report.pace_percent, now);
+    if (now >= found->second.own_report.reported_at)
+        found->second.own_report = {
+            static_cast<std::uint32_t>(std::max(1L, std::lround(*report.pace_percent))), now};
+}
+
+void endpoint_pace::add_report(endpoint_state& endpoint, double pace_percent, instant now) {
+    reporting_.insert(endpoint.service);
+    endpoint.reported.add(std::clamp(pace_percent / percent, min_factor, max_factor), now);
+}
+
+void endpoint_pace::record_shared(const pace_report_map& reports) {
+    for (const std::pair<const endpoint_id, pace_report>& one : reports) {
+        auto found = endpoints_.find(one.first);
+        if (found != endpoints_.end())
+            add_report(found->second, one.second.percent, one.second.reported_at);
+    }
+}
+
+pace_report_map endpoint_pace::own_reports(instant now) const {
+    pace_report_map reports;
+    if (source_ == pace_source::none)
+        return reports;
+    for (const std::pair<const endpoint_id, endpoint_state>& one : endpoints_) {
+        const pace_report& latest = one.second.own_report;
+        if (latest.percent > 0 && !one.second.contradicted &&
+            now - latest.reported_at < max_shared_pace_age)
+            reports.emplace_hint(reports.end(), one.first, latest);
+    }
+    return reports;
 }
 
 std::optional<pace_contradiction> endpoint_pace::record_run(const endpoint_id& endpoint,
--- a/lib/policy/usage_exchange.cpp
+++ b/lib/policy/usage_exchange.cpp
@@ -74,14 +74,17 @@
     ranked_[zone_]; // choose_relay() needs the own zone also if none of its gateways can be a relay
 }
 
-void usage_exchange::receive_report(const entry_id& from, slot_usage_map usage, instant now) {
+void usage_exchange::receive_report(const entry_id& from, slot_usage_map usage, instant now,
+                                    const pace_report_map& paces) {
+    own_zone_paces_.add(from, paces, now);
     report& reporter = reports_[from];
     reporter.usage = std::move(usage);
     reporter.received_at = now;
 }
 
 bool usage_exchange::receive_sums(const entry_id& relay, const zone_id& zone,
-                                  const zone_usage_map& zones, instant now) {
+                                  const zone_usage_map& zones, instant now,
+                                  const pace_report_map& paces) {
     if (zone == zone_) {
         if (relay != relay_)
             return false;
@@ -92,10 +95,13 @@
     if (found == zones.end())
         return false;
     zones_[zone] = {found->second, relay, now};
+    other_zone_paces_.add(relay, paces, now);
     return true;
 }
 
 void usage_exchange::expire_silent(instant now) {
+    own_zone_paces_.expire(now);
+    other_zone_paces_.expire(now);
     std::erase_if(reports_, [now](const std::pair<const entry_id, report>& one) {
         return now - one.second.received_at > reporter_timeout;
     });
@@ -126,10 +132,12 @@
     sent_to_relay_ = sent_usage();
 }
 
-std::vector<usage_message> usage_exchange::poll(const slot_usage_map& own, instant now) {
+std::vector<usage_message> usage_exchange::poll(const slot_usage_map& own, instant now,
+                                                const pace_report_map& own_paces) {
     std::vector<usage_message> out;
     own_ = own;
     expire_silent(now);
+    own_zone_paces_.add(self_, own_paces, now);
     if (!uses_relays()) {
         send_to_all(own, now, out);
         return out;
@@ -144,30 +152,54 @@
     return out;
 }
 
+bool usage_exchange::is_due(const sent_usage& sent, const slot_usage_map& own, instant now) const {
+    return sent.usage != own || now - sent.at >= repeat_interval ||
+           own_zone_paces_.changed_from(sent.paces, self_, now);
+}
+
 void usage_exchange::send_to_all(const slot_usage_map& own, instant now,
                                  std::vector<usage_message>& out) {
     for (const fleet_gateway& one : others_) {
         sent_usage& sent = sent_to_all_[one.id];
-        if (sent.usage == own && now - sent.at < repeat_interval)
+        if (!is_due(sent, own, now))
             continue;
-        sent = {own, now};
-        out.push_back({one.id, usage_message::content::own_use, own, {}});
+        out.push_back({one.id,
+                       usage_message::content::own_use,
+                       own,
+                       {},
+                       own_zone_paces_.since_from(sent.paces, self_, now)});
+        sent = {own, now, own_zone_paces_.revision()};
     }
 }
 
 void usage_exchange::report_to_relay(const slot_usage_map& own, instant now,
                                      std::vector<usage_message>& out) {
-    if (sent_to_relay_.usage == own && now - sent_to_relay_.at < repeat_interval)
+    if (!is_due(sent_to_relay_, own, now))
         return;
-    sent_to_relay_ = {own, now};
-    out.push_back({relay_, usage_message::content::report, own, {}});
+    out.push_back({relay_,
+                   usage_message::content::report,
+                   own,
+                   {},
+                   own_zone_paces_.since_from(sent_to_relay_.paces, self_, now)});
+    sent_to_relay_ = {own, now, own_zone_paces_.revision()};
+}
+
+void usage_exchange::add_paces(report& reporter, usage_message& message, instant now) const {
+    message.paces = own_zone_paces_.since(reporter.sent_own_paces, message.to, now);
+    for (const auto& one : other_zone_paces_.since(reporter.sent_other_paces, message.to, now)) {
+        pace_report& youngest = message.paces[one.first];
+        if (one.second.reported_at > youngest.reported_at)
+            youngest = one.second;
+    }
+    reporter.sent_own_paces = own_zone_paces_.revision();
+    reporter.sent_other_paces = other_zone_paces_.revision();
 }
 
 // Another zone's sum is sent only when a new one was received; that zone's relay repeats it.
 std::optional<usage_message> usage_exchange::sums_for(const entry_id& to, report& reporter,
                                                       const slot_usage_map& all,
                                                       instant now) const {
-    usage_message message{to, usage_message::content::sums, {}, {}};
+    usage_message message{to, usage_message::content::sums, {}, {}, {}};
     for (const std::pair<const zone_id, zone_sum>& zone : zones_) {
         std::shared_ptr<const slot_usage_map>& sent = reporter.sent_zones[zone.first];
         if (sent == zone.second.usage)
@@ -177,7 +209,11 @@
     }
     slot_usage_map own_zone = all;
     subtract_usage(own_zone, reporter.usage);
-    if (own_zone != reporter.sent_own_zone || now - reporter.sent_at >= sums_repeat_interval) {
+    const bool paces_changed = own_zone_paces_.changed_since(reporter.sent_own_paces, to, now) ||
+                               other_zone_paces_.changed_since(reporter.sent_other_paces, to, now);
+    if (own_zone != reporter.sent_own_zone || paces_changed ||
+        now - reporter.sent_at >= sums_repeat_interval) {
+        add_paces(reporter, message, now);
         reporter.sent_own_zone = own_zone;
         reporter.sent_at = now;
         message.zones[zone_] = std::make_shared<slot_usage_map>(std::move(own_zone));
@@ -205,7 +241,12 @@
     }
     if (relay_ != self_)
         return;
-    usage_message to_self{self_, usage_message::content::sums, {}, {}};
+    usage_message to_self{self_,
+                          usage_message::content::sums,
+                          {},
+                          {},
+                          own_zone_paces_.since(used_paces_, self_, now)};
+    used_paces_ = own_zone_paces_.revision();
     to_self.zones[zone_] = std::make_shared<slot_usage_map>(std::move(others));
     out.push_back(std::move(to_self));
     send_to_other_zones(all, now, out);
@@ -214,17 +255,22 @@
 void usage_exchange::send_to_other_zones(const slot_usage_map& own_zone, instant now,
                                          std::vector<usage_message>& out) {
     const milliseconds interval =
-        own_zone == sent_to_zones_.usage ? repeat_interval : zones_interval;
+        own_zone == sent_to_zones_.usage &&
+                !own_zone_paces_.changed_since(sent_to_zones_.paces, {}, now)
+            ? repeat_interval
+            : zones_interval;
     if (now - sent_to_zones_.at < interval)
         return;
-    sent_to_zones_ = {own_zone, now};
+    const pace_report_map paces = own_zone_paces_.since(sent_to_zones_.paces, {}, now);
+    sent_to_zones_ = {own_zone, now, own_zone_paces_.revision()};
     const std::shared_ptr<const slot_usage_map> shared = std::make_shared<slot_usage_map>(own_zone);
     for (const std::pair<const zone_id, std::vector<entry_id>>& zone : ranked_) {
         if (zone.first == zone_)
             continue;
         const std::size_t count = std::min(relays_per_zone, zone.second.size());
         for (std::size_t i = 0; i < count; ++i)
-            out.push_back({zone.second[i], usage_message::content::sums, {}, {{zone_, shared}}});
+            out.push_back(
+                {zone.second[i], usage_message::content::sums, {}, {{zone_, shared}}, paces});
     }
 }
 
--- a/unittests/policy/endpoint_pace_test.cpp
+++ b/unittests/policy/endpoint_pace_test.cpp
@@ -37,7 +37,8 @@
 };
 
 const char* name_of(pace_knowledge knowledge) {
-    constexpr const char* names[] = {"slots", "reports", "shared", "runs", "known", "best"};
+    constexpr const char* names[] = {"slots", "reports", "shared", "passed",
+                                     "runs",  "known",   "best"};
     return names[static_cast<int>(knowledge)];
 }
 
@@ -226,6 +227,7 @@
             const summary slots = simulate(name, load, pace_knowledge::none);
             const summary reports = simulate(name, load, pace_knowledge::reports);
             const summary shared = simulate(name, load, pace_knowledge::shared);
+            const summary passed = simulate(name, load, pace_knowledge::passed);
             const summary known = simulate(name, load, pace_knowledge::known);
             const summary best = simulate(name, load, pace_knowledge::best);
             pace_settings unreported = load;
@@ -235,6 +237,7 @@
             // A gateway with few calls sees few reports; at 18 gateways it sees enough.
             CHECK(reports.late < (gateways == 18 ? 0.7 : 0.95) * slots.late);
             CHECK(shared.late < 0.5 * slots.late);
+            CHECK(passed.late < 0.5 * slots.late);
             CHECK(1 - known.late > 0.98 * (1 - best.late));
             CHECK(1 - reports.late > 0.9 * (1 - best.late));
             CHECK(runs.late < 1.05 * slots.late);
--- a/unittests/policy/pace_simulation.h
+++ b/unittests/policy/pace_simulation.h
@@ -1,7 +1,7 @@
 // Short calls through gateways to endpoints whose speed changes, in virtual time.
 #pragma once
 
-#include "cassia/policy/slot_table.h"
+#include "cassia/policy/usage_exchange.h"
 
 #include <algorithm>
 #include <cmath>
@@ -22,6 +22,7 @@
     none,    ///< slots in use only
     reports, ///< the reports of responses to the same gateway
     shared,  ///< also those of other gateways, as old as their usage
+    passed,  ///< the same by the messages that gateways send each other
     runs,    ///< how long runs of the same gateway took
     known,   ///< the current speeds
     best,    ///< the current speeds and use of slots, and the endpoint that is done first
@@ -104,12 +105,16 @@
                                         ? pace_source::runs
                                         : pace_source::reports);
         }
+        if (settings_.knowledge == pace_knowledge::passed)
+            connect_gateways();
     }
 
     pace_result run() {
         result_.target = settings_.target;
         schedule_call();
         at(microseconds(0), [this] { publish_usage(); });
+        for (std::size_t i = 0; i < exchanges_.size(); ++i)
+            at(poll_interval * i / exchanges_.size(), [this, i] { poll_exchange(i); });
         while (events_.top().at < start + settings_.duration) {
             const event next = events_.top();
             events_.pop();
@@ -122,6 +127,7 @@
 private:
     static constexpr instant start = instant(std::chrono::seconds(1000));
     static constexpr milliseconds span{600};
+    static constexpr microseconds poll_interval{50000};
     static constexpr double fuller_part = 0.3; ///< by which runs take longer at a full endpoint
 
     struct call {
@@ -316,11 +322,48 @@
         at(usage_interval(), [this] { publish_usage(); });
     }
 
+    entry_id gateway_name(std::size_t i) const { return entry_id("g" + std::to_string(i)); }
+
+    void connect_gateways() {
+        for (std::uint32_t i = 0; i < settings_.gateways; ++i) {
+            std::vector<fleet_gateway> others;
+            for (std::uint32_t j = 0; j < settings_.gateways; ++j) {
+                if (j != i)
+                    others.push_back({gateway_name(j), zone(j)});
+            }
+            exchanges_.emplace_back(gateway_name(i), zone(i)).set_gateways(others);
+        }
+    }
+
+    void poll_exchange(std::size_t i) {
+        for (const usage_message& message : exchanges_[i].poll(
+                 gateways_[i].own_usage(), now_, gateways_[i].pace().own_reports(now_)))
+            at(settings_.network_time, [this, i, message] { deliver(i, message); });
+        at(poll_interval, [this, i] { poll_exchange(i); });
+    }
+
+    // The time on the network isn't part of a report's age.
+    void deliver(std::size_t from, usage_message message) {
+        const std::size_t to = std::stoul(message.to.str().substr(1));
+        for (auto& one : message.paces)
+            one.second.reported_at += settings_.network_time;
+        const entry_id sender = gateway_name(from);
+        if (message.kind == usage_message::content::report) {
+            exchanges_[to].receive_report(sender, message.own, now_, message.paces);
+            return;
+        }
+        if (message.kind == usage_message::content::own_use || to == from ||
+            exchanges_[to].receive_sums(sender, zone(static_cast<std::uint32_t>(from)),
+                                        message.zones, now_, message.paces))
+            gateways_[to].pace().record_shared(message.paces);
+    }
+
     pace_settings settings_;
     std::mt19937 random_;
     instant now_ = start;
     const service_id service_{"plain"};
     std::deque<slot_table> gateways_;
+    std::deque<usage_exchange> exchanges_;
     std::vector<endpoint_state> endpoints_;
     std::priority_queue<event> events_;
     std::uint64_t event_count_ = 0;
