--- a/unittests/policy/endpoint_pace_test.cpp
+++ b/unittests/policy/endpoint_pace_test.cpp
@@ -150,6 +150,32 @@
     }
 }
 
+// Guards against a gateway that passes on what it received itself, or what its runs contradict.
+TEST_CASE("only own reports that runs don't contradict are passed on", "[pace]") {
+    endpoint_pace pace = make_pace();
+    pace.record_report(one, {3, 1, 6, 250}, start);
+    pace.record_shared({{one, {100, start + milliseconds(50)}},
+                        {endpoint_id("two"), {300, start + milliseconds(50)}},
+                        {endpoint_id("unknown"), {300, start}}});
+    CHECK(pace.factor(one, start + milliseconds(50)) == 1);
+    CHECK(pace.factor(endpoint_id("two"), start + milliseconds(50)) == 3);
+    CHECK(pace.reported_load(one) == 4U);
+    pace.record_shared({{one, {400, start + milliseconds(20)}}});
+    CHECK(pace.factor(one, start + milliseconds(50)) == 1);
+    CHECK(pace.own_reports(start + milliseconds(999)) == pace_report_map{{one, {250, start}}});
+    CHECK(pace.own_reports(start + milliseconds(1000)).empty());
+    instant now = start + milliseconds(1000);
+    for (int i = 0; i < 30; ++i, now += milliseconds(100)) {
+        pace.record_report(one, report_of(250), now);
+        pace.record_run(one, milliseconds(100), milliseconds(100), now);
+    }
+    REQUIRE(pace.count_contradicted() == 1);
+    CHECK(pace.own_reports(now).empty());
+    pace.set_source(pace_source::none);
+    pace.record_report(endpoint_id("two"), report_of(250), now);
+    CHECK(pace.own_reports(now).empty());
+}
+
 // Guards against large requests, or a fuller endpoint, that read as a slow endpoint.
 TEST_CASE("size and load of runs don't count as pace", "[pace]") {
     endpoint_pace pace = make_pace();
@@ -256,6 +282,7 @@
             const std::string name = "reports late by " + std::to_string(age);
             CHECK(simulate(name, late, pace_knowledge::reports).late < 1.1 * slots.late);
             simulate(name, late, pace_knowledge::shared);
+            CHECK(simulate(name, late, pace_knowledge::passed).late < 1.1 * slots.late);
         }
         const std::map<report_fault, std::string> faults{
             {report_fault::lost, "half of reports lost"},
@@ -267,12 +294,15 @@
             wrong.fault = fault.first;
             CHECK(simulate(fault.second, wrong, pace_knowledge::reports).late < 1.1 * slots.late);
             simulate(fault.second, wrong, pace_knowledge::shared);
+            CHECK(simulate(fault.second, wrong, pace_knowledge::passed).late < 1.1 * slots.late);
         }
         // The opposite of the truth agrees with the runs on average; its cost is bounded only.
         pace_settings reversed = trial_load(gateways);
         reversed.fault = report_fault::reversed;
         CHECK(simulate("reports reversed", reversed, pace_knowledge::reports).late <
               1.3 * slots.late);
+        CHECK(simulate("reports reversed", reversed, pace_knowledge::passed).late <
+              1.7 * slots.late);
     }
 }
 
