--- a/unittests/policy/slot_forecast_test.cpp
+++ b/unittests/policy/slot_forecast_test.cpp
@@ -158,7 +158,7 @@
 }
 
 // Guards against teams within their usual rate that wait because another is hot.
-TEST_CASE("a hot team delays no others, at any size of the fleet", "[.][scarce]") {
+TEST_CASE("a hot team delays no others, at any size of the fleet", "[.][scarce-sizes]") {
     for (const std::size_t gateways : {18, 70, 300}) {
         scenario chosen;
         chosen.gateways = gateways;
@@ -189,7 +189,7 @@
 }
 
 // Guards against an order, or rejections, that depend on a relay that is frozen or gone.
-TEST_CASE("the loss of a relay doesn't change who is served", "[.][scarce]") {
+TEST_CASE("the loss of a relay doesn't change who is served", "[.][scarce-relays]") {
     for (const fault relay_fault : {fault::frozen_relay, fault::lost_relay}) {
         scenario chosen;
         chosen.streams_per_s = 250;
