--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -219,8 +219,8 @@
     void note_queued(online_call& call, instant now);
     void note_slot(online_call& call, bool acquired);
     /// Rejects queued requests that won't get a slot in time.
-    void reject_hopeless(instant now);
-    void reject_hopeless(const policy::queue_line& line, instant now);
+    void reject_missing_deadline(instant now);
+    void reject_missing_deadline(const policy::queue_line& line, instant now);
     void reject_ahead(online_call& call, const policy::queued_request& waiting,
                       const policy::fleet_slots& fleet, std::size_t ahead, instant now);
     std::optional<milliseconds> plan_return(online_call& call, const policy::fleet_slots& fleet,
--- a/include/cassia/policy/slot_forecast.h
+++ b/include/cassia/policy/slot_forecast.h
@@ -63,8 +63,8 @@
     /// Of the requests of a line in their order, those that can't be sent in time even by the
     /// earliest estimate; none while the fleet has room. A request that has run isn't among them.
     /// Highest priority and longest waiting first.
-    std::vector<queued_request> hopeless(const std::vector<queued_request>& in_order,
-                                         const fleet_slots& fleet, instant now) const;
+    std::vector<queued_request> missing_deadline(const std::vector<queued_request>& in_order,
+                                                 const fleet_slots& fleet, instant now) const;
     /// When a rejected caller should return: after the requests queued here and those rejected
     /// before it, but not after a third of the time that it has left. Nothing if the caller has no
     /// time to return. \param needed time from its return until its deadline.
--- a/lib/gateway/dispatch_queue.cpp
+++ b/lib/gateway/dispatch_queue.cpp
@@ -94,24 +94,24 @@
                                                                     now - call.arrived_at);
 }
 
-void dispatcher::reject_hopeless(instant now) {
+void dispatcher::reject_missing_deadline(instant now) {
     if (!refuses_ahead_)
         return;
     for (const policy::queue_line& line : queue_.lines())
-        reject_hopeless(line, now);
+        reject_missing_deadline(line, now);
 }
 
-void dispatcher::reject_hopeless(const policy::queue_line& line, instant now) {
+void dispatcher::reject_missing_deadline(const policy::queue_line& line, instant now) {
     std::map<bool, std::vector<policy::queued_request>> waiting;
     for (const policy::queued_request& one : queue_.in_order(line, now))
         waiting[queue_.is_over_share(one, now)].push_back(one);
     for (const std::pair<const bool, std::vector<policy::queued_request>>& some : waiting) {
         const online_call& first = *calls_.at(some.second.front().id);
         const policy::fleet_slots fleet = fleet_for(first, now);
-        const std::vector<policy::queued_request> hopeless =
-            forecast_for(first, now).hopeless(some.second, fleet, now);
-        const std::size_t ahead = some.second.size() - hopeless.size();
-        for (const policy::queued_request& one : hopeless) {
+        const std::vector<policy::queued_request> missed =
+            forecast_for(first, now).missing_deadline(some.second, fleet, now);
+        const std::size_t ahead = some.second.size() - missed.size();
+        for (const policy::queued_request& one : missed) {
             auto found = calls_.find(one.id);
             if (found != calls_.end() && queue_.contains(one.id))
                 reject_ahead(*found->second, one, fleet, ahead, now);
--- a/lib/gateway/dispatch_timeouts.cpp
+++ b/lib/gateway/dispatch_timeouts.cpp
@@ -162,7 +162,7 @@
     }
     end_unservable();
     dispatch_queued();
-    reject_hopeless(now);
+    reject_missing_deadline(now);
 }
 
 } // namespace cassia::gateway
--- a/lib/gateway/request_tokens.cpp
+++ b/lib/gateway/request_tokens.cpp
@@ -21,7 +21,7 @@
 
 service_id choose_service(const schema::route& route, const policy::slot_table& slots,
                           std::uint64_t tokens, double random_fraction) {
-    const service_id drawn(routes::choose_target(route, random_fraction));
+    service_id drawn(routes::choose_target(route, random_fraction));
     if (!slots.exceeds_memory(drawn, tokens))
         return drawn;
     for (const schema::route_target& one : route.targets()) {
--- a/lib/policy/slot_forecast.cpp
+++ b/lib/policy/slot_forecast.cpp
@@ -95,8 +95,9 @@
                                          : estimate(fleet, ahead);
 }
 
-std::vector<queued_request> slot_forecast::hopeless(const std::vector<queued_request>& in_order,
-                                                    const fleet_slots& fleet, instant now) const {
+std::vector<queued_request>
+slot_forecast::missing_deadline(const std::vector<queued_request>& in_order,
+                                const fleet_slots& fleet, instant now) const {
     std::vector<queued_request> rejected;
     if (fleet.has_room())
         return rejected;
--- a/unittests/policy/scarce_slots_simulation.h
+++ b/unittests/policy/scarce_slots_simulation.h
@@ -247,7 +247,7 @@
             fleet_slots fleet = load(one);
             if (over)
                 fleet.keep_reserve();
-            for (const queued_request& rejected : forecast.hopeless(some, fleet, now_)) {
+            for (const queued_request& rejected : forecast.missing_deadline(some, fleet, now_)) {
                 const request given_up = one.waiting.at(rejected.id);
                 const std::optional<milliseconds> after = forecast.plan_return(
                     fleet, some.size(), rejected.priority, left_of(given_up), target, now_);
--- a/unittests/policy/slot_forecast_test.cpp
+++ b/unittests/policy/slot_forecast_test.cpp
@@ -117,15 +117,16 @@
     const slot_forecast forecast = make_forecast();
     std::vector<queued_request> line = make_line(30);
     line[29].has_run = true;
-    const std::vector<queued_request> hopeless = forecast.hopeless(line, full_fleet(70), start);
-    REQUIRE(!hopeless.empty());
-    CHECK(hopeless.front().id.value() >= 14);
-    CHECK(hopeless.back().id == exchange_id(29));
-    CHECK(forecast.hopeless(line, {352, 350, 2, 70}, start).empty());
-    CHECK(forecast.hopeless(line, {352, 320, 0, 70}, start).empty());
+    const std::vector<queued_request> missed =
+        forecast.missing_deadline(line, full_fleet(70), start);
+    REQUIRE(!missed.empty());
+    CHECK(missed.front().id.value() >= 14);
+    CHECK(missed.back().id == exchange_id(29));
+    CHECK(forecast.missing_deadline(line, {352, 350, 2, 70}, start).empty());
+    CHECK(forecast.missing_deadline(line, {352, 320, 0, 70}, start).empty());
     for (queued_request& one : line)
         one.target_deadline = start + milliseconds(9000);
-    CHECK(forecast.hopeless(line, full_fleet(70), start).empty());
+    CHECK(forecast.missing_deadline(line, full_fleet(70), start).empty());
 }
 
 // Guards against callers that return all at once, after a third of their time, or with no time left
