--- a/lib/policy/slot_table.cpp
+++ b/lib/policy/slot_table.cpp
@@ -14,7 +14,7 @@
 constexpr milliseconds first_suspension(250);
 constexpr milliseconds max_suspension(4000);
 constexpr std::uint32_t max_doublings = 5;
-// More gateways than an endpoint has slots, by some: each probe of an endpoint on trial takes one.
+// Each gateway may have one request at an endpoint on trial; those of more gateways would fill it.
 constexpr std::uint32_t large_fleet = 20;
 // How long after its suspension an endpoint is reported as suspected in a large fleet. Without a
 // limit an endpoint was lost to all others for as long as the gateways at which it had failed had
