Placement: one weighted draw, and no power of a pace of 1

Cause: the draw by weight stood in slot_placement.cpp and again in slot_memory.cpp, and each placement took a power for every endpoint, also where all are at the usual pace.

Change: the draw is a template in lib/policy/weighted_draw.h; a factor of 1 weighs 1 without a power, which is the same value, so placements stay as they were.

Measured: unit_policy, unit_endpoint_memory, unit_pace_load, unit_pace_faults, unit_pace_engines, unit_items and unit_gateway passed; format and lint of both files clean.

--- a/lib/policy/slot_memory.cpp
+++ b/lib/policy/slot_memory.cpp
@@ -2,6 +2,8 @@
 
 #include "cassia/policy/slot_table.h"
 
+#include "weighted_draw.h"
+
 #include <algorithm>
 #include <climits>
 
@@ -103,19 +105,7 @@
         return reservation_rank(one, limit, tokens) == best ? 1 + static_cast<double>(limit - used)
                                                             : 0.0;
     };
-    double left = 0;
-    for (const candidate& one : all)
-        left += random_fraction * weight(one);
-    const candidate* last = nullptr;
-    for (const candidate& one : all) {
-        if (weight(one) <= 0)
-            continue;
-        last = &one;
-        left -= weight(one);
-        if (left < 0)
-            break;
-    }
-    return last;
+    return draw_by_weight(all, weight, random_fraction);
 }
 
 int slot_table::best_reservation_rank(const std::vector<candidate>& all, std::uint64_t limit,
--- a/lib/policy/slot_placement.cpp
+++ b/lib/policy/slot_placement.cpp
@@ -2,6 +2,8 @@
 
 #include "cassia/policy/slot_table.h"
 
+#include "weighted_draw.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -24,6 +26,9 @@
 constexpr double max_zone_slowdown = 1.3;
 
 double pace_weight(double factor, bool slow_first) {
+    // Most endpoints are at the usual pace, and each placement weighs all of them.
+    if (factor == 1)
+        return 1;
     return std::pow(factor, slow_first ? batch_pace_exponent : -pace_exponent);
 }
 } // namespace
@@ -64,25 +69,6 @@
 
 // If gateways always chose the best candidate, all would choose the same one until they have
 // received each other's usage.
-template <class Candidate, class Weight>
-static const Candidate* draw_by_weight(const std::vector<Candidate>& all, const Weight& weight,
-                                       double random_fraction) {
-    double sum = 0;
-    for (const Candidate& one : all)
-        sum += weight(one);
-    double left = random_fraction * sum;
-    const Candidate* last = nullptr;
-    for (const Candidate& one : all) {
-        if (weight(one) <= 0)
-            continue;
-        last = &one;
-        left -= weight(one);
-        if (left < 0)
-            break;
-    }
-    return last;
-}
-
 const slot_table::candidate* slot_table::pick_free(const std::vector<candidate>& all,
                                                    const draw_group& group,
                                                    double random_fraction) const {
