Tests: requests that crash endpoints, each with a part of its prompt of its own

What callers saw: BUDGET, a request under which three endpoints had ended was sent to endpoints again and again (docs/incidents/streaming-service.md).

In virtual time the late runs of a body count from its third crash, not from its fifth, as the rule on requests says.

--- a/unittests/policy/part_detector_test.cpp
+++ b/unittests/policy/part_detector_test.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <string>
+#include <vector>
 
 using namespace cassia;
 using namespace cassia::policy;
@@ -58,10 +59,16 @@
 constexpr instant start = instant() + milliseconds(1000000);
 const service_id service("llm");
 
-/// Crashes of a service of 60 endpoints, each with one run of a request of its own.
+/// Crashes of a service of 60 endpoints, each with one run.
 class crash_series {
 public:
+    /// Of a request of its own.
     void crash(const std::string& part, instant at, bool on_trial, std::uint32_t survived_runs) {
+        crash("r" + std::to_string(crashes_ + 1), {fingerprint(part)}, at, on_trial, survived_runs);
+    }
+
+    void crash(const std::string& request, const std::vector<fingerprint>& parts, instant at,
+               bool on_trial, std::uint32_t survived_runs) {
         const std::string number = std::to_string(++crashes_);
         crash_report report;
         report.process = {endpoint_id("e" + number), 1};
@@ -70,8 +77,7 @@
         report.crashed_at = at;
         report.gateway = entry_id("gateway");
         report.survived_runs = survived_runs;
-        report.runs = {
-            {fingerprint("r" + number), milliseconds(20), false, {fingerprint(part)}, on_trial}};
+        report.runs = {{fingerprint(request), milliseconds(20), false, parts, on_trial}};
         detector.record_crash(report, at);
         detector.poll(at + milliseconds(50));
     }
@@ -103,6 +109,18 @@
           (in_outage ? request_verdict::suspect : request_verdict::quarantined));
 }
 
+// Guards against a request and a part of its prompt that explain each other's crashes for ever.
+TEST_CASE("a request whose runs alone crash is stopped though a part always comes with it",
+          "[.rare-part]") {
+    crash_series series;
+    for (int i = 0; i < 3; ++i)
+        series.crash("request", {fingerprint("part")}, start + milliseconds(300) * i, false, 100);
+    for (int i = 3; i < 6; ++i)
+        series.crash("request", {fingerprint("part")}, start + milliseconds(300) * i, true, 100);
+    CHECK(series.detector.judge(fingerprint("request"), start) == request_verdict::quarantined);
+    CHECK(series.detector.judge(fingerprint("part"), start) != request_verdict::quarantined);
+}
+
 // Guards against runs with a part that crashes endpoints while none could stop it yet.
 TEST_CASE("a part waits for runs without it that succeed", "[poison]") {
     const std::uint32_t survived_runs = GENERATE(0U, 3U);
@@ -173,6 +191,26 @@
     check(model, causes);
 }
 
+// Guards against a request that crashes endpoints again and again since it shares the blame with a
+// part of its prompt that no other request has.
+TEST_CASE("in virtual time, requests with parts of their own that crash endpoints are stopped",
+          "[.rare-part]") {
+    part_model model;
+    model.endpoints = 12;
+    model.restart = milliseconds(2600);
+    model.bad_parts = 0;
+    model.rare_parts = true;
+    model.bad_bodies = GENERATE(1, 2, 5);
+    model.bad_body_per_s = GENERATE(1.0, 10.0);
+    model.sound_per_s = GENERATE(15.0, 60.0);
+    model.bad_time = milliseconds(60);
+    SECTION("no other request has these parts") {}
+    SECTION("few sound requests have them too") {
+        model.rare_sound_per_s = 0.5;
+    }
+    check(model, static_cast<std::size_t>(model.bad_bodies));
+}
+
 // Guards against such a part when no run has succeeded yet that could tell it from sound ones.
 TEST_CASE("in virtual time, a part that crashes endpoints right after the start is stopped",
           "[.parts-at-start]") {
--- a/unittests/policy/part_model.h
+++ b/unittests/policy/part_model.h
@@ -25,8 +25,11 @@
     int bad_parts = 1;
     double bad_per_s = 10; ///< of each bad part
     milliseconds bad_time{100};
-    milliseconds bad_delay{0}; ///< from the end of a run to its crash
-    int bad_bodies = 0;        ///< requests that crash endpoints and repeat, with sound parts
+    milliseconds bad_delay{0};   ///< from the end of a run to its crash
+    int bad_bodies = 0;          ///< requests that crash endpoints and repeat, with sound parts
+    double bad_body_per_s = 10;  ///< of each of these
+    bool rare_parts = false;     ///< each of these has a part that no other request has
+    double rare_sound_per_s = 0; ///< of sound requests with such a part, no two alike
     /// Share of the requests with a bad part, and rate of sound ones, that have one more part.
     double companion_share = 0;
     double companion_per_s = 0;
@@ -41,8 +44,9 @@
 };
 
 struct part_result {
-    std::size_t crashes = 0;          ///< that bad parts caused
-    std::size_t late_runs = 0;        ///< of one part, later than 3 s after its fifth crash
+    std::size_t crashes = 0; ///< that bad parts caused
+    /// Of one part, later than 3 s after its fifth crash, or of one request, after its third.
+    std::size_t late_runs = 0;
     std::size_t quarantined = 0;      ///< bad parts and bodies
     std::set<std::string> innocent;   ///< other causes that were quarantined
     std::size_t sound = 0;            ///< sent
@@ -72,6 +76,10 @@
     }
 };
 
+inline std::size_t tolerated_crashes(const std::string& cause) {
+    return cause.starts_with("Body") ? 3 : 5;
+}
+
 inline part_request make_part_request(std::mt19937_64& random, std::uint64_t number,
                                       std::size_t gateways, instant now) {
     part_request made;
--- a/unittests/policy/part_simulation.h
+++ b/unittests/policy/part_simulation.h
@@ -132,7 +132,8 @@
     void start(std::size_t index, request one, bool alone) {
         const std::optional<std::string> cause = one.crashes_by();
         const std::vector<instant>& crashes = crashes_of_[cause.value_or("")];
-        if (crashes.size() >= 5 && now_ > crashes[4] + contact_time)
+        const std::size_t tolerated = tolerated_crashes(cause.value_or(""));
+        if (crashes.size() >= tolerated && now_ > crashes[tolerated - 1] + contact_time)
             ++late_runs_[*cause];
         ++one.runs;
         const milliseconds time = cause ? model_.bad_time : model_.sound_time;
@@ -336,15 +337,24 @@
             }
         }
         for (int body = 0; body < model_.bad_bodies; ++body) {
-            for (int i = events(model_.bad_per_s); i > 0; --i) {
+            for (int i = events(model_.bad_body_per_s); i > 0; --i) {
                 request one = make_request();
                 one.body = "Body" + std::to_string(body);
-                one.parts = {"first", "second1", "third1"};
+                one.parts = {"first", rare_part_or(body, "second1"), "third1"};
+                place(one);
+            }
+            for (int i = events(model_.rare_sound_per_s); i > 0; --i, ++result_.sound) {
+                request one = make_request();
+                one.parts[1] = rare_part_or(body, "second1");
                 place(one);
             }
         }
     }
 
+    std::string rare_part_or(int body, const std::string& common) const {
+        return model_.rare_parts ? "rare" + std::to_string(body) : common;
+    }
+
     void note_suspicion() {
         for (const std::string part : {"first", "third0", "third1", "companion"}) {
             instant& since = suspected_since_[part];
