Logs: what explains a crash otherwise, and who granted a run alone

The incident on a streaming service could be read from the gateways' logs only by arithmetic: crash_attributed names the odds after a crash, not the probability that the endpoint would have crashed without the cause, and suspect_placed doesn't say whether a coordinator granted the run or the gateway decided alone. No change of logic.

--- a/include/cassia/gateway/trial_exchange.h
+++ b/include/cassia/gateway/trial_exchange.h
@@ -27,6 +27,7 @@
     struct state {
         bool is_scheduled = true; ///< false: no coordinator answers, the gateway decides itself
         std::optional<endpoint_id> endpoint; ///< where it may run; nothing while it waits
+        entry_id coordinator;                ///< that was asked
     };
 
     trial_exchange(entry_id self, trial_exchange_hooks hooks);
--- a/include/cassia/policy/poison_detector.h
+++ b/include/cassia/policy/poison_detector.h
@@ -79,10 +79,16 @@
     instant quarantined_until{};
 };
 
-/// A crash and the records, after it, of the requests and parts that ran there.
+/// What a crash says of a request or part that ran there.
+struct attributed_cause {
+    poison_record record; ///< after the crash
+    double otherwise = 1; ///< probability that the endpoint would have crashed without it
+    bool on_trial = false;
+};
+
 struct attributed_crash {
     endpoint_process process;
-    std::vector<poison_record> requests;
+    std::vector<attributed_cause> causes;
 };
 
 struct poison_findings {
--- a/lib/gateway/crash_monitor.cpp
+++ b/lib/gateway/crash_monitor.cpp
@@ -224,19 +224,24 @@
     });
 }
 
+static std::string describe(const policy::attributed_cause& cause) {
+    return short_form(cause.record.request) + ":" + std::to_string(cause.record.crashes) + ":" +
+           std::to_string(cause.record.log_odds) + ":" + std::to_string(cause.otherwise) +
+           (cause.on_trial ? ":alone" : "");
+}
+
 void crash_monitor::log_findings(const policy::poison_findings& findings) const {
     for (const policy::attributed_crash& crash : findings.crashes) {
-        std::vector<policy::poison_record> requests = crash.requests;
-        std::sort(requests.begin(), requests.end(),
-                  [](const auto& a, const auto& b) { return a.log_odds > b.log_odds; });
+        std::vector<policy::attributed_cause> causes = crash.causes;
+        std::sort(causes.begin(), causes.end(), [](const auto& a, const auto& b) {
+            return a.record.log_odds > b.record.log_odds;
+        });
         std::string text;
-        for (std::size_t i = 0; i < std::min(requests.size(), max_requests_logged); ++i)
-            text += (i == 0 ? "" : ",") + short_form(requests[i].request) + ":" +
-                    std::to_string(requests[i].crashes) + ":" +
-                    std::to_string(requests[i].log_odds);
+        for (std::size_t i = 0; i < std::min(causes.size(), max_requests_logged); ++i)
+            text += (i == 0 ? "" : ",") + describe(causes[i]);
         log_info("crash_attributed")
             .with("endpoint", crash.process.endpoint.str())
-            .with("runs", crash.requests.size())
+            .with("runs", crash.causes.size())
             .with("requests", text);
     }
 }
--- a/lib/gateway/dispatch_suspects.cpp
+++ b/lib/gateway/dispatch_suspects.cpp
@@ -107,11 +107,15 @@
         call.retry_at = now + place_alone_interval;
         return;
     }
+    const trial_exchange::state state =
+        call.trial ? trials_.find(*call.trial) : trial_exchange::state();
+    metrics_.count(state.endpoint ? "suspects_placed_granted" : "suspects_placed_unasked");
     log_info("suspect_placed")
         .with("request", call.request_id)
         .with("fingerprint", short_form(fingerprint_of(call)))
         .with("cause", short_form(judge(call).cause))
-        .with("endpoint", found->endpoint.str());
+        .with("endpoint", found->endpoint.str())
+        .with("granted_by", state.endpoint ? state.coordinator.str() : "");
     call.runs_alone = true;
     send(call, *found);
     call.reserved_slots = slots_.reserve_free_slots(call.endpoint);
--- a/lib/gateway/trial_exchange.cpp
+++ b/lib/gateway/trial_exchange.cpp
@@ -58,7 +58,8 @@
     auto found = asked_.find(id);
     if (found == asked_.end())
         return {};
-    return {found->second.changes < max_coordinators_tried, found->second.endpoint};
+    return {found->second.changes < max_coordinators_tried, found->second.endpoint,
+            found->second.coordinator};
 }
 
 bool trial_exchange::asks_for(trial_id id, const service_id& service,
--- a/lib/policy/poison_detector.cpp
+++ b/lib/policy/poison_detector.cpp
@@ -272,7 +272,7 @@
             update_verdict(record, crash.report.service, now);
         }
         suspect_if_crashed_most(record, crash.report);
-        attributed.requests.push_back(record);
+        attributed.causes.push_back({record, one.if_innocent, one.on_trial});
     }
     crash.judged = crash.report.runs.size();
     update_unexplained(crash);
--- a/unittests/policy/poison_detector_test.cpp
+++ b/unittests/policy/poison_detector_test.cpp
@@ -87,12 +87,12 @@
     detector.record_crash(report_of("e3", third, {"p"}), third + milliseconds(10));
     const poison_findings findings = detector.poll(third + collected);
     REQUIRE(findings.crashes.size() == 1);
-    CHECK(findings.crashes[0].requests.size() == 2);
+    CHECK(findings.crashes[0].causes.size() == 2);
     // One that arrives late finds the crash explained.
     detector.record_crash(report_of("e3", third, {"late"}), third + milliseconds(400));
     const poison_findings late = detector.poll(third + milliseconds(500));
     REQUIRE(late.crashes.size() == 1);
-    CHECK(late.crashes[0].requests[0].log_odds < -6);
+    CHECK(late.crashes[0].causes[0].record.log_odds < -6);
 }
 
 TEST_CASE("a suspect whose runs are completed is cleared at all gateways", "[poison]") {
