Poison detector: a request's own parts are no excuse for its runs alone

Cause: a request and a part of its prompt that only it has are at the same crashes. The detector took each for an explanation of the other's: once their odds were apart by more than twin_distance they weren't twins any more, and a part with odds of 1 to 1, the most that crashes beside others may show, took half of what each further crash showed of the request: 0.52 to 0.65 in place of 4 to 6, so that a quarantine took 12 crashes. If the part led, the part was quarantined, and sound requests with it were refused. The class: causes that no observation tells apart share the evidence, though what is decided, whether to run the request, is the same for each.

Change: the crash of a run alone shows of the request whatever its own parts did; the scheduler decides on the request, and it crashes the endpoint in either case. Of twins the request is blamed, the narrower cause; the part stays a suspect, which one sound run clears. Crashes beside others are judged as before.

--- a/include/cassia/policy/poison_detector.h
+++ b/include/cassia/policy/poison_detector.h
@@ -125,10 +125,11 @@
 private:
     struct known_crash {
         crash_report report;
-        instant first_reported_at{};  ///< of the runs not yet judged
-        std::size_t judged = 0;       ///< runs that were; those of late reports follow
-        std::set<fingerprint> causes; ///< requests and parts that ran there
-        double unexplained = 1;    ///< as of the latest poll: that none of its requests is poison
+        instant first_reported_at{}; ///< of the runs not yet judged
+        std::size_t judged = 0;      ///< runs that were; those of late reports follow
+        /// Requests and parts that ran there, with the parts of each request.
+        std::map<fingerprint, std::set<fingerprint>> causes;
+        double unexplained = 1;    ///< as of the latest poll: that none of its causes is poison
         bool was_on_trial = false; ///< a suspect ran there alone
     };
     struct candidate {
@@ -139,8 +140,8 @@
         bool on_trial = false;
         bool counts = false; ///< the run is independent of the crashes counted so far
         double background = 0;
-        /// Of causes that ran at the same crashes, with like odds: one is blamed, the others follow
-        /// if crashes go on without it.
+        /// Of causes that ran at the same crashes one is blamed, a request if there is one. Parts
+        /// follow if crashes go on without it.
         bool is_follower = false;
         double without_twins = 1; ///< probability that none of the others of these is poison
         double gain = 0;
@@ -154,8 +155,8 @@
     attributed_crash attribute(const endpoint_process& process, known_crash& crash, instant now);
     std::vector<candidate> candidates(const known_crash& crash, instant now);
     double probability_of(const fingerprint& request) const;
-    /// Probability that none of the requests that ran there, except this one, is poison.
-    double unexplained_without(const known_crash& crash, const fingerprint& request) const;
+    /// Probability that none of the causes that ran there, except this one, is poison.
+    double unexplained_without(const known_crash& crash, const fingerprint& cause) const;
     void update_unexplained(known_crash& crash) const;
     /// For each candidate the probability that the endpoint crashed within a run of its length for
     /// another reason than one of its causes, if the candidate isn't poison.
@@ -165,6 +166,8 @@
     /// that nothing else explains a crash in a run alone.
     double late_explanations(const std::vector<candidate>& candidates,
                              const candidate& trial) const;
+    /// Probability that no part of a request that ran alone is poison; 1 for other candidates.
+    double own_parts_innocent(const known_crash& crash, const candidate& trial) const;
     /// Marks the candidates that no crash tells apart.
     void find_twins(std::vector<candidate>& candidates) const;
     poison_record& record_of(const fingerprint& request, instant now);
--- a/lib/policy/poison_background.cpp
+++ b/lib/policy/poison_background.cpp
@@ -40,15 +40,16 @@
 
 void poison_detector::update_unexplained(known_crash& crash) const {
     crash.unexplained = 1;
-    for (const fingerprint& cause : crash.causes)
-        crash.unexplained *= 1 - probability_of(cause);
+    for (const std::pair<const fingerprint, std::set<fingerprint>>& cause : crash.causes)
+        crash.unexplained *= 1 - probability_of(cause.first);
 }
 
 double poison_detector::unexplained_without(const known_crash& crash,
-                                            const fingerprint& request) const {
-    const bool ran_there = crash.causes.count(request) > 0;
-    return ran_there ? std::min(1.0, crash.unexplained / (1 - probability_of(request)))
-                     : crash.unexplained;
+                                            const fingerprint& cause) const {
+    auto found = crash.causes.find(cause);
+    if (found == crash.causes.end())
+        return crash.unexplained;
+    return std::min(1.0, crash.unexplained / (1 - probability_of(cause)));
 }
 
 // A run that was complete before may crash the endpoint at any time of the second after it, and
@@ -69,6 +70,16 @@
     return correction;
 }
 
+// A part crashes endpoints by the runs of its requests, so it is no excuse for one that ran alone.
+double poison_detector::own_parts_innocent(const known_crash& crash, const candidate& trial) const {
+    if (!trial.on_trial || trial.record->is_part)
+        return 1;
+    double innocent = 1;
+    for (const fingerprint& part : crash.causes.at(trial.record->request))
+        innocent *= 1 - probability_of(part);
+    return innocent;
+}
+
 // By what is known now: a cause that was found out since explains its earlier crashes.
 void poison_detector::set_background(const endpoint_process& process, const known_crash& crash,
                                      std::vector<candidate>& candidates) const {
@@ -150,16 +161,19 @@
             return std::make_tuple(a->record->log_odds, !a->record->is_part, a->record->request) >
                    std::make_tuple(b->record->log_odds, !b->record->is_part, b->record->request);
         });
-        const poison_record& leader = *members.front()->record;
-        std::erase_if(members, [&leader](const candidate* one) {
-            return one->record->log_odds < leader.log_odds - twin_distance;
+        const double highest = members.front()->record->log_odds;
+        std::erase_if(members, [highest](const candidate* one) {
+            return one->record->log_odds < highest - twin_distance;
         });
-        // Requests alone are told apart by their runs alone.
-        if (std::none_of(members.begin(), members.end(),
-                         [](const candidate* one) { return one->record->is_part; }))
-            continue;
+        // A request that runs with a part each time is the narrower cause.
+        auto request = std::find_if(members.begin(), members.end(),
+                                    [](const candidate* one) { return !one->record->is_part; });
+        const candidate* leader = request == members.end() ? members.front() : *request;
         for (candidate* one : members) {
-            one->is_follower = one != members.front();
+            // Requests are told apart by their runs alone.
+            if (!one->record->is_part)
+                continue;
+            one->is_follower = one != leader;
             for (const candidate* other : members) {
                 if (other != one)
                     one->without_twins *= 1 - to_probability(other->record->log_odds);
--- a/lib/policy/poison_detector.cpp
+++ b/lib/policy/poison_detector.cpp
@@ -93,8 +93,9 @@
             break;
         known.report.runs.push_back(run);
         known.was_on_trial = known.was_on_trial || run.on_trial;
-        known.causes.insert(run.request);
-        known.causes.insert(run.parts.begin(), run.parts.end());
+        known.causes[run.request].insert(run.parts.begin(), run.parts.end());
+        for (const fingerprint& part : run.parts)
+            known.causes[part];
     }
 }
 
@@ -246,7 +247,7 @@
     for (candidate& one : all) {
         const double unexplained =
             std::min(1.0, unexplained_without(crash, one.record->request) / one.without_twins /
-                              late_explanations(all, one));
+                              late_explanations(all, one) / own_parts_innocent(crash, one));
         one.if_innocent = 1 - (1 - one.background) * unexplained;
         const double fits = probability_of_kind(*one.record, one.was_complete, one.was_running);
         const double if_poison = fits + (1 - fits) * one.if_innocent;
@@ -323,8 +324,9 @@
     for (const std::pair<const endpoint_process, known_crash>& crash : crashes_) {
         if (crash.second.report.service != service || crash.second.causes.count(part) == 0)
             continue;
-        for (const fingerprint& cause : crash.second.causes) {
-            const poison_record* other = find(cause);
+        for (const std::pair<const fingerprint, std::set<fingerprint>>& cause :
+             crash.second.causes) {
+            const poison_record* other = find(cause.first);
             if (other != nullptr && other->is_part && other->log_odds > record->log_odds)
                 return false;
         }
