Poison detector: others aboard excuse a run alone no more than all crashes do

Cause: requests that were aboard an earlier crash keep the share of the blame that they got, also when it is found out what caused it. Where many endpoints crash, most of what runs has such a share, and the sum of the shares aboard explains the crash of a run alone, though endpoints crash far less often than that sum says.

Change: within a run alone, the probability that the endpoint crashes anyway is at most that with which any endpoint crashes in a time of that length, for whatever reason: the rate of all crashes at which the request had no run, of the last 10 s or of the last second, over a quarter of the endpoints, and the share that crashed at the same moment. In an outage that rate is high, and nothing changes.

--- a/include/cassia/policy/poison_detector.h
+++ b/include/cassia/policy/poison_detector.h
@@ -140,6 +140,9 @@
         bool on_trial = false;
         bool counts = false; ///< the run is independent of the crashes counted so far
         double background = 0;
+        /// Probability that an endpoint crashes within a run of this length, whatever the cause,
+        /// by the crashes that the candidate had no run at.
+        double any_crash = 1;
         /// Of causes that ran at the same crashes one is blamed, a request if there is one. Parts
         /// follow if crashes go on without it.
         bool is_follower = false;
--- a/lib/policy/poison_background.cpp
+++ b/lib/policy/poison_background.cpp
@@ -104,8 +104,9 @@
     };
     counted all;
     std::map<fingerprint, counted> corrections;
+    std::map<fingerprint, counted> others; ///< crashes at which the candidate had no run
     for (const candidate& one : candidates)
-        corrections[one.record->request] = {};
+        corrections[one.record->request] = others[one.record->request] = {};
     for (const std::pair<const endpoint_process, known_crash>& other : crashes_) {
         const crash_report& report = other.second.report;
         const microseconds distance = crash.report.crashed_at - report.crashed_at;
@@ -114,7 +115,9 @@
             continue;
         all.add(distance, other.second.unexplained, other.second.was_on_trial);
         for (std::pair<const fingerprint, counted>& one : corrections) {
-            if (other.second.causes.count(one.first) > 0)
+            if (other.second.causes.count(one.first) == 0)
+                others[one.first].add(distance, 1, false);
+            else
                 one.second.add(distance,
                                unexplained_without(other.second, one.first) -
                                    other.second.unexplained,
@@ -140,6 +143,13 @@
         }
         const double within_run = 1 - std::exp(-rate * to_seconds(one.duration));
         one.background = std::min(max_probability, within_run + simultaneous / endpoints);
+        const counted& other = others.at(one.record->request);
+        const double any_rate = std::max(other.recent / to_seconds(background_window),
+                                         other.burst / to_seconds(burst_window)) /
+                                (endpoints * min_running_share);
+        one.any_crash =
+            std::min(max_probability, 1 - std::exp(-any_rate * to_seconds(one.duration)) +
+                                          other.simultaneous / endpoints);
     }
 }
 
--- a/lib/policy/poison_detector.cpp
+++ b/lib/policy/poison_detector.cpp
@@ -249,6 +249,8 @@
             std::min(1.0, unexplained_without(crash, one.record->request) / one.without_twins /
                               late_explanations(all, one) / own_parts_innocent(crash, one));
         one.if_innocent = 1 - (1 - one.background) * unexplained;
+        if (one.on_trial && !one.record->is_part)
+            one.if_innocent = std::min(one.if_innocent, std::max(one.background, one.any_crash));
         const double fits = probability_of_kind(*one.record, one.was_complete, one.was_running);
         const double if_poison = fits + (1 - fits) * one.if_innocent;
         const bool runs_alone = one.on_trial && !one.record->is_part;
