Poison detector: the rate of all crashes is counted for runs alone only

Found on reading the change again. The rate of all crashes was counted for each cause aboard, with a look-up for each crash of the last 10 s, and kept with each, though it is used for requests in runs alone only, of which a crash has one as a rule. It is now computed where it is used; which crashes are near is decided in one place.

--- a/include/cassia/policy/poison_detector.h
+++ b/include/cassia/policy/poison_detector.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -140,11 +141,8 @@
         bool on_trial = false;
         bool counts = false; ///< the run is independent of the crashes counted so far
         double background = 0;
-        /// Probability that an endpoint crashes within a run of this length, whatever the cause,
-        /// by the crashes that the candidate had no run at.
-        double any_crash = 1;
-        /// Of causes that ran at the same crashes one is blamed, a request if there is one. Parts
-        /// follow if crashes go on without it.
+        /// Of causes that ran at the same crashes, with like odds, one is blamed, a request if
+        /// there is one. Parts follow if crashes go on without it.
         bool is_follower = false;
         double without_twins = 1; ///< probability that none of the others of these is poison
         double gain = 0;
@@ -163,8 +161,13 @@
     void update_unexplained(known_crash& crash) const;
     /// For each candidate the probability that the endpoint crashed within a run of its length for
     /// another reason than one of its causes, if the candidate isn't poison.
-    void set_background(const endpoint_process& process, const known_crash& crash,
-                        std::vector<candidate>& candidates) const;
+    void set_background(const known_crash& crash, std::vector<candidate>& candidates) const;
+    /// Time from another recent crash of the service; nothing if it is the same or not near.
+    static std::optional<microseconds> time_since(const known_crash& crash,
+                                                  const known_crash& other);
+    /// Probability that an endpoint crashes within a run of the candidate's length, whatever the
+    /// cause, by the crashes that the candidate had no run at.
+    double any_crash_probability(const known_crash& crash, const candidate& one) const;
     /// A factor, at most 1, by which runs that were complete before make the probability too low
     /// that nothing else explains a crash in a run alone.
     double late_explanations(const std::vector<candidate>& candidates,
--- a/lib/policy/poison_background.cpp
+++ b/lib/policy/poison_background.cpp
@@ -80,8 +80,18 @@
     return innocent;
 }
 
+std::optional<microseconds> poison_detector::time_since(const known_crash& crash,
+                                                        const known_crash& other) {
+    const microseconds distance = crash.report.crashed_at - other.report.crashed_at;
+    const bool is_near = distance >= -same_moment && distance <= background_window;
+    if (!is_near || other.report.process == crash.report.process ||
+        other.report.service != crash.report.service)
+        return std::nullopt;
+    return distance;
+}
+
 // By what is known now: a cause that was found out since explains its earlier crashes.
-void poison_detector::set_background(const endpoint_process& process, const known_crash& crash,
+void poison_detector::set_background(const known_crash& crash,
                                      std::vector<candidate>& candidates) const {
     struct counted {
         double recent = 0;
@@ -104,21 +114,16 @@
     };
     counted all;
     std::map<fingerprint, counted> corrections;
-    std::map<fingerprint, counted> others; ///< crashes at which the candidate had no run
     for (const candidate& one : candidates)
-        corrections[one.record->request] = others[one.record->request] = {};
+        corrections[one.record->request] = {};
     for (const std::pair<const endpoint_process, known_crash>& other : crashes_) {
-        const crash_report& report = other.second.report;
-        const microseconds distance = crash.report.crashed_at - report.crashed_at;
-        const bool is_near = distance >= -same_moment && distance <= background_window;
-        if (other.first == process || report.service != crash.report.service || !is_near)
+        const std::optional<microseconds> distance = time_since(crash, other.second);
+        if (!distance)
             continue;
-        all.add(distance, other.second.unexplained, other.second.was_on_trial);
+        all.add(*distance, other.second.unexplained, other.second.was_on_trial);
         for (std::pair<const fingerprint, counted>& one : corrections) {
-            if (other.second.causes.count(one.first) == 0)
-                others[one.first].add(distance, 1, false);
-            else
-                one.second.add(distance,
+            if (other.second.causes.count(one.first) > 0)
+                one.second.add(*distance,
                                unexplained_without(other.second, one.first) -
                                    other.second.unexplained,
                                other.second.was_on_trial);
@@ -143,16 +148,34 @@
         }
         const double within_run = 1 - std::exp(-rate * to_seconds(one.duration));
         one.background = std::min(max_probability, within_run + simultaneous / endpoints);
-        const counted& other = others.at(one.record->request);
-        const double any_rate = std::max(other.recent / to_seconds(background_window),
-                                         other.burst / to_seconds(burst_window)) /
-                                (endpoints * min_running_share);
-        one.any_crash =
-            std::min(max_probability, 1 - std::exp(-any_rate * to_seconds(one.duration)) +
-                                          other.simultaneous / endpoints);
     }
 }
 
+double poison_detector::any_crash_probability(const known_crash& crash,
+                                              const candidate& one) const {
+    double recent = 0;
+    double burst = 0;
+    double simultaneous = 0;
+    for (const std::pair<const endpoint_process, known_crash>& other : crashes_) {
+        const std::optional<microseconds> distance = time_since(crash, other.second);
+        if (!distance || other.second.causes.count(one.record->request) > 0)
+            continue;
+        if (*distance <= same_moment) {
+            ++simultaneous;
+            continue;
+        }
+        ++recent;
+        burst += *distance <= burst_window ? 1 : 0;
+    }
+    const double endpoints = std::max(crash.report.endpoints, 1U);
+    // Most endpoints may be away at the time.
+    const double rate =
+        std::max(recent / to_seconds(background_window), burst / to_seconds(burst_window)) /
+        (endpoints * min_running_share);
+    const double within_run = 1 - std::exp(-rate * to_seconds(one.duration));
+    return std::min(max_probability, within_run + simultaneous / endpoints);
+}
+
 void poison_detector::find_twins(std::vector<candidate>& candidates) const {
     std::map<std::set<endpoint_process>, std::vector<candidate*>> groups;
     for (candidate& one : candidates) {
@@ -180,7 +203,7 @@
                                     [](const candidate* one) { return !one->record->is_part; });
         const candidate* leader = request == members.end() ? members.front() : *request;
         for (candidate* one : members) {
-            // Requests are told apart by their runs alone.
+            // Only runs on trial distinguish requests.
             if (!one->record->is_part)
                 continue;
             one->is_follower = one != leader;
--- a/lib/policy/poison_detector.cpp
+++ b/lib/policy/poison_detector.cpp
@@ -242,7 +242,7 @@
                                             instant now) {
     std::vector<candidate> all = candidates(crash, now);
     update_unexplained(crash);
-    set_background(process, crash, all);
+    set_background(crash, all);
     find_twins(all);
     for (candidate& one : all) {
         const double unexplained =
@@ -250,7 +250,8 @@
                               late_explanations(all, one) / own_parts_innocent(crash, one));
         one.if_innocent = 1 - (1 - one.background) * unexplained;
         if (one.on_trial && !one.record->is_part)
-            one.if_innocent = std::min(one.if_innocent, std::max(one.background, one.any_crash));
+            one.if_innocent = std::min(one.if_innocent,
+                                       std::max(one.background, any_crash_probability(crash, one)));
         const double fits = probability_of_kind(*one.record, one.was_complete, one.was_running);
         const double if_poison = fits + (1 - fits) * one.if_innocent;
         const bool runs_alone = one.on_trial && !one.record->is_part;
