--- a/review/support/harness.h
+++ b/review/support/harness.h
@@ -378,7 +378,7 @@
     /// \param root of the repository. The variable CASE_FOLDER names a folder for settings and disks.
     explicit fleet(std::string root) : root_(std::move(root)) {
         folder_ = std::getenv("CASE_FOLDER");
-        std::mt19937 random(static_cast<unsigned>(getpid()) ^ static_cast<unsigned>(unix_ms()));
+        std::random_device random;
         do {
             net_ = "127." + std::to_string(20 + random() % 200) + "." +
                    std::to_string(1 + random() % 250) + ".";
