Reader of messages: nothing is reserved by a stated length

What callers saw: an endpoint spoils the bytes of a Content-Length; the gateway that reads the head ends, and all requests that it had at sound endpoints lose their connections without a response.

Cause: the string body of the parser reserves the stated length when the head is read. A length that can't be allocated throws std::bad_alloc through the event loop; one that can is held though its bytes never come.

Ruled out: overflow of the number (lengths over 64 bits are refused as unreadable, before and after), chunk sizes (nothing is reserved for them).

Change: responses and requests use a body that grows with the bytes that have arrived. On the same path, the header of a chunk was gathered without a limit and now has that of a head.

Left: the number of items that a gateway states in a job's begin is trusted.

--- a/lib/net/raw_client.cpp
+++ b/lib/net/raw_client.cpp
@@ -179,6 +179,11 @@
             fail(id, errc::connection_lost, "unreadable answer: " + problem.message());
             return;
         }
+        // The parser leaves a chunk's header unread until it is whole.
+        if (incomplete && one.unread.size() > max_header_bytes) {
+            fail(id, errc::connection_lost, "unreadable answer: chunk header too long");
+            return;
+        }
         if (!one.parser->is_header_done())
             return;
         if (is_informational(*one.parser)) {
--- a/lib/net/raw_server_receive.cpp
+++ b/lib/net/raw_server_receive.cpp
@@ -132,6 +132,9 @@
             one.unread = std::string();
         if (one.parser->is_header_done() && !problem_ends(problem) && !admit_body(id, one))
             return;
+        // The parser leaves a chunk's header unread until it is whole.
+        if (problem == http::error::need_more && one.unread.size() > limits.header_bytes)
+            return refuse(id, status_bad_request, "chunk header too long");
         if (problem == http::error::need_more)
             return;
         if (problem == http::error::header_limit)
--- a/lib/net/raw_server_state.h
+++ b/lib/net/raw_server_state.h
@@ -5,8 +5,9 @@
 #include "cassia/net/task.h"
 #include "cassia/net/tcp_connections.h"
 
+#include "growing_body.h"
+
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <cstdint>
 #include <map>
@@ -17,7 +18,7 @@
 namespace cassia::net {
 
 namespace http = boost::beast::http;
-using request_parser = http::request_parser<http::string_body>;
+using request_parser = http::request_parser<growing_body>;
 
 struct caller {
     std::string unread; ///< bytes behind the request being served
--- a/lib/net/response_reader.cpp
+++ b/lib/net/response_reader.cpp
@@ -11,14 +11,13 @@
 // A request that is sent as the server closes is lost with the connection.
 constexpr milliseconds idle_margin(600);
 constexpr milliseconds most_idle(10000);
-constexpr std::uint32_t header_bytes = 64 * 1024;
 constexpr unsigned informational_end = 200;
 } // namespace
 
 std::unique_ptr<response_parser> make_parser(const raw_request& request) {
     std::unique_ptr<response_parser> parser = std::make_unique<response_parser>();
     parser->eager(true);
-    parser->header_limit(header_bytes);
+    parser->header_limit(max_header_bytes);
     parser->body_limit(boost::none);
     if (request.method == "HEAD")
         parser->skip(true);
--- a/lib/net/response_reader.h
+++ b/lib/net/response_reader.h
@@ -3,15 +3,20 @@
 
 #include "cassia/net/raw_http.h"
 
+#include "growing_body.h"
+
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
+#include <cstdint>
 #include <memory>
 
 namespace cassia::net {
 
 namespace http = boost::beast::http;
-using response_parser = http::response_parser<http::string_body>;
+using response_parser = http::response_parser<growing_body>;
+
+/// Of a head, and of the line before a chunk.
+constexpr std::uint32_t max_header_bytes = 64 * 1024;
 
 std::unique_ptr<response_parser> make_parser(const raw_request& request);
 bool is_informational(const response_parser& parser);
