Gateway: a response is one to the request whose id it bears, or to none

What callers saw: a request that may run once ran at two endpoints; in the users' record, requests ran that had been answered 503.

Cause: an endpoint's second copy of a rejection comes late, where the response to the next request is expected. The gateway believed the copy's "not run" and status 421 before it compared the request id, so it sent the request to another endpoint, or refused it, although it ran. The copy's load was believed as well. A second path: a rejected request that was sent again to the same endpoint over the same kept connection; there the copy bears the request's own id.

Ruled out: resends after a broken connection (sent requests count as run).

Change: the client compares the id before any hook sees the response. On a kept connection a late response is skipped, once, and the own one that follows is taken. Any other response to another request, or without an id, fails the attempt as one that may have run. A request that is sent to an address again uses a new connection, and so does an order to move a run, whose response has no id. Items do the same.

--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -152,7 +152,8 @@
     void on_body(exchange_id id, std::string_view bytes);
     void on_end(exchange_id id);
     void on_failure(exchange_id id, const net::raw_failure& failure);
-    bool is_response_to(const online_call& call, const net::raw_head& head) const;
+    /// What came is the response to another request: this one may have run.
+    void on_foreign_response(online_call& call);
     /// Forwards complete events. \returns false if one is out of order.
     bool forward_events(online_call& call, std::string_view bytes);
     void begin_response(online_call& call);
--- a/include/cassia/gateway/online_call.h
+++ b/include/cassia/gateway/online_call.h
@@ -71,13 +71,14 @@
     instant send_deadline{}; ///< sent later than this, the response would come too late
 
     call_phase phase = call_phase::queued;
-    std::uint32_t runs = 0;        ///< sends whose request may have been executed
-    std::uint32_t sends = 0;       ///< requests sent to endpoints, including those never executed
-    std::uint32_t unreached = 0;   ///< sends of which nothing reached the endpoint
-    std::uint32_t rejections = 0;  ///< latest sends that were not run, without another in between
-    milliseconds slot_forecast{0}; ///< expected wait for a slot, when it was queued
-    bool was_over_share = false;   ///< of its team, when it was queued
-    instant retry_at{};            ///< neither sent nor queued before then
+    std::uint32_t runs = 0;         ///< sends whose request may have been executed
+    std::uint32_t sends = 0;        ///< requests sent to endpoints, including those never executed
+    std::uint32_t unreached = 0;    ///< sends of which nothing reached the endpoint
+    std::uint32_t rejections = 0;   ///< latest sends that were not run, without another in between
+    milliseconds slot_forecast{0};  ///< expected wait for a slot, when it was queued
+    bool was_over_share = false;    ///< of its team, when it was queued
+    instant retry_at{};             ///< neither sent nor queued before then
+    std::set<http_address> sent_to; ///< by attempts so far
     std::set<endpoint_id> failed_endpoints; ///< those that failed or rejected this request
     bool holds_slot = false;
     std::uint32_t reserved_slots = 0; ///< kept free of others while it runs alone
--- a/include/cassia/net/raw_client.h
+++ b/include/cassia/net/raw_client.h
@@ -17,6 +17,8 @@
 
 class task;
 
+enum class response_owner { this_request, another_request, unknown };
+
 struct raw_call {
     http_address to;
     raw_request request;
@@ -26,6 +28,10 @@
     /// Limit for the connection to stand. A dark VM answers nothing at all, and a lost first packet
     /// is sent again after a second; another endpoint answers sooner.
     milliseconds connect_timeout{250};
+    /// Tells by its head to which request a response belongs; without the hook, to this one. A late
+    /// response to an earlier request of a kept connection is skipped, once. Otherwise the call
+    /// fails, unless the response is its own.
+    std::function<response_owner(const raw_head&)> find_owner;
 };
 
 struct raw_failure {
@@ -34,6 +40,7 @@
     bool kept = false;     ///< the connection had carried a request before
     bool answered = false; ///< part of an answer had come
     bool paused = false;   ///< reading was paused: the other end may have given the answer up
+    bool foreign = false;  ///< the response belongs to another request, or to none
 };
 
 struct raw_call_hooks {
@@ -48,6 +55,7 @@
 struct raw_client_counts {
     std::uint64_t connections_made = 0;
     std::uint64_t connections_reused = 0;
+    std::uint64_t responses_skipped = 0; ///< late ones, to earlier requests
 };
 
 class raw_client {
--- a/lib/gateway/dispatch_migration.cpp
+++ b/lib/gateway/dispatch_migration.cpp
@@ -50,6 +50,8 @@
     net::raw_call outgoing;
     outgoing.to = call.address;
     outgoing.request = migration_protocol_.build_request(call.request_id, placement->address);
+    // On a kept one the late response to another migration would name another run's copy.
+    outgoing.fresh_connection = true;
     call.migration.pending_call = client_.start(std::move(outgoing), std::move(hooks));
     metrics_.count("run_moves_asked");
 }
--- a/lib/gateway/dispatch_responses.cpp
+++ b/lib/gateway/dispatch_responses.cpp
@@ -23,12 +23,6 @@
     return status >= 200 && status < status_redirection;
 }
 
-// A late duplicate response may arrive on a reused connection in place of the next response.
-// Responses repeat the request id, which shows the request that they belong to.
-bool dispatcher::is_response_to(const online_call& call, const net::raw_head& head) const {
-    return head.fields.find(names_.request_id) == call.request_id;
-}
-
 // Runs of several attempts, and streams that began elsewhere, say nothing about one endpoint.
 static void record_run_time(policy::slot_table& slots, const online_call& call, bool resumed) {
     if (call.sends > 1 || resumed || call.forwards_error)
@@ -69,11 +63,6 @@
     call.rejections = 0;
     call.stopped_run.reset();
     slots_.record_success(call.endpoint);
-    if (!is_response_to(call, head)) {
-        eject_endpoint(call, call.last_progress_at);
-        retry_or_fail(call, "answer_of_another_request");
-        return;
-    }
     // Endpoints stamp their responses: one without the stamp may come from another program. The
     // events of an encoded body can't be read.
     if (!head.fields.has(names_.stamp) || head.fields.has("Content-Encoding")) {
@@ -292,6 +281,13 @@
         server_.respond(id, head, body);
 }
 
+void dispatcher::on_foreign_response(online_call& call) {
+    crashes_.record_ended_run(run_of(call), false);
+    eject_endpoint(call, monotonic_now());
+    if (!defer_end_to_migration(call))
+        retry_or_fail(call, "answer_of_another_request");
+}
+
 void dispatcher::on_failure(exchange_id id, const net::raw_failure& failure) {
     auto found = calls_.find(id);
     if (found == calls_.end())
@@ -301,6 +297,10 @@
         on_unread_response(call);
         return;
     }
+    if (failure.foreign) {
+        on_foreign_response(call);
+        return;
+    }
     call.connection_broke = failure.sent && !call.not_run;
     if (call.connection_broke)
         crashes_.record_broken_run(run_of(call));
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -5,6 +5,7 @@
 #include "cassia/base/digest.h"
 #include "cassia/base/log.h"
 #include "cassia/gateway/caller_identity.h"
+#include "cassia/gateway/response_match.h"
 
 #include <algorithm>
 #include <charconv>
@@ -217,6 +218,10 @@
     net::raw_call outgoing;
     outgoing.to = placement.address;
     outgoing.request = make_upstream_request(call, placement.endpoint);
+    outgoing.find_owner = match_by_id(names_, call.request_id);
+    // On the connection of an earlier attempt the id doesn't tell a late copy of its response
+    // apart.
+    outgoing.fresh_connection = !call.sent_to.insert(placement.address).second;
     call.upstream_call = client_.start(std::move(outgoing), std::move(hooks));
     control_flow(call);
 }
--- a/lib/gateway/held_item.h
+++ b/lib/gateway/held_item.h
@@ -47,6 +47,7 @@
     bool connection_broke = false;                           ///< of the current run
     std::uint32_t reserved_slots = 0;                        ///< kept free of others meanwhile
     std::optional<cassia::fingerprint> fingerprint;          ///< computed when it is first needed
+    std::set<http_address> sent_to;         ///< by this gateway so far, under this lease
     std::set<endpoint_id> failed_endpoints; ///< those that failed or rejected this item
     instant idle_since{};                   ///< when it was leased or its last run ended
     instant ready_at{};                     ///< not started again before then
--- a/lib/gateway/item_responses.cpp
+++ b/lib/gateway/item_responses.cpp
@@ -42,13 +42,11 @@
         return;
     }
     slots_.record_success(item.endpoint);
-    const bool is_own_response =
-        head.fields.find(names_.request_id) == item.leased.item().custom_id();
     const bool is_stamped = head.fields.has(names_.stamp) && !head.fields.has("Content-Encoding");
-    if (is_own_response && (is_stamped || head.status != status_ok))
+    if (is_stamped || head.status != status_ok)
         return;
     item.failed_endpoints.insert(item.endpoint);
-    requeue(item, unusable_response_delay, "answer_not_its_own");
+    requeue(item, unusable_response_delay, "unproved_answer");
 }
 
 void item_runner::on_body(const item_key& key, std::string_view bytes) {
@@ -128,6 +126,12 @@
     if (found == items_.end())
         return;
     held_item& item = *found->second;
+    if (failure.foreign) {
+        crashes_.record_ended_run(run_of(item), false);
+        item.failed_endpoints.insert(item.endpoint);
+        requeue(item, unusable_response_delay, failure.cause.text);
+        return;
+    }
     item.not_run = item.not_run || !failure.sent;
     item.connection_broke = !item.not_run;
     if (item.connection_broke)
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -5,6 +5,7 @@
 #include "cassia/base/digest.h"
 #include "cassia/base/log.h"
 #include "cassia/gateway/caller_identity.h"
+#include "cassia/gateway/response_match.h"
 #include "cassia/policy/batch_schedule.h"
 #include "held_item.h"
 
@@ -197,6 +198,10 @@
     net::raw_call call;
     call.to = placement->address;
     call.request = make_upstream_request(item, placement->endpoint);
+    call.find_owner = match_by_id(names_, item.leased.item().custom_id());
+    // On the connection of an earlier run the id doesn't tell a late copy of its response apart.
+    const bool sent_before = !item.sent_to.insert(call.to).second;
+    call.fresh_connection = sent_before || item.leased.attempt() > 1;
     item.upstream_call = client_.start(std::move(call), std::move(hooks));
     return true;
 }
--- a/lib/net/raw_client.cpp
+++ b/lib/net/raw_client.cpp
@@ -20,6 +20,7 @@
 // A larger body is sent from where it is, as a packet of its own.
 constexpr std::size_t max_copied_body = 16UL * 1024;
 constexpr std::size_t most_idle_each = 32; ///< kept connections to one address
+constexpr std::size_t max_skipped_bytes = 1024UL * 1024;
 
 struct call_state {
     raw_call call;
@@ -30,6 +31,10 @@
     bool head_given = false;
     bool paused = false;
     bool was_paused = false;
+    response_owner owner = response_owner::this_request; ///< of the response being read
+    bool skips = false; ///< a late response to an earlier request is being read
+    bool skipped = false;
+    std::size_t skipped_bytes = 0;
     std::string unread;
     milliseconds idle_limit{0}; ///< how long the connection may be kept after this call
     instant connect_by{};
@@ -62,10 +67,11 @@
     void on_bytes(connection_id id, std::string_view bytes);
     void on_closed(connection_id id, bool clean);
     void receive(call_id id, std::string_view bytes);
+    bool skip_response(call_id id);
     bool give_head(call_id id);
     bool give_body(call_id id);
     void finish(call_id id, bool reusable);
-    void fail(call_id id, errc code, const std::string& cause);
+    void fail(call_id id, errc code, const std::string& cause, bool foreign = false);
     void sweep();
 };
 
@@ -154,6 +160,11 @@
     fail(call, one.sent ? errc::connection_lost : errc::cannot_connect, "connection closed");
 }
 
+static response_owner owner_of(const call_state& one) {
+    const bool is_known = one.head_given || !one.call.find_owner;
+    return is_known ? response_owner::this_request : one.call.find_owner(take_head(*one.parser));
+}
+
 void raw_client::state::receive(call_id id, std::string_view bytes) {
     calls.at(id).unread.append(bytes);
     for (;;) {
@@ -190,13 +201,38 @@
             one.parser = make_parser(one.call.request);
             continue;
         }
-        if (!give_head(id) || !give_body(id))
+        if (!one.skips)
+            one.owner = owner_of(one);
+        const bool goes_on = one.owner == response_owner::this_request
+                                 ? give_head(id) && give_body(id)
+                                 : skip_response(id);
+        if (!goes_on)
             return;
         if (incomplete || used == 0)
             return;
     }
 }
 
+// \returns false if the call is gone.
+bool raw_client::state::skip_response(call_id id) {
+    call_state& one = calls.at(id);
+    const bool is_late = one.kept && one.owner == response_owner::another_request;
+    const bool may_skip = is_late && !one.skipped && !one.parser->need_eof();
+    one.skipped_bytes += std::exchange(one.parser->get().body(), std::string()).size();
+    if (!may_skip || one.skipped_bytes > max_skipped_bytes) {
+        fail(id, errc::connection_lost, "answer_of_another_request", true);
+        return false;
+    }
+    one.skips = !one.parser->is_done();
+    if (one.skips)
+        return true;
+    one.skipped = true;
+    one.parser = make_parser(one.call.request);
+    ++counts.responses_skipped;
+    log_info("late_response_skipped").with("address", one.call.to.str());
+    return true;
+}
+
 // \returns false if the call is gone.
 bool raw_client::state::give_head(call_id id) {
     call_state& one = calls.at(id);
@@ -228,8 +264,10 @@
     calls.erase(found);
     users.erase(one.connection);
     std::vector<idle_connection>& kept = idle[one.call.to];
-    const bool keep = reusable && one.parser->keep_alive() && !one.parser->need_eof() &&
-                      one.idle_limit > milliseconds(0) && kept.size() < most_idle_each;
+    // An endpoint that has repeated a response may do so again.
+    const bool keep = reusable && !one.skipped && one.parser->keep_alive() &&
+                      !one.parser->need_eof() && one.idle_limit > milliseconds(0) &&
+                      kept.size() < most_idle_each;
     if (keep) {
         sockets->resume_reading(one.connection);
         kept.push_back({one.connection, monotonic_now() + one.idle_limit});
@@ -240,13 +278,14 @@
     one.hooks.on_end();
 }
 
-void raw_client::state::fail(call_id id, errc code, const std::string& cause) {
+void raw_client::state::fail(call_id id, errc code, const std::string& cause, bool foreign) {
     auto found = calls.find(id);
     call_state one = std::move(found->second);
     calls.erase(found);
     users.erase(one.connection);
     sockets->reset(one.connection);
-    one.hooks.on_failure({error{code, cause}, one.sent, one.kept, one.head_given, one.was_paused});
+    one.hooks.on_failure(
+        {error{code, cause}, one.sent, one.kept, one.head_given, one.was_paused, foreign});
 }
 
 void raw_client::state::sweep() {
--- /dev/null
+++ b/unittests/gateway/late_response_test.cpp
@@ -0,0 +1,136 @@
+// Late copies of earlier responses, where the response to the next request is expected.
+
+#include "dispatcher_fixture.h"
+
+#include "cassia/net/tcp_connections.h"
+
+#include <map>
+#include <string_view>
+
+using namespace cassia;
+using namespace cassia::gateway;
+
+namespace {
+
+constexpr milliseconds target(200);
+
+std::string id_of(std::string_view request) {
+    constexpr std::string_view name = "Cassia-Request-Id: ";
+    const std::size_t begin = request.find(name) + name.size();
+    return std::string(request.substr(begin, request.find("\r\n", begin) - begin));
+}
+
+/// Rejects the first request of each connection, keeps the connection, and runs all others; ahead
+/// of their responses it sends copies of the rejection.
+class repeating_endpoint {
+public:
+    repeating_endpoint(net::task& owner, int number) {
+        net::tcp_hooks hooks;
+        hooks.on_accepted = [](net::connection_id) {};
+        hooks.on_connected = [](net::connection_id) {};
+        hooks.on_bytes = [this](net::connection_id id, std::string_view bytes) {
+            respond(id, id_of(bytes));
+        };
+        hooks.on_closed = [this](net::connection_id id, bool) { rejections_.erase(id); };
+        sockets_ = std::make_unique<net::tcp_connections>(owner, net::tcp_settings(), hooks);
+        REQUIRE(sockets_->listen(http_address(address_of(number))));
+    }
+
+    std::string rejection = "503 Service Unavailable\r\nCassia-Not-Run: 1";
+    std::string body;
+    int copies = 1;
+    bool is_full = false;
+    std::map<std::string, int> runs; ///< by request id
+
+private:
+    void respond(net::connection_id id, const std::string& request) {
+        if (rejections_.count(id) == 0 || is_full) {
+            rejections_[id] = response(rejection, request, body);
+            sockets_->write(id, rejections_[id]);
+            return;
+        }
+        ++runs[request];
+        for (int i = 0; i < copies; ++i)
+            sockets_->write(id, rejections_[id]);
+        sockets_->write(id, response("200 OK", request, "done"));
+    }
+    static std::string response(const std::string& status, const std::string& request,
+                                const std::string& body) {
+        return "HTTP/1.1 " + status + "\r\nCassia-Stamp: s\r\nCassia-Request-Id: " + request +
+               "\r\nKeep-Alive: timeout=5\r\nContent-Length: " + std::to_string(body.size()) +
+               "\r\n\r\n" + body;
+    }
+
+    std::unique_ptr<net::tcp_connections> sockets_;
+    std::map<net::connection_id, std::string> rejections_;
+};
+
+class repeating_fixture : public dispatcher_fixture {
+public:
+    explicit repeating_fixture(schema::route::route_kind kind)
+        : dispatcher_fixture(kind, 1, target), first(task_, 1), second(task_, 2) {}
+
+    repeating_endpoint first;
+    repeating_endpoint second;
+};
+
+} // namespace
+
+// Guards against a request that runs, and is sent to another endpoint as one that didn't.
+TEST_CASE("a late copy of a rejection says nothing of the next request", "[late]") {
+    repeating_fixture fixture(schema::route::at_most_once);
+    SECTION("a 503") {}
+    SECTION("with a body") {
+        fixture.first.body = fixture.second.body = std::string(2000, 'x');
+    }
+    SECTION("a 429") {
+        fixture.first.rejection = "429 Too Many Requests\r\nCassia-Not-Run: 1";
+    }
+    SECTION("a 421") {
+        fixture.first.rejection = "421 Misdirected Request\r\nCassia-Not-Run: 1";
+    }
+    SECTION("a 421 that doesn't say so") {
+        fixture.first.rejection = "421 Misdirected Request";
+    }
+    fixture.list({1});
+    CHECK(fixture.ask().first == 503);
+    fixture.list({1, 2});
+    int served = 0;
+    for (int i = 0; i < 20; ++i)
+        served += fixture.ask().first == 200 ? 1 : 0;
+    CHECK(served == 20);
+    std::map<std::string, int> runs = fixture.first.runs;
+    for (const std::pair<const std::string, int>& one : fixture.second.runs)
+        runs[one.first] += one.second;
+    CHECK(runs.size() >= 20);
+    for (const std::pair<const std::string, int>& one : runs)
+        CHECK(one.second == 1);
+}
+
+// Guards against a refusal of a request that runs: the copy is taken for its response, and no other
+// endpoint has room.
+TEST_CASE("a request that runs isn't refused for a late copy", "[late]") {
+    repeating_fixture fixture(schema::route::at_most_once);
+    fixture.second.is_full = true;
+    int allowed = 200;
+    SECTION("one copy") {}
+    SECTION("more copies than are skipped") {
+        fixture.first.copies = 3;
+        allowed = 502;
+    }
+    fixture.list({1});
+    CHECK(fixture.ask().first == 503);
+    CHECK(fixture.first.runs.empty());
+    fixture.list({1, 2});
+    int refused_runs = 0;
+    for (int i = 0; i < 10; ++i) {
+        const std::size_t runs_before = fixture.first.runs.size();
+        const int status = fixture.ask().first;
+        const bool ran = fixture.first.runs.size() > runs_before;
+        if (ran)
+            CHECK(status == allowed);
+        refused_runs += ran && status == 503 ? 1 : 0;
+    }
+    CHECK(!fixture.first.runs.empty());
+    CHECK(refused_runs == 0);
+}
--- a/unittests/net/call_fixture.h
+++ b/unittests/net/call_fixture.h
@@ -7,6 +7,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -67,6 +68,7 @@
         one.request.target = "/a//b/%2e?x=%20";
         one.request.fields.add("Host", "shop.example");
         one.request.body = body;
+        one.find_owner = find_owner;
         raw_call_hooks hooks;
         hooks.on_head = [&got](const raw_head& head) { got.head = head; };
         hooks.on_piece = [&got](std::string_view bytes) { got.body.append(bytes); };
@@ -93,6 +95,7 @@
 
 public:
     scripted_endpoint endpoint;
+    std::function<response_owner(const raw_head&)> find_owner;
     raw_client client;
 };
 
--- a/unittests/net/raw_http_test.cpp
+++ b/unittests/net/raw_http_test.cpp
@@ -16,6 +16,7 @@
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 using namespace cassia;
@@ -75,6 +76,64 @@
     CHECK(fixture.endpoint.connections == 2);
 }
 
+// Guards against the response of an earlier request that is taken for that of the next one.
+TEST_CASE("a response to another request is skipped on a kept connection, or fails the call",
+          "[raw]") {
+    call_fixture fixture("127.0.21.8:7001");
+    const std::string own = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok";
+    const std::string late =
+        "HTTP/1.1 503 Busy\r\nId: 0\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n";
+    fixture.find_owner = [](const raw_head& head) {
+        if (!head.fields.has("Id"))
+            return response_owner::unknown;
+        return head.fields.find("Id") == "1" ? response_owner::this_request
+                                             : response_owner::another_request;
+    };
+    bool kept = true;
+    bool ends = false;
+    SECTION("before its own response") {
+        fixture.endpoint.answer = late + own;
+        ends = true;
+    }
+    SECTION("before an informational response and its own") {
+        fixture.endpoint.answer = late + "HTTP/1.1 102 Processing\r\n\r\n" + own;
+        ends = true;
+    }
+    SECTION("twice") {
+        fixture.endpoint.answer = late + late + own;
+    }
+    SECTION("without an end of its own") {
+        fixture.endpoint.answer = "HTTP/1.1 503 Busy\r\nId: 0\r\n\r\n" + own;
+    }
+    SECTION("too long") {
+        fixture.endpoint.answer = "HTTP/1.1 503 Busy\r\nId: 0\r\nContent-Length: 8000000\r\n\r\n" +
+                                  std::string(2000000, 'x');
+    }
+    SECTION("without an id") {
+        fixture.endpoint.answer = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n" + own;
+    }
+    SECTION("on a new connection") {
+        fixture.endpoint.answer = late + own;
+        kept = false;
+    }
+    if (kept) {
+        const std::string answer = std::exchange(fixture.endpoint.answer, own);
+        REQUIRE(fixture.call().ended);
+        fixture.endpoint.answer = answer;
+    }
+    const outcome_of_call got = fixture.call();
+    CHECK(fixture.endpoint.connections == 1);
+    CHECK(got.ended == ends);
+    CHECK(got.body == (ends ? "ok" : ""));
+    CHECK(got.head.has_value() == ends);
+    CHECK(got.failure.has_value() == !ends);
+    if (got.failure)
+        CHECK(got.failure->foreign);
+    fixture.endpoint.answer = own;
+    CHECK(fixture.call().ended);
+    CHECK(fixture.endpoint.connections == 2);
+}
+
 TEST_CASE("an answer that breaks off is a failure, however its end is marked", "[raw]") {
     call_fixture fixture("127.0.21.4:7001");
     SECTION("short of its length") {
