Batch items belong to their job's route, and are given up when it is gone

What callers saw: when a batch route is removed or renamed while items wait, those that no gateway holds are never listed. With an online route of a longer prefix added, items run at that route's service.

Cause: gateways lease by the names of the routes in their table, so nobody asks for items of a name that is in no table, and only a gateway that holds an item may give it up. Held items were matched by host and path against routes of any kind.

Ruled out: lost leases (the items were still pending at the leader).

Change: an item's route is the one of its job's name, or, if that name is gone, the batch route at the same host and prefix. Jobs keep the prefix and the version of the table that accepted them. Gateways ask work groups for items of routes that they lack; at most 8 are held, and in a fleet of more than 20 gateways each asks less often. Without a route items wait for 5 s, as it may come back, and are then listed as failed. A gateway with an older table than the one that accepted the job gets no such items.

Left: the quota of a renamed route starts anew; items of a route in force are given up only by gateways that hold them.

--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -37,6 +37,8 @@
 
     /// Requests leases of at most `limit` items of a batch route.
     std::function<void(const std::string& route, std::uint32_t limit, lease_done)> lease;
+    /// Requests leases of items whose routes the gateway's table of routes lacks.
+    std::function<void(const schema::unrouted_want&, lease_done)> lease_unrouted;
     /// Reports the ends and the progress of items to the keepers; `report_done` tells whether all
     /// of it was stored. If not, the runner reports it again.
     std::function<void(const schema::items_end&, report_done)> report;
@@ -59,6 +61,8 @@
         read_request_tokens_ = std::move(reader);
     }
     void set_routes(std::shared_ptr<const routes::table> table);
+    /// \param gateways of the fleet, which share the requests for items without a route.
+    void set_fleet_size(std::size_t gateways) { fleet_size_ = gateways; }
     void tick(instant now, wall_time wall);
     /// Interrupts items at an endpoint, those started last first; they are resumed later.
     /// \returns how many.
@@ -83,6 +87,12 @@
 
     bool is_window_full() const;
     void request_leases(instant now);
+    /// Items held that wait for a slot or their route.
+    std::uint32_t count_startable() const;
+    /// Removed routes leave items that no gateway asks for by the name of their route.
+    void request_unrouted(instant now);
+    /// Keeps an item without a route for a while, and then ends it.
+    void hold_unrouted(const item_key& key, held_item& item, instant now);
     void add(const schema::leased_item& leased);
     /// Returns all items to the keepers.
     void return_items();
@@ -148,6 +158,7 @@
     void report_waits(instant now);
     void save_progress(instant now);
     void send_reports();
+    /// The batch route that the item's job was accepted by, under its present name; or null.
     const schema::route* find_route(const held_item& item) const;
 
     net::raw_client& client_;
@@ -167,6 +178,10 @@
     bool report_in_flight_ = false;
     bool lease_in_flight_ = false;
     instant next_lease_at_{};
+    bool unrouted_in_flight_ = false;
+    instant next_unrouted_at_{};
+    std::size_t fleet_size_ = 1;
+    std::map<std::string, instant> routes_missing_since_; ///< by name
     bool shutting_down_ = false;
     std::uint64_t start_count_ = 0; ///< items started so far
     std::mt19937_64 random_;
--- a/include/cassia/gateway/service.h
+++ b/include/cassia/gateway/service.h
@@ -72,6 +72,8 @@
     bool serves_jobs_without_key(const std::string& host) const;
     const schema::gateway_settings& settings() const { return settings_; }
     const header_names& names() const { return names_; }
+    /// Of the table in force; 0 if there is none yet.
+    std::uint64_t routes_version() const { return routes_ ? routes_->version() : 0; }
     bool is_shutting_down() const { return shutting_down_; }
 
 private:
@@ -99,6 +101,10 @@
     void request_yield(const entry_id& holder, const endpoint_id& endpoint);
     void lease(const std::string& route, std::uint32_t limit,
                const item_runner_hooks::lease_done& done);
+    void lease_unrouted(const schema::unrouted_want& want,
+                        const item_runner_hooks::lease_done& done);
+    void send_lease(schema::lease_request lease, const std::string& route,
+                    const item_runner_hooks::lease_done& done);
     /// Reports to the leaders which items are held and which lease requests are closed.
     void send_held_items();
     void report(const schema::items_end& ends, const item_runner_hooks::report_done& done);
--- a/include/cassia/keeper/work_leader.h
+++ b/include/cassia/keeper/work_leader.h
@@ -91,6 +91,10 @@
     std::uint32_t count_readable(const job_id& job,
                                  const std::deque<std::uint32_t>& ordinals) const;
     available_items choose_items(const std::string& service, std::uint32_t limit);
+    /// Adds items whose routes the holder's table lacks.
+    /// \param chosen items of this round, not to be chosen again.
+    void add_unrouted(const schema::lease_request& request, std::set<state::item_key>& chosen,
+                      std::vector<schema::work_command>& commands) const;
     void finish_command(const std::shared_ptr<lease_round>& round, lease_grant& grant,
                         const schema::keeper_reply& reply);
     void reject_lease_requests();
--- a/include/cassia/routes/table.h
+++ b/include/cassia/routes/table.h
@@ -23,6 +23,8 @@
     /// The route of the host with the longest prefix of `path`, or null.
     const schema::route* match(std::string_view host, std::string_view path) const;
     const schema::route* find(const std::string& name) const;
+    /// The route of the host with exactly this prefix, or null.
+    const schema::route* at_prefix(std::string_view host, const std::string& prefix) const;
     const schema::routed_service* service(const std::string& name) const;
     const google::protobuf::RepeatedPtrField<schema::routed_service>& services() const {
         return source_.services();
--- a/include/cassia/state/work_state.h
+++ b/include/cassia/state/work_state.h
@@ -97,10 +97,12 @@
     std::vector<std::string> services;              ///< services named by the items
     std::vector<std::deque<std::uint32_t>> pending; ///< ordinals to lease next, by service
     job_counts counts;
-    std::string route;              ///< route of a forwarded job
-    std::uint64_t abandon_at = 0;   ///< Unix ms from which items may be given up; 0: never
-    std::uint32_t max_failures = 0; ///< failed runs that end an item; 0: the entry decides
-    bool listed = false;            ///< results are listed in the order in which items ended
+    std::string route;                ///< route of a forwarded job
+    std::uint64_t routes_version = 0; ///< of the table that the job was accepted by
+    std::string route_prefix;         ///< path prefix of the route in that table
+    std::uint64_t abandon_at = 0;     ///< Unix ms from which items may be given up; 0: never
+    std::uint32_t max_failures = 0;   ///< failed runs that end an item; 0: the entry decides
+    bool listed = false;              ///< results are listed in the order in which items ended
     std::vector<std::uint32_t> ended_order; ///< ordinals in that order; append-only
     std::uint64_t waiting_tokens = 0;       ///< sum over the unfinished items
 };
--- a/lib/gateway/held_item.h
+++ b/lib/gateway/held_item.h
@@ -28,6 +28,7 @@
     oversized,  ///< no endpoint of its route can hold it
     version,    ///< no endpoint of the version that wrote its events has a free slot
     trial,      ///< a suspect, until it may run alone
+    route,      ///< its route was removed, and may come back
     quarantine, ///< until it may be tried again
 };
 
--- a/lib/gateway/item_leases.cpp
+++ b/lib/gateway/item_leases.cpp
@@ -21,6 +21,11 @@
 constexpr milliseconds progress_interval(2000);
 // Interval after a reply without items; longer, because each request costs the leader time.
 constexpr milliseconds lease_interval_idle(300);
+// Interval of requests for items without a route, and its part for each gateway of the fleet.
+constexpr milliseconds unrouted_interval(1000);
+constexpr milliseconds unrouted_interval_each(50);
+constexpr std::uint32_t max_unrouted_items = 8;
+constexpr milliseconds missing_route_patience(5000);
 } // namespace
 
 std::uint32_t item_runner::batch_capacity(const schema::route& route, instant now) const {
@@ -72,6 +77,57 @@
         next_lease_at_ = now + lease_interval;
 }
 
+std::uint32_t item_runner::count_startable() const {
+    return static_cast<std::uint32_t>(
+        std::count_if(items_.begin(), items_.end(), [](const auto& keyed_item) {
+            const held_item& item = *keyed_item.second;
+            return item.upstream_call == call_id() &&
+                   (item.wait == item_wait::none || item.wait == item_wait::slot ||
+                    item.wait == item_wait::route);
+        }));
+}
+
+// Each gateway asks less often in a large fleet, so that the leaders get as many requests.
+void item_runner::request_unrouted(instant now) {
+    if (shutting_down_ || unrouted_in_flight_ || !routes_ || now < next_unrouted_at_ ||
+        is_window_full() || count_startable() >= max_unrouted_items)
+        return;
+    schema::unrouted_want want;
+    want.set_routes_version(routes_->version());
+    want.set_limit(max_unrouted_items);
+    for (const schema::route* route : routes_->of_kind(schema::route::batch))
+        want.add_known(route->name());
+    unrouted_in_flight_ = true;
+    hooks_.lease_unrouted(want, [this](const std::vector<schema::leased_item>& items) {
+        unrouted_in_flight_ = false;
+        next_unrouted_at_ =
+            monotonic_now() +
+            (items.empty()
+                 ? std::max<milliseconds>(unrouted_interval, unrouted_interval_each * fleet_size_)
+                 : lease_interval);
+        for (const schema::leased_item& item : items)
+            add(item);
+        if (shutting_down_)
+            return_items();
+        else
+            start_ready_items(monotonic_now());
+    });
+}
+
+// An operator may put a route back that was removed by mistake.
+void item_runner::hold_unrouted(const item_key& key, held_item& item, instant now) {
+    if (!routes_)
+        return;
+    const instant since =
+        routes_missing_since_.try_emplace(item.leased.item().service(), now).first->second;
+    if (now - since >= missing_route_patience) {
+        finish(key, schema::failed, false, "route_gone");
+        return;
+    }
+    item.ready_at = now + lease_interval;
+    set_wait(item, item_wait::route);
+}
+
 void item_runner::add(const schema::leased_item& leased) {
     const item_key key{job_id(leased.job()), leased.ordinal()};
     auto found = items_.find(key);
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -37,6 +37,10 @@
 
 void item_runner::set_routes(std::shared_ptr<const routes::table> table) {
     routes_ = std::move(table);
+    std::erase_if(routes_missing_since_, [this](const auto& route) {
+        const schema::route* found = routes_->find(route.first);
+        return found != nullptr && found->kind() == schema::route::batch;
+    });
 }
 
 std::size_t item_runner::running() const {
@@ -54,7 +58,11 @@
 const schema::route* item_runner::find_route(const held_item& item) const {
     if (!routes_)
         return nullptr;
-    return routes_->match(host_of(item.leased), net::path_of(item.leased.item().url()));
+    const schema::route* found = routes_->find(item.leased.item().service());
+    const std::string& prefix = item.leased.route_prefix();
+    if (found == nullptr && !prefix.empty())
+        found = routes_->at_prefix(host_of(item.leased), prefix);
+    return found != nullptr && found->kind() == schema::route::batch ? found : nullptr;
 }
 
 void item_runner::tick(instant now, wall_time wall) {
@@ -72,6 +80,7 @@
     save_progress(now);
     start_ready_items(now);
     request_leases(now);
+    request_unrouted(now);
     send_reports();
 }
 
@@ -132,8 +141,7 @@
 bool item_runner::start(const item_key& key, held_item& item, instant now) {
     const schema::route* route = find_route(item);
     if (route == nullptr) {
-        if (routes_)
-            finish(key, schema::failed, false, "route_gone");
+        hold_unrouted(key, item, now);
         return true;
     }
     if (hold_oversized(key, item, *route))
--- a/lib/gateway/item_waits.cpp
+++ b/lib/gateway/item_waits.cpp
@@ -31,6 +31,8 @@
         return "version";
     case item_wait::trial:
         return "trial";
+    case item_wait::route:
+        return "route";
     case item_wait::quarantine:
         return "quarantine";
     }
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -112,6 +112,10 @@
                                   const item_runner_hooks::lease_done& done) {
         lease(route, limit, done);
     };
+    item_callbacks.lease_unrouted = [this](const schema::unrouted_want& want,
+                                           const item_runner_hooks::lease_done& done) {
+        lease_unrouted(want, done);
+    };
     item_callbacks.report = [this](const schema::items_end& ends,
                                    const item_runner_hooks::report_done& done) {
         report(ends, done);
@@ -134,6 +138,7 @@
     cluster_callbacks.on_gateways = [this](const std::vector<policy::fleet_gateway>& others) {
         crashes_->set_gateways(others);
         origins_->set_gateways(others);
+        items_->set_fleet_size(others.size() + 1);
     };
     cluster_callbacks.on_stream_origins = [this](const schema::stream_origin_news& news) {
         origins_->receive(news);
--- a/lib/gateway/service_items.cpp
+++ b/lib/gateway/service_items.cpp
@@ -16,15 +16,29 @@
 
 void service::lease(const std::string& route, std::uint32_t limit,
                     const item_runner_hooks::lease_done& done) {
+    schema::lease_request request;
+    schema::lease_want* want = request.add_wants();
+    want->set_service(route);
+    want->set_limit(limit);
+    send_lease(std::move(request), route, done);
+}
+
+void service::lease_unrouted(const schema::unrouted_want& want,
+                             const item_runner_hooks::lease_done& done) {
+    schema::lease_request request;
+    *request.mutable_unrouted() = want;
+    send_lease(std::move(request), "", done);
+}
+
+void service::send_lease(schema::lease_request lease, const std::string& route,
+                         const item_runner_hooks::lease_done& done) {
     schema::keeper_request request;
     const std::uint64_t number = lease_requests_.open();
     const group_id group = lease_requests_.next_group(route, settings_.cluster().work_groups());
     request.set_group(static_cast<std::uint32_t>(group.value()));
-    request.mutable_lease()->set_holder(cluster_->lease_holder());
-    request.mutable_lease()->set_number(number);
-    schema::lease_want* want = request.mutable_lease()->add_wants();
-    want->set_service(route);
-    want->set_limit(limit);
+    lease.set_holder(cluster_->lease_holder());
+    lease.set_number(number);
+    *request.mutable_lease() = std::move(lease);
     entry::request_options options;
     options.timeout = lease_timeout;
     // Not resent: a request that was thought lost could be granted leases in addition to its
--- a/lib/keeper/work_leader_leases.cpp
+++ b/lib/keeper/work_leader_leases.cpp
@@ -138,6 +138,34 @@
     commands.back().mutable_lease()->add_ordinals(key.second);
 }
 
+// Nobody leases such items by the name of their route. A holder whose table is older than the one
+// that a job was accepted by may not know the route yet.
+void work_leader::add_unrouted(const schema::lease_request& request,
+                               std::set<state::item_key>& chosen,
+                               std::vector<schema::work_command>& commands) const {
+    const schema::unrouted_want& want = request.unrouted();
+    const std::set<std::string> known(want.known().begin(), want.known().end());
+    std::uint32_t left = want.limit();
+    for (const std::pair<const job_id, state::batch_job>& known_job : state_.jobs()) {
+        const state::batch_job& job = known_job.second;
+        const bool open =
+            job.status == state::job_status::queued || job.status == state::job_status::running;
+        if (!open || job.route.empty() || job.routes_version > want.routes_version())
+            continue;
+        for (std::size_t i = 0; i < job.services.size() && left > 0; ++i) {
+            if (job.pending[i].empty() || known.count(job.services[i]) > 0)
+                continue;
+            for (const std::uint32_t ordinal : job.pending[i]) {
+                const state::item_key key{job.id, ordinal};
+                if (left == 0 || !is_readable(key) || !chosen.insert(key).second)
+                    continue;
+                add_lease(commands, request, key);
+                --left;
+            }
+        }
+    }
+}
+
 void work_leader::start_lease_round(std::vector<queued_lease> requests) {
     std::map<std::string, std::uint32_t> limits;
     for (const queued_lease& queued : requests) {
@@ -148,6 +176,7 @@
     for (const std::pair<const std::string, std::uint32_t>& limit : limits)
         available[limit.first] = choose_items(limit.first, limit.second);
     const std::shared_ptr<lease_round> round = std::make_shared<lease_round>();
+    std::set<state::item_key> unrouted;
     for (queued_lease& queued : requests) {
         lease_grant grant;
         for (const schema::lease_want& want : queued.request.wants()) {
@@ -155,6 +184,8 @@
             for (std::uint32_t i = 0; i < want.limit() && items.next < items.items.size(); ++i)
                 add_lease(grant.commands, queued.request, items.items[items.next++]);
         }
+        if (queued.request.has_unrouted())
+            add_unrouted(queued.request, unrouted, grant.commands);
         grant.reply.mutable_work();
         grant.outstanding = grant.commands.size();
         grant.send_reply = std::move(queued.reply);
--- a/lib/routes/table.cpp
+++ b/lib/routes/table.cpp
@@ -85,6 +85,14 @@
     return nullptr;
 }
 
+const schema::route* table::at_prefix(std::string_view host, const std::string& prefix) const {
+    auto routes = by_host_.find(host_name(host));
+    if (routes == by_host_.end())
+        return nullptr;
+    auto found = routes->second.find(prefix);
+    return found == routes->second.end() ? nullptr : found->second;
+}
+
 const schema::route* table::find(const std::string& name) const {
     auto found = by_name_.find(name);
     return found == by_name_.end() ? nullptr : found->second;
--- a/lib/state/job_commands.cpp
+++ b/lib/state/job_commands.cpp
@@ -51,6 +51,8 @@
     job.created = begin.at();
     job.retention_ms = begin.retention_ms();
     job.route = begin.route();
+    job.routes_version = begin.routes_version();
+    job.route_prefix = begin.route_prefix();
     job.abandon_at = begin.abandon_at();
     job.max_failures = begin.max_failures();
     job.listed = begin.listed();
@@ -203,6 +205,7 @@
         leased->set_strikes(item.strikes);
         leased->set_abandon_at(job.abandon_at);
         leased->set_request(lease.request());
+        leased->set_route_prefix(job.route_prefix);
     }
     job.status = job_status::running;
     return reply;
--- a/lib/state/work_image.cpp
+++ b/lib/state/work_image.cpp
@@ -71,6 +71,8 @@
         out->set_status(static_cast<std::uint32_t>(job.status));
         out->set_loaded(job.loaded);
         out->set_route(job.route);
+        out->set_routes_version(job.routes_version);
+        out->set_route_prefix(job.route_prefix);
         out->set_abandon_at(job.abandon_at);
         out->set_max_failures(job.max_failures);
         out->set_listed(job.listed);
@@ -154,6 +156,8 @@
     job.status = static_cast<job_status>(in.status());
     job.loaded = in.loaded();
     job.route = in.route();
+    job.routes_version = in.routes_version();
+    job.route_prefix = in.route_prefix();
     job.abandon_at = in.abandon_at();
     job.max_failures = in.max_failures();
     job.listed = in.listed();
--- a/unittests/gateway/item_runner_fixture.h
+++ b/unittests/gateway/item_runner_fixture.h
@@ -39,6 +39,8 @@
 struct route_spec {
     std::string name;
     std::vector<std::string> services;
+    std::string prefix = ""; ///< that of the name, if empty
+    schema::route::route_kind kind = schema::route::batch;
 };
 
 inline std::shared_ptr<const routes::table> make_routes(std::uint64_t version,
@@ -50,8 +52,8 @@
         schema::route& route = *source.add_routes();
         route.set_name(spec.name);
         route.set_host("shop.example");
-        route.set_path_prefix("/" + spec.name + "/");
-        route.set_kind(schema::route::batch);
+        route.set_path_prefix(spec.prefix.empty() ? "/" + spec.name + "/" : spec.prefix);
+        route.set_kind(spec.kind);
         route.set_resumable(true);
         route.set_timeout_ms(5000);
         route.set_result_due_ms(18000);
@@ -171,6 +173,8 @@
         leased.set_deadline(to_unix_ms(wall_now()) + 60000 + deadline);
         leased.mutable_item()->set_custom_id(id);
         leased.mutable_item()->set_url("/" + route + "/x");
+        leased.mutable_item()->set_service(route);
+        leased.set_route_prefix("/" + route + "/");
         leased.mutable_item()->set_body("prompt of " + id);
         return leased;
     }
@@ -262,6 +266,19 @@
             leased_routes.push_back(route);
             task_.after(lease_delay, [done, granted] { done(granted); });
         };
+        hooks.lease_unrouted = [this](const schema::unrouted_want& want,
+                                      const item_runner_hooks::lease_done& done) {
+            const std::set<std::string> known(want.known().begin(), want.known().end());
+            std::vector<schema::leased_item> granted;
+            std::erase_if(offered_, [&](const schema::leased_item& item) {
+                const bool grants =
+                    granted.size() < want.limit() && known.count(item.item().service()) == 0;
+                if (grants)
+                    granted.push_back(item);
+                return grants;
+            });
+            task_.after(lease_delay, [done, granted] { done(granted); });
+        };
         hooks.report = [this](const schema::items_end& ends,
                               const item_runner_hooks::report_done& done) {
             for (const schema::item_end& end : ends.ends()) {
--- a/unittests/keeper/work_leader_test.cpp
+++ b/unittests/keeper/work_leader_test.cpp
@@ -5,7 +5,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
 #include <string>
+#include <vector>
 
 using namespace cassia;
 using namespace cassia::keeper;
@@ -146,3 +148,69 @@
     held.mutable_jobs(0)->add_attempts(1);
     CHECK(group.leader.reconcile(held, start).jobs_size() == 1);
 }
+
+// Guards against items that nobody leases, as no holder knows their route any more, and against
+// holders that give up items of a route that they don't know yet.
+TEST_CASE("items are leased without their route's name by holders of a newer table",
+          "[work_leader]") {
+    constexpr std::uint64_t accepted_by = 7;
+    std::uint64_t position = 0;
+    state::work_state state;
+    std::map<storage::position, std::string> records;
+    const auto apply = [&](const schema::work_command& command) {
+        const storage::position at{1, ++position};
+        records[at] = command.SerializeAsString();
+        return state.apply(command, at);
+    };
+    schema::work_command submission;
+    schema::job_submit* submit = submission.mutable_submit();
+    submit->mutable_begin()->set_job("job");
+    submit->mutable_begin()->set_team("team");
+    submit->mutable_begin()->set_total(4);
+    submit->mutable_begin()->set_route("removed");
+    submit->mutable_begin()->set_route_prefix("/removed/");
+    submit->mutable_begin()->set_routes_version(accepted_by);
+    for (const char* id : {"a", "b", "c", "d"}) {
+        schema::item_body* item = submit->mutable_items()->add_items();
+        item->set_custom_id(id);
+        item->set_service("removed");
+    }
+    submit->mutable_items()->set_job("job");
+    apply(submission);
+    state = state::work_state::load(state.save()).value();
+    work_leader leader(
+        state, milliseconds(5000),
+        {[&](const schema::work_command& command, const work_leader_hooks::reply_callback& reply) {
+             schema::keeper_reply response;
+             *response.mutable_work() = apply(command);
+             reply(response);
+         },
+         [&](const storage::position& at) -> storage::result<std::string> {
+             return records.at(at);
+         }});
+    leader.set_leading(true, start);
+    const auto lease = [&](const std::string& holder, std::uint64_t version,
+                           const std::string& known) {
+        schema::lease_request request;
+        request.set_holder(holder);
+        request.mutable_unrouted()->set_routes_version(version);
+        request.mutable_unrouted()->add_known(known);
+        request.mutable_unrouted()->set_limit(2);
+        std::vector<std::string> items;
+        leader.lease(
+            request,
+            [&items](const schema::keeper_reply& reply) {
+                for (const schema::leased_item& one : reply.work().leased()) {
+                    CHECK(one.route_prefix() == "/removed/");
+                    items.push_back(one.item().custom_id());
+                }
+            },
+            start);
+        return items;
+    };
+    CHECK(lease("g1/1", accepted_by - 1, "other").empty());
+    CHECK(lease("g1/1", accepted_by, "removed").empty());
+    CHECK(lease("g1/1", accepted_by, "other") == std::vector<std::string>{"a", "b"});
+    CHECK(lease("g2/1", accepted_by + 1, "other") == std::vector<std::string>{"c", "d"});
+    CHECK(lease("g3/1", accepted_by + 1, "other").empty());
+}
