Gateway: a refusal that an endpoint doesn't prove is no promise to the caller

What callers could see: 408, 429 or 503 for a request that may run once and may have run (REFUSED). Found by going through all places that answer with such a status after the users' record.

Cause: a response without the endpoint's statement that it hasn't run the request was forwarded with its status, which promises just that.

Ruled out at the other places: reject() is reached with no run counted; an attempt counts as not run only if its connection never stood or its own response says so.

Change: such a request ends with 502. Requests that may be repeated get the endpoint's response as it is.

--- a/lib/gateway/dispatch_responses.cpp
+++ b/lib/gateway/dispatch_responses.cpp
@@ -10,7 +10,10 @@
 namespace cassia::gateway {
 
 namespace {
+constexpr int status_request_timeout = 408;
 constexpr int status_misdirected = 421;
+constexpr int status_too_many_requests = 429;
+constexpr int status_unavailable = 503;
 constexpr int status_redirection = 300;
 constexpr int status_server_error = 500;
 // The mean time between fewer events than this says little about the endpoint.
@@ -23,6 +26,12 @@
     return status >= 200 && status < status_redirection;
 }
 
+// To callers these say that the request has not run and never will.
+static bool promises_not_run(int status) {
+    return status == status_request_timeout || status == status_misdirected ||
+           status == status_too_many_requests || status == status_unavailable;
+}
+
 // Runs of several attempts, and streams that began elsewhere, say nothing about one endpoint.
 static void record_run_time(policy::slot_table& slots, const online_call& call, bool resumed) {
     if (call.sends > 1 || resumed || call.forwards_error)
@@ -69,6 +78,11 @@
         retry_or_fail(call, "unproved_answer");
         return;
     }
+    // The endpoint doesn't say that it hasn't run the request.
+    if (!call.is_repeatable() && promises_not_run(head.status)) {
+        retry_or_fail(call, "unproved_rejection");
+        return;
+    }
     const bool resumes = call.phase == call_phase::responding;
     if (resumes && !is_success(head.status)) {
         retry_or_fail(call, "resume_failed");
--- a/unittests/gateway/late_response_test.cpp
+++ b/unittests/gateway/late_response_test.cpp
@@ -134,3 +134,21 @@
     CHECK(!fixture.first.runs.empty());
     CHECK(refused_runs == 0);
 }
+
+// Guards against a promise that a request hasn't run, where its endpoint doesn't say so.
+TEST_CASE("a refusal by an endpoint that may have run the request is no promise", "[late]") {
+    const char* refusal =
+        GENERATE("503 Service Unavailable", "429 Too Many Requests", "408 Request Timeout");
+    schema::route::route_kind kind = schema::route::at_most_once;
+    int expected = 502;
+    SECTION("a request that may run once") {}
+    SECTION("a request that may be repeated") {
+        kind = schema::route::repeatable;
+        expected = std::stoi(refusal);
+    }
+    repeating_fixture fixture(kind);
+    fixture.first.rejection = refusal;
+    fixture.first.is_full = true;
+    fixture.list({1});
+    CHECK(fixture.ask().first == expected);
+}
