Scenario: a service's response breaks off on its way to an entry

The relay between an entry and a service closes connections behind a number of bytes, from the first line of the head on.

--- a/test/runner/fleet.cpp
+++ b/test/runner/fleet.cpp
@@ -158,8 +158,15 @@
     }
     for (int i = 1; i <= shape.services; ++i) {
         const std::string ip = ip_of(service_kind, i);
-        add("service-" + std::to_string(i), "cassia-standin", service, ip,
-            {{"zone", zone(i)}, {"address", ip + ":9000"}});
+        const std::string reached = ip_of(relay_kind + service_kind, i) + ":9000";
+        std::map<std::string, std::string> sets{{"zone", zone(i)}, {"address", ip + ":9000"}};
+        if (shape.relayed_services) {
+            relay_.add_route(reached, ip + ":9000");
+            sets["address"] = reached;
+            sets["bind"] = ip + ":9000";
+        }
+        add("service-" + std::to_string(i), "cassia-standin", service, ip, sets);
+        processes_.at("service-" + std::to_string(i)).address = ip + ":9000";
     }
     relay_.start();
 }
--- a/test/runner/fleet.h
+++ b/test/runner/fleet.h
@@ -20,6 +20,7 @@
     int zones = 3;
     int software_versions = 0;    ///< engines have one of these in turn; none if 0
     bool relayed_engines = false; ///< a dead engine then looks like a broken connection
+    bool relayed_services = false;
     std::map<std::string, std::string> keeper_sets; ///< settings over the scenario's own
     std::map<std::string, std::string> entry_sets;
     std::map<std::string, std::string> engine_sets;
--- a/test/runner/relay.cpp
+++ b/test/runner/relay.cpp
@@ -81,6 +81,11 @@
     to_silence_.insert({from_ip, to_ip});
 }
 
+void relay::cut_responses(const std::string& to_ip, std::size_t bytes) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    response_limits_[to_ip] = bytes;
+}
+
 bool relay::is_cut(const std::string& from_ip, const std::string& to_ip) {
     return cuts_.count({from_ip, to_ip}) > 0;
 }
@@ -98,6 +103,7 @@
     one.caller = caller;
     one.caller_ip = text.data();
     one.callee_ip = at.to_ip;
+    one.response_limit = response_limits_[at.to_ip];
     // A process that is stopped takes no connections; waiting for it would hold up all others.
     one.callee = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
     const sockaddr_in to = socket_address(at.to);
@@ -128,8 +134,14 @@
         return true;
     }
     std::string& rest = to_callee ? one.to_callee : one.to_caller;
-    rest.append(buffer.data(), static_cast<std::size_t>(got));
-    return flush(to, rest);
+    std::size_t passed = static_cast<std::size_t>(got);
+    const bool ends = !to_callee && one.response_limit > 0 && passed >= one.response_limit;
+    if (!to_callee && one.response_limit > 0) {
+        passed = std::min(passed, one.response_limit);
+        one.response_limit -= passed;
+    }
+    rest.append(buffer.data(), passed);
+    return flush(to, rest) && !ends;
 }
 
 bool relay::flush(int to, std::string& bytes) {
--- a/test/runner/relay.h
+++ b/test/runner/relay.h
@@ -31,6 +31,9 @@
     void heal(const std::string& from_ip, const std::string& to_ip);
     /// Connections open now between the two go silent for good; new ones work.
     void silence(const std::string& from_ip, const std::string& to_ip);
+    /// Connections made from now on to `to_ip` are closed once they have passed so many bytes back;
+    /// 0: they aren't.
+    void cut_responses(const std::string& to_ip, std::size_t bytes);
 
 private:
     struct route {
@@ -44,6 +47,7 @@
         std::string caller_ip;
         std::string callee_ip;
         bool silent = false;
+        std::size_t response_limit = 0; ///< bytes to the caller that are left; 0: no limit
         std::string to_callee; ///< bytes that the callee hasn't taken yet; no more are read then
         std::string to_caller;
     };
@@ -59,6 +63,7 @@
     std::vector<link> links_;
     std::set<std::pair<std::string, std::string>> cuts_;
     std::set<std::pair<std::string, std::string>> to_silence_;
+    std::map<std::string, std::size_t> response_limits_; ///< by the callee's IP number
     std::mutex mutex_;
     std::atomic<bool> stopping_{false};
     std::thread thread_;
--- a/test/runner/verbs.cpp
+++ b/test/runner/verbs.cpp
@@ -132,6 +132,7 @@
     shape.zones = number_field(lua, 1, "zones", shape.zones);
     shape.software_versions = number_field(lua, 1, "software_versions", shape.software_versions);
     shape.relayed_engines = text_field(lua, 1, "relayed_engines") == "yes";
+    shape.relayed_services = text_field(lua, 1, "relayed_services") == "yes";
     shape.keeper_sets = map_field(lua, 1, "keeper");
     shape.entry_sets = map_field(lua, 1, "entry");
     shape.engine_sets = map_field(lua, 1, "engine");
@@ -223,6 +224,13 @@
     return 0;
 }
 
+static int verb_cut_responses(lua_State* lua) {
+    fleet& made = context_of(lua).processes;
+    made.links().cut_responses(made.find(luaL_checkstring(lua, 1)).ip,
+                               static_cast<std::size_t>(luaL_checkinteger(lua, 2)));
+    return 0;
+}
+
 static int verb_begin_ask(lua_State* lua) {
     net::http_call call;
     call.method = text_field(lua, 1, "method");
@@ -337,6 +345,7 @@
                               {"cut_one_way", verb_link<link_change::cut>},
                               {"heal_one_way", verb_link<link_change::heal>},
                               {"silence_one_way", verb_link<link_change::silence>},
+                              {"cut_responses", verb_cut_responses},
                               {"begin_ask", verb_begin_ask},
                               {"wait_ask", verb_wait_ask},
                               {"is_done", verb_is_done},
