Retirement: an order that is repeated after the disk was lost is acknowledged again

The check that enough keepers remain looked at the disk alone, so the repeated order counted as a new one and could be refused.

--- a/include/cassia/gateway/service.h
+++ b/include/cassia/gateway/service.h
@@ -101,6 +101,7 @@
     void request_yield(const entry_id& holder, const endpoint_id& endpoint);
     void lease(const std::string& route, std::uint32_t limit,
                const item_runner_hooks::lease_done& done);
+    /// Leases items of routes that the table of routes lacks.
     void lease_unrouted(const schema::unrouted_want& want,
                         const item_runner_hooks::lease_done& done);
     void send_lease(schema::lease_request lease, const std::string& route,
--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -221,6 +221,7 @@
         std::set<std::string> nodes; ///< whatever their disks are
     };
     retiring_keepers find_retiring() const;
+    /// Whether a work group may go on with this keeper.
     bool may_stay(const known_keeper& keeper, const retiring_keepers& retiring, instant now) const;
     /// Ends the retirements of keepers that have been taken away.
     void end_retirements();
--- a/lib/keeper/service_retirement.cpp
+++ b/lib/keeper/service_retirement.cpp
@@ -66,8 +66,9 @@
     }
     const disk_id disk(keeper->heartbeat.disk());
     retiring_keepers retiring = find_retiring();
-    const bool is_new = retiring.disks.insert(disk).second;
-    retiring.nodes.insert(keeper->heartbeat.node());
+    // A repeated order is acknowledged again, also if the keeper has lost its disk since.
+    const bool has_new_disk = retiring.disks.insert(disk).second;
+    const bool is_new = retiring.nodes.insert(keeper->heartbeat.node()).second && has_new_disk;
     const std::size_t remaining = static_cast<std::size_t>(
         std::count_if(keepers_.begin(), keepers_.end(),
                       [&](const auto& known) { return may_stay(known.second, retiring, now); }));
