Test: slow reader on an address of its own

unit_net and unit_gateway used 127.77.2.1:7201 both: the crash monitor's probes connected to the slow reader's server. Run at the same time, both tests failed in 3 of 3 pairs (0 of 12,582,912 bytes sent; a verdict in 6 s): the two failures that a run of four tests at a time had shown on the untouched code. With an address of its own 3 of 3 pairs pass. No check or bound is changed.

--- a/unittests/net/slow_reader_test.cpp
+++ b/unittests/net/slow_reader_test.cpp
@@ -65,7 +65,7 @@
 
 // Guards against a caller that loses its response since it stopped reading for a while.
 TEST_CASE("a reader that stops for 3 s and goes on gets everything", "[net]") {
-    slow_reader test("127.77.2.1:7201", patient());
+    slow_reader test("127.77.3.1:7201", patient());
     test.run_for(milliseconds(3000));
     CHECK(test.received == 0);
     CHECK(test.drained == 0);
@@ -81,7 +81,7 @@
 
 // Guards against a change for connections between the system's own processes.
 TEST_CASE("without patience a reader that stops is reset", "[net]") {
-    slow_reader test("127.77.2.2:7201", tcp_settings());
+    slow_reader test("127.77.3.2:7201", tcp_settings());
     test.run_for(milliseconds(3500));
     CHECK(test.ended_at_server == 1);
 }
@@ -90,7 +90,7 @@
 TEST_CASE("a reader that takes nothing for the limit is reset", "[net]") {
     tcp_settings settings = patient();
     settings.unread_limit = milliseconds(600);
-    slow_reader test("127.77.2.3:7201", settings);
+    slow_reader test("127.77.3.3:7201", settings);
     test.run_for(milliseconds(400));
     CHECK(test.ended_at_server == 0);
     test.run_for(milliseconds(800));
