--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -93,6 +93,8 @@
     void request_unrouted(instant now);
     /// Keeps an item without a route for a while, and then ends it.
     void hold_unrouted(const item_key& key, held_item& item, instant now);
+    /// Starts them, or returns them during a shutdown.
+    void add_leased(const std::vector<schema::leased_item>& items);
     void add(const schema::leased_item& leased);
     /// Returns all items to the keepers.
     void return_items();
--- a/include/cassia/keeper/membership_planner.h
+++ b/include/cassia/keeper/membership_planner.h
@@ -23,6 +23,10 @@
     std::string zone{};
 };
 
+/// Members of a group by its leader's latest list or by the one in force. One that is being removed
+/// counts until that is committed: another leader may not know of it yet.
+consensus::member_list counted_members(const consensus::raft_group& group);
+
 class membership_planner {
 public:
     /// \param nodes names of the initial members, from settings.
--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -217,13 +217,13 @@
     void bootstrap_work_groups(const schema::group_members& proto);
     const known_keeper* find_work_keeper(const std::string& name) const;
     struct retiring_keepers {
-        std::set<disk_id> disks;     ///< also of keepers that have been taken away
+        std::set<disk_id> disks;     ///< also of keepers that have been removed
         std::set<std::string> nodes; ///< whatever their disks are
     };
     retiring_keepers find_retiring() const;
     /// Whether a work group may go on with this keeper.
     bool may_stay(const known_keeper& keeper, const retiring_keepers& retiring, instant now) const;
-    /// Ends the retirements of keepers that have been taken away.
+    /// Ends the retirements of keepers that have been removed.
     void end_retirements();
     void on_retirements(const schema::keeper_news& news);
     bool is_serving(const known_gateway& gateway, instant now) const;
--- a/include/cassia/state/control_state.h
+++ b/include/cassia/state/control_state.h
@@ -47,7 +47,7 @@
     /// Keepers whose group memberships are moved away before their removal, and those removed.
     const std::vector<schema::retire_command>& retiring() const { return retiring_; }
     /// Number of changes of that list.
-    std::uint64_t retirements() const { return retirements_; }
+    std::uint64_t retirements() const;
 
     /// Serializes the state for a snapshot; load() restores it.
     std::string save() const;
@@ -66,7 +66,6 @@
     std::unique_ptr<schema::route_table> routes_;
     std::unique_ptr<schema::group_members> work_founders_;
     std::vector<schema::retire_command> retiring_;
-    std::uint64_t retirements_ = 0;
 };
 
 } // namespace cassia::state
--- a/lib/gateway/dispatch_responses.cpp
+++ b/lib/gateway/dispatch_responses.cpp
@@ -297,9 +297,10 @@
 
 void dispatcher::on_foreign_response(online_call& call) {
     crashes_.record_ended_run(run_of(call), false);
+    // The run may have begun and used up its copy.
+    call.stopped_run.reset();
     eject_endpoint(call, monotonic_now());
-    if (!defer_end_to_migration(call))
-        retry_or_fail(call, "answer_of_another_request");
+    retry_or_fail(call, "answer_of_another_request");
 }
 
 void dispatcher::on_failure(exchange_id id, const net::raw_failure& failure) {
--- a/lib/gateway/item_leases.cpp
+++ b/lib/gateway/item_leases.cpp
@@ -65,12 +65,7 @@
             lease_in_flight_ = false;
             next_lease_at_ =
                 monotonic_now() + (items.empty() ? lease_interval_idle : milliseconds(0));
-            for (const schema::leased_item& item : items)
-                add(item);
-            if (shutting_down_)
-                return_items();
-            else
-                start_ready_items(monotonic_now());
+            add_leased(items);
         });
     }
     if (!lease_in_flight_)
@@ -105,12 +100,7 @@
             (items.empty()
                  ? std::max<milliseconds>(unrouted_interval, unrouted_interval_each * fleet_size_)
                  : lease_interval);
-        for (const schema::leased_item& item : items)
-            add(item);
-        if (shutting_down_)
-            return_items();
-        else
-            start_ready_items(monotonic_now());
+        add_leased(items);
     });
 }
 
@@ -128,6 +118,15 @@
     set_wait(item, item_wait::route);
 }
 
+void item_runner::add_leased(const std::vector<schema::leased_item>& items) {
+    for (const schema::leased_item& item : items)
+        add(item);
+    if (shutting_down_)
+        return_items();
+    else
+        start_ready_items(monotonic_now());
+}
+
 void item_runner::add(const schema::leased_item& leased) {
     const item_key key{job_id(leased.job()), leased.ordinal()};
     auto found = items_.find(key);
--- a/lib/keeper/membership_planner.cpp
+++ b/lib/keeper/membership_planner.cpp
@@ -8,6 +8,19 @@
 constexpr milliseconds status_timeout(3000);
 } // namespace
 
+consensus::member_list counted_members(const consensus::raft_group& group) {
+    consensus::member_list counted = group.log().members();
+    for (const consensus::member& member : group.log().members_at(group.applied_index())) {
+        const bool is_new =
+            std::none_of(counted.begin(), counted.end(), [&member](const consensus::member& other) {
+                return other.disk == member.disk;
+            });
+        if (is_new)
+            counted.push_back(member);
+    }
+    return counted;
+}
+
 membership_planner::membership_planner(std::vector<std::string> nodes) {
     set_initial_nodes(std::move(nodes));
 }
--- a/lib/keeper/service_discovery.cpp
+++ b/lib/keeper/service_discovery.cpp
@@ -59,14 +59,9 @@
         schema::group_view* view = heartbeat.add_leads();
         view->set_group(static_cast<std::uint32_t>(replica.first.value()));
         view->set_term(replica.second->raft().term().value());
-        // A member counts until its removal is committed: another leader may not know of it yet.
-        const consensus::raft_group& raft = replica.second->raft();
-        for (const consensus::member_list& members :
-             {raft.log().members(), raft.log().members_at(raft.applied_index())}) {
-            for (const consensus::member& member : members) {
-                view->add_disks(member.disk.value());
-                view->add_nodes(member.node);
-            }
+        for (const consensus::member& member : counted_members(replica.second->raft())) {
+            view->add_disks(member.disk.value());
+            view->add_nodes(member.node);
         }
     }
     heartbeat.set_retirements(known_retirements_);
--- a/lib/keeper/service_retirement.cpp
+++ b/lib/keeper/service_retirement.cpp
@@ -1,4 +1,4 @@
-// Keepers that are emptied of their groups, so that their VMs can be taken away.
+// Keepers that are emptied of their groups, so that their VMs can be removed.
 
 #include "cassia/base/log.h"
 #include "cassia/keeper/service.h"
@@ -16,7 +16,7 @@
 using state::control_group;
 // A leader reports the members of its groups several times a second.
 constexpr milliseconds group_view_timeout(1000);
-// A retired keeper that is silent for this long has been taken away.
+// A retired keeper that has sent no heartbeat for this long has been removed.
 constexpr milliseconds removal_time(30000);
 } // namespace
 
@@ -90,9 +90,8 @@
             now);
 }
 
-// True only if all work groups have recently reported members without the keeper, whatever its
-// disk, and all keepers that may lead a group know that it must not become one again: the VM is
-// taken away at once, and a group that has it as a member would lose that member without warning.
+// The VM is removed at once, so no group may have it as a member, with any disk, and all keepers
+// that may lead a group must know that it isn't to be added again.
 std::optional<bool> service::is_keeper_retired(const std::string& name) const {
     std::set<std::uint64_t> disks;
     std::set<std::string> nodes;
@@ -133,7 +132,7 @@
     });
 }
 
-// From then on a new keeper may have the node of the one that was taken away.
+// From then on a new keeper may have the node of the one that was removed.
 void service::end_retirements() {
     const instant now = monotonic_now();
     group_replica& replica = *replicas_.at(control_group);
--- a/lib/keeper/work_leader_leases.cpp
+++ b/lib/keeper/work_leader_leases.cpp
@@ -152,12 +152,14 @@
             job.status == state::job_status::queued || job.status == state::job_status::running;
         if (!open || job.route.empty() || job.routes_version > want.routes_version())
             continue;
-        for (std::size_t i = 0; i < job.services.size() && left > 0; ++i) {
+        for (std::size_t i = 0; i < job.services.size(); ++i) {
             if (job.pending[i].empty() || known.count(job.services[i]) > 0)
                 continue;
             for (const std::uint32_t ordinal : job.pending[i]) {
+                if (left == 0)
+                    return;
                 const state::item_key key{job.id, ordinal};
-                if (left == 0 || !is_readable(key) || !chosen.insert(key).second)
+                if (!is_readable(key) || !chosen.insert(key).second)
                     continue;
                 add_lease(commands, request, key);
                 --left;
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -15,7 +15,7 @@
 namespace {
 struct active_call {
     http_call call;
-    http_call_hooks hooks;
+    std::shared_ptr<const http_call_hooks> hooks; ///< outlive a call that is cancelled by one
     timer_id progress_timer;
     call_id wire;          ///< none while the call waits for a connection
     bool repeated = false; ///< over a new connection
@@ -94,10 +94,10 @@
     hooks.on_head = [this, id](const raw_head& head) { on_head(id, head); };
     hooks.on_piece = [this, id](std::string_view piece) {
         arm_progress_timer(id);
-        const std::function<void(std::string_view)> on_piece = calls.at(id).hooks.on_piece;
-        on_piece(piece);
+        const std::shared_ptr<const http_call_hooks> given = calls.at(id).hooks;
+        given->on_piece(piece);
     };
-    hooks.on_end = [this, id] { remove(id)->hooks.on_end(); };
+    hooks.on_end = [this, id] { remove(id)->hooks->on_end(); };
     hooks.on_failure = [this, id](const raw_failure& failure) { on_failure(id, failure); };
     const call_id wire_id = wire.start(std::move(out), std::move(hooks));
     // The hooks may have run already: then the call is over, or has been repeated.
@@ -108,8 +108,6 @@
 
 void http_client::state::on_head(call_id id, const raw_head& head) {
     arm_progress_timer(id);
-    active_call& call = calls.at(id);
-    call.sent = true;
     http_head given;
     given.status = head.status;
     for (const http_field& field : head.fields.all()) {
@@ -120,8 +118,8 @@
     auto type = given.headers.find("content-type");
     if (type != given.headers.end())
         given.content_type = type->second;
-    const std::function<void(const http_head&)> on_head = call.hooks.on_head;
-    on_head(given);
+    const std::shared_ptr<const http_call_hooks> hooks = calls.at(id).hooks;
+    hooks->on_head(given);
 }
 
 // The other end may close a kept connection just as the request is sent.
@@ -143,7 +141,7 @@
     http_failure failed;
     failed.sent = found->second.sent || wire.was_sent(found->second.wire);
     failed.cause = cause;
-    remove(id)->hooks.on_failure(failed);
+    remove(id)->hooks->on_failure(failed);
 }
 
 std::optional<active_call> http_client::state::remove(call_id id) {
@@ -185,7 +183,7 @@
     const call_id id(++state_->last_id);
     active_call& active = state_->calls[id];
     active.call = call;
-    active.hooks = std::move(hooks);
+    active.hooks = std::make_shared<const http_call_hooks>(std::move(hooks));
     state_->addresses[call.to].waiting.push_back(id);
     state_->arm_progress_timer(id);
     state_->owner->post([self = state_->weak_from_this(), to = call.to] {
--- a/lib/net/raw_client.cpp
+++ b/lib/net/raw_client.cpp
@@ -32,8 +32,7 @@
     bool paused = false;
     bool was_paused = false;
     response_owner owner = response_owner::this_request; ///< of the response being read
-    bool skips = false; ///< a late response to an earlier request is being read
-    bool skipped = false;
+    bool skipped = false;                                ///< a late response to an earlier request
     std::size_t skipped_bytes = 0;
     std::string unread;
     milliseconds idle_limit{0}; ///< how long the connection may be kept after this call
@@ -68,7 +67,8 @@
     void on_closed(connection_id id, bool clean);
     void receive(call_id id, std::string_view bytes);
     bool skip_response(call_id id);
-    bool give_head(call_id id);
+    /// Finds out whose response begins, and gives its head if it is the call's own.
+    bool take_response(call_id id);
     bool give_body(call_id id);
     void finish(call_id id, bool reusable);
     void fail(call_id id, errc code, const std::string& cause, bool foreign = false);
@@ -160,11 +160,6 @@
     fail(call, one.sent ? errc::connection_lost : errc::cannot_connect, "connection closed");
 }
 
-static response_owner owner_of(const call_state& one) {
-    const bool is_known = one.head_given || !one.call.find_owner;
-    return is_known ? response_owner::this_request : one.call.find_owner(take_head(*one.parser));
-}
-
 void raw_client::state::receive(call_id id, std::string_view bytes) {
     calls.at(id).unread.append(bytes);
     for (;;) {
@@ -201,12 +196,10 @@
             one.parser = make_parser(one.call.request);
             continue;
         }
-        if (!one.skips)
-            one.owner = owner_of(one);
-        const bool goes_on = one.owner == response_owner::this_request
-                                 ? give_head(id) && give_body(id)
-                                 : skip_response(id);
-        if (!goes_on)
+        const bool is_new = !one.head_given && one.owner == response_owner::this_request;
+        if (is_new && !take_response(id))
+            return;
+        if (one.head_given ? !give_body(id) : !skip_response(id))
             return;
         if (incomplete || used == 0)
             return;
@@ -223,9 +216,9 @@
         fail(id, errc::connection_lost, "answer_of_another_request", true);
         return false;
     }
-    one.skips = !one.parser->is_done();
-    if (one.skips)
+    if (!one.parser->is_done())
         return true;
+    one.owner = response_owner::this_request;
     one.skipped = true;
     one.parser = make_parser(one.call.request);
     ++counts.responses_skipped;
@@ -234,17 +227,18 @@
 }
 
 // \returns false if the call is gone.
-bool raw_client::state::give_head(call_id id) {
+bool raw_client::state::take_response(call_id id) {
     call_state& one = calls.at(id);
-    if (one.head_given)
+    raw_head head = take_head(*one.parser);
+    if (one.call.find_owner)
+        one.owner = one.call.find_owner(head);
+    if (one.owner != response_owner::this_request)
         return true;
     one.head_given = true;
-    const raw_head head = take_head(*one.parser);
     one.idle_limit = idle_limit_of(head.fields);
-    raw_head given = head;
-    given.fields.erase_hop_by_hop();
+    head.fields.erase_hop_by_hop();
     const std::function<void(const raw_head&)> on_head = one.hooks.on_head;
-    on_head(given);
+    on_head(head);
     return calls.count(id) > 0;
 }
 
--- a/lib/state/control_state.cpp
+++ b/lib/state/control_state.cpp
@@ -122,12 +122,18 @@
         recorded->set_ended(true);
     else if (changes)
         retiring_.push_back(retire);
-    retirements_ += changes ? 1 : 0;
     schema::control_reply reply;
     reply.set_result(changes ? schema::control_reply::accepted : schema::control_reply::replayed);
     return reply;
 }
 
+// Each retirement is a change, and so is its end.
+std::uint64_t control_state::retirements() const {
+    const auto ended = std::count_if(retiring_.begin(), retiring_.end(),
+                                     [](const schema::retire_command& one) { return one.ended(); });
+    return retiring_.size() + static_cast<std::uint64_t>(ended);
+}
+
 void control_state::trim_history() {
     if (changes_.size() > max_versions_with_documents) {
         schema::change_record& record = changes_[changes_.size() - max_versions_with_documents - 1];
@@ -149,7 +155,6 @@
     *image.mutable_work_founders() = *work_founders_;
     for (const schema::retire_command& retire : retiring_)
         *image.add_retiring() = retire;
-    image.set_retirements(retirements_);
     return image.SerializeAsString();
 }
 
@@ -166,8 +171,6 @@
     *loaded.routes_ = image.routes();
     *loaded.work_founders_ = image.work_founders();
     loaded.retiring_.assign(image.retiring().begin(), image.retiring().end());
-    // Images of earlier versions don't count them.
-    loaded.retirements_ = std::max<std::uint64_t>(image.retirements(), loaded.retiring_.size());
     return loaded;
 }
 
--- a/unittests/keeper/membership_recovery_test.cpp
+++ b/unittests/keeper/membership_recovery_test.cpp
@@ -355,13 +355,10 @@
         const test_keeper* leading = leader();
         if (retired == keepers_.end() || leading == nullptr || leading == &*retired)
             return;
-        const raft_log& log = leading->raft->log();
-        for (const member_list& members :
-             {log.members(), log.members_at(leading->raft->applied_index())}) {
-            if (std::any_of(members.begin(), members.end(),
-                            [this](const member& m) { return m.node == retiring_node_; }))
-                return;
-        }
+        const member_list counted = counted_members(*leading->raft);
+        if (std::any_of(counted.begin(), counted.end(),
+                        [this](const member& m) { return m.node == retiring_node_; }))
+            return;
         retired->raft.reset();
         retired->removed = true;
     }
@@ -386,6 +383,15 @@
 constexpr std::uint64_t seeds = 300;
 constexpr milliseconds longest_recovery(6000);
 
+/// Elects a leader and adds standbys, from where on messages may be lost.
+void start_with_standbys(test_fleet& fleet, std::uint64_t seed) {
+    fleet.run(milliseconds(2500));
+    REQUIRE(fleet.leader() != nullptr);
+    fleet.set_loss_percent(seed % 4 * 5);
+    fleet.add_standbys();
+    fleet.run(milliseconds(fleet.random_between(0, 2000)));
+}
+
 } // namespace
 
 // Guards against a group that makes no progress, loses accepted work or stays short of a voter
@@ -394,11 +400,7 @@
     for (std::uint64_t seed = 0; seed < seeds; ++seed) {
         CAPTURE(seed);
         test_fleet fleet(seed);
-        fleet.run(milliseconds(2500));
-        REQUIRE(fleet.leader() != nullptr);
-        fleet.set_loss_percent(seed % 4 * 5);
-        fleet.add_standbys();
-        fleet.run(milliseconds(fleet.random_between(0, 2000)));
+        start_with_standbys(fleet, seed);
         const std::uint64_t retired = fleet.random_between(0, founder_count - 1);
         const std::uint64_t wiped =
             (retired + fleet.random_between(1, founder_count - 1)) % founder_count;
@@ -428,11 +430,7 @@
     for (std::uint64_t seed = 0; seed < seeds; ++seed) {
         CAPTURE(seed);
         test_fleet fleet(seed);
-        fleet.run(milliseconds(2500));
-        REQUIRE(fleet.leader() != nullptr);
-        fleet.set_loss_percent(seed % 4 * 5);
-        fleet.add_standbys();
-        fleet.run(milliseconds(fleet.random_between(0, 2000)));
+        start_with_standbys(fleet, seed);
         const std::uint64_t retired = fleet.random_between(0, founder_count - 1);
         fleet.retire(retired);
         fleet.run(milliseconds(fleet.random_between(0, 600)));
