Logs: attempt_not_run names the status of the rejection

What callers saw: requests ran that had been refused, and the logs of a gateway don't tell a sound rejection from a late copy, a rejection of another kind, or a connection that never stood.

Change: the line names the status of the response that says so, 0 if nothing was sent. No further lines: bounded as before.

--- a/include/cassia/gateway/online_call.h
+++ b/include/cassia/gateway/online_call.h
@@ -100,6 +100,7 @@
     instant response_began_at{};
 
     bool not_run = false;         ///< the response says that the request was not run
+    int rejection_status = 0;     ///< of that response; 0 if the request wasn't sent
     bool forwards_error = false;  ///< the response is an error, forwarded as it is
     net::raw_head head;           ///< of the response; a resumed stream keeps the first one
     std::string body;             ///< of a response that is an error or isn't a stream
--- a/include/cassia/gateway/upstream_attempt.h
+++ b/include/cassia/gateway/upstream_attempt.h
@@ -27,6 +27,7 @@
     instant last_progress_at{};
     instant first_byte_at{};
     bool not_run = false;
+    int rejection_status = 0;
     bool forwards_error = false;
     net::raw_head head;
     std::string body;
--- a/lib/gateway/dispatch_hedging.cpp
+++ b/lib/gateway/dispatch_hedging.cpp
@@ -24,6 +24,7 @@
     std::swap(call.last_progress_at, other.last_progress_at);
     std::swap(call.first_byte_at, other.first_byte_at);
     std::swap(call.not_run, other.not_run);
+    std::swap(call.rejection_status, other.rejection_status);
     std::swap(call.forwards_error, other.forwards_error);
     std::swap(call.head, other.head);
     std::swap(call.body, other.body);
--- a/lib/gateway/dispatch_migration.cpp
+++ b/lib/gateway/dispatch_migration.cpp
@@ -101,6 +101,7 @@
     log_info("attempt_not_run")
         .with("request", call.request_id)
         .with("endpoint", call.endpoint.str())
+        .with("status", call.rejection_status)
         .with("cause", cause);
     retry_later(call);
 }
--- a/lib/gateway/dispatch_responses.cpp
+++ b/lib/gateway/dispatch_responses.cpp
@@ -66,6 +66,7 @@
     const bool not_run = head.fields.has(names_.not_run) || head.status == status_misdirected;
     if (not_run) {
         call.not_run = true;
+        call.rejection_status = head.status;
         slots_.record_rejection(call.endpoint, call.last_progress_at);
         return;
     }
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -174,6 +174,7 @@
     call.last_progress_at = call.sent_at;
     call.last_reclaim_at = call.sent_at;
     call.not_run = false;
+    call.rejection_status = 0;
     call.connection_broke = false;
     call.forwards_error = false;
     call.body.clear();
@@ -260,6 +261,7 @@
     log_info("attempt_not_run")
         .with("request", call.request_id)
         .with("endpoint", call.endpoint.str())
+        .with("status", call.rejection_status)
         .with("cause", cause);
     if (continue_with_other(call, cause))
         return;
