--- a/test/runner/platform.lua
+++ b/test/runner/platform.lua
@@ -11,6 +11,7 @@
 local restart_ms = 600
 local work_groups = 1
 local memory_mib   -- of a gateway; none: not bounded
+local moves_runs = false
 
 controls, works, fronts, endpoints = {}, {}, {}, {}
 
@@ -107,7 +108,7 @@
       ',"resultDueMs":18000,"maxWaitS":60,"maxQueued":2000000,"resumable":true') }
   return '{"version":' .. version .. ',"routes":[' .. table.concat(routes, ",") ..
     '],"services":[{"name":"llm","healthPath":"/healthz","maxConns":300,"engine":{"slots":' ..
-    slots .. ',"moves":false}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,' ..
+    slots .. ',"moves":' .. tostring(moves_runs) .. '}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,' ..
     '"headerTimeoutMs":3000,"idleTimeoutMs":15000}}'
 end
 
@@ -140,6 +141,7 @@
   restart_ms = shape.restart_ms or restart_ms
   slots = shape.slots or slots
   memory_mib = shape.memory_mib
+  moves_runs = shape.moves_runs or false
   local control_addresses, seeds = {}, {}
   for i = 1, 3 do
     control_addresses[i] = ip_of(kinds.control, i) .. ":9000"
