Keeper client: a refusal is final only when no other transmission can be granted

What callers could see: a batch job answered 429 at all attempts whose items run (REFUSED counts each item).

Cause: a request without a reply is sent again after 700 ms, and the reply to any transmission completed it. The quota is checked when a transmission is applied: the first one finds it used up, the second one, applied later, finds room, and the caller has been told by then that no part of the job runs. The class is that of the late copies: a statement on one transmission is taken for one on the request.

Why this works: after a refusal nothing is sent again, and the request waits for its other transmissions. One that is granted decides; one whose leader lost its lead, or without a reply, leaves the outcome open, and the caller gets 500, which promises nothing. What a leader accepted before the refusal was applied before it, or never is.

--- a/include/cassia/entry/keeper_client.h
+++ b/include/cassia/entry/keeper_client.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,9 @@
 struct request_options {
     milliseconds timeout{5000}; ///< longest wait for a final reply
     bool resend = true;         ///< false: send only once, for requests that are not idempotent
+    /// Whether the reply refuses what another transmission of the request may still be granted.
+    /// Such a reply is final only when no other transmission can be applied any more.
+    std::function<bool(const schema::keeper_reply&)> is_refusal;
 };
 
 class keeper_client {
@@ -36,7 +40,7 @@
     void set_keepers(std::vector<keeper_address> keepers);
 
     /// Sends a request to the leader of its group. `on_reply` receives the reply, or one with the
-    /// result `unavailable` when the timeout expires.
+    /// result `unavailable` when the timeout expires before a reply is final.
     void send_request(schema::keeper_request request, request_options options,
                       reply_callback on_reply, instant now);
     void handle_reply(schema::keeper_reply reply, instant now);
@@ -56,13 +60,17 @@
         milliseconds resend_delay{0};       ///< until the next transmission if there is no reply
         std::vector<std::uint64_t> pending; ///< ids of the transmissions without a reply
         std::size_t next_keeper = 0;
-        bool rejected = false; ///< by the reply to the last transmission
+        bool rejected = false;                       ///< by the reply to the last transmission
+        std::optional<schema::keeper_reply> refusal; ///< not final yet
+        bool in_doubt = false; ///< a transmission may be applied after that refusal
     };
     using open_request_map = std::map<std::uint64_t, open_request>;
 
     void transmit(open_request_map::value_type& open, instant now);
     void fail(open_request_map::iterator open);
     open_request remove(open_request_map::iterator open);
+    /// Records the reply to one of the transmissions of a request that has been refused.
+    void settle_refusal(open_request_map::iterator open, schema::keeper_reply reply);
     void learn_leader(group_id group, const std::string& named);
     const keeper_address& choose_keeper(open_request& open);
 
--- a/lib/entry/keeper_client.cpp
+++ b/lib/entry/keeper_client.cpp
@@ -79,6 +79,11 @@
     open.pending.erase(std::find(open.pending.begin(), open.pending.end(), reply.id()));
     const bool is_outdated = reply.id() != open.request.id();
     const bool rejected = reply.result() != schema::keeper_reply::done;
+    const bool is_refusal = !rejected && open.options.is_refusal && open.options.is_refusal(reply);
+    if (is_refusal || open.refusal) {
+        settle_refusal(found, std::move(reply));
+        return;
+    }
     if (rejected && !is_outdated)
         learn_leader(group_id(open.request.group()), reply.leader());
     if (!rejected || !open.options.resend) {
@@ -94,6 +99,30 @@
     open.resend_delay = first_resend_delay;
 }
 
+// A transmission that a leader accepted before the refusal was applied before it. One that is still
+// on its way, or whose leader stepped down since, may be applied later and granted.
+void keeper_client::settle_refusal(open_request_map::iterator open, schema::keeper_reply reply) {
+    open_request& request = open->second;
+    const bool is_done = reply.result() == schema::keeper_reply::done;
+    if (is_done && !request.options.is_refusal(reply)) {
+        remove(open).on_reply(std::move(reply));
+        return;
+    }
+    if (is_done)
+        request.refusal = std::move(reply);
+    else if (reply.result() != schema::keeper_reply::not_leader)
+        request.in_doubt = true;
+    request.resend_at = request.expires_at;
+    if (!request.pending.empty())
+        return;
+    if (request.in_doubt) {
+        fail(open);
+        return;
+    }
+    schema::keeper_reply refusal = std::move(*request.refusal);
+    remove(open).on_reply(std::move(refusal));
+}
+
 void keeper_client::learn_leader(group_id group, const std::string& named) {
     leaders_.erase(group);
     if (!named.empty())
--- a/lib/gateway/job_service.cpp
+++ b/lib/gateway/job_service.cpp
@@ -58,6 +58,9 @@
     request.set_group(static_cast<std::uint32_t>(group.value()));
     entry::request_options options;
     options.timeout = request_timeout;
+    options.is_refusal = [](const schema::keeper_reply& reply) {
+        return reply.work().result() == schema::work_reply::over_quota;
+    };
     cluster_.send_request(std::move(request), options,
                           [done = std::move(done)](const schema::keeper_reply& reply) {
                               done(to_outcome(reply), reply.work());
--- a/unittests/entry/keeper_client_test.cpp
+++ b/unittests/entry/keeper_client_test.cpp
@@ -107,3 +107,84 @@
         CHECK(asked.back() == "k4:1");
     }
 }
+
+// Guards against a job that is refused, and runs: its refusal is believed while another
+// transmission of it is under way, which finds room.
+TEST_CASE("a refusal is final only when no other transmission can be granted", "[keeper_client]") {
+    std::vector<std::uint64_t> sent;
+    keeper_client client({{"k1", peer_address("k1:1")}},
+                         [&sent](const peer_address&, const schema::envelope& message) {
+                             sent.push_back(message.request().id());
+                         });
+    instant now(std::chrono::seconds(1000));
+    const auto reply = [&](std::size_t transmission, schema::keeper_reply::outcome result,
+                           schema::work_reply::outcome work) {
+        schema::keeper_reply message;
+        message.set_id(sent.at(transmission));
+        message.set_result(result);
+        message.mutable_work()->set_result(work);
+        client.handle_reply(std::move(message), now);
+    };
+    using schema::keeper_reply;
+    using schema::work_reply;
+    std::optional<schema::keeper_reply> result;
+    schema::keeper_request request;
+    request.set_group(1);
+    request_options options;
+    options.timeout = milliseconds(3000);
+    options.is_refusal = [](const schema::keeper_reply& one) {
+        return one.work().result() == schema::work_reply::over_quota;
+    };
+    client.send_request(
+        request, options, [&result](const schema::keeper_reply& one) { result = one; }, now);
+    const auto is_refused = [&result] {
+        return result && result->result() == keeper_reply::done &&
+               result->work().result() == work_reply::over_quota;
+    };
+    SECTION("sent once") {
+        reply(0, keeper_reply::done, work_reply::over_quota);
+        CHECK(is_refused());
+    }
+    SECTION("sent twice") {
+        now += milliseconds(800);
+        client.tick(now);
+        REQUIRE(sent.size() == 2);
+        const std::size_t first = GENERATE(0, 1);
+        reply(first, keeper_reply::done, work_reply::over_quota);
+        CHECK_FALSE(result.has_value());
+        SECTION("the other is granted") {
+            reply(1 - first, keeper_reply::done, work_reply::done);
+            REQUIRE(result.has_value());
+            CHECK(result->work().result() == work_reply::done);
+        }
+        SECTION("the other is refused too") {
+            reply(1 - first, keeper_reply::done, work_reply::over_quota);
+            CHECK(is_refused());
+        }
+        SECTION("the other reached no leader") {
+            reply(1 - first, keeper_reply::not_leader, work_reply::done);
+            CHECK(is_refused());
+        }
+        SECTION("the other's leader lost its lead") {
+            reply(1 - first, keeper_reply::unavailable, work_reply::done);
+            REQUIRE(result.has_value());
+            CHECK(result->result() == keeper_reply::unavailable);
+        }
+        SECTION("the other gets no reply") {
+            now += milliseconds(2300);
+            client.tick(now);
+            REQUIRE(result.has_value());
+            CHECK(result->result() == keeper_reply::unavailable);
+        }
+        CHECK(sent.size() == 2);
+        CHECK(client.open_requests() == 0);
+    }
+    SECTION("a leader that lost its lead before") {
+        reply(0, keeper_reply::unavailable, work_reply::done);
+        now += milliseconds(100);
+        client.tick(now);
+        REQUIRE(sent.size() == 2);
+        reply(1, keeper_reply::done, work_reply::over_quota);
+        CHECK(is_refused());
+    }
+}
