--- a/unittests/gateway/dispatcher_fixture.h
+++ b/unittests/gateway/dispatcher_fixture.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -28,21 +29,25 @@
            "." + std::to_string(number) + ":7311";
 }
 
+/// What the fixture's route and service allow beyond single runs.
+struct fixture_options {
+    bool resumable = false;
+    bool moves_runs = false;
+};
+
 /// A dispatcher with what it needs of its gateway, and a caller.
 class dispatcher_fixture {
 public:
     dispatcher_fixture(schema::route::route_kind kind, std::uint32_t max_attempts,
-                       milliseconds target)
-        : routes_(make_routes(kind, max_attempts, target)),
+                       milliseconds target, fixture_options options = {})
+        : routes_(make_routes(kind, max_attempts, target, options)),
           server_(task_, net::raw_server_limits(),
                   {[this](exchange_id id, net::raw_request request) {
-                       dispatcher_.submit({id,
-                                           std::move(request),
-                                           routes_,
-                                           routes_->find("web"),
-                                           nullptr,
-                                           {},
-                                           monotonic_now()});
+                       // The owner of a grant stands for its request.
+                       const policy::quota_grant grant{
+                           {}, entry_id(std::string(request.fields.find("Cassia-Request-Id")))};
+                       dispatcher_.submit({id, std::move(request), routes_, routes_->find("web"),
+                                           nullptr, grant, monotonic_now()});
                    },
                    [this](exchange_id id) { dispatcher_.on_caller_gone(id); }}),
           client_(task_, ""), crashes_(task_, "", self, zone_id("z"), metrics_, crash_hooks()),
@@ -118,8 +123,10 @@
     }
 
 private:
-    static std::shared_ptr<const routes::table>
-    make_routes(schema::route::route_kind kind, std::uint32_t max_attempts, milliseconds target) {
+    static std::shared_ptr<const routes::table> make_routes(schema::route::route_kind kind,
+                                                            std::uint32_t max_attempts,
+                                                            milliseconds target,
+                                                            fixture_options options) {
         schema::route_table source;
         source.set_version(1);
         schema::route& route = *source.add_routes();
@@ -130,10 +137,13 @@
         route.set_timeout_ms(1500);
         route.set_target_ms(target.count());
         route.set_max_attempts(max_attempts);
+        route.set_resumable(options.resumable);
         schema::route_target& to = *route.add_targets();
         to.set_service("web");
         to.set_weight(1);
-        source.add_services()->set_name("web");
+        schema::routed_service& service = *source.add_services();
+        service.set_name("web");
+        service.set_moves_runs(options.moves_runs);
         return routes::table::compile(source).value();
     }
     crash_monitor_hooks crash_hooks() {
@@ -160,7 +170,10 @@
     dispatcher_hooks hooks() {
         dispatcher_hooks hooks;
         hooks.request_yield = [](const entry_id&, const endpoint_id&) {};
-        hooks.refund_quota = [this](const policy::quota_grant&) { ++refunds; };
+        hooks.refund_quota = [this](const policy::quota_grant& grant) {
+            ++refunds;
+            refunded.insert(grant.owner.str());
+        };
         hooks.reports_pace = [this](const service_id&) { return reports_pace; };
         return hooks;
     }
@@ -183,6 +196,7 @@
 public:
     bool reports_pace = true;
     int refunds = 0;
+    std::set<std::string> refunded; ///< request ids
     int responses = 0;
     std::vector<std::string> crashed; ///< endpoints and their incarnations
 };
