Membership: an endpoint that is outranked is believed again

Callers lost an endpoint in use for good by one entry of another writer within all bounds: a higher `born` or `seq` under its id, a leave or drain with a higher `born`, or another id with a higher `born` at its address. merge() refused lower incarnations and sequences for ever, and an endpoint replaced at its address was marked gone, which is final.

An endpoint that goes on announcing itself now outlasts what is silent. A lower announcement is kept as a contender, and takes over when what outranks it has been silent for `unresponsive_after` and the contender has been heard three times with increasing sequences over at least that time since. A replaced address is a flag of its own, undone by the same measure. Delayed heartbeats of a process that has ended don't reach it while the successor is heard, nor in a burst. Leaving stays final: incarnations that left are remembered, and past 64 of an id none comes back. Gateways take a lower incarnation from the keeper that reported the higher one, in its order, and from another keeper once what they knew has been silent. Endpoints that leave are marked unresponsive too, so that gateways learn that they are silent.

The tests of delayed heartbeats and of drained incarnations pass on both: they guard against a weaker measure.

Not covered: a drain, or a leave, with the very `born` of an endpoint in use is final, as it can't be told from its own.

--- a/include/cassia/membership/endpoint_directory.h
+++ b/include/cassia/membership/endpoint_directory.h
@@ -4,9 +4,11 @@
 
 #include "cassia/base/clock.h"
 #include "cassia/base/ids.h"
+#include "cassia/membership/announcement_run.h"
 #include "cassia/schema/messages.pb.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -18,14 +20,27 @@
     milliseconds forget_after{60000};      ///< time without an announcement until removal
 };
 
+/// A record of an endpoint that isn't believed, and what speaks for it.
+struct endpoint_contender {
+    schema::endpoint_record record;
+    announcement_run run;
+};
+
 /// An endpoint with its latest announcement.
 struct endpoint_state {
     schema::endpoint_record record;
-    instant last_heard{};               ///< time of its latest announcement to any process
-    instant last_heard_directly{};      ///< time of its latest announcement to this process
-    bool leaving = false;               ///< takes no new work; final for the incarnation
-    bool unresponsive = false;          ///< judged by this process; see mark_unresponsive()
-    bool vouched = false;               ///< alive as judged by the process that reports it
+    instant last_heard{};            ///< time of its latest announcement to any process
+    instant last_heard_directly{};   ///< time of its latest announcement to this process
+    bool leaving = false;            ///< takes no new work; final for the incarnation
+    bool unresponsive = false;       ///< judged by this process; see mark_unresponsive()
+    bool vouched = false;            ///< alive as judged by the process that reports it
+    bool listed = false;             ///< reported by the process that is followed now
+    bool replaced = false;           ///< a process with a higher incarnation has its address
+    announcement_run since_replaced; ///< what speaks against that
+    instant reinstated_at{};         ///< when it outlasted what had outranked it
+    std::uint64_t outlasted = 0;     ///< highest incarnation that it has outlasted
+    std::set<std::uint64_t> left;    ///< other incarnations that left, which is final
+    std::optional<endpoint_contender> contender;
     std::uint64_t changed_revision = 0; ///< revision of its last change, except of its load
     std::uint64_t heard_revision = 0;   ///< revision of its latest announcement
 };
@@ -49,6 +64,9 @@
     /// The process that vouched is no longer followed: from now on the endpoints are judged by
     /// their age.
     void withdraw_vouches(instant now);
+    /// Adopts records of merge_judged() that waited until what was known before had been silent for
+    /// `unresponsive_after`. Has to be called with each list.
+    void adopt_waiting(instant now);
     /// Marks the endpoints without an announcement for `unresponsive_after`, for the processes that
     /// rely on this one. Has to be called often: a process that was suspended knows nothing of the
     /// announcements of that time, and waits anew. \returns whether any was marked.
@@ -81,17 +99,38 @@
     void forget_old(instant now);
 
 private:
-    bool merge(const schema::endpoint_record& record, instant heard);
+    using endpoint_map = std::map<endpoint_id, endpoint_state>;
+
+    bool merge(const schema::endpoint_record& record, instant heard, instant now);
+    bool merge_same_incarnation(endpoint_state& known, const schema::endpoint_record& record,
+                                instant heard, instant now);
+    /// Counts an announcement that ranks below what is known. \returns whether it is believed now.
+    bool contend(const endpoint_id& id, const schema::endpoint_record& record, instant heard,
+                 instant now);
+    /// Whether a record of a higher incarnation says nothing new about an endpoint that is alive.
+    bool is_old_report(const endpoint_state& known, const schema::endpoint_record& record,
+                       instant heard, instant now) const;
+    /// Makes the record that of the endpoint, whatever is known of it.
+    endpoint_state& replace(const schema::endpoint_record& record, instant heard, instant now);
     void store(endpoint_state& endpoint, const schema::endpoint_record& record, instant heard);
     void note_change(const endpoint_id& id, endpoint_state& endpoint);
     bool note_responsive(const endpoint_id& id, endpoint_state& endpoint);
-    void retire_replaced_endpoints(const schema::endpoint_record& record);
-    /// Whether an endpoint with a higher incarnation has this one's address.
-    bool is_replaced(const schema::endpoint_record& record) const;
+    /// Counts an announcement of a replaced endpoint. \returns whether it is believed now.
+    bool note_reinstated(const endpoint_id& id, endpoint_state& endpoint);
+    void mark_replaced_endpoints(const schema::endpoint_record& record, instant heard, instant now);
+    /// Endpoints with a higher incarnation at this one's address.
+    std::vector<const endpoint_state*> successors(const schema::endpoint_record& record) const;
+    static void note_left(endpoint_state& endpoint, std::uint64_t incarnation);
+    /// Whether an incarnation below the known one may be believed again.
+    static bool may_return(const endpoint_state& endpoint, std::uint64_t incarnation);
+    bool is_alive(const endpoint_state& endpoint, instant now) const;
+    /// Whether the address is that of a later process, as far as known here.
+    bool is_replaced(const endpoint_state& endpoint, instant now) const;
     void forget_address(const schema::endpoint_record& record);
 
     endpoint_directory_settings settings_;
-    std::map<endpoint_id, endpoint_state> endpoints_;
+    endpoint_map endpoints_;
+    std::set<endpoint_id> waiting_; ///< with a contender for adopt_waiting()
     std::uint64_t revision_ = 0;
     std::map<std::uint64_t, endpoint_id> by_changed_revision_;
     std::map<std::string, std::set<endpoint_id>> by_address_;
--- a/lib/membership/endpoint_directory.cpp
+++ b/lib/membership/endpoint_directory.cpp
@@ -27,7 +27,7 @@
 }
 
 bool endpoint_directory::merge_announcement(const schema::endpoint_record& record, instant now) {
-    const bool changed = merge(record, now);
+    const bool changed = merge(record, now, now);
     auto found = endpoints_.find(endpoint_id(record.id()));
     if (found->second.record.incarnation() == record.incarnation())
         found->second.last_heard_directly = now;
@@ -35,7 +35,7 @@
 }
 
 bool endpoint_directory::merge_remote(const schema::endpoint_record& record, instant now) {
-    return merge(record, now - milliseconds(record.age_ms()));
+    return merge(record, now - milliseconds(record.age_ms()), now);
 }
 
 void endpoint_directory::store(endpoint_state& endpoint, const schema::endpoint_record& record,
@@ -68,31 +68,12 @@
     return static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(to - from).count());
 }
 
-// A later process can reuse the address of an earlier one. Without this, a delayed announcement of
-// the earlier process would list both endpoints at that address, and requests for one would reach
-// the other.
-void endpoint_directory::retire_replaced_endpoints(const schema::endpoint_record& record) {
-    for (const endpoint_id& id : by_address_[record.address()]) {
-        endpoint_state& other = endpoints_.at(id);
-        const bool replaced = other.record.id() != record.id() &&
-                              other.record.incarnation() < record.incarnation() &&
-                              !other.record.gone();
-        if (!replaced)
-            continue;
-        other.leaving = true;
-        other.record.set_gone(true);
-        note_change(id, other);
-    }
+static bool leaves(const schema::endpoint_record& record) {
+    return record.leaving() || record.gone();
 }
 
-bool endpoint_directory::is_replaced(const schema::endpoint_record& record) const {
-    auto sharing = by_address_.find(record.address());
-    return sharing != by_address_.end() &&
-           std::any_of(sharing->second.begin(), sharing->second.end(),
-                       [this, &record](const endpoint_id& id) {
-                           return id.str() != record.id() &&
-                                  endpoints_.at(id).record.incarnation() > record.incarnation();
-                       });
+bool endpoint_directory::is_alive(const endpoint_state& endpoint, instant now) const {
+    return endpoint.vouched || now - endpoint.last_heard < settings_.unresponsive_after;
 }
 
 void endpoint_directory::forget_address(const schema::endpoint_record& record) {
@@ -104,49 +85,77 @@
         by_address_.erase(sharing);
 }
 
-bool endpoint_directory::merge(const schema::endpoint_record& record, instant heard) {
+endpoint_state& endpoint_directory::replace(const schema::endpoint_record& record, instant heard,
+                                            instant now) {
     const endpoint_id id(record.id());
     auto found = endpoints_.find(id);
-    const bool newer =
-        found == endpoints_.end() || record.incarnation() > found->second.record.incarnation();
-    if (newer) {
-        if (found != endpoints_.end()) {
-            by_changed_revision_.erase(found->second.changed_revision);
-            forget_address(found->second.record);
-        }
-        endpoint_state added;
-        const bool replaced = is_replaced(record);
-        store(added, record, heard);
-        added.leaving = record.leaving() || record.gone() || replaced;
-        added.record.set_gone(record.gone() || replaced);
-        note_change(id, added);
-        endpoints_[id] = std::move(added);
-        retire_replaced_endpoints(record);
+    endpoint_state added;
+    if (found != endpoints_.end()) {
+        const endpoint_state& known = found->second;
+        added.left = known.left;
+        if (known.leaving)
+            note_left(added, known.record.incarnation());
+        added.contender = endpoint_contender{known.record, {}};
+        by_changed_revision_.erase(known.changed_revision);
+        forget_address(known.record);
+    }
+    store(added, record, heard);
+    added.leaving = leaves(record) || added.left.count(record.incarnation()) > 0;
+    added.replaced = !successors(record).empty();
+    note_change(id, added);
+    endpoint_state& stored = endpoints_[id];
+    stored = std::move(added);
+    mark_replaced_endpoints(record, heard, now);
+    return stored;
+}
+
+bool endpoint_directory::merge(const schema::endpoint_record& record, instant heard, instant now) {
+    const endpoint_id id(record.id());
+    auto found = endpoints_.find(id);
+    if (found == endpoints_.end()) {
+        replace(record, heard, now);
         return true;
     }
     endpoint_state& known = found->second;
     if (record.incarnation() < known.record.incarnation())
+        return contend(id, record, heard, now);
+    if (record.incarnation() == known.record.incarnation())
+        return merge_same_incarnation(known, record, heard, now);
+    if (is_old_report(known, record, heard, now)) {
+        // Liveness reports of it may follow without the record.
+        known.contender = endpoint_contender{record, {}};
         return false;
+    }
+    replace(record, heard, now);
+    return true;
+}
+
+bool endpoint_directory::merge_same_incarnation(endpoint_state& known,
+                                                const schema::endpoint_record& record,
+                                                instant heard, instant now) {
+    const endpoint_id id(record.id());
     // Leaving is final for an incarnation. Otherwise an earlier announcement that arrives late, by
     // way of another process, would send new work to an endpoint that is about to stop.
-    const bool leaves = record.leaving() || record.gone();
-    const bool starts_leaving = leaves && !known.leaving;
-    known.leaving = known.leaving || leaves;
+    const bool starts_leaving = leaves(record) && !known.leaving;
+    known.leaving = known.leaving || leaves(record);
     const bool gone = known.record.gone() || record.gone();
     if (starts_leaving || gone != known.record.gone())
         note_change(id, known);
     known.record.set_gone(gone);
-    // An announcement out of order doesn't prove that the endpoint is still alive.
-    const bool outdated = record.sequence() < known.record.sequence();
-    if (heard <= known.last_heard || outdated)
+    if (heard <= known.last_heard)
         return starts_leaving;
+    // An announcement out of order doesn't prove that the endpoint is still alive.
+    if (record.sequence() < known.record.sequence())
+        return contend(id, record, heard, now) || starts_leaving;
     const bool changed = differs_besides_load(record, known.record);
     store(known, record, heard);
     known.record.set_gone(gone);
     if (changed)
         note_change(id, known);
+    mark_replaced_endpoints(record, heard, now);
+    const bool reinstated = note_reinstated(id, known);
     const bool responsive_again = note_responsive(id, known);
-    return starts_leaving || changed || responsive_again;
+    return starts_leaving || changed || reinstated || responsive_again;
 }
 
 // Nearly all announcements repeat the previous one. Forwarding the whole records of 60 endpoints
@@ -158,27 +167,55 @@
         return false;
     endpoint_state& known = found->second;
     const instant heard = now - milliseconds(pulse.age_ms());
-    const bool newer = pulse.incarnation() == known.record.incarnation() &&
-                       pulse.sequence() >= known.record.sequence() && heard > known.last_heard;
-    if (!newer)
+    const bool same_incarnation = pulse.incarnation() == known.record.incarnation();
+    if (same_incarnation && pulse.sequence() >= known.record.sequence()) {
+        if (heard <= known.last_heard)
+            return false;
+        known.record.set_sequence(pulse.sequence());
+        known.last_heard = heard;
+        known.heard_revision = ++revision_;
+        mark_replaced_endpoints(known.record, heard, now);
+        const bool reinstated = note_reinstated(found->first, known);
+        return note_responsive(found->first, known) || reinstated;
+    }
+    if (!known.contender || known.contender->record.incarnation() != pulse.incarnation())
         return false;
-    known.record.set_sequence(pulse.sequence());
-    known.last_heard = heard;
-    known.heard_revision = ++revision_;
-    return note_responsive(found->first, known);
+    schema::endpoint_record record = known.contender->record;
+    record.set_sequence(pulse.sequence());
+    return merge(record, heard, now);
 }
 
 void endpoint_directory::merge_judged(const schema::endpoint_record& record, instant now) {
-    auto listed = endpoints_.find(endpoint_id(record.id()));
-    const bool same_incarnation =
-        listed != endpoints_.end() && listed->second.record.incarnation() == record.incarnation();
-    // The time of its last announcement doesn't order records that another process judges.
-    if (same_incarnation)
-        listed->second.last_heard = instant();
-    merge_remote(record, now);
-    endpoint_state& known = endpoints_.at(endpoint_id(record.id()));
-    if (known.record.incarnation() != record.incarnation())
-        return;
+    const endpoint_id id(record.id());
+    const instant heard = now - milliseconds(record.age_ms());
+    auto found = endpoints_.find(id);
+    const bool known_before = found != endpoints_.end();
+    waiting_.erase(id);
+    if (known_before && record.incarnation() < found->second.record.incarnation()) {
+        endpoint_state& known = found->second;
+        if (leaves(record))
+            note_left(known, record.incarnation());
+        if (record.unresponsive() || !may_return(known, record.incarnation()))
+            return;
+        // What the same process reports later is what it believes by now. Another one may be
+        // behind.
+        if (!known.listed && is_alive(known, now)) {
+            known.contender = endpoint_contender{record, {}};
+            waiting_.insert(id);
+            return;
+        }
+        replace(record, heard, now);
+    } else if (known_before && record.incarnation() == found->second.record.incarnation()) {
+        // Neither the time nor the number of its last announcement orders records that another
+        // process judges.
+        found->second.last_heard = instant();
+        found->second.record.set_sequence(0);
+        merge_same_incarnation(found->second, record, heard, now);
+    } else {
+        replace(record, heard, now);
+    }
+    endpoint_state& known = endpoints_.at(id);
+    known.listed = true;
     known.vouched = !record.unresponsive();
     if (record.unresponsive())
         known.last_heard = now - std::max<microseconds>(milliseconds(record.age_ms()),
@@ -186,8 +223,21 @@
     ++changes_;
 }
 
+void endpoint_directory::adopt_waiting(instant now) {
+    const std::set<endpoint_id> waiting = waiting_;
+    for (const endpoint_id& id : waiting) {
+        auto found = endpoints_.find(id);
+        if (found == endpoints_.end() || !found->second.contender)
+            waiting_.erase(id);
+        else if (!is_alive(found->second, now))
+            merge_judged(schema::endpoint_record(found->second.contender->record), now);
+    }
+}
+
 void endpoint_directory::withdraw_vouches(instant now) {
+    waiting_.clear();
     for (std::pair<const endpoint_id, endpoint_state>& known : endpoints_) {
+        known.second.listed = false;
         if (std::exchange(known.second.vouched, false))
             known.second.last_heard = now;
     }
@@ -200,7 +250,7 @@
     for (std::pair<const endpoint_id, endpoint_state>& known : endpoints_) {
         const instant observed_from = std::max(known.second.last_heard, observing_since_);
         const bool unheard = now - observed_from >= settings_.unresponsive_after;
-        if (!unheard || known.second.leaving || std::exchange(known.second.unresponsive, true))
+        if (!unheard || std::exchange(known.second.unresponsive, true))
             continue;
         note_change(known.first, known.second);
         any_marked = true;
@@ -238,9 +288,9 @@
     std::vector<const endpoint_state*> out;
     out.reserve(endpoints_.size());
     for (const std::pair<const endpoint_id, endpoint_state>& known : endpoints_) {
-        const bool alive =
-            known.second.vouched || now - known.second.last_heard < settings_.unresponsive_after;
-        if (!known.second.leaving && alive)
+        const bool in_service =
+            !known.second.leaving && is_alive(known.second, now) && !is_replaced(known.second, now);
+        if (in_service)
             out.push_back(&known.second);
     }
     return out;
@@ -269,7 +319,7 @@
         schema::endpoint_record record = known.record;
         record.set_leaving(known.leaving);
         record.set_age_ms(ms_between(known.last_heard, now));
-        record.set_unresponsive(known.unresponsive);
+        record.set_unresponsive(known.unresponsive || known.replaced);
         out.push_back(std::move(record));
     }
     return out;
--- a/lib/membership/followed_endpoints.cpp
+++ b/lib/membership/followed_endpoints.cpp
@@ -33,6 +33,7 @@
         directory_.withdraw_vouches(now);
     for (const schema::endpoint_record& record : beacon.endpoints())
         directory_.merge_judged(record, now);
+    directory_.adopt_waiting(now);
 }
 
 } // namespace cassia::membership
