Entry: a resend of a running request is not told that it didn't run

What callers saw: 409 `in_progress` with `Cassia-Run: no` for a resend under the idempotency key of a request that an endpoint runs, or has run until its outcome is marked. By docs/CALLERS.md `run: no` promises that no endpoint was ever sent the request.

Cause: the refusal spoke of the transmission; the key names the request. A caller that believes it and begins anew under another key has it run twice.

Why this works: the claim knows that another transmission holds the key, and not what became of it: `maybe`. The key isn't released by such a refusal, as before.

Changed check: the scenario asked for `run: no` in `in_progress` after a run whose outcome was being marked. That was the false promise; it asks for `maybe` now, in two places instead of one.

--- a/lib/entry/online_arrival.cpp
+++ b/lib/entry/online_arrival.cpp
@@ -240,8 +240,9 @@
         return;
     }
     case schema::work_reply::in_progress:
+        // The key names the request: another transmission of it runs.
         reject(exchange, {rejection_code::in_progress, "a request with this key is running",
-                          run_state::no, default_retry_after});
+                          run_state::maybe, default_retry_after});
         return;
     case schema::work_reply::key_reused:
         reject(exchange,
--- a/test/scenarios/unrepeatable_runs_once.lua
+++ b/test/scenarios/unrepeatable_runs_once.lua
@@ -13,7 +13,7 @@
     local got = digest(to, text, key)
     expect(got.status == 502 or got.status == 409, "502, or 409 for now, not " .. got.status)
     if got.status == 409 then
-      expect(got.json.error.code == "in_progress" and got.json.error.run == "no", got.body)
+      expect(got.json.error.code == "in_progress" and got.json.error.run == "maybe", got.body)
       return false
     end
     expect(got.json.error.code == "outcome_unknown" and got.json.error.run == "maybe", got.body)
@@ -33,8 +33,10 @@
 expect(digest("entry-3", '{"n":2}', "k1").status == 422, "another digest under the key is refused")
 expect(total('{"n":1}') == 1 and total('{"n":2}') == 0, "it ran once")
 
--- The caller goes away, and both send it at once.
+-- The caller goes away, and both send it at once. What is told to one transmission holds for the
+-- request of its key, which runs.
 local calls = {}
+local in_progress = 0
 for i = 1, 6 do
   calls[i] = ask_later({ to = "entry-" .. (i % 3 + 1), path = "/v1/services/records/digest",
     body = '{"n":3}', headers = { ["Idempotency-Key"] = "k3" } })
@@ -43,7 +45,12 @@
 for i = 2, 6 do
   local got = answer(calls[i])
   expect(got.status == 200 or got.status == 409, "run or in progress, not " .. got.status)
+  if got.status == 409 then
+    in_progress = in_progress + 1
+    expect(got.headers["cassia-run"] == "maybe", "no promise that it didn't run: " .. got.body)
+  end
 end
+expect(in_progress > 0, "some were told that it is in progress")
 expect(total('{"n":3}') == 1, "it ran once, not " .. total('{"n":3}'))
 
 -- The deadline passes while the service runs the call: it may have run, so it never runs again.
