Entry: a job that another transmission may get accepted is not told "no"

What callers could see: 409 `in_progress` with `Cassia-Run: no` for a job whose items run, since the same job was accepted through another entry.

Cause: transmissions of a job of several parts replace each other while it is loaded. One that has lost four times is refused, and the refusal of this one transmission was stated of the job.

Evidence: `job_submitted_twice` sends a job of 6,000 items thirty times through three entries.

Why this works: what the other transmissions become isn't known here: `maybe`.

--- a/lib/entry/batch_submission.cpp
+++ b/lib/entry/batch_submission.cpp
@@ -284,14 +284,15 @@
                          return;
                      }
                      // The same job is being submitted through another entry as well, and the parts
-                     // of the two submissions were mixed. Start over.
+                     // of the two submissions were mixed. Start over. The other one may be
+                     // accepted.
                      if (++submission->failed_commits < max_commit_attempts) {
                          send_begin(submission);
                          return;
                      }
                      context_.reject(submission->exchange,
                                      {rejection_code::in_progress, "this job is being submitted",
-                                      run_state::no, default_retry_after},
+                                      run_state::maybe, default_retry_after},
                                      submission->request_id);
                  });
 }
