Membership: keepers don't revive a silent endpoint by each other's reports

Gateways put an endpoint that had ended back into service for some 0.2 s, about every 1.5 s, until it was forgotten. A keeper that marks an endpoint unresponsive forwards the record with its age. Ages are whole milliseconds and leave out the time in transit, so that the same announcement seems a little later at the receiver, which took it for a new one, called the endpoint responsive and sent that back.

--- a/unittests/membership/outranked_endpoint_test.cpp
+++ b/unittests/membership/outranked_endpoint_test.cpp
@@ -197,6 +197,37 @@
     CHECK(failed == 0);
 }
 
+// Guards against keepers that revive an endpoint that has ended, by reports whose age is off by a
+// millisecond.
+TEST_CASE("an endpoint that has ended stays out of service at all keepers",
+          "[membership][outranked]") {
+    endpoint_directory first{endpoint_directory_settings()};
+    endpoint_directory second{endpoint_directory_settings()};
+    first.merge_announcement(make("e-1", real_start, 1), start);
+    int revived = 0;
+    std::uint64_t first_sent = 0;
+    std::uint64_t second_sent = 0;
+    const auto forward = [](const endpoint_directory& from, endpoint_directory& to,
+                            std::uint64_t& sent, instant now) {
+        for (const schema::endpoint_record& record : from.records_since(sent, now))
+            to.merge_remote(record, now + milliseconds(1));
+        for (const schema::endpoint_pulse& pulse : from.pulses_since(sent, now))
+            to.merge_remote(pulse, now + milliseconds(1));
+        sent = from.revision();
+    };
+    for (int tick = 0; tick <= 200; ++tick) {
+        const instant now = start + tick * milliseconds(100);
+        first.mark_unresponsive(now);
+        second.mark_unresponsive(now);
+        forward(first, second, first_sent, now);
+        forward(second, first, second_sent, now + milliseconds(20));
+        for (const endpoint_directory* keeper : {&first, &second})
+            for (const schema::endpoint_record& record : keeper->records_since(0, now))
+                revived += tick >= 40 && !record.unresponsive() ? 1 : 0;
+    }
+    CHECK(revived == 0);
+}
+
 // Guards against heartbeats delayed by a partition that bring a process back that has ended.
 TEST_CASE("delayed heartbeats of a predecessor change nothing", "[membership][outranked]") {
     for (unsigned seed = 1; seed <= 200; ++seed) {
