HTTP client: the start of a response and another head behind it are no response

What callers could see: a request that may run once ran twice, or was answered 503 and ran, again.

Cause: a late copy of a rejection that is cut within its reason, or within a value ahead of the request id, is parsed as one head with the own response behind it: with the copy's status and "not run", and the own id. The id is compared, agrees, and the rejection is believed.

Change: a head with the first line of another response in its reason or in a value says nothing of either. It belongs to no request: the call fails as one that may have run. This holds for every response of the client, as a success read so would bear the copy's status too.

Why this works: what follows a cut response begins with its own first line, which ends up whole in the reason or in a value; within a name it can't be parsed. A cut behind the id leaves another request's id, which is skipped or fails.

--- a/lib/net/raw_client.cpp
+++ b/lib/net/raw_client.cpp
@@ -230,7 +230,9 @@
 bool raw_client::state::take_response(call_id id) {
     call_state& one = calls.at(id);
     raw_head head = take_head(*one.parser);
-    if (one.call.find_owner)
+    if (holds_another_head(*one.parser))
+        one.owner = response_owner::unknown;
+    else if (one.call.find_owner)
         one.owner = one.call.find_owner(head);
     if (one.owner != response_owner::this_request)
         return true;
--- a/lib/net/response_reader.cpp
+++ b/lib/net/response_reader.cpp
@@ -28,6 +28,28 @@
     return parser.get().result_int() < informational_end;
 }
 
+static bool holds_status_line(std::string_view text) {
+    constexpr std::string_view version = "HTTP/1.";
+    constexpr std::size_t digit_and_space = 2;
+    for (std::size_t at = text.find(version); at != std::string_view::npos;
+         at = text.find(version, at + 1)) {
+        const std::string_view rest = text.substr(at + version.size());
+        if (rest.size() > digit_and_space && rest[1] == ' ' && rest[2] >= '1' && rest[2] <= '5')
+            return true;
+    }
+    return false;
+}
+
+bool holds_another_head(const response_parser& parser) {
+    const response_parser::value_type& message = parser.get();
+    if (holds_status_line({message.reason().data(), message.reason().size()}))
+        return true;
+    return std::any_of(message.begin(), message.end(),
+                       [](const response_parser::value_type::value_type& field) {
+                           return holds_status_line({field.value().data(), field.value().size()});
+                       });
+}
+
 raw_head take_head(const response_parser& parser) {
     const response_parser::value_type& message = parser.get();
     raw_head head;
--- a/lib/net/response_reader.h
+++ b/lib/net/response_reader.h
@@ -20,6 +20,9 @@
 
 std::unique_ptr<response_parser> make_parser(const raw_request& request);
 bool is_informational(const response_parser& parser);
+/// Whether a value or the reason holds the first line of another response: the start of one that
+/// broke off and the head behind it were read as one head, which says nothing of either.
+bool holds_another_head(const response_parser& parser);
 raw_head take_head(const response_parser& parser);
 /// How long the connection may be kept after the response.
 milliseconds idle_limit_of(const http_fields& fields);
