--- a/include/cassia/entry/keeper_client.h
+++ b/include/cassia/entry/keeper_client.h
@@ -26,7 +26,7 @@
     bool resend = true;         ///< false: send only once, for requests that are not idempotent
     /// Whether the reply refuses what another transmission of the request may still be granted.
     /// Such a reply is final only when no other transmission can be applied any more.
-    std::function<bool(const schema::keeper_reply&)> is_refusal;
+    std::function<bool(const schema::keeper_reply&)> is_refusal{};
 };
 
 class keeper_client {
