Streams of unknown origin go on only by lists read after their caller came

Cause: a gateway without the record of a stream took its service for one of a single version by the list as it had it, if any control keeper had been heard within a second. Evidence was judged by when a beacon was read, and by one keeper's list: a version that joined since the list was written, or that the followed keeper doesn't know yet, is not in it. The stream may have begun there.

A stream without a record is held until the followed keeper and a majority of the seeds and control keepers known have replied to heartbeats sent after the caller came, 250 ms at most, and goes on if all that was read lately names one version. Else 503, as before.

A keeper whose list was only read is told to forget it before it is followed: it would count the list as in transit and not send it for 3 s.

Ruled out: fields of their own in the beacon aren't needed. Not covered: a version that a minority of the control keepers alone knows and has already listed to gateways.

--- a/include/cassia/gateway/cluster_client.h
+++ b/include/cassia/gateway/cluster_client.h
@@ -8,6 +8,8 @@
 #include "cassia/entry/keeper_client.h"
 #include "cassia/gateway/quota_coordinator.h"
 #include "cassia/gateway/usage_coordinator.h"
+#include "cassia/gateway/version_evidence.h"
+#include "cassia/membership/control_lists.h"
 #include "cassia/membership/entry_roster.h"
 #include "cassia/membership/followed_endpoints.h"
 #include "cassia/membership/followed_keeper.h"
@@ -55,6 +57,8 @@
     std::function<void(const schema::stale_items&)> on_stale_items;
     /// The decision on a request that the owner of the team's quota was asked about.
     std::function<void(const policy::quota_decision&)> on_quota_decision;
+    /// A control keeper's list of endpoints was read after a call of request_lists().
+    std::function<void()> on_list_read;
 };
 
 class cluster_client {
@@ -92,9 +96,11 @@
     /// Name under which this process holds leases; a different one after each start.
     const std::string& lease_holder() const { return lease_holder_; }
     const net::peer_hub& peers() const { return hub_; }
-    /// The software version of all endpoints that the service had lately; nothing if there were
-    /// several, or while this gateway may have missed one.
-    std::optional<software_version> only_version(const service_id& service) const;
+    /// Reads the lists of endpoints of all control keepers soon.
+    void request_lists();
+    /// The software version of all endpoints that the service had lately, as a majority of the
+    /// control keepers knew them after `since`; see request_lists().
+    version_evidence only_version(const service_id& service, instant since) const;
     bool heard_control_keepers() const { return last_control_beacon_at_ != instant(); }
     bool knows_work_keepers() const { return !work_keepers_.empty(); }
 
@@ -108,10 +114,13 @@
 
     /// Keepers that get a heartbeat. The followed keeper is the one of the control group from which
     /// this gateway copies the list of gateways; see membership::followed_keeper.
-    enum class heartbeat_scope { followed_keeper, work_keepers, all_keepers };
+    enum class heartbeat_scope { followed_keeper, control_keepers, work_keepers, all_keepers };
     /// The control keepers that get a heartbeat of this scope.
     std::set<peer_address> control_recipients(const peer_address& followed, heartbeat_scope scope,
                                               instant now) const;
+    /// Whether heartbeats ask all control keepers for their lists of endpoints.
+    bool reads_lists(instant now) const;
+    void read_lists(const schema::keeper_beacon& beacon, instant now);
     bool is_starting(instant now) const;
     std::vector<peer_address> ranked_seeds() const;
     /// Asks one more seed for as long as there is no routing table.
@@ -148,6 +157,10 @@
     membership::roster_copy roster_;
     membership::followed_endpoints endpoints_;
     membership::version_history versions_;
+    membership::control_lists lists_;
+    instant lists_requested_at_{}; ///< when control keepers were last asked for their lists
+    bool list_request_scheduled_ = false;
+    std::set<peer_address> read_keepers_; ///< were asked for their lists and not yet told to stop
     std::vector<policy::slot_endpoint> published_endpoints_; ///< as last passed to on_endpoints
     std::uint64_t published_changes_ = 0; ///< endpoints_.changes() at the last check
     instant endpoints_checked_at_{};
--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -14,6 +14,7 @@
 #include "cassia/gateway/request_tokens.h"
 #include "cassia/gateway/run_migration.h"
 #include "cassia/gateway/trial_exchange.h"
+#include "cassia/gateway/version_evidence.h"
 #include "cassia/net/raw_client.h"
 #include "cassia/net/raw_server.h"
 #include "cassia/policy/hedging.h"
@@ -42,8 +43,12 @@
     std::function<void(const entry_id& holder, const endpoint_id&)> request_yield;
     /// Refunds the quota of a request that has not run and never will.
     std::function<void(const policy::quota_grant&)> refund_quota;
-    /// The software version of all endpoints that the service had lately, if there was but one.
-    std::function<std::optional<software_version>(const service_id&)> only_version;
+    /// The software version of all endpoints that the service had lately, if there was but one, as
+    /// known after a time.
+    std::function<version_evidence(const service_id&, instant since)> only_version =
+        [](const service_id&, instant) { return version_evidence(); };
+    /// Brings what only_version() tells up to date soon.
+    std::function<void()> request_versions = [] {};
     /// Whether an endpoint of the service has reported its pace. Only then are its calls hedged.
     std::function<bool(const service_id&)> reports_pace = [](const service_id&) { return false; };
 };
@@ -99,6 +104,8 @@
     void dispatch_queued();
     /// The software that began a stream was looked up.
     void on_origin(const policy::stream_origin_decision& decision);
+    /// More may be known of the software that began streams.
+    void check_unknown_origins();
     /// Ends waiting calls whose software version no endpoint has any more.
     void end_unservable();
     void tick(instant now);
@@ -129,6 +136,7 @@
     void go_on(online_call& call, const policy::software& began_by, const std::string& evidence);
     /// No gateway that was asked knows what began the stream.
     void on_unknown_origin(online_call& call);
+    static bool has_one_target(const online_call& call);
     void on_first_event(online_call& call);
     void cancel_lookup(online_call& call);
     /// Whether no endpoint may go on with the call's stream.
@@ -255,6 +263,7 @@
     flow_control* flow_ = nullptr;
     std::map<exchange_id, std::unique_ptr<online_call>> calls_;
     std::map<lookup_id, exchange_id> lookups_;
+    std::set<exchange_id> unknown_origins_; ///< calls that wait for only_version()
     /// The suspect that runs without a coordinator, for each service.
     std::map<service_id, exchange_id> running_alone_;
     policy::request_queue queue_;
--- a/include/cassia/gateway/online_call.h
+++ b/include/cassia/gateway/online_call.h
@@ -113,6 +113,7 @@
     /// Of the endpoint that wrote the stream's first event; none before that event.
     std::optional<software_version> origin_version;
     lookup_id lookup;          ///< of what began the stream; none while there is none
+    instant taken_up_at{};     ///< when the caller that has part of the stream came
     instant caller_deadline{}; ///< until then the caller may take the stream up
     instant last_event_at{};
     microseconds longest_pause{0}; ///< between two events
--- a/include/cassia/membership/followed_endpoints.h
+++ b/include/cassia/membership/followed_endpoints.h
@@ -25,7 +25,8 @@
     /// Writes what this copy has into a heartbeat to the followed keeper.
     void write(schema::entry_hello& heartbeat) const;
     /// Applies a beacon, unless it is of another keeper, out of order, or behind a lost one.
-    void apply_beacon(const peer_address& keeper, const schema::keeper_beacon& beacon, instant now);
+    /// \returns whether this copy is now as the keeper's list was when the beacon was written.
+    bool apply_beacon(const peer_address& keeper, const schema::keeper_beacon& beacon, instant now);
     void forget_old(instant now) { directory_.forget_old(now); }
 
     const peer_address& source() const { return source_; }
--- a/lib/gateway/cluster_client.cpp
+++ b/lib/gateway/cluster_client.cpp
@@ -185,13 +185,15 @@
     last_control_beacon_at_ = now;
     control_keepers_[from] = now;
     followed_.record_reply(from, beacon.in_touch(), now);
-    endpoints_.apply_beacon(from, beacon, now);
+    read_lists(beacon, now);
     publish_endpoints(now);
     update_gateways(beacon);
     // Keepers list endpoints only for gateways that follow them. Chosen after the reply is
     // recorded: the beacon may be the first thing that this process reads after a freeze.
     if (followed_.choose(now) != endpoints_.source())
         send_heartbeat(heartbeat_scope::followed_keeper);
+    if (reads_lists(now))
+        hooks_.on_list_read();
 }
 
 bool cluster_client::remove_silent(std::map<peer_address, instant>& keepers, instant now) {
@@ -303,13 +305,6 @@
     hooks_.on_endpoints(published_endpoints_);
 }
 
-std::optional<software_version> cluster_client::only_version(const service_id& service) const {
-    const instant now = monotonic_now();
-    const bool is_current =
-        followed_.is_in_touch() && now - last_control_beacon_at_ <= control_lost_after;
-    return is_current ? versions_.only_version(service, now) : std::nullopt;
-}
-
 bool cluster_client::send_to_gateway(const entry_id& to, schema::envelope& envelope) {
     auto found = roster_.entries().find(to);
     if (found == roster_.entries().end())
--- a/lib/gateway/cluster_heartbeats.cpp
+++ b/lib/gateway/cluster_heartbeats.cpp
@@ -63,14 +63,15 @@
                                                           heartbeat_scope scope,
                                                           instant now) const {
     std::set<peer_address> recipients;
-    if (is_starting(now)) {
+    if (is_starting(now) && scope != heartbeat_scope::control_keepers) {
         const std::vector<peer_address> ranked = ranked_seeds();
         const std::size_t asked = routes_ ? 0 : std::min(asked_seeds_, ranked.size());
         recipients.insert(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(asked));
         return recipients;
     }
-    const bool includes_all = followed_.is_in_touch() ? scope == heartbeat_scope::all_keepers
-                                                      : scope != heartbeat_scope::followed_keeper;
+    const bool includes_all = scope == heartbeat_scope::control_keepers ||
+                              (followed_.is_in_touch() ? scope == heartbeat_scope::all_keepers
+                                                       : scope != heartbeat_scope::followed_keeper);
     if (!includes_all && !followed.empty())
         return recipients;
     recipients.insert(seeds_.begin(), seeds_.end());
@@ -85,11 +86,15 @@
     if (roster_.follow(followed))
         log_info("keeper_followed").with("keeper", followed.str());
     // The keeper followed before learns that its list is dropped.
-    std::set<peer_address> recipients = control_recipients(followed, scope, now);
+    const std::set<peer_address> control = control_recipients(followed, scope, now);
+    std::set<peer_address> recipients = control;
     recipients.insert({endpoints_.source(), followed});
     recipients.erase(peer_address());
+    // A keeper whose list was only read has to forget what it sent: the list followed starts anew.
+    const bool list_starts_anew = followed != endpoints_.source();
+    const bool forgets_first = list_starts_anew && read_keepers_.count(followed) > 0;
     endpoints_.follow(followed, std::min(now, last_control_beacon_at_));
-    if (scope != heartbeat_scope::followed_keeper) {
+    if (scope == heartbeat_scope::work_keepers || scope == heartbeat_scope::all_keepers) {
         for (const std::pair<const peer_address, instant>& keeper : work_keepers_)
             recipients.insert(keeper.first);
     }
@@ -107,10 +112,22 @@
     for (const peer_address& recipient : recipients) {
         const keeper_state& keeper = keepers_[recipient];
         heartbeat->set_keepers_digest(keeper.keepers_digest);
-        heartbeat->set_follows(recipient == followed);
+        // Keepers list endpoints only for gateways that follow them.
+        const bool reads_list = reads_lists(now) && control.count(recipient) > 0;
+        if (recipient == followed && forgets_first) {
+            heartbeat->set_follows(false);
+            hub_.send(recipient, envelope, watch_for(recipient, followed));
+        }
+        heartbeat->set_follows(recipient == followed || reads_list);
+        if (reads_list && recipient != followed)
+            read_keepers_.insert(recipient);
+        else
+            read_keepers_.erase(recipient);
         if (recipient == followed) {
             roster_.write(*heartbeat);
             endpoints_.write(*heartbeat);
+        } else if (reads_list) {
+            lists_.write(recipient, *heartbeat);
         } else {
             heartbeat->clear_directory_epoch();
             heartbeat->clear_directory_revision();
--- a/lib/gateway/dispatch_resumption.cpp
+++ b/lib/gateway/dispatch_resumption.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t key_length = 16;
 // Callers return until their deadline, by their own clocks.
 constexpr milliseconds retention_margin(2000);
+// As long as other gateways are asked for the record of a stream; both are asked at once.
+constexpr milliseconds evidence_timeout(250);
 constexpr std::string_view origin_unknown_text =
     "It isn't known which software version began this stream. Begin the request anew.\n";
 // Endpoints that crash are back in about this time.
@@ -42,11 +44,15 @@
 
 void dispatcher::take_up(online_call& call) {
     const std::string_view first_attempt = call.request.fields.find(names_.resumes);
+    call.taken_up_at = monotonic_now();
     metrics_.count("streams_taken_up");
     log_info("stream_taken_up")
         .with("request", call.request_id)
         .with("resumes", first_attempt.substr(0, max_logged_id_length))
         .with("behind_event", call.last_event);
+    // In advance: the record of the stream may be gone with the gateways that had it.
+    if (has_one_target(call) && hooks_.only_version(call.service, call.taken_up_at).only)
+        hooks_.request_versions();
     if (first_attempt.empty() || first_attempt.size() > max_id_length) {
         on_unknown_origin(call);
         return;
@@ -75,18 +81,36 @@
     lookups_.erase(call.lookup);
 }
 
-// Where a service had one version alone for longer than any stream lasts, that one began it.
+bool dispatcher::has_one_target(const online_call& call) {
+    return std::count_if(call.route->targets().begin(), call.route->targets().end(),
+                         [](const schema::route_target& one) { return one.weight() > 0; }) == 1;
+}
+
+// Where a service had one version alone for longer than any stream lasts, that one began it. The
+// stream began before its caller came here, so what was known before then proves nothing: an
+// endpoint of another version may have joined and begun it since.
 void dispatcher::on_unknown_origin(online_call& call) {
-    const bool has_one_target =
-        std::count_if(call.route->targets().begin(), call.route->targets().end(),
-                      [](const schema::route_target& one) { return one.weight() > 0; }) == 1;
-    if (has_one_target) {
-        if (const std::optional<software_version> only = hooks_.only_version(call.service)) {
-            go_on(call, {call.service, *only}, "only_version");
-            return;
-        }
+    const version_evidence evidence = has_one_target(call)
+                                          ? hooks_.only_version(call.service, call.taken_up_at)
+                                          : version_evidence();
+    const bool may_wait = monotonic_now() - call.taken_up_at < evidence_timeout;
+    if (evidence.only && !evidence.is_current && may_wait) {
+        unknown_origins_.insert(call.id);
+        return;
+    }
+    unknown_origins_.erase(call.id);
+    if (evidence.only && evidence.is_current)
+        go_on(call, {call.service, *evidence.only}, "only_version");
+    else
+        reject(call, "origin_unknown", default_retry_after, origin_unknown_text);
+}
+
+void dispatcher::check_unknown_origins() {
+    const std::vector<exchange_id> ids(unknown_origins_.begin(), unknown_origins_.end());
+    for (const exchange_id id : ids) {
+        if (unknown_origins_.count(id) > 0)
+            on_unknown_origin(*calls_.at(id));
     }
-    reject(call, "origin_unknown", default_retry_after, origin_unknown_text);
 }
 
 void dispatcher::go_on(online_call& call, const policy::software& began_by,
--- a/lib/gateway/dispatch_timeouts.cpp
+++ b/lib/gateway/dispatch_timeouts.cpp
@@ -160,6 +160,7 @@
         if (found != calls_.end())
             check_timeouts(*found->second, now);
     }
+    check_unknown_origins();
     end_unservable();
     dispatch_queued();
     reject_missing_deadline(now);
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -357,6 +357,7 @@
     cancel_other(*found->second);
     cancel_migration(*found->second);
     cancel_lookup(*found->second);
+    unknown_origins_.erase(id);
     if (found->second->runs == 0)
         hooks_.refund_quota(found->second->grant);
     queue_.remove(id);
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -93,9 +93,10 @@
     dispatcher_callbacks.refund_quota = [this](const policy::quota_grant& grant) {
         cluster_->quota().refund(grant);
     };
-    dispatcher_callbacks.only_version = [this](const service_id& service) {
-        return cluster_->only_version(service);
+    dispatcher_callbacks.only_version = [this](const service_id& service, instant since) {
+        return cluster_->only_version(service, since);
     };
+    dispatcher_callbacks.request_versions = [this] { cluster_->request_lists(); };
     dispatcher_callbacks.reports_pace = [this](const service_id& service) {
         return slots_.pace().reports_pace(service);
     };
@@ -140,6 +141,7 @@
         origins_->set_gateways(others);
         items_->set_fleet_size(others.size() + 1);
     };
+    cluster_callbacks.on_list_read = [this] { dispatcher_->check_unknown_origins(); };
     cluster_callbacks.on_stream_origins = [this](const schema::stream_origin_news& news) {
         origins_->receive(news);
     };
--- a/lib/membership/followed_endpoints.cpp
+++ b/lib/membership/followed_endpoints.cpp
@@ -16,17 +16,17 @@
     heartbeat.set_directory_revision(revision_);
 }
 
-void followed_endpoints::apply_beacon(const peer_address& keeper,
+bool followed_endpoints::apply_beacon(const peer_address& keeper,
                                       const schema::keeper_beacon& beacon, instant now) {
     if (keeper != source_ || beacon.directory_revision() == 0)
-        return;
+        return false;
     const bool whole_list = beacon.endpoints_base() == 0;
     const bool same_list = beacon.directory_epoch() == epoch_;
     const bool outdated = same_list && beacon.directory_revision() < revision_;
     const bool follows_lost_beacon =
         !whole_list && (!same_list || beacon.endpoints_base() > revision_);
     if (outdated || follows_lost_beacon)
-        return;
+        return false;
     epoch_ = beacon.directory_epoch();
     revision_ = beacon.directory_revision();
     if (whole_list)
@@ -34,6 +34,7 @@
     for (const schema::endpoint_record& record : beacon.endpoints())
         directory_.merge_judged(record, now);
     directory_.adopt_waiting(now);
+    return true;
 }
 
 } // namespace cassia::membership
--- a/unittests/gateway/cluster_client_test.cpp
+++ b/unittests/gateway/cluster_client_test.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 #include <glib.h>
 
+#include <algorithm>
 #include <functional>
 #include <string>
 #include <vector>
@@ -127,3 +128,40 @@
     run_until([&] { return !is_followed(left) || next.follows.size() >= next_regular; });
     CHECK_FALSE(is_followed(left));
 }
+
+// Guards against a list that a keeper counts as in transit since it was read before it was
+// followed.
+TEST_CASE("a keeper whose list was read forgets that before it is followed", "[follow]") {
+    net::task task("gateway");
+    followed_peer first(task, "127.79.3.1:9100");
+    followed_peer second(task, "127.79.3.2:9100");
+    gateway::cluster_hooks hooks = no_hooks();
+    hooks.on_list_read = [] {};
+    gateway::cluster_client client(task, make_settings(), hooks);
+    REQUIRE(client.open().empty());
+    const auto run_until = [&task](const std::function<bool()>& done) {
+        const instant limit = monotonic_now() + milliseconds(8000);
+        while (!done() && monotonic_now() < limit)
+            g_main_context_iteration(task.context(), FALSE);
+        return done();
+    };
+    const auto is_followed = [](const followed_peer& peer) {
+        return !peer.follows.empty() && peer.follows.back();
+    };
+    REQUIRE(run_until([&] {
+        return first.follows.size() + second.follows.size() > 8 &&
+               is_followed(first) != is_followed(second);
+    }));
+    followed_peer& left = is_followed(first) ? first : second;
+    followed_peer& next = is_followed(first) ? second : first;
+    left.in_touch = false;
+    client.request_lists();
+    REQUIRE(run_until([&] { return is_followed(next); }));
+    const std::size_t read_at = next.follows.size() - 1;
+    REQUIRE(run_until([&] { return next.follows.size() >= read_at + 4; }));
+    const std::vector<bool> after_reading(next.follows.begin() + static_cast<long>(read_at),
+                                          next.follows.end());
+    CHECK(after_reading.front());
+    CHECK(std::find(after_reading.begin(), after_reading.end(), false) != after_reading.end());
+    CHECK(after_reading.back());
+}
