HTTP client of the entries: a response with another call's id isn't this call's

What callers could get: the response to another call, status and body, where an endpoint of the product's own entries sends a late copy on a kept connection. Calls that may run once use a connection each, so neither rule on runs breaks.

Evidence: [http-late-copy] before: the call r2 got the copy of r1.

Change: a response that names another request id than the call's is skipped, once, as at gateways. One without an id is still taken for the call's own: endpoints of the entries needn't repeat it.

--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -13,6 +13,8 @@
 namespace cassia::net {
 
 namespace {
+constexpr std::string_view request_id_field = "Cassia-Request-Id";
+
 struct active_call {
     http_call call;
     std::shared_ptr<const http_call_hooks> hooks; ///< outlive a call that is cancelled by one
@@ -83,6 +85,14 @@
     return request;
 }
 
+// Endpoints that repeat the request id show by it to which call a response belongs; without it, it
+// is taken for the call's own.
+static response_owner owner_of(const raw_head& head, const std::string& request_id) {
+    const std::string_view named = head.fields.find(request_id_field);
+    const bool is_foreign = !named.empty() && !request_id.empty() && named != request_id;
+    return is_foreign ? response_owner::another_request : response_owner::this_request;
+}
+
 void http_client::state::begin(call_id id) {
     active_call& call = calls.at(id);
     raw_call out;
@@ -90,6 +100,8 @@
     out.request = make_request(call.call);
     out.fresh_connection = call.call.fresh_connection || call.repeated;
     out.connect_timeout = call.call.progress_timeout;
+    out.find_owner = [request_id = std::string(out.request.fields.find(request_id_field))](
+                         const raw_head& head) { return owner_of(head, request_id); };
     raw_call_hooks hooks;
     hooks.on_head = [this, id](const raw_head& head) { on_head(id, head); };
     hooks.on_piece = [this, id](std::string_view piece) {
