--- a/unittests/gateway/late_response_test.cpp
+++ b/unittests/gateway/late_response_test.cpp
@@ -96,8 +96,14 @@
     CHECK(fixture.ask().first == 503);
     fixture.list({1, 2});
     int served = 0;
-    for (int i = 0; i < 20; ++i)
-        served += fixture.ask().first == 200 ? 1 : 0;
+    std::string outcomes;
+    for (int i = 0; i < 20; ++i) {
+        const std::pair<int, milliseconds> got = fixture.ask();
+        served += got.first == 200 ? 1 : 0;
+        outcomes +=
+            std::to_string(got.first) + " after " + std::to_string(got.second.count()) + "; ";
+    }
+    CAPTURE(outcomes);
     CHECK(served == 20);
     std::map<std::string, int> runs = fixture.first.runs;
     for (const std::pair<const std::string, int>& one : fixture.second.runs)
