--- a/lib/entry/control_task.cpp
+++ b/lib/entry/control_task.cpp
@@ -62,15 +62,15 @@
 
 void control_task::send_request(schema::keeper_request request, request_options options,
                                 net::task& reply_task, keeper_client::reply_callback on_reply) {
-    task_.post(
-        [this, request = std::move(request), options, &reply_task, on_reply = std::move(on_reply)] {
-            keepers_.send_request(
-                request, options,
-                [&reply_task, on_reply](schema::keeper_reply reply) {
-                    reply_task.post([on_reply, reply = std::move(reply)] { on_reply(reply); });
-                },
-                monotonic_now());
-        });
+    task_.post([this, request = std::move(request), options = std::move(options), &reply_task,
+                on_reply = std::move(on_reply)] {
+        keepers_.send_request(
+            request, options,
+            [&reply_task, on_reply](schema::keeper_reply reply) {
+                reply_task.post([on_reply, reply = std::move(reply)] { on_reply(reply); });
+            },
+            monotonic_now());
+    });
 }
 
 void control_task::record_announcement(schema::endpoint_record record) {
--- a/lib/entry/keeper_client.cpp
+++ b/lib/entry/keeper_client.cpp
@@ -23,9 +23,9 @@
     const std::uint64_t first_id = last_id_ + 1;
     open_request& open = open_[first_id];
     open.request = std::move(request);
-    open.options = options;
+    open.options = std::move(options);
     open.on_reply = std::move(on_reply);
-    open.expires_at = now + options.timeout;
+    open.expires_at = now + open.options.timeout;
     open.resend_delay = first_resend_delay;
     open.next_keeper = first_id;
     transmit(*open_.find(first_id), now);
--- a/lib/gateway/cluster_client.cpp
+++ b/lib/gateway/cluster_client.cpp
@@ -96,7 +96,8 @@
 
 void cluster_client::send_request(schema::keeper_request request, entry::request_options options,
                                   entry::keeper_client::reply_callback done) {
-    keeper_client_.send_request(std::move(request), options, std::move(done), monotonic_now());
+    keeper_client_.send_request(std::move(request), std::move(options), std::move(done),
+                                monotonic_now());
 }
 
 void cluster_client::send_held_items(schema::held_items held, group_id group) {
