Revert "Membership: keepers don't revive a silent endpoint by each other's reports"

The change judged a report by its age alone.

The fault stays, and its test: unit_silent_revival, in KNOWN-RED.txt.

--- a/include/cassia/membership/endpoint_directory.h
+++ b/include/cassia/membership/endpoint_directory.h
@@ -114,7 +114,7 @@
     endpoint_state& replace(const schema::endpoint_record& record, instant heard, instant now);
     void store(endpoint_state& endpoint, const schema::endpoint_record& record, instant heard);
     void note_change(const endpoint_id& id, endpoint_state& endpoint);
-    bool note_responsive(const endpoint_id& id, endpoint_state& endpoint, instant now);
+    bool note_responsive(const endpoint_id& id, endpoint_state& endpoint);
     /// Counts an announcement of a replaced endpoint. \returns whether it is believed now.
     bool note_reinstated(const endpoint_id& id, endpoint_state& endpoint);
     void mark_replaced_endpoints(const schema::endpoint_record& record, instant heard, instant now);
--- a/lib/membership/endpoint_directory.cpp
+++ b/lib/membership/endpoint_directory.cpp
@@ -57,11 +57,8 @@
     ++changes_;
 }
 
-// The age of a report that is forwarded is known to some milliseconds, so an old announcement may
-// seem to be a little later than it was.
-bool endpoint_directory::note_responsive(const endpoint_id& id, endpoint_state& endpoint,
-                                         instant now) {
-    if (!is_alive(endpoint, now) || !std::exchange(endpoint.unresponsive, false))
+bool endpoint_directory::note_responsive(const endpoint_id& id, endpoint_state& endpoint) {
+    if (!std::exchange(endpoint.unresponsive, false))
         return false;
     note_change(id, endpoint);
     return true;
@@ -157,7 +154,7 @@
         note_change(id, known);
     mark_replaced_endpoints(record, heard, now);
     const bool reinstated = note_reinstated(id, known);
-    const bool responsive_again = note_responsive(id, known, now);
+    const bool responsive_again = note_responsive(id, known);
     return starts_leaving || changed || reinstated || responsive_again;
 }
 
@@ -179,7 +176,7 @@
         known.heard_revision = ++revision_;
         mark_replaced_endpoints(known.record, heard, now);
         const bool reinstated = note_reinstated(found->first, known);
-        return note_responsive(found->first, known, now) || reinstated;
+        return note_responsive(found->first, known) || reinstated;
     }
     if (!known.contender || known.contender->record.incarnation() != pulse.incarnation())
         return false;
