--- a/unittests/gateway/dispatcher_fixture.h
+++ b/unittests/gateway/dispatcher_fixture.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -35,6 +36,21 @@
     bool moves_runs = false;
 };
 
+/// Request id in the bytes of a request.
+inline std::string id_of(std::string_view request) {
+    constexpr std::string_view name = "Cassia-Request-Id: ";
+    const std::size_t begin = request.find(name) + name.size();
+    return std::string(request.substr(begin, request.find("\r\n", begin) - begin));
+}
+
+/// A whole response of an endpoint, on a connection that it keeps.
+inline std::string response(const std::string& status, const std::string& request,
+                            const std::string& body) {
+    return "HTTP/1.1 " + status + "\r\nCassia-Stamp: s\r\nCassia-Request-Id: " + request +
+           "\r\nKeep-Alive: timeout=5\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
 /// A dispatcher with what it needs of its gateway, and a caller.
 class dispatcher_fixture {
 public:
--- a/unittests/gateway/late_response_cut_test.cpp
+++ b/unittests/gateway/late_response_cut_test.cpp
@@ -16,19 +16,6 @@
 
 constexpr milliseconds target(200);
 
-std::string id_of(std::string_view request) {
-    constexpr std::string_view name = "Cassia-Request-Id: ";
-    const std::size_t begin = request.find(name) + name.size();
-    return std::string(request.substr(begin, request.find("\r\n", begin) - begin));
-}
-
-std::string response(const std::string& status, const std::string& request,
-                     const std::string& body) {
-    return "HTTP/1.1 " + status + "\r\nCassia-Stamp: s\r\nCassia-Request-Id: " + request +
-           "\r\nKeep-Alive: timeout=5\r\nContent-Length: " + std::to_string(body.size()) +
-           "\r\n\r\n" + body;
-}
-
 /// Rejects the request r1, or all, and runs the others; something comes ahead of their responses.
 class scripted_endpoint {
 public:
--- a/unittests/gateway/late_response_test.cpp
+++ b/unittests/gateway/late_response_test.cpp
@@ -14,12 +14,6 @@
 
 constexpr milliseconds target(200);
 
-std::string id_of(std::string_view request) {
-    constexpr std::string_view name = "Cassia-Request-Id: ";
-    const std::size_t begin = request.find(name) + name.size();
-    return std::string(request.substr(begin, request.find("\r\n", begin) - begin));
-}
-
 /// Rejects the first request of each connection, keeps the connection, and runs all others; ahead
 /// of their responses it sends copies of the rejection.
 class repeating_endpoint {
@@ -54,12 +48,6 @@
             sockets_->write(id, rejections_[id]);
         sockets_->write(id, response("200 OK", request, "done"));
     }
-    static std::string response(const std::string& status, const std::string& request,
-                                const std::string& body) {
-        return "HTTP/1.1 " + status + "\r\nCassia-Stamp: s\r\nCassia-Request-Id: " + request +
-               "\r\nKeep-Alive: timeout=5\r\nContent-Length: " + std::to_string(body.size()) +
-               "\r\n\r\n" + body;
-    }
 
     std::unique_ptr<net::tcp_connections> sockets_;
     std::map<net::connection_id, std::string> rejections_;
