--- a/include/cassia/gateway/cluster_client.h
+++ b/include/cassia/gateway/cluster_client.h
@@ -160,7 +160,7 @@
     membership::control_lists lists_;
     instant lists_requested_at_{}; ///< when control keepers were last asked for their lists
     bool list_request_scheduled_ = false;
-    std::set<peer_address> read_keepers_; ///< were asked for their lists and not yet told to stop
+    std::set<peer_address> read_keepers_; ///< have been sent `follows` for their lists alone
     std::vector<policy::slot_endpoint> published_endpoints_; ///< as last passed to on_endpoints
     std::uint64_t published_changes_ = 0; ///< endpoints_.changes() at the last check
     instant endpoints_checked_at_{};
--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -47,7 +47,7 @@
     /// known after a time.
     std::function<version_evidence(const service_id&, instant since)> only_version =
         [](const service_id&, instant) { return version_evidence(); };
-    /// Brings what only_version() tells up to date soon.
+    /// Requests the lists that only_version() is judged by.
     std::function<void()> request_versions = [] {};
     /// Whether an endpoint of the service has reported its pace. Only then are its calls hedged.
     std::function<bool(const service_id&)> reports_pace = [](const service_id&) { return false; };
--- a/include/cassia/membership/announcement_run.h
+++ b/include/cassia/membership/announcement_run.h
@@ -1,6 +1,4 @@
-/// Evidence that an endpoint goes on announcing itself although something else outranks it: a
-/// record of another writer with a higher incarnation or sequence, or a later process at its
-/// address.
+/// Repeated announcements of an endpoint that another record outranks.
 #pragma once
 
 #include "cassia/base/clock.h"
@@ -11,9 +9,8 @@
 
 class announcement_run {
 public:
-    /// Counts an announcement that was made at `heard`. `outranked_at` is when that which outranks
-    /// the endpoint was last heard: what was announced before proves nothing. After two
-    /// timeouts without an announcement the run begins anew.
+    /// Counts an announcement made after `outranked_at`, the latest one of what outranks the
+    /// endpoint. After two timeouts without an announcement counting starts again.
     void add(std::uint64_t sequence, instant heard, instant outranked_at, milliseconds timeout);
     /// Whether the endpoint is believed again: three or more announcements with increasing
     /// sequences over `timeout` or more since it was outranked. Delayed announcements of a process
