Membership: records out of all bounds change nothing, whoever reports them

Heartbeats are checked where they are read, but records that reached a keeper under earlier software came back from its list on disk, from news of other keepers and in the lists of gateways without a check. Such a record was listed (an address with port 0, 2^32 - 1 slots, names of 100 KB), or took the place of the endpoint whose id it bore: a sequence of 2^64 - 1 in a liveness report, or a sequence or incarnation beyond all clocks, hides all later announcements.

find_fault() is now the one check of a record, in the product's own terms, and endpoint_directory, through which all readers go, drops what fails it and keeps the others. The platform's heartbeats and the entries' announcements use the same check, and still answer 400. An announcement to an entry is bounded by it too: IPv4 addresses with a port, 65,535 slots, counts to 2^53.

Records in three older test files had no address, or one that is no IP (a:1, 127.1.0.2999), and get a sound one; their checks are unchanged.

--- a/include/cassia/membership/endpoint_directory.h
+++ b/include/cassia/membership/endpoint_directory.h
@@ -1,5 +1,6 @@
 /// Known endpoints and whether they are alive, from the announcements that this process receives
-/// and from those that other processes forward. Does no I/O; the time is passed in.
+/// and from those that other processes forward. What is out of all bounds (endpoint_bounds.h)
+/// changes nothing, whoever reports it. Does no I/O; the time is passed in.
 #pragma once
 
 #include "cassia/base/clock.h"
--- a/lib/entry/announce_api.cpp
+++ b/lib/entry/announce_api.cpp
@@ -2,10 +2,12 @@
 
 #include "cassia/entry/authentication.h"
 #include "cassia/entry/request_text.h"
+#include "cassia/membership/endpoint_bounds.h"
 #include "cassia/net/http_server.h"
 
 #include <boost/json.hpp>
 
+#include <optional>
 #include <utility>
 
 namespace cassia::entry {
@@ -140,6 +142,9 @@
     }
     if (!net::parse_address(record.address()))
         reader.set_error("address", "expected IP:PORT");
+    const std::optional<std::string> fault = membership::find_fault(record);
+    if (fault)
+        reader.set_error("announcement", *fault);
     return record;
 }
 
--- a/lib/membership/endpoint_directory.cpp
+++ b/lib/membership/endpoint_directory.cpp
@@ -1,5 +1,7 @@
 #include "cassia/membership/endpoint_directory.h"
 
+#include "cassia/membership/endpoint_bounds.h"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -27,6 +29,8 @@
 }
 
 bool endpoint_directory::merge_announcement(const schema::endpoint_record& record, instant now) {
+    if (find_fault(record))
+        return false;
     const bool changed = merge(record, now, now);
     auto found = endpoints_.find(endpoint_id(record.id()));
     if (found->second.record.incarnation() == record.incarnation())
@@ -35,7 +39,7 @@
 }
 
 bool endpoint_directory::merge_remote(const schema::endpoint_record& record, instant now) {
-    return merge(record, now - milliseconds(record.age_ms()), now);
+    return !find_fault(record) && merge(record, now - milliseconds(record.age_ms()), now);
 }
 
 void endpoint_directory::store(endpoint_state& endpoint, const schema::endpoint_record& record,
@@ -163,7 +167,7 @@
 // these. If the record isn't known here, the same message contains it.
 bool endpoint_directory::merge_remote(const schema::endpoint_pulse& pulse, instant now) {
     auto found = endpoints_.find(endpoint_id(pulse.id()));
-    if (found == endpoints_.end())
+    if (found == endpoints_.end() || !is_sound(pulse))
         return false;
     endpoint_state& known = found->second;
     const instant heard = now - milliseconds(pulse.age_ms());
@@ -186,6 +190,8 @@
 }
 
 void endpoint_directory::merge_judged(const schema::endpoint_record& record, instant now) {
+    if (find_fault(record))
+        return;
     const endpoint_id id(record.id());
     const instant heard = now - milliseconds(record.age_ms());
     auto found = endpoints_.find(id);
--- a/unittests/keeper/endpoint_list_test.cpp
+++ b/unittests/keeper/endpoint_list_test.cpp
@@ -19,7 +19,8 @@
 schema::endpoint_record announcement(int number, std::uint64_t sequence) {
     schema::endpoint_record record;
     record.set_id("engine-" + std::to_string(number));
-    record.set_address("127.1.0." + std::to_string(number) + ":9000");
+    record.set_address("127.1." + std::to_string(number / 256) + "." +
+                       std::to_string(number % 256) + ":9000");
     record.set_incarnation(1);
     record.set_sequence(sequence);
     return record;
--- a/unittests/membership/control_lists_test.cpp
+++ b/unittests/membership/control_lists_test.cpp
@@ -25,7 +25,7 @@
         schema::endpoint_record* record = beacon.add_endpoints();
         record->set_id(id);
         record->set_incarnation(1);
-        record->set_address(id + ":1");
+        record->set_address("10.0.0.1:" + std::to_string(id.at(0)));
     }
     return beacon;
 }
--- a/unittests/membership/membership_test.cpp
+++ b/unittests/membership/membership_test.cpp
@@ -20,6 +20,7 @@
     schema::endpoint_record built;
     built.set_id("engine-1");
     built.set_incarnation(incarnation);
+    built.set_address("10.0.0.1:80");
     built.set_leaving(leaving);
     return built;
 }
