Messages: a record that can't be read costs no other record

Callers got no request to an endpoint that joined after another writer's entry with an id that isn't UTF-8: protobuf refuses a whole message for one such string. Heartbeats with it are refused since, but a process with earlier software goes on repeating the record to keepers and gateways that have been updated, and a keeper that was updated found it in its list on disk, of which it then restored nothing.

Where a message can't be parsed as a whole, parse_readable_endpoints() leaves out exactly the endpoint records and liveness reports that can't be parsed by themselves, and logs endpoints_unreadable. The list on disk is read so too, which also leaves out a damaged record, and what was restored counts without records out of bounds.

Fields of type bytes in the schema would do for UTF-8, but not for damage.

--- a/lib/keeper/endpoint_file.cpp
+++ b/lib/keeper/endpoint_file.cpp
@@ -1,5 +1,8 @@
 #include "cassia/keeper/endpoint_file.h"
 
+#include "cassia/membership/endpoint_bounds.h"
+#include "cassia/schema/readable_endpoints.h"
+
 namespace cassia::keeper {
 
 namespace {
@@ -20,13 +23,17 @@
 std::size_t decode_endpoints(membership::endpoint_directory& directory, const std::string& content,
                              instant now) {
     schema::endpoint_list list;
-    if (!list.ParseFromString(content))
+    if (!schema::parse_readable_endpoints(content, list))
         return 0;
+    std::size_t restored = 0;
     for (schema::endpoint_record& record : *list.mutable_endpoints()) {
+        if (membership::find_fault(record))
+            continue;
         record.set_age_ms(static_cast<std::uint32_t>(restored_age.count()));
         directory.merge_remote(record, now);
+        ++restored;
     }
-    return static_cast<std::size_t>(list.endpoints_size());
+    return restored;
 }
 
 } // namespace cassia::keeper
--- a/lib/net/peer_hub.cpp
+++ b/lib/net/peer_hub.cpp
@@ -4,6 +4,7 @@
 #include "cassia/base/metrics.h"
 #include "cassia/net/task.h"
 #include "cassia/schema/messages.pb.h"
+#include "cassia/schema/readable_endpoints.h"
 
 #include <glib.h>
 #include <google/protobuf/arena.h>
@@ -12,6 +13,7 @@
 #include <array>
 #include <cstring>
 #include <map>
+#include <optional>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -217,6 +219,13 @@
     return count;
 }
 
+static bool read_envelope(std::string_view bytes, schema::envelope& message) {
+    const std::optional<std::size_t> left_out = schema::parse_readable_endpoints(bytes, message);
+    if (left_out.value_or(0) > 0)
+        log_warning("endpoints_unreadable").with("endpoints", *left_out);
+    return left_out.has_value();
+}
+
 // \returns whether more messages may have arrived than were read.
 static bool receive_messages(peer_hub::state* hub) {
     constexpr std::size_t identity_and_body = 2;
@@ -234,8 +243,7 @@
         schema::envelope* message =
             google::protobuf::Arena::CreateMessage<schema::envelope>(&arena);
         const std::string_view bytes = body.bytes();
-        if (frames != identity_and_body ||
-            !message->ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
+        if (frames != identity_and_body || !read_envelope(bytes, *message) ||
             message->body_case() == schema::envelope::BODY_NOT_SET)
             log_warning("frame_refused").with("bytes", bytes.size());
         else
--- a/unittests/keeper/endpoint_file_test.cpp
+++ b/unittests/keeper/endpoint_file_test.cpp
@@ -69,3 +69,29 @@
     CHECK(decode_endpoints(after, "\xff\xff", start) == 0);
     CHECK(serving_ids(after, start).empty());
 }
+
+// Guards against a list that is lost as a whole, or restores an odd endpoint, for one record that
+// was believed by earlier software or is damaged.
+TEST_CASE("an odd record in the endpoint file restores the others", "[keeper][odd-record]") {
+    schema::endpoint_record odd = make_endpoint("4", 5);
+    SECTION("out of bounds") {
+        odd.set_address("10.0.0.1:0");
+    }
+    SECTION("no UTF-8") {
+        odd.set_id("\xff\xfe");
+    }
+    schema::endpoint_list list;
+    *list.add_endpoints() = make_endpoint("1", 5);
+    *list.add_endpoints() = odd;
+    *list.add_endpoints() = make_endpoint("2", 5);
+    std::string content = list.SerializeAsString();
+    SECTION("damaged within") {
+        // The length of its id exceeds the record.
+        const std::string id("\x0a\x01\x34", 3);
+        REQUIRE(content.find(id) != std::string::npos);
+        content[content.find(id) + 1] = '\x7f';
+    }
+    membership::endpoint_directory after({});
+    CHECK(decode_endpoints(after, content, start) == 2);
+    CHECK(serving_ids(after, start) == std::set<std::string>{"1", "2"});
+}
