Keeper client: ids of transmissions begin at random

What callers could see: a job answered 429 whose items run, 202 for a job that isn't stored, or a claimed key that another request holds, after a gateway or an entry was started again while a keeper stood still.

Cause: transmissions were numbered from 1 in each process, and replies matched by that number alone. The reply to a request of the process before was believed for the request of this one.

Change: the first id is random, as the ids of two processes then differ.

--- a/include/cassia/entry/keeper_client.h
+++ b/include/cassia/entry/keeper_client.h
@@ -79,7 +79,7 @@
     std::map<group_id, std::string> leaders_;
     open_request_map open_;                                ///< by the id of the first transmission
     std::map<std::uint64_t, std::uint64_t> transmissions_; ///< those in `pending`, to the first id
-    std::uint64_t last_id_ = 0;
+    std::uint64_t last_id_;
 };
 
 } // namespace cassia::entry
--- a/lib/entry/keeper_client.cpp
+++ b/lib/entry/keeper_client.cpp
@@ -1,5 +1,7 @@
 #include "cassia/entry/keeper_client.h"
 
+#include "cassia/base/digest.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -11,8 +13,9 @@
 constexpr milliseconds retry_delay(60);
 } // namespace
 
+// From a random id on: a reply may be meant for an earlier process at this address.
 keeper_client::keeper_client(std::vector<keeper_address> keepers, send_function send)
-    : keepers_(std::move(keepers)), send_(std::move(send)) {}
+    : keepers_(std::move(keepers)), send_(std::move(send)), last_id_(random_bits() / 2) {}
 
 void keeper_client::set_keepers(std::vector<keeper_address> keepers) {
     keepers_ = std::move(keepers);
