--- a/unittests/gateway/item_runner_fixture.h
+++ b/unittests/gateway/item_runner_fixture.h
@@ -212,6 +212,7 @@
         task_.after(time, [this] { task_.quit(); });
         task_.run();
     }
+    net::task& task() { return task_; }
     bool is_received_in_time(const endpoint_stub& endpoint, const std::string& item) {
         const instant end = monotonic_now() + max_idle_time;
         while (monotonic_now() < end && !endpoint.has_received(item))
@@ -284,6 +285,7 @@
             for (const schema::item_end& end : ends.ends()) {
                 reported.insert(end.job());
                 statuses[end.job()] = end.status();
+                texts[end.job()] = end.body();
             }
             task_.post([done] { done(true); });
         };
@@ -307,6 +309,7 @@
     std::vector<std::string> leased_routes; ///< of each lease request
     std::set<std::string> reported;         ///< jobs of the items whose end was reported
     std::map<std::string, schema::item_status> statuses; ///< the latest, by job
+    std::map<std::string, std::string> texts;            ///< the latest, by job
     item_runner runner;
 };
 
