Endpoint client: a connection isn't used again for a request of the same id

What callers could see: a request that may run once ran twice, or was answered 503 and had run, where a caller sent a rejected request again under the id that it had, or named no id, and the endpoint repeated the rejection late.

Cause: a response is matched to its request by the id alone. Attempts of one exchange use new connections to an address, those of two exchanges don't.

Evidence: [repeated-id] on the code before, for an id that is used twice and for none: the request runs twice.

Change: kept connections remember the hashes of the ids that they carried, and a request is not sent over one that carried its id.

Why this works: a copy comes on the connection of the response that it repeats.

--- a/include/cassia/net/raw_client.h
+++ b/include/cassia/net/raw_client.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -25,6 +26,9 @@
     /// Uses a connection that carried no request before. Over a kept one the other end may close
     /// just as the request is sent, and whether it ran can't be told.
     bool fresh_connection = false;
+    /// A kept connection that carried a request with this id isn't used: a late response to that
+    /// one couldn't be told from the call's own. Without a value any is.
+    std::optional<std::string> request_id;
     /// Limit for the connection to stand. A dark VM answers nothing at all, and a lost first packet
     /// is sent again after a second; another endpoint answers sooner.
     milliseconds connect_timeout{250};
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -220,6 +220,7 @@
     outgoing.to = placement.address;
     outgoing.request = make_upstream_request(call, placement.endpoint);
     outgoing.find_owner = match_by_id(names_, call.request_id);
+    outgoing.request_id = call.request_id;
     // A duplicate of the earlier response on the same connection would have the same id.
     outgoing.fresh_connection = !call.sent_to.insert(placement.address).second;
     call.upstream_call = client_.start(std::move(outgoing), std::move(hooks));
--- a/lib/net/raw_client.cpp
+++ b/lib/net/raw_client.cpp
@@ -1,9 +1,11 @@
 #include "cassia/net/raw_client.h"
 
+#include "cassia/base/digest.h"
 #include "cassia/base/log.h"
 #include "cassia/net/task.h"
 #include "cassia/net/tcp_connections.h"
 
+#include "idle_connections.h"
 #include "response_reader.h"
 
 #include <map>
@@ -19,7 +21,6 @@
 constexpr std::size_t max_kept_buffer = 4UL * 1024;
 // A larger body is sent from where it is, as a packet of its own.
 constexpr std::size_t max_copied_body = 16UL * 1024;
-constexpr std::size_t most_idle_each = 32; ///< kept connections to one address
 constexpr std::size_t max_skipped_bytes = 1024UL * 1024;
 
 struct call_state {
@@ -38,11 +39,7 @@
     milliseconds idle_limit{0}; ///< how long the connection may be kept after this call
     instant connect_by{};
     std::unique_ptr<response_parser> parser;
-};
-
-struct idle_connection {
-    connection_id id;
-    instant until{};
+    std::vector<std::uint64_t> requests; ///< hashes of the ids that the connection carried
 };
 } // namespace
 
@@ -52,15 +49,14 @@
     std::unique_ptr<tcp_connections> sockets;
     std::map<call_id, call_state> calls;
     std::map<connection_id, call_id> users;
-    std::map<http_address, std::vector<idle_connection>> idle;
-    std::map<connection_id, http_address> idle_addresses;
+    idle_connections idle;
     std::uint64_t last_call = 0;
     raw_client_counts counts;
     std::function<void(const http_address&)> on_idle_closed = [](const http_address&) {};
     timer_id sweeper;
 
-    bool take_idle(const http_address& to, connection_id& out);
-    void drop_idle(connection_id id);
+    /// Gives the call a kept connection, if there is one that it may use.
+    void take_idle(call_state& one);
     void send_request(call_state& one);
     void on_connected(connection_id id);
     void on_bytes(connection_id id, std::string_view bytes);
@@ -75,35 +71,20 @@
     void sweep();
 };
 
-// Connections used last come first: the others run out and are closed.
-bool raw_client::state::take_idle(const http_address& to, connection_id& out) {
-    auto found = idle.find(to);
-    const instant now = monotonic_now();
-    while (found != idle.end() && !found->second.empty()) {
-        const idle_connection last = found->second.back();
-        found->second.pop_back();
-        idle_addresses.erase(last.id);
-        if (now < last.until) {
-            out = last.id;
-            return true;
+void raw_client::state::take_idle(call_state& one) {
+    std::optional<std::uint64_t> request;
+    if (one.call.request_id)
+        request = stable_hash(*one.call.request_id);
+    if (!one.call.fresh_connection) {
+        if (std::optional<idle_connection> kept =
+                idle.take(one.call.to, request, monotonic_now())) {
+            one.kept = true;
+            one.connection = kept->id;
+            one.requests = std::move(kept->requests);
         }
-        sockets->close(last.id);
     }
-    return false;
-}
-
-void raw_client::state::drop_idle(connection_id id) {
-    auto address = idle_addresses.find(id);
-    if (address == idle_addresses.end())
-        return;
-    std::vector<idle_connection>& list = idle[address->second];
-    for (auto one = list.begin(); one != list.end(); ++one) {
-        if (one->id == id) {
-            list.erase(one);
-            break;
-        }
-    }
-    idle_addresses.erase(address);
+    if (request)
+        one.requests.push_back(*request);
 }
 
 void raw_client::state::send_request(call_state& one) {
@@ -133,17 +114,14 @@
     }
     // Bytes that nobody asked for: a second answer, late. The connection can't be trusted.
     log_info("idle_connection_dropped").with("reason", "unexpected_bytes");
-    drop_idle(id);
+    idle.remove(id);
     sockets->reset(id);
 }
 
 void raw_client::state::on_closed(connection_id id, bool clean) {
     auto user = users.find(id);
     if (user == users.end()) {
-        auto address = idle_addresses.find(id);
-        const http_address closed =
-            address == idle_addresses.end() ? http_address() : address->second;
-        drop_idle(id);
+        const http_address closed = idle.remove(id);
         if (!closed.empty())
             on_idle_closed(closed);
         return;
@@ -259,18 +237,14 @@
     call_state one = std::move(found->second);
     calls.erase(found);
     users.erase(one.connection);
-    std::vector<idle_connection>& kept = idle[one.call.to];
     // An endpoint that has repeated a response may do so again.
-    const bool keep = reusable && !one.skipped && one.parser->keep_alive() &&
-                      !one.parser->need_eof() && one.idle_limit > milliseconds(0) &&
-                      kept.size() < most_idle_each;
-    if (keep) {
+    const bool may_keep = reusable && !one.skipped && one.parser->keep_alive() &&
+                          !one.parser->need_eof() && one.idle_limit > milliseconds(0);
+    const instant until = monotonic_now() + one.idle_limit;
+    if (may_keep && idle.add(one.call.to, {one.connection, until, std::move(one.requests)}))
         sockets->resume_reading(one.connection);
-        kept.push_back({one.connection, monotonic_now() + one.idle_limit});
-        idle_addresses[one.connection] = one.call.to;
-    } else {
+    else
         sockets->close(one.connection);
-    }
     one.hooks.on_end();
 }
 
@@ -293,15 +267,8 @@
     }
     for (const call_id id : late)
         fail(id, errc::cannot_connect, "no connection in time");
-    std::vector<connection_id> old;
-    for (const std::pair<const http_address, std::vector<idle_connection>>& list : idle) {
-        for (const idle_connection& one : list.second) {
-            if (now >= one.until)
-                old.push_back(one.id);
-        }
-    }
-    for (const connection_id id : old) {
-        drop_idle(id);
+    for (const connection_id id : idle.expired(now)) {
+        idle.remove(id);
         sockets->close(id);
     }
 }
@@ -332,7 +299,7 @@
     one.call = std::move(call);
     one.hooks = std::move(hooks);
     one.connect_by = monotonic_now() + one.call.connect_timeout;
-    one.kept = !one.call.fresh_connection && state_->take_idle(one.call.to, one.connection);
+    state_->take_idle(one);
     if (!one.kept)
         one.connection = state_->sockets->connect(one.call.to, state_->own_ip);
     state_->users[one.connection] = id;
@@ -377,15 +344,8 @@
 }
 
 void raw_client::forget(const http_address& address) {
-    auto found = state_->idle.find(address);
-    if (found == state_->idle.end())
-        return;
-    const std::vector<idle_connection> list = std::move(found->second);
-    state_->idle.erase(found);
-    for (const idle_connection& one : list) {
-        state_->idle_addresses.erase(one.id);
-        state_->sockets->close(one.id);
-    }
+    for (const connection_id id : state_->idle.remove_all(address))
+        state_->sockets->close(id);
 }
 
 std::size_t raw_client::open_calls() const {
