--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -207,6 +207,7 @@
     call.to = placement->address;
     call.request = make_upstream_request(item, placement->endpoint);
     call.find_owner = match_by_id(names_, item.leased.item().custom_id());
+    call.request_id = item.leased.item().custom_id();
     // A duplicate of an earlier response on the same connection would have the same id.
     const bool sent_before = !item.sent_to.insert(call.to).second;
     call.fresh_connection = sent_before || item.leased.attempt() > 1;
