Endpoint client: a connection with an unsent body isn't kept

What callers could see: a request that waited until its deadline, or ended with 502 though nothing of it was sent, behind a large body that its endpoint had answered early and didn't read.

Cause: a connection was kept after a whole response whether the request was written out or not.

Change: such a connection is reset. What the endpoint has answered is complete, and it gets no other bytes where the rest of the body is due.

--- a/lib/net/raw_client.cpp
+++ b/lib/net/raw_client.cpp
@@ -241,7 +241,11 @@
     const bool may_keep = reusable && !one.skipped && one.parser->keep_alive() &&
                           !one.parser->need_eof() && one.idle_limit > milliseconds(0);
     const instant until = monotonic_now() + one.idle_limit;
-    if (may_keep && idle.add(one.call.to, {one.connection, until, std::move(one.requests)}))
+    // The next request would wait behind the rest of a body that the endpoint may never read.
+    const bool is_unread = sockets->unsent(one.connection) > 0;
+    if (is_unread)
+        sockets->reset(one.connection);
+    else if (may_keep && idle.add(one.call.to, {one.connection, until, std::move(one.requests)}))
         sockets->resume_reading(one.connection);
     else
         sockets->close(one.connection);
