--- a/test/runner/platform.lua
+++ b/test/runner/platform.lua
@@ -12,6 +12,8 @@
 local work_groups = 1
 local memory_mib   -- of a gateway; none: not bounded
 local moves_runs = false
+local relay_kind = 100   -- added to a kind: the relay's address for it
+local routes   -- of the relay, to keepers; none: gateways and keepers reach keepers directly
 
 controls, works, fronts, endpoints = {}, {}, {}, {}
 
@@ -61,7 +63,7 @@
 end
 
 -- Fills in a template of the platform's settings for one process.
-local function write_settings(template, name, zone, ip, seeds)
+local function write_settings(template, name, zone, ip, seeds, reached)
   local values = { node = name, ip = ip, zone = zone, region = "region",
     ["listen.control"] = ip .. ":9000", ["listen.directory"] = ip .. ":9001",
     ["listen.front"] = ip .. ":9200", ["listen.readyAddr"] = ip .. ":9201",
@@ -76,6 +78,8 @@
   else
     text = text:gsub("{{#limits.memoryMb}}.-{{/limits.memoryMb}}\n", "")
   end
+  text = text:gsub("peer_address = [^\n]+", reached and
+    ('peer_address = "%s:9100"\npeer_bind = "%s:9100"'):format(reached, ip) or "%0")
   text = text:gsub("{{([%w.]+)}}", values)
   text = text:gsub("work_groups = %d+", "work_groups = " .. work_groups)
   local file = assert(io.open(state_folder() .. "/" .. name .. ".toml", "w"))
@@ -87,7 +91,9 @@
   local name = kind .. "-" .. number
   local ip = ip_of(kinds[kind], number)
   add_process(name, program, ip, { "--config", state_folder() .. "/" .. name .. ".toml" })
-  write_settings(template, name, "z" .. (number - 1) % zones + 1, ip, seeds)
+  local reached = routes and kind ~= "front" and ip_of(relay_kind + kinds[kind], number) or nil
+  if reached then table.insert(routes, { from = reached .. ":9100", to = ip .. ":9100" }) end
+  write_settings(template, name, "z" .. (number - 1) % zones + 1, ip, seeds, reached)
   list[#list + 1] = name
 end
 
@@ -142,10 +148,11 @@
   slots = shape.slots or slots
   memory_mib = shape.memory_mib
   moves_runs = shape.moves_runs or false
+  routes = shape.relayed and {} or nil
   local control_addresses, seeds = {}, {}
   for i = 1, 3 do
     control_addresses[i] = ip_of(kinds.control, i) .. ":9000"
-    seeds[i] = '"' .. control_addresses[i] .. '"'
+    seeds[i] = '"' .. ip_of((shape.relayed and relay_kind or 0) + kinds.control, i) .. ':9000"'
   end
   seeds = table.concat(seeds, ", ")
   local options = { "--control", table.unpack(control_addresses) }
@@ -172,6 +179,7 @@
       "--event-ms", shape.event_ms or 15, table.unpack(options) })
     endpoints[i] = name
   end
+  if routes then start_relay(routes) end
   for _, list in ipairs({ controls, works, fronts, endpoints }) do
     for _, name in ipairs(list) do start(name) end
   end
--- a/test/runner/relay.cpp
+++ b/test/runner/relay.cpp
@@ -76,6 +76,16 @@
     cuts_.erase({from_ip, to_ip});
 }
 
+void relay::hold(const std::string& from_ip, const std::string& to_ip) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    holds_.insert({from_ip, to_ip});
+}
+
+void relay::release(const std::string& from_ip, const std::string& to_ip) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    holds_.erase({from_ip, to_ip});
+}
+
 void relay::silence(const std::string& from_ip, const std::string& to_ip) {
     const std::lock_guard<std::mutex> lock(mutex_);
     to_silence_.insert({from_ip, to_ip});
@@ -90,6 +100,13 @@
     return cuts_.count({from_ip, to_ip}) > 0;
 }
 
+bool relay::is_held(const link& one, bool from_caller) const {
+    const std::pair<std::string, std::string> direction =
+        from_caller ? std::pair(one.caller_ip, one.callee_ip)
+                    : std::pair(one.callee_ip, one.caller_ip);
+    return holds_.count(direction) > 0;
+}
+
 void relay::accept_link(const route& at) {
     sockaddr_in peer{};
     socklen_t size = sizeof peer;
@@ -162,13 +179,14 @@
     const bool blocked = !(from_caller ? one.to_callee : one.to_caller).empty();
     const bool readable = (events & (POLLIN | POLLHUP | POLLERR)) != 0;
     // With bytes waiting for the other end nothing is read; an error ends the link all the same.
-    if (blocked)
+    if (blocked || is_held(one, from_caller))
         return (events & POLLERR) == 0;
     return !readable || pass(one, from_caller);
 }
 
-static short events_for(const std::string& to_this, const std::string& to_other) {
-    const int wanted = (to_this.empty() ? 0 : POLLOUT) | (to_other.empty() ? POLLIN : 0);
+static short events_for(const std::string& to_this, const std::string& to_other, bool is_held) {
+    const bool may_read = to_other.empty() && !is_held;
+    const int wanted = (to_this.empty() ? 0 : POLLOUT) | (may_read ? POLLIN : 0);
     return static_cast<short>(wanted);
 }
 
@@ -177,9 +195,14 @@
         std::vector<pollfd> polled;
         for (const route& one : routes_)
             polled.push_back({one.listener, POLLIN, 0});
-        for (const link& one : links_) {
-            polled.push_back({one.caller, events_for(one.to_caller, one.to_callee), 0});
-            polled.push_back({one.callee, events_for(one.to_callee, one.to_caller), 0});
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            for (const link& one : links_) {
+                polled.push_back(
+                    {one.caller, events_for(one.to_caller, one.to_callee, is_held(one, true)), 0});
+                polled.push_back(
+                    {one.callee, events_for(one.to_callee, one.to_caller, is_held(one, false)), 0});
+            }
         }
         poll(polled.data(), polled.size(), poll_ms);
         const std::lock_guard<std::mutex> lock(mutex_);
--- a/test/runner/relay.h
+++ b/test/runner/relay.h
@@ -29,6 +29,10 @@
     /// to work. Sides are IP numbers.
     void cut(const std::string& from_ip, const std::string& to_ip);
     void heal(const std::string& from_ip, const std::string& to_ip);
+    /// Bytes from one IP number to another wait until the link is released, as those of a
+    /// connection whose packets are lost for a while and sent again.
+    void hold(const std::string& from_ip, const std::string& to_ip);
+    void release(const std::string& from_ip, const std::string& to_ip);
     /// Connections open now between the two go silent for good; new ones work.
     void silence(const std::string& from_ip, const std::string& to_ip);
     /// Connections made from now on to `to_ip` are closed once they have passed so many bytes back;
@@ -58,10 +62,12 @@
     bool serve(link& one, bool from_caller, int events);
     static bool flush(int to, std::string& bytes);
     bool is_cut(const std::string& from_ip, const std::string& to_ip);
+    bool is_held(const link& one, bool from_caller) const;
 
     std::vector<route> routes_;
     std::vector<link> links_;
     std::set<std::pair<std::string, std::string>> cuts_;
+    std::set<std::pair<std::string, std::string>> holds_;
     std::set<std::pair<std::string, std::string>> to_silence_;
     std::map<std::string, std::size_t> response_limits_; ///< by the callee's IP number
     std::mutex mutex_;
--- a/test/runner/verbs.cpp
+++ b/test/runner/verbs.cpp
@@ -208,7 +208,7 @@
     return 1;
 }
 
-enum class link_change { cut, heal, silence };
+enum class link_change { cut, heal, hold, release, silence };
 
 template <link_change change>
 static int verb_link(lua_State* lua) {
@@ -219,11 +219,27 @@
         made.links().cut(from, to);
     else if (change == link_change::heal)
         made.links().heal(from, to);
+    else if (change == link_change::hold)
+        made.links().hold(from, to);
+    else if (change == link_change::release)
+        made.links().release(from, to);
     else
         made.links().silence(from, to);
     return 0;
 }
 
+// Routes between processes that were added one by one: a list of { from = IP:PORT, to = IP:PORT }.
+static int verb_start_relay(lua_State* lua) {
+    fleet& made = context_of(lua).processes;
+    for (lua_Integer i = 1; i <= luaL_len(lua, 1); ++i) {
+        lua_geti(lua, 1, i);
+        made.links().add_route(text_field(lua, -1, "from"), text_field(lua, -1, "to"));
+        lua_pop(lua, 1);
+    }
+    made.links().start();
+    return 0;
+}
+
 static int verb_cut_responses(lua_State* lua) {
     fleet& made = context_of(lua).processes;
     made.links().cut_responses(made.find(luaL_checkstring(lua, 1)).ip,
@@ -344,7 +360,10 @@
                               {"address", verb_address},
                               {"cut_one_way", verb_link<link_change::cut>},
                               {"heal_one_way", verb_link<link_change::heal>},
+                              {"hold_one_way", verb_link<link_change::hold>},
+                              {"release_one_way", verb_link<link_change::release>},
                               {"silence_one_way", verb_link<link_change::silence>},
+                              {"start_relay", verb_start_relay},
                               {"cut_responses", verb_cut_responses},
                               {"begin_ask", verb_begin_ask},
                               {"wait_ask", verb_wait_ask},
