No stream begins at a software version that a minority of the control keepers knows

Callers saw streams go on at another software version than the one that began them (ORDER), where a control keeper that was cut off from the others listed endpoints of a new version to a gateway that followed it.

Cause: a gateway that has no record of a stream asks a majority of the control keepers whether the service has a single version, but endpoints were used as soon as one keeper knew them, so the majority that is asked needn't contain a keeper that knew the version when the stream began.

A keeper now lists endpoints to gateways as not to be used until their version of the service is known to a majority of the control group: to itself, to keepers that have acknowledged its news, and to keepers that reported it. Any two majorities have a keeper in common, so the majority that replies after the caller came names each version at which a stream can have begun. A version stays confirmed while any endpoint in the directory has it, and over a restart of a keeper by its file of endpoints. Take-ups need no more replies than before.

Price: endpoints of a version that is new to a service serve nothing while their keeper has no majority.

--- a/include/cassia/keeper/service.h
+++ b/include/cassia/keeper/service.h
@@ -16,6 +16,7 @@
 #include "cassia/keeper/work_leader.h"
 #include "cassia/membership/endpoint_directory.h"
 #include "cassia/membership/entry_roster.h"
+#include "cassia/membership/version_spread.h"
 #include "cassia/net/http_server.h"
 #include "cassia/net/peer_hub.h"
 #include "cassia/net/task.h"
@@ -229,6 +230,9 @@
     bool is_serving(const known_gateway& gateway, instant now) const;
     void log_serving_changes();
     void respond_to_pending_announcements();
+    /// \param from the other keeper that reported the endpoint; empty if it announced itself here.
+    void note_version(const schema::endpoint_record& record, const std::string& from);
+    void confirm_versions();
     void restore_endpoints();
     void save_endpoints();
     schema::keeper_hello own_heartbeat(const peer_address& to) const;
@@ -265,6 +269,7 @@
     std::map<std::string, known_gateway> gateways_;
     std::map<std::string, known_keeper> keepers_; ///< by node
     membership::endpoint_directory directory_;
+    membership::version_spread versions_;
     const std::uint64_t directory_epoch_;
     membership::entry_roster roster_;
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>>
--- a/include/cassia/membership/endpoint_directory.h
+++ b/include/cassia/membership/endpoint_directory.h
@@ -92,6 +92,8 @@
     /// Liveness reports, with ages, of the endpoints announced after a revision without a change.
     google::protobuf::RepeatedPtrField<schema::endpoint_pulse>
     pulses_since(std::uint64_t revision, instant now, pulse_scope scope = pulse_scope::all) const;
+    /// Counts the endpoints of a version as changed, so that they are reported again.
+    void renew(const service_id& service, const software_version& version);
     /// Records that changed after a revision, in the order of their changes, with ages.
     std::vector<schema::endpoint_record> records_since(std::uint64_t revision, instant now) const;
 
--- a/lib/keeper/endpoint_file.cpp
+++ b/lib/keeper/endpoint_file.cpp
@@ -8,23 +8,29 @@
 constexpr milliseconds restored_age(1000);
 } // namespace
 
-std::string encode_endpoints(const membership::endpoint_directory& directory, instant now) {
+std::string encode_endpoints(const membership::endpoint_directory& directory, instant now,
+                             const membership::version_spread& versions) {
     schema::endpoint_list list;
     for (schema::endpoint_record& record : directory.records_since(0, now)) {
         record.clear_load();
+        if (!versions.is_confirmed(record))
+            record.set_unresponsive(true);
         *list.add_endpoints() = std::move(record);
     }
     return list.SerializeAsString();
 }
 
-std::size_t decode_endpoints(membership::endpoint_directory& directory, const std::string& content,
-                             instant now) {
+std::size_t
+decode_endpoints(membership::endpoint_directory& directory, const std::string& content, instant now,
+                 const std::function<void(const schema::endpoint_record&)>& on_confirmed) {
     schema::endpoint_list list;
     if (!list.ParseFromString(content))
         return 0;
     for (schema::endpoint_record& record : *list.mutable_endpoints()) {
         record.set_age_ms(static_cast<std::uint32_t>(restored_age.count()));
         directory.merge_remote(record, now);
+        if (!record.unresponsive())
+            on_confirmed(record);
     }
     return static_cast<std::size_t>(list.endpoints_size());
 }
--- a/lib/keeper/service.cpp
+++ b/lib/keeper/service.cpp
@@ -213,6 +213,7 @@
         if (hosts_control())
             log_serving_changes();
         directory_.forget_old(monotonic_now());
+        versions_.forget_absent(directory_.all());
         forget_old_gateways(monotonic_now());
     });
     task_.every(membership_check_interval, [this] {
--- a/lib/keeper/service_api.cpp
+++ b/lib/keeper/service_api.cpp
@@ -71,6 +71,8 @@
             .with("leaving", record.leaving() ? 1 : 0)
             .with("gone", record.gone() ? 1 : 0)
             .with("sequence", record.sequence());
+        note_version(record, "");
+        confirm_versions();
         schedule_beacon_push();
     }
     const bool needs_majority = record.leaving() || record.gone();
@@ -105,7 +107,9 @@
         storage::read_file(settings_.data_dir() + "/" + endpoints_file);
     if (!content)
         return;
-    const std::size_t count = decode_endpoints(directory_, content.value(), monotonic_now());
+    const std::size_t count = decode_endpoints(
+        directory_, content.value(), monotonic_now(),
+        [this](const schema::endpoint_record& record) { versions_.restore(record); });
     saved_changes_ = directory_.changes();
     log_info("endpoints_restored").with("endpoints", count);
 }
@@ -116,7 +120,7 @@
         return;
     saving_endpoints_ = true;
     saved_changes_ = directory_.changes();
-    std::string content = encode_endpoints(directory_, monotonic_now());
+    std::string content = encode_endpoints(directory_, monotonic_now(), versions_);
     snapshot_writer_->submit(
         [folder = settings_.data_dir(), content = std::move(content)]() -> storage::result<void> {
             const storage::result<void> written =
--- a/lib/keeper/service_discovery.cpp
+++ b/lib/keeper/service_discovery.cpp
@@ -226,8 +226,10 @@
     std::pair<std::uint64_t, std::uint64_t>& received = received_revisions_[news.self().address()];
     const std::uint64_t known = received.first == news.directory_epoch() ? received.second : 0;
     bool changed = false;
-    for (const schema::endpoint_record& record : news.endpoints())
+    for (const schema::endpoint_record& record : news.endpoints()) {
         changed = directory_.merge_remote(record, now) || changed;
+        note_version(record, news.self().node());
+    }
     for (const schema::endpoint_pulse& pulse : news.pulses())
         changed = directory_.merge_remote(pulse, now) || changed;
     // Behind news that were lost: the sender repeats what is missing.
@@ -238,6 +240,7 @@
         acknowledge_news(peer_address(news.self().address()));
     if (changed)
         schedule_beacon_push();
+    confirm_versions();
 }
 
 void service::push_news() {
--- a/lib/keeper/service_gateways.cpp
+++ b/lib/keeper/service_gateways.cpp
@@ -134,8 +134,12 @@
     const std::uint64_t base = gateway.endpoint_list.base(acknowledged, reported_at);
     beacon.set_endpoints_base(base);
     beacon.set_directory_revision(directory_.revision());
-    for (schema::endpoint_record& record : directory_.records_since(base, now))
+    for (schema::endpoint_record& record : directory_.records_since(base, now)) {
+        // Gateways learn of the version, but begin nothing there.
+        if (uses_seeds() && !versions_.is_confirmed(record))
+            record.set_unresponsive(true);
         *beacon.add_endpoints() = std::move(record);
+    }
     if (beacon.endpoints_size() > 0)
         gateway.endpoint_list.on_sent(acknowledged, base, directory_.revision(), reported_at);
 }
--- a/lib/keeper/service_requests.cpp
+++ b/lib/keeper/service_requests.cpp
@@ -201,6 +201,7 @@
     if (uses_seeds() && hosts_control() && !heartbeat.only_acknowledges())
         send_news(peer_address(heartbeat.address()), keepers_.at(heartbeat.node()));
     respond_to_pending_announcements();
+    confirm_versions();
 }
 
 } // namespace cassia::keeper
--- a/lib/membership/endpoint_directory.cpp
+++ b/lib/membership/endpoint_directory.cpp
@@ -325,6 +325,14 @@
     return out;
 }
 
+void endpoint_directory::renew(const service_id& service, const software_version& version) {
+    for (std::pair<const endpoint_id, endpoint_state>& known : endpoints_) {
+        const schema::endpoint_record& record = known.second.record;
+        if (record.service() == service.str() && record.software_version() == version.str())
+            note_change(known.first, known.second);
+    }
+}
+
 void endpoint_directory::forget_old(instant now) {
     for (auto known = endpoints_.begin(); known != endpoints_.end();) {
         const bool expired =
--- a/unittests/keeper/endpoint_file_test.cpp
+++ b/unittests/keeper/endpoint_file_test.cpp
@@ -69,3 +69,25 @@
     CHECK(decode_endpoints(after, "\xff\xff", start) == 0);
     CHECK(serving_ids(after, start).empty());
 }
+
+// Guards against a version that counts as known to a majority of the keepers after a restart.
+TEST_CASE("versions that a majority knew are restored, others aren't", "[keeper]") {
+    membership::endpoint_directory before({});
+    membership::version_spread versions;
+    for (const std::string version : {"v1", "v2"}) {
+        schema::endpoint_record record = make_endpoint(version, 5);
+        record.set_software_version(version);
+        before.merge_announcement(record, start);
+        if (version == "v1")
+            versions.restore(record);
+    }
+    const std::string content = encode_endpoints(before, start, versions);
+    membership::endpoint_directory after({});
+    std::set<std::string> restored;
+    const std::size_t count =
+        decode_endpoints(after, content, start, [&restored](const schema::endpoint_record& record) {
+            restored.insert(record.software_version());
+        });
+    CHECK(count == 2);
+    CHECK(restored == std::set<std::string>{"v1"});
+}
