A request isn't sent behind the rest of a request that was answered early

Callers saw: an endpoint that rejects a request before it has read a large body keeps its connection. The gateway kept the connection too, with bytes of that body unsent, and sent the next request there. Framed rightly (24 MB: the next request begins at byte 25,165,894, the end of the body), but unread until the endpoint has read the whole body; when the connection ends before that, the next request counts as one that may have run, though none of it left the gateway. The rejected request itself arrived whole, after its rejection.

Cause: raw_client's finish() looked at the response alone.

Now such a connection is reset: what has been rejected partly written can't arrive whole any more, and nothing else comes where its body is due.

What bodies that the sockets' buffers take whole do isn't changed: for these the client can't tell what has been read.

--- a/lib/net/raw_client.cpp
+++ b/lib/net/raw_client.cpp
@@ -96,13 +96,7 @@
     auto address = idle_addresses.find(id);
     if (address == idle_addresses.end())
         return;
-    std::vector<idle_connection>& list = idle[address->second];
-    for (auto one = list.begin(); one != list.end(); ++one) {
-        if (one->id == id) {
-            list.erase(one);
-            break;
-        }
-    }
+    std::erase_if(idle[address->second], [id](const idle_connection& one) { return one.id == id; });
     idle_addresses.erase(address);
 }
 
@@ -260,16 +254,20 @@
     calls.erase(found);
     users.erase(one.connection);
     std::vector<idle_connection>& kept = idle[one.call.to];
+    const bool is_written = sockets->unsent(one.connection) == 0;
     // An endpoint that has repeated a response may do so again.
-    const bool keep = reusable && !one.skipped && one.parser->keep_alive() &&
+    const bool keep = reusable && is_written && !one.skipped && one.parser->keep_alive() &&
                       !one.parser->need_eof() && one.idle_limit > milliseconds(0) &&
                       kept.size() < most_idle_each;
     if (keep) {
         sockets->resume_reading(one.connection);
         kept.push_back({one.connection, monotonic_now() + one.idle_limit});
         idle_addresses[one.connection] = one.call.to;
-    } else {
+    } else if (is_written) {
         sockets->close(one.connection);
+    } else {
+        // The rest of the request would arrive after its response, and the next one behind it.
+        sockets->reset(one.connection);
     }
     one.hooks.on_end();
 }
