Two submissions under one key don't mix their parts

Callers saw: of two contents that are submitted under one key at the same time, one was told 202 for a job of the other's name and total, with items of both: the second begin replaced the job that was being loaded, and the first submission's next parts went on where the second one's had ended. Parts name the job alone, so they can't be told apart.

Now a begin with other content is answered key_reused while another content of the key is being loaded, as it is once that is accepted. The same content begins anew as before. A submission that broke off keeps its key until its parts expire, an hour after its begin, which the test holds too.

Members that run different releases apply such a begin differently, which matters only while two contents of one key are submitted during an update. Jobs sent through gateways are one record and are never being loaded.

--- a/lib/state/job_commands.cpp
+++ b/lib/state/job_commands.cpp
@@ -33,9 +33,12 @@
 schema::work_reply work_state::begin_job(const schema::job_begin& begin) {
     const job_id id(begin.job());
     auto found = jobs_.find(id);
-    if (found != jobs_.end() && found->second.status != job_status::loading) {
+    const bool is_loading = found != jobs_.end() && found->second.status == job_status::loading;
+    const bool same_content =
+        found != jobs_.end() && found->second.fingerprint == begin.fingerprint();
+    // Parts don't say which submission they belong to, and another one may still send some.
+    if (found != jobs_.end() && !(is_loading && same_content)) {
         schema::work_reply reply = reply_with_view(found->second);
-        const bool same_content = found->second.fingerprint == begin.fingerprint();
         reply.set_result(same_content ? schema::work_reply::replay
                                       : schema::work_reply::key_reused);
         return reply;
@@ -141,7 +144,7 @@
         return rejected;
     }
     schema::work_reply reply = begin_job(begin);
-    if (committed)
+    if (committed || reply.result() != schema::work_reply::done)
         return reply;
     add_items(submit.items(), position);
     schema::job_commit commit;
--- a/unittests/state/work_state_test.cpp
+++ b/unittests/state/work_state_test.cpp
@@ -231,6 +231,33 @@
     CHECK(group.job("job").pending[0].size() == 2);
 }
 
+// Guards against a job made of the parts of two submissions with other content under one key.
+TEST_CASE("a submission isn't mixed with another one of the same key", "[state]") {
+    test_group group;
+    REQUIRE(group.begin("job", 4, "first").result() == schema::work_reply::done);
+    group.add_items("job", 0, 2);
+    const schema::work_reply second = group.begin("job", 4, "second");
+    CHECK(second.result() == schema::work_reply::key_reused);
+    SECTION("the first goes on") {
+        if (second.result() == schema::work_reply::done)
+            group.add_items("job", 0, 2);
+        group.add_items("job", 2, 2);
+        CHECK(group.commit("job").result() == schema::work_reply::done);
+        CHECK(group.job("job").fingerprint == "first");
+    }
+    SECTION("the first begins again") {
+        CHECK(group.begin("job", 4, "first").result() == schema::work_reply::done);
+        CHECK(group.job("job").loaded == 0);
+    }
+    SECTION("the first was interrupted long ago") {
+        constexpr std::uint64_t long_after = base_time + 3600001;
+        schema::work_command command;
+        command.mutable_expire()->set_at(long_after);
+        group.apply(command);
+        CHECK(group.begin("job", 4, "second").result() == schema::work_reply::done);
+    }
+}
+
 TEST_CASE("a job isn't committed before all its items have been submitted", "[state]") {
     test_group group;
     group.begin("job", 4);
