Refusals before a key is looked up don't promise that its request hasn't run

Callers saw: a request with a key runs, its caller sends it again through another entry, and gets 503 no_quorum with `run: no` if the claim reaches no majority, 503 stale with `run: no` four seconds later: true of this transmission, not of the request that the key names. The same holds for draining, over_share, quarantined and not_allowed, and for jobs, which are named by their content without a key.

Now what is refused before the key or job has been looked up says `run: maybe`; refusals after a claim that was granted, and calls without a key, say `run: no` as before.

--- a/include/cassia/entry/refusal.h
+++ b/include/cassia/entry/refusal.h
@@ -40,6 +40,10 @@
     milliseconds retry_after{0}; ///< zero: a retry would not help
 };
 
+/// What can be said of a request whose transmission is refused before its key, or its job, has been
+/// looked up: an earlier transmission of it may have been accepted.
+run_state run_state_before_lookup(const net::http_request& request);
+
 /// Used for `retry_after` where no better estimate is available.
 inline constexpr milliseconds default_retry_after(1000);
 
--- a/lib/entry/http_task.cpp
+++ b/lib/entry/http_task.cpp
@@ -178,10 +178,10 @@
         context_.draining &&
         monotonic_now() - draining_since_ >= milliseconds(settings_.entries_max_age_ms());
     if (lists_expired) {
-        context_.reject(
-            exchange,
-            {rejection_code::draining, "this entry is leaving", run_state::no, default_retry_after},
-            request_id);
+        context_.reject(exchange,
+                        {rejection_code::draining, "this entry is leaving",
+                         run_state_before_lookup(request), default_retry_after},
+                        request_id);
         return;
     }
     const std::optional<authenticated_caller> caller = authenticate(exchange, request, request_id);
@@ -206,9 +206,10 @@
         const char* reason = has_catalog ? "this entry is cut off from the configuration"
                                          : "this entry has no configuration yet";
         metrics_.count("refused_stale");
-        context_.reject(exchange,
-                        {rejection_code::stale, reason, run_state::no, default_retry_after},
-                        request_id);
+        context_.reject(
+            exchange,
+            {rejection_code::stale, reason, run_state_before_lookup(request), default_retry_after},
+            request_id);
         return std::nullopt;
     }
     authenticated_caller caller;
--- a/lib/entry/online_arrival.cpp
+++ b/lib/entry/online_arrival.cpp
@@ -159,7 +159,7 @@
     if (retry_after.count() == 0)
         return true;
     reject_before_admission(call, {rejection_code::over_share, "the plan's rate is used up",
-                                   run_state::no, retry_after});
+                                   run_state_before_lookup(call.request), retry_after});
     return false;
 }
 
@@ -168,7 +168,8 @@
         reject_before_admission(admitted,
                                 {rejection_code::not_allowed,
                                  "the plan doesn't allow '" + admitted.demand.service.str() +
-                                     "' in this version or with this adapter"});
+                                     "' in this version or with this adapter",
+                                 run_state_before_lookup(admitted.request)});
         return;
     }
     if (!check_rate_limit(admitted))
@@ -178,7 +179,8 @@
                    admitted.request.path + "\n" + canonical_body(admitted.request.body)));
     if (crash_tracker_.is_quarantined(admitted.fingerprint)) {
         reject_before_admission(admitted,
-                                {rejection_code::quarantined, "this request crashed endpoints"});
+                                {rejection_code::quarantined, "this request crashed endpoints",
+                                 run_state_before_lookup(admitted.request)});
         return;
     }
     context_.counters.count("online_calls");
@@ -217,8 +219,9 @@
         // The claim may still be committed, so reject() releases the key. If that request is lost
         // as well, the key is released or its outcome marked unknown once this process has ended.
         call->key_claimed = true;
+        // An earlier transmission may have run.
         reject(exchange, {rejection_code::no_quorum, "the durable state can't be reached",
-                          run_state::no, default_retry_after});
+                          run_state_before_lookup(call->request), default_retry_after});
         return;
     }
     switch (reply.work().result()) {
--- a/lib/entry/refusal.cpp
+++ b/lib/entry/refusal.cpp
@@ -61,6 +61,13 @@
     return "maybe";
 }
 
+// Jobs are named by their content where they have no key.
+run_state run_state_before_lookup(const net::http_request& request) {
+    const bool is_named =
+        !request.header("idempotency-key").empty() || request.path == "/v1/batches";
+    return is_named ? run_state::maybe : run_state::no;
+}
+
 static std::string error_body(const rejection& rejected, const std::string& request_id) {
     const boost::json::object body = {{"error",
                                        {{"code", rejection_code_name(rejected.code)},
