Scenario runner: requests that may run once aren't sent again by the caller

The client of the scenario runner repeats a request by itself if a kept connection closes before the first byte of the response. The request id stays the same, so a gateway that ends while it forwards the request, and one that reads the repetition, may make one request run twice without a fault of the gateways.

begin_ask takes `once`, which uses the raw client, still over kept connections, and leaves at the timeout; and `fresh_connection`. A call that is done isn't cancelled once more.

--- a/test/runner/platform.lua
+++ b/test/runner/platform.lua
@@ -126,9 +126,10 @@
 end
 function front_address(name) return ip_of(kinds.front, tonumber(name:match("%d+$"))) .. ":9200" end
 
-function begin_request(front, method, path, body, deadline_ms, id, parts)
+-- A request that goes `once` isn't sent again by the caller's side if its connection ends.
+function begin_request(front, method, path, body, deadline_ms, id, parts, once, fresh_connection)
   return begin_ask({ to = front_address(front), method = method, path = path, body = body,
-    timeout_ms = deadline_ms, headers = { Host = "shop.example",
+    timeout_ms = deadline_ms, once = once, fresh_connection = fresh_connection, headers = { Host = "shop.example",
       ["X-Cassiarouter-Request-Id"] = id, ["X-Cassiarouter-Deadline-Ms"] = deadline_ms,
       ["X-Cassiarouter-Prompt-Prefix"] = parts } })
 end
@@ -204,7 +205,7 @@
     attempts = source.attempts or 2, parts = parts }
   calls[#calls + 1] = { id = id, source = source, at = now(), ends = now() + deadline,
     ask = begin_request(front, source.method or "POST", source.path or "/s/x", body, deadline, id,
-      parts) }
+      parts, source.once) }
 end
 
 local open_from = 1
--- a/test/runner/verbs.cpp
+++ b/test/runner/verbs.cpp
@@ -18,12 +18,17 @@
 constexpr lua_Integer usual_timeout_ms = 20000;
 } // namespace
 
-asker::asker() : task_("asker"), client_(std::make_unique<net::http_client>(task_, connections)) {
+asker::asker()
+    : task_("asker"), client_(std::make_unique<net::http_client>(task_, connections)),
+      once_client_(std::make_unique<net::raw_client>(task_, "")) {
     task_.start();
 }
 
 asker::~asker() {
-    task_.post([this] { client_.reset(); });
+    task_.post([this] {
+        client_.reset();
+        once_client_.reset();
+    });
     task_.stop();
 }
 
@@ -78,13 +83,20 @@
 
 void asker::abandon(std::uint64_t id) {
     task_.post([this, id] {
-        call_id call;
+        pending found;
         {
             const std::lock_guard<std::mutex> lock(mutex_);
-            call = calls_.at(id).call;
-            calls_.at(id).done = true;
+            pending& known = calls_.at(id);
+            if (known.done)
+                return;
+            known.done = true;
+            found.call = known.call;
+            found.is_once = known.is_once;
         }
-        client_->cancel(call);
+        if (found.is_once)
+            once_client_->cancel(found.call);
+        else
+            client_->cancel(found.call);
         changed_.notify_all();
     });
 }
@@ -231,6 +243,13 @@
     return 0;
 }
 
+static bool is_set(lua_State* lua, int table, const char* name) {
+    lua_getfield(lua, table, name);
+    const bool is = lua_toboolean(lua, -1) != 0;
+    lua_pop(lua, 1);
+    return is;
+}
+
 static int verb_begin_ask(lua_State* lua) {
     net::http_call call;
     call.method = text_field(lua, 1, "method");
@@ -242,7 +261,10 @@
     call.headers = map_field(lua, 1, "headers");
     call.progress_timeout =
         milliseconds(number_field(lua, 1, "timeout_ms", static_cast<int>(usual_timeout_ms)));
-    lua_pushinteger(lua, static_cast<lua_Integer>(context_of(lua).calls.begin(call)));
+    call.fresh_connection = is_set(lua, 1, "fresh_connection");
+    asker& calls = context_of(lua).calls;
+    lua_pushinteger(lua, static_cast<lua_Integer>(is_set(lua, 1, "once") ? calls.begin_once(call)
+                                                                         : calls.begin(call)));
     return 1;
 }
 
--- a/test/runner/verbs.h
+++ b/test/runner/verbs.h
@@ -4,6 +4,7 @@
 #include "fleet.h"
 
 #include "cassia/net/http_client.h"
+#include "cassia/net/raw_client.h"
 #include "cassia/net/task.h"
 
 #include <condition_variable>
@@ -32,6 +33,8 @@
     ~asker();
 
     std::uint64_t begin(const net::http_call& call);
+    /// Never sends the request again by itself, and leaves it once the timeout is over.
+    std::uint64_t begin_once(const net::http_call& call);
     result wait(std::uint64_t id);
     bool is_done(std::uint64_t id);
     /// Closes the connection of a call that is under way.
@@ -41,11 +44,13 @@
     struct pending {
         result got;
         call_id call;
+        bool is_once = false;
         bool done = false;
     };
 
     net::task task_;
     std::unique_ptr<net::http_client> client_;
+    std::unique_ptr<net::raw_client> once_client_;
     std::mutex mutex_;
     std::condition_variable changed_;
     std::map<std::uint64_t, pending> calls_;
