Keepers look for absent versions no further than the first endpoints that have all versions

Every keeper looked at the versions of all its endpoints, with two strings copied for each, at each round of heartbeats. The versions known are few, and the first endpoints mostly have all of them: the search ends there.

--- a/lib/membership/version_spread.cpp
+++ b/lib/membership/version_spread.cpp
@@ -50,16 +50,18 @@
     return confirmed_.count(version_of(record)) > 0;
 }
 
-// A version that returns later is one that the other keepers may have forgotten too.
+// A version that returns later is one that the other keepers may have forgotten too. Mostly all
+// versions are found within the first few endpoints.
 void version_spread::forget_absent(const std::map<endpoint_id, endpoint_state>& endpoints) {
-    std::set<service_version> present;
-    for (const std::pair<const endpoint_id, endpoint_state>& one : endpoints)
-        present.insert(version_of(one.second.record));
-    std::erase_if(confirmed_, [&present](const service_version& version) {
-        return present.count(version) == 0;
-    });
-    std::erase_if(unconfirmed_,
-                  [&present](const auto& version) { return present.count(version.first) == 0; });
+    std::set<service_version> absent = confirmed_;
+    for (const std::pair<const service_version, unconfirmed_version>& one : unconfirmed_)
+        absent.insert(one.first);
+    for (auto one = endpoints.begin(); one != endpoints.end() && !absent.empty(); ++one)
+        absent.erase(version_of(one->second.record));
+    for (const service_version& version : absent) {
+        confirmed_.erase(version);
+        unconfirmed_.erase(version);
+    }
 }
 
 } // namespace cassia::membership
