--- a/include/cassia/keeper/endpoint_file.h
+++ b/include/cassia/keeper/endpoint_file.h
@@ -12,7 +12,8 @@
 std::string encode_endpoints(const membership::endpoint_directory& directory, instant now);
 /// Adds the saved endpoints to the directory. Those that don't announce themselves soon afterwards
 /// get no further work.
-/// \returns the number of endpoints restored, without odd records; 0 if the content can't be parsed.
+/// \returns the number of endpoints restored; 0 if the content can't be parsed. Odd records are left
+/// out.
 std::size_t decode_endpoints(membership::endpoint_directory& directory, const std::string& content,
                              instant now);
 
