Test: promises about batch items, against endpoints that do anything in any order

Requests had such a test (promise_test.cpp), items none. Two item runners lease one listed job's 90 items from a work group's state, whose replies are late or lost and which takes leases away; five endpoints of two versions run, reject, leave events out, stall, freeze, break off and repeat earlier responses whole. One item in nine always ends with 422, one with 500. A run that counts as a rejection shows as a rejection too many: the new metric items_rejected counts those believed.

--- a/lib/gateway/item_responses.cpp
+++ b/lib/gateway/item_responses.cpp
@@ -98,6 +98,7 @@
         return;
     held_item& item = *found->second;
     if (item.not_run) {
+        metrics_.count("items_rejected");
         item.failed_endpoints.insert(item.endpoint);
         requeue(item, unusable_response_delay, "refused_by_endpoint");
         return;
--- a/unittests/gateway/random_endpoint.cpp
+++ b/unittests/gateway/random_endpoint.cpp
@@ -111,6 +111,8 @@
     const std::string status = states ? proved[static_cast<std::size_t>(number(2))]
                                       : unproved[static_cast<std::size_t>(number(3))];
     count(states ? "rejected" : "rejected_unproved");
+    if (states || status.starts_with("421"))
+        count("proved_not_run");
     const std::string body(chance(0.2) ? 2000 : 0, 'x');
     write_response(
         id,
@@ -152,8 +154,11 @@
                        true);
     } else if (chance(0.04)) {
         count("run_then_500");
+        ++record_.sent_statuses[request.id][500];
         write_response(id, make_response("500 Error", request.id, "Cassia-Stamp: s\r\n", "failed"),
                        true);
+    } else if (runs_items) {
+        run_item(id, request);
     } else if (streams) {
         run_stream(id, request);
     } else {
@@ -161,6 +166,19 @@
     }
 }
 
+void random_endpoint::run_item(net::connection_id id, const parsed_request& request) {
+    const bool is_impossible = request.id.starts_with("bad");
+    if (!is_impossible && !request.id.starts_with("fails")) {
+        run_stream(id, request);
+        return;
+    }
+    ++record_.sent_statuses[request.id][is_impossible ? 422 : 500];
+    write_response(id,
+                   make_response(is_impossible ? "422 Unprocessable" : "500 Error", request.id,
+                                 "Cassia-Stamp: s\r\n", "failed"),
+                   true);
+}
+
 void random_endpoint::run_call(net::connection_id id, const parsed_request& request) {
     const std::string bytes =
         make_response("200 OK", request.id, "Cassia-Stamp: s\r\n", std::string(200, 'y'));
@@ -186,10 +204,22 @@
     found->second.run = std::make_unique<active_run>();
     found->second.run->request = request.id;
     found->second.run->next_event = request.last_event + 1;
-    write_parts(id, "HTTP/1.1 200 OK\r\nCassia-Stamp: s\r\nKeep-Alive: timeout=5\r\n"
-                    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
-                    "Cassia-Request-Id: " +
-                        request.id + "\r\n\r\n");
+    const std::string head = "HTTP/1.1 200 OK\r\nCassia-Stamp: s\r\nKeep-Alive: timeout=5\r\n"
+                             "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+                             "Cassia-Request-Id: " +
+                             request.id + "\r\n\r\n";
+    if (runs_items) {
+        found->second.run->number = record_.item_runs.size();
+        found->second.run->written = head;
+        // A response without its last event can't be told from a whole one.
+        const bool has_more = request.last_event + 1 < events_of_a_stream;
+        if (request.last_event > 0 && has_more && chance(0.4)) {
+            count("events_left_out");
+            ++found->second.run->next_event;
+        }
+        record_.item_runs.push_back({request.id, request.last_event, name_});
+    }
+    write_parts(id, head);
     const std::string name = request.id;
     owner_.after(milliseconds(50), [this, alive = is_alive_, id, name] {
         if (*alive)
@@ -209,12 +239,19 @@
         return;
     }
     if (run.next_event > events_of_a_stream) {
+        if (runs_items)
+            found->second.sent.push_back(run.written + "0\r\n\r\n");
         found->second.run.reset();
         write_response(id, "0\r\n\r\n", true);
         return;
     }
     const std::string event = std::to_string(run.next_event++);
-    sockets_->write(id, chunk("id: " + event + "\ndata: " + event + "\n\n"));
+    const std::string data =
+        runs_items ? request + " " + event + " " + std::to_string(run.number) : event;
+    const std::string bytes = chunk("id: " + event + "\ndata: " + data + "\n\n");
+    if (runs_items)
+        run.written += bytes;
+    sockets_->write(id, bytes);
     milliseconds pause = event_interval;
     if (chance(0.06)) {
         count("stalls");
--- a/unittests/gateway/random_endpoint.h
+++ b/unittests/gateway/random_endpoint.h
@@ -17,12 +17,21 @@
 
 namespace cassia::gateway {
 
+/// A run of an item, and the event that it was asked to go on behind.
+struct begun_run {
+    std::string item;
+    int last_event = 0;
+    std::string endpoint;
+};
+
 /// What the endpoints of one fleet did, counted.
 struct fleet_record {
     std::map<std::string, int> runs; ///< by request id; a copy that goes on twice counts as another
     std::map<std::string, int> done; ///< by what was done
     std::map<std::string, std::string> copies; ///< request ids by the handles of stopped runs
     std::set<std::string> used_copies;         ///< handles of runs that go on
+    std::vector<begun_run> item_runs;          ///< each event of an item names its run by index
+    std::map<std::string, std::map<int, int>> sent_statuses; ///< by item and status, no copies
 };
 
 struct parsed_request {
@@ -40,6 +49,8 @@
     ~random_endpoint();
 
     bool streams = false;
+    /// Runs batch items: those whose id begins with "bad" end with 422, with "fails" with 500.
+    bool runs_items = false;
     double rejected_share = 0.3; ///< of its requests
 
 private:
@@ -47,6 +58,8 @@
     struct active_run {
         std::string request;
         int next_event = 1;
+        std::size_t number = 0; ///< in fleet_record::item_runs
+        std::string written;    ///< of an item's response
     };
     struct connection {
         std::string unread;
@@ -65,6 +78,7 @@
     void run(net::connection_id id, const parsed_request& request);
     void run_call(net::connection_id id, const parsed_request& request);
     void run_stream(net::connection_id id, const parsed_request& request);
+    void run_item(net::connection_id id, const parsed_request& request);
     /// Does the work of a request without a response.
     void note_run(const parsed_request& request);
     void next_event(net::connection_id id, const std::string& request);
