--- a/unittests/keeper/endpoint_file_test.cpp
+++ b/unittests/keeper/endpoint_file_test.cpp
@@ -100,11 +100,11 @@
 TEST_CASE("versions that a majority knew are restored, others aren't", "[keeper]") {
     membership::endpoint_directory before({});
     membership::version_spread versions;
-    for (const std::string version : {"v1", "v2"}) {
-        schema::endpoint_record record = make_endpoint(version, 5);
-        record.set_software_version(version);
+    for (const std::string number : {"1", "2"}) {
+        schema::endpoint_record record = make_endpoint(number, 5);
+        record.set_software_version("v" + number);
         before.merge_announcement(record, start);
-        if (version == "v1")
+        if (number == "1")
             versions.restore(record);
     }
     const std::string content = encode_endpoints(before, start, versions);
--- a/unittests/membership/version_spread_test.cpp
+++ b/unittests/membership/version_spread_test.cpp
@@ -14,7 +14,7 @@
 schema::endpoint_record record_of(const std::string& version) {
     schema::endpoint_record record;
     record.set_id("i-" + version);
-    record.set_address(version + ":1");
+    record.set_address("10.0.0.1:1");
     record.set_service("llm");
     record.set_software_version(version);
     return record;
