Scenario endpoint_leaves: an engine that runs has to reply to both looks

An engine that still ran and replied to neither look passed the check since it may have ended by the second one: nothing equalled nothing.

--- a/test/scenarios/endpoint_leaves.lua
+++ b/test/scenarios/endpoint_leaves.lua
@@ -27,7 +27,7 @@
   local got = ask(complete({ to = "entry-" .. (i % 3 + 1), prompt = "after " .. i }))
   expect(got.status == 200, "served elsewhere")
 end
-expect(not is_running("engine-1") or started() == started_before,
+expect(not is_running("engine-1") or started_before and started() == started_before,
   "no new work after two seconds")
 for i = 1, #running do
   local got = answer(running[i])
