Log: what a process reads after a kill is synced before it answers for it

What callers would see: after all keepers were killed and came back, and the power failed a moment later, acknowledged jobs, results or configurations are gone, or disks are set aside as damaged.

Cause: recover() took what the process before had written for durable. A process that is killed between its write and its sync leaves records in the page cache; the next one counted them as its own acknowledged ones. Its first sync covers them only if its next batch goes into the same segment, and comes after its first answers. If that batch outlived the power loss and the unsynced one before it did not, the log looked damaged and the disk was set aside.

Why this works: the last segment and the folder are synced before recover() returns, hence before the first answer; earlier segments were synced before the one after them was begun. New line log_recovered: how far the log reached.

--- a/include/cassia/storage/write_ahead_log.h
+++ b/include/cassia/storage/write_ahead_log.h
@@ -41,8 +41,9 @@
     write_ahead_log& operator=(const write_ahead_log&) = delete;
 
     /// Calls `on_record` for every record from `first_segment` on, in order, and truncates a torn
-    /// tail (a last batch that was only partly written). Fails with `corrupt` if a record that had
-    /// been synced is damaged, or a segment between others is missing.
+    /// tail (a last batch that was only partly written). What was read is durable afterwards. Fails
+    /// with `corrupt` if a record that had been synced is damaged, or a segment between others is
+    /// missing.
     result<void> recover(std::uint32_t first_segment, const record_handler& on_record);
 
     /// Appends a record to the next batch. It is durable only once that batch has been written.
@@ -66,6 +67,7 @@
 private:
     std::string segment_path(std::uint32_t segment) const;
     result<void> recover_segment(std::uint32_t segment, bool last, const record_handler& on_record);
+    result<void> sync_recovered();
     result<void> truncate_segment(std::uint32_t segment, std::uint64_t size);
 
     std::string folder_;
--- a/lib/storage/write_ahead_log.cpp
+++ b/lib/storage/write_ahead_log.cpp
@@ -65,6 +65,28 @@
         if (!recovered)
             return recovered;
     }
+    return sync_recovered();
+}
+
+// A process that was killed may have left records and names that it never synced. From here on this
+// one answers for them.
+result<void> write_ahead_log::sync_recovered() {
+    std::vector<std::string> paths;
+    if (next_batch_.offset > 0)
+        paths.push_back(segment_path(next_batch_.segment));
+    paths.push_back(folder_);
+    for (const std::string& path : paths) {
+        const int file = open(path.c_str(), O_RDONLY | O_CLOEXEC);
+        const int error_number = file < 0 ? errno : disk_.sync(file);
+        if (file >= 0)
+            close(file);
+        if (error_number != 0)
+            return failure(make_write_error(path, error_number));
+    }
+    log_info("log_recovered")
+        .with("segment", next_batch_.segment)
+        .with("offset", next_batch_.offset)
+        .with("batches", batch_number_ - 1);
     return success();
 }
 
--- a/unittests/storage/write_ahead_log_test.cpp
+++ b/unittests/storage/write_ahead_log_test.cpp
@@ -1,5 +1,7 @@
 // Recovery of the write-ahead log after a crash, a torn write, a damaged record or a failing disk.
 
+#include "temporary_folder.h"
+
 #include "cassia/storage/record.h"
 #include "cassia/storage/write_ahead_log.h"
 
@@ -20,24 +22,6 @@
 
 constexpr std::uint64_t segment_bytes = 4096;
 
-/// A folder that is removed at the end of the test.
-class temporary_folder {
-public:
-    temporary_folder() {
-        char name[] = "/tmp/cassia-test-XXXXXX";
-        path_ = mkdtemp(name);
-    }
-    ~temporary_folder() {
-        for (const std::string& name : list_files(path_, ""))
-            g_unlink((path_ + "/" + name).c_str());
-        g_rmdir(path_.c_str());
-    }
-    const std::string& path() const { return path_; }
-
-private:
-    std::string path_;
-};
-
 struct recovery {
     std::vector<std::string> records;
     result<void> outcome = cassia::success();
