Disk: the names of new folders are synced too

What callers would see: a keeper that started for the first time, or whose damaged disk was set aside, loses its whole folder in a loss of power, with all that was synced in it.

Cause: make_folder() created the folder and its parents without a sync of the folders that hold their names; the folder that was set aside could come back.

On the users' platform the folder exists beforehand, so there only a disk that is set aside is concerned.

Why this works: each folder that is created is followed by a sync of its parent, which also makes the rename of a damaged one durable.

--- a/include/cassia/storage/disk.h
+++ b/include/cassia/storage/disk.h
@@ -32,8 +32,8 @@
 /// Reads a whole file; fails with `missing` if it doesn't exist.
 result<std::string> read_file(const std::string& path);
 
-/// Creates the folder and its parents.
-result<void> make_folder(const std::string& folder);
+/// Creates the folder and its parents, durably.
+result<void> make_folder(const disk_hooks& disk, const std::string& folder);
 
 /// Names in the folder that start with `prefix`, sorted; empty if the folder can't be read.
 std::vector<std::string> list_files(const std::string& folder, std::string_view prefix);
--- a/lib/keeper/store.cpp
+++ b/lib/keeper/store.cpp
@@ -27,7 +27,7 @@
     : folder_(std::move(folder)), segment_bytes_(segment_bytes), disk_(std::move(disk)) {}
 
 storage::result<recovered_store> store::open() {
-    const storage::result<void> made = storage::make_folder(folder_);
+    const storage::result<void> made = storage::make_folder(disk_, folder_);
     if (!made)
         return failure(made.error());
     storage::result<recovered_store> recovered = recover();
@@ -155,7 +155,7 @@
         return failure(
             storage::error{storage::errc::cannot_write, damaged + ": " + std::strerror(errno)});
     log_warning("disk_set_aside").with("folder", damaged);
-    return storage::make_folder(folder_);
+    return storage::make_folder(disk_, folder_);
 }
 
 storage::result<void> store::write_snapshot(const schema::group_snapshot& snapshot) {
--- a/lib/storage/disk.cpp
+++ b/lib/storage/disk.cpp
@@ -78,11 +78,19 @@
     return failure(error{code, content.error().text});
 }
 
-result<void> make_folder(const std::string& folder) {
+result<void> make_folder(const disk_hooks& disk, const std::string& folder) {
     constexpr int owner_only = 0700;
-    if (g_mkdir_with_parents(folder.c_str(), owner_only) != 0)
+    if (g_file_test(folder.c_str(), G_FILE_TEST_IS_DIR) != 0)
+        return success();
+    char* const name = g_path_get_dirname(folder.c_str());
+    const std::string parent = name;
+    g_free(name);
+    const result<void> parent_made = make_folder(disk, parent);
+    if (!parent_made)
+        return parent_made;
+    if (g_mkdir(folder.c_str(), owner_only) != 0 && errno != EEXIST)
         return failure(error{errc::cannot_open, folder + ": " + std::strerror(errno)});
-    return success();
+    return sync_folder(disk, parent);
 }
 
 std::vector<std::string> list_files(const std::string& folder, std::string_view prefix) {
--- a/unittests/keeper/store_power_loss_test.cpp
+++ b/unittests/keeper/store_power_loss_test.cpp
@@ -8,8 +8,13 @@
 
 #include <catch2/catch.hpp>
 
+#include <sys/stat.h>
+
+#include <algorithm>
 #include <cstdint>
+#include <filesystem>
 #include <string>
+#include <vector>
 
 using namespace cassia;
 using namespace cassia::keeper;
@@ -65,3 +70,24 @@
     CHECK(after.disk == before.disk);
     CHECK(after.index == before.index);
 }
+
+// Guards against a folder whose own name a loss of power takes away with all that was synced in it.
+TEST_CASE("the folder of a keeper is durable from its first start on", "[store][power-loss]") {
+    temporary_folder parent;
+    const std::string folder = parent.path() + "/a/b";
+    std::vector<std::uint64_t> synced;
+    disk_hooks hooks = system_disk();
+    hooks.sync = [&synced](int file) {
+        struct stat status {};
+        REQUIRE(::fstat(file, &status) == 0);
+        synced.push_back(status.st_ino);
+        return 0;
+    };
+    open_store(folder, hooks);
+    for (const std::string& path : {parent.path(), parent.path() + "/a", folder}) {
+        struct stat status {};
+        REQUIRE(::stat(path.c_str(), &status) == 0);
+        CHECK(std::find(synced.begin(), synced.end(), status.st_ino) != synced.end());
+    }
+    std::filesystem::remove_all(parent.path() + "/a");
+}
