Programs: signals that come before the handlers are installed wait for them

What callers would see: a gateway or keeper that has just started ends at a SIGHUP, with all requests that it has read; one that is to stop ends without handing anything over. cassia-entry and cassia-keeper ended at any SIGHUP.

Cause: handlers were installed one by one after logs, sockets and the log of the disk had been opened; until then a signal's default ended the process. At a small share of a core that time is a fifth of a second.

Why this works: the signals are blocked in the first statement, before any thread, and delivered once all handlers are installed. What remains: the time that the loader takes before main().

--- a/include/cassia/net/task.h
+++ b/include/cassia/net/task.h
@@ -54,6 +54,12 @@
     std::uint64_t last_timer_ = 0;
 };
 
+/// Holds back the signals that programs handle, from the first statement of a program until
+/// deliver_signals(). Without a handler their default would end the process.
+void hold_signals();
+/// Delivers what came meanwhile. Called on the main thread, once all handlers are installed.
+void deliver_signals();
+
 /// Calls `action` on the task's thread for each of the signals, until the task ends.
 void on_signal(task& owner, int signal, std::function<void()> action);
 
--- a/lib/entry/http_task.cpp
+++ b/lib/entry/http_task.cpp
@@ -90,10 +90,12 @@
     net::on_signal(task_, SIGTERM, [this] { drain(); });
     net::on_signal(task_, SIGINT, [this] { drain(); });
     net::on_signal(task_, SIGUSR1, [this] { log_state_dump(); });
+    net::on_signal(task_, SIGHUP, [] { log_info("settings_kept"); });
     return "";
 }
 
 void http_task::run() {
+    net::deliver_signals();
     task_.run();
 }
 
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -222,6 +222,7 @@
     log_info("gateway_started")
         .with("address", settings_.serve_address())
         .with("zone", settings_.zone());
+    net::deliver_signals();
     task_.run();
     log_info("gateway_stopped");
     return 0;
--- a/lib/keeper/service.cpp
+++ b/lib/keeper/service.cpp
@@ -243,6 +243,7 @@
     log_info("keeper_started")
         .with("address", settings_.peer_address())
         .with("zone", settings_.zone());
+    net::deliver_signals();
     task_.run();
     log_info("keeper_stopped").with("exit", exit_code_);
     return exit_code_;
--- a/lib/net/task.cpp
+++ b/lib/net/task.cpp
@@ -3,6 +3,7 @@
 #include <glib-unix.h>
 #include <glib.h>
 
+#include <csignal>
 #include <memory>
 #include <utility>
 
@@ -123,6 +124,22 @@
     timers_.erase(found);
 }
 
+static void change_signal_mask(int how) {
+    sigset_t handled;
+    sigemptyset(&handled);
+    for (const int signal : {SIGHUP, SIGINT, SIGTERM, SIGUSR1})
+        sigaddset(&handled, signal);
+    pthread_sigmask(how, &handled, nullptr);
+}
+
+void hold_signals() {
+    change_signal_mask(SIG_BLOCK);
+}
+
+void deliver_signals() {
+    change_signal_mask(SIG_UNBLOCK);
+}
+
 void on_signal(task& owner, int signal, std::function<void()> action) {
     GSource* source = g_unix_signal_source_new(signal);
     g_source_set_callback(source, run_signal, new std::function<void()>(std::move(action)),
--- a/tools/cassia-entry.cpp
+++ b/tools/cassia-entry.cpp
@@ -2,10 +2,12 @@
 
 #include "cassia/base/log.h"
 #include "cassia/entry/service.h"
+#include "cassia/net/task.h"
 #include "cassia/settings/command_line.h"
 #include "cassia/settings/logging.h"
 
 int main(int argc, char** argv) {
+    cassia::net::hold_signals();
     cassia::schema::entry_settings settings;
     const cassia::settings::program_info program{"cassia-entry",
                                                  "routes callers' requests to endpoints", "", ""};
--- a/tools/cassia-keeper.cpp
+++ b/tools/cassia-keeper.cpp
@@ -2,12 +2,14 @@
 
 #include "cassia/base/log.h"
 #include "cassia/keeper/service.h"
+#include "cassia/net/task.h"
 #include "cassia/settings/command_line.h"
 #include "cassia/settings/logging.h"
 
-#include <iostream>
+#include <csignal>
 
 int main(int argc, char** argv) {
+    cassia::net::hold_signals();
     cassia::schema::keeper_settings settings;
     const cassia::settings::program_info program{"cassia-keeper",
                                                  "keeps the replicated durable state", "", ""};
@@ -23,5 +25,6 @@
         cassia::log_error("start_failed").with("cause", problem);
         return cassia::settings::exit_failed;
     }
+    cassia::net::on_signal(service.owner(), SIGHUP, [] { cassia::log_info("settings_kept"); });
     return service.run();
 }
--- a/tools/cassia-standin.cpp
+++ b/tools/cassia-standin.cpp
@@ -23,6 +23,7 @@
         return fail(problem);
     cassia::net::on_signal(task, SIGTERM, [&endpoint] { endpoint.leave(); });
     cassia::net::on_signal(task, SIGINT, [&endpoint] { endpoint.leave(); });
+    cassia::net::deliver_signals();
     task.run();
     return cassia::settings::exit_fine;
 }
@@ -33,11 +34,13 @@
         return fail(problem);
     cassia::net::on_signal(task, SIGTERM, [&task] { task.quit(); });
     cassia::net::on_signal(task, SIGINT, [&task] { task.quit(); });
+    cassia::net::deliver_signals();
     task.run();
     return cassia::settings::exit_fine;
 }
 
 int main(int argc, char** argv) {
+    cassia::net::hold_signals();
     cassia::schema::standin_settings settings;
     const cassia::settings::program_info program{
         "cassia-standin", "stands in for an engine, a service or the weight store", "", ""};
