--- a/test/runner/fleet.cpp
+++ b/test/runner/fleet.cpp
@@ -178,6 +178,8 @@
         arguments.push_back(argument.data());
     arguments.push_back(nullptr);
     const std::string log = state_ + "/" + name + ".log";
+    const std::string tracker =
+        std::filesystem::read_symlink("/proc/self/exe").parent_path() / "libcassia-sync-tracker.so";
     const pid_t parent = getpid();
     one.pid = fork();
     if (one.pid != 0)
@@ -191,6 +193,12 @@
         const rlimit limit{most_file_bytes, most_file_bytes};
         setrlimit(RLIMIT_FSIZE, &limit);
     }
+    if (!one.synced_dir.empty()) {
+        setenv("CASSIA_TRACKED_FOLDER", one.data_dir.c_str(), 1);
+        setenv("CASSIA_SYNCED_FOLDER", one.synced_dir.c_str(), 1);
+        setenv("CASSIA_SYNC_DELAY_US", std::to_string(one.sync_delay_us).c_str(), 1);
+        setenv("LD_PRELOAD", tracker.c_str(), 1);
+    }
     const int file = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     dup2(file, STDOUT_FILENO);
     dup2(file, STDERR_FILENO);
@@ -227,7 +235,22 @@
 }
 
 void fleet::wipe_disk(const std::string& name) {
-    std::filesystem::remove_all(processes_.at(name).data_dir);
+    const process& one = processes_.at(name);
+    std::filesystem::remove_all(one.data_dir);
+    if (one.synced_dir.empty())
+        return;
+    std::filesystem::remove_all(one.synced_dir);
+    track_syncs(name, one.sync_delay_us);
+}
+
+// The folder of the disk exists before the process does.
+void fleet::track_syncs(const std::string& name, int delay_us) {
+    process& one = processes_.at(name);
+    one.sync_delay_us = delay_us;
+    one.synced_dir = std::filesystem::absolute(state_ + "/synced/" + name);
+    one.data_dir = std::filesystem::absolute(one.data_dir);
+    std::filesystem::create_directories(one.synced_dir);
+    std::filesystem::create_directories(one.data_dir);
 }
 
 const process& fleet::find(const std::string& name) const {
--- a/test/runner/fleet.h
+++ b/test/runner/fleet.h
@@ -33,6 +33,8 @@
     std::string ip;      ///< where it really listens
     std::string address; ///< HTTP, as others reach it
     std::string data_dir;
+    std::string synced_dir; ///< what a loss of power would leave; empty if syncs aren't tracked
+    int sync_delay_us = 0;
     pid_t pid = 0;
 };
 
@@ -55,6 +57,8 @@
     int wait(const std::string& name);
     bool is_running(const std::string& name);
     void wipe_disk(const std::string& name);
+    /// Tracks the syncs of the process from its next start on, and makes each take longer.
+    void track_syncs(const std::string& name, int delay_us);
     const process& find(const std::string& name) const;
     std::vector<std::string> names() const;
     relay& links() { return relay_; }
--- a/test/runner/platform.lua
+++ b/test/runner/platform.lua
@@ -125,6 +125,26 @@
     headers = { ["Content-Type"] = "application/json" } })
 end
 
+-- A keeper that loses its disk doesn't found the cluster anew.
+function end_bootstrap()
+  for _, list in ipairs({ controls, works }) do
+    for _, name in ipairs(list) do
+      local path = state_folder() .. "/" .. name .. ".toml"
+      local text = read_file(path):gsub("first_start = true", "first_start = false")
+      local file = assert(io.open(path, "w"))
+      file:write(text)
+      file:close()
+    end
+  end
+end
+
+-- The version that a control keeper gives out; nothing if it gives none.
+function read_configuration_version(number)
+  local got = answer(begin_ask({ to = ip_of(kinds.control, number) .. ":9000", method = "GET", body = "",
+    path = "/cassiarouter/Config.Get", timeout_ms = 1000, headers = {} }))
+  return got.status == 200 and got.json and got.json.version or nil
+end
+
 local last_request = 0
 local function request_id()
   last_request = last_request + 1
@@ -181,6 +201,11 @@
       "--event-ms", shape.event_ms or 15, table.unpack(options) })
     endpoints[i] = name
   end
+  if shape.sync_delay_us then
+    for _, list in ipairs({ controls, works }) do
+      for _, name in ipairs(list) do track_syncs(name, shape.sync_delay_us) end
+    end
+  end
   if routes then start_relay(routes) end
   for _, list in ipairs({ controls, works, fronts, endpoints }) do
     for _, name in ipairs(list) do start(name) end
--- a/test/runner/verbs.cpp
+++ b/test/runner/verbs.cpp
@@ -1,6 +1,7 @@
 #include "verbs.h"
 
 #include "json_to_lua.h"
+#include "power_loss.h"
 
 #include <boost/json.hpp>
 #include <lua.hpp>
@@ -214,6 +215,22 @@
     return 0;
 }
 
+static int verb_track_syncs(lua_State* lua) {
+    context_of(lua).processes.track_syncs(luaL_checkstring(lua, 1),
+                                          static_cast<int>(luaL_optinteger(lua, 2, 0)));
+    return 0;
+}
+
+// Of a process that was killed. Returns how many files and names were set back.
+static int verb_lose_power(lua_State* lua) {
+    const process& one = context_of(lua).processes.find(luaL_checkstring(lua, 1));
+    const power_loss_count count = lose_power(
+        one.data_dir, one.synced_dir, static_cast<std::uint64_t>(luaL_checkinteger(lua, 2)));
+    lua_pushinteger(lua, count.files_set_back);
+    lua_pushinteger(lua, count.names_set_back);
+    return 2;
+}
+
 static int verb_data_dir(lua_State* lua) {
     lua_pushstring(lua, context_of(lua).processes.find(luaL_checkstring(lua, 1)).data_dir.c_str());
     return 1;
@@ -387,6 +404,8 @@
                               {"wait_exit", verb_wait_exit},
                               {"is_running", verb_is_running},
                               {"wipe_disk", verb_wipe_disk},
+                              {"track_syncs", verb_track_syncs},
+                              {"lose_power", verb_lose_power},
                               {"data_dir", verb_data_dir},
                               {"address", verb_address},
                               {"cut_one_way", verb_link<link_change::cut>},
