Items: a lease that takes long asks for more items

What callers would see: accepted items are neither run nor given up beside idle endpoints, as the keepers' disks sync slowly.

Cause: a gateway asks for two items at a time and waits for the reply, which takes a commit of the quorum: some four syncs under load. Three gateways then lease 14 items a second with syncs of 100 ms, whatever is free. The class: a window of fixed size over a latency that isn't fixed.

Why this works: the window grows with the time that leases take, so their rate doesn't fall with it; it stays within this gateway's share of the free slots, and at two items where leases take less than 40 ms.

--- a/lib/gateway/item_leases.cpp
+++ b/lib/gateway/item_leases.cpp
@@ -13,6 +13,10 @@
 // Limit of items that wait for a slot at this gateway. It is low because other gateways can lease
 // only the items that are still with the keepers.
 constexpr std::uint32_t max_ready_items = 2;
+// A lease that takes longer asks for as many times more items, so that a slow commit doesn't bound
+// the rate of items.
+constexpr milliseconds usual_lease_time(20);
+constexpr std::uint32_t max_items_per_lease = 16;
 // Limit of items that may not run yet, in windows.
 constexpr std::size_t max_blocked_windows = 4;
 constexpr milliseconds lease_interval(100);
@@ -49,6 +53,22 @@
     return items_.size() - blocked >= max_items_ || blocked >= max_blocked_windows * max_items_;
 }
 
+// At most this gateway's share of the free slots beyond the few items that may wait here anyway:
+// all gateways see the same ones.
+std::uint32_t item_runner::lease_window(std::uint32_t free_slots) const {
+    const std::uint32_t share =
+        free_slots / static_cast<std::uint32_t>(std::max<std::size_t>(fleet_size_, 1));
+    const std::uint32_t in_lease_time =
+        max_ready_items * static_cast<std::uint32_t>(lease_time_ / usual_lease_time);
+    return std::max(max_ready_items, std::min({share, in_lease_time, max_items_per_lease}));
+}
+
+void item_runner::note_lease_time(instant now) {
+    constexpr int latest_and_earlier = 2;
+    const milliseconds latest = std::chrono::duration_cast<milliseconds>(now - lease_sent_at_);
+    lease_time_ = (lease_time_ + latest) / latest_and_earlier;
+}
+
 // Requests a few items at a time: all gateways see the same free slots, and together they would
 // lease many times as many items as there are slots.
 void item_runner::request_leases(instant now) {
@@ -65,15 +85,18 @@
             pause = "items_wait_for_slots";
             continue;
         }
-        const std::uint32_t limit =
-            std::min(batch_capacity(*route, now), max_ready_items - ready_items);
+        const std::uint32_t free_slots = batch_capacity(*route, now);
+        const std::uint32_t limit = std::min(free_slots, lease_window(free_slots) - ready_items);
         if (limit == 0) {
             pause = "no_free_slot";
             continue;
         }
         lease_in_flight_ = true;
+        lease_sent_at_ = now;
         hooks_.lease(route->name(), limit, [this](const std::vector<schema::leased_item>& items) {
             lease_in_flight_ = false;
+            if (!items.empty())
+                note_lease_time(monotonic_now());
             next_lease_at_ =
                 monotonic_now() + (items.empty() ? lease_interval_idle : milliseconds(0));
             add_leased(items);
