--- a/unittests/gateway/item_runner_test.cpp
+++ b/unittests/gateway/item_runner_test.cpp
@@ -4,11 +4,13 @@
 
 #include "cassia/gateway/lease_requests.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 using namespace cassia;
 using namespace cassia::gateway;
@@ -224,6 +226,40 @@
     CHECK(groups_of["late"].size() == groups);
 }
 
+// Guards against items that wait beside idle endpoints since each lease waits for slow disks.
+TEST_CASE("leases that take long don't bound the rate of items", "[.][items]") {
+    constexpr std::size_t endpoints = 8;
+    constexpr std::size_t items = 24;
+    runner_fixture fixture;
+    std::vector<endpoint_stub*> stubs;
+    for (std::size_t i = 0; i < endpoints; ++i) {
+        stubs.push_back(&fixture.add_endpoint("first", "v1"));
+        stubs.back()->is_silent = true;
+    }
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
+    fixture.lease_delay = lease_time;
+    for (std::size_t i = 0; i < items; ++i)
+        fixture.offer(fixture.make_item(std::to_string(i), "jobs", i));
+    const auto count_received = [&stubs] {
+        std::size_t received = 0;
+        for (std::size_t i = 0; i < items; ++i)
+            received += std::any_of(stubs.begin(), stubs.end(), [i](const endpoint_stub* one) {
+                return one->has_received(std::to_string(i));
+            });
+        return received;
+    };
+    SECTION("they ask for what this gateway can run") {
+        fixture.run_for(6 * lease_time);
+        CHECK(count_received() == items);
+    }
+    SECTION("and for its share of a fleet's free slots at most") {
+        constexpr std::size_t gateways = 16;
+        fixture.runner.set_fleet_size(gateways);
+        fixture.run_for(6 * lease_time + lease_time / 2);
+        CHECK(count_received() <= 6 * endpoints * slots_per_endpoint / gateways);
+    }
+}
+
 // Guards against a suspected item that waits too long after an endpoint was silent under it.
 TEST_CASE("a suspected item runs again in time after an endpoint was silent", "[.][silent_trial]") {
     runner_fixture fixture;
