--- a/test/runner/platform.lua
+++ b/test/runner/platform.lua
@@ -10,6 +10,7 @@
 local events
 local restart_ms = 600
 local work_groups = 1
+local max_wait_s = 60   -- of an item
 local memory_mib   -- of a gateway; none: not bounded
 local moves_runs = false
 local relay_kind = 100   -- added to a kind: the relay's address for it
@@ -111,7 +112,7 @@
     route("once", "/once/s/", "stream", 1, "llm", ',"resumable":false,"gapSloMs":400'),
     route("safe", "/f/", "safe", 2, "llm"), route("unsafe", "/u/", "unsafe", 3, "llm"),
     route("jobs", "/j/", "batch", 3, "llm",
-      ',"resultDueMs":18000,"maxWaitS":60,"maxQueued":2000000,"resumable":true') }
+      ',"resultDueMs":18000,"maxWaitS":' .. max_wait_s .. ',"maxQueued":2000000,"resumable":true') }
   return '{"version":' .. version .. ',"routes":[' .. table.concat(routes, ",") ..
     '],"services":[{"name":"llm","healthPath":"/healthz","maxConns":300,"engine":{"slots":' ..
     slots .. ',"moves":' .. tostring(moves_runs) .. '}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,' ..
@@ -169,6 +170,7 @@
   slots = shape.slots or slots
   events = shape.events or 12
   memory_mib = shape.memory_mib
+  max_wait_s = shape.max_wait_s or max_wait_s
   moves_runs = shape.moves_runs or false
   routes = shape.relayed and {} or nil
   local control_addresses, seeds = {}, {}
--- a/test/runner/platform_items.lua
+++ b/test/runner/platform_items.lua
@@ -175,6 +175,20 @@
   return count
 end
 
+-- Counts the items that are listed, and those of them that were given up, but for some.
+function count_sound_items(is_bad)
+  local count = { listed = 0, given_up = 0 }
+  for _, job in ipairs(jobs) do
+    for id, result in pairs(job.listed) do
+      if not is_bad[id] then
+        count.listed = count.listed + 1
+        count.given_up = count.given_up + (result.state ~= "done" and 1 or 0)
+      end
+    end
+  end
+  return count
+end
+
 -- Fails if an accepted item isn't listed, or if it wasn't at an endpoint for too long from a time on.
 function expect_items_listed(title, from)
   local count = count_idle_items(title, from)
