Settings: a change during a program's start is applied

What callers would see: seeds, list age, grace or retention that the operator changed while a program started are never applied; neither SIGHUP nor the look each second sees a change.

Cause: the file is loaded first, and read again once all is open as what is in force; a change in between equals that.

Evidence: unittest_settings, a file that has changed since the settings were loaded: not read again before, read now.

Why this works: the text that was loaded is kept with the command line, and later looks compare with that.

--- a/include/cassia/settings/command_line.h
+++ b/include/cassia/settings/command_line.h
@@ -25,6 +25,7 @@
     std::optional<int> exit; ///< set if there's nothing left to do
     std::vector<std::string> arguments;
     std::string config;                 ///< path of the settings file; empty if there is none
+    std::string config_text;            ///< of that file, as it was loaded
     std::vector<std::string> overrides; ///< key=value assignments
 };
 
--- a/lib/settings/command_line.cpp
+++ b/lib/settings/command_line.cpp
@@ -34,7 +34,7 @@
 }
 
 static bool load_settings(const po::variables_map& given, const program_info& program,
-                          google::protobuf::Message& settings) {
+                          google::protobuf::Message& settings, std::string& config_text) {
     std::vector<source_text> texts;
     if (given.count("config") > 0) {
         const std::string path = given["config"].as<std::string>();
@@ -43,7 +43,8 @@
             std::cerr << program.name << ": " << content.error().text << '\n';
             return false;
         }
-        texts.push_back({path, content.value()});
+        config_text = content.value();
+        texts.push_back({path, config_text});
     } else {
         texts.push_back({"defaults", program.default_config});
     }
@@ -104,7 +105,7 @@
         line.config = given["config"].as<std::string>();
     if (given.count("set") > 0)
         line.overrides = given["set"].as<std::vector<std::string>>();
-    if (!load_settings(given, program, settings)) {
+    if (!load_settings(given, program, settings, line.config_text)) {
         line.exit = exit_usage;
         return line;
     }
--- a/lib/settings/reload.cpp
+++ b/lib/settings/reload.cpp
@@ -8,13 +8,8 @@
 
 namespace cassia::settings {
 
-static std::string read_or_nothing(const std::string& path) {
-    outcome<std::string, file_error> content = read_text_file(path);
-    return content ? std::move(content.value()) : std::string();
-}
-
 reload_watch::reload_watch(const command_line& line)
-    : path_(line.config), overrides_(line.overrides), content_(read_or_nothing(line.config)) {}
+    : path_(line.config), overrides_(line.overrides), content_(line.config_text) {}
 
 // The content is compared, not the time of the change: a file may be replaced by an older copy, and
 // clocks may jump.
--- a/unittests/settings/settings_test.cpp
+++ b/unittests/settings/settings_test.cpp
@@ -114,6 +114,24 @@
     CHECK(parsed.error().size() >= 4);
 }
 
+// Guards against a change during a program's start that it never applies.
+TEST_CASE("a file that has changed since the settings were loaded is read again", "[settings]") {
+    const std::string path = "/tmp/cassia-reload-start-" + std::to_string(getpid()) + ".toml";
+    const std::string text = "name = \"k\"\nzone = \"z\"\ndata_dir = \"d\"\n"
+                             "peer_address = \"127.0.0.1:1\"\nhttp_address = \"127.0.0.1:2\"\n";
+    std::ofstream(path, std::ios::trunc) << text << "[cluster]\nseed = [\"10.0.0.1:5\"]\n";
+    const char* arguments[] = {"program", "--config", path.c_str()};
+    schema::keeper_settings settings;
+    const command_line line = read_command_line(3, arguments, {"program", "", "", ""}, settings);
+    REQUIRE_FALSE(line.exit);
+    std::ofstream(path, std::ios::trunc) << text << "[cluster]\nseed = [\"10.0.0.9:5\"]\n";
+    reload_watch watch(line);
+    schema::keeper_settings changed;
+    REQUIRE(watch.poll(changed));
+    CHECK(changed.cluster().seed(0) == "10.0.0.9:5");
+    unlink(path.c_str());
+}
+
 // Story: an operator replaces a settings file while the process runs, with a slip in it. The
 // process must go on with what it had, say what is wrong, and take the mended file.
 TEST_CASE("a changed file is read again, and one with faults changes nothing", "[settings]") {
@@ -127,6 +145,7 @@
     write(fine);
     command_line line;
     line.config = path;
+    line.config_text = fine;
     line.overrides = {"zone=\"other\""};
     reload_watch watch(line);
     schema::keeper_settings settings;
