--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -123,7 +123,7 @@
     std::uint32_t batch_capacity(const schema::route& route, instant now) const;
     /// Items of a route that may wait here once the next lease is granted.
     std::uint32_t lease_window(std::uint32_t free_slots) const;
-    void note_lease_time(instant now);
+    void note_lease_time(milliseconds latest);
     /// From when on the interval between runs of a quarantined item counts.
     instant quarantined_since(held_item& item, const fingerprint& cause) const;
     /// Delays an item that is quarantined. \returns whether it has to wait.
@@ -208,7 +208,6 @@
     schema::items_end ends_in_flight_; ///< sent, but not yet durable
     bool report_in_flight_ = false;
     bool lease_in_flight_ = false;
-    instant lease_sent_at_{};
     milliseconds lease_time_{0}; ///< that leases took of late
     instant next_lease_at_{};
     std::string lease_pause_; ///< why no leases are requested; empty while they are
--- a/lib/gateway/item_leases.cpp
+++ b/lib/gateway/item_leases.cpp
@@ -54,18 +54,19 @@
 }
 
 // At most this gateway's share of the free slots beyond the few items that may wait here anyway:
-// all gateways see the same ones.
+// all gateways see the same ones, and routes may have the same service.
 std::uint32_t item_runner::lease_window(std::uint32_t free_slots) const {
+    const std::size_t routes =
+        std::max<std::size_t>(routes_->of_kind(schema::route::batch).size(), 1);
     const std::uint32_t share =
-        free_slots / static_cast<std::uint32_t>(std::max<std::size_t>(fleet_size_, 1));
+        static_cast<std::uint32_t>(free_slots / (std::max<std::size_t>(fleet_size_, 1) * routes));
     const std::uint32_t in_lease_time =
         max_ready_items * static_cast<std::uint32_t>(lease_time_ / usual_lease_time);
     return std::max(max_ready_items, std::min({share, in_lease_time, max_items_per_lease}));
 }
 
-void item_runner::note_lease_time(instant now) {
+void item_runner::note_lease_time(milliseconds latest) {
     constexpr int latest_and_earlier = 2;
-    const milliseconds latest = std::chrono::duration_cast<milliseconds>(now - lease_sent_at_);
     lease_time_ = (lease_time_ + latest) / latest_and_earlier;
 }
 
@@ -92,15 +93,16 @@
             continue;
         }
         lease_in_flight_ = true;
-        lease_sent_at_ = now;
-        hooks_.lease(route->name(), limit, [this](const std::vector<schema::leased_item>& items) {
-            lease_in_flight_ = false;
-            if (!items.empty())
-                note_lease_time(monotonic_now());
-            next_lease_at_ =
-                monotonic_now() + (items.empty() ? lease_interval_idle : milliseconds(0));
-            add_leased(items);
-        });
+        hooks_.lease(route->name(), limit,
+                     [this, now](const std::vector<schema::leased_item>& items) {
+                         lease_in_flight_ = false;
+                         if (!items.empty())
+                             note_lease_time(
+                                 std::chrono::duration_cast<milliseconds>(monotonic_now() - now));
+                         next_lease_at_ = monotonic_now() +
+                                          (items.empty() ? lease_interval_idle : milliseconds(0));
+                         add_leased(items);
+                     });
     }
     note_lease_pause(lease_in_flight_ ? "" : pause, now);
     if (!lease_in_flight_)
