Power loss rig: a write that wasn't synced is kept in some of its sectors

A disk writes the pages of a file in any order. The rig kept an unsynced write, lost it or cut its end, so a later batch never outlived an earlier one, and the fault of (a disk set aside as damaged) could hardly show on real processes. A fourth outcome keeps or loses each sector of 512 bytes. No outcome or check is removed.

--- a/test/runner/power_loss.cpp
+++ b/test/runner/power_loss.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/stat.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -46,19 +47,30 @@
         file << one.second << " " << one.first << "\n";
 }
 
-// A write that wasn't synced is present, missing or torn.
+// A write that wasn't synced is present, missing, torn, or present in some of its sectors: a disk
+// writes them in any order.
 std::string content_after_loss(const std::string& synced, const std::string& current,
                                std::mt19937_64& random) {
-    constexpr int fates = 3;
+    constexpr int fates = 4;
+    constexpr std::size_t sector_bytes = 512;
     const std::uint64_t fate = random() % fates;
     if (current == synced || fate == 0)
         return synced;
     if (fate == 1)
         return current;
     std::string torn = current;
-    const std::size_t cut = random() % (torn.size() + 1);
-    for (std::size_t i = cut; i < torn.size(); ++i)
-        torn[i] = i < synced.size() ? synced[i] : '\0';
+    const auto lose = [&](std::size_t from, std::size_t to) {
+        for (std::size_t i = from; i < to; ++i)
+            torn[i] = i < synced.size() ? synced[i] : '\0';
+    };
+    if (fate == 2) {
+        lose(random() % (torn.size() + 1), torn.size());
+        return torn;
+    }
+    for (std::size_t from = 0; from < torn.size(); from += sector_bytes) {
+        if (random() % 2 == 0)
+            lose(from, std::min(from + sector_bytes, torn.size()));
+    }
     return torn;
 }
 
