--- a/test/runner/prelude.lua
+++ b/test/runner/prelude.lua
@@ -81,6 +81,16 @@
 function freeze(name) send_signal(name, SIGSTOP) end
 function thaw(name) send_signal(name, SIGCONT) end
 
+-- Kills a process and starts it again; returns as soon as it has written its first line.
+function restart_until_first_line(name)
+  kill(name)
+  local before = #log_of(name)
+  start(name)
+  local till = now() + 5000
+  while #log_of(name) == before and now() < till do end
+  expect(#log_of(name) > before, name .. " writes a line")
+end
+
 function cut(a, b) cut_one_way(a, b); cut_one_way(b, a) end
 function heal(a, b) heal_one_way(a, b); heal_one_way(b, a) end
 
--- a/test/scenarios/platform_signals_at_start.lua
+++ b/test/scenarios/platform_signals_at_start.lua
@@ -3,20 +3,11 @@
 local rounds, settle_ms = 4, 300
 platform_fleet({ gateways = 1, endpoints = 1 })
 
-local function start_until_first_line(name)
-  kill(name)
-  local before = #log_of(name)
-  start(name)
-  local till = now() + 5000
-  while #log_of(name) == before and now() < till do end
-  expect(#log_of(name) > before, name .. " writes a line")
-end
-
 local ended = 0
 for _, name in ipairs({ fronts[1], controls[1], works[1] }) do
   for _ = 1, rounds do
     for _, signal in ipairs({ SIGHUP, SIGUSR1 }) do
-      start_until_first_line(name)
+      restart_until_first_line(name)
       send_signal(name, signal)
       sleep(settle_ms)
       if not is_running(name) then
@@ -25,7 +16,7 @@
       end
     end
     for _, signal in ipairs({ SIGTERM, SIGINT }) do
-      start_until_first_line(name)
+      restart_until_first_line(name)
       send_signal(name, signal)
       local code = wait_exit(name)
       if code ~= 0 then
--- a/test/scenarios/signals_at_start.lua
+++ b/test/scenarios/signals_at_start.lua
@@ -3,15 +3,6 @@
 local rounds, settle_ms = 4, 300
 fleet({ keepers = 3, entries = 1, engines = 1 })
 
-local function start_until_first_line(name)
-  kill(name)
-  local before = #log_of(name)
-  start(name)
-  local till = now() + 5000
-  while #log_of(name) == before and now() < till do end
-  expect(#log_of(name) > before, name .. " writes a line")
-end
-
 local ended = 0
 local function expect_running(name, signal)
   sleep(settle_ms)
@@ -25,11 +16,11 @@
   expect_running(name, SIGHUP)
   for _ = 1, rounds do
     for _, signal in ipairs({ SIGHUP, SIGUSR1 }) do
-      start_until_first_line(name)
+      restart_until_first_line(name)
       send_signal(name, signal)
       expect_running(name, signal)
     end
-    start_until_first_line(name)
+    restart_until_first_line(name)
     send_signal(name, SIGTERM)
     local code = wait_exit(name)
     if code ~= 0 then
