--- a/lib/storage/disk.cpp
+++ b/lib/storage/disk.cpp
@@ -85,7 +85,7 @@
     char* const name = g_path_get_dirname(folder.c_str());
     const std::string parent = name;
     g_free(name);
-    const result<void> parent_made = make_folder(disk, parent);
+    result<void> parent_made = make_folder(disk, parent);
     if (!parent_made)
         return parent_made;
     if (g_mkdir(folder.c_str(), owner_only) != 0 && errno != EEXIST)
