--- a/test/runner/sync_tracker.cpp
+++ b/test/runner/sync_tracker.cpp
@@ -1,6 +1,5 @@
-// Preloaded into a process: keeps, beside its files, what a loss of power would leave of them.
-// The folder SYNCED_FOLDER/NUMBER holds the synced content of the file with that number, "names"
-// the folder's names at its last sync, "new" those of files that were synced first since then.
+// Preloaded into a process: keeps the synced content of each file, by its number, and in "names"
+// and "new" the names that a loss of power would leave of its folder.
 
 #include <dlfcn.h>
 #include <fcntl.h>
@@ -12,6 +11,7 @@
 #include <filesystem>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -25,6 +25,7 @@
 
 std::mutex mutex;
 std::map<ino_t, std::vector<written_range>> written; // since the file's last sync
+std::set<ino_t> copied;                              // files that were copied whole
 
 const char* tracked_folder() {
     static const char* const folder = std::getenv("CASSIA_TRACKED_FOLDER");
@@ -78,12 +79,10 @@
     {
         const std::lock_guard<std::mutex> lock(mutex);
         ranges = std::exchange(written[status.st_ino], {});
+        // Of a file from an earlier process it isn't known what that one wrote and didn't sync.
+        if (copied.insert(status.st_ino).second)
+            ranges = {{0, static_cast<std::size_t>(status.st_size)}};
     }
-    // Of a file from an earlier process it isn't known what that one wrote and didn't sync.
-    static std::map<ino_t, bool> copied;
-    if (!copied[status.st_ino])
-        ranges = {{0, static_cast<std::size_t>(status.st_size)}};
-    copied[status.st_ino] = true;
     for (const written_range& range : ranges)
         copy_range(range.offset, range.size);
     if (ftruncate(copy, status.st_size) != 0)
