--- a/test/runner/platform_items.lua
+++ b/test/runner/platform_items.lua
@@ -17,13 +17,13 @@
 end
 
 -- Begins to submit a job, which is submitted again until it is accepted. Items have ids JOB-NUMBER.
--- The path prefix is that of its route, /j/ unless given.
-function begin_job(id, bodies, prefix)
+-- The path prefix is that of its route, /j/ unless given; `parts`: of each item's prompt.
+function begin_job(id, bodies, prefix, parts)
   prefix = prefix or "/j/"
   local items = {}
   for i, body in ipairs(bodies) do
-    items[i] = { id = id .. "-" .. i, path = prefix .. "x", headers = { ["X-Cassiarouter-Model"] = "m" },
-      body = to_base64(body), tokens = 10 }
+    items[i] = { id = id .. "-" .. i, path = prefix .. "x", headers = { ["X-Cassiarouter-Model"] = "m",
+      ["X-Cassiarouter-Prompt-Prefix"] = parts and parts[i] }, body = to_base64(body), tokens = 10 }
   end
   jobs[#jobs + 1] = { id = id, prefix = prefix, items = items, text = encode({ items = items }), next_at = 0,
     next_result = 0, listed = {} }
@@ -175,6 +175,21 @@
   return count
 end
 
+-- By id of each item of an accepted job: when the job was accepted, when the item was listed and as what,
+-- and the longest time in which no endpoint had it until then.
+function item_histories()
+  local till, runs, histories = now(), runs_by_item(read_records()), {}
+  for _, job in ipairs(jobs) do
+    for _, item in ipairs(job.accepted_at and job.items or {}) do
+      local listed = job.listed[item.id]
+      histories[item.id] = { accepted_at = job.accepted_at, listed_at = listed and listed.at,
+        state = listed and listed.state, runs = #(runs[item.id] or {}),
+        longest_gap = longest_gap(runs[item.id], job.accepted_at, listed and listed.at or till) }
+    end
+  end
+  return histories
+end
+
 -- Counts the items that are listed, and those of them that were given up, but for some.
 function count_sound_items(is_bad)
   local count = { listed = 0, given_up = 0 }
