Parts of prompts: a quarantine ends when a retry is survived, and lasts seconds at first

Nothing tried the part but a waiting item, and a survived run lowered the odds of a quarantined part without ending its quarantine.

A part is shared by many callers, so its quarantine lasts 5 s, and three times as long with each crash later than 3 s after its fifth: at most three sends beyond those that are tolerated in the first minute, as before. Then one request runs alone. A survived run of a suspect that began after the part's last crash ends the quarantine for all; retries by items that crash extend it, so that callers' requests aren't used for what items find out. A request that is quarantined by itself, and whose part is cleared later than its last crash, is tried once more at once.

--- a/include/cassia/gateway/crash_monitor.h
+++ b/include/cassia/gateway/crash_monitor.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -98,6 +99,8 @@
     /// The gravest verdict on a request and the parts of its prompt; of like ones that with the
     /// highest odds.
     judged_cause judge(const fingerprint& request, const std::vector<fingerprint>& parts) const;
+    /// The part that is quarantined, if any; of several that with the highest odds.
+    std::optional<fingerprint> find_quarantined(const std::vector<fingerprint>& parts) const;
     /// See policy::poison_detector; for coordinators.
     bool awaits_control(const fingerprint& part, const service_id& service) const {
         return detector_.awaits_control(part, service, monotonic_now());
@@ -184,6 +187,7 @@
     std::map<service_id, std::uint32_t> survived_runs_;
     std::set<fingerprint> histories_;                  ///< of parts, not yet reported
     std::map<fingerprint, std::uint32_t> successes_;   ///< not yet reported
+    std::set<fingerprint> survived_retries_;           ///< of parts, not yet reported
     std::map<fingerprint, std::uint32_t> quarantines_; ///< logged, for each request
     instant next_successes_at_{};
     instant next_digest_at_{};
--- a/include/cassia/policy/poison_detector.h
+++ b/include/cassia/policy/poison_detector.h
@@ -78,6 +78,11 @@
     std::uint32_t trial_crashes = 0; ///< of a part, of those counted: in runs on trial
     instant last_crash_at{};
     instant quarantined_until{};
+    // Of a part only.
+    std::uint32_t all_crashes = 0;  ///< since it was last cleared
+    std::uint32_t late_crashes = 0; ///< of these, those by which it should have been stopped
+    instant known_at{};             ///< of the crash that was the last one tolerated
+    instant cleared_at{};           ///< when a retry showed that it crashes endpoints no more
 };
 
 /// What a crash says of a request or part that ran there.
@@ -103,6 +108,9 @@
     void record_crash(const crash_report& report, instant now);
     /// Runs of the request, or with the part, were completed, and their endpoints survived them.
     void record_successes(const fingerprint& request, std::uint32_t runs, instant now);
+    /// A run of a retry with the part, begun after its last crash, was survived: the part crashes
+    /// endpoints no more, and its quarantine ends.
+    void record_retry_success(const fingerprint& part, instant now);
     /// Takes over what a gateway counted before the part came under suspicion.
     void record_history(const part_history& history, instant now);
     /// Attributes the crashes on which all reports should have arrived.
@@ -190,6 +198,10 @@
     /// Suspects a request that ran at crashes of most of a service's endpoints, at whatever moment.
     void suspect_if_crashed_most(poison_record& record, const crash_report& report);
     void publish(poison_record& record);
+    static void count_crash(poison_record& record, instant crashed_at);
+    static void quarantine(poison_record& record, instant now);
+    /// A crash under a part that is retried while it is quarantined.
+    void extend_quarantine(poison_record& record, instant now);
     void end_quarantine(poison_record& record, instant now) const;
     void evict_one();
     void expire(instant now);
--- a/lib/gateway/crash_monitor.cpp
+++ b/lib/gateway/crash_monitor.cpp
@@ -295,6 +295,16 @@
 judged_cause crash_monitor::judge(const fingerprint& request,
                                   const std::vector<fingerprint>& parts) const {
     judged_cause gravest{judge(request), request};
+    // The part may have been the cause of its crashes.
+    const instant crashed_at = last_crash(request);
+    const bool may_be_innocent =
+        gravest.verdict == policy::request_verdict::quarantined &&
+        std::any_of(parts.begin(), parts.end(), [this, crashed_at](const fingerprint& part) {
+            const policy::poison_record* record = detector_.find(part);
+            return record != nullptr && record->cleared_at > crashed_at;
+        });
+    if (may_be_innocent)
+        gravest.verdict = policy::request_verdict::suspect;
     for (const fingerprint& part : parts) {
         const policy::request_verdict verdict = judge(part);
         if (verdict == policy::request_verdict::unsuspected || verdict < gravest.verdict)
@@ -306,6 +316,17 @@
     return gravest;
 }
 
+std::optional<fingerprint>
+crash_monitor::find_quarantined(const std::vector<fingerprint>& parts) const {
+    std::optional<fingerprint> found;
+    for (const fingerprint& part : parts) {
+        if (judge(part) == policy::request_verdict::quarantined &&
+            (!found || detector_.find(part)->log_odds > detector_.find(*found)->log_odds))
+            found = part;
+    }
+    return found;
+}
+
 milliseconds crash_monitor::quarantine_left(const fingerprint& cause) const {
     const policy::poison_record* record = detector_.find(cause);
     if (record == nullptr || record->verdict != policy::request_verdict::quarantined)
--- a/lib/gateway/crash_monitor_messages.cpp
+++ b/lib/gateway/crash_monitor_messages.cpp
@@ -90,7 +90,8 @@
 }
 
 void crash_monitor::report_successes(instant now) {
-    if ((successes_.empty() && histories_.empty()) || now < next_successes_at_)
+    const bool has_news = !successes_.empty() || !histories_.empty() || !survived_retries_.empty();
+    if (!has_news || now < next_successes_at_)
         return;
     next_successes_at_ = now + successes_interval;
     schema::poison_news news;
@@ -99,6 +100,11 @@
         successes->set_fingerprint(one.first.str());
         successes->set_runs(one.second);
     }
+    for (const fingerprint& part : std::exchange(survived_retries_, {})) {
+        schema::request_successes* successes = news.add_successes();
+        successes->set_fingerprint(part.str());
+        successes->set_survived_retry(true);
+    }
     for (const fingerprint& part : std::exchange(histories_, {}))
         encode(policy::part_history{part, survived_parts_.find(part)}, *news.add_histories());
     send_to_coordinators(news);
@@ -149,8 +155,12 @@
         report.gateway = from;
         detector_.record_crash(report, now);
     }
-    for (const schema::request_successes& successes : news.successes())
-        detector_.record_successes(fingerprint(successes.fingerprint()), successes.runs(), now);
+    for (const schema::request_successes& successes : news.successes()) {
+        const fingerprint cause(successes.fingerprint());
+        detector_.record_successes(cause, successes.runs(), now);
+        if (successes.survived_retry())
+            detector_.record_retry_success(cause, now);
+    }
     for (const schema::part_history& history : news.histories())
         detector_.record_history(decode(history), now);
     for (const schema::crashed_endpoint& crash : news.crashed_endpoints())
--- a/lib/gateway/crash_monitor_runs.cpp
+++ b/lib/gateway/crash_monitor_runs.cpp
@@ -104,6 +104,11 @@
     for (const fingerprint& part : run.parts) {
         survived_parts_.add(part);
         count(part);
+        const policy::poison_record* record = detector_.find(part);
+        const bool is_retry = run.on_trial && record != nullptr && record->quarantines > 0 &&
+                              run.sent_at > record->last_crash_at;
+        if (is_retry)
+            survived_retries_.insert(part);
     }
 }
 
--- a/lib/gateway/poison_messages.cpp
+++ b/lib/gateway/poison_messages.cpp
@@ -78,10 +78,16 @@
     out.set_crashes(record.crashes);
     out.set_late_crash_probability(record.late_crash_probability);
     out.set_quarantines(record.quarantines);
+    out.set_all_crashes(record.all_crashes);
+    out.set_late_crashes(record.late_crashes);
+    out.set_known_age_ms(to_ms(now - record.known_at));
     out.set_is_part(record.is_part);
     out.set_survived_runs(record.survived_runs);
     out.set_trial_crashes(record.trial_crashes);
     out.set_crash_age_ms(to_ms(now - record.last_crash_at));
+    out.set_was_cleared(record.cleared_at != instant());
+    if (out.was_cleared())
+        out.set_cleared_age_ms(to_ms(now - record.cleared_at));
     if (record.verdict == policy::request_verdict::quarantined)
         out.set_quarantine_left_ms(
             std::chrono::duration_cast<milliseconds>(record.quarantined_until - now).count());
@@ -101,10 +107,15 @@
     if (record.late_crash_probability() > 0)
         out.late_crash_probability = record.late_crash_probability();
     out.quarantines = record.quarantines();
+    out.all_crashes = record.all_crashes();
+    out.late_crashes = record.late_crashes();
+    out.known_at = now - milliseconds(record.known_age_ms());
     out.is_part = record.is_part();
     out.survived_runs = record.survived_runs();
     out.trial_crashes = record.trial_crashes();
     out.last_crash_at = now - milliseconds(record.crash_age_ms());
+    if (record.was_cleared())
+        out.cleared_at = now - milliseconds(record.cleared_age_ms());
     if (out.verdict == policy::request_verdict::quarantined)
         out.quarantined_until = now + milliseconds(record.quarantine_left_ms());
     return out;
--- a/lib/policy/poison_detector.cpp
+++ b/lib/policy/poison_detector.cpp
@@ -26,9 +26,6 @@
 const double max_trial_gain = (quarantine_log_odds - prior_log_odds) / 2;
 // What a crash shows of a request if known poison explains it doesn't count.
 constexpr double min_gain = 0.01;
-// A part that crashes endpoints crashes each that begins to write an answer on it, so a survived
-// run says more of a part than of a request.
-const double part_success_loss = std::log(50);
 // Of its prompt parts a request has several, which share what a crash shows.
 const double part_watch_log_odds = -4.5;
 // Parts that most runs of a service have were at most of its crashes, whatever caused them. So
@@ -50,8 +47,6 @@
 const double success_loss = std::log(2);
 // Gateways detect a crash within milliseconds of each other; a probe may take 50 ms.
 constexpr milliseconds collect_time(40);
-constexpr milliseconds first_quarantine(600000);
-constexpr std::uint32_t max_quarantine_doublings = 4;
 constexpr std::size_t max_crashes = 1024;
 constexpr std::size_t max_runs_per_crash = 256;
 constexpr std::size_t max_parts_per_crash = 1024;
@@ -139,8 +134,10 @@
         record.crashes = record.trial_crashes = 0;
     const bool is_cleared =
         record.verdict == request_verdict::suspect && !is_suspicious(record, true);
-    if (is_cleared)
+    if (is_cleared) {
         record.verdict = request_verdict::unsuspected;
+        record.all_crashes = record.late_crashes = 0;
+    }
     if (is_cleared || is_forgiven)
         publish(record);
 }
@@ -282,10 +279,13 @@
                 std::max(record.log_odds, std::min(record.log_odds + one.gain, limit));
             update_kind(record, one.was_complete, one.was_running, one.if_innocent);
             ++record.crashes;
+            count_crash(record, crash.report.crashed_at);
             record.trial_crashes += record.is_part && one.on_trial ? 1 : 0;
             record.last_crash_at = std::max(record.last_crash_at, crash.report.crashed_at);
             update_verdict(record, crash.report.service, now);
         }
+        if (record.is_part && crash.was_on_trial)
+            extend_quarantine(record, now);
         suspect_if_crashed_most(record, crash.report);
         attributed.causes.push_back({record, one.if_innocent, one.on_trial});
     }
@@ -359,10 +359,7 @@
     const bool is_proved = may_quarantine && record.crashes >= min_crashes_to_quarantine &&
                            record.log_odds >= quarantine_log_odds;
     if (is_proved && record.verdict != request_verdict::quarantined) {
-        const std::uint32_t doublings = std::min(record.quarantines, max_quarantine_doublings);
-        record.verdict = request_verdict::quarantined;
-        record.quarantined_until = now + first_quarantine * (1U << doublings);
-        ++record.quarantines;
+        quarantine(record, now);
     } else if (record.verdict == request_verdict::unsuspected) {
         if (is_suspicious(record, controlled))
             record.verdict = request_verdict::suspect;
--- a/lib/policy/poison_odds.h
+++ b/lib/policy/poison_odds.h
@@ -21,6 +21,9 @@
 // Crashes of this time show how often endpoints crash for other reasons.
 inline constexpr milliseconds background_window(10000);
 inline constexpr milliseconds retention(600000);
+// A part that crashes endpoints crashes each that begins to write an answer on it, so a survived
+// run says more of a part than of a request.
+inline const double part_success_loss = std::log(50);
 inline constexpr double max_probability = 0.999;
 
 inline double to_probability(double log_odds) {
--- a/lib/policy/poison_records.cpp
+++ b/lib/policy/poison_records.cpp
@@ -14,6 +14,15 @@
 
 namespace {
 constexpr std::size_t max_records = 4096;
+constexpr milliseconds first_quarantine(600000);
+constexpr std::uint32_t max_quarantine_doublings = 4;
+// A part is shared by many callers, so it is retried soon, and less often with each crash beyond
+// those that are tolerated.
+constexpr milliseconds first_part_quarantine(5000);
+constexpr std::uint32_t part_quarantine_factor = 3;
+constexpr milliseconds max_part_quarantine(600000);
+constexpr std::uint32_t tolerated_crashes = 5;
+constexpr milliseconds contact_time(3000);
 } // namespace
 
 void poison_detector::publish(poison_record& record) {
@@ -22,11 +31,64 @@
     changed_.push_back(record.request);
 }
 
+static milliseconds part_quarantine(std::uint32_t late_crashes) {
+    milliseconds time = first_part_quarantine;
+    for (std::uint32_t i = 0; i < late_crashes && time < max_part_quarantine; ++i)
+        time *= part_quarantine_factor;
+    return std::min(time, max_part_quarantine);
+}
+
+void poison_detector::quarantine(poison_record& record, instant now) {
+    const std::uint32_t doublings = std::min(record.quarantines, max_quarantine_doublings);
+    const milliseconds time = record.is_part ? part_quarantine(record.late_crashes)
+                                             : first_quarantine * (1U << doublings);
+    record.verdict = request_verdict::quarantined;
+    record.quarantined_until = now + time;
+    ++record.quarantines;
+}
+
+// Retries while it is quarantined are made by items alone, which have to run.
+void poison_detector::count_crash(poison_record& record, instant crashed_at) {
+    if (!record.is_part || record.verdict == request_verdict::quarantined)
+        return;
+    if (++record.all_crashes == tolerated_crashes)
+        record.known_at = crashed_at;
+    else if (record.all_crashes > tolerated_crashes && crashed_at > record.known_at + contact_time)
+        ++record.late_crashes;
+}
+
+void poison_detector::extend_quarantine(poison_record& record, instant now) {
+    const instant until = now + first_part_quarantine;
+    if (record.verdict != request_verdict::quarantined || until <= record.quarantined_until)
+        return;
+    record.quarantined_until = until;
+    publish(record);
+}
+
+void poison_detector::record_retry_success(const fingerprint& part, instant now) {
+    auto found = records_.find(part);
+    if (found == records_.end())
+        return;
+    poison_record& record = found->second;
+    const bool was_quarantined = record.is_part && record.quarantines > 0;
+    if (!was_quarantined || record.verdict == request_verdict::unsuspected)
+        return;
+    record.verdict = request_verdict::unsuspected;
+    record.log_odds = std::min(record.log_odds, prior_log_odds);
+    record.crashes = record.trial_crashes = 0;
+    record.all_crashes = record.late_crashes = 0;
+    record.cleared_at = now;
+    publish(record);
+}
+
 void poison_detector::end_quarantine(poison_record& record, instant now) const {
     if (record.verdict != request_verdict::quarantined || now < record.quarantined_until)
         return;
     record.verdict = request_verdict::suspect;
     record.log_odds = quarantine_log_odds - repeated_gain;
+    // One survived run clears a part.
+    if (record.is_part)
+        record.log_odds = std::min(record.log_odds, part_success_loss - repeated_gain / 4);
     record.crashes = min_crashes_to_quarantine - 1;
 }
 
@@ -55,7 +117,8 @@
 }
 
 static bool is_expired(const poison_record& record, instant now) {
-    return now > std::max(record.last_crash_at, record.quarantined_until) + retention;
+    return now > std::max({record.last_crash_at, record.quarantined_until, record.cleared_at}) +
+                     retention;
 }
 
 void poison_detector::expire(instant now) {
--- /dev/null
+++ b/unittests/policy/part_retry_test.cpp
@@ -0,0 +1,95 @@
+// How long a part of prompts stays quarantined.
+
+#include "cassia/policy/poison_detector.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace cassia;
+using namespace cassia::policy;
+
+namespace {
+
+constexpr instant start = instant() + milliseconds(1000000);
+const fingerprint part("part");
+
+/// A service in which a part crashes endpoints in runs alone.
+class bad_part {
+public:
+    void crash(instant at) {
+        const std::string number = std::to_string(++crashes_);
+        crash_report report;
+        report.process = {endpoint_id("e" + number), 1};
+        report.service = service_id("llm");
+        report.endpoints = 60;
+        report.crashed_at = at;
+        report.gateway = entry_id("gateway");
+        report.survived_runs = 100;
+        report.runs = {{fingerprint("r" + number), milliseconds(20), false, {part}, true}};
+        detector.record_crash(report, at);
+        detector.poll(at + milliseconds(50));
+    }
+
+    /// \returns when it was quarantined.
+    instant quarantine() {
+        instant at = start;
+        for (; verdict(at) != request_verdict::quarantined && crashes_ < 10;
+             at += milliseconds(400))
+            crash(at);
+        return at;
+    }
+
+    request_verdict verdict(instant at) const { return detector.judge(part, at); }
+
+    poison_detector detector;
+
+private:
+    int crashes_ = 0;
+};
+
+} // namespace
+
+// Guards against callers that are rejected for ten minutes for a part that crashed endpoints for
+// seconds.
+TEST_CASE("a quarantined part is retried after seconds, and less often if it crashes again",
+          "[retries]") {
+    bad_part series;
+    instant at = series.quarantine();
+    REQUIRE(series.verdict(at) == request_verdict::quarantined);
+    // Up to the fifth crash, and then less often with each one.
+    const std::vector<int> pauses_s{5, 5, 5, 15, 45, 135};
+    for (const int pause_s : pauses_s) {
+        CAPTURE(pause_s);
+        const milliseconds pause(1000 * pause_s);
+        CHECK(series.verdict(at + pause - milliseconds(500)) == request_verdict::quarantined);
+        at += pause + milliseconds(100);
+        CHECK(series.verdict(at) == request_verdict::suspect);
+        series.crash(at);
+        at += milliseconds(50);
+        CHECK(series.verdict(at) == request_verdict::quarantined);
+    }
+}
+
+// Guards against a part that stays quarantined although a run with it was survived.
+TEST_CASE("a survived retry ends the quarantine of a part", "[retries]") {
+    bad_part series;
+    const instant at = series.quarantine() + milliseconds(1000);
+    series.detector.record_successes(part, 1, at);
+    CHECK(series.verdict(at) == request_verdict::quarantined);
+    series.detector.record_retry_success(part, at);
+    CHECK(series.verdict(at) == request_verdict::unsuspected);
+    CHECK(series.detector.find(part)->cleared_at == at);
+}
+
+// Guards against callers that try a part while items with it still crash endpoints.
+TEST_CASE("a part whose retries crash endpoints stays quarantined", "[retries]") {
+    bad_part series;
+    instant at = series.quarantine();
+    for (int retries = 0; retries < 5; ++retries) {
+        at += milliseconds(3000);
+        CHECK(series.verdict(at) == request_verdict::quarantined);
+        series.crash(at);
+    }
+}
