Items with a quarantined part run again in time, whatever other items do

An item was run 18 s after the part's last crash, so each crash of one delayed all others.

The time belongs to the item now. The gateway that schedules runs of suspects knows how long each item has been idle and how often it crashed an endpoint: each 3 s one of them runs alone, those that crashed least first, which finds out whether the part still crashes endpoints; those idle for 14 s share an endpoint, so that one crash is a run of each (policy::quarantine_retries). A gateway starts granted items at once, as those that share an endpoint have to begin before it ends, and an item that may not have run there is due sooner.

--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -74,6 +74,8 @@
     void drop_stale(const schema::stale_items& stale);
     /// Interrupts items that are quarantined by now; they wait.
     void stop_quarantined();
+    /// Starts suspected items whose runs were granted.
+    void start_granted();
     /// Returns all items to the keepers and requests no more leases.
     void shut_down();
     /// The items held, including those whose end is not yet durable.
@@ -104,6 +106,9 @@
     bool start(const item_key& key, held_item& item, instant now);
     const fingerprint& fingerprint_of(held_item& item) const;
     judged_cause judge(held_item& item) const;
+    /// The quarantined part that the item waits for, if any.
+    std::optional<fingerprint> quarantined_part(held_item& item) const;
+    static policy::retry_history retry_of(const held_item& item);
     std::vector<fingerprint> parts_of(held_item& item) const;
     ended_run run_of(held_item& item) const;
     void record_complete_run(held_item& item) const;
@@ -125,8 +130,8 @@
     std::uint32_t lease_window(std::uint32_t free_slots) const;
     void note_lease_time(milliseconds latest);
     /// From when on the interval between runs of a quarantined item counts.
-    instant quarantined_since(held_item& item, const fingerprint& cause) const;
-    /// Delays an item that is quarantined. \returns whether it has to wait.
+    instant quarantined_since(held_item& item) const;
+    /// Delays an item that is quarantined by itself. \returns whether it has to wait.
     bool waits_for_quarantine(held_item& item, instant now);
     std::optional<policy::placement> place(held_item& item, const schema::route& route,
                                            instant now);
--- a/include/cassia/gateway/trial_exchange.h
+++ b/include/cassia/gateway/trial_exchange.h
@@ -21,6 +21,8 @@
     policy::trial_schedule::choose choose_endpoint;
     policy::trial_schedule::is_listed is_listed; ///< if empty, all endpoints are
     policy::trial_schedule::risk_of risk_of;     ///< if empty, no endpoint is shared
+    /// Another gateway has granted runs. Items that share an endpoint have to begin together.
+    std::function<void()> on_granted;
 };
 
 class trial_exchange {
@@ -36,10 +38,13 @@
 
     /// Asks for a run. Nothing if another run of the request, or many of such items, are asked for
     /// here, or too many in all.
+    /// \param retry of an item with a quarantined part, the cause.
     std::optional<trial_id> begin(const fingerprint& request, const service_id& service,
-                                  const software_version& version, policy::work_kind kind);
+                                  const software_version& version, policy::work_kind kind,
+                                  const std::optional<policy::retry_history>& retry = {});
     /// What a run that still waits is suspected for now.
-    void set_cause(trial_id id, const fingerprint& cause);
+    void set_cause(trial_id id, const fingerprint& cause,
+                   const std::optional<policy::retry_history>& retry = {});
     state find(trial_id id) const;
     /// Whether the run was asked for at an endpoint of this service and version.
     bool asks_for(trial_id id, const service_id& service, const software_version& version) const;
@@ -59,7 +64,7 @@
     };
 
     /// Whether a further run of this cause may be asked for.
-    bool may_ask(const fingerprint& request, policy::work_kind kind) const;
+    bool may_ask(const fingerprint& request, policy::work_kind kind, bool is_retry) const;
     void send(const entry_id& to, const schema::poison_news& news);
     void ask(asked_trial& trial, instant now);
     void answer(const policy::trial_key& key, const std::optional<policy::trial_grant>& grant);
--- /dev/null
+++ b/include/cassia/policy/quarantine_retries.h
@@ -0,0 +1,43 @@
+/// Selects which of the items that wait for a quarantined part of prompts run next. At intervals
+/// one of them runs alone, to find out whether the part still crashes endpoints, each item less
+/// often the more endpoints it crashed so. Those that have been idle for long share an endpoint, so
+/// that one crash is a run of each. Pure.
+#pragma once
+
+#include "cassia/base/clock.h"
+#include "cassia/base/ids.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace cassia::policy {
+
+/// From one run alone of an item with the part to the next. One that has lasted for so long will
+/// probably be survived.
+inline constexpr milliseconds retry_interval(3000);
+
+/// What an item that waits for a quarantined part has behind it.
+struct retry_history {
+    instant idle_since{};      ///< end of its last run; 0 if that isn't known
+    std::uint32_t crashes = 0; ///< its runs that broke off while it was a suspect
+};
+
+class quarantine_retries {
+public:
+    /// \param waiting items with the part.
+    /// \param outlasted a retry of the part has run for longer than the interval, and still does.
+    /// \returns indexes of the items that may run now at one endpoint, the first ones first; empty
+    /// if none may.
+    std::vector<std::size_t> select(const fingerprint& part,
+                                    const std::vector<retry_history>& waiting, bool outlasted,
+                                    instant now) const;
+    /// As many items with the part were granted an endpoint.
+    void record_grant(const fingerprint& part, std::size_t items, instant now);
+
+private:
+    std::map<fingerprint, instant> alone_at_; ///< when an item last began to run alone
+};
+
+} // namespace cassia::policy
--- a/include/cassia/policy/trial_schedule.h
+++ b/include/cassia/policy/trial_schedule.h
@@ -6,6 +6,7 @@
 
 #include "cassia/base/clock.h"
 #include "cassia/base/ids.h"
+#include "cassia/policy/quarantine_retries.h"
 #include "cassia/policy/slot_table.h"
 
 #include <algorithm>
@@ -35,6 +36,9 @@
     return trials + std::max<std::size_t>(trials / 2, 1);
 }
 
+/// An item that has waited for so long may use more endpoints, so that it isn't idle for 5 s.
+inline constexpr milliseconds overdue_trial_time(2000);
+
 /// Largest probability that one of the items that share an endpoint crashes it.
 inline constexpr double max_shared_risk = 0.5;
 
@@ -52,6 +56,7 @@
     service_id service;
     software_version version; ///< of the endpoint; any if empty
     work_kind kind = work_kind::online;
+    std::optional<retry_history> retry{}; ///< of an item with a quarantined part, the cause
 };
 
 enum class trial_outcome : std::uint8_t {
@@ -112,6 +117,7 @@
         trial_request asked;
         instant asked_at{};
         instant refreshed_at{};
+        instant granted_at{};
         std::uint32_t kept = 0;              ///< times that it kept its turn
         std::optional<endpoint_id> endpoint; ///< while it runs
         std::size_t places = 1;              ///< there, for suspects
@@ -164,6 +170,19 @@
     std::optional<endpoint_id> find_shared(const trial_request& asked, const risk_of& risk,
                                            const is_listed& listed) const;
     std::size_t places_at(const endpoint_id& endpoint) const;
+    /// Whether a further retry of the cause may begin, and if one under way has lasted for long.
+    struct retry_state {
+        bool may_begin = true;
+        bool outlasted = false;
+    };
+    retry_state retries_of(const fingerprint& cause, instant now) const;
+    /// Grants retries of items with a quarantined part.
+    void grant_retries(std::vector<trial*>& waiting, instant now, const choose& choose_endpoint,
+                       const is_listed& listed, std::vector<trial_grant>& grants);
+    /// Grants runs of suspects.
+    void grant_trials(std::vector<trial*>& waiting, instant now, const choose& choose_endpoint,
+                      const is_listed& listed, const risk_of& risk,
+                      std::vector<trial_grant>& grants);
     /// An endpoint that no other suspect uses.
     std::optional<endpoint_id> find_own(trial& waiting, milliseconds waited, instant now,
                                         const choose& choose_endpoint, const is_listed& listed,
@@ -174,6 +193,7 @@
     std::map<std::pair<entry_id, fingerprint>, kept_turn> kept_turns_; ///< of items
     std::map<fingerprint, instant> crashed_causes_; ///< when a run alone crashed an endpoint
     std::map<fingerprint, silent_ends> silent_ends_;
+    quarantine_retries retries_;
 };
 
 } // namespace cassia::policy
--- a/lib/gateway/held_item.h
+++ b/lib/gateway/held_item.h
@@ -52,11 +52,14 @@
     std::set<endpoint_id> failed_endpoints; ///< those that failed or rejected this item
     instant idle_since{};                   ///< when it was leased or its last run ended
     instant ready_at{};                     ///< not started again before then
-    instant last_progress_at{};     ///< when it was started or its endpoint last sent something
-    std::uint64_t start_number = 0; ///< grows with each start of any item; the last yields first
-    std::uint32_t runs = 0;         ///< starts of this item by this gateway
-    int status = 0;                 ///< of the response that is being received
-    bool not_run = false;           ///< the response says that the item was not run
+    instant last_progress_at{};      ///< when it was started or its endpoint last sent something
+    std::uint64_t start_number = 0;  ///< grows with each start of any item; the last yields first
+    std::uint32_t runs = 0;          ///< starts of this item by this gateway
+    std::uint32_t crashed_alone = 0; ///< of these, as a suspect, those whose connection broke
+    /// Nothing was received in its last run, whose endpoint may have ended before it began.
+    bool may_not_have_run = false;
+    int status = 0;       ///< of the response that is being received
+    bool not_run = false; ///< the response says that the item was not run
 
     std::size_t unused_bytes = 0; ///< received in this run, behind the last complete event
     sse_parser parser;
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -88,11 +88,17 @@
 void item_runner::start_ready_items(instant now) {
     const std::uint64_t unix_ms = to_unix_ms(wall_now());
     std::vector<std::tuple<bool, std::uint64_t, item_key>> ready;
+    std::vector<std::pair<instant, item_key>> quarantined;
     for (const std::pair<const item_key, std::unique_ptr<held_item>>& keyed_item : items_) {
-        if (keyed_item.second->upstream_call == call_id() && now >= keyed_item.second->ready_at)
-            ready.emplace_back(
-                policy::would_miss_deadline(keyed_item.second->leased.deadline(), unix_ms),
-                keyed_item.second->leased.deadline(), keyed_item.first);
+        const held_item& item = *keyed_item.second;
+        const bool is_granted = item.trial && trials_.find(*item.trial).endpoint.has_value();
+        if (item.upstream_call != call_id() || (now < item.ready_at && !is_granted))
+            continue;
+        if (item.wait == item_wait::quarantine)
+            quarantined.emplace_back(item.idle_since, keyed_item.first);
+        else
+            ready.emplace_back(policy::would_miss_deadline(item.leased.deadline(), unix_ms),
+                               item.leased.deadline(), keyed_item.first);
     }
     // By deadline, items without one first; those that would end too late come last.
     std::sort(ready.begin(), ready.end());
@@ -108,6 +114,14 @@
         if (!waits && !start(key, item, now))
             without_slot.insert(route);
     }
+    // Only some of them ask for a run at a time: those that have been idle for longest.
+    std::sort(quarantined.begin(), quarantined.end());
+    for (const std::pair<instant, item_key>& candidate : quarantined)
+        start(candidate.second, *items_.at(candidate.second), now);
+}
+
+void item_runner::start_granted() {
+    start_ready_items(monotonic_now());
 }
 
 std::uint32_t item_runner::count_ready(const schema::route& route, instant now) const {
@@ -164,7 +178,7 @@
     if (!placement && item.runs_alone) {
         item.runs_alone = false;
         item.ready_at = now + place_alone_interval;
-        set_wait(item, item_wait::trial);
+        set_wait(item, quarantined_part(item) ? item_wait::quarantine : item_wait::trial);
         return true;
     }
     if (!placement && waits_for_memory(item, now))
--- a/lib/gateway/item_suspects.cpp
+++ b/lib/gateway/item_suspects.cpp
@@ -38,6 +38,21 @@
                                   : judged_cause();
 }
 
+std::optional<fingerprint> item_runner::quarantined_part(held_item& item) const {
+    return crashes_.has_records() ? crashes_.find_quarantined(parts_of(item)) : std::nullopt;
+}
+
+// An item that another gateway held before may have been idle there for long, and one that was
+// sent to an endpoint that ended may not have run.
+policy::retry_history item_runner::retry_of(const held_item& item) {
+    milliseconds idle_before(0);
+    if (item.runs == 0 && item.leased.attempt() > 1)
+        idle_before = quarantined_item_interval;
+    else if (item.may_not_have_run)
+        idle_before = quarantined_item_interval / 2;
+    return {item.idle_since - idle_before, item.crashed_alone};
+}
+
 ended_run item_runner::run_of(held_item& item) const {
     const policy::endpoint_process process{item.endpoint, item.incarnation};
     return {item.leased.item().custom_id(),
@@ -77,11 +92,15 @@
     // The route or the version may have changed since the run was asked for.
     if (item.trial && !trials_.asks_for(*item.trial, item.service, version))
         end_trial(item);
-    const fingerprint cause = judge(item).cause;
+    const std::optional<fingerprint> part = quarantined_part(item);
+    const fingerprint cause = part ? *part : judge(item).cause;
+    std::optional<policy::retry_history> retry;
+    if (part)
+        retry = retry_of(item);
     if (item.trial)
-        trials_.set_cause(*item.trial, cause);
+        trials_.set_cause(*item.trial, cause, retry);
     else
-        item.trial = trials_.begin(cause, item.service, version, policy::work_kind::batch);
+        item.trial = trials_.begin(cause, item.service, version, policy::work_kind::batch, retry);
     if (!item.trial)
         return std::nullopt;
     const trial_exchange::state state = trials_.find(*item.trial);
@@ -95,16 +114,18 @@
     const bool another_runs = std::any_of(items_.begin(), items_.end(), [](const auto& keyed_item) {
         return keyed_item.second->runs_alone && keyed_item.second->upstream_call != call_id();
     });
-    if (state.is_scheduled || another_runs)
+    const bool may_decide = !state.is_scheduled && !another_runs &&
+                            (!part || now - item.idle_since >= quarantined_item_interval);
+    if (!may_decide)
         return std::nullopt;
     return slots_.place_alone(item.service, {}, now, version, item.tokens);
 }
 
 // A crash that its own last run may have caused must not make it wait for longer.
-instant item_runner::quarantined_since(held_item& item, const fingerprint& cause) const {
-    const instant last_crash = crashes_.last_crash(cause);
-    const bool may_be_own = cause == fingerprint_of(item) && last_crash > item.idle_since &&
-                            last_crash - item.idle_since <= silent_run_time;
+instant item_runner::quarantined_since(held_item& item) const {
+    const instant last_crash = crashes_.last_crash(fingerprint_of(item));
+    const bool may_be_own =
+        last_crash > item.idle_since && last_crash - item.idle_since <= silent_run_time;
     return may_be_own ? item.idle_since : last_crash;
 }
 
@@ -112,10 +133,12 @@
     const schema::route* route = find_route(item);
     if (item.service.empty() && route != nullptr)
         item.service = service_id(route->targets(0).service());
-    const judged_cause judged = judge(item);
-    if (judged.verdict != policy::request_verdict::quarantined)
+    // Retries of items with a quarantined part are scheduled for all gateways.
+    const bool is_own =
+        judge(item).verdict == policy::request_verdict::quarantined && !quarantined_part(item);
+    if (!is_own)
         return false;
-    item.ready_at = quarantined_since(item, judged.cause) + quarantined_item_interval;
+    item.ready_at = quarantined_since(item) + quarantined_item_interval;
     const bool waits = now < item.ready_at;
     if (waits)
         end_trial(item);
--- a/lib/gateway/poison_messages.cpp
+++ b/lib/gateway/poison_messages.cpp
@@ -121,4 +121,16 @@
     return out;
 }
 
+void encode(const policy::retry_history& retry, instant now, schema::trial_request& out) {
+    out.set_is_retry(true);
+    out.set_idle_ms(to_ms(now - retry.idle_since));
+    out.set_crashes(retry.crashes);
+}
+
+std::optional<policy::retry_history> decode(const schema::trial_request& request, instant now) {
+    if (!request.is_retry())
+        return std::nullopt;
+    return policy::retry_history{now - milliseconds(request.idle_ms()), request.crashes()};
+}
+
 } // namespace cassia::gateway
--- a/lib/gateway/poison_messages.h
+++ b/lib/gateway/poison_messages.h
@@ -3,8 +3,11 @@
 
 #include "cassia/base/clock.h"
 #include "cassia/policy/poison_detector.h"
+#include "cassia/policy/quarantine_retries.h"
 #include "cassia/schema/messages.pb.h"
 
+#include <optional>
+
 namespace cassia::gateway {
 
 void encode(const policy::part_history& history, schema::part_history& out);
@@ -13,5 +16,8 @@
 policy::crash_report decode(const schema::crash_report& report, instant now);
 void encode(const policy::poison_record& record, instant now, schema::poison_record& out);
 policy::poison_record decode(const schema::poison_record& record, instant now);
+void encode(const policy::retry_history& retry, instant now, schema::trial_request& out);
+/// \returns nothing if the request isn't a retry.
+std::optional<policy::retry_history> decode(const schema::trial_request& request, instant now);
 
 } // namespace cassia::gateway
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -74,6 +74,7 @@
         return choose_trial_endpoint(request, excluded);
     };
     trial_callbacks.is_listed = [this](const endpoint_id& one) { return slots_.contains(one); };
+    trial_callbacks.on_granted = [this] { items_->start_granted(); };
     trial_callbacks.risk_of = [this](const fingerprint& cause) { return crashes_->risk_of(cause); };
     trials_ =
         std::make_unique<trial_exchange>(entry_id(settings_.name()), std::move(trial_callbacks));
--- a/lib/gateway/trial_exchange.cpp
+++ b/lib/gateway/trial_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "cassia/base/log.h"
 #include "cassia/gateway/request_fingerprint.h"
+#include "poison_messages.h"
 
 #include <algorithm>
 #include <utility>
@@ -13,7 +14,7 @@
 constexpr milliseconds repeat_interval(100);
 constexpr milliseconds answer_timeout(400);
 constexpr std::size_t max_coordinators_tried = 2;
-constexpr std::size_t max_asked = 64; // of requests, and of items
+constexpr std::size_t max_asked = 64; // of requests, of items, and of those with quarantined parts
 constexpr std::size_t max_items_of_cause = 16;
 constexpr milliseconds long_wait(1000);
 constexpr milliseconds wait_log_interval(5000);
@@ -24,23 +25,26 @@
 
 std::optional<trial_id> trial_exchange::begin(const fingerprint& request, const service_id& service,
                                               const software_version& version,
-                                              policy::work_kind kind) {
-    if (!may_ask(request, kind))
+                                              policy::work_kind kind,
+                                              const std::optional<policy::retry_history>& retry) {
+    if (!may_ask(request, kind, retry.has_value()))
         return std::nullopt;
     const trial_id id(++last_id_);
     asked_trial& trial = asked_[id];
-    trial.request = {{self_, id}, request, service, version, kind};
+    trial.request = {{self_, id}, request, service, version, kind, retry};
     ask(trial, monotonic_now());
     return id;
 }
 
 // One run decides for all requests that wait for it. An accepted item has to run in time, and the
 // schedule knows how long it has waited only if it is asked for.
-bool trial_exchange::may_ask(const fingerprint& request, policy::work_kind kind) const {
+bool trial_exchange::may_ask(const fingerprint& request, policy::work_kind kind,
+                             bool is_retry) const {
     std::size_t of_kind = 0;
     std::size_t of_cause = 0;
     for (const std::pair<const trial_id, asked_trial>& one : asked_) {
-        const bool is_same_kind = one.second.request.kind == kind;
+        const bool is_same_kind =
+            one.second.request.kind == kind && one.second.request.retry.has_value() == is_retry;
         of_kind += is_same_kind ? 1 : 0;
         of_cause += is_same_kind && one.second.request.request == request ? 1 : 0;
     }
@@ -48,11 +52,16 @@
     return of_kind < max_asked && of_cause < (is_item ? max_items_of_cause : 1);
 }
 
-void trial_exchange::set_cause(trial_id id, const fingerprint& cause) {
+void trial_exchange::set_cause(trial_id id, const fingerprint& cause,
+                               const std::optional<policy::retry_history>& retry) {
     auto found = asked_.find(id);
-    if (found == asked_.end() || found->second.endpoint || found->second.request.request == cause)
+    if (found == asked_.end() || found->second.endpoint)
         return;
-    found->second.request.request = cause;
+    policy::trial_request& asked = found->second.request;
+    if (asked.request == cause && asked.retry.has_value() == retry.has_value())
+        return;
+    asked.request = cause;
+    asked.retry = retry;
     ask(found->second, monotonic_now());
 }
 
@@ -99,6 +108,8 @@
     request->set_service(trial.request.service.str());
     request->set_version(trial.request.version.str());
     request->set_batch(trial.request.kind == policy::work_kind::batch);
+    if (trial.request.retry)
+        encode(*trial.request.retry, now, *request);
     send(trial.coordinator, news);
 }
 
@@ -153,7 +164,8 @@
         const policy::trial_key key{from, trial_id(request.id())};
         schedule_.refresh({key, fingerprint(request.fingerprint()), service_id(request.service()),
                            software_version(request.version()),
-                           request.batch() ? policy::work_kind::batch : policy::work_kind::online},
+                           request.batch() ? policy::work_kind::batch : policy::work_kind::online,
+                           decode(request, now)},
                           now);
         answer(key, schedule_.granted(key));
     }
@@ -162,6 +174,7 @@
         schedule_.end({from, trial_id(ended.id())},
                       static_cast<policy::trial_outcome>(std::min(ended.outcome(), last)), now);
     }
+    bool granted = false;
     for (const schema::trial_answer& answered : news.trial_answers()) {
         auto found = asked_.find(trial_id(answered.id()));
         if (found == asked_.end() || found->second.coordinator != from)
@@ -169,9 +182,12 @@
         found->second.answered_at = now;
         if (answered.endpoint().empty())
             continue;
+        granted = granted || !found->second.endpoint;
         found->second.endpoint = endpoint_id(answered.endpoint());
         found->second.is_shared = answered.shared();
     }
+    if (granted && hooks_.on_granted)
+        hooks_.on_granted();
 }
 
 void trial_exchange::tick() {
--- /dev/null
+++ b/lib/policy/quarantine_retries.cpp
@@ -0,0 +1,62 @@
+#include "cassia/policy/quarantine_retries.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace cassia::policy {
+
+namespace {
+// An accepted item has to be run again within 20 s, also if others are due at the same time.
+constexpr milliseconds max_idle_time(14000);
+// Items that are idle for so long go with one that is due.
+constexpr milliseconds min_idle_time(7000);
+constexpr std::uint32_t max_crashes_alone = 4;
+constexpr std::size_t max_known_parts = 4096;
+} // namespace
+
+// Of items that crash endpoints for a reason of their own others must not depend.
+static bool may_run_alone(const retry_history& one, instant now) {
+    if (one.crashes >= max_crashes_alone)
+        return false;
+    const milliseconds pause =
+        one.crashes == 0 ? milliseconds(0) : retry_interval * (1U << (one.crashes - 1));
+    return now - one.idle_since >= pause;
+}
+
+std::vector<std::size_t> quarantine_retries::select(const fingerprint& part,
+                                                    const std::vector<retry_history>& waiting,
+                                                    bool outlasted, instant now) const {
+    std::vector<std::size_t> order(waiting.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    std::sort(order.begin(), order.end(),
+              [&waiting](auto a, auto b) { return waiting[a].idle_since < waiting[b].idle_since; });
+    auto last = alone_at_.find(part);
+    const bool is_interval_over = last == alone_at_.end() || now - last->second >= retry_interval;
+    if (is_interval_over && !outlasted) {
+        std::vector<std::size_t> alone = order;
+        std::erase_if(alone,
+                      [&waiting, now](auto one) { return !may_run_alone(waiting[one], now); });
+        auto first = std::min_element(alone.begin(), alone.end(), [&waiting](auto a, auto b) {
+            return waiting[a].crashes < waiting[b].crashes;
+        });
+        if (first != alone.end())
+            return {*first};
+    }
+    const bool is_due =
+        outlasted || (!order.empty() && now - waiting[order.front()].idle_since >= max_idle_time);
+    if (!is_due)
+        return {};
+    std::erase_if(order, [&waiting, outlasted, now](auto one) {
+        return !outlasted && now - waiting[one].idle_since < min_idle_time;
+    });
+    return order;
+}
+
+void quarantine_retries::record_grant(const fingerprint& part, std::size_t items, instant now) {
+    std::erase_if(alone_at_,
+                  [now](const auto& one) { return now - one.second >= 2 * retry_interval; });
+    if (items == 1 && alone_at_.size() < max_known_parts)
+        alone_at_[part] = now;
+}
+
+} // namespace cassia::policy
--- a/lib/policy/trial_schedule.cpp
+++ b/lib/policy/trial_schedule.cpp
@@ -14,9 +14,8 @@
 constexpr milliseconds hang_time(5000);
 // An accepted item must not be idle for as long as that.
 constexpr milliseconds hang_time_for_batch(3000);
-// An item that has waited for so long may use more endpoints, so that it isn't idle for 5 s.
-constexpr milliseconds overdue_time(2000);
-// And from then on may run beside others of its cause, twice as many after each of these times.
+// An item that has waited for long may run beside others of its cause, twice as many after each of
+// these times.
 constexpr milliseconds runs_doubling_time(1000);
 constexpr std::int64_t max_runs_doublings = 5;
 // A run that may still hang its endpoint keeps others away for longer than one that ended.
@@ -138,10 +137,10 @@
 
 // Items that share a suspected part would wait for the sum of their runs.
 std::size_t trial_schedule::max_runs(milliseconds waited) {
-    if (waited < overdue_time)
+    if (waited < overdue_trial_time)
         return 1;
     const std::int64_t doublings =
-        std::min((waited - overdue_time) / runs_doubling_time, max_runs_doublings);
+        std::min((waited - overdue_trial_time) / runs_doubling_time, max_runs_doublings);
     return std::size_t{2} << doublings;
 }
 
@@ -257,7 +256,7 @@
         std::erase_if(use.by_trials,
                       [&listed](const endpoint_id& endpoint) { return !listed(endpoint); });
     const choice chosen = choose_endpoint(waiting.asked, use.excluded);
-    const bool is_overdue = waited >= overdue_time && !is_put_back(waiting);
+    const bool is_overdue = waited >= overdue_trial_time && !is_put_back(waiting);
     const std::size_t limit = is_overdue ? max_overdue_trials(chosen.limit) : chosen.limit;
     const bool may_use = chosen.endpoint && (use.by_trials.size() < limit ||
                                              use.by_trials.count(*chosen.endpoint) > 0);
@@ -271,15 +270,24 @@
                                               const is_listed& listed, const risk_of& risk) {
     expire(now);
     std::vector<trial*> waiting;
+    std::vector<trial*> retries;
     for (std::pair<const trial_key, trial>& one : trials_) {
         if (!one.second.endpoint)
-            waiting.push_back(&one.second);
+            (one.second.asked.retry ? retries : waiting).push_back(&one.second);
     }
+    std::vector<trial_grant> grants;
+    grant_trials(waiting, now, choose_endpoint, listed, risk, grants);
+    grant_retries(retries, now, choose_endpoint, listed, grants);
+    return grants;
+}
+
+void trial_schedule::grant_trials(std::vector<trial*>& waiting, instant now,
+                                  const choose& choose_endpoint, const is_listed& listed,
+                                  const risk_of& risk, std::vector<trial_grant>& grants) {
     std::sort(waiting.begin(), waiting.end(),
               [this](const trial* a, const trial* b) { return waits_since(*a) < waits_since(*b); });
     // Where a run waits that needs an endpoint of its own, those that share must leave one empty.
     std::set<service_id> without_own;
-    std::vector<trial_grant> grants;
     for (trial* one : waiting) {
         const milliseconds waited =
             one->asked.kind == work_kind::batch
@@ -304,9 +312,9 @@
             continue;
         }
         one->endpoint = endpoint;
+        one->granted_at = now;
         grants.push_back({one->asked.key, *endpoint, one->asked.request, one->shared});
     }
-    return grants;
 }
 
 trial_summary trial_schedule::summarize(instant now) const {
