--- a/test/scenarios/damaged_disk.lua
+++ b/test/scenarios/damaged_disk.lua
@@ -17,10 +17,17 @@
 expect(not log_of("keeper-1"):match("event=disk_damaged"), "and finds no damage")
 
 -- A damaged record in the middle: the disk is set aside, and the member joins as a new one.
-kill("keeper-2")
 path = data_dir("keeper-2") .. "/log-00000001"
+local damaged_at = 200
+eventually(5000, "it has records behind the place", function()
+  local log = io.open(path, "rb")
+  local size = log:seek("end")
+  log:close()
+  return size > 2 * damaged_at
+end)
+kill("keeper-2")
 file = io.open(path, "r+b")
-file:seek("set", 200)
+file:seek("set", damaged_at)
 file:write("damage")
 file:close()
 start("keeper-2")
