--- a/lib/policy/trial_retries.cpp
+++ b/lib/policy/trial_retries.cpp
@@ -43,21 +43,21 @@
             find_own(first, overdue_trial_time, now, choose_endpoint, listed, {});
         if (!endpoint)
             continue;
-        std::size_t granted = 0;
+        std::vector<trial*> group;
         for (const std::size_t index : selected) {
             trial& one = *part.second[index];
-            const bool fits = granted < first.places && one.asked.service == first.asked.service &&
-                              one.asked.version == first.asked.version;
-            if (!fits)
-                continue;
-            one.endpoint = endpoint;
-            one.granted_at = now;
-            one.places = first.places;
-            one.shared = granted > 0;
-            ++granted;
-            grants.push_back({one.asked.key, *endpoint, one.asked.request, one.shared});
+            if (group.size() < first.places && one.asked.service == first.asked.service &&
+                one.asked.version == first.asked.version)
+                group.push_back(&one);
         }
-        retries_.record_grant(part.first, granted, now);
+        for (trial* one : group) {
+            one->endpoint = endpoint;
+            one->granted_at = now;
+            one->places = first.places;
+            one->shared = group.size() > 1;
+            grants.push_back({one->asked.key, *endpoint, one->asked.request, one->shared});
+        }
+        retries_.record_grant(part.first, group.size(), now);
     }
 }
 
