--- a/lib/policy/poison_detector.cpp
+++ b/lib/policy/poison_detector.cpp
@@ -269,6 +269,7 @@
     attributed_crash attributed{process, {}};
     for (const candidate& one : all) {
         poison_record& record = *one.record;
+        count_crash(record, crash.report.crashed_at);
         if (one.counts && one.gain >= min_gain) {
             double limit = std::numeric_limits<double>::max();
             if (record.is_part && !one.on_trial)
@@ -279,7 +280,6 @@
                 std::max(record.log_odds, std::min(record.log_odds + one.gain, limit));
             update_kind(record, one.was_complete, one.was_running, one.if_innocent);
             ++record.crashes;
-            count_crash(record, crash.report.crashed_at);
             record.trial_crashes += record.is_part && one.on_trial ? 1 : 0;
             record.last_crash_at = std::max(record.last_crash_at, crash.report.crashed_at);
             update_verdict(record, crash.report.service, now);
