--- a/include/cassia/gateway/crash_monitor.h
+++ b/include/cassia/gateway/crash_monitor.h
@@ -99,6 +99,9 @@
     /// The gravest verdict on a request and the parts of its prompt; of like ones that with the
     /// highest odds.
     judged_cause judge(const fingerprint& request, const std::vector<fingerprint>& parts) const;
+    /// The verdict on a request by its own crashes, unless one of its parts may explain them.
+    policy::request_verdict judge_itself(const fingerprint& request,
+                                         const std::vector<fingerprint>& parts) const;
     /// The part that is quarantined, if any; of several that with the highest odds.
     std::optional<fingerprint> find_quarantined(const std::vector<fingerprint>& parts) const;
     /// See policy::poison_detector; for coordinators.
--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -106,6 +106,7 @@
     bool start(const item_key& key, held_item& item, instant now);
     const fingerprint& fingerprint_of(held_item& item) const;
     judged_cause judge(held_item& item) const;
+    bool is_quarantined_itself(held_item& item) const;
     /// The quarantined part that the item waits for, if any.
     std::optional<fingerprint> quarantined_part(held_item& item) const;
     static policy::retry_history retry_of(const held_item& item);
@@ -116,6 +117,8 @@
     std::optional<policy::placement> find_trial_endpoint(held_item& item, instant now,
                                                          const software_version& version);
     void end_trial(held_item& item);
+    /// Whether it runs beside other suspects.
+    bool shares_endpoint(const held_item& item) const;
     /// Keeps the free slots of endpoints where suspects run from other requests, and ends trials
     /// that idle items have no use for any more.
     void check_trials();
--- a/include/cassia/policy/quarantine_retries.h
+++ b/include/cassia/policy/quarantine_retries.h
@@ -20,8 +20,9 @@
 
 /// What an item that waits for a quarantined part has behind it.
 struct retry_history {
-    instant idle_since{};      ///< end of its last run; 0 if that isn't known
-    std::uint32_t crashes = 0; ///< its runs that broke off while it was a suspect
+    instant idle_since{};      ///< end of its last run
+    std::uint32_t crashes = 0; ///< runs alone that broke off, or were silent
+    instant alone_until{};     ///< end of its last run alone
 };
 
 class quarantine_retries {
--- a/include/cassia/policy/trial_schedule.h
+++ b/include/cassia/policy/trial_schedule.h
@@ -176,6 +176,9 @@
         bool outlasted = false;
     };
     retry_state retries_of(const fingerprint& cause, instant now) const;
+    std::vector<trial*> select_retries(const fingerprint& part,
+                                       const std::vector<trial*>& candidates, bool outlasted,
+                                       instant now) const;
     /// Grants retries of items with a quarantined part.
     void grant_retries(std::vector<trial*>& waiting, instant now, const choose& choose_endpoint,
                        const is_listed& listed, std::vector<trial_grant>& grants);
--- a/lib/gateway/crash_monitor.cpp
+++ b/lib/gateway/crash_monitor.cpp
@@ -292,19 +292,24 @@
     return detector_.judge(cause, monotonic_now());
 }
 
-judged_cause crash_monitor::judge(const fingerprint& request,
-                                  const std::vector<fingerprint>& parts) const {
-    judged_cause gravest{judge(request), request};
-    // The part may have been the cause of its crashes.
+// A part that was cleared since may have been the cause of its crashes.
+policy::request_verdict crash_monitor::judge_itself(const fingerprint& request,
+                                                    const std::vector<fingerprint>& parts) const {
+    const policy::request_verdict verdict = judge(request);
+    if (verdict != policy::request_verdict::quarantined)
+        return verdict;
     const instant crashed_at = last_crash(request);
     const bool may_be_innocent =
-        gravest.verdict == policy::request_verdict::quarantined &&
         std::any_of(parts.begin(), parts.end(), [this, crashed_at](const fingerprint& part) {
             const policy::poison_record* record = detector_.find(part);
             return record != nullptr && record->cleared_at > crashed_at;
         });
-    if (may_be_innocent)
-        gravest.verdict = policy::request_verdict::suspect;
+    return may_be_innocent ? policy::request_verdict::suspect : verdict;
+}
+
+judged_cause crash_monitor::judge(const fingerprint& request,
+                                  const std::vector<fingerprint>& parts) const {
+    judged_cause gravest{judge_itself(request, parts), request};
     for (const fingerprint& part : parts) {
         const policy::request_verdict verdict = judge(part);
         if (verdict == policy::request_verdict::unsuspected || verdict < gravest.verdict)
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -233,6 +233,10 @@
 }
 
 void item_runner::stop(held_item& item) {
+    if (item.upstream_call != call_id() && item.runs_alone && !shares_endpoint(item)) {
+        item.crashed_alone += item.connection_broke || is_silent(item) ? 1 : 0;
+        item.alone_until = monotonic_now();
+    }
     end_trial(item);
     if (item.upstream_call == call_id())
         return;
--- a/lib/gateway/item_suspects.cpp
+++ b/lib/gateway/item_suspects.cpp
@@ -38,8 +38,19 @@
                                   : judged_cause();
 }
 
+bool item_runner::is_quarantined_itself(held_item& item) const {
+    return crashes_.has_records() && crashes_.judge_itself(fingerprint_of(item), parts_of(item)) ==
+                                         policy::request_verdict::quarantined;
+}
+
 std::optional<fingerprint> item_runner::quarantined_part(held_item& item) const {
-    return crashes_.has_records() ? crashes_.find_quarantined(parts_of(item)) : std::nullopt;
+    if (!crashes_.has_records() || is_quarantined_itself(item))
+        return std::nullopt;
+    return crashes_.find_quarantined(parts_of(item));
+}
+
+bool item_runner::shares_endpoint(const held_item& item) const {
+    return item.trial && trials_.find(*item.trial).is_shared;
 }
 
 // An item that another gateway held before may have been idle there for long, and one that was
@@ -50,7 +61,7 @@
         idle_before = quarantined_item_interval;
     else if (item.may_not_have_run)
         idle_before = quarantined_item_interval / 2;
-    return {item.idle_since - idle_before, item.crashed_alone};
+    return {item.idle_since - idle_before, item.crashed_alone, item.alone_until};
 }
 
 ended_run item_runner::run_of(held_item& item) const {
@@ -93,7 +104,11 @@
     if (item.trial && !trials_.asks_for(*item.trial, item.service, version))
         end_trial(item);
     const std::optional<fingerprint> part = quarantined_part(item);
-    const fingerprint cause = part ? *part : judge(item).cause;
+    fingerprint cause = judge(item).cause;
+    if (is_quarantined_itself(item))
+        cause = fingerprint_of(item);
+    else if (part)
+        cause = *part;
     std::optional<policy::retry_history> retry;
     if (part)
         retry = retry_of(item);
@@ -134,9 +149,7 @@
     if (item.service.empty() && route != nullptr)
         item.service = service_id(route->targets(0).service());
     // Retries of items with a quarantined part are scheduled for all gateways.
-    const bool is_own =
-        judge(item).verdict == policy::request_verdict::quarantined && !quarantined_part(item);
-    if (!is_own)
+    if (!is_quarantined_itself(item))
         return false;
     item.ready_at = quarantined_since(item) + quarantined_item_interval;
     const bool waits = now < item.ready_at;
--- a/lib/gateway/poison_messages.cpp
+++ b/lib/gateway/poison_messages.cpp
@@ -125,12 +125,14 @@
     out.set_is_retry(true);
     out.set_idle_ms(to_ms(now - retry.idle_since));
     out.set_crashes(retry.crashes);
+    out.set_alone_idle_ms(to_ms(now - retry.alone_until));
 }
 
 std::optional<policy::retry_history> decode(const schema::trial_request& request, instant now) {
     if (!request.is_retry())
         return std::nullopt;
-    return policy::retry_history{now - milliseconds(request.idle_ms()), request.crashes()};
+    return policy::retry_history{now - milliseconds(request.idle_ms()), request.crashes(),
+                                 now - milliseconds(request.alone_idle_ms())};
 }
 
 } // namespace cassia::gateway
--- a/lib/policy/quarantine_retries.cpp
+++ b/lib/policy/quarantine_retries.cpp
@@ -6,21 +6,20 @@
 namespace cassia::policy {
 
 namespace {
-// An accepted item has to be run again within 20 s, also if others are due at the same time.
-constexpr milliseconds max_idle_time(14000);
+// An accepted item has to be run again within 20 s, also if others are due at the same time and
+// their runs are long.
+constexpr milliseconds max_idle_time(12000);
 // Items that are idle for so long go with one that is due.
-constexpr milliseconds min_idle_time(7000);
-constexpr std::uint32_t max_crashes_alone = 4;
+constexpr milliseconds min_idle_time(6000);
+constexpr std::uint32_t max_pause_doublings = 3;
 constexpr std::size_t max_known_parts = 4096;
 } // namespace
 
 // Of items that crash endpoints for a reason of their own others must not depend.
 static bool may_run_alone(const retry_history& one, instant now) {
-    if (one.crashes >= max_crashes_alone)
-        return false;
-    const milliseconds pause =
-        one.crashes == 0 ? milliseconds(0) : retry_interval * (1U << (one.crashes - 1));
-    return now - one.idle_since >= pause;
+    return one.crashes == 0 ||
+           now - one.alone_until >=
+               retry_interval * (1U << std::min(one.crashes - 1, max_pause_doublings));
 }
 
 std::vector<std::size_t> quarantine_retries::select(const fingerprint& part,
@@ -30,26 +29,25 @@
     std::iota(order.begin(), order.end(), std::size_t{0});
     std::sort(order.begin(), order.end(),
               [&waiting](auto a, auto b) { return waiting[a].idle_since < waiting[b].idle_since; });
-    auto last = alone_at_.find(part);
-    const bool is_interval_over = last == alone_at_.end() || now - last->second >= retry_interval;
-    if (is_interval_over && !outlasted) {
-        std::vector<std::size_t> alone = order;
-        std::erase_if(alone,
-                      [&waiting, now](auto one) { return !may_run_alone(waiting[one], now); });
-        auto first = std::min_element(alone.begin(), alone.end(), [&waiting](auto a, auto b) {
-            return waiting[a].crashes < waiting[b].crashes;
-        });
-        if (first != alone.end())
-            return {*first};
-    }
     const bool is_due =
         outlasted || (!order.empty() && now - waiting[order.front()].idle_since >= max_idle_time);
-    if (!is_due)
+    if (is_due) {
+        const milliseconds least = outlasted ? retry_interval : min_idle_time;
+        std::erase_if(order, [&waiting, least, now](auto one) {
+            return now - waiting[one].idle_since < least;
+        });
+        return order;
+    }
+    auto last = alone_at_.find(part);
+    if (last != alone_at_.end() && now - last->second < retry_interval)
         return {};
-    std::erase_if(order, [&waiting, outlasted, now](auto one) {
-        return !outlasted && now - waiting[one].idle_since < min_idle_time;
+    std::erase_if(order, [&waiting, now](auto one) { return !may_run_alone(waiting[one], now); });
+    auto first = std::min_element(order.begin(), order.end(), [&waiting](auto a, auto b) {
+        return waiting[a].crashes < waiting[b].crashes;
     });
-    return order;
+    if (first == order.end())
+        return {};
+    return {*first};
 }
 
 void quarantine_retries::record_grant(const fingerprint& part, std::size_t items, instant now) {
--- a/lib/policy/trial_retries.cpp
+++ b/lib/policy/trial_retries.cpp
@@ -17,10 +17,22 @@
         state.may_begin = state.may_begin && outlasts;
     }
     for (const hold& one : holds_)
-        state.may_begin = state.may_begin && (one.request != cause || now >= one.until);
+        state.may_begin = state.may_begin && (one.request != cause || now >= one.until_for_batch);
     return state;
 }
 
+std::vector<trial_schedule::trial*>
+trial_schedule::select_retries(const fingerprint& part, const std::vector<trial*>& candidates,
+                               bool outlasted, instant now) const {
+    std::vector<retry_history> histories;
+    for (const trial* one : candidates)
+        histories.push_back(*one->asked.retry);
+    std::vector<trial*> selected;
+    for (const std::size_t index : retries_.select(part, histories, outlasted, now))
+        selected.push_back(candidates[index]);
+    return selected;
+}
+
 void trial_schedule::grant_retries(std::vector<trial*>& waiting, instant now,
                                    const choose& choose_endpoint, const is_listed& listed,
                                    std::vector<trial_grant>& grants) {
@@ -31,24 +43,31 @@
         const retry_state state = retries_of(part.first, now);
         if (!state.may_begin)
             continue;
-        std::vector<retry_history> histories;
-        for (const trial* one : part.second)
-            histories.push_back(*one->asked.retry);
-        const std::vector<std::size_t> selected =
-            retries_.select(part.first, histories, state.outlasted, now);
-        if (selected.empty())
-            continue;
-        trial& first = *part.second[selected.front()];
-        const std::optional<endpoint_id> endpoint =
-            find_own(first, overdue_trial_time, now, choose_endpoint, listed, {});
+        std::optional<endpoint_id> endpoint;
+        std::vector<trial*> selected;
+        std::vector<trial*>& candidates = part.second;
+        // Where one of them finds no endpoint, others may, which need another version.
+        while (!endpoint) {
+            selected = select_retries(part.first, candidates, state.outlasted, now);
+            if (selected.empty())
+                break;
+            const trial_request asked = selected.front()->asked;
+            endpoint =
+                find_own(*selected.front(), overdue_trial_time, now, choose_endpoint, listed, {});
+            if (!endpoint)
+                std::erase_if(candidates, [&asked](const trial* one) {
+                    return one->asked.service == asked.service &&
+                           one->asked.version == asked.version;
+                });
+        }
         if (!endpoint)
             continue;
+        const trial first = *selected.front();
         std::vector<trial*> group;
-        for (const std::size_t index : selected) {
-            trial& one = *part.second[index];
-            if (group.size() < first.places && one.asked.service == first.asked.service &&
-                one.asked.version == first.asked.version)
-                group.push_back(&one);
+        for (trial* one : selected) {
+            if (group.size() < first.places && one->asked.service == first.asked.service &&
+                one->asked.version == first.asked.version)
+                group.push_back(one);
         }
         for (trial* one : group) {
             one->endpoint = endpoint;
--- a/lib/policy/trial_schedule.cpp
+++ b/lib/policy/trial_schedule.cpp
@@ -51,8 +51,12 @@
         return;
     }
     found->second.refreshed_at = now;
-    if (!found->second.endpoint)
-        found->second.asked = request;
+    if (found->second.endpoint)
+        return;
+    // A suspect waits since its quarantine ended.
+    if (found->second.asked.retry && !request.retry)
+        found->second.asked_at = now;
+    found->second.asked = request;
 }
 
 void trial_schedule::end(const trial_key& key, trial_outcome outcome, instant now) {
@@ -276,8 +280,9 @@
             (one.second.asked.retry ? retries : waiting).push_back(&one.second);
     }
     std::vector<trial_grant> grants;
-    grant_trials(waiting, now, choose_endpoint, listed, risk, grants);
+    // Retries take an endpoint for each part at most, so they don't wait behind suspects.
     grant_retries(retries, now, choose_endpoint, listed, grants);
+    grant_trials(waiting, now, choose_endpoint, listed, risk, grants);
     return grants;
 }
 
--- a/unittests/policy/quarantine_retries_test.cpp
+++ b/unittests/policy/quarantine_retries_test.cpp
@@ -69,6 +69,8 @@
         bool is_done = false;
         instant idle_since = start;
         std::uint32_t crashes = 0;
+        instant alone_until{};
+        bool is_shared = false;
         std::optional<std::size_t> endpoint{};
         instant began_at{};
     };
@@ -101,7 +103,10 @@
         for (std::size_t i = 0; i < items_.size(); ++i) {
             if (items_[i].endpoint != endpoint)
                 continue;
-            ++items_[i].crashes;
+            if (!items_[i].is_shared) {
+                ++items_[i].crashes;
+                items_[i].alone_until = now_;
+            }
             end_run(i, trial_outcome::crashed);
         }
     }
@@ -136,7 +141,7 @@
                                    service,
                                    {},
                                    work_kind::batch,
-                                   retry_history{one.idle_since, one.crashes}},
+                                   retry_history{one.idle_since, one.crashes, one.alone_until}},
                                   now_);
         }
         const trial_schedule::choose choose = [this](const trial_request&,
@@ -154,6 +159,7 @@
             note_idle(items_[index]);
             items_[index].endpoint = std::stoul(grant.endpoint.str().substr(1));
             items_[index].began_at = now_;
+            items_[index].is_shared = grant.shared;
         }
     }
 
