Logs: from an item to the quarantined part that it waits for, and to its retries

An on-call engineer couldn't get from an item's id to the part of the prompt that it waits for, to how many wait for it, and to when it is tried next. item_waits names the part, the time since the item's last run, its runs and how many broke off alone; part_waits tells each 5 s how many items wait for a part, the oldest of them and where its retries are scheduled (eight parts at most); trial_granted marks retries; prompt_part_cleared tells of the end of a quarantine; the dump lists up to 64 quarantined requests and parts with their evidence; metric parts_quarantined.

--- a/include/cassia/gateway/crash_monitor.h
+++ b/include/cassia/gateway/crash_monitor.h
@@ -99,6 +99,8 @@
     /// The gravest verdict on a request and the parts of its prompt; of like ones that with the
     /// highest odds.
     judged_cause judge(const fingerprint& request, const std::vector<fingerprint>& parts) const;
+    /// What is quarantined now: requests, and parts of prompts.
+    std::vector<policy::poison_record> quarantined() const;
     /// The part that is quarantined, if any; of several that with the highest odds.
     std::optional<fingerprint> find_quarantined(const std::vector<fingerprint>& parts) const;
     /// See policy::poison_detector; for coordinators.
@@ -139,6 +141,11 @@
         std::vector<recent_run> doubtful;
     };
 
+    struct logged_quarantine {
+        std::uint32_t times = 0;
+        instant since{};
+    };
+
     void probe(const policy::endpoint_process& process);
     void on_probe_ended(net::connection_id id, probe_answer answer);
     void add_recent_runs(const policy::endpoint_process& process, suspected_crash& crash);
@@ -165,6 +172,8 @@
     void publish(const std::vector<policy::poison_record>& records, const entry_id& except);
     void log_findings(const policy::poison_findings& findings) const;
     void note_verdict(const policy::poison_record& record);
+    /// Logs that a quarantine ended since a retry was survived.
+    void note_cleared(const policy::poison_record& record);
     void send_digest();
     void send(const entry_id& to, const schema::poison_news& news);
 
@@ -185,10 +194,10 @@
     std::map<service_id, std::uint32_t> endpoint_counts_;
     prompt_part_counts survived_parts_; ///< runs with each part
     std::map<service_id, std::uint32_t> survived_runs_;
-    std::set<fingerprint> histories_;                  ///< of parts, not yet reported
-    std::map<fingerprint, std::uint32_t> successes_;   ///< not yet reported
-    std::set<fingerprint> survived_retries_;           ///< of parts, not yet reported
-    std::map<fingerprint, std::uint32_t> quarantines_; ///< logged, for each request
+    std::set<fingerprint> histories_;                      ///< of parts, not yet reported
+    std::map<fingerprint, std::uint32_t> successes_;       ///< not yet reported
+    std::set<fingerprint> survived_retries_;               ///< of parts, not yet reported
+    std::map<fingerprint, logged_quarantine> quarantines_; ///< latest, for each cause
     instant next_successes_at_{};
     instant next_digest_at_{};
     instant started_at_ = monotonic_now();
--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -31,6 +31,13 @@
 
 enum class item_wait;
 
+/// Items that don't run as they, or a part of their prompts, are quarantined.
+struct quarantine_wait {
+    std::size_t items = 0;
+    instant idle_since{}; ///< of the one that has been idle for longest
+    std::string oldest;   ///< its id
+};
+
 struct item_runner_hooks {
     using lease_done = std::function<void(const std::vector<schema::leased_item>&)>;
     using report_done = std::function<void(bool durable)>;
@@ -84,6 +91,8 @@
     /// Number of ends and saves of progress that the keepers have not yet stored.
     std::size_t unreported() const;
     std::size_t running() const;
+    /// Items that wait at this gateway, by what is quarantined.
+    std::map<fingerprint, quarantine_wait> quarantine_waits() const;
 
 private:
     using item_key = std::pair<job_id, std::uint32_t>; ///< job and ordinal of the item
@@ -189,6 +198,8 @@
     static void set_wait(held_item& item, item_wait wait);
     /// Logs items that have waited in one way for long, and counts all that wait.
     void report_waits(instant now);
+    /// Logs the quarantined parts of prompts that items wait for, at intervals.
+    void report_quarantine_waits(instant now);
     /// Logs why no leases are requested, if that lasts.
     void note_lease_pause(const std::string& cause, instant now);
     void save_progress(instant now);
@@ -218,6 +229,7 @@
     std::string lease_pause_; ///< why no leases are requested; empty while they are
     instant lease_pause_since_{};
     instant lease_pause_logged_at_{};
+    instant next_quarantine_log_at_{};
     bool unrouted_in_flight_ = false;
     instant next_unrouted_at_{};
     std::size_t fleet_size_ = 1;
--- a/include/cassia/policy/trial_schedule.h
+++ b/include/cassia/policy/trial_schedule.h
@@ -70,7 +70,8 @@
     trial_key key;
     endpoint_id endpoint;
     fingerprint request;
-    bool shared = false; ///< others run there, and their gateways keep its free slots
+    bool shared = false;           ///< others run there, and their gateways keep its free slots
+    std::size_t retried_items = 0; ///< with the same quarantined part that were granted it at once
 };
 
 /// What a schedule has granted, and what waits.
--- a/lib/gateway/crash_monitor.cpp
+++ b/lib/gateway/crash_monitor.cpp
@@ -246,17 +246,39 @@
     }
 }
 
+void crash_monitor::note_cleared(const policy::poison_record& record) {
+    const bool is_cleared = record.is_part && record.cleared_at > record.last_crash_at &&
+                            record.verdict == policy::request_verdict::unsuspected;
+    // A later quarantine is logged, also if its number is the same.
+    auto logged = quarantines_.find(record.request);
+    if (!is_cleared || logged == quarantines_.end())
+        return;
+    metrics_.count("prompt_parts_cleared");
+    log_info("prompt_part_cleared")
+        .with("fingerprint", short_form(record.request))
+        .with("times", record.quarantines)
+        .with("quarantined_ms",
+              std::chrono::duration_cast<milliseconds>(monotonic_now() - logged->second.since)
+                  .count());
+    quarantines_.erase(logged);
+}
+
 void crash_monitor::note_verdict(const policy::poison_record& record) {
-    if (record.verdict != policy::request_verdict::quarantined)
+    if (record.verdict != policy::request_verdict::quarantined) {
+        note_cleared(record);
         return;
+    }
     hooks_.on_quarantine();
-    std::uint32_t& logged = quarantines_[record.request];
-    if (std::exchange(logged, record.quarantines) == record.quarantines)
+    logged_quarantine& logged = quarantines_[record.request];
+    if (std::exchange(logged.times, record.quarantines) == record.quarantines)
         return;
+    logged.since = monotonic_now();
     metrics_.count(record.is_part ? "prompt_parts_quarantined" : "requests_quarantined");
     log_warning(record.is_part ? "prompt_part_quarantined" : "request_quarantined")
         .with("fingerprint", short_form(record.request))
         .with("crashes", record.crashes)
+        .with("all_crashes", record.all_crashes)
+        .with("late_crashes", record.late_crashes)
         .with("log_odds", std::to_string(record.log_odds))
         .with("times", record.quarantines)
         .with("left_ms", quarantine_left(record.request).count());
@@ -316,6 +338,14 @@
     return gravest;
 }
 
+std::vector<policy::poison_record> crash_monitor::quarantined() const {
+    std::vector<policy::poison_record> records = detector_.published(detector_.size());
+    std::erase_if(records, [this](const policy::poison_record& one) {
+        return judge(one.request) != policy::request_verdict::quarantined;
+    });
+    return records;
+}
+
 std::optional<fingerprint>
 crash_monitor::find_quarantined(const std::vector<fingerprint>& parts) const {
     std::optional<fingerprint> found;
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -5,6 +5,7 @@
 #include "cassia/base/digest.h"
 #include "cassia/base/log.h"
 #include "cassia/gateway/caller_identity.h"
+#include "cassia/gateway/request_fingerprint.h"
 #include "cassia/gateway/response_match.h"
 #include "cassia/policy/batch_schedule.h"
 #include "held_item.h"
@@ -214,7 +215,8 @@
         .with("item", item.leased.item().custom_id())
         .with("endpoint", item.endpoint.str())
         .with("version", placement->version.str())
-        .with("behind_event", item.last_event);
+        .with("behind_event", item.last_event)
+        .with("suspect", item.runs_alone ? short_form(judge(item).cause) : std::string());
     net::raw_call_hooks hooks;
     hooks.on_head = [this, key](const net::raw_head& head) { on_head(key, head); };
     hooks.on_piece = [this, key](std::string_view bytes) { on_body(key, bytes); };
--- a/lib/gateway/item_waits.cpp
+++ b/lib/gateway/item_waits.cpp
@@ -39,6 +39,10 @@
     return "unknown";
 }
 
+static milliseconds milliseconds_until(instant time, instant now) {
+    return time <= now ? milliseconds(0) : std::chrono::duration_cast<milliseconds>(time - now);
+}
+
 void item_runner::set_wait(held_item& item, item_wait wait) {
     if (item.wait == wait)
         return;
@@ -79,6 +83,7 @@
             continue;
         item.wait_logged_at = now;
         const judged_cause judged = judge(item);
+        const std::optional<fingerprint> part = quarantined_part(item);
         log_info("item_waits")
             .with("item", item.leased.item().custom_id())
             .with("job", item.leased.job())
@@ -89,13 +94,20 @@
             .with("suspect", judged.verdict == policy::request_verdict::unsuspected
                                  ? std::string()
                                  : short_form(judged.cause))
+            .with("quarantined_part", part ? short_form(*part) : std::string())
             .with("waited_ms",
-                  std::chrono::duration_cast<milliseconds>(now - item.waits_since).count());
+                  std::chrono::duration_cast<milliseconds>(now - item.waits_since).count())
+            .with("idle_ms",
+                  std::chrono::duration_cast<milliseconds>(now - item.idle_since).count())
+            .with("ready_ms", milliseconds_until(item.ready_at, now).count())
+            .with("runs", item.runs)
+            .with("crashed_alone", item.crashed_alone);
     }
     for (const item_wait wait :
          {item_wait::retry, item_wait::slot, item_wait::memory, item_wait::oversized,
           item_wait::version, item_wait::trial, item_wait::quarantine})
         metrics_.set(std::string("items_waiting_") + name_of(wait), counts[wait]);
+    report_quarantine_waits(now);
 }
 
 } // namespace cassia::gateway
--- a/lib/gateway/service_status.cpp
+++ b/lib/gateway/service_status.cpp
@@ -1,11 +1,15 @@
 // The admin server: readiness, metrics and the state dump.
 
 #include "cassia/base/log.h"
+#include "cassia/gateway/request_fingerprint.h"
 #include "cassia/gateway/service.h"
 
 #include <boost/json.hpp>
 
+#include <algorithm>
+#include <map>
 #include <utility>
+#include <vector>
 
 namespace cassia::gateway {
 
@@ -15,6 +19,8 @@
 constexpr int status_unavailable = 503;
 // Endpoints that take at least this many times as long as usual are counted as slow.
 constexpr double slow_factor = 1.2;
+constexpr std::int64_t ms_in_s = 1000;
+constexpr std::size_t max_quarantined_listed = 64;
 } // namespace
 
 // Before there are routes no key is known, and all callers share what one team may hold.
@@ -65,6 +71,11 @@
     metrics_.set("endpoint_connections_reused", client_->counts().connections_reused);
     metrics_.set("endpoints_slow", slots_.pace().count_slower(slow_factor, monotonic_now()));
     metrics_.set("endpoints_with_ignored_reports", slots_.pace().count_contradicted());
+    const std::vector<policy::poison_record> quarantined = crashes_->quarantined();
+    metrics_.set("parts_quarantined",
+                 static_cast<std::uint64_t>(
+                     std::count_if(quarantined.begin(), quarantined.end(),
+                                   [](const policy::poison_record& one) { return one.is_part; })));
     metrics_.set("log_lines_dropped", dropped_log_lines());
     cluster_->peers().count_sent(metrics_);
     return metrics_.to_text("cassia_gateway_");
@@ -91,6 +102,22 @@
                                              {"batch", endpoint_usage.second.batch},
                                              {"tokens", endpoint_usage.second.tokens}};
     out["own_uses"] = std::move(usage);
+    const std::vector<policy::poison_record> quarantined = crashes_->quarantined();
+    const std::map<fingerprint, quarantine_wait> waits = items_->quarantine_waits();
+    boost::json::array listed;
+    for (std::size_t i = 0; i < std::min(quarantined.size(), max_quarantined_listed); ++i) {
+        const policy::poison_record& one = quarantined[i];
+        auto wait = waits.find(one.request);
+        listed.push_back({{"fingerprint", short_form(one.request)},
+                          {"crashes", one.crashes},
+                          {"all_crashes", one.all_crashes},
+                          {"log_odds", one.log_odds},
+                          {"times", one.quarantines},
+                          {"left_s", crashes_->quarantine_left(one.request).count() / ms_in_s},
+                          {"items_waiting", wait == waits.end() ? 0 : wait->second.items}});
+    }
+    out["quarantined"] = std::move(listed);
+    out["quarantined_in_all"] = quarantined.size();
     return boost::json::serialize(out);
 }
 
--- a/lib/gateway/trial_exchange.cpp
+++ b/lib/gateway/trial_exchange.cpp
@@ -203,6 +203,8 @@
             .with("endpoint", grant.endpoint.str())
             .with("cause", short_form(grant.request))
             .with("shared", grant.shared ? 1 : 0)
+            .with("retry", grant.retried_items > 0 ? 1 : 0)
+            .with("retried_items", grant.retried_items)
             .with("waiting_or_running", schedule_.size());
         answer(grant.key, grant);
     }
--- a/lib/policy/trial_retries.cpp
+++ b/lib/policy/trial_retries.cpp
@@ -43,6 +43,7 @@
             find_own(first, overdue_trial_time, now, choose_endpoint, listed, {});
         if (!endpoint)
             continue;
+        const std::size_t first_grant = grants.size();
         std::size_t granted = 0;
         for (const std::size_t index : selected) {
             trial& one = *part.second[index];
@@ -57,6 +58,8 @@
             ++granted;
             grants.push_back({one.asked.key, *endpoint, one.asked.request, one.shared});
         }
+        for (std::size_t i = first_grant; i < grants.size(); ++i)
+            grants[i].retried_items = granted;
         retries_.record_grant(part.first, granted, now);
     }
 }
--- a/unittests/gateway/crash_monitor_test.cpp
+++ b/unittests/gateway/crash_monitor_test.cpp
@@ -112,6 +112,15 @@
         else
             monitors_[gateway]->record_ended_run(run, true);
     }
+    void receive(std::size_t gateway, const schema::poison_news& news) {
+        monitors_[gateway]->receive(news);
+    }
+    std::size_t quarantined(std::size_t gateway) const {
+        return monitors_[gateway]->quarantined().size();
+    }
+    std::uint64_t counter(std::size_t gateway, const std::string& name) const {
+        return metrics_[gateway]->counter(name);
+    }
     std::size_t gateways_with(const fingerprint& cause, policy::request_verdict verdict) const {
         std::size_t count = 0;
         for (const std::unique_ptr<crash_monitor>& monitor : monitors_)
@@ -308,3 +317,40 @@
     CHECK(fleet.gateways_with(bad_part, policy::request_verdict::suspect) == 1);
     CHECK(fleet.gateways_with(sound_part, policy::request_verdict::unsuspected) == 1);
 }
+
+// Guards against a list of quarantines, and counts of them, that keep a part whose quarantine
+// ended.
+TEST_CASE("a part is listed as quarantined until a retry was survived, and again later",
+          "[poison]") {
+    monitor_fleet fleet(1);
+    const auto publish = [&fleet](std::uint64_t version, std::uint32_t times, bool is_cleared) {
+        schema::poison_news news;
+        schema::poison_record& record = *news.add_records();
+        record.set_fingerprint(bad_part.str());
+        record.set_is_part(true);
+        record.set_version(version);
+        record.set_verdict(static_cast<std::uint32_t>(is_cleared
+                                                          ? policy::request_verdict::unsuspected
+                                                          : policy::request_verdict::quarantined));
+        record.set_quarantine_left_ms(is_cleared ? 0 : 60000);
+        record.set_log_odds(is_cleared ? -7 : 8);
+        record.set_crashes(is_cleared ? 0 : 5);
+        record.set_quarantines(times);
+        record.set_crash_age_ms(1000);
+        record.set_was_cleared(is_cleared);
+        fleet.receive(0, news);
+    };
+    publish(1, 1, false);
+    CHECK(fleet.quarantined(0) == 1);
+    CHECK(fleet.counter(0, "prompt_parts_quarantined") == 1);
+    publish(2, 1, false);
+    CHECK(fleet.counter(0, "prompt_parts_quarantined") == 1);
+    publish(3, 1, true);
+    CHECK(fleet.quarantined(0) == 0);
+    CHECK(fleet.counter(0, "prompt_parts_cleared") == 1);
+    publish(4, 1, true);
+    CHECK(fleet.counter(0, "prompt_parts_cleared") == 1);
+    publish(5, 2, false);
+    CHECK(fleet.quarantined(0) == 1);
+    CHECK(fleet.counter(0, "prompt_parts_quarantined") == 2);
+}
