--- a/lib/policy/trial_retries.cpp
+++ b/lib/policy/trial_retries.cpp
@@ -74,7 +74,8 @@
             one->granted_at = now;
             one->places = first.places;
             one->shared = group.size() > 1;
-            grants.push_back({one->asked.key, *endpoint, one->asked.request, one->shared});
+            grants.push_back(
+                {one->asked.key, *endpoint, one->asked.request, one->shared, group.size()});
         }
         retries_.record_grant(part.first, group.size(), now);
     }
