Test: a part that was sound for long and then crashes endpoints is stopped

Each survived run lowers its odds by a factor of 50, 50 runs at most, and a crash raises them by 148 at most.

--- a/unittests/policy/part_detector_test.cpp
+++ b/unittests/policy/part_detector_test.cpp
@@ -220,6 +220,26 @@
     check(model, 1);
 }
 
+// Guards against a part whose survived runs hide that it crashes each endpoint now.
+TEST_CASE("in virtual time, a part that turns bad after a long sound time is stopped",
+          "[.parts-turned-bad]") {
+    part_model model;
+    model.history = milliseconds(60000);
+    model.sound_history_per_s = 10;
+    std::size_t causes = 1;
+    SECTION("at each position") {
+        model.bad_position = GENERATE(0U, 1U, 2U);
+    }
+    SECTION("two at once") {
+        model.bad_parts = 2;
+        causes = 2;
+    }
+    SECTION("after its responses") {
+        model.bad_delay = milliseconds(400);
+    }
+    check(model, causes);
+}
+
 // Guards against a part whose long runs other crashes explain.
 TEST_CASE("in virtual time, a part that crashes endpoints after three seconds is stopped",
           "[.parts-hang]") {
--- a/unittests/policy/part_model.h
+++ b/unittests/policy/part_model.h
@@ -33,7 +33,8 @@
     /// Share of the requests with a bad part, and rate of sound ones, that have one more part.
     double companion_share = 0;
     double companion_per_s = 0;
-    milliseconds history{10000}; ///< sound requests come for this time before anything crashes
+    double sound_history_per_s = 0; ///< of each bad part's requests, before it begins to crash
+    milliseconds history{10000};    ///< sound requests come for this time before anything crashes
     /// Share of the endpoints that crash for another reason, the interval of these outages and the
     /// time from one crash of an outage to the next.
     double outage_share = 0;
@@ -64,8 +65,11 @@
     int runs = 0;
     trial_id trial;
     bool was_suspect = false;
+    bool is_sound = false; ///< whatever its parts are called
 
     std::optional<std::string> crashes_by() const {
+        if (is_sound)
+            return std::nullopt;
         if (body[0] == 'B')
             return body;
         for (const std::string& part : parts) {
--- a/unittests/policy/part_simulation.h
+++ b/unittests/policy/part_simulation.h
@@ -325,8 +325,10 @@
             one.parts.emplace_back("companion");
             place(one);
         }
-        if (now_ < begin + model_.history)
+        if (now_ < begin + model_.history) {
+            send_sound_history();
             return;
+        }
         for (int part = 0; part < model_.bad_parts; ++part) {
             for (int i = events(model_.bad_per_s); i > 0; --i) {
                 request one = make_request();
@@ -351,6 +353,17 @@
         }
     }
 
+    void send_sound_history() {
+        for (int part = 0; part < model_.bad_parts; ++part) {
+            for (int i = events(model_.sound_history_per_s); i > 0; --i, ++result_.sound) {
+                request one = make_request();
+                one.parts[model_.bad_position] = "B" + std::to_string(part);
+                one.is_sound = true;
+                place(one);
+            }
+        }
+    }
+
     std::string rare_part_or(int body, const std::string& common) const {
         return model_.rare_parts ? "rare" + std::to_string(body) : common;
     }
