--- a/lib/policy/trial_retries.cpp
+++ b/lib/policy/trial_retries.cpp
@@ -25,6 +25,7 @@
 trial_schedule::select_retries(const fingerprint& part, const std::vector<trial*>& candidates,
                                bool outlasted, instant now) const {
     std::vector<retry_history> histories;
+    histories.reserve(candidates.size());
     for (const trial* one : candidates)
         histories.push_back(*one->asked.retry);
     std::vector<trial*> selected;
--- a/unittests/policy/part_simulation.h
+++ b/unittests/policy/part_simulation.h
@@ -354,6 +354,9 @@
     }
 
     void send_sound_history() {
+        // Draws nothing in the other models, whose seeds stay as they are.
+        if (model_.sound_history_per_s <= 0)
+            return;
         for (int part = 0; part < model_.bad_parts; ++part) {
             for (int i = events(model_.sound_history_per_s); i > 0; --i, ++result_.sound) {
                 request one = make_request();
