Consensus: the election timeout doubles with each election in a row without a leader

Callers saw nothing accepted, read or leased after all keepers had restarted where a sync takes 250 ms: no leader was elected within 12 s.

A candidate asks for votes once its own vote is synced, and a member replies once the one it gave is. With 250 ms a vote takes over half a second, the election timeout is 250 to 500 ms; each member asked for the next term before the votes of the last one had come.

The timeout after the first election is as before. It doubles, up to eight times, with each further election in which a member votes before it has a leader, its own or another one's. Terms, votes and leases are unchanged; only timers are longer, and a leader sets them back.

--- a/include/cassia/consensus/raft_group.h
+++ b/include/cassia/consensus/raft_group.h
@@ -172,6 +172,7 @@
     instant last_tick_{};            ///< of this process
     bool election_deferred_ = false; ///< at the last tick, which came late
     instant election_due_{};
+    std::uint32_t elections_since_leader_ = 0; ///< in which this member voted
     instant last_leader_contact_{};
     instant started_at_{};
     instant restart_election_due_{};
--- a/lib/consensus/raft_election.cpp
+++ b/lib/consensus/raft_election.cpp
@@ -15,10 +15,16 @@
 // A member that has granted another one's pre-vote after a restart leaves the rounds to that one
 // for this long. Rounds of all members would keep small VMs busy just when gateways start as well.
 constexpr milliseconds restart_election_pause(100);
+// Of the election timeout, for elections in a row that ended without a leader.
+constexpr std::uint32_t max_timeout_doublings = 3;
 } // namespace
 
+// Votes may take longer to be synced to slow disks than the timeout. If each member then asked for
+// the next term, no candidate would ever get its votes in time.
 void raft_group::reset_election_timer(instant now) {
-    const std::int64_t min = settings_.election_timeout.count();
+    const std::uint32_t failed = elections_since_leader_ - std::min(elections_since_leader_, 1U);
+    const std::int64_t min = settings_.election_timeout.count()
+                             << std::min(failed, max_timeout_doublings);
     std::uniform_int_distribution<std::int64_t> timeout_ms(min, 2 * min);
     election_due_ = now + milliseconds(timeout_ms(random_));
 }
@@ -32,6 +38,7 @@
     votes_.clear();
     progress_.clear();
     if (leader != disk_id()) {
+        elections_since_leader_ = 0;
         last_leader_contact_ = now;
         reset_election_timer(now);
     }
@@ -52,6 +59,7 @@
         votes_ = {self_};
     in_pre_vote_ = pre_vote;
     election_cause_ = cause;
+    elections_since_leader_ += pre_vote ? 0 : 1;
     if (!is_restart_pre_vote)
         reset_election_timer(now);
     if (!pre_vote)
@@ -139,6 +147,7 @@
         restart_election_due_ = now + restart_election_pause;
     if (granted && !pre_vote) {
         set_term(term, candidate);
+        ++elections_since_leader_;
         reset_election_timer(now);
     }
     schema::raft_message reply =
@@ -172,6 +181,7 @@
     role_ = raft_role::leader;
     leader_ = self_;
     leader_seen_ = true;
+    elections_since_leader_ = 0;
     leader_since_ = now;
     transfer_until_ = instant();
     no_lease_before_ = instant();
