Callers' connections: a single lost keep-alive probe ends none

A caller's connection had TCP_KEEPCNT 1: a probe goes out a second after the last byte, and without an answer to it the kernel ends the connection a second later. Now it takes two, as the other settings of the socket say; has_vanished(), which looks at unanswered probes and how long they have been so, notices a caller that is away after 2.5 s (2 s before).

Connections to endpoints still have TCP_USER_TIMEOUT, which ends them after one lost probe: a longer one would delay the way around a partition.

--- a/lib/net/socket_options.cpp
+++ b/lib/net/socket_options.cpp
@@ -41,15 +41,13 @@
     set_option(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
 }
 
-// TCP_USER_TIMEOUT also ends connections whose peer acknowledges all probes and doesn't read, so
-// has_vanished() takes its place. Without it a single unanswered probe ends an idle connection, as
-// the probe and the limit do with it.
+// TCP_USER_TIMEOUT also ends connections whose peer acknowledges all probes and doesn't read, and
+// idle ones after a single lost probe, so has_vanished() takes its place.
 void prepare_accepted(int descriptor, const tcp_settings& settings) {
     prepare_socket(descriptor, settings);
     if (!settings.waits_for_readers)
         return;
     set_option(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, 0);
-    set_option(descriptor, IPPROTO_TCP, TCP_KEEPCNT, 1);
     set_option(descriptor, IPPROTO_TCP, TCP_NOTSENT_LOWAT, unsent_in_kernel);
 }
 
