Runs of suspects: each of several items of one cause keeps its turn

An item whose run ended unused, as its endpoint or its route changed, waited anew where another one of its part at the same gateway was interrupted at that time, behind items that had begun to wait later.

Cause: what an interrupted item keeps was stored by gateway and cause, one entry for all items of a part, so that the last one replaced the others.

Change: an entry for each; the first item that is asked for again takes the oldest.

Evidence: "each of several items of one cause keeps its turn" (virtual time) fails before and passes after; [trials] and [retries] pass. Not measured on real processes.

Looked at beside it and left: `crashed_causes_` and `silent_ends_`, also by cause. The schedule isn't told which item a run is of, and a crash or a silent endpoint under a part's run says something of the part.

--- a/include/cassia/policy/trial_schedule.h
+++ b/include/cassia/policy/trial_schedule.h
@@ -152,6 +152,7 @@
 
     void expire(instant now);
     void keep_turn(const trial& unused, instant now);
+    void take_kept_turn(trial& added);
     /// Whether it is an item whose runs were given up at several silent endpoints.
     bool is_put_back(const trial& one) const;
     /// Since when a run counts as waiting.
@@ -194,7 +195,7 @@
 
     std::map<trial_key, trial> trials_;
     std::vector<hold> holds_;
-    std::map<std::pair<entry_id, fingerprint>, kept_turn> kept_turns_; ///< of items
+    std::multimap<std::pair<entry_id, fingerprint>, kept_turn> kept_turns_; ///< of items
     std::map<fingerprint, instant> crashed_causes_; ///< when a run alone crashed an endpoint
     std::map<fingerprint, silent_ends> silent_ends_;
     quarantine_retries retries_;
--- a/lib/policy/trial_schedule.cpp
+++ b/lib/policy/trial_schedule.cpp
@@ -42,12 +42,7 @@
         trial& added = trials_[request.key];
         added.asked = request;
         added.asked_at = added.refreshed_at = now;
-        auto kept = kept_turns_.find({request.key.gateway, request.request});
-        if (kept != kept_turns_.end()) {
-            added.asked_at = kept->second.asked_at;
-            added.kept = kept->second.count;
-            kept_turns_.erase(kept);
-        }
+        take_kept_turn(added);
         return;
     }
     found->second.refreshed_at = now;
@@ -103,8 +98,22 @@
     const bool may_keep = unused.asked.kind == work_kind::batch && unused.kept < max_kept_turns &&
                           kept_turns_.size() < max_known_trials;
     if (may_keep)
-        kept_turns_[{unused.asked.key.gateway, unused.asked.request}] = {
-            unused.asked_at, now + unusable_time, unused.kept + 1};
+        kept_turns_.insert({{unused.asked.key.gateway, unused.asked.request},
+                            {unused.asked_at, now + unusable_time, unused.kept + 1}});
+}
+
+// Several items may have one cause; the first of them that is asked for again takes the oldest.
+void trial_schedule::take_kept_turn(trial& added) {
+    const auto [first, last] =
+        kept_turns_.equal_range({added.asked.key.gateway, added.asked.request});
+    const auto oldest = std::min_element(first, last, [](const auto& a, const auto& b) {
+        return a.second.asked_at < b.second.asked_at;
+    });
+    if (oldest == last)
+        return;
+    added.asked_at = oldest->second.asked_at;
+    added.kept = oldest->second.count;
+    kept_turns_.erase(oldest);
 }
 
 bool trial_schedule::is_put_back(const trial& one) const {
--- /dev/null
+++ b/unittests/policy/trial_turns_test.cpp
@@ -0,0 +1,58 @@
+// Items that wait for their runs, with others of the same cause.
+
+#include "cassia/policy/trial_schedule.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace cassia;
+using namespace cassia::policy;
+
+namespace {
+
+constexpr instant start = instant() + milliseconds(1000000);
+constexpr milliseconds step(100);
+constexpr std::size_t endpoints = 3;
+
+trial_request item_of(std::uint64_t id, const std::string& cause) {
+    return {
+        {entry_id("a"), trial_id(id)}, fingerprint(cause), service_id("llm"), {}, work_kind::batch};
+}
+
+// The first endpoint that isn't excluded.
+trial_schedule::choice choose_first(const trial_request&, const std::set<endpoint_id>& excluded) {
+    trial_schedule::choice choice{std::nullopt, max_trials(endpoints)};
+    for (std::size_t i = 0; i < endpoints && !choice.endpoint; ++i) {
+        const endpoint_id endpoint("e" + std::to_string(i));
+        if (excluded.count(endpoint) == 0)
+            choice.endpoint = endpoint;
+    }
+    return choice;
+}
+
+} // namespace
+
+// Guards against an item that waits anew since another one of its part was interrupted too.
+TEST_CASE("each of several items of one cause keeps its turn", "[trials]") {
+    trial_schedule schedule;
+    schedule.refresh(item_of(1, "part"), start);
+    schedule.refresh(item_of(2, "part"), start);
+    schedule.refresh(item_of(10, "i"), start + step);
+    const instant later = start + 2 * step;
+    schedule.end(item_of(1, "part").key, trial_outcome::unused, later);
+    schedule.end(item_of(2, "part").key, trial_outcome::unused, later);
+    schedule.refresh(item_of(3, "part"), later);
+    schedule.refresh(item_of(4, "part"), later);
+    const std::vector<trial_grant> first = schedule.poll(later, choose_first);
+    REQUIRE(first.at(0).key == item_of(3, "part").key);
+    schedule.end(first.at(0).key, trial_outcome::completed, later);
+    const instant next = later + late_crash_time;
+    schedule.refresh(item_of(4, "part"), next);
+    schedule.refresh(item_of(10, "i"), next);
+    CHECK(schedule.poll(next, choose_first).at(0).key == item_of(4, "part").key);
+}
