Items that will probably fail again run 12 s after their last run, in place of 18

Seen by callers: items of jobs that no endpoint ran for over 20 s (LOST), where the gateway that held them ended shortly before their next run.

Cause: an item that is quarantined by itself, or whose response is too long everywhere, waits for 18 s. A gateway that ends loses its leases after 3 s, two seconds later if the keepers elect another leader meanwhile; a run alone may have to wait for 2 s more. That doesn't fit into 20 s.

Change: one interval of 12 s for both, which leaves 8 s for the way to another gateway. How long an item is taken to have been idle elsewhere (18 s) is a constant of its own and stays.

Costs: an item that is bad by itself crashes an endpoint every 12 s.

--- a/lib/gateway/item_limits.cpp
+++ b/lib/gateway/item_limits.cpp
@@ -20,9 +20,6 @@
 constexpr int status_ok = 200;
 // Delay before an item runs again after a response that was too long.
 constexpr milliseconds overlong_response_delay(100);
-// The same once enough endpoints have sent too much: until its time limit the item is tried as
-// rarely as it may be left idle.
-constexpr milliseconds overlong_item_interval(18000);
 // Interval at which an item looks for a slot at another endpoint than those that sent too much.
 constexpr milliseconds other_endpoint_interval(100);
 } // namespace
@@ -77,7 +74,7 @@
     if (is_overlong && item.leased.abandon_at() == 0)
         finish(key, schema::failed, false, "response_too_long");
     else
-        requeue(item, is_overlong ? overlong_item_interval : overlong_response_delay,
+        requeue(item, is_overlong ? barred_item_interval : overlong_response_delay,
                 "response_too_long");
 }
 
--- a/lib/gateway/item_suspects.cpp
+++ b/lib/gateway/item_suspects.cpp
@@ -11,9 +11,8 @@
 namespace cassia::gateway {
 
 namespace {
-// A job is complete only once each of its items has ended, and an item may not be given up before
-// its time limit. Until then a quarantined one is tried as rarely as an item may be left lying.
-constexpr milliseconds quarantined_item_interval(18000);
+// Longest time for which an item may have been idle at the gateway that held it before.
+constexpr milliseconds max_idle_elsewhere(18000);
 } // namespace
 
 const fingerprint& item_runner::fingerprint_of(held_item& item) const {
@@ -58,9 +57,9 @@
 policy::retry_history item_runner::retry_of(const held_item& item) {
     milliseconds idle_before(0);
     if (item.runs == 0 && item.leased.attempt() > 1)
-        idle_before = quarantined_item_interval;
+        idle_before = max_idle_elsewhere;
     else if (item.may_not_have_run)
-        idle_before = quarantined_item_interval / 2;
+        idle_before = max_idle_elsewhere / 2;
     return {item.idle_since - idle_before, item.crashed_alone, item.alone_until};
 }
 
@@ -130,7 +129,7 @@
         return keyed_item.second->runs_alone && keyed_item.second->upstream_call != call_id();
     });
     const bool may_decide = !state.is_scheduled && !another_runs &&
-                            (!part || now - item.idle_since >= quarantined_item_interval);
+                            (!part || now - item.idle_since >= barred_item_interval);
     if (!may_decide)
         return std::nullopt;
     return slots_.place_alone(item.service, {}, now, version, item.tokens);
@@ -151,7 +150,7 @@
     // Retries of items with a quarantined part are scheduled for all gateways.
     if (!is_quarantined_itself(item))
         return false;
-    item.ready_at = quarantined_since(item) + quarantined_item_interval;
+    item.ready_at = quarantined_since(item) + barred_item_interval;
     const bool waits = now < item.ready_at;
     if (waits)
         end_trial(item);
--- a/unittests/gateway/item_limits_test.cpp
+++ b/unittests/gateway/item_limits_test.cpp
@@ -205,3 +205,25 @@
     CHECK_FALSE(ends_as(fixture, schema::failed, milliseconds(4000)));
     CHECK(endless.resumed_behind.size() == usual_overlong_runs);
 }
+
+// Guards against such an item that is idle for too long as its gateway ends before its next run.
+TEST_CASE("an item whose events have no end runs in time for another gateway to hold it first",
+          "[.][item_limits]") {
+    runner_fixture fixture;
+    const event_plan plan{20000, milliseconds(1), 0, 3};
+    event_sender endless(fixture.task(), fixture.add_endpoint("first", "v1"), plan);
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
+    schema::leased_item item = fixture.make_item("a", "jobs", 1);
+    item.set_abandon_at(to_unix_ms(wall_now()) + 60000);
+    fixture.offer(item);
+    const auto run_until = [&fixture, &endless](std::size_t runs, milliseconds time) {
+        const instant began = monotonic_now();
+        while (monotonic_now() - began < time && endless.resumed_behind.size() < runs)
+            fixture.run_for(tick_interval);
+        return endless.resumed_behind.size() >= runs;
+    };
+    REQUIRE(run_until(usual_overlong_runs, max_idle_time));
+    CHECK_FALSE(run_until(usual_overlong_runs + 1, min_barred_time));
+    CHECK(
+        run_until(usual_overlong_runs + 1, max_untried_time - max_handover_time - min_barred_time));
+}
--- a/unittests/gateway/item_runner_fixture.h
+++ b/unittests/gateway/item_runner_fixture.h
@@ -25,6 +25,12 @@
 
 // An accepted item that isn't listed runs within this time wherever an endpoint has room.
 constexpr milliseconds max_idle_time(5000);
+// Any accepted item runs within this time of its last run, also one that will probably fail again.
+constexpr milliseconds max_untried_time(20000);
+// From the end of a gateway until another one may run what it held.
+constexpr milliseconds max_handover_time(5000);
+// An item that will probably fail again costs an endpoint's work no more often than that.
+constexpr milliseconds min_barred_time(12000);
 constexpr milliseconds tick_interval(20);
 constexpr milliseconds lease_time(200);
 constexpr std::uint32_t slots_per_endpoint = 4;
