Items of a quarantined part: those that another gateway held ask first

Seen by callers: an item of a quarantined part that no endpoint ran for 20.7 s (LOST): run at 18.1 s by a gateway that ended then, leased at 24.5 s by another one, and run by a third at 38.8 s, once the second had ended too.

Cause: a gateway asks for 16 retries of a part at a time, and each of them is asked for until it is granted. It asked in the order in which items had become idle at this gateway, so one that another gateway had held came last, though the coordinator would have chosen it first. The second gateway held 29 items of the part and ran none of those that it had taken over last.

Change: the order is that of the time for which the coordinator takes an item to have been idle; where no further retry of the part may be asked for, one whose item has been idle for less is given up for it.

"an item of another gateway asks for its retry before later ones" fails before in 3 of 3 runs and passes after in 3 of 3; [items] passes.

Left: the limit of 64 retries at a gateway over all parts is filled in the same order, but nothing is given up for an item of a fifth part.

--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -126,6 +126,9 @@
     std::optional<policy::placement> find_trial_endpoint(held_item& item, instant now,
                                                          const software_version& version);
     void end_trial(held_item& item);
+    /// Asks no more for the retry of the part whose item has been idle for the shortest time, if
+    /// that is since later than the given time. \returns whether there was one.
+    bool end_later_retry(const fingerprint& part, instant idle_since);
     /// Whether it runs beside other suspects.
     bool shares_endpoint(const held_item& item) const;
     /// Keeps the free slots of endpoints where suspects run from other requests, and ends trials
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -96,7 +96,7 @@
         if (item.upstream_call != call_id() || (now < item.ready_at && !is_granted))
             continue;
         if (item.wait == item_wait::quarantine)
-            quarantined.emplace_back(item.idle_since, keyed_item.first);
+            quarantined.emplace_back(retry_of(item).idle_since, keyed_item.first);
         else
             ready.emplace_back(policy::would_miss_deadline(item.leased.deadline(), unix_ms),
                                item.leased.deadline(), keyed_item.first);
--- a/lib/gateway/item_suspects.cpp
+++ b/lib/gateway/item_suspects.cpp
@@ -97,6 +97,23 @@
     item.trial.reset();
 }
 
+// A gateway asks for a few retries of a part at a time only, and each of them waits for long.
+bool item_runner::end_later_retry(const fingerprint& part, instant idle_since) {
+    held_item* latest = nullptr;
+    for (const std::pair<const item_key, std::unique_ptr<held_item>>& keyed_item : items_) {
+        held_item& other = *keyed_item.second;
+        const bool waits = other.trial && other.upstream_call == call_id() &&
+                           other.retried_part == part && !trials_.find(*other.trial).endpoint;
+        if (!waits || retry_of(other).idle_since <= idle_since)
+            continue;
+        idle_since = retry_of(other).idle_since;
+        latest = &other;
+    }
+    if (latest != nullptr)
+        end_trial(*latest);
+    return latest != nullptr;
+}
+
 std::optional<policy::placement> item_runner::find_trial_endpoint(held_item& item, instant now,
                                                                   const software_version& version) {
     // The route or the version may have changed since the run was asked for.
@@ -111,10 +128,16 @@
     std::optional<policy::retry_history> retry;
     if (part)
         retry = retry_of(item);
+    const auto begin = [&] {
+        return trials_.begin(cause, item.service, version, policy::work_kind::batch, retry);
+    };
     if (item.trial)
         trials_.set_cause(*item.trial, cause, retry);
     else
-        item.trial = trials_.begin(cause, item.service, version, policy::work_kind::batch, retry);
+        item.trial = begin();
+    if (!item.trial && retry && end_later_retry(cause, retry->idle_since))
+        item.trial = begin();
+    item.retried_part = retry ? cause : fingerprint();
     if (!item.trial)
         return std::nullopt;
     const trial_exchange::state state = trials_.find(*item.trial);
--- a/unittests/gateway/item_runner_fixture.h
+++ b/unittests/gateway/item_runner_fixture.h
@@ -208,6 +208,22 @@
     void quarantine(const schema::leased_item& leased, std::uint32_t crashes = 2) {
         judge(leased, policy::request_verdict::quarantined, crashes);
     }
+    /// All items have the part, which was quarantined a moment ago.
+    void quarantine_part(const std::string& service, const prompt_part_id& part) {
+        runner.set_prompt_parts_reader(
+            [part](const net::http_fields&) { return std::vector<prompt_part_id>{part}; });
+        schema::poison_news news;
+        schema::poison_record& record = *news.add_records();
+        record.set_fingerprint(make_part_keys(service_id(service), {part}).front().str());
+        record.set_version(3);
+        record.set_verdict(static_cast<std::uint32_t>(policy::request_verdict::quarantined));
+        record.set_quarantine_left_ms(60000);
+        record.set_log_odds(1);
+        record.set_crashes(3);
+        record.set_all_crashes(3);
+        record.set_is_part(true);
+        crashes_.receive(news);
+    }
     void judge(const schema::leased_item& leased, policy::request_verdict verdict,
                std::uint32_t crashes = 2) {
         schema::poison_news news;
--- a/unittests/gateway/item_runner_test.cpp
+++ b/unittests/gateway/item_runner_test.cpp
@@ -199,6 +199,29 @@
     CHECK(monotonic_now() - began >= min_barred_time);
 }
 
+// Guards against an item that waits for a quarantined part behind those that ran after it, as
+// another gateway held it before.
+TEST_CASE("an item of another gateway asks for its retry before later ones", "[.][items]") {
+    runner_fixture fixture;
+    fixture.grants_trials = false;
+    endpoint_stub& endpoint = fixture.add_endpoint("first", "v1");
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
+    fixture.quarantine_part("first", prompt_part_id("bad"));
+    for (int i = 0; i < 24; ++i)
+        fixture.offer(fixture.make_item("later" + std::to_string(i), "jobs", 1));
+    fixture.run_for(std::chrono::seconds(2));
+    schema::leased_item taken_over = fixture.make_item("a", "jobs", 2);
+    taken_over.set_attempt(2);
+    fixture.offer(taken_over);
+    fixture.run_for(std::chrono::seconds(1));
+    REQUIRE(endpoint.requests() == 0);
+    fixture.grants_trials = true;
+    const instant began = monotonic_now();
+    while (endpoint.requests() == 0 && monotonic_now() - began < max_idle_time)
+        fixture.run_for(tick_interval);
+    CHECK(endpoint.has_received("a"));
+}
+
 // Guards against items that a gateway is granted after its shutdown began and never returns.
 TEST_CASE("items granted during a shutdown are returned", "[.][items]") {
     runner_fixture fixture;
