--- a/lib/gateway/item_suspects.cpp
+++ b/lib/gateway/item_suspects.cpp
@@ -11,9 +11,8 @@
 namespace cassia::gateway {
 
 namespace {
-// A job is complete only once each of its items has ended, and an item may not be given up before
-// its time limit. Until then a quarantined one is tried as rarely as an item may be left lying.
-constexpr milliseconds quarantined_item_interval(18000);
+// Longest time for which an item may have been idle at the gateway that held it before.
+constexpr milliseconds max_idle_elsewhere(18000);
 } // namespace
 
 const fingerprint& item_runner::fingerprint_of(held_item& item) const {
@@ -58,9 +57,9 @@
 policy::retry_history item_runner::retry_of(const held_item& item) {
     milliseconds idle_before(0);
     if (item.runs == 0 && item.leased.attempt() > 1)
-        idle_before = quarantined_item_interval;
+        idle_before = max_idle_elsewhere;
     else if (item.may_not_have_run)
-        idle_before = quarantined_item_interval / 2;
+        idle_before = max_idle_elsewhere / 2;
     return {item.idle_since - idle_before, item.crashed_alone, item.alone_until};
 }
 
@@ -98,6 +97,23 @@
     item.trial.reset();
 }
 
+// A gateway asks for a few retries of a part at a time only, and each of them waits for long.
+bool item_runner::end_later_retry(const fingerprint& part, instant idle_since) {
+    held_item* latest = nullptr;
+    for (const std::pair<const item_key, std::unique_ptr<held_item>>& keyed_item : items_) {
+        held_item& other = *keyed_item.second;
+        const bool waits = other.trial && other.upstream_call == call_id() &&
+                           other.retried_part == part && !trials_.find(*other.trial).endpoint;
+        if (!waits || retry_of(other).idle_since <= idle_since)
+            continue;
+        idle_since = retry_of(other).idle_since;
+        latest = &other;
+    }
+    if (latest != nullptr)
+        end_trial(*latest);
+    return latest != nullptr;
+}
+
 std::optional<policy::placement> item_runner::find_trial_endpoint(held_item& item, instant now,
                                                                   const software_version& version) {
     // The route or the version may have changed since the run was asked for.
@@ -112,10 +128,16 @@
     std::optional<policy::retry_history> retry;
     if (part)
         retry = retry_of(item);
+    const auto begin = [&] {
+        return trials_.begin(cause, item.service, version, policy::work_kind::batch, retry);
+    };
     if (item.trial)
         trials_.set_cause(*item.trial, cause, retry);
     else
-        item.trial = trials_.begin(cause, item.service, version, policy::work_kind::batch, retry);
+        item.trial = begin();
+    if (!item.trial && retry && end_later_retry(cause, retry->idle_since))
+        item.trial = begin();
+    item.retried_part = retry ? cause : fingerprint();
     if (!item.trial)
         return std::nullopt;
     const trial_exchange::state state = trials_.find(*item.trial);
@@ -130,7 +152,7 @@
         return keyed_item.second->runs_alone && keyed_item.second->upstream_call != call_id();
     });
     const bool may_decide = !state.is_scheduled && !another_runs &&
-                            (!part || now - item.idle_since >= quarantined_item_interval);
+                            (!part || now - item.idle_since >= barred_item_interval);
     if (!may_decide)
         return std::nullopt;
     return slots_.place_alone(item.service, {}, now, version, item.tokens);
@@ -151,7 +173,7 @@
     // Retries of items with a quarantined part are scheduled for all gateways.
     if (!is_quarantined_itself(item))
         return false;
-    item.ready_at = quarantined_since(item) + quarantined_item_interval;
+    item.ready_at = quarantined_since(item) + barred_item_interval;
     const bool waits = now < item.ready_at;
     if (waits)
         end_trial(item);
--- a/unittests/gateway/item_runner_fixture.h
+++ b/unittests/gateway/item_runner_fixture.h
@@ -25,6 +25,12 @@
 
 // An accepted item that isn't listed runs within this time wherever an endpoint has room.
 constexpr milliseconds max_idle_time(5000);
+// Any accepted item runs within this time of its last run, also one that will probably fail again.
+constexpr milliseconds max_untried_time(20000);
+// From the end of a gateway until another one may run what it held.
+constexpr milliseconds max_handover_time(5000);
+// An item that will probably fail again costs an endpoint's work no more often than that.
+constexpr milliseconds min_barred_time(12000);
 constexpr milliseconds tick_interval(20);
 constexpr milliseconds lease_time(200);
 constexpr std::uint32_t slots_per_endpoint = 4;
@@ -202,6 +208,22 @@
     void quarantine(const schema::leased_item& leased, std::uint32_t crashes = 2) {
         judge(leased, policy::request_verdict::quarantined, crashes);
     }
+    /// All items have the part, which was quarantined a moment ago.
+    void quarantine_part(const std::string& service, const prompt_part_id& part) {
+        runner.set_prompt_parts_reader(
+            [part](const net::http_fields&) { return std::vector<prompt_part_id>{part}; });
+        schema::poison_news news;
+        schema::poison_record& record = *news.add_records();
+        record.set_fingerprint(make_part_keys(service_id(service), {part}).front().str());
+        record.set_version(3);
+        record.set_verdict(static_cast<std::uint32_t>(policy::request_verdict::quarantined));
+        record.set_quarantine_left_ms(60000);
+        record.set_log_odds(1);
+        record.set_crashes(3);
+        record.set_all_crashes(3);
+        record.set_is_part(true);
+        crashes_.receive(news);
+    }
     void judge(const schema::leased_item& leased, policy::request_verdict verdict,
                std::uint32_t crashes = 2) {
         schema::poison_news news;
