Parts of prompts: a crash that an item's own record explains doesn't extend a quarantine

Callers with a sound part were rejected for as long as items with it crashed endpoints that were quarantined by themselves: each of their runs alone is a crash on trial with the part aboard, which extended the part's quarantine by 5 s.

Cause: evidence about an item was taken for evidence about its part. Now a crash extends the quarantine only if nothing else aboard explains it to more than a half, the bound that other judgements use. A retry of an item that isn't known to crash endpoints extends it as before.

--- a/lib/policy/poison_detector.cpp
+++ b/lib/policy/poison_detector.cpp
@@ -269,6 +269,7 @@
     attributed_crash attributed{process, {}};
     for (const candidate& one : all) {
         poison_record& record = *one.record;
+        const bool is_explained = unexplained_without(crash, record.request) <= min_unexplained;
         count_crash(record, crash.report.crashed_at);
         if (one.counts && one.gain >= min_gain) {
             double limit = std::numeric_limits<double>::max();
@@ -284,7 +285,8 @@
             record.last_crash_at = std::max(record.last_crash_at, crash.report.crashed_at);
             update_verdict(record, crash.report.service, now);
         }
-        if (record.is_part && crash.was_on_trial)
+        // An item that crashes endpoints by itself says nothing of its part.
+        if (record.is_part && crash.was_on_trial && !is_explained)
             extend_quarantine(record, now);
         suspect_if_crashed_most(record, crash.report);
         attributed.causes.push_back({record, one.if_innocent, one.on_trial});
--- a/unittests/policy/quarantine_end_test.cpp
+++ b/unittests/policy/quarantine_end_test.cpp
@@ -146,8 +146,7 @@
 
 // Guards against callers that are rejected for a sound part for as long as items crash endpoints
 // that are quarantined by themselves.
-TEST_CASE("crashes of quarantined items don't extend the quarantine of their part",
-          "[.extended-quarantine]") {
+TEST_CASE("crashes of quarantined items don't extend the quarantine of their part", "[poison]") {
     crashing_service crashes;
     instant at = crashes.quarantine_part(milliseconds(400), 0);
     std::vector<fingerprint> items;
