Parts of prompts: the first quarantine lasts 45 s at most, whatever the verdict took

Callers with a part that had crashed endpoints for some seconds were rejected for up to ten minutes where nothing else tried it: each crash with the part aboard later than 3 s after its fifth triples the quarantine, also those before there was a verdict. A part with ten survived runs behind it takes 12 crashes and was quarantined for 135 s at first, one with 15 or more 600 s (virtual time).

A crash after a verdict is a retry that failed, and shows that the part goes on; those before show how long the verdict took. Of these two count now. That leaves room for the three later retries that a part is allowed; the first quarantine lasts 5, 15 or 45 s.

--- a/lib/policy/poison_records.cpp
+++ b/lib/policy/poison_records.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds max_part_quarantine(600000);
 constexpr std::uint32_t tolerated_crashes = 5;
 constexpr milliseconds contact_time(3000);
+// Crashes until the first verdict show how long that took, not that the part goes on.
+constexpr std::uint32_t max_late_before_verdict = 2;
 } // namespace
 
 void poison_detector::publish(poison_record& record) {
@@ -53,7 +55,9 @@
         return;
     if (++record.all_crashes == tolerated_crashes)
         record.known_at = crashed_at;
-    else if (record.all_crashes > tolerated_crashes && crashed_at > record.known_at + contact_time)
+    else if (record.all_crashes > tolerated_crashes &&
+             crashed_at > record.known_at + contact_time &&
+             (record.quarantines > 0 || record.late_crashes < max_late_before_verdict))
         ++record.late_crashes;
 }
 
