Retries of items: parts whose items have been idle for longest come first

An item of a quarantined part may not be idle for longer than 20 s.

Each poll now begins with the part whose items have been idle for longest.

--- a/include/cassia/policy/trial_schedule.h
+++ b/include/cassia/policy/trial_schedule.h
@@ -181,9 +181,18 @@
     std::vector<trial*> select_retries(const fingerprint& part,
                                        const std::vector<trial*>& candidates, bool outlasted,
                                        instant now) const;
+    /// Items that wait for a quarantined part.
+    struct part_retries {
+        fingerprint part;
+        instant idle_since{}; ///< end of the earliest last run
+        std::vector<trial*> waiting;
+    };
+    /// \returns those first whose items have been idle for longest.
+    static std::vector<part_retries> group_by_part(const std::vector<trial*>& retries);
     /// Grants retries of items with a quarantined part.
-    void grant_retries(std::vector<trial*>& waiting, instant now, const choose& choose_endpoint,
-                       const is_listed& listed, std::vector<trial_grant>& grants);
+    void grant_retries(const std::vector<trial*>& waiting, instant now,
+                       const choose& choose_endpoint, const is_listed& listed,
+                       std::vector<trial_grant>& grants);
     /// Grants runs of suspects.
     void grant_trials(std::vector<trial*>& waiting, instant now, const choose& choose_endpoint,
                       const is_listed& listed, const risk_of& risk,
--- a/lib/policy/trial_retries.cpp
+++ b/lib/policy/trial_retries.cpp
@@ -2,7 +2,9 @@
 
 #include "cassia/policy/trial_schedule.h"
 
+#include <algorithm>
 #include <map>
+#include <utility>
 
 namespace cassia::policy {
 
@@ -34,22 +36,38 @@
     return selected;
 }
 
-void trial_schedule::grant_retries(std::vector<trial*>& waiting, instant now,
-                                   const choose& choose_endpoint, const is_listed& listed,
-                                   std::vector<trial_grant>& grants) {
+// Where endpoints are scarce, parts that were served a moment ago must not come first each time.
+std::vector<trial_schedule::part_retries>
+trial_schedule::group_by_part(const std::vector<trial*>& retries) {
     std::map<fingerprint, std::vector<trial*>> by_part;
-    for (trial* one : waiting)
+    for (trial* one : retries)
         by_part[one->asked.request].push_back(one);
+    std::vector<part_retries> parts;
     for (std::pair<const fingerprint, std::vector<trial*>>& part : by_part) {
-        const retry_state state = retries_of(part.first, now);
+        instant idle_since = instant::max();
+        for (const trial* one : part.second)
+            idle_since = std::min(idle_since, one->asked.retry->idle_since);
+        parts.push_back({part.first, idle_since, std::move(part.second)});
+    }
+    std::stable_sort(parts.begin(), parts.end(), [](const part_retries& a, const part_retries& b) {
+        return a.idle_since < b.idle_since;
+    });
+    return parts;
+}
+
+void trial_schedule::grant_retries(const std::vector<trial*>& waiting, instant now,
+                                   const choose& choose_endpoint, const is_listed& listed,
+                                   std::vector<trial_grant>& grants) {
+    for (part_retries& part : group_by_part(waiting)) {
+        const retry_state state = retries_of(part.part, now);
         if (!state.may_begin)
             continue;
         std::optional<endpoint_id> endpoint;
         std::vector<trial*> selected;
-        std::vector<trial*>& candidates = part.second;
+        std::vector<trial*>& candidates = part.waiting;
         // Where one of them finds no endpoint, others may, which need another version.
         while (!endpoint) {
-            selected = select_retries(part.first, candidates, state.outlasted, now);
+            selected = select_retries(part.part, candidates, state.outlasted, now);
             if (selected.empty())
                 break;
             const trial_request asked = selected.front()->asked;
@@ -78,7 +96,7 @@
             grants.push_back(
                 {one->asked.key, *endpoint, one->asked.request, one->shared, group.size()});
         }
-        retries_.record_grant(part.first, group.size(), now);
+        retries_.record_grant(part.part, group.size(), now);
     }
 }
 
--- a/unittests/policy/quarantine_end_test.cpp
+++ b/unittests/policy/quarantine_end_test.cpp
@@ -188,8 +188,7 @@
 
 // Guards against items that are idle since those of other parts, which were run a moment ago, take
 // each endpoint that comes back.
-TEST_CASE("items of each quarantined part run in time while endpoints are scarce",
-          "[.retry-order]") {
+TEST_CASE("items of each quarantined part run in time while endpoints are scarce", "[retries]") {
     constexpr std::size_t parts = 12;
     constexpr std::size_t items = 4 * parts;
     waiting_items waiting(items, 9, milliseconds(60), milliseconds(3000));
