Runs of suspects: a process doesn't number them as the one before did

A coordinator knows a run by its gateway's name and number, and forgets one that isn't asked for in time. A gateway that was back within that time numbered its runs from 1 again and was granted the endpoint of its earlier run, for another request; a second run of that one's part was granted beside it.

Numbers begin at random. The test fails before and passes now.

--- a/include/cassia/gateway/trial_exchange.h
+++ b/include/cassia/gateway/trial_exchange.h
@@ -75,7 +75,7 @@
     trial_exchange_hooks hooks_;
     policy::trial_schedule schedule_; ///< as a coordinator
     std::map<trial_id, asked_trial> asked_;
-    std::uint64_t last_id_ = 0;
+    std::uint64_t last_id_; ///< random at first: coordinators know those of an earlier process
     instant next_log_at_{};
 };
 
--- a/lib/gateway/trial_exchange.cpp
+++ b/lib/gateway/trial_exchange.cpp
@@ -1,5 +1,6 @@
 #include "cassia/gateway/trial_exchange.h"
 
+#include "cassia/base/digest.h"
 #include "cassia/base/log.h"
 #include "cassia/gateway/request_fingerprint.h"
 #include "poison_messages.h"
@@ -21,7 +22,7 @@
 } // namespace
 
 trial_exchange::trial_exchange(entry_id self, trial_exchange_hooks hooks)
-    : self_(std::move(self)), hooks_(std::move(hooks)) {}
+    : self_(std::move(self)), hooks_(std::move(hooks)), last_id_(random_bits()) {}
 
 std::optional<trial_id> trial_exchange::begin(const fingerprint& request, const service_id& service,
                                               const software_version& version,
--- a/unittests/gateway/trial_exchange_test.cpp
+++ b/unittests/gateway/trial_exchange_test.cpp
@@ -70,3 +70,16 @@
     }
     CHECK(std::all_of(items.begin(), items.end(), has_begun));
 }
+
+// Guards against a gateway that starts again and is granted what its earlier process asked for.
+TEST_CASE("a process doesn't number its runs as the one before did", "[trials]") {
+    const entry_id self("gateway");
+    trial_exchange_hooks hooks;
+    hooks.coordinators = [&self] { return std::vector<entry_id>{self}; };
+    trial_exchange before(self, hooks);
+    trial_exchange after(self, hooks);
+    const auto first_run = [](trial_exchange& trials) {
+        return *trials.begin(fingerprint("part"), service_id("llm"), {}, policy::work_kind::online);
+    };
+    CHECK(first_run(before) != first_run(after));
+}
