--- a/test/runner/prompt_part_items.lua
+++ b/test/runner/prompt_part_items.lua
@@ -5,6 +5,7 @@
 local max_untried_ms = 20000         -- an item that isn't listed is run within this time of its last run
 local max_recovery_ms = 5000         -- from the last crash of a part until sound work with it is done
 local items_per_job = 10
+local min_accepted = 0.5             -- of the items sent; with fewer the checks say little
 
 local function part_id(number) return string.format("0bad%04x", number) end
 
@@ -89,9 +90,10 @@
 
 -- Counts items, crashes and streams; `began` is when the play did, `recovered` when the parts were sound.
 function count_part_items(title, began, recovered, bad_numbers)
-  local count = { items = 0, open = 0, sound = 0, sound_open = 0, given_up = 0, untried = 0, longest = 0,
+  local count = { sent = 0, items = 0, open = 0, sound = 0, sound_open = 0, given_up = 0, untried = 0, longest = 0,
     late = 0, crashes = 0, last_end = 0, streams = 0, served = 0, part_streams = 0, part_served = 0 }
   local by_part = {}
+  for _ in pairs(items) do count.sent = count.sent + 1 end
   for id, found in pairs(item_histories()) do
     local item = items[id]
     count.items = count.items + 1
@@ -139,6 +141,7 @@
 
 -- Fails if an item wasn't tried in time, or if a sound one was left or given up.
 function expect_tried(count)
+  expect(count.items >= min_accepted * count.sent, "items are accepted: " .. count.items .. " of " .. count.sent)
   expect(count.untried == 0, "each item is run within " .. max_untried_ms .. " ms of its last run: " .. count.untried)
   expect(count.sound_open == 0, "sound items are listed: " .. count.sound_open .. " aren't")
   expect(count.given_up == 0, "no sound item is given up: " .. count.given_up)
