Items whose route is missing: the time is counted anew once it was found

Items of a route that is removed by mistake for a second fail at once with "route_gone", in place of waiting for 5 s, if the gateway missed the route once before and a route of another name with the same prefix served its items meanwhile.

Cause: the time from which on a route is missing is kept by its name, and was forgotten only once a route of that name was back, though items also find their route by host and prefix.

Change: it is kept by all that the route of an item is found by, and forgotten by the same look-up. It stays one time for all items of a route: a route that has been missing for 5 s has been so for each of them.

Evidence: "an item waits for its route each time that it is missing" fails before and passes after.

--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -97,6 +97,14 @@
 private:
     using item_key = std::pair<job_id, std::uint32_t>; ///< job and ordinal of the item
     struct held_item;
+    /// What the route of an item is found by.
+    struct route_key {
+        std::string name;
+        std::string host;
+        std::string prefix;
+
+        friend auto operator<=>(const route_key&, const route_key&) = default;
+    };
 
     bool is_window_full() const;
     void request_leases(instant now);
@@ -212,6 +220,8 @@
     void send_reports();
     /// The batch route that the item's job was accepted by, under its present name; or null.
     const schema::route* find_route(const held_item& item) const;
+    const schema::route* find_route(const std::string& name, const std::string& host,
+                                    const std::string& prefix) const;
 
     net::raw_client& client_;
     policy::slot_table& slots_;
@@ -239,7 +249,7 @@
     bool unrouted_in_flight_ = false;
     instant next_unrouted_at_{};
     std::size_t fleet_size_ = 1;
-    std::map<std::string, instant> routes_missing_since_; ///< by name
+    std::map<route_key, instant> routes_missing_since_;
     bool shutting_down_ = false;
     std::uint64_t start_count_ = 0; ///< items started so far
     std::mt19937_64 random_;
--- a/lib/gateway/item_leases.cpp
+++ b/lib/gateway/item_leases.cpp
@@ -145,8 +145,9 @@
 void item_runner::hold_unrouted(const item_key& key, held_item& item, instant now) {
     if (!routes_)
         return;
-    const instant since =
-        routes_missing_since_.try_emplace(item.leased.item().service(), now).first->second;
+    const route_key missing{item.leased.item().service(), host_of(item.leased),
+                            item.leased.route_prefix()};
+    const instant since = routes_missing_since_.try_emplace(missing, now).first->second;
     if (now - since >= missing_route_patience) {
         finish(key, schema::failed, false, "route_gone");
         return;
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -38,9 +38,9 @@
 
 void item_runner::set_routes(std::shared_ptr<const routes::table> table) {
     routes_ = std::move(table);
-    std::erase_if(routes_missing_since_, [this](const auto& route) {
-        const schema::route* found = routes_->find(route.first);
-        return found != nullptr && found->kind() == schema::route::batch;
+    std::erase_if(routes_missing_since_, [this](const auto& missing) {
+        const route_key& key = missing.first;
+        return find_route(key.name, key.host, key.prefix) != nullptr;
     });
 }
 
@@ -56,16 +56,21 @@
            static_cast<std::size_t>(ends_in_flight_.ends_size());
 }
 
-const schema::route* item_runner::find_route(const held_item& item) const {
+const schema::route* item_runner::find_route(const std::string& name, const std::string& host,
+                                             const std::string& prefix) const {
     if (!routes_)
         return nullptr;
-    const schema::route* found = routes_->find(item.leased.item().service());
-    const std::string& prefix = item.leased.route_prefix();
+    const schema::route* found = routes_->find(name);
     if (found == nullptr && !prefix.empty())
-        found = routes_->at_prefix(host_of(item.leased), prefix);
+        found = routes_->at_prefix(host, prefix);
     return found != nullptr && found->kind() == schema::route::batch ? found : nullptr;
 }
 
+const schema::route* item_runner::find_route(const held_item& item) const {
+    return find_route(item.leased.item().service(), host_of(item.leased),
+                      item.leased.route_prefix());
+}
+
 void item_runner::tick(instant now, wall_time wall) {
     std::vector<item_key> overdue;
     for (const std::pair<const item_key, std::unique_ptr<held_item>>& keyed_item : items_) {
--- a/unittests/gateway/item_runner_test.cpp
+++ b/unittests/gateway/item_runner_test.cpp
@@ -222,6 +222,25 @@
     CHECK(endpoint.has_received("a"));
 }
 
+// Guards against an item that fails at once as its route is removed by mistake, since the route had
+// been replaced by one with the same prefix before.
+TEST_CASE("an item waits for its route each time that it is missing", "[.][items]") {
+    runner_fixture fixture;
+    endpoint_stub& endpoint = fixture.add_endpoint("first", "v1");
+    fixture.add_full_endpoint("second", "v1");
+    const schema::leased_item item = fixture.make_item("a", "jobs", 1);
+    fixture.runner.set_routes(make_routes(2, {{"other", {"second"}}}));
+    fixture.offer(item);
+    fixture.run_for(std::chrono::seconds(1));
+    fixture.runner.set_routes(make_routes(3, {{"renamed", {"second"}, "/jobs/"}}));
+    fixture.run_for(std::chrono::seconds(6));
+    fixture.runner.set_routes(make_routes(4, {{"other", {"second"}}}));
+    fixture.run_for(std::chrono::seconds(1));
+    CHECK(fixture.reported.empty());
+    fixture.runner.set_routes(make_routes(5, {{"jobs", {"first"}}}));
+    CHECK(fixture.is_received_in_time(endpoint, "a"));
+}
+
 // Guards against items that a gateway is granted after its shutdown began and never returns.
 TEST_CASE("items granted during a shutdown are returned", "[.][items]") {
     runner_fixture fixture;
