Soak of the platform: each accepted item is run in time at any moment

The soak had one job of six items, sent before any trouble, and never looked at it again; items that are left were found by single scenarios only. Now jobs of items with shared parts of prompts are submitted all the while, and with every third seed those of one part crash endpoints. Checked at the end, over the whole history: all are accepted; each is listed, at an endpoint, or was run within 20 s; no sound one is given up. A calm end of up to 21 s follows, as an item that is left is found only once its time is over; it ends when all are listed. Items are drawn by a pattern, so that the seeds' troubles stay as they were. The checks on repetitions stay; they have the items as further load.

--- a/test/soak/platform.lua
+++ b/test/soak/platform.lua
@@ -1,6 +1,7 @@
 -- A randomized soak of the platform's programs: endpoints, gateways and keepers are killed, frozen and
 -- restarted in series that overlap, under requests that fail, stall and crash endpoints in every way.
--- The seed decides what happens; SOAK_SECONDS how long (20). Checked: the rules on repetitions.
+-- The seed decides what happens; SOAK_SECONDS how long (20). Checked: the rules on repetitions, and that
+-- each accepted item is listed, is at an endpoint or was run a short time ago at any moment (LOST).
 
 local run_ms = 1000 * tonumber(os.getenv("SOAK_SECONDS") or "20")
 local function pick(list) return list[math.random(#list)] end
@@ -61,6 +62,27 @@
   troubles[#troubles + 1] = finish
   at = at + math.random(50, 1500)
 end
+
+-- Jobs of items whose prompts share parts. With every third seed the items with one of the parts crash endpoints.
+local job_every_ms, items_per_job, shared_parts = 600, 4, 10
+local max_untried_ms = 20000
+local bad_part = seed % 3 == 1 and seed // 3 % shared_parts
+local is_bad, sent_items = {}, 0
+local function begin_items(job)
+  local bodies, parts = {}, {}
+  for i = 1, items_per_job do
+    local part = (3 * job + i * i) % shared_parts
+    is_bad[string.format("job-%d-%d", job, i)] = part == bad_part
+    bodies[i] = string.format("%s job-%d-%d", part == bad_part and "end_after_event 2 0" or "prompt", job, i)
+    parts[i] = string.format("0abc%04x:100,c%04x%04x:250", part, job, i)
+  end
+  begin_job("job-" .. job, bodies, nil, parts)
+  sent_items = sent_items + items_per_job
+end
+for when = 0, run_ms - 1, job_every_ms do
+  troubles[#troubles + 1] = { at = when, act = function() begin_items(when // job_every_ms) end }
+end
+for when = 0, run_ms, 50 do troubles[#troubles + 1] = { at = when, act = poll_jobs } end
 table.sort(troubles, function(a, b) return a.at < b.at end)
 
 submit_items(fronts[1], "job", { "status 500 0 a", "status 422 0 b", "status 500 0 c", "prompt d",
@@ -69,3 +91,35 @@
 local counts = count_budget("seed " .. seed .. (only_endpoints and ", endpoints" or ", all") ..
   (crashing and ", " .. #crashing .. " x " .. crashing[1] or ""), began + run_ms / 2)
 expect_budget(counts)
+
+-- An item that is left is found only once its time is over.
+local function count_items()
+  local count = { items = 0, open = 0, sound_open = 0, untried = 0, given_up = 0, longest = 0 }
+  for id, found in pairs(item_histories()) do
+    count.items = count.items + 1
+    count.open = count.open + (found.listed_at and 0 or 1)
+    count.longest = math.max(count.longest, found.longest_gap)
+    count.untried = count.untried + (found.longest_gap > max_untried_ms and 1 or 0)
+    if not is_bad[id] then
+      count.sound_open = count.sound_open + (found.listed_at and 0 or 1)
+      count.given_up = count.given_up + (found.listed_at and found.state ~= "done" and 1 or 0)
+    end
+  end
+  return count
+end
+local till, items = now() + max_untried_ms + 1000, nil
+repeat
+  local next_count = now() + 1000
+  while now() < next_count do
+    restart_ended()
+    poll_jobs()
+    sleep(10)
+  end
+  items = count_items()
+until items.items == sent_items and items.open == 0 or now() >= till
+print(string.format("items %d of %d%s: open %d (sound %d), not run for long %d, longest %d; sound given up %d",
+  items.items, sent_items, bad_part and ", those of a part crash endpoints" or "", items.open, items.sound_open,
+  items.untried, items.longest, items.given_up))
+expect(items.items == sent_items, "all jobs are accepted: " .. items.items .. " of " .. sent_items .. " items")
+expect(items.untried == 0, "each item is run within " .. max_untried_ms .. " ms of its last run: " .. items.untried)
+expect(items.given_up == 0, "no sound item is given up: " .. items.given_up)
