--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -134,8 +134,8 @@
     std::optional<policy::placement> find_trial_endpoint(held_item& item, instant now,
                                                          const software_version& version);
     void end_trial(held_item& item);
-    /// Asks no more for the retry of the part whose item has been idle for the shortest time, if
-    /// that is since later than the given time. \returns whether there was one.
+    /// Withdraws a request for a retry of the part, of the item that has been idle for the shortest
+    /// time, if that item's last run ended after `idle_since`. \returns whether there was one.
     bool end_later_retry(const fingerprint& part, instant idle_since);
     /// Whether it runs beside other suspects.
     bool shares_endpoint(const held_item& item) const;
