Items that are sent to an endpoint that has ended are sent again soon, also alone

The connection was closed without a response, the endpoint's record has no such run, and the item counted as run: it waited for its interval again. Items that share an endpoint were sent again soon for that, once in a row; those alone weren't.

The unit test fails before and passes now.

--- a/lib/gateway/item_responses.cpp
+++ b/lib/gateway/item_responses.cpp
@@ -140,8 +140,8 @@
     item.connection_broke = !item.not_run;
     if (item.connection_broke)
         crashes_.record_broken_run(run_of(item));
-    item.may_not_have_run = item.connection_broke && !failure.answered && shares_endpoint(item) &&
-                            !item.may_not_have_run;
+    item.may_not_have_run =
+        item.connection_broke && !failure.answered && item.runs_alone && !item.may_not_have_run;
     item.failed_endpoints.insert(item.endpoint);
     const bool stale_connection = failure.kept && !failure.answered;
     if (!stale_connection)
--- a/lib/gateway/item_suspects.cpp
+++ b/lib/gateway/item_suspects.cpp
@@ -13,6 +13,8 @@
 namespace {
 // Longest time for which an item may have been idle at the gateway that held it before.
 constexpr milliseconds max_idle_elsewhere(18000);
+// Until an item is sent again whose endpoint may have ended before it began.
+constexpr milliseconds unused_run_interval(3000);
 } // namespace
 
 const fingerprint& item_runner::fingerprint_of(held_item& item) const {
@@ -173,7 +175,8 @@
     // Retries of items with a quarantined part are scheduled for all gateways.
     if (!is_quarantined_itself(item))
         return false;
-    item.ready_at = quarantined_since(item) + barred_item_interval;
+    item.ready_at = quarantined_since(item) +
+                    (item.may_not_have_run ? unused_run_interval : barred_item_interval);
     const bool waits = now < item.ready_at;
     if (waits)
         end_trial(item);
--- a/unittests/gateway/item_runner_fixture.h
+++ b/unittests/gateway/item_runner_fixture.h
@@ -205,8 +205,9 @@
         judge(leased, policy::request_verdict::suspect);
     }
     /// The item was quarantined a moment ago, or a further crash is held against it.
-    void quarantine(const schema::leased_item& leased, std::uint32_t crashes = 2) {
-        judge(leased, policy::request_verdict::quarantined, crashes);
+    void quarantine(const schema::leased_item& leased, std::uint32_t crashes = 2,
+                    milliseconds crash_age = milliseconds(0)) {
+        judge(leased, policy::request_verdict::quarantined, crashes, crash_age);
     }
     /// All items have the part, which was quarantined a moment ago.
     void quarantine_part(const std::string& service, const prompt_part_id& part) {
@@ -225,7 +226,7 @@
         crashes_.receive(news);
     }
     void judge(const schema::leased_item& leased, policy::request_verdict verdict,
-               std::uint32_t crashes = 2) {
+               std::uint32_t crashes = 2, milliseconds crash_age = milliseconds(0)) {
         schema::poison_news news;
         schema::poison_record& record = *news.add_records();
         record.set_fingerprint(
@@ -236,6 +237,7 @@
             record.set_quarantine_left_ms(60000);
         record.set_log_odds(1);
         record.set_crashes(crashes);
+        record.set_crash_age_ms(static_cast<std::uint32_t>(crash_age.count()));
         crashes_.receive(news);
     }
     void offer(const schema::leased_item& leased) { offered_.push_back(leased); }
--- a/unittests/gateway/item_runner_test.cpp
+++ b/unittests/gateway/item_runner_test.cpp
@@ -199,6 +199,33 @@
     CHECK(monotonic_now() - began >= min_barred_time);
 }
 
+// Guards against an item that is idle for twice as long since it was sent to an endpoint that had
+// ended, where nothing ran it.
+TEST_CASE("a quarantined item whose endpoint had ended is sent again soon",
+          "[.][quarantined_item]") {
+    runner_fixture fixture;
+    endpoint_stub& endpoint = fixture.add_endpoint("first", "v1");
+    endpoint.respond = [&endpoint](exchange_id id, const net::raw_request&) {
+        endpoint.server().abort(id);
+    };
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
+    const schema::leased_item item = fixture.make_item("a", "jobs", 1);
+    fixture.quarantine(item, 2, min_barred_time);
+    fixture.offer(item);
+    const auto wait_for_requests = [&fixture, &endpoint](std::size_t count) {
+        const instant end = monotonic_now() + max_idle_time;
+        while (monotonic_now() < end && endpoint.requests() < count)
+            fixture.run_for(tick_interval);
+        return endpoint.requests() >= count;
+    };
+    REQUIRE(wait_for_requests(1));
+    fixture.quarantine(item, 3);
+    CHECK(wait_for_requests(2));
+    // A second one is taken for a run, as items may crash endpoints before they respond.
+    fixture.quarantine(item, 4);
+    CHECK_FALSE(wait_for_requests(3));
+}
+
 // Guards against an item that waits for a quarantined part behind those that ran after it, as
 // another gateway held it before.
 TEST_CASE("an item of another gateway asks for its retry before later ones", "[.][items]") {
