--- a/include/cassia/policy/poison_detector.h
+++ b/include/cassia/policy/poison_detector.h
@@ -79,10 +79,11 @@
     instant last_crash_at{};
     instant quarantined_until{};
     // Of a part only.
-    std::uint32_t all_crashes = 0;  ///< since it was last cleared
-    std::uint32_t late_crashes = 0; ///< of these, those by which it should have been stopped
-    instant known_at{};             ///< of the crash that was the last one tolerated
-    instant cleared_at{};           ///< when a retry showed that it crashes endpoints no more
+    std::uint32_t all_crashes = 0; ///< since it was last cleared
+    /// Of these, those by which it should have been stopped; two at most before it first was.
+    std::uint32_t late_crashes = 0;
+    instant known_at{};   ///< of the crash that was the last one tolerated
+    instant cleared_at{}; ///< when a retry showed that it crashes endpoints no more
 };
 
 /// What a crash says of a request or part that ran there.
--- a/lib/gateway/held_item.h
+++ b/lib/gateway/held_item.h
@@ -19,10 +19,8 @@
     return item.host().empty() ? item.team() : item.host();
 }
 
-/// Interval between runs of an item that will probably fail again, but may not be given up before
-/// its time limit. Each item has to run within 20 s of its last run, also if its gateway ends just
-/// before: its lease is lost after 3 s, 2 s later if the keepers elect another leader meanwhile,
-/// and a run alone may have to wait for 2 s.
+/// Interval between runs of an item that will probably fail again. If its gateway ends just before,
+/// another one takes up to 8 s to lease and run it, and it has to run within 20 s of its last run.
 inline constexpr milliseconds barred_item_interval(12000);
 
 /// Why an item that is held doesn't run.
--- a/unittests/gateway/item_runner_test.cpp
+++ b/unittests/gateway/item_runner_test.cpp
@@ -221,7 +221,7 @@
     REQUIRE(wait_for_requests(1));
     fixture.quarantine(item, 3);
     CHECK(wait_for_requests(2));
-    // A second one is taken for a run, as items may crash endpoints before they respond.
+    // A second one counts as a run, as items may crash endpoints before they respond.
     fixture.quarantine(item, 4);
     CHECK_FALSE(wait_for_requests(3));
 }
--- a/unittests/policy/trial_turns_test.cpp
+++ b/unittests/policy/trial_turns_test.cpp
@@ -37,7 +37,7 @@
 
 } // namespace
 
-// Guards against an item that waits anew since another one of its part was interrupted too.
+// Guards against an item that loses its turn when another one of its part is interrupted too.
 TEST_CASE("each of several items of one cause keeps its turn", "[trials]") {
     trial_schedule schedule;
     schedule.refresh(item_of(1, "part"), start);
