Items: many that wait for quarantined parts keep no others from being leased

Cause: items that wait may not fill the window, but four windows of them did. A larger limit wasn't possible: each waiting item that asked for a run looked through all others, ten times a second, and a gateway asks for 64 retries at most, which the items of four parts used up, so that those of a fifth never asked.

Change: a pure choice, made each 100 ms, of the items that ask: 16 of a part and 64 in all, parts in turn, half of them by idle time and half by fewest crashes, as sound items are found among these. Items that aren't chosen cost nothing but this choice. A gateway holds up to 4,096 items that may not run, or four windows where their bodies take over half of the memory of items. With so many, lines of item_waits are bounded to 64 in 5 s, those of items that were logged longest ago first.

Ruled out: returning waiting items to the keepers, which grant the oldest ones first and would grant them again at once.

--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -106,6 +106,8 @@
         friend auto operator<=>(const route_key&, const route_key&) = default;
     };
 
+    /// Whether it is a suspect, or quarantined, and waits for a run.
+    static bool is_blocked(const held_item& item);
     bool is_window_full() const;
     void request_leases(instant now);
     /// Items held that wait for a slot or their route.
@@ -134,9 +136,10 @@
     std::optional<policy::placement> find_trial_endpoint(held_item& item, instant now,
                                                          const software_version& version);
     void end_trial(held_item& item);
-    /// Withdraws a request for a retry of the part, of the item that has been idle for the shortest
-    /// time, if that item's last run ended after `idle_since`. \returns whether there was one.
-    bool end_later_retry(const fingerprint& part, instant idle_since);
+    /// Chooses the items that ask for a retry of a quarantined part.
+    void choose_retries(instant now);
+    /// Whether it waits for a quarantined part and doesn't ask for a retry.
+    bool is_retry_deferred(const held_item& item) const;
     /// Whether it runs beside other suspects.
     bool shares_endpoint(const held_item& item) const;
     /// Keeps the free slots of endpoints where suspects run from other requests, and ends trials
@@ -212,6 +215,7 @@
     static void set_wait(held_item& item, item_wait wait);
     /// Logs items that have waited in one way for long, and counts all that wait.
     void report_waits(instant now);
+    void log_wait(held_item& item, instant now) const;
     /// Logs the quarantined parts of prompts that items wait for, at intervals.
     void report_quarantine_waits(instant now);
     /// Logs why no leases are requested, if that lasts.
@@ -246,6 +250,9 @@
     instant lease_pause_since_{};
     instant lease_pause_logged_at_{};
     instant next_quarantine_log_at_{};
+    instant next_retry_choice_at_{};
+    instant wait_lines_since_{};
+    std::size_t wait_lines_left_ = 0; ///< that may be logged until the interval is over
     bool unrouted_in_flight_ = false;
     instant next_unrouted_at_{};
     std::size_t fleet_size_ = 1;
--- a/lib/gateway/held_item.h
+++ b/lib/gateway/held_item.h
@@ -38,6 +38,7 @@
 
 struct item_runner::held_item {
     schema::leased_item leased;
+    std::uint64_t leased_bytes = 0; ///< as it was leased
     call_id upstream_call; ///< the request to the endpoint; none while the item is not running
     endpoint_id endpoint;
     std::uint64_t incarnation = 0;
@@ -46,9 +47,10 @@
     service_id service;
     std::uint64_t tokens = 0; ///< of the prompt and the longest response; 0 if unknown
     instant sent_at{};
-    bool runs_alone = false;                                 ///< as a suspect
-    std::optional<trial_id> trial;                           ///< while it waits for that, and runs
-    cassia::fingerprint retried_part;                        ///< quarantined, that it waits for
+    bool runs_alone = false;          ///< as a suspect
+    std::optional<trial_id> trial;    ///< while it waits for that, and runs
+    cassia::fingerprint retried_part; ///< quarantined, that it waits for; empty if there is none
+    bool asks_for_retry = false;      ///< or would, while no run is granted
     std::optional<std::vector<prompt_part_id>> prompt_parts; ///< read when first needed
     bool connection_broke = false;                           ///< of the current run
     std::uint32_t reserved_slots = 0;                        ///< kept free of others meanwhile
--- a/lib/gateway/item_leases.cpp
+++ b/lib/gateway/item_leases.cpp
@@ -17,7 +17,8 @@
 // the rate of items.
 constexpr milliseconds usual_lease_time(20);
 constexpr std::uint32_t max_items_per_lease = 16;
-// Limit of items that may not run yet, in windows.
+// Limits of items that may not run yet: their number, and in windows, where they hold much memory.
+constexpr std::size_t max_blocked_items = 4096;
 constexpr std::size_t max_blocked_windows = 4;
 constexpr milliseconds lease_interval(100);
 // Interval at which the progress of running items is saved. If the gateway crashes, what came after
@@ -41,16 +42,26 @@
     return sum;
 }
 
+bool item_runner::is_blocked(const held_item& item) {
+    return item.wait == item_wait::trial || item.wait == item_wait::quarantine;
+}
+
 // Items that may not run yet use no slot, and must not keep others from being leased.
 bool item_runner::is_window_full() const {
     if (is_memory_short())
         return true;
-    const std::size_t blocked = static_cast<std::size_t>(
-        std::count_if(items_.begin(), items_.end(), [](const auto& keyed_item) {
-            const item_wait wait = keyed_item.second->wait;
-            return wait == item_wait::trial || wait == item_wait::quarantine;
-        }));
-    return items_.size() - blocked >= max_items_ || blocked >= max_blocked_windows * max_items_;
+    std::size_t blocked = 0;
+    std::uint64_t blocked_bytes = 0;
+    for (const std::pair<const item_key, std::unique_ptr<held_item>>& keyed_item : items_) {
+        if (!is_blocked(*keyed_item.second))
+            continue;
+        ++blocked;
+        blocked_bytes += keyed_item.second->leased_bytes;
+    }
+    if (items_.size() - blocked >= max_items_ || blocked >= max_blocked_items)
+        return true;
+    return blocked >= max_blocked_windows * max_items_ && memory_share_ != 0 &&
+           blocked_bytes > memory_share_ / 2;
 }
 
 // At most this gateway's share of the free slots beyond the few items that may wait here anyway:
@@ -176,6 +187,7 @@
     }
     std::unique_ptr<held_item> item = std::make_unique<held_item>();
     item->leased = leased;
+    item->leased_bytes = leased.ByteSizeLong();
     item->tokens = tokens_of(leased.item());
     item->text = leased.progress();
     item->last_event = leased.events();
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -95,11 +95,14 @@
     const std::uint64_t unix_ms = to_unix_ms(wall_now());
     std::vector<std::tuple<bool, std::uint64_t, item_key>> ready;
     std::vector<std::pair<instant, item_key>> quarantined;
+    choose_retries(now);
     for (const std::pair<const item_key, std::unique_ptr<held_item>>& keyed_item : items_) {
         const held_item& item = *keyed_item.second;
         const bool is_granted = item.trial && trials_.find(*item.trial).endpoint.has_value();
         if (item.upstream_call != call_id() || (now < item.ready_at && !is_granted))
             continue;
+        if (item.wait == item_wait::quarantine && is_retry_deferred(item))
+            continue;
         if (item.wait == item_wait::quarantine)
             quarantined.emplace_back(retry_of(item).idle_since, keyed_item.first);
         else
@@ -120,7 +123,8 @@
         if (!waits && !start(key, item, now))
             without_slot.insert(route);
     }
-    // Only some of them ask for a run at a time: those that have been idle for longest.
+    // Of the items that are quarantined by themselves only some ask at a time: those that have been
+    // idle for longest.
     std::sort(quarantined.begin(), quarantined.end());
     for (const std::pair<instant, item_key>& candidate : quarantined)
         start(candidate.second, *items_.at(candidate.second), now);
@@ -134,7 +138,7 @@
     return static_cast<std::uint32_t>(
         std::count_if(items_.begin(), items_.end(), [this, &route, now](const auto& keyed_item) {
             const held_item& item = *keyed_item.second;
-            return item.upstream_call == call_id() && now >= item.ready_at &&
+            return item.upstream_call == call_id() && now >= item.ready_at && !is_blocked(item) &&
                    find_route(item) == &route;
         }));
 }
@@ -208,6 +212,7 @@
     if (item.runs_alone)
         item.reserved_slots = slots_.reserve_free_slots(item.endpoint);
     item.start_number = ++start_count_;
+    item.asks_for_retry = false;
     set_wait(item, item_wait::none);
     item.parser.reset();
     item.unused_bytes = 0;
--- a/lib/gateway/item_suspects.cpp
+++ b/lib/gateway/item_suspects.cpp
@@ -11,8 +11,6 @@
 namespace cassia::gateway {
 
 namespace {
-// Longest time for which an item may have been idle at the gateway that held it before.
-constexpr milliseconds max_idle_elsewhere(18000);
 // Until an item is sent again whose endpoint may have ended before it began.
 constexpr milliseconds unused_run_interval(3000);
 } // namespace
@@ -54,17 +52,6 @@
     return item.trial && trials_.find(*item.trial).is_shared;
 }
 
-// An item that another gateway held before may have been idle there for long, and one that was
-// sent to an endpoint that ended may not have run.
-policy::retry_history item_runner::retry_of(const held_item& item) {
-    milliseconds idle_before(0);
-    if (item.runs == 0 && item.leased.attempt() > 1)
-        idle_before = max_idle_elsewhere;
-    else if (item.may_not_have_run)
-        idle_before = max_idle_elsewhere / 2;
-    return {item.idle_since - idle_before, item.crashed_alone, item.alone_until};
-}
-
 ended_run item_runner::run_of(held_item& item) const {
     const policy::endpoint_process process{item.endpoint, item.incarnation};
     return {item.leased.item().custom_id(),
@@ -99,23 +86,6 @@
     item.trial.reset();
 }
 
-// A gateway asks for a few retries of a part at a time only, and each of them waits for long.
-bool item_runner::end_later_retry(const fingerprint& part, instant idle_since) {
-    held_item* latest = nullptr;
-    for (const std::pair<const item_key, std::unique_ptr<held_item>>& keyed_item : items_) {
-        held_item& other = *keyed_item.second;
-        const bool waits = other.trial && other.upstream_call == call_id() &&
-                           other.retried_part == part && !trials_.find(*other.trial).endpoint;
-        if (!waits || retry_of(other).idle_since <= idle_since)
-            continue;
-        idle_since = retry_of(other).idle_since;
-        latest = &other;
-    }
-    if (latest != nullptr)
-        end_trial(*latest);
-    return latest != nullptr;
-}
-
 std::optional<policy::placement> item_runner::find_trial_endpoint(held_item& item, instant now,
                                                                   const software_version& version) {
     // The route or the version may have changed since the run was asked for.
@@ -130,16 +100,15 @@
     std::optional<policy::retry_history> retry;
     if (part)
         retry = retry_of(item);
-    const auto begin = [&] {
-        return trials_.begin(cause, item.service, version, policy::work_kind::batch, retry);
-    };
+    item.retried_part = part.value_or(fingerprint());
+    if (is_retry_deferred(item)) {
+        end_trial(item);
+        return std::nullopt;
+    }
     if (item.trial)
         trials_.set_cause(*item.trial, cause, retry);
     else
-        item.trial = begin();
-    if (!item.trial && retry && end_later_retry(cause, retry->idle_since))
-        item.trial = begin();
-    item.retried_part = retry ? cause : fingerprint();
+        item.trial = trials_.begin(cause, item.service, version, policy::work_kind::batch, retry);
     if (!item.trial)
         return std::nullopt;
     const trial_exchange::state state = trials_.find(*item.trial);
--- a/lib/gateway/item_waits.cpp
+++ b/lib/gateway/item_waits.cpp
@@ -5,14 +5,18 @@
 #include "cassia/gateway/request_fingerprint.h"
 #include "held_item.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace cassia::gateway {
 
 namespace {
 constexpr milliseconds long_wait(1000);
 constexpr milliseconds wait_log_interval(5000);
+constexpr std::size_t max_wait_lines = 64; // an interval
 } // namespace
 
 static const char* name_of(item_wait wait) {
@@ -70,39 +74,52 @@
               std::chrono::duration_cast<milliseconds>(now - lease_pause_since_).count());
 }
 
+void item_runner::log_wait(held_item& item, instant now) const {
+    item.wait_logged_at = now;
+    const judged_cause judged = judge(item);
+    const std::optional<fingerprint> part = quarantined_part(item);
+    log_info("item_waits")
+        .with("item", item.leased.item().custom_id())
+        .with("job", item.leased.job())
+        .with("ordinal", item.leased.ordinal())
+        .with("cause", name_of(item.wait))
+        .with("service", item.service.str())
+        .with("behind_event", item.last_event)
+        .with("suspect", judged.verdict == policy::request_verdict::unsuspected
+                             ? std::string()
+                             : short_form(judged.cause))
+        .with("quarantined_part", part ? short_form(*part) : std::string())
+        .with("waited_ms", std::chrono::duration_cast<milliseconds>(now - item.waits_since).count())
+        .with("idle_ms", std::chrono::duration_cast<milliseconds>(now - item.idle_since).count())
+        .with("ready_ms", milliseconds_until(item.ready_at, now).count())
+        .with("runs", item.runs)
+        .with("crashed_alone", item.crashed_alone);
+}
+
 void item_runner::report_waits(instant now) {
     std::map<item_wait, std::size_t> counts;
+    std::vector<held_item*> due;
     for (const std::pair<const item_key, std::unique_ptr<held_item>>& keyed_item : items_) {
         held_item& item = *keyed_item.second;
         if (item.wait == item_wait::none)
             continue;
         ++counts[item.wait];
-        const bool is_due =
-            now - item.waits_since >= long_wait && now - item.wait_logged_at >= wait_log_interval;
-        if (!is_due)
-            continue;
-        item.wait_logged_at = now;
-        const judged_cause judged = judge(item);
-        const std::optional<fingerprint> part = quarantined_part(item);
-        log_info("item_waits")
-            .with("item", item.leased.item().custom_id())
-            .with("job", item.leased.job())
-            .with("ordinal", item.leased.ordinal())
-            .with("cause", name_of(item.wait))
-            .with("service", item.service.str())
-            .with("behind_event", item.last_event)
-            .with("suspect", judged.verdict == policy::request_verdict::unsuspected
-                                 ? std::string()
-                                 : short_form(judged.cause))
-            .with("quarantined_part", part ? short_form(*part) : std::string())
-            .with("waited_ms",
-                  std::chrono::duration_cast<milliseconds>(now - item.waits_since).count())
-            .with("idle_ms",
-                  std::chrono::duration_cast<milliseconds>(now - item.idle_since).count())
-            .with("ready_ms", milliseconds_until(item.ready_at, now).count())
-            .with("runs", item.runs)
-            .with("crashed_alone", item.crashed_alone);
+        if (now - item.waits_since >= long_wait && now - item.wait_logged_at >= wait_log_interval)
+            due.push_back(&item);
+    }
+    if (now - wait_lines_since_ >= wait_log_interval) {
+        wait_lines_since_ = now;
+        wait_lines_left_ = max_wait_lines;
     }
+    const std::size_t lines = std::min(wait_lines_left_, due.size());
+    wait_lines_left_ -= lines;
+    std::partial_sort(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(lines), due.end(),
+                      [](const held_item* a, const held_item* b) {
+                          return std::pair(a->wait_logged_at, a->idle_since) <
+                                 std::pair(b->wait_logged_at, b->idle_since);
+                      });
+    for (std::size_t i = 0; i < lines; ++i)
+        log_wait(*due[i], now);
     for (const item_wait wait :
          {item_wait::retry, item_wait::slot, item_wait::memory, item_wait::oversized,
           item_wait::version, item_wait::trial, item_wait::quarantine})
