Scenarios: fleets that tolerate several lost keepers, power losses that lose all unsynced data

A fleet of the platform's programs starts 2 n + 1 keepers of each kind where n may be lost, and names three of them as seeds, as the platform does. lose_power can drop everything that wasn't synced, which the platform's power losses may do; before, each file and name was kept or lost at random.

--- a/test/runner/platform.lua
+++ b/test/runner/platform.lua
@@ -10,6 +10,7 @@
 local events
 local restart_ms = 600
 local work_groups = 1
+local tolerated = 1   -- keepers of each kind that may be lost at once
 local max_wait_s = 60   -- of an item
 local memory_mib   -- of a gateway; none: not bounded
 local moves_runs = false
@@ -70,7 +71,7 @@
     ["listen.front"] = ip .. ":9200", ["listen.readyAddr"] = ip .. ":9201",
     ["portRange.0"] = "9100", ["portRange.1"] = "9101", dataDir = data_dir(name),
     bootstrap = "true", ["bounds.graceS"] = "8", ["bounds.statusS"] = "120",
-    ["tolerate.machines"] = "1", ["limits.memoryMb"] = memory_mib }
+    ["tolerate.machines"] = tolerated, ["limits.memoryMb"] = memory_mib }
   local text = read_file(repository .. "platform/settings/" .. template .. ".toml")
   text = text:gsub("{{#seeds}}.-{{/seeds}}", (seeds:gsub("%%", "%%%%")))
   text = text:gsub("{{#bounds.quotaWindowS}}.-{{/bounds.quotaWindowS}}\n", "")
@@ -119,7 +120,7 @@
     '"headerTimeoutMs":3000,"idleTimeoutMs":15000}}'
 end
 
--- Sends a configuration to one of the three control keepers.
+-- Sends a configuration to one of the control keepers.
 function begin_configuration(number, body)
   return begin_ask({ to = ip_of(kinds.control, number) .. ":9000", method = "POST", body = body,
     path = "/cassiarouter/Config.Put", timeout_ms = 2000,
@@ -161,10 +162,12 @@
       ["X-Cassiarouter-Prompt-Prefix"] = parts } })
 end
 
--- Starts three control keepers and three work keepers, gateways and endpoints, and waits until each
--- gateway serves.
+-- Starts control keepers and work keepers, three of each unless more than one may be lost, gateways and
+-- endpoints, and waits until each gateway serves.
 function platform_fleet(shape)
   local zones = shape.zones or 3
+  tolerated = shape.tolerated or tolerated
+  local keepers_each, seed_count = 2 * tolerated + 1, 3
   work_groups = shape.work_groups or work_groups
   restart_ms = shape.restart_ms or restart_ms
   slots = shape.slots or slots
@@ -174,8 +177,8 @@
   moves_runs = shape.moves_runs or false
   routes = shape.relayed and {} or nil
   local control_addresses, seeds = {}, {}
-  for i = 1, 3 do
-    control_addresses[i] = ip_of(kinds.control, i) .. ":9000"
+  for i = 1, keepers_each do control_addresses[i] = ip_of(kinds.control, i) .. ":9000" end
+  for i = 1, seed_count do
     seeds[i] = '"' .. ip_of((shape.relayed and relay_kind or 0) + kinds.control, i) .. ':9000"'
   end
   seeds = table.concat(seeds, ", ")
@@ -186,7 +189,7 @@
   end
   for _, option in ipairs(shape.endpoint_options or {}) do table.insert(options, option) end
   slots = shape.slots or slots
-  for i = 1, 3 do
+  for i = 1, keepers_each do
     add_program(controls, "control", i, "control", "platform-keeper", zones, seeds)
     add_program(works, "work", i, "work", "platform-keeper", zones, seeds)
   end
@@ -214,7 +217,7 @@
   end
   local turn = 0
   eventually(20000, "the configuration is accepted", function()
-    turn = turn % 3 + 1
+    turn = turn % #controls + 1
     return answer(begin_configuration(turn, platform_configuration(1))).status == 200
   end)
   for _, front in ipairs(fronts) do
--- a/test/runner/power_loss.cpp
+++ b/test/runner/power_loss.cpp
@@ -77,7 +77,7 @@
 } // namespace
 
 power_loss_count lose_power(const std::string& folder, const std::string& synced,
-                            std::uint64_t seed) {
+                            std::uint64_t seed, bool loses_all_unsynced) {
     std::mt19937_64 random(seed);
     power_loss_count count;
     const name_map current = list_names(folder);
@@ -95,7 +95,7 @@
         auto before = durable.find(one.first);
         const bool is_same =
             now != current.end() && before != durable.end() && now->second == before->second;
-        const bool keeps = is_same || random() % 2 == 0;
+        const bool keeps = is_same || (!loses_all_unsynced && random() % 2 == 0);
         count.names_set_back += keeps ? 0 : 1;
         const name_map& from = keeps ? current : durable;
         auto chosen = from.find(one.first);
@@ -103,7 +103,7 @@
             continue;
         const std::string kept = read_whole(synced + "/" + std::to_string(chosen->second));
         auto content = current_contents.find(chosen->second);
-        left[one.first] = content == current_contents.end()
+        left[one.first] = content == current_contents.end() || loses_all_unsynced
                               ? kept
                               : content_after_loss(kept, content->second, random);
         if (content != current_contents.end() && left[one.first] != content->second)
--- a/test/runner/power_loss.h
+++ b/test/runner/power_loss.h
@@ -12,8 +12,8 @@
 };
 
 /// Sets a folder back to its last syncs. Each name that was created, renamed or removed since, and
-/// what was written to each file since, is kept or lost at random.
+/// what was written to each file since, is kept or lost at random, or lost without exception.
 power_loss_count lose_power(const std::string& folder, const std::string& synced,
-                            std::uint64_t seed);
+                            std::uint64_t seed, bool loses_all_unsynced = false);
 
 } // namespace cassia::scenario
--- a/test/runner/verbs.cpp
+++ b/test/runner/verbs.cpp
@@ -221,11 +221,13 @@
     return 0;
 }
 
-// Of a process that was killed. Returns how many files and names were set back.
+// Of a process that was killed. The third argument says whether all that wasn't synced is lost.
+// Returns how many files and names were set back.
 static int verb_lose_power(lua_State* lua) {
     const process& one = context_of(lua).processes.find(luaL_checkstring(lua, 1));
-    const power_loss_count count = lose_power(
-        one.data_dir, one.synced_dir, static_cast<std::uint64_t>(luaL_checkinteger(lua, 2)));
+    const power_loss_count count = lose_power(one.data_dir, one.synced_dir,
+                                              static_cast<std::uint64_t>(luaL_checkinteger(lua, 2)),
+                                              lua_toboolean(lua, 3) != 0);
     lua_pushinteger(lua, count.files_set_back);
     lua_pushinteger(lua, count.names_set_back);
     return 2;
