Connections to endpoints: a single lost keep-alive probe ends none

A connection that this process made, or that a peer made to it, had TCP_USER_TIMEOUT 1.5 s at all times. Where nothing is sent the kernel sends a probe after 1 s, and with that option ends the connection at 2 s if this one probe is unanswered: a call that sends nothing for 2 s is cut by one lost packet.

The option is now set only while something is sent or unacknowledged; while nothing is, the connection ends once two probes are unanswered, 2.25 to 2.5 s after the last byte in place of 2 s. A longer TCP_USER_TIMEOUT was ruled out: it delays the way around a partition where bytes are on their way. That limit is as before, also for bytes sent behind a quiet time.

--- a/lib/net/socket_options.h
+++ b/lib/net/socket_options.h
@@ -17,6 +17,10 @@
 void prepare_socket(int descriptor, const tcp_settings& settings);
 /// For a connection that was accepted.
 void prepare_accepted(int descriptor, const tcp_settings& settings);
+/// The longest time that sent bytes may stay unacknowledged; 0 for the kernel's usual one.
+void limit_unacknowledged(int descriptor, milliseconds limit);
+/// Whether bytes wait to be sent or acknowledged.
+bool has_unacknowledged(int descriptor);
 /// Closing the socket then resets its connection.
 void abort_at_close(int descriptor);
 /// \returns false if the text isn't an IP number.
@@ -32,5 +36,7 @@
 /// Whether a peer has vanished. One that only doesn't read acknowledges each probe of its window.
 /// \param unanswered how long something has been unacknowledged.
 bool has_vanished(const peer_silence& silence, milliseconds unanswered, milliseconds limit);
+/// Whether the peer of a connection on which nothing is sent has left all its probes unanswered.
+bool has_ignored_probes(const peer_silence& silence, const tcp_settings& settings);
 
 } // namespace cassia::net
--- a/lib/net/tcp_connections.cpp
+++ b/lib/net/tcp_connections.cpp
@@ -42,15 +42,13 @@
     state_->hooks = std::move(hooks);
     state_->epoll = epoll_create1(EPOLL_CLOEXEC);
     state_->epoll_source = make_epoll_source(*state_);
-    if (settings.waits_for_readers)
-        state_->silence_timer =
-            owner.every(silence_check_interval, [self = state_.get()] { self->check_silence(); });
+    state_->silence_timer =
+        owner.every(silence_check_interval, [self = state_.get()] { self->check_silence(); });
 }
 
 tcp_connections::~tcp_connections() {
     stop_listening();
-    if (state_->settings.waits_for_readers)
-        state_->owner->cancel(state_->silence_timer);
+    state_->owner->cancel(state_->silence_timer);
     while (!state_->open.empty())
         state_->drop(state_->open.begin()->first, state::farewell::silent);
     g_source_destroy(state_->epoll_source);
--- a/lib/net/tcp_events.cpp
+++ b/lib/net/tcp_events.cpp
@@ -154,6 +154,9 @@
     if (found == open.end() || found->second.connecting)
         return;
     connection& one = found->second;
+    const bool sends = !one.out.empty() || one.finishing;
+    if (sends && !is_patient(one) && !std::exchange(one.limits_unacknowledged, true))
+        limit_unacknowledged(one.descriptor, settings.silence_limit);
     while (!one.out.empty()) {
         const std::string_view bytes = one.out.front();
         const ssize_t sent = send(one.descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
@@ -190,8 +193,12 @@
     });
 }
 
+bool tcp_connections::state::is_patient(const connection& one) const {
+    return one.accepted && settings.waits_for_readers;
+}
+
 // \returns whether the peer has vanished, or doesn't take anything of what waits for it.
-static bool is_lost(connection& one, const tcp_settings& settings, instant now) {
+static bool is_lost_reader(connection& one, const tcp_settings& settings, instant now) {
     const peer_silence silence = read_silence(one.descriptor);
     if (silence.retransmissions == 0 && silence.probes == 0)
         one.unanswered_at = instant();
@@ -205,11 +212,25 @@
            (!one.out.empty() && now - one.drained_at >= settings.unread_limit);
 }
 
+// TCP_USER_TIMEOUT ends a connection on which nothing is sent after a single lost probe, so it
+// holds only while something is.
+static bool is_lost_when_quiet(connection& one, const tcp_settings& settings) {
+    if (one.connecting || !one.out.empty() || has_unacknowledged(one.descriptor))
+        return false;
+    if (std::exchange(one.limits_unacknowledged, false))
+        limit_unacknowledged(one.descriptor, milliseconds(0));
+    return has_ignored_probes(read_silence(one.descriptor), settings);
+}
+
+bool tcp_connections::state::is_lost(connection& one, instant now) const {
+    return is_patient(one) ? is_lost_reader(one, settings, now) : is_lost_when_quiet(one, settings);
+}
+
 void tcp_connections::state::check_silence() {
     const instant now = monotonic_now();
     std::vector<connection_id> lost;
     for (std::pair<const connection_id, connection>& one : open) {
-        if (one.second.accepted && is_lost(one.second, settings, now))
+        if (is_lost(one.second, now))
             lost.push_back(one.first);
     }
     for (const connection_id id : lost) {
--- a/lib/net/tcp_state.h
+++ b/lib/net/tcp_state.h
@@ -19,8 +19,9 @@
     bool closing = false;   ///< closes once `out` is sent
     bool finishing = false; ///< its own half ends once `out` is sent
     bool accepted = false;
-    bool paused = false;       ///< isn't read
-    std::uint32_t watched = 0; ///< epoll events
+    bool paused = false;               ///< isn't read
+    bool limits_unacknowledged = true; ///< the kernel ends it after `silence_limit`
+    std::uint32_t watched = 0;         ///< epoll events
     output_buffer out;
     std::uint64_t sent = 0;
     instant drained_at{};    ///< when `out` was empty last, or some of it was sent
@@ -50,8 +51,11 @@
     void finish_connect(connection_id id);
     void read(connection_id id);
     void flush(connection_id id);
+    /// Whether check_silence() looks for peers that have vanished, in place of the kernel.
+    bool is_patient(const connection& one) const;
     void drop_later(connection_id id);
     void update_watched(connection_id id, connection& one) const;
+    bool is_lost(connection& one, instant now) const;
     void check_silence();
     timer_id silence_timer;
 };
