Slots: failures at another address don't count for an endpoint

An entry of another writer may give an endpoint's id another address for some seconds.

Failures and rejections are now kept by address too. Those at the address that a process had before are kept beside them, so that an entry that changes the address to and fro neither hides the endpoint's own failures nor makes it look sound at the other address each time. Ruled out: dropping the failures at each change of address, which does both.

The unit test "failures at another address don't count for an endpoint" failed before: it was reported as suspected, and none of 20 requests were placed there; now 10 of 20.

--- a/include/cassia/policy/slot_table.h
+++ b/include/cassia/policy/slot_table.h
@@ -73,7 +73,7 @@
     explicit slot_table(zone_id own_zone) : own_zone_(std::move(own_zone)) {}
 
     /// Replaces the endpoints. Usage is kept, as are the failures of endpoints that still run the
-    /// same process.
+    /// same process. Those at another address than the process now has don't count.
     void set_endpoints(const std::vector<slot_endpoint>& endpoints);
     /// Sets the gateways that use the same endpoints: those of this zone and those of all zones.
     void set_peers(peer_group own_zone, peer_group all_zones) {
@@ -205,16 +205,21 @@
     const endpoint_pace& pace() const { return pace_; }
 
 private:
-    struct endpoint_state {
-        slot_endpoint info;
+    /// Failures and rejections of a process at one address.
+    struct failure_record {
         instant suspended_until{};
         std::uint32_t failures = 0; ///< consecutive
         instant suspected_until{};  ///< reported as suspected to peers of a large fleet
-        bool stalled = false;       ///< a stream stalled, and nothing was received since
         instant rejected_at{};
         milliseconds full_time{0};    ///< after `rejected_at`, counts as full
         std::uint32_t rejections = 0; ///< consecutive
     };
+    struct endpoint_state : failure_record {
+        slot_endpoint info;
+        bool stalled = false;        ///< a stream stalled, and nothing was received since
+        http_address former_address; ///< that the process had before this one; may be empty
+        failure_record former_record;
+    };
     struct remote_usage {
         slot_usage_map usage;
         instant received_at{};
@@ -237,6 +242,8 @@
         bool failed_here = false; ///< only endpoints that failed a request of this gateway
     };
 
+    /// Takes over what is known of the process of `before`.
+    static void keep_failures(endpoint_state& next, const endpoint_state& before);
     /// Whether the gateways are too many for each to try an endpoint on trial at the same time.
     bool is_large_fleet() const;
     static bool counts_as_full(const endpoint_state& endpoint, instant now);
--- a/lib/policy/slot_table.cpp
+++ b/lib/policy/slot_table.cpp
@@ -30,6 +30,24 @@
 constexpr milliseconds max_full_time(400);
 } // namespace
 
+// Another writer may give a process an address at which it doesn't run, for some seconds. Its
+// record at its own address is kept meanwhile, so that failures elsewhere neither count for it nor
+// hide its own.
+void slot_table::keep_failures(endpoint_state& next, const endpoint_state& before) {
+    failure_record& record = next;
+    const failure_record& record_before = before;
+    if (next.info.address == before.info.address) {
+        record = record_before;
+        next.former_address = before.former_address;
+        next.former_record = before.former_record;
+        return;
+    }
+    if (next.info.address == before.former_address)
+        record = before.former_record;
+    next.former_address = before.info.address;
+    next.former_record = record_before;
+}
+
 void slot_table::set_endpoints(const std::vector<slot_endpoint>& endpoints) {
     std::map<endpoint_id, endpoint_state> next;
     std::map<endpoint_id, service_id> services;
@@ -40,14 +58,8 @@
         auto before = endpoints_.find(one.id);
         const bool same =
             before != endpoints_.end() && before->second.info.incarnation == one.incarnation;
-        if (same) {
-            known.suspended_until = before->second.suspended_until;
-            known.failures = before->second.failures;
-            known.suspected_until = before->second.suspected_until;
-            known.rejected_at = before->second.rejected_at;
-            known.full_time = before->second.full_time;
-            known.rejections = before->second.rejections;
-        }
+        if (same)
+            keep_failures(known, before->second);
     }
     endpoints_ = std::move(next);
     pace_.set_endpoints(services);
--- a/unittests/policy/slots_test.cpp
+++ b/unittests/policy/slots_test.cpp
@@ -426,6 +426,57 @@
     CHECK(table.place_online(model, {}, start + milliseconds(100), 0.5));
 }
 
+// Guards against an endpoint that a gateway uses only as a last resort, since requests failed at
+// another address that its entry had for a while.
+TEST_CASE("failures at another address don't count for an endpoint", "[slots]") {
+    slot_table table{zone_id("a")};
+    const slot_endpoint fine = endpoint("fine", "a", 8);
+    const slot_endpoint sound = endpoint("sound", "a", 8);
+    slot_endpoint moved = sound;
+    moved.address = http_address("nobody:80");
+    table.set_endpoints({fine, sound});
+    table.set_endpoints({fine, moved});
+    instant now = start;
+    for (int i = 0; i < 3; ++i)
+        now += table.record_failure(sound.id, now);
+    CHECK(table.own_usage().at(sound.id).suspected_by == 1);
+    table.set_endpoints({fine, sound});
+    CHECK(table.own_usage().empty());
+    int of_sound = 0;
+    for (int i = 0; i < 20; ++i)
+        of_sound += table.place_online(model, {}, now, i / 20.0)->endpoint == sound.id ? 1 : 0;
+    CHECK(of_sound == 10);
+}
+
+// Guards against an endpoint whose failures another writer hides by a change of its address, and
+// one that takes all requests whenever its address changes.
+TEST_CASE("failures at an address count again when an endpoint is back there", "[slots]") {
+    slot_table table{zone_id("a")};
+    const slot_endpoint fine = endpoint("fine", "a", 8);
+    const slot_endpoint failed = endpoint("failed", "a", 8);
+    slot_endpoint moved = failed;
+    moved.address = http_address("nobody:80");
+    table.set_endpoints({fine, failed});
+    table.record_failure(failed.id, start);
+    for (int change = 0; change < 3; ++change) {
+        table.set_endpoints({fine, moved});
+        if (change == 0)
+            table.record_failure(failed.id, start);
+        table.set_endpoints({fine, failed});
+        table.set_endpoints({fine, failed});
+        CHECK(table.own_usage().at(failed.id).suspected_by == 1);
+        for (int i = 0; i < 20; ++i)
+            CHECK(table.place_online(model, {}, start + milliseconds(300), i / 20.0)->endpoint ==
+                  fine.id);
+    }
+    table.set_endpoints({fine, moved});
+    CHECK(table.own_usage().at(failed.id).suspected_by == 1);
+    slot_endpoint restarted = failed;
+    ++restarted.incarnation;
+    table.set_endpoints({fine, restarted});
+    CHECK(table.own_usage().empty());
+}
+
 TEST_CASE("an endpoint is on trial if two other gateways suspect it, but not if one does",
           "[slots]") {
     slot_table table{zone_id("a")};
