Reject callers at once while another request retries their part

Callers saw: once a part's quarantine was over, all requests with it but the one that retries it waited for that run and its verdict, until there was no time left to send them (1.46 s of 1.5 s in the test), and were then rejected, or never answered within 1 s.

Cause: a part whose quarantine is over is judged a suspect, and a suspect waits for a run alone of its own. Only one request of a gateway asks for one; the others wait for it though one run decides for all.

Change: a call that has not run and whose gravest cause is a part that was quarantined (poison_detector::awaits_retry) is rejected with 503 and Retry-After 1.2 s, unless it is the first such call of this gateway. Calls that may have run are left as they were, since "not run" would not be true. The outcome of a short run is known a second after its end, so the caller who returns then is served or told the new quarantine.

A gateway can't tell a caller whose run isn't granted from one for which no endpoint is free, so one caller of each gateway may wait up to a second. A part that was quarantined, cleared and suspected again is treated alike.

Before: three of three new tests failed ("-1 == 503", "1459ms < 1200ms", "-1 == 200"). Now they pass. The dispatcher fixture polls its trials and can grant them, which it couldn't before; no check was changed.

--- a/include/cassia/gateway/crash_monitor.h
+++ b/include/cassia/gateway/crash_monitor.h
@@ -110,6 +110,10 @@
     bool awaits_control(const fingerprint& part, const service_id& service) const {
         return detector_.awaits_control(part, service, monotonic_now());
     }
+    /// See policy::poison_detector.
+    bool awaits_retry(const fingerprint& cause) const {
+        return detector_.awaits_retry(cause, monotonic_now());
+    }
     /// What is left of the quarantine; 0 if there is none.
     milliseconds quarantine_left(const fingerprint& cause) const;
     /// When it last crashed an endpoint, as far as is known.
--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -119,6 +119,12 @@
     std::size_t queued_calls() const { return queue_.size(); }
 
 private:
+    /// The call whose run is to tell whether a part that was quarantined still crashes endpoints.
+    struct part_retry {
+        exchange_id call;
+        instant since{};
+    };
+
     /// Sends the call to an endpoint with a slot for it, or queues it if there is none.
     void place(online_call& call);
     /// Whether the endpoints of the call's service can't hold the request. Limits may change.
@@ -135,6 +141,9 @@
     /// Where a suspect may run now, if anywhere.
     std::optional<policy::placement> find_trial_endpoint(online_call& call, instant now);
     void end_trial(online_call& call);
+    /// Whether a run that isn't this call's is to tell whether a part of its prompt, which was
+    /// quarantined, still crashes endpoints.
+    bool depends_on_retry(online_call& call, instant now);
     static stream_key key_of(online_call& call, std::string_view first_attempt);
     /// The caller has part of the stream: finds out which software began it.
     void take_up(online_call& call);
@@ -279,6 +288,7 @@
     std::set<exchange_id> unknown_origins_; ///< calls that wait for only_version()
     /// The suspect that runs without a coordinator, for each service.
     std::map<service_id, exchange_id> running_alone_;
+    std::map<fingerprint, part_retry> retries_; ///< by part, those that wait or run
     policy::request_queue queue_;
     policy::hedging hedging_;
     policy::shutdown_admission shutdown_;
--- a/lib/gateway/dispatch_suspects.cpp
+++ b/lib/gateway/dispatch_suspects.cpp
@@ -13,10 +13,17 @@
 namespace {
 // Interval at which a suspect that waits for an endpoint of its own looks for one.
 constexpr milliseconds place_alone_interval(20);
+// A gateway whose coordinators are silent decides by itself within this time.
+constexpr milliseconds max_retry_wait(1000);
+// A short run is known to be survived a second after its end, by a report that is sent each 0.2 s.
+constexpr milliseconds retry_result_time(1200);
 constexpr std::string_view quarantine_text =
     "Endpoints crashed while they ran this request. It was not run again.\n";
 constexpr std::string_view part_quarantine_text =
     "Endpoints crashed while they ran requests with a part of this prompt. It was not run.\n";
+constexpr std::string_view part_retry_text =
+    "Endpoints crashed while they ran requests with a part of this prompt. Another request with it "
+    "is being tried. This one was not run.\n";
 } // namespace
 
 const fingerprint& dispatcher::fingerprint_of(online_call& call) {
@@ -85,7 +92,20 @@
     return found;
 }
 
+// Of the calls of this gateway the first one is the retry, unless another gateway's is granted.
+bool dispatcher::depends_on_retry(online_call& call, instant now) {
+    const fingerprint cause = judge(call).cause;
+    if (!crashes_.awaits_retry(cause))
+        return false;
+    const part_retry& retry = retries_.try_emplace(cause, part_retry{call.id, now}).first->second;
+    if (retry.call != call.id)
+        return true;
+    const bool is_granted = call.trial && trials_.find(*call.trial).endpoint;
+    return !is_granted && now - retry.since >= max_retry_wait;
+}
+
 void dispatcher::end_trial(online_call& call) {
+    std::erase_if(retries_, [&call](const auto& one) { return one.second.call == call.id; });
     if (!call.trial)
         return;
     policy::trial_outcome outcome = policy::trial_outcome::unused;
@@ -100,6 +120,10 @@
 
 void dispatcher::place_alone(online_call& call) {
     const instant now = monotonic_now();
+    if (call.runs == 0 && depends_on_retry(call, now)) {
+        reject(call, "part_retried", retry_result_time, part_retry_text);
+        return;
+    }
     const std::optional<policy::placement> found = find_trial_endpoint(call, now);
     if (!found) {
         queue_.remove(call.id);
--- a/lib/policy/poison_records.cpp
+++ b/lib/policy/poison_records.cpp
@@ -165,6 +165,12 @@
     return is_over ? request_verdict::suspect : record->verdict;
 }
 
+bool poison_detector::awaits_retry(const fingerprint& cause, instant now) const {
+    const poison_record* record = find(cause);
+    return record != nullptr && record->is_part && record->quarantines > 0 &&
+           judge(cause, now) == request_verdict::suspect;
+}
+
 double poison_detector::risk_of(const fingerprint& request) const {
     const poison_record* record = find(request);
     const bool is_decided_alone =
--- a/unittests/gateway/dispatcher_fixture.h
+++ b/unittests/gateway/dispatcher_fixture.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -77,6 +78,7 @@
         crashes_.set_gateways({});
         task_.every(milliseconds(20), [this] {
             crashes_.tick();
+            trials_.tick();
             dispatcher_.tick(monotonic_now());
         });
     }
@@ -171,10 +173,19 @@
         hooks.on_quarantine = [] {};
         return hooks;
     }
-    static trial_exchange_hooks trial_hooks() {
+    trial_exchange_hooks trial_hooks() {
         trial_exchange_hooks hooks;
         hooks.send = [](const entry_id&, schema::envelope&) { return false; };
         hooks.coordinators = [] { return std::vector<entry_id>{self}; };
+        hooks.choose_endpoint = [this](const policy::trial_request& asked,
+                                       const std::set<endpoint_id>& excluded) {
+            policy::trial_schedule::choice choice;
+            const std::optional<policy::placement> found =
+                slots_.place_alone(asked.service, excluded, monotonic_now(), asked.version);
+            if (found && grants_trials)
+                choice.endpoint = found->endpoint;
+            return choice;
+        };
         return hooks;
     }
     static origin_exchange_hooks origin_hooks() {
@@ -211,6 +222,7 @@
 
 public:
     bool reports_pace = true;
+    bool grants_trials = true;
     int refunds = 0;
     std::set<std::string> refunded; ///< request ids
     int responses = 0;
