Don't clear a part by a run that began before its last crash

What was wrong: a gateway compares the start of a retry that was survived with the last crash of the part as it knows it. A crash of the last moments is known to the coordinators first, which took the report as it was and ended the quarantine of a part that had just crashed an endpoint.

Change: a run that was survived ended a second ago at least and began before that, so the coordinator ignores the report if the part crashed an endpoint in the last second, or may have and it is yet to be judged. Older crashes are published to the gateway by then; one that is cut off for longer may still report such a run. No field of a message is needed.

The new test (virtual time) failed before in both of its sections ("0 == 2": unsuspected in place of quarantined), and passes now.

--- a/include/cassia/policy/poison_detector.h
+++ b/include/cassia/policy/poison_detector.h
@@ -109,8 +109,9 @@
     void record_crash(const crash_report& report, instant now);
     /// Runs of the request, or with the part, were completed, and their endpoints survived them.
     void record_successes(const fingerprint& request, std::uint32_t runs, instant now);
-    /// A run of a retry with the part, begun after its last crash, was survived: the part crashes
-    /// endpoints no more, and its quarantine ends.
+    /// A run of a retry with the part was survived, as its gateway has just found out: the part
+    /// crashes endpoints no more, and its quarantine ends, unless it has crashed one since the run
+    /// began.
     void record_retry_success(const fingerprint& part, instant now);
     /// Takes over what a gateway counted before the part came under suspicion.
     void record_history(const part_history& history, instant now);
@@ -126,8 +127,8 @@
     /// Whether a further run alone of a part can prove nothing yet, since too few runs of the
     /// service without it are known to have succeeded.
     bool awaits_control(const fingerprint& part, const service_id& service, instant now) const;
-    /// Whether a part that was quarantined is a suspect: one run with it is to tell whether it still
-    /// crashes endpoints.
+    /// Whether a part that was quarantined is a suspect: one run with it is to tell whether it
+    /// still crashes endpoints.
     bool awaits_retry(const fingerprint& cause, instant now) const;
     /// The published record of a request; null if there is none.
     const poison_record* find(const fingerprint& request) const;
@@ -207,6 +208,8 @@
     /// A crash under a part that is retried while it is quarantined.
     void extend_quarantine(poison_record& record, instant now);
     void end_quarantine(poison_record& record, instant now) const;
+    /// Whether the part crashed an endpoint later than that, or may have, as is yet to be judged.
+    bool may_have_crashed_since(const poison_record& part, instant since) const;
     void evict_one();
     void expire(instant now);
 
--- a/lib/policy/poison_records.cpp
+++ b/lib/policy/poison_records.cpp
@@ -3,6 +3,7 @@
 #include "cassia/policy/poison_detector.h"
 
 #include "cassia/base/digest.h"
+#include "cassia/policy/trial_schedule.h"
 #include "poison_odds.h"
 
 #include <algorithm>
@@ -69,13 +70,25 @@
     publish(record);
 }
 
+bool poison_detector::may_have_crashed_since(const poison_record& part, instant since) const {
+    return part.last_crash_at > since ||
+           std::any_of(crashes_.begin(), crashes_.end(), [&part, since](const auto& one) {
+               const known_crash& crash = one.second;
+               return crash.judged < crash.report.runs.size() && crash.report.crashed_at > since &&
+                      crash.causes.count(part.request) > 0;
+           });
+}
+
+// The run ended at least a second ago and began before that. Its gateway has compared it with what
+// it knew of earlier crashes.
 void poison_detector::record_retry_success(const fingerprint& part, instant now) {
     auto found = records_.find(part);
     if (found == records_.end())
         return;
     poison_record& record = found->second;
     const bool was_quarantined = record.is_part && record.quarantines > 0;
-    if (!was_quarantined || record.verdict == request_verdict::unsuspected)
+    if (!was_quarantined || record.verdict == request_verdict::unsuspected ||
+        may_have_crashed_since(record, now - late_crash_time))
         return;
     record.verdict = request_verdict::unsuspected;
     record.log_odds = std::min(record.log_odds, prior_log_odds);
--- a/unittests/policy/part_retry_test.cpp
+++ b/unittests/policy/part_retry_test.cpp
@@ -19,6 +19,11 @@
 class bad_part {
 public:
     void crash(instant at) {
+        report_crash(at);
+        detector.poll(at + milliseconds(50));
+    }
+
+    void report_crash(instant at) {
         const std::string number = std::to_string(++crashes_);
         crash_report report;
         report.process = {endpoint_id("e" + number), 1};
@@ -29,7 +34,6 @@
         report.survived_runs = 100;
         report.runs = {{fingerprint("r" + number), milliseconds(20), false, {part}, true}};
         detector.record_crash(report, at);
-        detector.poll(at + milliseconds(50));
     }
 
     /// \returns when it was quarantined.
@@ -83,6 +87,25 @@
     CHECK(series.detector.find(part)->cleared_at == at);
 }
 
+// Guards against a part that is cleared by a run which began before it crashed another endpoint, as
+// the gateway of that run doesn't know of the crash yet.
+TEST_CASE("a run that began before the last crash doesn't end a quarantine", "[retries]") {
+    bad_part series;
+    const instant at = series.quarantine() + milliseconds(1000);
+    SECTION("that was judged") {
+        series.crash(at);
+        series.detector.record_retry_success(part, at + milliseconds(200));
+    }
+    SECTION("that is yet to be judged") {
+        series.report_crash(at);
+        series.detector.record_retry_success(part, at + milliseconds(10));
+        series.detector.poll(at + milliseconds(50));
+    }
+    CHECK(series.verdict(at + milliseconds(200)) == request_verdict::quarantined);
+    series.detector.record_retry_success(part, at + milliseconds(1200));
+    CHECK(series.verdict(at + milliseconds(1200)) == request_verdict::unsuspected);
+}
+
 // Guards against callers that try a part while items with it still crash endpoints.
 TEST_CASE("a part whose retries crash endpoints stays quarantined", "[retries]") {
     bad_part series;
