Count only runs from the start as survived

What was wrong: an item or a stream that goes on behind its last event cleared its part, though what crashes endpoints may come before that event and runs from the start go on crashing them. Also, where a caller's retry was survived, the count of survived runs was applied before the retry itself, so that the suspicion ended without the time at which the part was cleared: requests that are quarantined by themselves weren't tried again, and prompt_part_cleared wasn't logged.

Change: runs that went on behind an event or from a copy say nothing of their request or parts, nor of the service's runs without the part, from which these are subtracted. Crashes of such runs count as before. Survived retries are reported before the counts.

The new test failed before with both lengths of the quarantine ("1 == 0": cleared by the resumed run), and passes now. unittest_gateway "[retries], [trials],[poison]" passes (19 cases), unittest_policy too.

--- a/include/cassia/gateway/crash_monitor.h
+++ b/include/cassia/gateway/crash_monitor.h
@@ -48,6 +48,7 @@
     std::vector<fingerprint> parts{}; ///< keys of its prompt's parts
     bool on_trial = false;            ///< it ran alone, as a suspect
     bool has_output = true;           ///< the endpoint wrote a response that is no error
+    bool resumed = false;             ///< it went on behind what an earlier run had written
 };
 
 /// What a request is judged by: itself or a part of its prompt.
--- a/include/cassia/gateway/online_call.h
+++ b/include/cassia/gateway/online_call.h
@@ -84,6 +84,7 @@
     std::uint32_t reserved_slots = 0; ///< kept free of others while it runs alone
     std::optional<trial_id> trial;    ///< while a suspect waits to run alone, and runs
     bool runs_alone = false;          ///< the current attempt, as a suspect
+    bool resumed = false;             ///< the current attempt, behind events or from a copy
     bool connection_broke = false;    ///< of the current attempt
     endpoint_id endpoint;             ///< of the last attempt
     std::uint64_t incarnation = 0;    ///< of that endpoint
--- a/lib/gateway/crash_monitor_messages.cpp
+++ b/lib/gateway/crash_monitor_messages.cpp
@@ -95,16 +95,18 @@
         return;
     next_successes_at_ = now + successes_interval;
     schema::poison_news news;
-    for (const std::pair<const fingerprint, std::uint32_t>& one : std::exchange(successes_, {})) {
-        schema::request_successes* successes = news.add_successes();
-        successes->set_fingerprint(one.first.str());
-        successes->set_runs(one.second);
-    }
+    // First, since the survived run also counts below, which ends the suspicion but not what else
+    // the quarantine led to.
     for (const fingerprint& part : std::exchange(survived_retries_, {})) {
         schema::request_successes* successes = news.add_successes();
         successes->set_fingerprint(part.str());
         successes->set_survived_retry(true);
     }
+    for (const std::pair<const fingerprint, std::uint32_t>& one : std::exchange(successes_, {})) {
+        schema::request_successes* successes = news.add_successes();
+        successes->set_fingerprint(one.first.str());
+        successes->set_runs(one.second);
+    }
     for (const fingerprint& part : std::exchange(histories_, {}))
         encode(policy::part_history{part, survived_parts_.find(part)}, *news.add_histories());
     send_to_coordinators(news);
--- a/lib/gateway/crash_monitor_runs.cpp
+++ b/lib/gateway/crash_monitor_runs.cpp
@@ -90,7 +90,10 @@
         crash.doubtful.push_back(run);
 }
 
+// What crashes an endpoint may come before the event behind which a run went on.
 void crash_monitor::record_survived(const ended_run& run) {
+    if (run.resumed)
+        return;
     const auto count = [this](const fingerprint& cause) {
         const policy::poison_record* record = detector_.find(cause);
         if (record != nullptr && record->crashes > 0)
--- a/lib/gateway/dispatch_suspects.cpp
+++ b/lib/gateway/dispatch_suspects.cpp
@@ -50,7 +50,9 @@
             call.service,
             call.sent_at,
             make_part_keys(call.service, call.prompt_parts),
-            call.runs_alone};
+            call.runs_alone,
+            true,
+            call.resumed};
 }
 
 void dispatcher::record_complete_run(online_call& call, bool has_output) {
--- a/lib/gateway/dispatcher.cpp
+++ b/lib/gateway/dispatcher.cpp
@@ -178,6 +178,7 @@
     call.not_run = false;
     call.rejection_status = 0;
     call.connection_broke = false;
+    call.resumed = call.stopped_run || (call.is_stream() && call.last_event > 0);
     call.forwards_error = false;
     call.body = std::string();
     call.unused_bytes = 0;
--- a/lib/gateway/held_item.h
+++ b/lib/gateway/held_item.h
@@ -50,6 +50,7 @@
     std::optional<trial_id> trial;                           ///< while it waits for that, and runs
     cassia::fingerprint retried_part;                        ///< quarantined, that it waits for
     std::optional<std::vector<prompt_part_id>> prompt_parts; ///< read when first needed
+    bool resumed = false;                                    ///< the current run, behind an event
     bool connection_broke = false;                           ///< of the current run
     std::uint32_t reserved_slots = 0;                        ///< kept free of others meanwhile
     std::optional<cassia::fingerprint> fingerprint;          ///< computed when it is first needed
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -214,6 +214,7 @@
     item.status = 0;
     item.not_run = false;
     item.connection_broke = false;
+    item.resumed = item.last_event > 0;
     ++item.runs;
     metrics_.count(item.last_event > 0 ? "items_resumed" : "items_started");
     log_info("item_placed")
--- a/lib/gateway/item_suspects.cpp
+++ b/lib/gateway/item_suspects.cpp
@@ -74,7 +74,9 @@
             item.service,
             item.sent_at,
             parts_of(item),
-            item.runs_alone};
+            item.runs_alone,
+            true,
+            item.resumed};
 }
 
 void item_runner::record_complete_run(held_item& item) const {
--- a/unittests/gateway/crash_monitor_test.cpp
+++ b/unittests/gateway/crash_monitor_test.cpp
@@ -112,6 +112,14 @@
         else
             monitors_[gateway]->record_ended_run(run, true);
     }
+    /// A run with the bad part alone, which its endpoint survives.
+    void retry(std::size_t gateway, bool resumed) {
+        ended_run run = run_at(1000, http_address("127.77.2.1:7201"), fingerprint());
+        run.parts = {bad_part};
+        run.on_trial = true;
+        run.resumed = resumed;
+        monitors_[gateway]->record_ended_run(run, true);
+    }
     void receive(std::size_t gateway, const schema::poison_news& news) {
         monitors_[gateway]->receive(news);
     }
@@ -354,3 +362,31 @@
     CHECK(fleet.quarantined(0) == 1);
     CHECK(fleet.counter(0, "prompt_parts_quarantined") == 2);
 }
+
+// Guards against a part that is cleared by runs which go on behind the event at which it crashes
+// endpoints, and against requests that stay quarantined though their part was cleared by a caller.
+TEST_CASE("a quarantined part is cleared by runs from the start only", "[poison]") {
+    monitor_fleet fleet(1);
+    const milliseconds left(GENERATE(0, 60000));
+    schema::poison_news news;
+    schema::poison_record& record = *news.add_records();
+    record.set_fingerprint(bad_part.str());
+    record.set_is_part(true);
+    record.set_version(1);
+    record.set_verdict(static_cast<std::uint32_t>(policy::request_verdict::quarantined));
+    record.set_quarantine_left_ms(left.count());
+    record.set_log_odds(8);
+    record.set_crashes(5);
+    record.set_quarantines(1);
+    record.set_crash_age_ms(5000);
+    fleet.receive(0, news);
+    CAPTURE(left.count());
+    fleet.retry(0, true);
+    fleet.run_for(milliseconds(1400));
+    CHECK(fleet.counter(0, "prompt_parts_cleared") == 0);
+    CHECK(fleet.gateways_with(bad_part, policy::request_verdict::unsuspected) == 0);
+    fleet.retry(0, false);
+    fleet.run_for(milliseconds(1400));
+    CHECK(fleet.gateways_with(bad_part, policy::request_verdict::unsuspected) == 1);
+    CHECK(fleet.counter(0, "prompt_parts_cleared") == 1);
+}
