--- a/include/cassia/gateway/crash_monitor.h
+++ b/include/cassia/gateway/crash_monitor.h
@@ -48,6 +48,7 @@
     std::vector<fingerprint> parts{}; ///< keys of its prompt's parts
     bool on_trial = false;            ///< it ran alone, as a suspect
     bool has_output = true;           ///< the endpoint wrote a response that is no error
+    bool resumed = false;             ///< it went on behind what an earlier run had written
 };
 
 /// What a request is judged by: itself or a part of its prompt.
@@ -110,6 +111,10 @@
     bool awaits_control(const fingerprint& part, const service_id& service) const {
         return detector_.awaits_control(part, service, monotonic_now());
     }
+    /// See policy::poison_detector.
+    bool awaits_retry(const fingerprint& cause) const {
+        return detector_.awaits_retry(cause, monotonic_now());
+    }
     /// What is left of the quarantine; 0 if there is none.
     milliseconds quarantine_left(const fingerprint& cause) const;
     /// When it last crashed an endpoint, as far as is known.
