--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -144,7 +144,6 @@
     /// Whether a run that isn't this call's is to tell whether a part of its prompt, which was
     /// quarantined, still crashes endpoints.
     bool depends_on_retry(online_call& call, instant now);
-    bool runs_for_long(exchange_id id, instant now) const;
     static stream_key key_of(online_call& call, std::string_view first_attempt);
     /// The caller has part of the stream: finds out which software began it.
     void take_up(online_call& call);
--- a/lib/gateway/dispatch_suspects.cpp
+++ b/lib/gateway/dispatch_suspects.cpp
@@ -94,21 +94,12 @@
     return found;
 }
 
-// Another run may be granted beside one that has lasted for long.
-bool dispatcher::runs_for_long(exchange_id id, instant now) const {
-    auto found = calls_.find(id);
-    return found != calls_.end() && found->second->upstream_call != call_id() &&
-           now - found->second->sent_at >= max_retry_wait;
-}
-
 // Of the calls of this gateway the first one is the retry, unless another gateway's is granted.
 bool dispatcher::depends_on_retry(online_call& call, instant now) {
     const fingerprint cause = judge(call).cause;
     if (!crashes_.awaits_retry(cause))
         return false;
-    part_retry& retry = retries_.try_emplace(cause, part_retry{call.id, now}).first->second;
-    if (runs_for_long(retry.call, now))
-        retry = {call.id, now};
+    const part_retry& retry = retries_.try_emplace(cause, part_retry{call.id, now}).first->second;
     if (retry.call != call.id)
         return true;
     const bool is_granted = call.trial && trials_.find(*call.trial).endpoint;
--- a/lib/gateway/trial_exchange.cpp
+++ b/lib/gateway/trial_exchange.cpp
@@ -37,21 +37,19 @@
     return id;
 }
 
-// One run decides for all requests that wait for it, unless it lasts for long, so another one may
-// wait beside it. An accepted item has to run in time, and the schedule knows how long it has
-// waited only if it is asked for.
+// One run decides for all requests that wait for it. An accepted item has to run in time, and the
+// schedule knows how long it has waited only if it is asked for.
 bool trial_exchange::may_ask(const fingerprint& request, policy::work_kind kind,
                              bool is_retry) const {
-    const bool is_item = kind == policy::work_kind::batch;
     std::size_t of_kind = 0;
     std::size_t of_cause = 0;
     for (const std::pair<const trial_id, asked_trial>& one : asked_) {
         const bool is_same_kind =
             one.second.request.kind == kind && one.second.request.retry.has_value() == is_retry;
-        const bool counts = is_item || !one.second.endpoint;
         of_kind += is_same_kind ? 1 : 0;
-        of_cause += is_same_kind && counts && one.second.request.request == request ? 1 : 0;
+        of_cause += is_same_kind && one.second.request.request == request ? 1 : 0;
     }
+    const bool is_item = kind == policy::work_kind::batch;
     return of_kind < max_asked && of_cause < (is_item ? max_items_of_cause : 1);
 }
 
