Trials: bounds on what other gateways state of items, crashes and records

Cause: ages, counts and times were taken over as decoded. An age of 2^32 ms made an item the first of each group, and nothing compared it with the runs that the coordinator itself had granted. Nor were others bounded: the end of a quarantine overflowed, odds could be infinite or not a number, counts became 0 with the next crash, a version of 2^64 - 1 could never be replaced, and an age of more than 49.7 days was sent modulo 2^32, so that a gateway that had been up for that long stated a wrong end of an item's last run alone. One gateway could fill the whole table of runs asked for.

Change: all decoded values of poison messages are bounded (poison_messages). The schedule remembers when the runs of an item ended that it granted, and how many alone crashed: an item has been idle since the end of its last run but one at most, as its last run may have been sent to an endpoint that had ended, which only its gateway sees. The upper half of a run's id names the item, so the messages stay as they are. Gateways of an earlier version number their runs one after the other: runs of one name that are asked for at the same time are of different items, and are bounded by themselves. A gateway may ask for 512 runs, an eighth of the table.

Before: poison_messages_test fails in five of its six cases (4,294,967,295 ms idle, odds of nan and inf, 4,999 ms in place of the greatest age); trial_claims_test counts 546 runs (40 allowed) with 17 and 62 items, and a second gateway finds no room. After: both pass, and so do unittest_policy (161 cases) and unittest_gateway (63 cases).

A gateway that states a wrong idle time for each of its items still has each of them run at most twice in 12 s. A field for the item would tell it across gateways as well; it needs the schema to be generated again.

--- a/include/cassia/gateway/trial_exchange.h
+++ b/include/cassia/gateway/trial_exchange.h
@@ -39,9 +39,11 @@
     /// Asks for a run. Nothing if another run of the request, or many of such items, are asked for
     /// here, or too many in all.
     /// \param retry of an item with a quarantined part, the cause.
+    /// \param item the item itself, whatever it is suspected for.
     std::optional<trial_id> begin(const fingerprint& request, const service_id& service,
                                   const software_version& version, policy::work_kind kind,
-                                  const std::optional<policy::retry_history>& retry = {});
+                                  const std::optional<policy::retry_history>& retry = {},
+                                  const fingerprint& item = {});
     /// What a run that still waits is suspected for now.
     void set_cause(trial_id id, const fingerprint& cause,
                    const std::optional<policy::retry_history>& retry = {});
@@ -63,6 +65,7 @@
         bool is_shared = false;
     };
 
+    trial_id make_id(const fingerprint& item);
     /// Whether a further run of this cause may be asked for.
     bool may_ask(const fingerprint& request, policy::work_kind kind, bool is_retry) const;
     void send(const entry_id& to, const schema::poison_news& news);
--- a/include/cassia/policy/quarantine_retries.h
+++ b/include/cassia/policy/quarantine_retries.h
@@ -7,6 +7,7 @@
 #include "cassia/base/clock.h"
 #include "cassia/base/ids.h"
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -25,8 +26,20 @@
     instant alone_until{};     ///< end of its last run alone
 };
 
+/// An item, as the schedule tells it from others of its gateway.
+struct retried_item {
+    entry_id gateway;
+    std::uint64_t number = 0;
+
+    friend auto operator<=>(const retried_item&, const retried_item&) = default;
+};
+
 class quarantine_retries {
 public:
+    /// A retry of the item ended. `failed`: it broke off, or its endpoint was silent.
+    void record_run(const retried_item& item, bool alone, bool failed, instant now);
+    /// \returns what a gateway states of an item, bounded by the item's runs that were granted.
+    retry_history bound(const retried_item& item, const retry_history& stated, instant now) const;
     /// \param waiting items with the part.
     /// \param outlasted a retry of the part has run for longer than the interval, and still does.
     /// \returns indexes of the items that may run now at one endpoint, the first ones first; empty
@@ -40,7 +53,15 @@
     void withdraw_grant(const fingerprint& part, instant granted_at);
 
 private:
+    struct granted_runs {
+        instant last_end{};
+        instant previous_end{};
+        std::uint32_t crashes = 0; ///< of runs alone
+        instant alone_until{};
+    };
+
     std::map<fingerprint, instant> alone_at_; ///< when an item last began to run alone
+    std::map<retried_item, granted_runs> runs_;
 };
 
 } // namespace cassia::policy
--- a/include/cassia/policy/trial_schedule.h
+++ b/include/cassia/policy/trial_schedule.h
@@ -50,6 +50,16 @@
     friend auto operator<=>(const trial_key&, const trial_key&) = default;
 };
 
+/// The upper half of a run's id names the item, for the schedule to tell its runs from those of
+/// others. 0 if it isn't named.
+constexpr std::uint64_t item_number(trial_id id) {
+    return id.value() & ~std::uint64_t{0xffffffff};
+}
+
+constexpr trial_id make_trial_id(std::uint32_t item, std::uint32_t run) {
+    return trial_id((std::uint64_t{item} << 32U) | run);
+}
+
 struct trial_request {
     trial_key key;
     fingerprint request;
@@ -116,6 +126,7 @@
 private:
     struct trial {
         trial_request asked;
+        retried_item item;
         instant asked_at{};
         instant refreshed_at{};
         instant granted_at{};
@@ -150,6 +161,11 @@
         std::set<endpoint_id> excluded; ///< and those that couldn't be used
     };
 
+    /// Which item a run is of. Gateways of an earlier version name none, which shows where runs of
+    /// several items have one name.
+    retried_item item_of(const trial_key& key) const;
+    /// The request with what its gateway states of the item bounded.
+    trial_request bound(const trial_request& asked, const retried_item& item, instant now) const;
     void expire(instant now);
     void keep_turn(const trial& unused, instant now);
     void take_kept_turn(trial& added);
@@ -203,6 +219,7 @@
                                         const risk_of& risk) const;
 
     std::map<trial_key, trial> trials_;
+    std::map<entry_id, std::size_t> asked_by_; ///< runs that each gateway asks for
     std::vector<hold> holds_;
     std::multimap<std::pair<entry_id, fingerprint>, kept_turn> kept_turns_; ///< of items
     std::map<fingerprint, instant> crashed_causes_; ///< when a run alone crashed an endpoint
--- a/lib/gateway/crash_monitor_messages.cpp
+++ b/lib/gateway/crash_monitor_messages.cpp
@@ -26,7 +26,7 @@
             if (recent.run.process == process)
                 run = recent.run;
         }
-        suspect(run, now - milliseconds(news.age_ms()));
+        suspect(run, decode_crash_time(news.age_ms(), now));
     } else if (known->second.state == crash_state::confirmed) {
         return;
     }
@@ -157,7 +157,7 @@
     }
     for (const schema::request_successes& successes : news.successes()) {
         const fingerprint cause(successes.fingerprint());
-        detector_.record_successes(cause, successes.runs(), now);
+        detector_.record_successes(cause, decode_survived_runs(successes.runs()), now);
         if (successes.survived_retry())
             detector_.record_retry_success(cause, now);
     }
--- a/lib/gateway/item_suspects.cpp
+++ b/lib/gateway/item_suspects.cpp
@@ -131,7 +131,8 @@
     if (part)
         retry = retry_of(item);
     const auto begin = [&] {
-        return trials_.begin(cause, item.service, version, policy::work_kind::batch, retry);
+        return trials_.begin(cause, item.service, version, policy::work_kind::batch, retry,
+                             fingerprint_of(item));
     };
     if (item.trial)
         trials_.set_cause(*item.trial, cause, retry);
--- a/lib/gateway/poison_messages.cpp
+++ b/lib/gateway/poison_messages.cpp
@@ -1,14 +1,52 @@
 #include "poison_messages.h"
 
+#include "cassia/gateway/prompt_parts.h"
+
 #include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <limits>
 #include <map>
 #include <utility>
 
 namespace cassia::gateway {
 
+namespace {
+// What other gateways state is bounded, so that a wrong value of one of them neither overflows nor
+// outweighs what the others report. An older crash or longer run shows nothing more.
+constexpr milliseconds max_crash_age(60000);
+constexpr milliseconds max_run_time(3600000);
+constexpr milliseconds max_record_age(3600000);
+constexpr milliseconds max_idle_time(600000);
+constexpr milliseconds max_quarantine_left(160 * 60000);
+constexpr std::uint32_t max_endpoints = 65536;
+constexpr std::uint32_t max_count = 1000000;
+constexpr std::uint64_t max_version = std::uint64_t{1} << 48U;
+// Far beyond the odds of any verdict.
+constexpr double max_log_odds = 1000;
+constexpr double min_kind_probability = 0.05;
+} // namespace
+
 static std::uint32_t to_ms(microseconds duration) {
     const std::int64_t ms = std::chrono::duration_cast<milliseconds>(duration).count();
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(ms, 0));
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(ms, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+static milliseconds decode_time(std::uint32_t ms, milliseconds limit) {
+    return std::min(milliseconds(ms), limit);
+}
+
+static std::uint32_t decode_count(std::uint32_t count) {
+    return std::min(count, max_count);
+}
+
+instant decode_crash_time(std::uint32_t age_ms, instant now) {
+    return now - decode_time(age_ms, max_crash_age);
+}
+
+std::uint32_t decode_survived_runs(std::uint32_t runs) {
+    return std::min(runs, policy::max_survived_runs);
 }
 
 void encode(const policy::part_history& history, schema::part_history& out) {
@@ -17,7 +55,7 @@
 }
 
 policy::part_history decode(const schema::part_history& history) {
-    return {fingerprint(history.part()), history.survived_runs()};
+    return {fingerprint(history.part()), decode_survived_runs(history.survived_runs())};
 }
 
 void encode(const policy::crash_report& report, instant now, schema::crash_report& out) {
@@ -50,18 +88,18 @@
     policy::crash_report out;
     out.process = {endpoint_id(report.endpoint()), report.incarnation()};
     out.service = service_id(report.service());
-    out.endpoints = report.endpoints();
-    out.crashed_at = now - milliseconds(report.age_ms());
+    out.endpoints = std::clamp(report.endpoints(), 1U, max_endpoints);
+    out.crashed_at = decode_crash_time(report.age_ms(), now);
     for (const schema::part_history& part : report.parts())
         out.parts.push_back(decode(part));
     for (const schema::crashed_run& run : report.runs()) {
         policy::crashed_run decoded{fingerprint(run.fingerprint()),
-                                    milliseconds(run.duration_ms()),
+                                    decode_time(run.duration_ms(), max_run_time),
                                     run.was_complete(),
                                     {},
                                     run.on_trial()};
         for (const std::uint32_t position : run.parts()) {
-            if (position < out.parts.size())
+            if (position < out.parts.size() && decoded.parts.size() < max_prompt_parts)
                 decoded.parts.push_back(out.parts[position].part);
         }
         out.runs.push_back(std::move(decoded));
@@ -96,28 +134,32 @@
 policy::poison_record decode(const schema::poison_record& record, instant now) {
     policy::poison_record out;
     out.request = fingerprint(record.fingerprint());
-    out.version = record.version();
+    // No record changes so often, and one without a version isn't taken over.
+    out.version = record.version() <= max_version ? record.version() : 0;
     // A verdict that this version doesn't know is at least a suspicion.
     out.verdict =
         record.verdict() <= static_cast<std::uint32_t>(policy::request_verdict::quarantined)
             ? static_cast<policy::request_verdict>(record.verdict())
             : policy::request_verdict::suspect;
-    out.log_odds = record.log_odds();
-    out.crashes = record.crashes();
+    if (std::isfinite(record.log_odds()))
+        out.log_odds = std::clamp(record.log_odds(), -max_log_odds, max_log_odds);
+    out.crashes = decode_count(record.crashes());
     if (record.late_crash_probability() > 0)
-        out.late_crash_probability = record.late_crash_probability();
-    out.quarantines = record.quarantines();
-    out.all_crashes = record.all_crashes();
-    out.late_crashes = record.late_crashes();
-    out.known_at = now - milliseconds(record.known_age_ms());
+        out.late_crash_probability = std::clamp(record.late_crash_probability(),
+                                                min_kind_probability, 1 - min_kind_probability);
+    out.quarantines = decode_count(record.quarantines());
+    out.all_crashes = decode_count(record.all_crashes());
+    out.late_crashes = decode_count(record.late_crashes());
+    out.known_at = now - decode_time(record.known_age_ms(), max_record_age);
     out.is_part = record.is_part();
-    out.survived_runs = record.survived_runs();
-    out.trial_crashes = record.trial_crashes();
-    out.last_crash_at = now - milliseconds(record.crash_age_ms());
+    out.survived_runs = decode_survived_runs(record.survived_runs());
+    out.trial_crashes = decode_count(record.trial_crashes());
+    out.last_crash_at = now - decode_time(record.crash_age_ms(), max_record_age);
     if (record.was_cleared())
-        out.cleared_at = now - milliseconds(record.cleared_age_ms());
+        out.cleared_at = now - decode_time(record.cleared_age_ms(), max_record_age);
     if (out.verdict == policy::request_verdict::quarantined)
-        out.quarantined_until = now + milliseconds(record.quarantine_left_ms());
+        out.quarantined_until = now + std::clamp(milliseconds(record.quarantine_left_ms()),
+                                                 -max_record_age, max_quarantine_left);
     return out;
 }
 
@@ -131,8 +173,9 @@
 std::optional<policy::retry_history> decode(const schema::trial_request& request, instant now) {
     if (!request.is_retry())
         return std::nullopt;
-    return policy::retry_history{now - milliseconds(request.idle_ms()), request.crashes(),
-                                 now - milliseconds(request.alone_idle_ms())};
+    return policy::retry_history{now - decode_time(request.idle_ms(), max_idle_time),
+                                 decode_count(request.crashes()),
+                                 now - decode_time(request.alone_idle_ms(), max_idle_time)};
 }
 
 } // namespace cassia::gateway
--- a/lib/gateway/trial_exchange.cpp
+++ b/lib/gateway/trial_exchange.cpp
@@ -27,16 +27,25 @@
 std::optional<trial_id> trial_exchange::begin(const fingerprint& request, const service_id& service,
                                               const software_version& version,
                                               policy::work_kind kind,
-                                              const std::optional<policy::retry_history>& retry) {
+                                              const std::optional<policy::retry_history>& retry,
+                                              const fingerprint& item) {
     if (!may_ask(request, kind, retry.has_value()))
         return std::nullopt;
-    const trial_id id(++last_id_);
+    const trial_id id = make_id(item);
     asked_trial& trial = asked_[id];
     trial.request = {{self_, id}, request, service, version, kind, retry};
     ask(trial, monotonic_now());
     return id;
 }
 
+trial_id trial_exchange::make_id(const fingerprint& item) {
+    ++last_id_;
+    if (item.empty())
+        return trial_id(last_id_);
+    const std::uint32_t name = static_cast<std::uint32_t>(stable_hash(item.str()));
+    return policy::make_trial_id(std::max(name, 1U), static_cast<std::uint32_t>(last_id_));
+}
+
 // One run decides for all requests that wait for it. An accepted item has to run in time, and the
 // schedule knows how long it has waited only if it is asked for.
 bool trial_exchange::may_ask(const fingerprint& request, policy::work_kind kind,
--- a/lib/policy/quarantine_retries.cpp
+++ b/lib/policy/quarantine_retries.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace cassia::policy {
 
@@ -13,6 +14,9 @@
 constexpr milliseconds min_idle_time(6000);
 constexpr std::uint32_t max_pause_doublings = 3;
 constexpr std::size_t max_known_parts = 4096;
+constexpr std::size_t max_known_items = 4096;
+// Longer than the longest pause of an item.
+constexpr milliseconds run_retention(60000);
 } // namespace
 
 // Of items that crash endpoints for a reason of their own others must not depend.
@@ -63,4 +67,35 @@
         alone_at_.erase(last);
 }
 
+void quarantine_retries::record_run(const retried_item& item, bool alone, bool failed,
+                                    instant now) {
+    std::erase_if(runs_,
+                  [now](const auto& one) { return now - one.second.last_end >= run_retention; });
+    if (runs_.size() >= max_known_items && runs_.count(item) == 0)
+        return;
+    granted_runs& runs = runs_[item];
+    runs.previous_end = std::exchange(runs.last_end, now);
+    if (!alone)
+        return;
+    runs.crashes += failed ? 1 : 0;
+    runs.alone_until = now;
+}
+
+// The endpoint of the last run may have ended before the run began, which the item's gateway sees.
+// So the item may have been idle since the run before it.
+retry_history quarantine_retries::bound(const retried_item& item, const retry_history& stated,
+                                        instant now) const {
+    retry_history bounded = stated;
+    auto found = runs_.find(item);
+    if (found != runs_.end()) {
+        const granted_runs& runs = found->second;
+        bounded.idle_since = std::max(bounded.idle_since, runs.previous_end);
+        bounded.crashes = std::max(bounded.crashes, runs.crashes);
+        bounded.alone_until = std::max(bounded.alone_until, runs.alone_until);
+    }
+    bounded.idle_since = std::min(bounded.idle_since, now);
+    bounded.alone_until = std::min(bounded.alone_until, now);
+    return bounded;
+}
+
 } // namespace cassia::policy
--- a/lib/policy/trial_schedule.cpp
+++ b/lib/policy/trial_schedule.cpp
@@ -32,15 +32,40 @@
 constexpr milliseconds crash_retention(10000);
 constexpr std::size_t max_runs_after_crash = 2;
 constexpr std::size_t max_known_trials = 4096;
+// More than a gateway asks for, and few enough to leave room for the others'.
+constexpr std::size_t max_trials_of_gateway = 512;
 } // namespace
 
+retried_item trial_schedule::item_of(const trial_key& key) const {
+    const std::uint64_t number = item_number(key.id);
+    auto first = trials_.lower_bound({key.gateway, trial_id(number)});
+    if (first != trials_.end() && first->first == key)
+        ++first;
+    const bool is_shared_name = first != trials_.end() && first->first.gateway == key.gateway &&
+                                item_number(first->first.id) == number;
+    return {key.gateway, number == 0 || is_shared_name ? key.id.value() : number};
+}
+
+trial_request trial_schedule::bound(const trial_request& asked, const retried_item& item,
+                                    instant now) const {
+    trial_request bounded = asked;
+    if (bounded.retry)
+        bounded.retry = retries_.bound(item, *bounded.retry, now);
+    return bounded;
+}
+
 void trial_schedule::refresh(const trial_request& request, instant now) {
     auto found = trials_.find(request.key);
     if (found == trials_.end()) {
-        if (trials_.size() >= max_known_trials)
+        auto asked_by = asked_by_.find(request.key.gateway);
+        const bool has_room =
+            asked_by == asked_by_.end() || asked_by->second < max_trials_of_gateway;
+        if (trials_.size() >= max_known_trials || !has_room)
             return;
+        ++asked_by_[request.key.gateway];
         trial& added = trials_[request.key];
-        added.asked = request;
+        added.item = item_of(request.key);
+        added.asked = bound(request, added.item, now);
         added.asked_at = added.refreshed_at = now;
         take_kept_turn(added);
         return;
@@ -51,7 +76,7 @@
     // A suspect waits since its quarantine ended.
     if (found->second.asked.retry && !request.retry)
         found->second.asked_at = now;
-    found->second.asked = request;
+    found->second.asked = bound(request, found->second.item, now);
 }
 
 void trial_schedule::end(const trial_key& key, trial_outcome outcome, instant now) {
@@ -60,6 +85,8 @@
         return;
     const trial ended = std::move(found->second);
     trials_.erase(found);
+    if (--asked_by_[key.gateway] == 0)
+        asked_by_.erase(key.gateway);
     if (outcome == trial_outcome::unused)
         keep_turn(ended, now);
     if (!ended.endpoint)
@@ -75,6 +102,9 @@
             {fingerprint(), ended.asked.service, *ended.endpoint, now + unusable_time, now});
         return;
     }
+    const bool failed = outcome != trial_outcome::completed;
+    if (ended.asked.retry)
+        retries_.record_run(ended.item, !ended.shared, failed, now);
     milliseconds time = late_crash_time;
     if (outcome == trial_outcome::crashed)
         time = verdict_time;
