Retries of a part: further endpoints and earlier groups while items would be late

Cause: one group of items of a part ran at a time, from the moment at which one had been idle for 12 s, however long the others would have to wait behind it.

Change: the schedule keeps how long the latest retry of a part used its endpoint, and with how many slots, and works out when the last waiting item would begin. If it would have been idle for more than 15 s, groups begin before an item is due; if it would be for more than 17 s in spite of that, a further group begins at another endpoint, within the half of the endpoints that any suspect may use.

--- a/include/cassia/policy/trial_schedule.h
+++ b/include/cassia/policy/trial_schedule.h
@@ -188,15 +188,18 @@
     std::optional<endpoint_id> find_shared(const trial_request& asked, const risk_of& risk,
                                            const is_listed& listed) const;
     std::size_t places_at(const endpoint_id& endpoint) const;
-    /// Whether a further retry of the cause may begin, and if one under way has lasted for long.
+    /// Endpoints that retries of the cause use, but for those that have lasted for long.
     struct retry_state {
-        bool may_begin = true;
-        bool outlasted = false;
+        retry_endpoints used;
+        bool outlasted = false; ///< one has lasted for long
+
+        bool is_running() const { return !used.running_since.empty() || !used.held_until.empty(); }
     };
     retry_state retries_of(const fingerprint& cause, instant now) const;
+    static std::vector<retry_history> histories_of(const std::vector<trial*>& candidates);
     std::vector<trial*> select_retries(const fingerprint& part,
-                                       const std::vector<trial*>& candidates, bool outlasted,
-                                       instant now) const;
+                                       const std::vector<trial*>& candidates,
+                                       const retry_state& state, instant now) const;
     /// Items that wait for a quarantined part.
     struct part_retries {
         fingerprint part;
--- a/lib/policy/trial_retries.cpp
+++ b/lib/policy/trial_retries.cpp
@@ -11,27 +11,49 @@
 trial_schedule::retry_state trial_schedule::retries_of(const fingerprint& cause,
                                                        instant now) const {
     retry_state state;
+    std::map<endpoint_id, instant> running;
     for (const std::pair<const trial_key, trial>& one : trials_) {
         if (!one.second.endpoint || one.second.asked.request != cause)
             continue;
-        const bool outlasts = now - one.second.granted_at >= retry_interval;
-        state.outlasted = state.outlasted || outlasts;
-        state.may_begin = state.may_begin && outlasts;
+        state.used.places = std::max(state.used.places, one.second.places);
+        if (now - one.second.granted_at >= retry_interval)
+            state.outlasted = true;
+        else
+            running.emplace(*one.second.endpoint, one.second.granted_at);
     }
-    for (const hold& one : holds_)
-        state.may_begin = state.may_begin && (one.request != cause || now >= one.until_for_batch);
+    std::map<endpoint_id, instant> held;
+    for (const hold& one : holds_) {
+        if (one.request == cause && now < one.until_for_batch && running.count(one.endpoint) == 0)
+            held[one.endpoint] = std::max(held[one.endpoint], one.until_for_batch);
+    }
+    for (const std::pair<const endpoint_id, instant>& one : running)
+        state.used.running_since.push_back(one.second);
+    for (const std::pair<const endpoint_id, instant>& one : held)
+        state.used.held_until.push_back(one.second);
     return state;
 }
 
-std::vector<trial_schedule::trial*>
-trial_schedule::select_retries(const fingerprint& part, const std::vector<trial*>& candidates,
-                               bool outlasted, instant now) const {
+std::vector<retry_history> trial_schedule::histories_of(const std::vector<trial*>& candidates) {
     std::vector<retry_history> histories;
     histories.reserve(candidates.size());
     for (const trial* one : candidates)
         histories.push_back(*one->asked.retry);
+    return histories;
+}
+
+// Beside a retry under way others begin only if one of them would be idle for too long.
+std::vector<trial_schedule::trial*>
+trial_schedule::select_retries(const fingerprint& part, const std::vector<trial*>& candidates,
+                               const retry_state& state, instant now) const {
+    const std::vector<retry_history> histories = histories_of(candidates);
+    const bool is_late = retries_.is_late(part, histories, state.used, now);
+    if (state.is_running() && !is_late)
+        return {};
+    retry_pace pace = is_late ? retry_pace::hurried : retry_pace::regular;
+    if (state.outlasted && !state.is_running())
+        pace = retry_pace::outlasted;
     std::vector<trial*> selected;
-    for (const std::size_t index : retries_.select(part, histories, outlasted, now))
+    for (const std::size_t index : retries_.select(part, histories, pace, state.is_running(), now))
         selected.push_back(candidates[index]);
     return selected;
 }
@@ -60,19 +82,18 @@
                                    std::vector<trial_grant>& grants) {
     for (part_retries& part : group_by_part(waiting)) {
         const retry_state state = retries_of(part.part, now);
-        if (!state.may_begin)
-            continue;
+        // Beside others a retry is within the limit of any suspect.
+        const milliseconds waited = state.is_running() ? milliseconds(0) : overdue_trial_time;
         std::optional<endpoint_id> endpoint;
         std::vector<trial*> selected;
         std::vector<trial*>& candidates = part.waiting;
         // Where one of them finds no endpoint, others may, which need another version.
         while (!endpoint) {
-            selected = select_retries(part.part, candidates, state.outlasted, now);
+            selected = select_retries(part.part, candidates, state, now);
             if (selected.empty())
                 break;
             const trial_request asked = selected.front()->asked;
-            endpoint =
-                find_own(*selected.front(), overdue_trial_time, now, choose_endpoint, listed, {});
+            endpoint = find_own(*selected.front(), waited, now, choose_endpoint, listed, {});
             if (!endpoint)
                 std::erase_if(candidates, [&asked](const trial* one) {
                     return one->asked.service == asked.service &&
--- a/lib/policy/trial_schedule.cpp
+++ b/lib/policy/trial_schedule.cpp
@@ -102,14 +102,18 @@
             {fingerprint(), ended.asked.service, *ended.endpoint, now + unusable_time, now});
         return;
     }
-    const bool failed = outcome != trial_outcome::completed;
-    if (ended.asked.retry)
-        retries_.record_run(ended.item, !ended.shared, failed, now);
     milliseconds time = late_crash_time;
     if (outcome == trial_outcome::crashed)
         time = verdict_time;
     else if (outcome == trial_outcome::silent)
         time = hang_time;
+    if (ended.asked.retry) {
+        const bool failed = outcome != trial_outcome::completed;
+        retries_.record_run(ended.item, !ended.shared, failed, now);
+        retries_.record_time(ended.asked.request,
+                             now - ended.granted_at + std::min(time, hang_time_for_batch),
+                             ended.places, now);
+    }
     if (outcome == trial_outcome::completed)
         crashed_causes_.erase(ended.asked.request);
     else if (outcome == trial_outcome::crashed && crashed_causes_.size() < max_known_trials)
--- a/unittests/policy/quarantine_end_test.cpp
+++ b/unittests/policy/quarantine_end_test.cpp
@@ -218,7 +218,7 @@
 
 // Guards against items that are idle since groups of them run one after the other.
 TEST_CASE("62 items with a quarantined part run in time if each needs a second to crash",
-          "[.slow-retries]") {
+          "[retries]") {
     const milliseconds to_crash(GENERATE(1000, 2000, 2900));
     CAPTURE(to_crash.count());
     waiting_items waiting(62, 9, to_crash, milliseconds(1000));
--- a/unittests/policy/quarantine_retries_test.cpp
+++ b/unittests/policy/quarantine_retries_test.cpp
@@ -191,6 +191,22 @@
     }
 }
 
+// Guards against items that are idle since groups of them run one after the other, and against more
+// endpoints at risk than suspects may use.
+TEST_CASE("items with a quarantined part run in time if they take long to crash", "[retries]") {
+    waiting_items::model model;
+    model.items = GENERATE(17U, 62U, 150U);
+    model.to_crash = milliseconds(GENERATE(500, 1000, 2000, 2900));
+    model.run_time = milliseconds(4000);
+    model.length = milliseconds(120000);
+    model.bad_for = model.length;
+    const waiting_items::result result = waiting_items(model, 1).run();
+    CAPTURE(model.items, model.to_crash.count(), result.most_at_risk);
+    CHECK(result.longest_untried <= max_untried);
+    CHECK(result.most_at_risk <= max_trials(model.endpoints));
+    CHECK(result.crashes <= model.items * (model.length / max_untried));
+}
+
 // Guards against a part that stays quarantined after it has crashed its last endpoint.
 TEST_CASE("an item runs soon after its quarantined part has recovered", "[retries]") {
     waiting_items::model model;
