Trials: the cost of a choice grows with what waits, not with its square

Cause: for each run that waits, all runs and holds were looked through for its cause, for the endpoints that suspects use and for those that it could share, and an endpoint was chosen anew, also if none had been free a moment before.

Change: a poll builds an index of runs and holds by cause, endpoint and service once (trial_uses), and adds what it grants. A choice of an endpoint is kept until the next grant where the gateway says that it holds for each request of the service and version. The order of all steps stays.

--- a/include/cassia/policy/trial_schedule.h
+++ b/include/cassia/policy/trial_schedule.h
@@ -102,6 +102,8 @@
         std::optional<endpoint_id> endpoint;
         std::size_t limit = 1;
         std::size_t places = 1;
+        /// Whether it is the same for each request of the service and version.
+        bool for_any_cause = false;
     };
     using choose = std::function<choice(const trial_request&, const std::set<endpoint_id>&)>;
     using is_listed = std::function<bool(const endpoint_id&)>;
@@ -156,10 +158,8 @@
         std::uint32_t count = 0;
         instant last_at{};
     };
-    struct endpoint_use {
-        std::set<endpoint_id> by_trials;
-        std::set<endpoint_id> excluded; ///< and those that couldn't be used
-    };
+    /// Runs and holds by cause, endpoint and service, while one poll grants runs.
+    class use_index;
 
     /// Which item a run is of. Gateways of an earlier version name none, which shows where runs of
     /// several items have one name.
@@ -173,21 +173,11 @@
     bool is_put_back(const trial& one) const;
     /// Since when a run counts as waiting.
     instant waits_since(const trial& one) const;
-    static bool holds_back(const hold& one, const trial_request& asked, instant now);
     /// How many runs of a cause may be under way at once, with one for which an item has waited.
     static std::size_t max_runs(milliseconds waited);
-    bool is_busy(const trial_request& asked, milliseconds waited, instant now) const;
-    endpoint_use use_for(const trial_request& asked, instant now, const risk_of& risk) const;
+    bool is_busy(const trial_request& asked, milliseconds waited, const use_index& uses) const;
     /// Whether an item may run beside others.
     bool may_share(const trial_request& asked, const risk_of& risk) const;
-    /// Probability that a run that was completed there lately crashes the endpoint, or the asked
-    /// one.
-    double risk_behind(const endpoint_id& endpoint, const trial_request& asked,
-                       const risk_of& risk) const;
-    /// An endpoint where items run that the asked one may run beside, the safest first.
-    std::optional<endpoint_id> find_shared(const trial_request& asked, const risk_of& risk,
-                                           const is_listed& listed) const;
-    std::size_t places_at(const endpoint_id& endpoint) const;
     /// Endpoints that retries of the cause use, but for those that have lasted for long.
     struct retry_state {
         retry_endpoints used;
@@ -195,7 +185,7 @@
 
         bool is_running() const { return !used.running_since.empty() || !used.held_until.empty(); }
     };
-    retry_state retries_of(const fingerprint& cause, instant now) const;
+    static retry_state retries_of(const fingerprint& cause, const use_index& uses, instant now);
     static std::vector<retry_history> histories_of(const std::vector<trial*>& candidates);
     std::vector<trial*> select_retries(const fingerprint& part,
                                        const std::vector<trial*>& candidates,
@@ -210,16 +200,16 @@
     static std::vector<part_retries> group_by_part(const std::vector<trial*>& retries);
     /// Grants retries of items with a quarantined part.
     void grant_retries(const std::vector<trial*>& waiting, instant now,
-                       const choose& choose_endpoint, const is_listed& listed,
+                       const choose& choose_endpoint, use_index& uses,
                        std::vector<trial_grant>& grants);
     /// Grants runs of suspects.
-    void grant_trials(std::vector<trial*>& waiting, instant now, const choose& choose_endpoint,
-                      const is_listed& listed, const risk_of& risk,
+    void grant_trials(const std::vector<trial*>& waiting, instant now,
+                      const choose& choose_endpoint, const risk_of& risk, use_index& uses,
                       std::vector<trial_grant>& grants);
     /// An endpoint that no other suspect uses.
-    std::optional<endpoint_id> find_own(trial& waiting, milliseconds waited, instant now,
-                                        const choose& choose_endpoint, const is_listed& listed,
-                                        const risk_of& risk) const;
+    /// \param shares it may follow runs that were completed there lately.
+    std::optional<endpoint_id> find_own(trial& waiting, milliseconds waited, bool shares,
+                                        const choose& choose_endpoint, use_index& uses) const;
 
     std::map<trial_key, trial> trials_;
     std::map<entry_id, std::size_t> asked_by_; ///< runs that each gateway asks for
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -333,7 +333,7 @@
     }
     return {found ? std::optional<endpoint_id>(found->endpoint) : std::nullopt,
             policy::max_trials(slots_.count_endpoints(request.service)),
-            found ? static_cast<std::size_t>(std::max<std::int64_t>(found->free, 1)) : 1};
+            found ? static_cast<std::size_t>(std::max<std::int64_t>(found->free, 1)) : 1, true};
 }
 
 void service::tick() {
--- a/lib/policy/trial_retries.cpp
+++ b/lib/policy/trial_retries.cpp
@@ -2,6 +2,8 @@
 
 #include "cassia/policy/trial_schedule.h"
 
+#include "trial_uses.h"
+
 #include <algorithm>
 #include <map>
 #include <utility>
@@ -9,22 +11,23 @@
 namespace cassia::policy {
 
 trial_schedule::retry_state trial_schedule::retries_of(const fingerprint& cause,
-                                                       instant now) const {
+                                                       const use_index& uses, instant now) {
     retry_state state;
+    const use_index::cause_use* use = uses.find_cause(cause);
+    if (use == nullptr)
+        return state;
     std::map<endpoint_id, instant> running;
-    for (const std::pair<const trial_key, trial>& one : trials_) {
-        if (!one.second.endpoint || one.second.asked.request != cause)
-            continue;
-        state.used.places = std::max(state.used.places, one.second.places);
-        if (now - one.second.granted_at >= retry_interval)
+    for (const trial* one : use->runs) {
+        state.used.places = std::max(state.used.places, one->places);
+        if (now - one->granted_at >= retry_interval)
             state.outlasted = true;
         else
-            running.emplace(*one.second.endpoint, one.second.granted_at);
+            running.emplace(*one->endpoint, one->granted_at);
     }
     std::map<endpoint_id, instant> held;
-    for (const hold& one : holds_) {
-        if (one.request == cause && now < one.until_for_batch && running.count(one.endpoint) == 0)
-            held[one.endpoint] = std::max(held[one.endpoint], one.until_for_batch);
+    for (const hold* one : use->holds) {
+        if (now < one->until_for_batch && running.count(one->endpoint) == 0)
+            held[one->endpoint] = std::max(held[one->endpoint], one->until_for_batch);
     }
     for (const std::pair<const endpoint_id, instant>& one : running)
         state.used.running_since.push_back(one.second);
@@ -78,10 +81,10 @@
 }
 
 void trial_schedule::grant_retries(const std::vector<trial*>& waiting, instant now,
-                                   const choose& choose_endpoint, const is_listed& listed,
+                                   const choose& choose_endpoint, use_index& uses,
                                    std::vector<trial_grant>& grants) {
     for (part_retries& part : group_by_part(waiting)) {
-        const retry_state state = retries_of(part.part, now);
+        const retry_state state = retries_of(part.part, uses, now);
         // Beside others a retry is within the limit of any suspect.
         const milliseconds waited = state.is_running() ? milliseconds(0) : overdue_trial_time;
         std::optional<endpoint_id> endpoint;
@@ -93,7 +96,7 @@
             if (selected.empty())
                 break;
             const trial_request asked = selected.front()->asked;
-            endpoint = find_own(*selected.front(), waited, now, choose_endpoint, listed, {});
+            endpoint = find_own(*selected.front(), waited, false, choose_endpoint, uses);
             if (!endpoint)
                 std::erase_if(candidates, [&asked](const trial* one) {
                     return one->asked.service == asked.service &&
@@ -114,6 +117,7 @@
             one->granted_at = now;
             one->places = first.places;
             one->shared = group.size() > 1;
+            uses.add(*one);
             grants.push_back(
                 {one->asked.key, *endpoint, one->asked.request, one->shared, group.size()});
         }
--- a/lib/policy/trial_schedule.cpp
+++ b/lib/policy/trial_schedule.cpp
@@ -1,5 +1,7 @@
 #include "cassia/policy/trial_schedule.h"
 
+#include "trial_uses.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -18,8 +20,6 @@
 // these times.
 constexpr milliseconds runs_doubling_time(1000);
 constexpr std::int64_t max_runs_doublings = 5;
-// A run that may still hang its endpoint keeps others away for longer than one that ended.
-constexpr std::size_t silent_run_weight = 2;
 // One silent endpoint may be chance; an item with more of them in this time is put back.
 constexpr std::uint32_t max_silent_ends = 1;
 constexpr milliseconds silent_end_retention(20000);
@@ -181,10 +181,6 @@
         end(key, trial_outcome::completed, now);
 }
 
-bool trial_schedule::holds_back(const hold& one, const trial_request& asked, instant now) {
-    return now < (asked.kind == work_kind::batch ? one.until_for_batch : one.until);
-}
-
 // Items that share a suspected part would wait for the sum of their runs.
 std::size_t trial_schedule::max_runs(milliseconds waited) {
     if (waited < overdue_trial_time)
@@ -194,17 +190,11 @@
     return std::size_t{2} << doublings;
 }
 
-bool trial_schedule::is_busy(const trial_request& asked, milliseconds waited, instant now) const {
-    std::size_t runs = 0;
-    for (const std::pair<const trial_key, trial>& one : trials_)
-        runs += one.second.endpoint && one.second.asked.request == asked.request ? 1 : 0;
-    for (const hold& one : holds_) {
-        if (one.request == asked.request && holds_back(one, asked, now))
-            runs += one.is_silent ? silent_run_weight : 1;
-    }
+bool trial_schedule::is_busy(const trial_request& asked, milliseconds waited,
+                             const use_index& uses) const {
     const bool has_crashed = crashed_causes_.count(asked.request) > 0;
     const std::size_t limit = max_runs(waited);
-    return runs >= (has_crashed ? std::min(limit, max_runs_after_crash) : limit);
+    return uses.count_runs(asked) >= (has_crashed ? std::min(limit, max_runs_after_crash) : limit);
 }
 
 // An item that hung an endpoint may do so again, which the detector of crashes doesn't know.
@@ -213,103 +203,15 @@
            risk(asked.request) <= max_shared_risk;
 }
 
-double trial_schedule::risk_behind(const endpoint_id& endpoint, const trial_request& asked,
-                                   const risk_of& risk) const {
-    double innocent = 1 - risk(asked.request);
-    for (const hold& one : holds_) {
-        if (one.endpoint == endpoint && one.is_complete)
-            innocent *= 1 - risk(one.request);
-    }
-    return 1 - innocent;
-}
-
-std::size_t trial_schedule::places_at(const endpoint_id& endpoint) const {
-    std::size_t places = 1;
-    for (const std::pair<const trial_key, trial>& one : trials_) {
-        if (one.second.endpoint == endpoint)
-            places = std::max(places, one.second.places);
-    }
-    return places;
-}
-
-std::optional<endpoint_id> trial_schedule::find_shared(const trial_request& asked,
-                                                       const risk_of& risk,
-                                                       const is_listed& listed) const {
-    if (!may_share(asked, risk))
-        return std::nullopt;
-    struct shared_endpoint {
-        double innocent = 1;
-        std::size_t runs = 0;
-        bool is_closed = false;
-    };
-    std::map<endpoint_id, shared_endpoint> used;
-    for (const std::pair<const trial_key, trial>& one : trials_) {
-        const trial_request& other = one.second.asked;
-        if (!one.second.endpoint || other.service != asked.service ||
-            (listed && !listed(*one.second.endpoint)))
-            continue;
-        shared_endpoint& at = used[*one.second.endpoint];
-        ++at.runs;
-        at.innocent *= 1 - risk(other.request);
-        const bool is_version = asked.version.empty() || asked.version == other.version;
-        at.is_closed = at.is_closed || !is_version || !may_share(other, risk);
-    }
-    for (const hold& one : holds_) {
-        auto at = used.find(one.endpoint);
-        if (at != used.end() && !one.is_complete)
-            at->second.is_closed = true;
-    }
-    std::erase_if(used, [](const auto& one) { return one.second.is_closed; });
-    std::optional<endpoint_id> safest;
-    double least = max_shared_risk;
-    for (const std::pair<const endpoint_id, shared_endpoint>& one : used) {
-        if (one.second.runs >= places_at(one.first))
-            continue;
-        const double all = 1 - one.second.innocent * (1 - risk_behind(one.first, asked, risk));
-        if (all > least)
-            continue;
-        least = all;
-        safest = one.first;
-    }
-    return safest;
-}
-
-trial_schedule::endpoint_use trial_schedule::use_for(const trial_request& asked, instant now,
-                                                     const risk_of& risk) const {
-    endpoint_use use;
-    const bool shares = may_share(asked, risk);
-    for (const std::pair<const trial_key, trial>& one : trials_) {
-        if (one.second.endpoint && one.second.asked.service == asked.service)
-            use.by_trials.insert(*one.second.endpoint);
-    }
-    use.excluded = use.by_trials;
-    for (const hold& one : holds_) {
-        if (one.service != asked.service)
-            continue;
-        const bool is_free =
-            shares && one.is_complete && risk_behind(one.endpoint, asked, risk) <= max_shared_risk;
-        if (!is_free)
-            use.excluded.insert(one.endpoint);
-        if (!one.request.empty() && holds_back(one, asked, now))
-            use.by_trials.insert(one.endpoint);
-    }
-    return use;
-}
-
 std::optional<endpoint_id> trial_schedule::find_own(trial& waiting, milliseconds waited,
-                                                    instant now, const choose& choose_endpoint,
-                                                    const is_listed& listed,
-                                                    const risk_of& risk) const {
-    endpoint_use use = use_for(waiting.asked, now, risk);
-    // The limit is a part of the endpoints that are left.
-    if (listed)
-        std::erase_if(use.by_trials,
-                      [&listed](const endpoint_id& endpoint) { return !listed(endpoint); });
-    const choice chosen = choose_endpoint(waiting.asked, use.excluded);
+                                                    bool shares, const choose& choose_endpoint,
+                                                    use_index& uses) const {
+    const choice chosen = uses.choose(waiting.asked, shares, choose_endpoint);
     const bool is_overdue = waited >= overdue_trial_time && !is_put_back(waiting);
     const std::size_t limit = is_overdue ? max_overdue_trials(chosen.limit) : chosen.limit;
-    const bool may_use = chosen.endpoint && (use.by_trials.size() < limit ||
-                                             use.by_trials.count(*chosen.endpoint) > 0);
+    const std::set<endpoint_id>& used = uses.used_by_trials(waiting.asked);
+    const bool may_use =
+        chosen.endpoint && (used.size() < limit || used.count(*chosen.endpoint) > 0);
     if (!may_use)
         return std::nullopt;
     waiting.places = chosen.places;
@@ -326,44 +228,53 @@
             (one.second.asked.retry ? retries : waiting).push_back(&one.second);
     }
     std::vector<trial_grant> grants;
+    if (waiting.empty() && retries.empty())
+        return grants;
+    use_index uses(*this, now, listed, risk);
     // Retries take an endpoint for each part at most, so they don't wait behind suspects.
-    grant_retries(retries, now, choose_endpoint, listed, grants);
-    grant_trials(waiting, now, choose_endpoint, listed, risk, grants);
+    grant_retries(retries, now, choose_endpoint, uses, grants);
+    grant_trials(waiting, now, choose_endpoint, risk, uses, grants);
     return grants;
 }
 
-void trial_schedule::grant_trials(std::vector<trial*>& waiting, instant now,
-                                  const choose& choose_endpoint, const is_listed& listed,
-                                  const risk_of& risk, std::vector<trial_grant>& grants) {
-    std::sort(waiting.begin(), waiting.end(),
-              [this](const trial* a, const trial* b) { return waits_since(*a) < waits_since(*b); });
+void trial_schedule::grant_trials(const std::vector<trial*>& waiting, instant now,
+                                  const choose& choose_endpoint, const risk_of& risk,
+                                  use_index& uses, std::vector<trial_grant>& grants) {
+    std::vector<std::pair<instant, trial*>> order;
+    order.reserve(waiting.size());
+    for (trial* one : waiting)
+        order.emplace_back(waits_since(*one), one);
+    std::sort(order.begin(), order.end(),
+              [](const auto& a, const auto& b) { return a.first < b.first; });
     // Where a run waits that needs an endpoint of its own, those that share must leave one empty.
     std::set<service_id> without_own;
-    for (trial* one : waiting) {
+    for (const std::pair<instant, trial*>& next : order) {
+        trial* one = next.second;
         const milliseconds waited =
             one->asked.kind == work_kind::batch
                 ? std::chrono::duration_cast<milliseconds>(now - one->asked_at)
                 : milliseconds(0);
-        if (is_busy(one->asked, waited, now))
+        if (is_busy(one->asked, waited, uses))
             continue;
         const bool may_join = without_own.count(one->asked.service) == 0;
+        const bool shares = may_share(one->asked, risk);
         // The gateway couldn't use a shared endpoint before.
         std::optional<endpoint_id> endpoint;
-        if (may_join && one->kept == 0)
-            endpoint = find_shared(one->asked, risk, listed);
+        if (may_join && shares && one->kept == 0)
+            endpoint = uses.find_shared(one->asked);
         one->shared = endpoint.has_value();
         if (endpoint)
-            one->places = places_at(*endpoint);
+            one->places = uses.places_at(*endpoint);
         else
-            endpoint =
-                find_own(*one, waited, now, choose_endpoint, listed, may_join ? risk : risk_of());
+            endpoint = find_own(*one, waited, may_join && shares, choose_endpoint, uses);
         if (!endpoint) {
-            if (risk && !may_share(one->asked, risk))
+            if (risk && !shares)
                 without_own.insert(one->asked.service);
             continue;
         }
         one->endpoint = endpoint;
         one->granted_at = now;
+        uses.add(*one);
         grants.push_back({one->asked.key, *endpoint, one->asked.request, one->shared});
     }
 }
