--- a/lib/gateway/item_suspects.cpp
+++ b/lib/gateway/item_suspects.cpp
@@ -110,7 +110,8 @@
     if (item.trial)
         trials_.set_cause(*item.trial, cause, retry);
     else
-        item.trial = trials_.begin(cause, item.service, version, policy::work_kind::batch, retry);
+        item.trial = trials_.begin(cause, item.service, version, policy::work_kind::batch, retry,
+                                   fingerprint_of(item));
     if (!item.trial)
         return std::nullopt;
     const trial_exchange::state state = trials_.find(*item.trial);
--- a/lib/policy/trial_retries.cpp
+++ b/lib/policy/trial_retries.cpp
@@ -2,6 +2,8 @@
 
 #include "cassia/policy/trial_schedule.h"
 
+#include "trial_uses.h"
+
 #include <algorithm>
 #include <map>
 #include <utility>
@@ -9,29 +11,52 @@
 namespace cassia::policy {
 
 trial_schedule::retry_state trial_schedule::retries_of(const fingerprint& cause,
-                                                       instant now) const {
+                                                       const use_index& uses, instant now) {
     retry_state state;
-    for (const std::pair<const trial_key, trial>& one : trials_) {
-        if (!one.second.endpoint || one.second.asked.request != cause)
-            continue;
-        const bool outlasts = now - one.second.granted_at >= retry_interval;
-        state.outlasted = state.outlasted || outlasts;
-        state.may_begin = state.may_begin && outlasts;
+    const use_index::cause_use* use = uses.find_cause(cause);
+    if (use == nullptr)
+        return state;
+    std::map<endpoint_id, instant> running;
+    for (const trial* one : use->runs) {
+        state.used.places = std::max(state.used.places, one->places);
+        if (now - one->granted_at >= retry_interval)
+            state.outlasted = true;
+        else
+            running.emplace(*one->endpoint, one->granted_at);
+    }
+    std::map<endpoint_id, instant> held;
+    for (const hold* one : use->holds) {
+        if (now < one->until_for_batch && running.count(one->endpoint) == 0)
+            held[one->endpoint] = std::max(held[one->endpoint], one->until_for_batch);
     }
-    for (const hold& one : holds_)
-        state.may_begin = state.may_begin && (one.request != cause || now >= one.until_for_batch);
+    for (const std::pair<const endpoint_id, instant>& one : running)
+        state.used.running_since.push_back(one.second);
+    for (const std::pair<const endpoint_id, instant>& one : held)
+        state.used.held_until.push_back(one.second);
     return state;
 }
 
-std::vector<trial_schedule::trial*>
-trial_schedule::select_retries(const fingerprint& part, const std::vector<trial*>& candidates,
-                               bool outlasted, instant now) const {
+std::vector<retry_history> trial_schedule::histories_of(const std::vector<trial*>& candidates) {
     std::vector<retry_history> histories;
     histories.reserve(candidates.size());
     for (const trial* one : candidates)
         histories.push_back(*one->asked.retry);
+    return histories;
+}
+
+// Beside a retry under way others begin only if one of them would be idle for too long.
+std::vector<trial_schedule::trial*>
+trial_schedule::select_retries(const fingerprint& part, const std::vector<trial*>& candidates,
+                               const retry_state& state, instant now) const {
+    const std::vector<retry_history> histories = histories_of(candidates);
+    const bool is_late = retries_.is_late(part, histories, state.used, now);
+    if (state.is_running() && !is_late)
+        return {};
+    retry_pace pace = is_late ? retry_pace::hurried : retry_pace::regular;
+    if (state.outlasted && !state.is_running())
+        pace = retry_pace::outlasted;
     std::vector<trial*> selected;
-    for (const std::size_t index : retries_.select(part, histories, outlasted, now))
+    for (const std::size_t index : retries_.select(part, histories, pace, state.is_running(), now))
         selected.push_back(candidates[index]);
     return selected;
 }
@@ -56,23 +81,22 @@
 }
 
 void trial_schedule::grant_retries(const std::vector<trial*>& waiting, instant now,
-                                   const choose& choose_endpoint, const is_listed& listed,
+                                   const choose& choose_endpoint, use_index& uses,
                                    std::vector<trial_grant>& grants) {
     for (part_retries& part : group_by_part(waiting)) {
-        const retry_state state = retries_of(part.part, now);
-        if (!state.may_begin)
-            continue;
+        const retry_state state = retries_of(part.part, uses, now);
+        // Beside others a retry is within the limit of any suspect.
+        const milliseconds waited = state.is_running() ? milliseconds(0) : overdue_trial_time;
         std::optional<endpoint_id> endpoint;
         std::vector<trial*> selected;
         std::vector<trial*>& candidates = part.waiting;
         // Where one of them finds no endpoint, others may, which need another version.
         while (!endpoint) {
-            selected = select_retries(part.part, candidates, state.outlasted, now);
+            selected = select_retries(part.part, candidates, state, now);
             if (selected.empty())
                 break;
             const trial_request asked = selected.front()->asked;
-            endpoint =
-                find_own(*selected.front(), overdue_trial_time, now, choose_endpoint, listed, {});
+            endpoint = find_own(*selected.front(), waited, false, choose_endpoint, uses);
             if (!endpoint)
                 std::erase_if(candidates, [&asked](const trial* one) {
                     return one->asked.service == asked.service &&
@@ -93,6 +117,7 @@
             one->granted_at = now;
             one->places = first.places;
             one->shared = group.size() > 1;
+            uses.add(*one);
             grants.push_back(
                 {one->asked.key, *endpoint, one->asked.request, one->shared, group.size()});
         }
