Items: one whose part is quarantined at one service may run at another

Cause: an item that isn't chosen to ask for a retry wasn't looked at, so it never drew its service anew.

Change: where a route has several services, such an item still draws one each 100 ms.

--- a/lib/gateway/item_leases.cpp
+++ b/lib/gateway/item_leases.cpp
@@ -17,8 +17,9 @@
 // the rate of items.
 constexpr milliseconds usual_lease_time(20);
 constexpr std::uint32_t max_items_per_lease = 16;
-// Limits of items that may not run yet: their number, and in windows, where they hold much memory.
-constexpr std::size_t max_blocked_items = 4096;
+// Limits of items that may not run yet: of quarantined ones, and in windows of suspects, each of
+// which looks for a run of its own, and of all where they hold much memory.
+constexpr std::size_t max_quarantined_items = 4096;
 constexpr std::size_t max_blocked_windows = 4;
 constexpr milliseconds lease_interval(100);
 // Interval at which the progress of running items is saved. If the gateway crashes, what came after
@@ -50,18 +51,21 @@
 bool item_runner::is_window_full() const {
     if (is_memory_short())
         return true;
+    const std::size_t few = max_blocked_windows * max_items_;
     std::size_t blocked = 0;
+    std::size_t suspects = 0;
     std::uint64_t blocked_bytes = 0;
     for (const std::pair<const item_key, std::unique_ptr<held_item>>& keyed_item : items_) {
         if (!is_blocked(*keyed_item.second))
             continue;
         ++blocked;
+        suspects += keyed_item.second->wait == item_wait::trial ? 1 : 0;
         blocked_bytes += keyed_item.second->leased_bytes;
     }
-    if (items_.size() - blocked >= max_items_ || blocked >= max_blocked_items)
+    if (items_.size() - blocked >= max_items_ || suspects >= few ||
+        blocked >= max_quarantined_items)
         return true;
-    return blocked >= max_blocked_windows * max_items_ && memory_share_ != 0 &&
-           blocked_bytes > memory_share_ / 2;
+    return blocked >= few && memory_share_ != 0 && blocked_bytes > memory_share_ / 2;
 }
 
 // At most this gateway's share of the free slots beyond the few items that may wait here anyway:
--- a/lib/gateway/item_retries.cpp
+++ b/lib/gateway/item_retries.cpp
@@ -4,6 +4,7 @@
 #include "cassia/policy/retry_candidates.h"
 #include "held_item.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace cassia::gateway {
@@ -58,4 +59,11 @@
     return item.retried_part != fingerprint() && !item.asks_for_retry && !is_granted;
 }
 
+bool item_runner::has_services(const held_item& item) const {
+    const schema::route* route = find_route(item);
+    return route != nullptr &&
+           std::count_if(route->targets().begin(), route->targets().end(),
+                         [](const schema::route_target& one) { return one.weight() > 0; }) > 1;
+}
+
 } // namespace cassia::gateway
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -101,7 +101,7 @@
         const bool is_granted = item.trial && trials_.find(*item.trial).endpoint.has_value();
         if (item.upstream_call != call_id() || (now < item.ready_at && !is_granted))
             continue;
-        if (item.wait == item_wait::quarantine && is_retry_deferred(item))
+        if (item.wait == item_wait::quarantine && is_retry_deferred(item) && !has_services(item))
             continue;
         if (item.wait == item_wait::quarantine)
             quarantined.emplace_back(retry_of(item).idle_since, keyed_item.first);
--- a/unittests/gateway/item_retries_test.cpp
+++ b/unittests/gateway/item_retries_test.cpp
@@ -5,6 +5,24 @@
 using namespace cassia;
 using namespace cassia::gateway;
 
+namespace {
+
+/// Reads the part that an item states in a field.
+std::vector<prompt_part_id> read_part(const net::http_fields& fields) {
+    const std::string part(fields.find("Part"));
+    return part.empty() ? std::vector<prompt_part_id>()
+                        : std::vector<prompt_part_id>{prompt_part_id(part)};
+}
+
+schema::leased_item with_part(schema::leased_item item, const std::string& part) {
+    schema::header_field& field = *item.mutable_item()->add_headers();
+    field.set_name("Part");
+    field.set_value(part);
+    return item;
+}
+
+} // namespace
+
 // Guards against a gateway that leases nothing more, for any job, as it holds many items that wait
 // for a quarantined part of prompts.
 TEST_CASE("many items with a quarantined part keep no others from being leased", "[.][items]") {
@@ -14,21 +32,43 @@
     endpoint_stub& endpoint = fixture.add_endpoint("first", "v1");
     fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
     fixture.quarantine_part("first", prompt_part_id("bad"));
-    fixture.runner.set_prompt_parts_reader([](const net::http_fields& fields) {
-        return fields.find("Part").empty()
-                   ? std::vector<prompt_part_id>()
-                   : std::vector<prompt_part_id>{prompt_part_id(std::string(fields.find("Part")))};
-    });
-    for (int i = 0; i < blocked; ++i) {
-        schema::leased_item item = fixture.make_item("q" + std::to_string(i), "jobs", 1);
-        schema::header_field& part = *item.mutable_item()->add_headers();
-        part.set_name("Part");
-        part.set_value("bad");
-        fixture.offer(item);
-    }
+    fixture.runner.set_prompt_parts_reader(read_part);
+    for (int i = 0; i < blocked; ++i)
+        fixture.offer(with_part(fixture.make_item("q" + std::to_string(i), "jobs", 1), "bad"));
     fixture.offer(fixture.make_item("a", "jobs", 1));
     const instant began = monotonic_now();
     while (fixture.runner.size() < blocked && monotonic_now() - began < max_untried_time)
         fixture.run_for(tick_interval);
     CHECK(fixture.is_received_in_time(endpoint, "a"));
 }
+
+// Guards against items that wait for a part which is quarantined at one service of their route,
+// while another one would run them.
+TEST_CASE("items with a part that is quarantined at one service run at another", "[.][items]") {
+    constexpr std::size_t items = 200;
+    constexpr std::size_t most_asking = 16;
+    runner_fixture fixture;
+    fixture.grants_trials = false;
+    fixture.add_endpoint("first", "v1");
+    endpoint_stub& sound = fixture.add_endpoint("second", "v1");
+    sound.respond = [&sound](exchange_id id, const net::raw_request& request) {
+        net::raw_head head;
+        head.status = 200;
+        head.fields.add("Cassia-Request-Id", request.fields.find("Cassia-Request-Id"));
+        head.fields.add("Cassia-Stamp", "stamp");
+        head.framing = net::body_framing::chunked;
+        sound.server().begin(id, head);
+        sound.server().piece(id, "id: 1\ndata: x\n\n");
+        sound.server().end(id);
+    };
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first", "second"}}}));
+    fixture.quarantine_part("first", prompt_part_id("bad"));
+    fixture.runner.set_prompt_parts_reader(read_part);
+    for (std::size_t i = 0; i < items; ++i)
+        fixture.offer(with_part(fixture.make_item("q" + std::to_string(i), "jobs", 1), "bad"));
+    const instant began = monotonic_now();
+    while (fixture.reported.size() < items - most_asking &&
+           monotonic_now() - began < max_untried_time)
+        fixture.run_for(tick_interval);
+    CHECK(fixture.reported.size() >= items - most_asking);
+}
