Items: one from the start is retried before those that go on behind an event

Cause: since runs behind an event don't clear a part, a retry of such an item finds nothing out. The trace shows that both parts' retries 3 s after their verdicts were of items behind their third and sixth event; the ones 6 s after, from the start, cleared them.

Change: a gateway states one crash more for an item behind an event, so that the others go first.

Evidence: "an item from the start is retried before one that goes on" failed before and passes.

--- a/lib/gateway/item_retries.cpp
+++ b/lib/gateway/item_retries.cpp
@@ -23,7 +23,9 @@
         idle_before = max_idle_elsewhere;
     else if (item.may_not_have_run)
         idle_before = max_idle_elsewhere / 2;
-    return {item.idle_since - idle_before, item.crashed_alone, item.alone_until};
+    // A run behind an event doesn't clear the part, so those from the start come first.
+    const std::uint32_t resumes = item.last_event > 0 ? 1 : 0;
+    return {item.idle_since - idle_before, item.crashed_alone + resumes, item.alone_until};
 }
 
 // Whatever is held, few items ask: the coordinator looks at each of them, and any of one part tells
--- a/unittests/gateway/item_retries_test.cpp
+++ b/unittests/gateway/item_retries_test.cpp
@@ -72,3 +72,25 @@
         fixture.run_for(tick_interval);
     CHECK(fixture.reported.size() >= items - most_asking);
 }
+
+// Guards against a part that stays quarantined while only items that go on behind an event, which
+// can't clear it, are retried.
+TEST_CASE("an item from the start is retried before one that goes on", "[.][items]") {
+    runner_fixture fixture;
+    fixture.grants_trials = false;
+    endpoint_stub& endpoint = fixture.add_endpoint("first", "v1");
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
+    fixture.quarantine_part("first", prompt_part_id("bad"));
+    schema::leased_item resumed = fixture.make_item("resumed", "jobs", 1);
+    runner_fixture::add_progress(resumed, "first", "v1");
+    fixture.offer(resumed);
+    fixture.run_for(std::chrono::seconds(1));
+    fixture.offer(fixture.make_item("whole", "jobs", 1));
+    fixture.run_for(std::chrono::seconds(1));
+    REQUIRE(endpoint.requests() == 0);
+    fixture.grants_trials = true;
+    const instant began = monotonic_now();
+    while (endpoint.requests() == 0 && monotonic_now() - began < max_idle_time)
+        fixture.run_for(tick_interval);
+    CHECK(endpoint.has_received("whole"));
+}
