platform_power_loss: bounded wait for the next acknowledgement

With disks that skip syncs (trial) no job was accepted after the second loss, and the scenario went on for ever.

--- a/test/scenarios/platform_power_loss.lua
+++ b/test/scenarios/platform_power_loss.lua
@@ -102,13 +102,15 @@
 end
 
 local function go_on_until(kinds)
-  while true do
+  local till = now() + recover_ms
+  while now() < till do
     local acknowledged = go_on()
     for _, kind in ipairs(kinds) do
       if acknowledged[kind] then return kind end
     end
     sleep(4)
   end
+  error("not within " .. recover_ms .. " ms: one is acknowledged of " .. table.concat(kinds, ", "))
 end
 local function go_on_for(ms)
   local till = now() + ms
