Sync tracker: one thread at a time keeps the names of a folder

A fault of the test, not of the keepers; any scenario with tracked syncs can meet it, platform_power_loss too. Mixed names could also have set back names that were durable.

Change: a lock around the names.

--- a/test/runner/sync_tracker.cpp
+++ b/test/runner/sync_tracker.cpp
@@ -24,6 +24,7 @@
 };
 
 std::mutex mutex;
+std::mutex names_mutex; // threads that sync a folder together write the same files of its names
 std::map<ino_t, std::vector<written_range>> written; // since the file's last sync
 std::set<ino_t> copied;                              // files that were copied whole
 
@@ -91,6 +92,7 @@
     close(source);
     if (!is_new)
         return;
+    const std::lock_guard<std::mutex> lock(names_mutex);
     std::FILE* const names = std::fopen(synced_path("new").c_str(), "a");
     const std::string name = std::filesystem::path(path_of(file)).filename();
     std::fprintf(names, "%llu %s\n", static_cast<unsigned long long>(status.st_ino), name.c_str());
@@ -98,6 +100,7 @@
 }
 
 void keep_names(const std::string& folder) {
+    const std::lock_guard<std::mutex> lock(names_mutex);
     const std::string temporary = synced_path("names.tmp");
     std::FILE* const names = std::fopen(temporary.c_str(), "w");
     for (const std::filesystem::directory_entry& one :
