Items: only those that another service may run are started beside the choice

Cost: an item that isn't chosen to ask for a retry was looked at each tick, and on a route with several services started ten times a second even if its part was quarantined at all of them; with 4,096 held items that is work on the path of each tick. Found by reading, not measured.

Change: the choice delays such items until the next choice, unless a part of theirs is quarantined at none of another service of the route. The exception in start_ready_items, and that in the count of ready items, aren't needed any more.

Evidence: [items], [quarantined_item], [item_limits], [retries], [trials], [silent_trial] pass, among them "items with a part that is quarantined at one service run at another".

--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -140,8 +140,8 @@
     void choose_retries(instant now);
     /// Whether it waits for a quarantined part and doesn't ask for a retry.
     bool is_retry_deferred(const held_item& item) const;
-    /// Whether its route sends items to several services, of which another one may be drawn.
-    bool has_services(const held_item& item) const;
+    /// Whether its route has another service, at which no part of its prompt is quarantined.
+    bool may_run_elsewhere(const held_item& item) const;
     /// Whether it runs beside other suspects.
     bool shares_endpoint(const held_item& item) const;
     /// Keeps the free slots of endpoints where suspects run from other requests, and ends trials
--- a/lib/gateway/item_retries.cpp
+++ b/lib/gateway/item_retries.cpp
@@ -28,8 +28,8 @@
     return {item.idle_since - idle_before, item.crashed_alone + resumes, item.alone_until};
 }
 
-// Whatever is held, few items ask: the coordinator looks at each of them, and any of one part tells
-// the same.
+// Few items ask, however many are held: the coordinator looks at each of them, and runs of one part
+// show the same.
 void item_runner::choose_retries(instant now) {
     if (now < next_retry_choice_at_)
         return;
@@ -51,8 +51,11 @@
          policy::select_retry_candidates(waiting, policy::candidate_limits()))
         items[index]->asks_for_retry = true;
     for (held_item* item : items) {
-        if (is_retry_deferred(*item))
-            end_trial(*item);
+        if (!is_retry_deferred(*item))
+            continue;
+        end_trial(*item);
+        if (!may_run_elsewhere(*item))
+            item->ready_at = next_retry_choice_at_;
     }
 }
 
@@ -61,11 +64,16 @@
     return item.retried_part != fingerprint() && !item.asks_for_retry && !is_granted;
 }
 
-bool item_runner::has_services(const held_item& item) const {
+bool item_runner::may_run_elsewhere(const held_item& item) const {
     const schema::route* route = find_route(item);
-    return route != nullptr &&
-           std::count_if(route->targets().begin(), route->targets().end(),
-                         [](const schema::route_target& one) { return one.weight() > 0; }) > 1;
+    if (route == nullptr || item.last_event > 0 || !item.prompt_parts)
+        return false;
+    const auto is_sound = [this, &item](const schema::route_target& one) {
+        return one.weight() > 0 && one.service() != item.service.str() &&
+               !crashes_.find_quarantined(
+                   make_part_keys(service_id(one.service()), *item.prompt_parts));
+    };
+    return std::any_of(route->targets().begin(), route->targets().end(), is_sound);
 }
 
 } // namespace cassia::gateway
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -101,8 +101,6 @@
         const bool is_granted = item.trial && trials_.find(*item.trial).endpoint.has_value();
         if (item.upstream_call != call_id() || (now < item.ready_at && !is_granted))
             continue;
-        if (item.wait == item_wait::quarantine && is_retry_deferred(item) && !has_services(item))
-            continue;
         if (item.wait == item_wait::quarantine)
             quarantined.emplace_back(retry_of(item).idle_since, keyed_item.first);
         else
@@ -138,7 +136,7 @@
     return static_cast<std::uint32_t>(
         std::count_if(items_.begin(), items_.end(), [this, &route, now](const auto& keyed_item) {
             const held_item& item = *keyed_item.second;
-            return item.upstream_call == call_id() && now >= item.ready_at && !is_blocked(item) &&
+            return item.upstream_call == call_id() && now >= item.ready_at &&
                    find_route(item) == &route;
         }));
 }
