Tests, comments: one begin of a response, one wait for a request; wording

No check changes: the wait that ended in a check of the item is a check of its own now, and the item is checked behind it.

--- a/include/cassia/gateway/dispatcher.h
+++ b/include/cassia/gateway/dispatcher.h
@@ -119,7 +119,7 @@
     std::size_t queued_calls() const { return queue_.size(); }
 
 private:
-    /// The call whose run is to tell whether a part that was quarantined still crashes endpoints.
+    /// The call whose run shows whether a part that was quarantined still crashes endpoints.
     struct part_retry {
         exchange_id call;
         instant since{};
@@ -141,8 +141,8 @@
     /// Where a suspect may run now, if anywhere.
     std::optional<policy::placement> find_trial_endpoint(online_call& call, instant now);
     void end_trial(online_call& call);
-    /// Whether a run that isn't this call's is to tell whether a part of its prompt, which was
-    /// quarantined, still crashes endpoints.
+    /// Whether another call's run has to show first that a part of its prompt, which was
+    /// quarantined, crashes endpoints no more.
     bool depends_on_retry(online_call& call, instant now);
     static stream_key key_of(online_call& call, std::string_view first_attempt);
     /// The caller has part of the stream: finds out which software began it.
--- a/include/cassia/policy/poison_detector.h
+++ b/include/cassia/policy/poison_detector.h
@@ -127,8 +127,8 @@
     /// Whether a further run alone of a part can prove nothing yet, since too few runs of the
     /// service without it are known to have succeeded.
     bool awaits_control(const fingerprint& part, const service_id& service, instant now) const;
-    /// Whether a part that was quarantined is a suspect: one run with it is to tell whether it
-    /// still crashes endpoints.
+    /// Whether a part that was quarantined is a suspect now: one run with it shows whether it still
+    /// crashes endpoints.
     bool awaits_retry(const fingerprint& cause, instant now) const;
     /// The published record of a request; null if there is none.
     const poison_record* find(const fingerprint& request) const;
--- a/lib/gateway/dispatch_suspects.cpp
+++ b/lib/gateway/dispatch_suspects.cpp
@@ -13,7 +13,7 @@
 namespace {
 // Interval at which a suspect that waits for an endpoint of its own looks for one.
 constexpr milliseconds place_alone_interval(20);
-// A gateway whose coordinators are silent decides by itself within this time.
+// A gateway whose coordinators don't answer decides by itself within this time.
 constexpr milliseconds max_retry_wait(1000);
 // A short run is known to be survived a second after its end, by a report that is sent each 0.2 s.
 constexpr milliseconds retry_result_time(1200);
--- a/unittests/gateway/item_limits_test.cpp
+++ b/unittests/gateway/item_limits_test.cpp
@@ -31,12 +31,7 @@
     event_sender(net::task& owner, endpoint_stub& endpoint, const event_plan& plan)
         : owner_(owner), endpoint_(endpoint), plan_(plan) {
         endpoint.respond = [this](exchange_id id, const net::raw_request& request) {
-            net::raw_head head;
-            head.status = 200;
-            head.fields.add("Cassia-Request-Id", request.fields.find("Cassia-Request-Id"));
-            head.fields.add("Cassia-Stamp", "stamp");
-            head.framing = net::body_framing::chunked;
-            endpoint_.server().begin(id, head);
+            endpoint_.begin_response(id, request);
             const std::string_view last = request.fields.find("Last-Event-Id");
             const std::size_t behind = last.empty() ? 0 : std::stoul(std::string(last));
             resumed_behind.push_back(behind);
--- a/unittests/gateway/item_retries_test.cpp
+++ b/unittests/gateway/item_retries_test.cpp
@@ -23,8 +23,7 @@
 
 } // namespace
 
-// Guards against a gateway that leases nothing more, for any job, as it holds many items that wait
-// for a quarantined part of prompts.
+// Guards against a gateway that leases nothing more as it holds many items of a quarantined part.
 TEST_CASE("many items with a quarantined part keep no others from being leased", "[.][items]") {
     constexpr int blocked = 300;
     runner_fixture fixture;
@@ -42,8 +41,7 @@
     CHECK(fixture.is_received_in_time(endpoint, "a"));
 }
 
-// Guards against items that wait for a part which is quarantined at one service of their route,
-// while another one would run them.
+// Guards against items that wait for a quarantined part of one service while another is idle.
 TEST_CASE("items with a part that is quarantined at one service run at another", "[.][items]") {
     constexpr std::size_t items = 200;
     constexpr std::size_t most_asking = 16;
@@ -52,12 +50,7 @@
     fixture.add_endpoint("first", "v1");
     endpoint_stub& sound = fixture.add_endpoint("second", "v1");
     sound.respond = [&sound](exchange_id id, const net::raw_request& request) {
-        net::raw_head head;
-        head.status = 200;
-        head.fields.add("Cassia-Request-Id", request.fields.find("Cassia-Request-Id"));
-        head.fields.add("Cassia-Stamp", "stamp");
-        head.framing = net::body_framing::chunked;
-        sound.server().begin(id, head);
+        sound.begin_response(id, request);
         sound.server().piece(id, "id: 1\ndata: x\n\n");
         sound.server().end(id);
     };
@@ -73,8 +66,7 @@
     CHECK(fixture.reported.size() >= items - most_asking);
 }
 
-// Guards against a part that stays quarantined while only items that go on behind an event, which
-// can't clear it, are retried.
+// Guards against a part that stays quarantined while only runs that can't clear it are retried.
 TEST_CASE("an item from the start is retried before one that goes on", "[.][items]") {
     runner_fixture fixture;
     fixture.grants_trials = false;
@@ -89,8 +81,6 @@
     fixture.run_for(std::chrono::seconds(1));
     REQUIRE(endpoint.requests() == 0);
     fixture.grants_trials = true;
-    const instant began = monotonic_now();
-    while (endpoint.requests() == 0 && monotonic_now() - began < max_idle_time)
-        fixture.run_for(tick_interval);
+    REQUIRE(fixture.is_requested_in_time(endpoint));
     CHECK(endpoint.has_received("whole"));
 }
--- a/unittests/gateway/item_runner_fixture.h
+++ b/unittests/gateway/item_runner_fixture.h
@@ -97,6 +97,15 @@
     net::raw_server& server() { return server_; }
 
     bool is_silent = false; ///< sends no response
+    /// Begins a success without a stated length.
+    void begin_response(exchange_id id, const net::raw_request& request) {
+        net::raw_head head;
+        head.status = 200;
+        head.fields.add("Cassia-Request-Id", request.fields.find("Cassia-Request-Id"));
+        head.fields.add("Cassia-Stamp", "stamp");
+        head.framing = net::body_framing::chunked;
+        server_.begin(id, head);
+    }
     /// Responds in place of the endpoint, if set.
     std::function<void(exchange_id, const net::raw_request&)> respond;
 
@@ -246,6 +255,13 @@
         task_.run();
     }
     net::task& task() { return task_; }
+    /// Waits until the endpoint gets a request. \returns whether it does in time.
+    bool is_requested_in_time(const endpoint_stub& endpoint) {
+        const instant end = monotonic_now() + max_idle_time;
+        while (monotonic_now() < end && endpoint.requests() == 0)
+            run_for(tick_interval);
+        return endpoint.requests() > 0;
+    }
     bool is_received_in_time(const endpoint_stub& endpoint, const std::string& item) {
         const instant end = monotonic_now() + max_idle_time;
         while (monotonic_now() < end && !endpoint.has_received(item))
--- a/unittests/gateway/item_runner_test.cpp
+++ b/unittests/gateway/item_runner_test.cpp
@@ -243,9 +243,7 @@
     fixture.run_for(std::chrono::seconds(1));
     REQUIRE(endpoint.requests() == 0);
     fixture.grants_trials = true;
-    const instant began = monotonic_now();
-    while (endpoint.requests() == 0 && monotonic_now() - began < max_idle_time)
-        fixture.run_for(tick_interval);
+    REQUIRE(fixture.is_requested_in_time(endpoint));
     CHECK(endpoint.has_received("a"));
 }
 
