Items: each route and work group has its own pace of lease requests

Callers saw: accepted items wait beside idle endpoints as another route has no items, or as one work group has no leader.

Cause: a gateway kept one flag and one time for the requests of all routes and groups. A reply without items delayed the next request of every route by 300 ms, and a group that didn't reply kept all requests of a route waiting for 2.5 s. The class: one time for all, reset by one of them, as with items of quarantined parts.

Change: policy::lease_schedule (pure) keeps the pace by route and group. Groups without items are asked as often as before. Lease requests are closed by group, so that one that doesn't reply doesn't keep the others from taking back what was granted by a lost reply. Requests for items without a route go by the same schedule.

"lease requests of each route reach all work groups" asks the runner which groups it asked; the class that it asked before no longer chooses them.

--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -13,6 +13,7 @@
 #include "cassia/gateway/sse_parser.h"
 #include "cassia/gateway/trial_exchange.h"
 #include "cassia/net/raw_client.h"
+#include "cassia/policy/lease_schedule.h"
 #include "cassia/policy/slot_table.h"
 #include "cassia/routes/table.h"
 #include "cassia/schema/messages.pb.h"
@@ -42,10 +43,11 @@
     using lease_done = std::function<void(const std::vector<schema::leased_item>&)>;
     using report_done = std::function<void(bool durable)>;
 
-    /// Requests leases of at most `limit` items of a batch route.
-    std::function<void(const std::string& route, std::uint32_t limit, lease_done)> lease;
+    /// Requests leases of at most `limit` items of a batch route from a work group.
+    std::function<void(const std::string& route, const group_id&, std::uint32_t limit, lease_done)>
+        lease;
     /// Requests leases of items whose routes the gateway's table of routes lacks.
-    std::function<void(const schema::unrouted_want&, lease_done)> lease_unrouted;
+    std::function<void(const schema::unrouted_want&, const group_id&, lease_done)> lease_unrouted;
     /// Reports the ends and the progress of items to the keepers; `report_done` tells whether all
     /// of it was stored. If not, the runner reports it again.
     std::function<void(const schema::items_end&, report_done)> report;
@@ -70,6 +72,8 @@
     /// \param bytes that the texts of all items may take; 0: as many as they need.
     void set_memory_share(std::uint64_t bytes) { memory_share_ = bytes; }
     void set_routes(std::shared_ptr<const routes::table> table);
+    /// \param groups that hold the jobs; one unless set.
+    void set_work_groups(std::uint32_t groups) { leases_ = policy::lease_schedule(groups); }
     /// \param gateways of the fleet, which share the requests for items without a route.
     void set_fleet_size(std::size_t gateways) { fleet_size_ = gateways; }
     void tick(instant now, wall_time wall);
@@ -110,6 +114,8 @@
     static bool is_blocked(const held_item& item);
     bool is_window_full() const;
     void request_leases(instant now);
+    void request_lease(const std::string& route, const group_id& group, std::uint32_t limit,
+                       instant now);
     /// Items held that wait for a slot or their route.
     std::uint32_t count_startable() const;
     /// Removed routes leave items that no gateway asks for by the name of their route.
@@ -245,18 +251,15 @@
     schema::items_end unsent_ends_;    ///< ends and saves of progress
     schema::items_end ends_in_flight_; ///< sent, but not yet durable
     bool report_in_flight_ = false;
-    bool lease_in_flight_ = false;
+    policy::lease_schedule leases_{1};
     milliseconds lease_time_{0}; ///< that leases took of late
-    instant next_lease_at_{};
-    std::string lease_pause_; ///< why no leases are requested; empty while they are
+    std::string lease_pause_;    ///< why no leases are requested; empty while they are
     instant lease_pause_since_{};
     instant lease_pause_logged_at_{};
     instant next_quarantine_log_at_{};
     instant next_retry_choice_at_{};
     instant wait_lines_since_{};
     std::size_t wait_lines_left_ = 0; ///< that may be logged until the interval is over
-    bool unrouted_in_flight_ = false;
-    instant next_unrouted_at_{};
     std::size_t fleet_size_ = 1;
     std::map<route_key, instant> routes_missing_since_;
     bool shutting_down_ = false;
--- a/include/cassia/gateway/service.h
+++ b/include/cassia/gateway/service.h
@@ -99,12 +99,12 @@
     void set_routes(std::shared_ptr<const routes::table> table);
     /// \param holder of the slot; empty for this gateway.
     void request_yield(const entry_id& holder, const endpoint_id& endpoint);
-    void lease(const std::string& route, std::uint32_t limit,
+    void lease(const std::string& route, const group_id& group, std::uint32_t limit,
                const item_runner_hooks::lease_done& done);
     /// Leases items of routes that the table of routes lacks.
-    void lease_unrouted(const schema::unrouted_want& want,
+    void lease_unrouted(const schema::unrouted_want& want, const group_id& group,
                         const item_runner_hooks::lease_done& done);
-    void send_lease(schema::lease_request lease, const std::string& route,
+    void send_lease(schema::lease_request lease, const group_id& group,
                     const item_runner_hooks::lease_done& done);
     /// Reports to the leaders which items are held and which lease requests are closed.
     void send_held_items();
--- a/lib/gateway/held_item.h
+++ b/lib/gateway/held_item.h
@@ -23,6 +23,9 @@
 /// another one takes up to 8 s to lease and run it, and it has to run within 20 s of its last run.
 inline constexpr milliseconds barred_item_interval(12000);
 
+/// In place of a route's name, for requests for items of routes that this gateway lacks.
+inline const std::string unrouted;
+
 /// Why an item that is held doesn't run.
 enum class item_wait {
     none,       ///< it runs, or hasn't been looked at yet
--- a/lib/gateway/item_leases.cpp
+++ b/lib/gateway/item_leases.cpp
@@ -25,7 +25,7 @@
 // Interval at which the progress of running items is saved. If the gateway crashes, what came after
 // is run again.
 constexpr milliseconds progress_interval(2000);
-// Interval after a reply without items; longer, because each request costs the leader time.
+// Interval of requests that are granted no items; longer, because each costs the leader time.
 constexpr milliseconds lease_interval_idle(300);
 // Interval of requests for items without a route, and its part for each gateway of the fleet.
 constexpr milliseconds unrouted_interval(1000);
@@ -88,40 +88,48 @@
 // Requests a few items at a time: all gateways see the same free slots, and together they would
 // lease many times as many items as there are slots.
 void item_runner::request_leases(instant now) {
-    if (shutting_down_ || lease_in_flight_ || !routes_ || now < next_lease_at_)
+    if (shutting_down_ || !routes_)
+        return;
+    std::vector<std::pair<const schema::route*, group_id>> due;
+    for (const schema::route* route : routes_->of_kind(schema::route::batch)) {
+        if (const std::optional<group_id> group = leases_.next(route->name(), now))
+            due.emplace_back(route, *group);
+    }
+    if (due.empty())
         return;
     if (is_window_full()) {
         note_lease_pause("window_full", now);
         return;
     }
     std::string pause;
-    for (const schema::route* route : routes_->of_kind(schema::route::batch)) {
-        const std::uint32_t ready_items = count_ready(*route, now);
-        if (ready_items >= max_ready_items) {
-            pause = "items_wait_for_slots";
+    bool requested = false;
+    for (const std::pair<const schema::route*, group_id>& one : due) {
+        const schema::route& route = *one.first;
+        const std::uint32_t ready_items = count_ready(route, now);
+        const std::uint32_t free_slots = batch_capacity(route, now);
+        const std::uint32_t window = lease_window(free_slots);
+        if (ready_items >= max_ready_items || free_slots == 0) {
+            pause = free_slots == 0 ? "no_free_slot" : "items_wait_for_slots";
+            leases_.pause(route.name(), lease_interval, now);
             continue;
         }
-        const std::uint32_t free_slots = batch_capacity(*route, now);
-        const std::uint32_t limit = std::min(free_slots, lease_window(free_slots) - ready_items);
-        if (limit == 0) {
-            pause = "no_free_slot";
-            continue;
-        }
-        lease_in_flight_ = true;
-        hooks_.lease(route->name(), limit,
-                     [this, now](const std::vector<schema::leased_item>& items) {
-                         lease_in_flight_ = false;
-                         if (!items.empty())
-                             note_lease_time(
-                                 std::chrono::duration_cast<milliseconds>(monotonic_now() - now));
-                         next_lease_at_ = monotonic_now() +
-                                          (items.empty() ? lease_interval_idle : milliseconds(0));
-                         add_leased(items);
-                     });
+        request_lease(route.name(), one.second, std::min(free_slots, window - ready_items), now);
+        requested = true;
     }
-    note_lease_pause(lease_in_flight_ ? "" : pause, now);
-    if (!lease_in_flight_)
-        next_lease_at_ = now + lease_interval;
+    note_lease_pause(requested ? "" : pause, now);
+}
+
+void item_runner::request_lease(const std::string& route, const group_id& group,
+                                std::uint32_t limit, instant now) {
+    leases_.begin(route, group, now);
+    const auto on_reply = [this, route, group, now](const std::vector<schema::leased_item>& items) {
+        const instant replied_at = monotonic_now();
+        if (!items.empty())
+            note_lease_time(std::chrono::duration_cast<milliseconds>(replied_at - now));
+        leases_.end(route, group, !items.empty(), lease_interval_idle, replied_at);
+        add_leased(items);
+    };
+    hooks_.lease(route, group, limit, on_reply);
 }
 
 std::uint32_t item_runner::count_startable() const {
@@ -136,24 +144,26 @@
 
 // Each gateway asks less often in a large fleet, so that the leaders get as many requests.
 void item_runner::request_unrouted(instant now) {
-    if (shutting_down_ || unrouted_in_flight_ || !routes_ || now < next_unrouted_at_ ||
-        is_window_full() || count_startable() >= max_unrouted_items)
+    if (shutting_down_ || !routes_)
+        return;
+    const std::optional<group_id> group = leases_.next(unrouted, now);
+    if (!group || is_window_full() || count_startable() >= max_unrouted_items)
         return;
     schema::unrouted_want want;
     want.set_routes_version(routes_->version());
     want.set_limit(max_unrouted_items);
     for (const schema::route* route : routes_->of_kind(schema::route::batch))
         want.add_known(route->name());
-    unrouted_in_flight_ = true;
-    hooks_.lease_unrouted(want, [this](const std::vector<schema::leased_item>& items) {
-        unrouted_in_flight_ = false;
-        next_unrouted_at_ =
-            monotonic_now() +
-            (items.empty()
-                 ? std::max<milliseconds>(unrouted_interval, unrouted_interval_each * fleet_size_)
-                 : lease_interval);
+    leases_.begin(unrouted, *group, now);
+    const auto on_reply = [this, group](const std::vector<schema::leased_item>& items) {
+        const instant replied_at = monotonic_now();
+        leases_.end(unrouted, *group, !items.empty(),
+                    std::max<milliseconds>(unrouted_interval, unrouted_interval_each * fleet_size_),
+                    replied_at);
+        leases_.pause(unrouted, lease_interval, replied_at);
         add_leased(items);
-    });
+    };
+    hooks_.lease_unrouted(want, *group, on_reply);
 }
 
 // An operator may put a route back that was removed by mistake.
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -42,6 +42,10 @@
         const route_key& key = missing.first;
         return find_route(key.name, key.host, key.prefix) != nullptr;
     });
+    std::set<std::string> names{unrouted};
+    for (const schema::route* route : routes_->of_kind(schema::route::batch))
+        names.insert(route->name());
+    leases_.keep_only(names);
 }
 
 std::size_t item_runner::running() const {
--- a/lib/gateway/lease_requests.cpp
+++ b/lib/gateway/lease_requests.cpp
@@ -1,19 +1,19 @@
 #include "cassia/gateway/lease_requests.h"
 
+#include <algorithm>
+
 namespace cassia::gateway {
 
-std::uint64_t lease_requests::open() {
-    open_.insert(++last_);
+std::uint64_t lease_requests::open(const group_id& group) {
+    open_[++last_] = group;
     return last_;
 }
 
-// Routes that are asked for in turn would reach only a part of the groups by one common counter.
-group_id lease_requests::next_group(const std::string& route, std::uint32_t groups) {
-    return group_id(1 + requests_of_[route]++ % groups);
-}
-
-std::uint64_t lease_requests::closed() const {
-    return open_.empty() ? last_ : *open_.begin() - 1;
+std::uint64_t lease_requests::closed(const group_id& group) const {
+    const auto first = std::find_if(open_.begin(), open_.end(), [&group](const auto& request) {
+        return request.second == group;
+    });
+    return first == open_.end() ? last_ : first->first - 1;
 }
 
 } // namespace cassia::gateway
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -114,13 +114,13 @@
     dispatcher_->set_request_tokens_reader(hooks_.read_request_tokens);
     dispatcher_->set_flow_control(flow_.get());
     item_runner_hooks item_callbacks;
-    item_callbacks.lease = [this](const std::string& route, std::uint32_t limit,
-                                  const item_runner_hooks::lease_done& done) {
-        lease(route, limit, done);
+    item_callbacks.lease = [this](const std::string& route, const group_id& group,
+                                  std::uint32_t limit, const item_runner_hooks::lease_done& done) {
+        lease(route, group, limit, done);
     };
-    item_callbacks.lease_unrouted = [this](const schema::unrouted_want& want,
+    item_callbacks.lease_unrouted = [this](const schema::unrouted_want& want, const group_id& group,
                                            const item_runner_hooks::lease_done& done) {
-        lease_unrouted(want, done);
+        lease_unrouted(want, group, done);
     };
     item_callbacks.report = [this](const schema::items_end& ends,
                                    const item_runner_hooks::report_done& done) {
@@ -128,6 +128,7 @@
     };
     items_ = std::make_unique<item_runner>(*client_, slots_, *crashes_, *trials_, metrics_, names_,
                                            settings_.batch_window(), std::move(item_callbacks));
+    items_->set_work_groups(settings_.cluster().work_groups());
     items_->set_memory_share(settings_.memory_mib() * bytes_in_mib / item_memory_parts);
     items_->set_prompt_parts_reader(hooks_.read_prompt_parts);
     items_->set_request_tokens_reader(hooks_.read_request_tokens);
--- a/lib/gateway/service_items.cpp
+++ b/lib/gateway/service_items.cpp
@@ -15,27 +15,26 @@
 constexpr milliseconds lease_timeout(2500);
 } // namespace
 
-void service::lease(const std::string& route, std::uint32_t limit,
+void service::lease(const std::string& route, const group_id& group, std::uint32_t limit,
                     const item_runner_hooks::lease_done& done) {
     schema::lease_request request;
     schema::lease_want* want = request.add_wants();
     want->set_service(route);
     want->set_limit(limit);
-    send_lease(std::move(request), route, done);
+    send_lease(std::move(request), group, done);
 }
 
-void service::lease_unrouted(const schema::unrouted_want& want,
+void service::lease_unrouted(const schema::unrouted_want& want, const group_id& group,
                              const item_runner_hooks::lease_done& done) {
     schema::lease_request request;
     *request.mutable_unrouted() = want;
-    send_lease(std::move(request), "", done);
+    send_lease(std::move(request), group, done);
 }
 
-void service::send_lease(schema::lease_request lease, const std::string& route,
+void service::send_lease(schema::lease_request lease, const group_id& group,
                          const item_runner_hooks::lease_done& done) {
     schema::keeper_request request;
-    const std::uint64_t number = lease_requests_.open();
-    const group_id group = lease_requests_.next_group(route, settings_.cluster().work_groups());
+    const std::uint64_t number = lease_requests_.open(group);
     request.set_group(static_cast<std::uint32_t>(group.value()));
     lease.set_holder(cluster_->lease_holder());
     lease.set_number(number);
@@ -68,7 +67,7 @@
                 group_id(group))
                 *part.add_jobs() = job;
         }
-        part.set_closed_requests(lease_requests_.closed());
+        part.set_closed_requests(lease_requests_.closed(group_id(group)));
         cluster_->send_held_items(std::move(part), group_id(group));
     }
 }
--- a/unittests/gateway/item_keeper.h
+++ b/unittests/gateway/item_keeper.h
@@ -214,11 +214,11 @@
     }
     item_runner_hooks item_hooks(item_keeper& keeper) {
         item_runner_hooks hooks;
-        hooks.lease = [this, &keeper](const std::string&, std::uint32_t limit,
+        hooks.lease = [this, &keeper](const std::string&, const group_id&, std::uint32_t limit,
                                       const item_runner_hooks::lease_done& done) {
             keeper.lease(name, limit, done);
         };
-        hooks.lease_unrouted = [](const schema::unrouted_want&,
+        hooks.lease_unrouted = [](const schema::unrouted_want&, const group_id&,
                                   const item_runner_hooks::lease_done& done) { done({}); };
         hooks.report = [this, &keeper](const schema::items_end& ends,
                                        const item_runner_hooks::report_done& done) {
--- a/unittests/gateway/item_retries_test.cpp
+++ b/unittests/gateway/item_retries_test.cpp
@@ -49,11 +49,7 @@
     fixture.grants_trials = false;
     fixture.add_endpoint("first", "v1");
     endpoint_stub& sound = fixture.add_endpoint("second", "v1");
-    sound.respond = [&sound](exchange_id id, const net::raw_request& request) {
-        sound.begin_response(id, request);
-        sound.server().piece(id, "id: 1\ndata: x\n\n");
-        sound.server().end(id);
-    };
+    sound.complete_items();
     fixture.runner.set_routes(make_routes(1, {{"jobs", {"first", "second"}}}));
     fixture.quarantine_part("first", prompt_part_id("bad"));
     fixture.runner.set_prompt_parts_reader(read_part);
--- a/unittests/gateway/item_runner_fixture.h
+++ b/unittests/gateway/item_runner_fixture.h
@@ -33,6 +33,8 @@
 constexpr milliseconds min_barred_time(12000);
 constexpr milliseconds tick_interval(20);
 constexpr milliseconds lease_time(200);
+// From a request to a group that doesn't reply until it is given up.
+constexpr milliseconds silent_lease_time(2500);
 constexpr std::uint32_t slots_per_endpoint = 4;
 
 /// Loopback addresses of this process, so that several may run at once.
@@ -106,6 +108,14 @@
         head.framing = net::body_framing::chunked;
         server_.begin(id, head);
     }
+    /// Completes each item at once.
+    void complete_items() {
+        respond = [this](exchange_id id, const net::raw_request& request) {
+            begin_response(id, request);
+            server_.piece(id, "id: 1\ndata: x\n\n");
+            server_.end(id);
+        };
+    }
     /// Responds in place of the endpoint, if set.
     std::function<void(exchange_id, const net::raw_request&)> respond;
 
@@ -222,16 +232,16 @@
     void quarantine_part(const std::string& service, const prompt_part_id& part) {
         runner.set_prompt_parts_reader(
             [part](const net::http_fields&) { return std::vector<prompt_part_id>{part}; });
-        schema::poison_news news;
-        schema::poison_record& record = *news.add_records();
-        record.set_fingerprint(make_part_keys(service_id(service), {part}).front().str());
-        record.set_version(3);
-        record.set_verdict(static_cast<std::uint32_t>(policy::request_verdict::quarantined));
-        record.set_quarantine_left_ms(60000);
-        record.set_log_odds(1);
-        record.set_crashes(3);
-        record.set_all_crashes(3);
-        record.set_is_part(true);
+        schema::poison_news news = make_part_record(service, part);
+        news.mutable_records(0)->set_verdict(
+            static_cast<std::uint32_t>(policy::request_verdict::quarantined));
+        news.mutable_records(0)->set_quarantine_left_ms(60000);
+        crashes_.receive(news);
+    }
+    /// The part of which items were quarantined crashes nothing any more.
+    void clear_part(const std::string& service, const prompt_part_id& part) {
+        schema::poison_news news = make_part_record(service, part);
+        news.mutable_records(0)->set_version(4);
         crashes_.receive(news);
     }
     void judge(const schema::leased_item& leased, policy::request_verdict verdict,
@@ -270,6 +280,18 @@
     }
 
 private:
+    static schema::poison_news make_part_record(const std::string& service,
+                                                const prompt_part_id& part) {
+        schema::poison_news news;
+        schema::poison_record& record = *news.add_records();
+        record.set_fingerprint(make_part_keys(service_id(service), {part}).front().str());
+        record.set_version(3);
+        record.set_log_odds(1);
+        record.set_crashes(3);
+        record.set_all_crashes(3);
+        record.set_is_part(true);
+        return news;
+    }
     void publish() {
         slots_.set_endpoints(listed_);
         crashes_.set_endpoints(listed_);
@@ -301,8 +323,13 @@
     }
     item_runner_hooks item_hooks() {
         item_runner_hooks hooks;
-        hooks.lease = [this](const std::string& route, std::uint32_t limit,
+        hooks.lease = [this](const std::string& route, const group_id& group, std::uint32_t limit,
                              const item_runner_hooks::lease_done& done) {
+            leased_groups[route].insert(group);
+            if (group == silent_group) {
+                task_.after(silent_lease_time, [done] { done({}); });
+                return;
+            }
             std::vector<schema::leased_item> granted;
             const std::string prefix = "/" + route + "/";
             for (auto item = offered_.begin(); item != offered_.end();) {
@@ -313,10 +340,9 @@
                     ++item;
                 }
             }
-            leased_routes.push_back(route);
             task_.after(lease_delay, [done, granted] { done(granted); });
         };
-        hooks.lease_unrouted = [this](const schema::unrouted_want& want,
+        hooks.lease_unrouted = [this](const schema::unrouted_want& want, const group_id&,
                                       const item_runner_hooks::lease_done& done) {
             const std::set<std::string> known(want.known().begin(), want.known().end());
             std::vector<schema::leased_item> granted;
@@ -353,10 +379,11 @@
     std::vector<schema::leased_item> offered_;
 
 public:
-    bool grants_trials = true;              ///< endpoints are chosen for runs of suspects
-    milliseconds lease_delay{0};            ///< of the replies to lease requests
-    std::vector<std::string> leased_routes; ///< of each lease request
-    std::set<std::string> reported;         ///< jobs of the items whose end was reported
+    bool grants_trials = true;   ///< endpoints are chosen for runs of suspects
+    milliseconds lease_delay{0}; ///< of the replies to lease requests
+    group_id silent_group;       ///< replies late, and grants nothing
+    std::map<std::string, std::set<group_id>> leased_groups; ///< that each route asked
+    std::set<std::string> reported; ///< jobs of the items whose end was reported
     std::map<std::string, schema::item_status> statuses; ///< the latest, by job
     std::map<std::string, std::string> texts;            ///< the latest, by job
     item_runner runner;
--- a/unittests/gateway/item_runner_test.cpp
+++ b/unittests/gateway/item_runner_test.cpp
@@ -2,8 +2,6 @@
 
 #include "item_runner_fixture.h"
 
-#include "cassia/gateway/lease_requests.h"
-
 #include <algorithm>
 #include <cstdint>
 #include <functional>
@@ -286,14 +284,11 @@
     fixture.add_endpoint("first", "v1");
     fixture.add_endpoint("second", "v1");
     fixture.runner.set_routes(make_routes(1, {{"early", {"first"}}, {"late", {"second"}}}));
-    fixture.run_for(max_idle_time);
     constexpr std::uint32_t groups = 4;
-    std::map<std::string, std::set<group_id>> groups_of;
-    lease_requests requests;
-    for (const std::string& route : fixture.leased_routes)
-        groups_of[route].insert(requests.next_group(route, groups));
-    CHECK(groups_of["early"].size() == groups);
-    CHECK(groups_of["late"].size() == groups);
+    fixture.runner.set_work_groups(groups);
+    fixture.run_for(max_idle_time);
+    CHECK(fixture.leased_groups["early"].size() == groups);
+    CHECK(fixture.leased_groups["late"].size() == groups);
 }
 
 // Guards against items that wait beside idle endpoints since each lease waits for slow disks.
