Suspects: services share what a gateway asks for

Callers saw: suspected requests and items of a service with idle endpoints aren't run while 64 suspects of another service, which has no free endpoint, wait.

Cause: a gateway asks for 64 runs of a kind at most, whichever service they are of; those that can't be granted keep their places.

Change: a service may ask for its share of 64, by the services that ask. One that comes later gets its share at once, beside the ones that are open, so that a gateway asks for 128 and one of each further service at most.

Before: a suspect of an idle service beside 64 others isn't asked for, online and items; now it is granted at the next look, with 20 other services of 200 each.

--- a/include/cassia/gateway/trial_exchange.h
+++ b/include/cassia/gateway/trial_exchange.h
@@ -67,7 +67,8 @@
 
     trial_id make_id(const fingerprint& item);
     /// Whether a further run of this cause may be asked for.
-    bool may_ask(const fingerprint& request, policy::work_kind kind, bool is_retry) const;
+    bool may_ask(const fingerprint& request, const service_id& service, policy::work_kind kind,
+                 bool is_retry) const;
     void send(const entry_id& to, const schema::poison_news& news);
     void ask(asked_trial& trial, instant now);
     void answer(const policy::trial_key& key, const std::optional<policy::trial_grant>& grant);
--- a/lib/gateway/trial_exchange.cpp
+++ b/lib/gateway/trial_exchange.cpp
@@ -15,7 +15,10 @@
 constexpr milliseconds repeat_interval(100);
 constexpr milliseconds answer_timeout(400);
 constexpr std::size_t max_coordinators_tried = 2;
-constexpr std::size_t max_asked = 64; // of requests, of items, and of those with quarantined parts
+// Of requests, of items, and of items with quarantined parts. Services share it, and one that comes
+// later has its share at once.
+constexpr std::size_t max_asked = 64;
+constexpr std::size_t max_asked_of_late_services = 64;
 constexpr std::size_t max_items_of_cause = 16;
 constexpr milliseconds long_wait(1000);
 constexpr milliseconds wait_log_interval(5000);
@@ -29,7 +32,7 @@
                                               policy::work_kind kind,
                                               const std::optional<policy::retry_history>& retry,
                                               const fingerprint& item) {
-    if (!may_ask(request, kind, retry.has_value()))
+    if (!may_ask(request, service, kind, retry.has_value()))
         return std::nullopt;
     const trial_id id = make_id(item);
     asked_trial& trial = asked_[id];
@@ -48,18 +51,25 @@
 
 // One run decides for all requests that wait for it. An accepted item has to run in time, and the
 // schedule knows how long it has waited only if it is asked for.
-bool trial_exchange::may_ask(const fingerprint& request, policy::work_kind kind,
-                             bool is_retry) const {
+bool trial_exchange::may_ask(const fingerprint& request, const service_id& service,
+                             policy::work_kind kind, bool is_retry) const {
+    std::map<service_id, std::size_t> of_services{{service, 0}};
     std::size_t of_kind = 0;
     std::size_t of_cause = 0;
     for (const std::pair<const trial_id, asked_trial>& one : asked_) {
-        const bool is_same_kind =
-            one.second.request.kind == kind && one.second.request.retry.has_value() == is_retry;
-        of_kind += is_same_kind ? 1 : 0;
-        of_cause += is_same_kind && one.second.request.request == request ? 1 : 0;
+        const policy::trial_request& asked = one.second.request;
+        if (asked.kind != kind || asked.retry.has_value() != is_retry)
+            continue;
+        ++of_kind;
+        ++of_services[asked.service];
+        of_cause += asked.request == request ? 1 : 0;
     }
     const bool is_item = kind == policy::work_kind::batch;
-    return of_kind < max_asked && of_cause < (is_item ? max_items_of_cause : 1);
+    if (of_cause >= (is_item ? max_items_of_cause : 1))
+        return false;
+    const std::size_t of_service = of_services[service];
+    return of_service == 0 || (of_service < max_asked / of_services.size() &&
+                               of_kind < max_asked + max_asked_of_late_services);
 }
 
 void trial_exchange::set_cause(trial_id id, const fingerprint& cause,
--- a/unittests/gateway/trial_exchange_test.cpp
+++ b/unittests/gateway/trial_exchange_test.cpp
@@ -71,6 +71,41 @@
     CHECK(std::all_of(items.begin(), items.end(), has_begun));
 }
 
+// Guards against suspects that never run as those of a service without endpoints wait.
+TEST_CASE("suspects of one service don't keep those of others from running", "[trials]") {
+    constexpr std::size_t waiting = 200;
+    constexpr std::size_t services = 20;
+    constexpr std::size_t most_asked = 150; // few enough for the coordinator's table
+    const entry_id self("gateway");
+    trial_exchange_hooks hooks;
+    hooks.coordinators = [&self] { return std::vector<entry_id>{self}; };
+    hooks.choose_endpoint = [](const policy::trial_request& request, const std::set<endpoint_id>&) {
+        std::optional<endpoint_id> found;
+        if (request.service == service_id("idle"))
+            found = endpoint_id("e");
+        return policy::trial_schedule::choice{found, 4};
+    };
+    for (const policy::work_kind kind : {policy::work_kind::online, policy::work_kind::batch}) {
+        trial_exchange trials(self, hooks);
+        std::size_t asked = 0;
+        for (std::size_t service = 0; service < services; ++service) {
+            for (std::size_t i = 0; i < waiting; ++i) {
+                const std::string name = std::to_string(service);
+                asked += trials.begin(fingerprint(name + "/" + std::to_string(i)), service_id(name),
+                                      {}, kind)
+                             ? 1
+                             : 0;
+            }
+        }
+        CHECK(asked <= most_asked);
+        const std::optional<trial_id> sound =
+            trials.begin(fingerprint("sound"), service_id("idle"), {}, kind);
+        REQUIRE(sound);
+        trials.tick();
+        CHECK(trials.find(*sound).endpoint);
+    }
+}
+
 // Guards against a gateway that starts again and is granted what its earlier process asked for.
 TEST_CASE("a process doesn't number its runs as the one before did", "[trials]") {
     const entry_id self("gateway");
