--- a/lib/gateway/held_item.h
+++ b/lib/gateway/held_item.h
@@ -70,6 +70,7 @@
     instant alone_until{};           ///< end of the last run alone
     /// Nothing was received in its last run, whose endpoint may have ended before it began.
     bool may_not_have_run = false;
+    bool unread_alone = false; ///< that run was alone, as a suspect
     int status = 0;       ///< of the response that is being received
     bool not_run = false; ///< the response says that the item was not run
 
--- a/unittests/gateway/item_runner_test.cpp
+++ b/unittests/gateway/item_runner_test.cpp
@@ -224,6 +224,27 @@
     CHECK_FALSE(wait_for_requests(3));
 }
 
+// Guards against an item that is idle for twice as long since nothing ran it, before it was known
+// to be a suspect.
+TEST_CASE("an item that was sent to an ended endpoint and is quarantined is sent again soon",
+          "[.][quarantined_item]") {
+    runner_fixture fixture;
+    endpoint_stub& endpoint = fixture.add_endpoint("first", "v1");
+    endpoint.respond = [&endpoint](exchange_id id, const net::raw_request&) {
+        endpoint.server().abort(id);
+    };
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
+    const schema::leased_item item = fixture.make_item("a", "jobs", 1);
+    fixture.offer(item);
+    REQUIRE(fixture.is_requested_in_time(endpoint));
+    fixture.quarantine(item);
+    const std::size_t requests = endpoint.requests();
+    const instant end = monotonic_now() + max_idle_time;
+    while (monotonic_now() < end && endpoint.requests() == requests)
+        fixture.run_for(tick_interval);
+    CHECK(endpoint.requests() > requests);
+}
+
 // Guards against an item that waits for a quarantined part behind those that ran after it, as
 // another gateway held it before.
 TEST_CASE("an item of another gateway asks for its retry before later ones", "[.][items]") {
