Items: those that wait for a slot keep none of another service from being leased

Callers saw: items of an idle service aren't run while a gateway holds some hundred items of another one, whose quarantined part was just cleared and whose slots are full.

Cause: items that wait for a quarantined part don't count against what a gateway leases; once the part is cleared they all do, and the window is full until they have run.

Change: items that wait for a slot count as those that wait for a run.

--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -110,7 +110,7 @@
         friend auto operator<=>(const route_key&, const route_key&) = default;
     };
 
-    /// Whether it is a suspect, or quarantined, and waits for a run.
+    /// Whether it waits for what only items like it need: a run as a suspect, or a slot.
     static bool is_blocked(const held_item& item);
     bool is_window_full() const;
     void request_leases(instant now);
--- a/lib/gateway/item_leases.cpp
+++ b/lib/gateway/item_leases.cpp
@@ -43,8 +43,10 @@
     return sum;
 }
 
+// Those that wait for a slot keep only their own route from being leased.
 bool item_runner::is_blocked(const held_item& item) {
-    return item.wait == item_wait::trial || item.wait == item_wait::quarantine;
+    return item.wait == item_wait::trial || item.wait == item_wait::quarantine ||
+           item.wait == item_wait::slot;
 }
 
 // Items that may not run yet use no slot, and must not keep others from being leased.
--- a/unittests/gateway/item_retries_test.cpp
+++ b/unittests/gateway/item_retries_test.cpp
@@ -80,3 +80,27 @@
     REQUIRE(fixture.is_requested_in_time(endpoint));
     CHECK(endpoint.has_received("whole"));
 }
+
+// Guards against a gateway that leases nothing for an idle service as items whose part was cleared
+// wait for slots of another one.
+TEST_CASE("items of a cleared part keep none of another service from being leased", "[.][items]") {
+    constexpr std::size_t blocked = 48; // three windows of the fixture
+    runner_fixture fixture;
+    fixture.grants_trials = false;
+    fixture.add_endpoint("first", "v1");
+    endpoint_stub& idle = fixture.add_endpoint("second", "v1");
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}, {"others", {"second"}}}));
+    fixture.quarantine_part("first", prompt_part_id("bad"));
+    for (std::size_t i = 0; i < blocked; ++i)
+        fixture.offer(fixture.make_item("q" + std::to_string(i), "jobs", 1));
+    const instant began = monotonic_now();
+    while (fixture.runner.size() < blocked && monotonic_now() - began < max_untried_time)
+        fixture.run_for(tick_interval);
+    REQUIRE(fixture.runner.size() == blocked);
+    fixture.use_slots(endpoint_id("e1"), slots_per_endpoint);
+    fixture.run_for(lease_time);
+    fixture.clear_part("first", prompt_part_id("bad"));
+    fixture.run_for(lease_time);
+    fixture.offer(fixture.make_item("a", "others", 1));
+    CHECK(fixture.is_received_in_time(idle, "a"));
+}
