--- a/include/cassia/gateway/item_runner.h
+++ b/include/cassia/gateway/item_runner.h
@@ -144,6 +144,7 @@
     void end_trial(held_item& item);
     /// Chooses the items that ask for a retry of a quarantined part.
     void choose_retries(instant now);
+    bool is_run_granted(const held_item& item) const;
     /// Whether it waits for a quarantined part and doesn't ask for a retry.
     bool is_retry_deferred(const held_item& item) const;
     /// Whether its route has another service, at which no part of its prompt is quarantined.
--- a/lib/gateway/item_retries.cpp
+++ b/lib/gateway/item_retries.cpp
@@ -59,9 +59,12 @@
     }
 }
 
+bool item_runner::is_run_granted(const held_item& item) const {
+    return item.trial && trials_.find(*item.trial).endpoint.has_value();
+}
+
 bool item_runner::is_retry_deferred(const held_item& item) const {
-    const bool is_granted = item.trial && trials_.find(*item.trial).endpoint.has_value();
-    return item.retried_part != fingerprint() && !item.asks_for_retry && !is_granted;
+    return item.retried_part != fingerprint() && !item.asks_for_retry && !is_run_granted(item);
 }
 
 bool item_runner::may_run_elsewhere(const held_item& item) const {
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -102,8 +102,7 @@
     choose_retries(now);
     for (const std::pair<const item_key, std::unique_ptr<held_item>>& keyed_item : items_) {
         const held_item& item = *keyed_item.second;
-        const bool is_granted = item.trial && trials_.find(*item.trial).endpoint.has_value();
-        if (item.upstream_call != call_id() || (now < item.ready_at && !is_granted))
+        if (item.upstream_call != call_id() || (now < item.ready_at && !is_run_granted(item)))
             continue;
         if (item.wait == item_wait::quarantine)
             quarantined.emplace_back(retry_of(item).idle_since, keyed_item.first);
@@ -180,7 +179,10 @@
     if (item.last_event > 0 && !may_go_on(item, *route))
         begin_anew(item, "version_gone");
     std::optional<policy::placement> placement = place(item, *route, now);
-    if (!placement && item.last_event > 0 && !(item.runs_alone && has_room_at_version(item, now))) {
+    // An item that doesn't ask for a run needs no room, and keeps its events.
+    const bool only_waits_for_run =
+        item.runs_alone && (is_retry_deferred(item) || has_room_at_version(item, now));
+    if (!placement && item.last_event > 0 && !only_waits_for_run) {
         if (waits_for_version(item, now)) {
             set_wait(item, item_wait::version);
             return true;
--- a/unittests/gateway/item_retries_test.cpp
+++ b/unittests/gateway/item_retries_test.cpp
@@ -104,3 +104,29 @@
     fixture.offer(fixture.make_item("a", "others", 1));
     CHECK(fixture.is_received_in_time(idle, "a"));
 }
+
+// Guards against an item that can run at any version and never asks, as those that go on at a busy
+// one ask first.
+TEST_CASE("items of a busy version leave others with their part to ask", "[.][items]") {
+    constexpr std::size_t resumed_items = 160;
+    runner_fixture fixture;
+    fixture.grants_trials = false;
+    fixture.add_endpoint("first", "v1");
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
+    fixture.quarantine_part("first", prompt_part_id("bad"));
+    for (std::size_t i = 0; i < resumed_items; ++i) {
+        schema::leased_item resumed = fixture.make_item("r" + std::to_string(i), "jobs", 1);
+        runner_fixture::add_progress(resumed, "first", "v1");
+        fixture.offer(resumed);
+    }
+    fixture.offer(fixture.make_item("a", "jobs", resumed_items));
+    const instant began = monotonic_now();
+    while (fixture.runner.size() <= resumed_items && monotonic_now() - began < max_untried_time)
+        fixture.run_for(tick_interval);
+    REQUIRE(fixture.runner.size() == resumed_items + 1);
+    fixture.use_slots(endpoint_id("e1"), slots_per_endpoint);
+    fixture.run_for(lease_time);
+    endpoint_stub& idle = fixture.add_endpoint("first", "v2");
+    fixture.grants_trials = true;
+    CHECK(fixture.is_received_in_time(idle, "a"));
+}
