--- a/test/scenarios/platform_stop_late_requests.lua
+++ b/test/scenarios/platform_stop_late_requests.lua
@@ -60,7 +60,7 @@
   send_mixed(stopped, "stop")
   -- New connections are refused later.
   if now() < stop_at + 3200 then send_mixed(stopped, "stop", math.random(200, 2900)) end
-  sleep(50)
+  sleep(25)
 end
 local lasted = now() - stop_at
 sleep(500)
@@ -99,5 +99,5 @@
   failed, unanswered, #cut, table.concat(cut, ", "), tostring(refused_ready)))
 expect(refused_ready == 503, "readiness is refused")
 expect(shorts >= 3, "short requests are served at 6 s: " .. shorts .. " of 4")
-expect(served >= 20, "requests that can end in time are served: " .. served)
+expect(served >= 40, "requests that can end in time are served: " .. served)
 expect(#cut == 0, "no request that ran is cut: " .. #cut)
