--- a/test/scenarios/platform_roll.lua
+++ b/test/scenarios/platform_roll.lua
@@ -63,13 +63,13 @@
 
 local paths = { "/s/x", "/once/s/x", "/f/x", "/u/x" }
 local asked, open = {}, {}
-local function send(caller)
+local function send(caller, to)
   local usable = {}
   for _, front in ipairs(caller.list) do
     if not caller.avoided[front] then usable[#usable + 1] = front end
   end
-  if #usable == 0 then return end
-  local front, id = usable[math.random(#usable)], "roll-" .. #asked + 1
+  if not to and #usable == 0 then return end
+  local front, id = to or usable[math.random(#usable)], "roll-" .. #asked + 1
   local late = math.random(3) == 1 and math.random(200, 2900) or nil
   local ms = math.random(300, 4500)
   local events = ms // event_ms
@@ -156,7 +156,14 @@
   disturb_stop(front)
   local at = now()
   table.insert(stops[front], at)
-  go_on_until(grace_ms, front .. " ends within the grace", function() return not is_running(front) end)
+  local late_sends = 0        -- of callers with old lists, whatever the others' lists say
+  go_on_until(grace_ms, front .. " ends within the grace", function()
+    if late_sends < 5 and now() > at + early_ms + 20 * late_sends then
+      late_sends = late_sends + 1
+      send(callers[math.random(#callers)], front)
+    end
+    return not is_running(front)
+  end)
   lasted[#lasted + 1] = now() - at
   disturb_start(front)
   go_on_until(10000, front .. " is listed again", function() return is_listed(front) end)
