Suspects: a granted run that can't be used isn't reported as a crash

Cause, from the trace: a group of eight was granted an endpoint 30 ms after its process had started. Two gateways didn't know the process yet, couldn't use the grant and gave it back. An item that waits keeps the note that its last run broke off, and the gateway reported a crash in place of an unused run, so each item's wait of 12 s began anew at the coordinator.

Change: only a run that is under way ends as crashed, for items and requests. An unused grant keeps the item's turn. For requests the same was found by reading only: there it let fewer run for 10 s.

--- a/lib/gateway/dispatch_suspects.cpp
+++ b/lib/gateway/dispatch_suspects.cpp
@@ -111,9 +111,10 @@
     if (!call.trial)
         return;
     policy::trial_outcome outcome = policy::trial_outcome::unused;
-    if (call.connection_broke)
+    const bool ran = call.upstream_call != call_id() && !call.not_run;
+    if (ran && call.connection_broke)
         outcome = policy::trial_outcome::crashed;
-    else if (call.upstream_call != call_id() && !call.not_run)
+    else if (ran)
         outcome =
             is_silent(call) ? policy::trial_outcome::silent : policy::trial_outcome::completed;
     trials_.end(*call.trial, outcome);
--- a/lib/gateway/item_suspects.cpp
+++ b/lib/gateway/item_suspects.cpp
@@ -79,9 +79,10 @@
     if (!item.trial)
         return;
     policy::trial_outcome outcome = policy::trial_outcome::unused;
-    if (item.connection_broke)
+    const bool ran = item.upstream_call != call_id() && !item.not_run;
+    if (ran && item.connection_broke)
         outcome = policy::trial_outcome::crashed;
-    else if (item.upstream_call != call_id() && !item.not_run)
+    else if (ran)
         outcome =
             is_silent(item) ? policy::trial_outcome::silent : policy::trial_outcome::completed;
     trials_.end(*item.trial, outcome);
--- a/unittests/gateway/item_retries_test.cpp
+++ b/unittests/gateway/item_retries_test.cpp
@@ -130,3 +130,25 @@
     fixture.grants_trials = true;
     CHECK(fixture.is_received_in_time(idle, "a"));
 }
+
+// Guards against an item that waits as if it had run again, since its gateway couldn't use a
+// granted endpoint.
+TEST_CASE("a granted retry that can't be used counts as no run", "[.][items]") {
+    runner_fixture fixture;
+    endpoint_stub& endpoint = fixture.add_endpoint("first", "v1");
+    endpoint.respond = [&endpoint](exchange_id id, const net::raw_request& request) {
+        endpoint.begin_response(id, request);
+        endpoint.server().abort(id);
+    };
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
+    fixture.quarantine_part("first", prompt_part_id("bad"));
+    fixture.offer(fixture.make_item("a", "jobs", 1));
+    REQUIRE(fixture.is_requested_in_time(endpoint));
+    const std::size_t requests = endpoint.requests();
+    fixture.unusable_grants = 1;
+    const instant end = monotonic_now() + max_idle_time;
+    while (monotonic_now() < end && endpoint.requests() == requests)
+        fixture.run_for(tick_interval);
+    CHECK(fixture.unusable_grants == 0);
+    CHECK(endpoint.requests() > requests);
+}
--- a/unittests/gateway/item_runner_fixture.h
+++ b/unittests/gateway/item_runner_fixture.h
@@ -313,6 +313,10 @@
                                        const std::set<endpoint_id>& excluded) {
             if (!grants_trials)
                 return policy::trial_schedule::choice{std::nullopt, 1};
+            if (unusable_grants > 0) {
+                --unusable_grants;
+                return policy::trial_schedule::choice{endpoint_id("unknown"), 1};
+            }
             const std::optional<policy::placement> found =
                 slots_.place_alone(request.service, excluded, monotonic_now(), request.version);
             return policy::trial_schedule::choice{
@@ -379,9 +383,10 @@
     std::vector<schema::leased_item> offered_;
 
 public:
-    bool grants_trials = true;   ///< endpoints are chosen for runs of suspects
-    milliseconds lease_delay{0}; ///< of the replies to lease requests
-    group_id silent_group;       ///< replies late, and grants nothing
+    bool grants_trials = true;       ///< endpoints are chosen for runs of suspects
+    std::size_t unusable_grants = 0; ///< next ones, of an endpoint that isn't listed
+    milliseconds lease_delay{0};     ///< of the replies to lease requests
+    group_id silent_group;           ///< replies late, and grants nothing
     std::map<std::string, std::set<group_id>> leased_groups; ///< that each route asked
     std::set<std::string> reported; ///< jobs of the items whose end was reported
     std::map<std::string, schema::item_status> statuses; ///< the latest, by job
