--- a/lib/gateway/held_item.h
+++ b/lib/gateway/held_item.h
@@ -71,8 +71,8 @@
     /// Nothing was received in its last run, whose endpoint may have ended before it began.
     bool may_not_have_run = false;
     bool unread_alone = false; ///< that run was alone, as a suspect
-    int status = 0;       ///< of the response that is being received
-    bool not_run = false; ///< the response says that the item was not run
+    int status = 0;            ///< of the response that is being received
+    bool not_run = false;      ///< the response says that the item was not run
 
     std::size_t unused_bytes = 0; ///< received in this run, behind the last complete event
     sse_parser parser;
--- a/lib/gateway/item_suspects.cpp
+++ b/lib/gateway/item_suspects.cpp
@@ -106,8 +106,8 @@
     item.retried_part = part.value_or(fingerprint());
     // One that goes on at a version without room would only take the place of another.
     const bool lacks_version =
-        item.last_event > 0 && !is_run_granted(item) && !has_room_at_version(item, now);
-    if (is_retry_deferred(item) || (part && lacks_version)) {
+        part && item.last_event > 0 && !is_run_granted(item) && !has_room_at_version(item, now);
+    if (is_retry_deferred(item) || lacks_version) {
         end_trial(item);
         return std::nullopt;
     }
--- a/lib/gateway/trial_exchange.cpp
+++ b/lib/gateway/trial_exchange.cpp
@@ -15,10 +15,10 @@
 constexpr milliseconds repeat_interval(100);
 constexpr milliseconds answer_timeout(400);
 constexpr std::size_t max_coordinators_tried = 2;
-// Of requests, of items, and of items with quarantined parts. Services share it, and one that comes
-// later has its share at once.
+// Limit of requests, of items, and of items with quarantined parts each, which services share.
 constexpr std::size_t max_asked = 64;
-constexpr std::size_t max_asked_of_late_services = 64;
+// As runs that are asked for stay so, a service that comes later gets its share beside them.
+constexpr std::size_t max_asked_late = 64;
 constexpr std::size_t max_items_of_cause = 16;
 constexpr milliseconds long_wait(1000);
 constexpr milliseconds wait_log_interval(5000);
@@ -68,8 +68,8 @@
     if (of_cause >= (is_item ? max_items_of_cause : 1))
         return false;
     const std::size_t of_service = of_services[service];
-    return of_service == 0 || (of_service < max_asked / of_services.size() &&
-                               of_kind < max_asked + max_asked_of_late_services);
+    return of_service == 0 ||
+           (of_service < max_asked / of_services.size() && of_kind < max_asked + max_asked_late);
 }
 
 void trial_exchange::set_cause(trial_id id, const fingerprint& cause,
