--- a/unittests/gateway/item_leases_test.cpp
+++ b/unittests/gateway/item_leases_test.cpp
@@ -34,7 +34,7 @@
     runner_fixture fixture;
     fixture.add_endpoint("first", "v1").complete_items();
     fixture.runner.set_work_groups(2);
-    fixture.silent_group = group_id(1);
+    fixture.unresponsive_group = group_id(1);
     fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
     offer_items(fixture, "jobs");
     fixture.run_for(max_idle_time);
@@ -44,10 +44,10 @@
 // Guards against leases that are lost with their reply and not returned, as another group is slow.
 TEST_CASE("requests to one group are closed while another doesn't reply", "[items]") {
     lease_requests requests;
-    const std::uint64_t silent = requests.open(group_id(1));
+    const std::uint64_t unanswered = requests.open(group_id(1));
     const std::uint64_t answered = requests.open(group_id(2));
     requests.close(answered);
-    CHECK(requests.closed(group_id(1)) < silent);
+    CHECK(requests.closed(group_id(1)) < unanswered);
     CHECK(requests.closed(group_id(2)) == answered);
     CHECK_FALSE(requests.all_closed());
 }
--- a/unittests/gateway/item_runner_fixture.h
+++ b/unittests/gateway/item_runner_fixture.h
@@ -34,7 +34,7 @@
 constexpr milliseconds tick_interval(20);
 constexpr milliseconds lease_time(200);
 // From a request to a group that doesn't reply until it is given up.
-constexpr milliseconds silent_lease_time(2500);
+constexpr milliseconds lease_timeout(2500);
 constexpr std::uint32_t slots_per_endpoint = 4;
 
 /// Loopback addresses of this process, so that several may run at once.
@@ -116,6 +116,10 @@
             server_.end(id);
         };
     }
+    /// Closes the connection of each request without a response.
+    void abort_requests() {
+        respond = [this](exchange_id id, const net::raw_request&) { server_.abort(id); };
+    }
     /// Responds in place of the endpoint, if set.
     std::function<void(exchange_id, const net::raw_request&)> respond;
 
@@ -330,8 +334,8 @@
         hooks.lease = [this](const std::string& route, const group_id& group, std::uint32_t limit,
                              const item_runner_hooks::lease_done& done) {
             leased_groups[route].insert(group);
-            if (group == silent_group) {
-                task_.after(silent_lease_time, [done] { done({}); });
+            if (group == unresponsive_group) {
+                task_.after(lease_timeout, [done] { done({}); });
                 return;
             }
             std::vector<schema::leased_item> granted;
@@ -386,7 +390,7 @@
     bool grants_trials = true;       ///< endpoints are chosen for runs of suspects
     std::size_t unusable_grants = 0; ///< next ones, of an endpoint that isn't listed
     milliseconds lease_delay{0};     ///< of the replies to lease requests
-    group_id silent_group;           ///< replies late, and grants nothing
+    group_id unresponsive_group;     ///< replies late, and grants nothing
     std::map<std::string, std::set<group_id>> leased_groups; ///< that each route asked
     std::set<std::string> reported; ///< jobs of the items whose end was reported
     std::map<std::string, schema::item_status> statuses; ///< the latest, by job
--- a/unittests/gateway/item_runner_test.cpp
+++ b/unittests/gateway/item_runner_test.cpp
@@ -203,9 +203,7 @@
           "[.][quarantined_item]") {
     runner_fixture fixture;
     endpoint_stub& endpoint = fixture.add_endpoint("first", "v1");
-    endpoint.respond = [&endpoint](exchange_id id, const net::raw_request&) {
-        endpoint.server().abort(id);
-    };
+    endpoint.abort_requests();
     fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
     const schema::leased_item item = fixture.make_item("a", "jobs", 1);
     fixture.quarantine(item, 2, min_barred_time);
@@ -230,9 +228,7 @@
           "[.][quarantined_item]") {
     runner_fixture fixture;
     endpoint_stub& endpoint = fixture.add_endpoint("first", "v1");
-    endpoint.respond = [&endpoint](exchange_id id, const net::raw_request&) {
-        endpoint.server().abort(id);
-    };
+    endpoint.abort_requests();
     fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
     const schema::leased_item item = fixture.make_item("a", "jobs", 1);
     fixture.offer(item);
--- a/unittests/policy/lease_schedule_test.cpp
+++ b/unittests/policy/lease_schedule_test.cpp
@@ -22,7 +22,7 @@
     lease_schedule schedule;
     std::map<std::pair<std::string, group_id>, std::size_t> requests;
     std::map<std::pair<std::string, group_id>, instant> open_until;
-    group_id silent;
+    group_id unresponsive;
     group_id with_items;
 
     void run(const std::string& route, instant now) {
@@ -38,7 +38,8 @@
             return;
         schedule.begin(route, *group, now);
         ++requests[{route, *group}];
-        const milliseconds reply_time = *group == silent ? milliseconds(2500) : milliseconds(1);
+        const milliseconds reply_time =
+            *group == unresponsive ? milliseconds(2500) : milliseconds(1);
         open_until[{route, *group}] = now + reply_time;
     }
 };
