--- a/test/scenarios/platform_stop_late_requests.lua
+++ b/test/scenarios/platform_stop_late_requests.lua
@@ -2,6 +2,7 @@
 -- before its process must, and that are then cut without an answer.
 local grace_ms = 8000
 local late_ms = 3000   -- after the SIGTERM; until then requests with these deadlines may end
+local in_time_ms = 6000 -- after the SIGTERM; a sixth of the grace is left then, and a margin
 local event_ms = 50
 local deadline_ms = 4900
 platform_fleet({ gateways = 3, endpoints = 8, slots = 24 })
@@ -35,6 +36,13 @@
 local function send_mixed(front, group, late_body_ms)
   send(front, math.random(300, 4500), paths[math.random(#paths)], group, late_body_ms)
 end
+-- A request whose body is complete late in the stop, and that can end in time.
+local function send_short(front, since_stop_ms)
+  local whole_at = math.random(math.max(since_stop_ms + 200, late_ms + 50), since_stop_ms + 2900)
+  if whole_at + 300 > in_time_ms then return end
+  send(front, math.random(300, in_time_ms - whole_at), paths[math.random(#paths)], "stop",
+    whole_at - since_stop_ms)
+end
 
 local began = now()
 while now() < began + 12000 do
@@ -47,6 +55,7 @@
 disturb_stop(stopped)
 local stop_at = now()
 local refused_ready, short_sent
+local next_short_ms = 200
 while is_running(stopped) do
   expect(now() < stop_at + grace_ms, "the process ends before the end of the grace")
   if not refused_ready and now() > stop_at + 500 then
@@ -60,6 +69,10 @@
   send_mixed(stopped, "stop")
   -- New connections are refused later.
   if now() < stop_at + 3200 then send_mixed(stopped, "stop", math.random(200, 2900)) end
+  if now() >= stop_at + next_short_ms and next_short_ms < 3200 then
+    send_short(stopped, now() - stop_at)
+    next_short_ms = next_short_ms + 100
+  end
   sleep(25)
 end
 local lasted = now() - stop_at
@@ -70,6 +83,7 @@
   if record.event == "run" then runs[record.request] = (runs[record.request] or 0) + 1 end
 end
 local served, rejected, failed, cut, unanswered, shorts = 0, 0, 0, {}, 0, 0
+local rejected_in_time = 0
 for _, one in ipairs(asked) do
   if one.group == "before" then goto continue end
   if not is_done(one.ask) then abandon(one.ask) end
@@ -84,6 +98,7 @@
     if one.group == "short" then shorts = shorts + 1 end
   elseif got.status == 503 then
     rejected = rejected + 1
+    if sent_after + one.ms <= in_time_ms then rejected_in_time = rejected_in_time + 1 end
     expect(not runs[one.id], "a rejected request has not run: " .. one.id)
     expect(not one.late or got.headers["connection"] == "close", "a rejection closes its connection")
   else
@@ -100,4 +115,5 @@
 expect(refused_ready == 503, "readiness is refused")
 expect(shorts >= 3, "short requests are served at 6 s: " .. shorts .. " of 4")
 expect(served >= 40, "requests that can end in time are served: " .. served)
+expect(rejected_in_time == 0, "no request that can end in time is rejected: " .. rejected_in_time)
 expect(#cut == 0, "no request that ran is cut: " .. #cut)
