Parts: one that crashes endpoints again after it was cleared needs more survived retries

What callers saw: since one survived retry ends the quarantine of a part, a part that crashes some of its runs is cleared again and again, and each time takes most of its service's endpoints away.

Cause: one survived run was taken for proof that a part crashes nothing, however often that had been wrong before; and survived runs of such a part, of which there are many, outweighed its crashes.

Now a part that is suspected again within a minute of being cleared has relapsed: twice as many survived retries clear it with each relapse, up to 16 (26 s or so in runs alone), one crash in a run alone quarantines it, and its survived runs count as those of a request. Only retries clear a part that was quarantined before; a run that had begun before its last crash did so as well, once the quarantine was over. A first quarantine still ends with one survived retry. Two gateways and the other coordinator may tell of one run, which counts once.

Four unit tests of the detector; the first three fail without the change. The log of a verdict has the number of relapses.

--- a/include/cassia/policy/poison_detector.h
+++ b/include/cassia/policy/poison_detector.h
@@ -36,6 +36,10 @@
 /// Further survived runs of a part say nothing more of it.
 inline constexpr std::uint32_t max_survived_runs = 50;
 
+/// The survived runs alone that clear a part double with each relapse, up to this one: 16 of them
+/// take half a minute.
+inline constexpr std::uint32_t max_relapses = 4;
+
 /// Runs with a part of a prompt that their endpoints survived, as one gateway counted them.
 struct part_history {
     fingerprint part;
@@ -83,7 +87,11 @@
     /// Of these, those by which it should have been stopped; two at most before it first was.
     std::uint32_t late_crashes = 0;
     instant known_at{};   ///< of the crash that was the last one tolerated
-    instant cleared_at{}; ///< when a retry showed that it crashes endpoints no more
+    instant cleared_at{}; ///< when retries showed that it crashes endpoints no more
+    /// Of one that was quarantined: how often it was suspected again soon after it was cleared.
+    std::uint32_t relapses = 0;
+    std::uint32_t survived_retries = 0; ///< since it last crashed an endpoint
+    instant retry_survived_at{};        ///< the latest of these
 };
 
 /// What a crash says of a request or part that ran there.
@@ -111,7 +119,7 @@
     void record_successes(const fingerprint& request, std::uint32_t runs, instant now);
     /// A run of a retry with the part was survived, as its gateway has just found out: the part
     /// crashes endpoints no more, and its quarantine ends, unless it has crashed one since the run
-    /// began.
+    /// began. One that was cleared before and has crashed endpoints again needs more such runs.
     void record_retry_success(const fingerprint& part, instant now);
     /// Takes over what a gateway counted before the part came under suspicion.
     void record_history(const part_history& history, instant now);
@@ -127,6 +135,8 @@
     /// Whether a further run alone of a part can prove nothing yet, since too few runs of the
     /// service without it are known to have succeeded.
     bool awaits_control(const fingerprint& part, const service_id& service, instant now) const;
+    /// Whether only retries clear the part, as it was quarantined before.
+    static bool is_cleared_by_retries(const poison_record& record);
     /// Whether a part that was quarantined is a suspect now: one run with it shows whether it still
     /// crashes endpoints.
     bool awaits_retry(const fingerprint& cause, instant now) const;
@@ -200,6 +210,8 @@
     /// Runs of the service that survived without the part, as far as is known.
     std::uint64_t control_runs(const poison_record& record, const service_id& service) const;
     void update_verdict(poison_record& record, const service_id& service, instant now);
+    /// Counts a relapse of a part that is suspected again.
+    static void count_relapse(poison_record& record, instant now);
     /// Suspects a request that ran at crashes of most of a service's endpoints, at whatever moment.
     void suspect_if_crashed_most(poison_record& record, const crash_report& report);
     void publish(poison_record& record);
--- a/lib/gateway/crash_monitor.cpp
+++ b/lib/gateway/crash_monitor.cpp
@@ -281,6 +281,7 @@
         .with("late_crashes", record.late_crashes)
         .with("log_odds", std::to_string(record.log_odds))
         .with("times", record.quarantines)
+        .with("relapses", record.relapses)
         .with("left_ms", quarantine_left(record.request).count());
     std::erase_if(quarantines_,
                   [this](const auto& one) { return detector_.find(one.first) == nullptr; });
--- a/lib/gateway/crash_monitor_runs.cpp
+++ b/lib/gateway/crash_monitor_runs.cpp
@@ -108,7 +108,8 @@
         survived_parts_.add(part);
         count(part);
         const policy::poison_record* record = detector_.find(part);
-        const bool is_retry = run.on_trial && record != nullptr && record->quarantines > 0 &&
+        const bool is_retry = run.on_trial && record != nullptr &&
+                              policy::poison_detector::is_cleared_by_retries(*record) &&
                               run.sent_at > record->last_crash_at;
         if (is_retry)
             survived_retries_.insert(part);
--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -250,7 +250,9 @@
 }
 
 void item_runner::stop(held_item& item) {
-    if (item.upstream_call != call_id() && item.runs_alone && !shares_endpoint(item)) {
+    item.not_run = item.not_run || client_.is_unsent(item.upstream_call);
+    const bool ran = item.upstream_call != call_id() && !item.not_run;
+    if (ran && item.runs_alone && !shares_endpoint(item)) {
         item.crashed_alone += item.connection_broke || is_silent(item) ? 1 : 0;
         item.alone_until = monotonic_now();
     }
@@ -263,7 +265,10 @@
         crashes_.record_ended_run(run_of(item), false);
     client_.cancel(item.upstream_call);
     item.upstream_call = call_id();
-    item.idle_since = monotonic_now();
+    if (ran) {
+        item.has_run = true;
+        item.idle_since = monotonic_now();
+    }
     slots_.release(item.endpoint, policy::work_kind::batch, item.tokens);
     for (; item.reserved_slots > 0; --item.reserved_slots)
         slots_.release(item.endpoint, policy::work_kind::online);
--- a/lib/gateway/poison_messages.cpp
+++ b/lib/gateway/poison_messages.cpp
@@ -122,6 +122,10 @@
     out.set_is_part(record.is_part);
     out.set_survived_runs(record.survived_runs);
     out.set_trial_crashes(record.trial_crashes);
+    out.set_relapses(record.relapses);
+    out.set_survived_retries(record.survived_retries);
+    if (record.survived_retries > 0)
+        out.set_retry_age_ms(to_ms(now - record.retry_survived_at));
     out.set_crash_age_ms(to_ms(now - record.last_crash_at));
     out.set_was_cleared(record.cleared_at != instant());
     if (out.was_cleared())
@@ -154,6 +158,10 @@
     out.is_part = record.is_part();
     out.survived_runs = decode_survived_runs(record.survived_runs());
     out.trial_crashes = decode_count(record.trial_crashes());
+    out.relapses = std::min(record.relapses(), policy::max_relapses);
+    out.survived_retries = decode_count(record.survived_retries());
+    if (out.survived_retries > 0)
+        out.retry_survived_at = now - decode_time(record.retry_age_ms(), max_record_age);
     out.last_crash_at = now - decode_time(record.crash_age_ms(), max_record_age);
     if (record.was_cleared())
         out.cleared_at = now - decode_time(record.cleared_age_ms(), max_record_age);
--- a/lib/policy/poison_detector.cpp
+++ b/lib/policy/poison_detector.cpp
@@ -94,16 +94,23 @@
     }
 }
 
+// A part that has relapsed crashes some of its runs only, so that others say little.
+static double success_loss_of(const poison_record& record) {
+    return record.is_part && record.relapses == 0 ? part_success_loss : success_loss;
+}
+
 static double lowest_log_odds(const poison_record& record) {
-    return prior_log_odds - record.survived_runs * part_success_loss;
+    return record.relapses > 0 ? prior_log_odds
+                               : prior_log_odds - record.survived_runs * part_success_loss;
 }
 
 bool poison_detector::raise_survived(poison_record& record, std::uint32_t survived_runs) {
     const std::uint32_t bounded = std::min(survived_runs, max_survived_runs);
     if (!record.is_part || bounded <= record.survived_runs)
         return false;
-    record.log_odds -= (bounded - record.survived_runs) * part_success_loss;
+    const double loss = (bounded - record.survived_runs) * success_loss_of(record);
     record.survived_runs = bounded;
+    record.log_odds = std::max(lowest_log_odds(record), record.log_odds - loss);
     return true;
 }
 
@@ -125,8 +132,11 @@
     end_quarantine(record, now);
     if (record.is_part)
         record.survived_runs = std::min(max_survived_runs, record.survived_runs + runs);
-    const double loss = record.is_part ? part_success_loss : success_loss;
-    record.log_odds = std::max(lowest_log_odds(record), record.log_odds - runs * loss);
+    // Others may have begun before its last crash.
+    if (is_cleared_by_retries(record))
+        return;
+    record.log_odds =
+        std::max(lowest_log_odds(record), record.log_odds - runs * success_loss_of(record));
     if (record.verdict == request_verdict::quarantined)
         return;
     const bool is_forgiven = record.crashes > 0 && record.log_odds < repeated_suspect_log_odds;
@@ -286,8 +296,10 @@
             update_verdict(record, crash.report.service, now);
         }
         // An item that crashes endpoints by itself says nothing of its part.
-        if (record.is_part && crash.was_on_trial && !is_explained)
+        if (record.is_part && crash.was_on_trial && !is_explained) {
+            record.survived_retries = 0;
             extend_quarantine(record, now);
+        }
         suspect_if_crashed_most(record, crash.report);
         attributed.causes.push_back({record, one.if_innocent, one.on_trial});
     }
@@ -363,9 +375,10 @@
     if (is_proved && record.verdict != request_verdict::quarantined) {
         quarantine(record, now);
     } else if (record.verdict == request_verdict::unsuspected) {
-        if (is_suspicious(record, controlled))
+        if (is_suspicious(record, controlled)) {
             record.verdict = request_verdict::suspect;
-        else if (record.log_odds < (record.is_part ? part_watch_log_odds : watch_log_odds))
+            count_relapse(record, now);
+        } else if (record.log_odds < (record.is_part ? part_watch_log_odds : watch_log_odds))
             return;
     }
     publish(record);
--- a/lib/policy/poison_records.cpp
+++ b/lib/policy/poison_records.cpp
@@ -26,6 +26,14 @@
 constexpr milliseconds contact_time(3000);
 // Crashes until the first verdict show how long that took, not that the part goes on.
 constexpr std::uint32_t max_late_before_verdict = 2;
+// A part that is suspected again so soon after it was cleared crashes some of its runs only.
+constexpr milliseconds relapse_window(60000);
+// Of a part that one more crash in a run alone quarantines again.
+const double retry_log_odds = part_success_loss - repeated_gain / 4;
+// Of a part that crashed endpoints and may do so again.
+constexpr double cleared_log_odds = -2.5;
+// Gateways and the other coordinator may tell of one run twice; runs alone are further apart.
+constexpr milliseconds same_retry = late_crash_time / 2;
 } // namespace
 
 void poison_detector::publish(poison_record& record) {
@@ -47,9 +55,25 @@
                                              : first_quarantine * (1U << doublings);
     record.verdict = request_verdict::quarantined;
     record.quarantined_until = now + time;
+    record.survived_retries = 0;
     ++record.quarantines;
 }
 
+bool poison_detector::is_cleared_by_retries(const poison_record& record) {
+    return record.is_part && record.quarantines > 0 &&
+           record.verdict != request_verdict::unsuspected;
+}
+
+void poison_detector::count_relapse(poison_record& record, instant now) {
+    if (!record.is_part || record.quarantines == 0)
+        return;
+    record.survived_retries = 0;
+    const bool is_relapse = now - record.cleared_at <= relapse_window;
+    record.relapses = is_relapse ? std::min(record.relapses + 1, max_relapses) : 0;
+    if (is_relapse)
+        record.log_odds = std::max(record.log_odds, retry_log_odds);
+}
+
 // Retries while it is quarantined are made by items alone, which have to run.
 void poison_detector::count_crash(poison_record& record, instant crashed_at) {
     if (!record.is_part || record.verdict == request_verdict::quarantined)
@@ -86,12 +110,19 @@
     if (found == records_.end())
         return;
     poison_record& record = found->second;
-    const bool was_quarantined = record.is_part && record.quarantines > 0;
-    if (!was_quarantined || record.verdict == request_verdict::unsuspected ||
-        may_have_crashed_since(record, now - late_crash_time))
+    if (!is_cleared_by_retries(record) || may_have_crashed_since(record, now - late_crash_time) ||
+        now - record.retry_survived_at < same_retry)
+        return;
+    record.retry_survived_at = now;
+    if (++record.survived_retries < 1U << record.relapses) {
+        // Its requests go on to run alone.
+        record.quarantined_until = std::min(record.quarantined_until, now);
+        end_quarantine(record, now);
+        publish(record);
         return;
+    }
     record.verdict = request_verdict::unsuspected;
-    record.log_odds = std::min(record.log_odds, prior_log_odds);
+    record.log_odds = std::min(record.log_odds, cleared_log_odds);
     record.crashes = record.trial_crashes = 0;
     record.all_crashes = record.late_crashes = 0;
     record.cleared_at = now;
@@ -103,9 +134,8 @@
         return;
     record.verdict = request_verdict::suspect;
     record.log_odds = quarantine_log_odds - repeated_gain;
-    // One survived run clears a part.
     if (record.is_part)
-        record.log_odds = std::min(record.log_odds, part_success_loss - repeated_gain / 4);
+        record.log_odds = std::min(record.log_odds, retry_log_odds);
     record.crashes = min_crashes_to_quarantine - 1;
 }
 
--- a/unittests/gateway/poison_messages_test.cpp
+++ b/unittests/gateway/poison_messages_test.cpp
@@ -84,12 +84,16 @@
     record.set_all_crashes(most);
     record.set_late_crashes(most);
     record.set_trial_crashes(most);
+    record.set_relapses(most);
+    record.set_survived_retries(most);
     record.set_survived_runs(most);
     const policy::poison_record decoded = decode(record, now);
-    for (const std::uint32_t count : {decoded.crashes, decoded.quarantines, decoded.all_crashes,
-                                      decoded.late_crashes, decoded.trial_crashes})
+    for (const std::uint32_t count :
+         {decoded.crashes, decoded.quarantines, decoded.all_crashes, decoded.late_crashes,
+          decoded.trial_crashes, decoded.survived_retries})
         CHECK(count <= 1000000);
     CHECK(decoded.survived_runs <= policy::max_survived_runs);
+    CHECK(decoded.relapses <= policy::max_relapses);
     record.set_version(std::numeric_limits<std::uint64_t>::max());
     policy::poison_detector detector;
     CHECK_FALSE(detector.merge(decode(record, now), now));
--- a/unittests/policy/part_detector_test.cpp
+++ b/unittests/policy/part_detector_test.cpp
@@ -45,6 +45,25 @@
                   << suspicion.count() << "\n";
 }
 
+// One endpoint each 20 s, as waiting items with a part take, and those of its first verdict.
+constexpr std::size_t max_crashes_in_600_s = 600 / 20 + 8;
+
+void check_intermittent(const part_model& model) {
+    std::size_t crashes = 0;
+    std::size_t served = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        const part_result result = part_simulation(model, seed).run();
+        CAPTURE(model.bad_share, seed, result.served_bad, result.refused, result.innocent);
+        CHECK(result.crashes <= max_crashes_in_600_s);
+        CHECK(result.innocent.empty());
+        crashes = std::max(crashes, result.crashes);
+        served += result.served_bad;
+    }
+    if (std::getenv("PRINT_PARTS") != nullptr)
+        std::cout << "share " << model.bad_share << ", most crashes " << crashes
+                  << ", served with the part " << served / seeds << "\n";
+}
+
 part_model outages() {
     part_model model;
     model.bad_parts = 0;
@@ -249,6 +268,15 @@
     check(model, 1);
 }
 
+// Guards against a part that is cleared by each survived run, and then crashes endpoints again.
+TEST_CASE("in virtual time, a part that crashes half of its runs takes few endpoints away",
+          "[.parts-intermittent]") {
+    part_model model;
+    model.bad_share = GENERATE(0.5, 0.75, 0.9);
+    model.length = milliseconds(600000);
+    check_intermittent(model);
+}
+
 // Guards against sound parts, which nearly all requests have, that are stopped since endpoints
 // crash for other reasons.
 TEST_CASE("in virtual time, outages stop no sound part", "[.parts]") {
--- a/unittests/policy/part_model.h
+++ b/unittests/policy/part_model.h
@@ -26,6 +26,7 @@
     double bad_per_s = 10; ///< of each bad part
     milliseconds bad_time{100};
     milliseconds bad_delay{0};   ///< from the end of a run to its crash
+    double bad_share = 1;        ///< of the runs with a bad part; the others end as sound ones do
     int bad_bodies = 0;          ///< requests that crash endpoints and repeat, with sound parts
     double bad_body_per_s = 10;  ///< of each of these
     bool rare_parts = false;     ///< each of these has a part that no other request has
@@ -52,6 +53,7 @@
     std::set<std::string> innocent;   ///< other causes that were quarantined
     std::size_t sound = 0;            ///< sent
     std::size_t refused = 0;          ///< sound ones, as quarantined
+    std::size_t served_bad = 0;       ///< runs of requests with bad parts that were survived
     std::size_t delayed = 0;          ///< sound ones that waited for a second as suspects
     milliseconds longest_suspicion{}; ///< of a sound part, without a pause
 };
--- a/unittests/policy/part_retry_test.cpp
+++ b/unittests/policy/part_retry_test.cpp
@@ -37,10 +37,10 @@
     }
 
     /// \returns when it was quarantined.
-    instant quarantine() {
-        instant at = start;
-        for (; verdict(at) != request_verdict::quarantined && crashes_ < 10;
-             at += milliseconds(400))
+    instant quarantine(instant from = start) {
+        instant at = from;
+        for (int i = 0; verdict(at) != request_verdict::quarantined && i < 10;
+             ++i, at += milliseconds(400))
             crash(at);
         return at;
     }
@@ -87,6 +87,61 @@
     CHECK(series.detector.find(part)->cleared_at == at);
 }
 
+// Guards against a part that crashes some of its runs, and is cleared by each survived one.
+TEST_CASE("a part that crashes endpoints again after it was cleared needs more survived retries",
+          "[retries]") {
+    bad_part series;
+    instant at = series.quarantine();
+    for (const int needed : {1, 2, 4, 8, 16, 16}) {
+        CAPTURE(needed);
+        for (int survived = 1; survived <= needed; ++survived) {
+            at += milliseconds(1500);
+            CHECK(series.verdict(at) != request_verdict::unsuspected);
+            series.detector.record_retry_success(part, at);
+        }
+        REQUIRE(series.verdict(at) == request_verdict::unsuspected);
+        at += milliseconds(5000);
+        at = series.quarantine(at);
+        REQUIRE(series.verdict(at) == request_verdict::quarantined);
+    }
+}
+
+// Guards against such a part that is cleared by one run, which several gateways report.
+TEST_CASE("reports of one survived retry count once", "[retries]") {
+    bad_part series;
+    instant at = series.quarantine() + milliseconds(1500);
+    series.detector.record_retry_success(part, at);
+    at = series.quarantine(at + milliseconds(5000)) + milliseconds(1500);
+    for (int reports = 0; reports < 3; ++reports)
+        series.detector.record_retry_success(part, at + milliseconds(50) * reports);
+    CHECK(series.verdict(at + milliseconds(200)) == request_verdict::suspect);
+}
+
+// Guards against such a part that is cleared by survived runs before and after its last crash.
+TEST_CASE("survived retries before a crash don't count", "[retries]") {
+    bad_part series;
+    instant at = series.quarantine() + milliseconds(1500);
+    series.detector.record_retry_success(part, at);
+    at = series.quarantine(at + milliseconds(5000)) + milliseconds(1500);
+    series.detector.record_retry_success(part, at);
+    series.crash(at + milliseconds(500));
+    at += milliseconds(2000);
+    series.detector.record_retry_success(part, at);
+    CHECK(series.verdict(at) != request_verdict::unsuspected);
+    series.detector.record_retry_success(part, at + milliseconds(1500));
+    CHECK(series.verdict(at + milliseconds(1500)) == request_verdict::unsuspected);
+}
+
+// Guards against callers that wait for several runs of a part whose first failure was long ago.
+TEST_CASE("a part that was sound for a minute needs one survived retry again", "[retries]") {
+    bad_part series;
+    instant at = series.quarantine() + milliseconds(1500);
+    series.detector.record_retry_success(part, at);
+    at = series.quarantine(at + milliseconds(61000)) + milliseconds(1500);
+    series.detector.record_retry_success(part, at);
+    CHECK(series.verdict(at) == request_verdict::unsuspected);
+}
+
 // Guards against a part that is cleared by a run which began before it crashed another endpoint, as
 // the gateway of that run doesn't know of the crash yet.
 TEST_CASE("a run that began before the last crash doesn't end a quarantine", "[retries]") {
--- a/unittests/policy/part_simulation.h
+++ b/unittests/policy/part_simulation.h
@@ -52,6 +52,7 @@
         instant began_at{};
         instant ends_at{};
         bool alone = false;
+        std::optional<std::string> crashes_by{};
     };
     struct endpoint {
         std::uint64_t incarnation = 1;
@@ -136,9 +137,12 @@
         if (crashes.size() >= tolerated && now_ > crashes[tolerated - 1] + contact_time)
             ++late_runs_[*cause];
         ++one.runs;
-        const milliseconds time = cause ? model_.bad_time : model_.sound_time;
+        // Draws nothing in the other models, whose seeds stay as they are.
+        const bool will_crash = cause && (model_.bad_share >= 1 || uniform() < model_.bad_share);
+        const milliseconds time = will_crash ? model_.bad_time : model_.sound_time;
         const auto taken = std::chrono::duration_cast<milliseconds>(time * (0.5 + uniform()));
-        endpoints_[index].runs.push_back({one, now_, now_ + taken, alone});
+        endpoints_[index].runs.push_back(
+            {one, now_, now_ + taken, alone, will_crash ? cause : std::nullopt});
     }
 
     void begin_trials() {
@@ -252,7 +256,7 @@
         endpoint& one = endpoints_[index];
         std::vector<running> left;
         for (const running& run : std::exchange(one.runs, {})) {
-            const bool crashes = run.what.crashes_by().has_value();
+            const bool crashes = run.crashes_by.has_value();
             if (now_ < run.ends_at || (crashes && model_.bad_delay == milliseconds(0))) {
                 left.push_back(run);
                 continue;
@@ -264,7 +268,7 @@
         one.runs = left;
         for (const std::vector<running>* runs : {&one.runs, &one.ended}) {
             for (const running& run : *runs) {
-                const std::optional<std::string> cause = run.what.crashes_by();
+                const std::optional<std::string>& cause = run.crashes_by;
                 if (!cause || now_ < run.ends_at + model_.bad_delay)
                     continue;
                 ++result_.crashes;
@@ -275,20 +279,28 @@
         }
         for (const running& run : one.ended) {
             if (now_ - run.ends_at >= late_crash_time)
-                record_survived(run.what);
+                record_survived(run);
         }
         std::erase_if(one.ended,
                       [this](const running& run) { return now_ - run.ends_at >= late_crash_time; });
     }
 
-    void record_survived(const request& one) {
+    void record_survived(const running& run) {
+        const request& one = run.what;
+        result_.served_bad += one.crashes_by() ? 1 : 0;
         ++survived_runs_[one.gateway];
         if (detector_.find(fingerprint(one.body)) != nullptr)
             detector_.record_successes(fingerprint(one.body), 1, now_);
         for (const std::string& part : one.parts) {
             ++history_[one.gateway][fingerprint(part)];
-            if (detector_.find(fingerprint(part)) != nullptr)
-                detector_.record_successes(fingerprint(part), 1, now_);
+            const poison_record* record = detector_.find(fingerprint(part));
+            if (record == nullptr)
+                continue;
+            const bool is_retry = run.alone && poison_detector::is_cleared_by_retries(*record) &&
+                                  run.began_at > record->last_crash_at;
+            detector_.record_successes(fingerprint(part), 1, now_);
+            if (is_retry)
+                detector_.record_retry_success(fingerprint(part), now_);
         }
     }
 
