Items: a send that reaches no endpoint counts as no run

The item last ran at 22:31:42.9. Its gateway ended, another one leased it at 52.26 and was granted endpoint-8 at 52.372, 54 ms after that had ended. The connection was refused within 0.2 ms ("connection closed", nothing sent), and the coordinator was told that the grant wasn't used: 21 ms later it granted the same endpoint to another gateway, which it doesn't after a crash. Yet the gateway stated from then on that the item had been idle since 52.37 and wasn't taken over any more (runs=1), so it was due only 12 s later and ran at 22:32:04.4.

Cause: stop() took each end of a call for the end of a run, whether anything was sent or not.

Now only a call of which something was sent, and which wasn't rejected as not run, ends a run: it alone resets the idle time, makes the item known as run here, and counts as its run alone; a call that is given up before it was sent tells the coordinator so. An earlier unread send stays on record meanwhile.

--- a/include/cassia/net/raw_client.h
+++ b/include/cassia/net/raw_client.h
@@ -76,6 +76,8 @@
     void resume(call_id id);
     /// Whether the call is open and something of its request was sent.
     bool was_sent(call_id id) const;
+    /// Whether the call is open and nothing of its request was sent.
+    bool is_unsent(call_id id) const;
     /// Calls the hook when the other end closes an idle connection.
     void on_idle_closed(std::function<void(const http_address&)> hook);
     /// Closes the idle connections to an address.
--- a/lib/gateway/held_item.h
+++ b/lib/gateway/held_item.h
@@ -66,6 +66,7 @@
     instant last_progress_at{};      ///< when it was started or its endpoint last sent something
     std::uint64_t start_number = 0;  ///< grows with each start of any item; the last yields first
     std::uint32_t runs = 0;          ///< starts of this item by this gateway
+    bool has_run = false;            ///< at this gateway: one of these reached its endpoint
     std::uint32_t crashed_alone = 0; ///< of these, alone as a suspect, broken off or silent
     instant alone_until{};           ///< end of the last run alone
     /// Nothing was received in its last run, whose endpoint may have ended before it began.
--- a/lib/gateway/item_responses.cpp
+++ b/lib/gateway/item_responses.cpp
@@ -140,10 +140,12 @@
     item.connection_broke = !item.not_run;
     if (item.connection_broke)
         crashes_.record_broken_run(run_of(item));
-    // Items may crash endpoints before they respond, so it is assumed once in a row.
-    const bool is_repeated = item.may_not_have_run && item.unread_alone == item.runs_alone;
-    item.may_not_have_run = item.connection_broke && !failure.answered && !is_repeated;
-    item.unread_alone = item.runs_alone;
+    if (item.connection_broke) {
+        // Items may crash endpoints before they respond, so it is assumed once in a row.
+        const bool is_repeated = item.may_not_have_run && item.unread_alone == item.runs_alone;
+        item.may_not_have_run = !failure.answered && !is_repeated;
+        item.unread_alone = item.runs_alone;
+    }
     item.failed_endpoints.insert(item.endpoint);
     const bool stale_connection = failure.kept && !failure.answered;
     if (!stale_connection)
--- a/lib/gateway/item_retries.cpp
+++ b/lib/gateway/item_retries.cpp
@@ -19,7 +19,7 @@
 // sent to an endpoint that ended may not have run.
 policy::retry_history item_runner::retry_of(const held_item& item) {
     milliseconds idle_before(0);
-    if (item.runs == 0 && item.leased.attempt() > 1)
+    if (!item.has_run && item.leased.attempt() > 1)
         idle_before = max_idle_elsewhere;
     else if (item.may_not_have_run)
         idle_before = max_idle_elsewhere / 2;
--- a/lib/net/raw_client.cpp
+++ b/lib/net/raw_client.cpp
@@ -366,6 +366,11 @@
     return found != state_->calls.end() && found->second.sent;
 }
 
+bool raw_client::is_unsent(call_id id) const {
+    auto found = state_->calls.find(id);
+    return found != state_->calls.end() && !found->second.sent;
+}
+
 void raw_client::forget(const http_address& address) {
     for (const connection_id id : state_->idle.remove_all(address))
         state_->sockets->close(id);
--- a/unittests/gateway/item_retries_test.cpp
+++ b/unittests/gateway/item_retries_test.cpp
@@ -152,3 +152,27 @@
     CHECK(fixture.unusable_grants == 0);
     CHECK(endpoint.requests() > requests);
 }
+
+// Guards against items that wait as if they had run, since the endpoint that they were granted had
+// ended before they were sent.
+TEST_CASE("a retry that isn't sent counts as no run", "[.][items]") {
+    constexpr int items = 12;
+    runner_fixture fixture;
+    fixture.add_unreachable_endpoint("first", "v1");
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
+    fixture.quarantine_part("first", prompt_part_id("bad"));
+    for (int i = 0; i < items; ++i) {
+        schema::leased_item taken_over = fixture.make_item("q" + std::to_string(i), "jobs", 1);
+        taken_over.set_attempt(2);
+        fixture.offer(taken_over);
+    }
+    fixture.run_for(std::chrono::seconds(2));
+    endpoint_stub& endpoint = fixture.add_endpoint("first", "v1");
+    endpoint.respond = [&endpoint](exchange_id id, const net::raw_request& request) {
+        endpoint.begin_response(id, request);
+        endpoint.server().abort(id);
+    };
+    fixture.run_for(max_idle_time);
+    for (int i = 0; i < items; ++i)
+        CHECK(endpoint.has_received("q" + std::to_string(i)));
+}
