Items: none runs before its gateway knows what is quarantined

Cause: callers' requests wait until another gateway has told what it knows, or for half a second; items didn't.

--- a/lib/gateway/item_runner.cpp
+++ b/lib/gateway/item_runner.cpp
@@ -89,9 +89,12 @@
     check_trials();
     report_waits(now);
     save_progress(now);
-    start_ready_items(now);
-    request_leases(now);
-    request_unrouted(now);
+    // A gateway that has just started doesn't know yet what is quarantined.
+    if (crashes_.is_synchronized()) {
+        start_ready_items(now);
+        request_leases(now);
+        request_unrouted(now);
+    }
     send_reports();
 }
 
--- a/unittests/gateway/item_retries_test.cpp
+++ b/unittests/gateway/item_retries_test.cpp
@@ -176,3 +176,15 @@
     for (int i = 0; i < items; ++i)
         CHECK(endpoint.has_received("q" + std::to_string(i)));
 }
+
+// Guards against a gateway that has just started, and runs items that others know as quarantined.
+TEST_CASE("no item runs before its gateway knows which are quarantined", "[.][items]") {
+    runner_fixture fixture(false);
+    endpoint_stub& endpoint = fixture.add_endpoint("first", "v1");
+    fixture.runner.set_routes(make_routes(1, {{"jobs", {"first"}}}));
+    fixture.offer(fixture.make_item("a", "jobs", 1));
+    fixture.run_for(lease_time);
+    CHECK(endpoint.requests() == 0);
+    fixture.receive_records();
+    CHECK(fixture.is_received_in_time(endpoint, "a"));
+}
--- a/unittests/gateway/item_runner_fixture.h
+++ b/unittests/gateway/item_runner_fixture.h
@@ -147,12 +147,15 @@
 /// An item runner with what it needs of its gateway, the only one of its fleet.
 class runner_fixture {
 public:
-    runner_fixture()
+    /// \param knows_records another gateway has told which requests are quarantined.
+    explicit runner_fixture(bool knows_records = true)
         : client_(task_, ""), crashes_(task_, "", self, zone_id("z"), metrics_, crash_hooks()),
           trials_(self, trial_hooks()),
           runner(client_, slots_, crashes_, trials_, metrics_, header_names(), 16, item_hooks()) {
         start_logs("test", log_level::error, "");
         crashes_.set_gateways({});
+        if (knows_records)
+            receive_records();
         task_.every(tick_interval, [this] {
             crashes_.tick();
             trials_.tick();
@@ -160,6 +163,12 @@
         });
     }
 
+    /// Another gateway tells which requests are quarantined.
+    void receive_records() {
+        schema::poison_news answer;
+        answer.set_answers(true);
+        crashes_.receive(answer);
+    }
     endpoint_stub& add_endpoint(const std::string& service, const std::string& version) {
         const std::string number = std::to_string(stubs_.size() + 1);
         const http_address address(own_net() + "." + number + ":7301");
