Items: the schedule knows an item whichever gateway holds it

Cause: a gateway that takes an item over states that it has been idle for 18 s more, as it doesn't know. The schedule bounds that by the runs that it granted, which it kept by gateway and item, so that it took each of them for a new one. The name of an item in the ids of its runs is the same at all gateways.

Now the runs are kept by that name alone; ids without a name, or whose name two runs of a gateway have at once, count for one gateway as before. Names have 32 bits: of two items with one name, at different gateways, one may wait as if the other's run were its own.

Unit test: 20 items that ran twice, 2 s apart, at one gateway, are asked for by another one: all run at once before; one at most now, and all when they are due.

--- a/lib/policy/trial_schedule.cpp
+++ b/lib/policy/trial_schedule.cpp
@@ -36,6 +36,7 @@
 constexpr std::size_t max_trials_of_gateway = 512;
 } // namespace
 
+// Any gateway may hold the item next.
 retried_item trial_schedule::item_of(const trial_key& key) const {
     const std::uint64_t number = item_number(key.id);
     auto first = trials_.lower_bound({key.gateway, trial_id(number)});
@@ -43,7 +44,8 @@
         ++first;
     const bool is_shared_name = first != trials_.end() && first->first.gateway == key.gateway &&
                                 item_number(first->first.id) == number;
-    return {key.gateway, number == 0 || is_shared_name ? key.id.value() : number};
+    const bool is_named = number != 0 && !is_shared_name;
+    return is_named ? retried_item{entry_id(), number} : retried_item{key.gateway, key.id.value()};
 }
 
 trial_request trial_schedule::bound(const trial_request& asked, const retried_item& item,
--- a/unittests/policy/trial_claims_test.cpp
+++ b/unittests/policy/trial_claims_test.cpp
@@ -181,3 +181,42 @@
         schedule.end(waiting, trial_outcome::unused, now);
     }
 }
+
+// Guards against a gateway's end after which all its items run at once, and end all endpoints.
+TEST_CASE("items that another gateway takes over are due by the runs that they had", "[retries]") {
+    constexpr std::uint32_t items = 20;
+    constexpr milliseconds pause(2000);
+    trial_schedule schedule;
+    const auto ask = [&schedule](const std::string& gateway, std::uint32_t item, std::uint32_t run,
+                                 milliseconds idle, instant now) {
+        schedule.refresh({{entry_id(gateway), make_trial_id(item, run)},
+                          fingerprint("part"),
+                          service_id("llm"),
+                          {},
+                          work_kind::batch,
+                          retry_history{now - idle}},
+                         now);
+    };
+    const trial_schedule::choose choose = [](const trial_request&, const std::set<endpoint_id>&) {
+        return trial_schedule::choice{endpoint_id("e"), 4, items};
+    };
+    instant now = start;
+    for (std::uint32_t run = 1; run <= 2; ++run, now += pause) {
+        for (std::uint32_t item = 1; item <= items; ++item)
+            ask("a", item, run, milliseconds(12000), now);
+        const std::vector<trial_grant> grants = schedule.poll(now, choose);
+        // The second time they are due by what their gateway states.
+        REQUIRE(grants.size() == items);
+        for (const trial_grant& grant : grants)
+            schedule.end(grant.key, trial_outcome::crashed, now);
+    }
+    // The gateway that takes them over doesn't know how long they were idle.
+    for (std::uint32_t item = 1; item <= items; ++item)
+        ask("b", item, 1, milliseconds(18000), now);
+    CHECK(schedule.poll(now, choose).size() <= 1);
+    const instant due = start + milliseconds(12000);
+    for (std::uint32_t item = 1; item <= items; ++item)
+        ask("b", item, 1, milliseconds(18000) + std::chrono::duration_cast<milliseconds>(due - now),
+            due);
+    CHECK(schedule.poll(due + milliseconds(100), choose).size() >= items - 1);
+}
