--- a/lib/policy/poison_detector.cpp
+++ b/lib/policy/poison_detector.cpp
@@ -132,7 +132,7 @@
     end_quarantine(record, now);
     if (record.is_part)
         record.survived_runs = std::min(max_survived_runs, record.survived_runs + runs);
-    // Others may have begun before its last crash.
+    // Runs beside the retries may have begun before its last crash.
     if (is_cleared_by_retries(record))
         return;
     record.log_odds =
@@ -372,15 +372,17 @@
                                 (controlled && record.trial_crashes >= trial_crashes);
     const bool is_proved = may_quarantine && record.crashes >= min_crashes_to_quarantine &&
                            record.log_odds >= quarantine_log_odds;
+    const bool was_unsuspected = record.verdict == request_verdict::unsuspected;
     if (is_proved && record.verdict != request_verdict::quarantined) {
         quarantine(record, now);
-    } else if (record.verdict == request_verdict::unsuspected) {
-        if (is_suspicious(record, controlled)) {
+    } else if (was_unsuspected) {
+        if (is_suspicious(record, controlled))
             record.verdict = request_verdict::suspect;
-            count_relapse(record, now);
-        } else if (record.log_odds < (record.is_part ? part_watch_log_odds : watch_log_odds))
+        else if (record.log_odds < (record.is_part ? part_watch_log_odds : watch_log_odds))
             return;
     }
+    if (was_unsuspected && record.verdict != request_verdict::unsuspected)
+        count_relapse(record, now);
     publish(record);
 }
 
