Parts: one without a known time of clearing hasn't relapsed

The time at which a part was cleared is zero where it isn't known, as for one that a gateway of the earlier release cleared. In the first minute after a machine's start that counted as a moment ago, so that such a part needed two survived retries. Read; the unit test fails before.

--- a/lib/policy/poison_records.cpp
+++ b/lib/policy/poison_records.cpp
@@ -32,7 +32,7 @@
 const double retry_log_odds = part_success_loss - repeated_gain / 4;
 // Of a part that crashed endpoints and may do so again.
 constexpr double cleared_log_odds = -2.5;
-// Gateways and the other coordinator may tell of one run twice; runs alone are further apart.
+// Reports within this time are of the same run; runs alone end further apart.
 constexpr milliseconds same_retry = late_crash_time / 2;
 } // namespace
 
@@ -68,7 +68,8 @@
     if (!record.is_part || record.quarantines == 0)
         return;
     record.survived_retries = 0;
-    const bool is_relapse = now - record.cleared_at <= relapse_window;
+    const bool is_relapse =
+        record.cleared_at != instant() && now - record.cleared_at <= relapse_window;
     record.relapses = is_relapse ? std::min(record.relapses + 1, max_relapses) : 0;
     if (is_relapse)
         record.log_odds = std::max(record.log_odds, retry_log_odds);
--- a/unittests/policy/part_retry_test.cpp
+++ b/unittests/policy/part_retry_test.cpp
@@ -45,6 +45,14 @@
         return at;
     }
 
+    /// It is quarantined, cleared by a retry, and quarantined again after `calm`. \returns when a
+    /// retry of it may have been survived.
+    instant relapse(milliseconds calm) {
+        const instant cleared_at = quarantine() + milliseconds(1500);
+        detector.record_retry_success(part, cleared_at);
+        return quarantine(cleared_at + calm) + milliseconds(1500);
+    }
+
     request_verdict verdict(instant at) const { return detector.judge(part, at); }
 
     poison_detector detector;
@@ -109,9 +117,7 @@
 // Guards against such a part that is cleared by one run, which several gateways report.
 TEST_CASE("reports of one survived retry count once", "[retries]") {
     bad_part series;
-    instant at = series.quarantine() + milliseconds(1500);
-    series.detector.record_retry_success(part, at);
-    at = series.quarantine(at + milliseconds(5000)) + milliseconds(1500);
+    const instant at = series.relapse(milliseconds(5000));
     for (int reports = 0; reports < 3; ++reports)
         series.detector.record_retry_success(part, at + milliseconds(50) * reports);
     CHECK(series.verdict(at + milliseconds(200)) == request_verdict::suspect);
@@ -120,9 +126,7 @@
 // Guards against such a part that is cleared by survived runs before and after its last crash.
 TEST_CASE("survived retries before a crash don't count", "[retries]") {
     bad_part series;
-    instant at = series.quarantine() + milliseconds(1500);
-    series.detector.record_retry_success(part, at);
-    at = series.quarantine(at + milliseconds(5000)) + milliseconds(1500);
+    instant at = series.relapse(milliseconds(5000));
     series.detector.record_retry_success(part, at);
     series.crash(at + milliseconds(500));
     at += milliseconds(2000);
@@ -135,9 +139,25 @@
 // Guards against callers that wait for several runs of a part whose first failure was long ago.
 TEST_CASE("a part that was sound for a minute needs one survived retry again", "[retries]") {
     bad_part series;
-    instant at = series.quarantine() + milliseconds(1500);
+    const instant at = series.relapse(milliseconds(61000));
     series.detector.record_retry_success(part, at);
-    at = series.quarantine(at + milliseconds(61000)) + milliseconds(1500);
+    CHECK(series.verdict(at) == request_verdict::unsuspected);
+}
+
+// Guards against the same right after a machine's start, for a part that an earlier release
+// cleared.
+TEST_CASE("a part without a known time of clearing hasn't relapsed", "[retries]") {
+    constexpr instant soon_after_boot = instant() + milliseconds(10000);
+    bad_part series;
+    poison_record record;
+    record.request = part;
+    record.is_part = true;
+    record.version = 1;
+    record.quarantines = 1;
+    record.last_crash_at = soon_after_boot;
+    REQUIRE(series.detector.merge(record, soon_after_boot));
+    const instant at = series.quarantine(soon_after_boot) + milliseconds(1500);
+    REQUIRE(series.verdict(at) == request_verdict::quarantined);
     series.detector.record_retry_success(part, at);
     CHECK(series.verdict(at) == request_verdict::unsuspected);
 }
