--- a/include/cassia/policy/quarantine_retries.h
+++ b/include/cassia/policy/quarantine_retries.h
@@ -26,9 +26,9 @@
     instant alone_until{};     ///< end of its last run alone
 };
 
-/// An item, as the schedule tells it from others.
+/// Identifies an item in the schedule.
 struct retried_item {
-    entry_id gateway; ///< empty if all gateways name the item so
+    entry_id gateway; ///< empty if the number is the same at all gateways
     std::uint64_t number = 0;
 
     friend auto operator<=>(const retried_item&, const retried_item&) = default;
--- a/unittests/gateway/item_runner_fixture.h
+++ b/unittests/gateway/item_runner_fixture.h
@@ -147,7 +147,7 @@
 /// An item runner with what it needs of its gateway, the only one of its fleet.
 class runner_fixture {
 public:
-    /// \param knows_records another gateway has told which requests are quarantined.
+    /// \param knows_records the records of another gateway have been received.
     explicit runner_fixture(bool knows_records = true)
         : client_(task_, ""), crashes_(task_, "", self, zone_id("z"), metrics_, crash_hooks()),
           trials_(self, trial_hooks()),
@@ -163,7 +163,7 @@
         });
     }
 
-    /// Another gateway tells which requests are quarantined.
+    /// Receives the records of another gateway, which are empty.
     void receive_records() {
         schema::poison_news answer;
         answer.set_answers(true);
