--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
-# The control keepers all lose power right after a configuration was acknowledged and come back; the operator reads.
-# Exit: 1 the rule was broken, 0 it held, 2 the case couldn't run. TROUBLE=0: nothing loses power.
+# An accepted batch job comes again after a version has added a route with a longer prefix.
+# Exit: 1 the rule was broken, 0 it held, 2 the case couldn't run. TROUBLE=0: without that version.
 set -u
 cd "$(dirname "$0")/../.."
 here=review/7
@@ -11,72 +11,62 @@
 call=target/review-2/call
 record=$here/record.txt
 : > "$record"
-[ -x "$call" ] && [ -x target/review-2/read_config ] && [ -x target/bin/platform-keeper ] ||
-    { echo "not built" >> "$record"; exit 2; }
-began=$(date +%s)
+[ -x "$call" ] && [ -x target/bin/platform-gateway ] || { echo "not built" >> "$record"; exit 2; }
 note() { printf '%s  %s\n' "$(date +%s.%3N)" "$*" >> "$record"; }
 
-write_configuration() { # VERSION
-    printf '{"version":%s,"routes":[{"name":"form-fetch","host":"forms.example","pathPrefix":"/forms/","kind":"safe","timeoutMs":%s,"sloMs":200,"priority":2,"service":"expediente","maxAttempts":2}],"services":[{"name":"expediente","healthPath":"/healthz","maxConns":100,"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}' \
-        "$1" $((1000 + $1)) > "$folder/v$1.json"
+route() { # NAME PREFIX
+    printf '{"name":"%s","host":"lots.example","pathPrefix":"%s","kind":"batch","timeoutMs":15000,"sloMs":400,"priority":2,"service":"revisor","maxAttempts":3,"sticky":true,"resultDueMs":18000,"maxWaitS":60,"maxQueued":1900000}' "$1" "$2"
 }
-leader=1
-put() { # VERSION: to any node, again without a clear response, as the operator does
-    local i n
-    write_configuration "$1"
-    for i in $(seq 1 60); do
-        for n in $leader 1 2 3; do
-            if [ "$("$call" "$net.$n:9000" POST /cassiarouter/Config.Put -b "$folder/v$1.json" -t 1000 | head -1)" = 200 ]; then
-                leader=$n
-                return 0
-            fi
-        done
-        sleep 0.1
+configuration() { # VERSION ROUTES
+    printf '{"version":%s,"routes":[%s],"services":[{"name":"revisor","healthPath":"/healthz","maxConns":360,"protocol":"h1","tls":false,"engine":{"slots":8,"kvCapacity":106377,"models":[{"name":"m"}]}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}' "$1" "$2"
+}
+put() { # FILE: to any node, again without a clear response, following a 307, as the operator does
+    local i status
+    for i in $(seq 1 120); do
+        status=$("$call" "$net.$((i % 3 + 1)):9000" POST /cassiarouter/Config.Put -b "$1" -t 1000 | head -1)
+        [ "$status" = 200 ] && return 0
+        sleep 0.25
     done
     return 1
 }
-start_control() { # BOOTSTRAP
-    local i
-    pids=()
-    for i in 1 2 3; do
-        start control platform-keeper "core-$i" "$net.$i" "z$i" "$1"
-    done
+submit() { # GATEWAY
+    "$call" "$net.2$1:9200" POST /lots/north/7c41e0 -h "Host: lots.example" \
+        -h "X-Cassiarouter-Request-Id: 7c41e09b52d6a3f8" -b "$folder/job.json" | head -1
 }
 
-start_control true
-put 1 || { note "the first configuration was never acknowledged"; exit 2; }
-sleep 2
-version=1
-rounds=0
-stale=0
-while [ $(($(date +%s) - began)) -lt 105 ] && [ "$rounds" -lt 25 ]; do
-    rounds=$((rounds + 1))
-    # Two versions in quick succession, as in a storm of configurations.
-    put $((version + 1)) && sleep 0.05 && put $((version + 2)) || { note "a configuration was never acknowledged"; exit 2; }
-    acknowledged=$(date +%s%3N)
-    version=$((version + 2))
-    note "version $version acknowledged"
-    if [ "${TROUBLE:-1}" != 0 ]; then
-        kill -KILL "${pids[@]}"
-        wait "${pids[@]}" 2> /dev/null
-        note "all three control keepers killed"
-    fi
-    sleep 2.0
-    target/review-2/read_config 1 24 1 "$net.1:9000" "$net.2:9000" "$net.3:9000" > "$folder/reads" &
-    reading=$!
-    if [ "${TROUBLE:-1}" != 0 ]; then
-        start_control false
-        note "started again"
-    fi
-    wait "$reading"
-    # Only reads that were sent later than configApplyMs (2,000) after the acknowledgement count.
-    found=$(awk -v v="$version" -v t="$acknowledged" '!/^#/ && $4 < v && $1 - t > 2000 { n++ } END { print n + 0 }' "$folder/reads")
-    awk -v v="$version" -v t="$acknowledged" '/^#/ { next } { n++ } n == 1 { first = $2 - t }
-        $4 < v && $1 - t > 2000 { printf "    read sent %d ms after the acknowledgement of %d, answered by %s: version %d\n", $1 - t, v, $3, $4 }
-        END { printf "    %d whole answers, the first %d ms after the acknowledgement\n", n, first }' "$folder/reads" >> "$record"
-    stale=$((stale + found))
-    sleep 0.3
+start_fleet
+configuration 10 "$(route cohort-summary /lots/)" > "$folder/v10.json"
+configuration 17 "$(route cohort-summary /lots/),$(route north-summary /lots/north/)" > "$folder/v17.json"
+printf '{"items":[{"id":"e5b2907c14da6f38","path":"/lots/north/3/91c4","headers":{"X-Cassiarouter-Model":"m","X-Cassiarouter-Tokens":"540,400","X-Cassiarouter-Prompt-Prefix":"9c2e41:300,5d07b8:240"},"body":"q83vEjRWeJA=","tokens":940}]}' > "$folder/job.json"
+put "$folder/v10.json" || { note "version 10 was never acknowledged"; exit 2; }
+note "version 10 acknowledged: route cohort-summary at /lots/"
+sleep 4
+
+accepted=
+for i in $(seq 1 20); do
+    status=$(submit $((i % 2 + 1)))
+    note "job 7c41e09b52d6a3f8 sent to front-$((i % 2 + 1)): $status"
+    [ "$status" = 202 ] && { accepted=1; break; }
+    sleep 0.5
+done
+[ -n "$accepted" ] || { note "the job was never accepted"; exit 2; }
+
+if [ "${TROUBLE:-1}" != 0 ]; then
+    put "$folder/v17.json" || { note "version 17 was never acknowledged"; exit 2; }
+    note "version 17 acknowledged: beside it route north-summary at /lots/north/"
+fi
+sleep 4.5 # configApplyMs (2 s), settleMs (1 s), and contactMs (3 s) after the start are over
+
+refused=0
+for i in 1 2 3 4 5 6; do
+    status=$(submit $((i % 2 + 1)))
+    note "the same job sent again to front-$((i % 2 + 1)): $status"
+    case $status in 4??) refused=$((refused + 1)) ;; esac
+    sleep 0.5
+done
+for i in 1 2; do
+    note "read at front-$i: $("$call" "$net.2$i:9200" GET "/cassiarouter/lots/7c41e09b52d6a3f8?after=0" -h "Host: lots.example" | tr '\n' ' ')"
 done
-note "$rounds rounds, $stale reads answered with an older version"
-[ "$stale" -gt 0 ] && exit 1
+note "turned away with 4xx: $refused of 6"
+[ "$refused" -ge 3 ] && exit 1
 exit 0
