--- a/review/support-2/call.cpp
+++ b/review/support-2/call.cpp
@@ -42,7 +42,8 @@
         }
     }
     if (has_body)
-        head += "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+        head += "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
+                "\r\n";
     const std::string bytes = head + "Connection: close\r\n\r\n" + body;
     const std::size_t colon = address.rfind(':');
     sockaddr_in to{};
@@ -70,7 +71,9 @@
                 return 0;
             }
         }
-        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - clock_type::now()).count();
+        const auto left =
+            std::chrono::duration_cast<std::chrono::milliseconds>(until - clock_type::now())
+                .count();
         pollfd one{fd, POLLIN, 0};
         if (left <= 0 || poll(&one, 1, static_cast<int>(left)) <= 0)
             return fail();
--- a/review/support-2/config_storm.cpp
+++ b/review/support-2/config_storm.cpp
@@ -1,6 +1,7 @@
-// Sends configurations one after the other, as an operator does: each to the node that acknowledged the last one, or,
-// without a clear answer within a second, unchanged to the next node. Prints a line for every 25 acknowledgements.
-// usage: config_storm ROUTES FIRST_VERSION CHANGES GAP_MS SECONDS IP:PORT...
+// Sends configurations one after the other, as an operator does: each to the node that acknowledged
+// the last one, or, without a clear answer within a second, unchanged to the next node. Prints a
+// line for every 25 acknowledgements. usage: config_storm ROUTES FIRST_VERSION CHANGES GAP_MS
+// SECONDS IP:PORT...
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
@@ -24,9 +25,10 @@
     to.sin_port = htons(static_cast<uint16_t>(std::atoi(node.c_str() + colon + 1)));
     inet_pton(AF_INET, node.substr(0, colon).c_str(), &to.sin_addr);
     const int fd = socket(AF_INET, SOCK_STREAM, 0);
-    const std::string bytes = "POST /cassiarouter/Config.Put HTTP/1.1\r\nHost: " + node +
-                              "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
-                              "\r\nConnection: close\r\n\r\n" + body;
+    const std::string bytes =
+        "POST /cassiarouter/Config.Put HTTP/1.1\r\nHost: " + node +
+        "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
+        "\r\nConnection: close\r\n\r\n" + body;
     std::string answer;
     bool sent_all = connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0;
     for (std::size_t sent = 0; sent_all && sent < bytes.size();) {
@@ -57,10 +59,12 @@
     const std::vector<std::string> nodes(argv + 6, argv + argc);
     std::string rest;
     for (int i = 1; i < routes; ++i)
-        rest += ",{\"name\":\"r-x" + std::to_string(i) + "zj\",\"host\":\"ficu" + std::to_string(i % 97) +
-                ".example\",\"pathPrefix\":\"/lohu" + std::to_string(i) +
-                "/\",\"kind\":\"stream\",\"timeoutMs\":5000,\"sloMs\":300,\"priority\":0,\"split\":[{\"service\":"
-                "\"huvo11a\",\"weight\":90},{\"service\":\"wuno96b\",\"weight\":10}],\"maxAttempts\":2,\"sticky\":true,"
+        rest += ",{\"name\":\"r-x" + std::to_string(i) + "zj\",\"host\":\"ficu" +
+                std::to_string(i % 97) + ".example\",\"pathPrefix\":\"/lohu" + std::to_string(i) +
+                "/\",\"kind\":\"stream\",\"timeoutMs\":5000,\"sloMs\":300,\"priority\":0,\"split\":"
+                "[{\"service\":"
+                "\"huvo11a\",\"weight\":90},{\"service\":\"wuno96b\",\"weight\":10}],"
+                "\"maxAttempts\":2,\"sticky\":true,"
                 "\"resumable\":true,\"gapSloMs\":400}";
     std::size_t node = 0;
     long acknowledged = 0;
@@ -69,12 +73,17 @@
         // Each version changes the time-out of the first route.
         const std::string body =
             "{\"version\":" + std::to_string(first + i) +
-            ",\"routes\":[{\"name\":\"r-i9n73hh\",\"host\":\"ficu95.example\",\"pathPrefix\":\"/pufi791/\",\"kind\":\"safe\","
-            "\"timeoutMs\":" + std::to_string(1000 + i % 500) +
+            ",\"routes\":[{\"name\":\"r-i9n73hh\",\"host\":\"ficu95.example\",\"pathPrefix\":\"/"
+            "pufi791/\",\"kind\":\"safe\","
+            "\"timeoutMs\":" +
+            std::to_string(1000 + i % 500) +
             ",\"sloMs\":300,\"priority\":0,\"service\":\"huvo11a\",\"maxAttempts\":1}" + rest +
-            "],\"services\":[{\"name\":\"huvo11a\",\"healthPath\":\"/healthz\",\"maxConns\":370,\"protocol\":\"h1\",\"tls\":"
-            "false},{\"name\":\"wuno96b\",\"healthPath\":\"/healthz\",\"maxConns\":110,\"protocol\":\"h1\",\"tls\":false}],"
-            "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}";
+            "],\"services\":[{\"name\":\"huvo11a\",\"healthPath\":\"/"
+            "healthz\",\"maxConns\":370,\"protocol\":\"h1\",\"tls\":"
+            "false},{\"name\":\"wuno96b\",\"healthPath\":\"/"
+            "healthz\",\"maxConns\":110,\"protocol\":\"h1\",\"tls\":false}],"
+            "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":"
+            "3000,\"idleTimeoutMs\":15000}}";
         std::chrono::milliseconds pause(50);
         while (clock_type::now() < until) {
             const std::string status = status_of(nodes[node], body);
@@ -89,7 +98,8 @@
             pause = std::min(pause * 2, std::chrono::milliseconds(400));
         }
         if (acknowledged % 25 == 0 || i + 1 == changes) {
-            std::printf("%ld configurations of %zu bytes acknowledged\n", acknowledged, body.size());
+            std::printf("%ld configurations of %zu bytes acknowledged\n", acknowledged,
+                        body.size());
             std::fflush(stdout);
         }
         std::this_thread::sleep_until(began + gap);
--- a/review/support-2/read_config.cpp
+++ b/review/support-2/read_config.cpp
@@ -1,7 +1,7 @@
-// Reads the configuration at several nodes, each read on a new connection, and prints a line for each whole 200:
-// sent and received (Unix ms), the node, the version. Prints the counts of other outcomes at the end.
-// usage: read_config SECONDS READERS PAUSE_MS IP:PORT...
-// A reader picks nodes in turn and follows a 307 twice. After a failure or a 5xx it goes on at the next node, after a
+// Reads the configuration at several nodes, each read on a new connection, and prints a line for
+// each whole 200: sent and received (Unix ms), the node, the version. Prints the counts of other
+// outcomes at the end. usage: read_config SECONDS READERS PAUSE_MS IP:PORT... A reader picks nodes
+// in turn and follows a 307 twice. After a failure or a 5xx it goes on at the next node, after a
 // pause that grows from PAUSE_MS to eight times that.
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -37,9 +37,11 @@
     inet_pton(AF_INET, node.substr(0, colon).c_str(), &to.sin_addr);
     const int fd = socket(AF_INET, SOCK_STREAM, 0);
     std::string answer;
-    const std::string request = "GET /cassiarouter/Config.Get HTTP/1.1\r\nHost: " + node + "\r\nConnection: close\r\n\r\n";
+    const std::string request =
+        "GET /cassiarouter/Config.Get HTTP/1.1\r\nHost: " + node + "\r\nConnection: close\r\n\r\n";
     if (connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0 &&
-        send(fd, request.data(), request.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(request.size())) {
+        send(fd, request.data(), request.size(), MSG_NOSIGNAL) ==
+            static_cast<ssize_t>(request.size())) {
         char buffer[65536];
         for (;;) {
             pollfd one{fd, POLLIN, 0};
@@ -78,7 +80,9 @@
                 std::string node = nodes[next++ % nodes.size()];
                 long long sent = unix_ms();
                 std::string answer = read_once(node);
-                for (int redirects = 0; redirects < 2 && is_whole(answer) && answer.compare(9, 3, "307") == 0; ++redirects) {
+                for (int redirects = 0;
+                     redirects < 2 && is_whole(answer) && answer.compare(9, 3, "307") == 0;
+                     ++redirects) {
                     const std::size_t at = answer.find("Location: http://") + 17;
                     node = answer.substr(at, answer.find('/', at) - at);
                     sent = unix_ms();
