--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -62,7 +62,7 @@
         note "all three control keepers killed"
     fi
     sleep 2.0
-    target/review-2/read_config 1 24 1 "$net.1:9000" "$net.2:9000" "$net.3:9000" > "$folder/reads" &
+    target/review-2/read_config 1 60 1 "$net.1:9000" "$net.2:9000" "$net.3:9000" > "$folder/reads" &
     reading=$!
     if [ "${TROUBLE:-1}" != 0 ]; then
         start_control false
