Keep who sent a batch job, and let the gateway decide who may access it

Cause: a job's owner was the team where the route requires a key and the host where it doesn't, while reads, which belong to no route, name the team wherever the key is known. Ruled out: jobs that are lost (the same jobs were read without a key), and gateways with different configurations (one gateway shows it).

Evidence: the new test plays 17 orders of submission, configuration and access.

Change: a job keeps its sender (the team of the key, the key's digest, whether there were teams) beside the team it runs for. Leaders return the owner, and the gateway, which has the routing table, decides. A job of an earlier version has no sender and keeps its owner. The command that ends a job names the stored owner, so members of both versions apply it alike.

--- a/include/cassia/gateway/caller_identity.h
+++ b/include/cassia/gateway/caller_identity.h
@@ -21,6 +21,9 @@
 caller_identity identify_caller(const routes::table& table, const schema::route* route,
                                 const net::http_fields& fields, const header_names& names);
 
+/// The digest of the caller's key, whether or not a team has it; empty without exactly one key.
+teams::key_digest caller_key_digest(const net::http_fields& fields, const header_names& names);
+
 /// Replaces the caller's key, and any team header that the caller sent, by the team's name.
 /// \param team no header is added if empty.
 void set_team_header(net::http_fields& fields, const header_names& names, const std::string& team);
--- a/include/cassia/gateway/service.h
+++ b/include/cassia/gateway/service.h
@@ -10,6 +10,7 @@
 #include "cassia/gateway/flow_control.h"
 #include "cassia/gateway/header_names.h"
 #include "cassia/gateway/item_runner.h"
+#include "cassia/gateway/job_access.h"
 #include "cassia/gateway/job_service.h"
 #include "cassia/gateway/lease_requests.h"
 #include "cassia/gateway/origin_exchange.h"
@@ -65,11 +66,12 @@
     void apply(const schema::gateway_settings& changed);
     net::task& owner() { return task_; }
     job_service& jobs() { return *jobs_; }
-    /// Identifies the caller of a request that belongs to no single route. Requires a routing
-    /// table.
-    caller_identity identify(const net::raw_request& request) const;
-    /// Whether the host has a batch route that requires no key.
-    bool serves_jobs_without_key(const std::string& host) const;
+    /// Identifies the caller of a request about a job, which belongs to no single route. Requires a
+    /// routing table. \param host without a port. \returns nothing if a key is required.
+    std::optional<job_caller> identify_job_caller(const net::raw_request& request,
+                                                  const std::string& host) const;
+    /// Who sends a job, to be kept with it. Requires a routing table.
+    schema::job_sender sender_of(const net::raw_request& request) const;
     const schema::gateway_settings& settings() const { return settings_; }
     const header_names& names() const { return names_; }
     /// Of the table in force; 0 if there is none yet.
--- a/include/cassia/state/work_state.h
+++ b/include/cassia/state/work_state.h
@@ -31,6 +31,7 @@
 class job_commit;
 class job_image;
 class job_items;
+class job_sender;
 class job_submit;
 class job_view;
 class key_claim;
@@ -81,11 +82,19 @@
     std::uint32_t cancelled = 0;
 };
 
+/// Who sent a job, by the routing table of the gateway that accepted it.
+struct job_sender {
+    team_id team;             ///< that holds the key, also where the route needs none
+    std::string key_digest;   ///< SHA-256 of the key, known or not; empty if none was sent
+    bool teams_known = false; ///< the table has teams
+};
+
 struct batch_job {
     job_id id;
     team_id team;
     std::string host;      ///< host name of a forwarded job's request
     bool has_team = false; ///< false: `team` holds the host name instead
+    job_sender sender;
     std::string fingerprint;
     job_status status = job_status::loading;
     std::uint64_t deadline = 0;     ///< Unix ms, 0 for none
@@ -212,4 +221,7 @@
 /// Fills the view of a job that is returned to callers.
 void fill_job_view(const batch_job& job, schema::job_view& view);
 
+job_sender read_job_sender(const schema::job_sender& sender);
+void write_job_sender(const job_sender& sender, schema::job_sender& out);
+
 } // namespace cassia::state
--- a/include/cassia/teams/team_table.h
+++ b/include/cassia/teams/team_table.h
@@ -59,6 +59,7 @@
 
     /// Null for an unknown key. The lookup time reveals nothing about known keys.
     const team* find_by_key(std::string_view key) const;
+    const team* find_by_digest(const key_digest& digest) const;
     const team* find(const team_id& id) const;
     const std::vector<team>& all() const { return teams_; }
 
--- a/lib/gateway/caller_identity.cpp
+++ b/lib/gateway/caller_identity.cpp
@@ -30,9 +30,13 @@
         fields.add(names.team, team);
 }
 
-std::string short_key_digest(const net::http_fields& fields, const header_names& names) {
+teams::key_digest caller_key_digest(const net::http_fields& fields, const header_names& names) {
     const std::string_view key = unique_key(fields, names);
-    return key.empty() ? "" : teams::digest_prefix(teams::digest_of(key));
+    return key.empty() ? teams::key_digest() : teams::digest_of(key);
+}
+
+std::string short_key_digest(const net::http_fields& fields, const header_names& names) {
+    return teams::digest_prefix(caller_key_digest(fields, names));
 }
 
 } // namespace cassia::gateway
--- a/lib/gateway/job_service.cpp
+++ b/lib/gateway/job_service.cpp
@@ -74,31 +74,62 @@
     send_request(job, std::move(request), std::move(done));
 }
 
-void job_service::read_results(const job_id& job, const team_id& team, std::uint32_t from,
-                               done_function done) {
+// Whose job it is depends on the routing table, which the group's members don't have, so the reply
+// names the owner and the gateway decides.
+void job_service::send_query(const job_id& job, const job_caller& caller, schema::work_query query,
+                             done_function done) {
     schema::keeper_request request;
-    request.mutable_query()->set_kind(schema::work_query::listed_results);
-    request.mutable_query()->set_job(job.str());
-    request.mutable_query()->set_team(team.str());
-    request.mutable_query()->set_from(from);
-    send_request(job, std::move(request), std::move(done));
+    query.set_job(job.str());
+    query.set_any_owner(true);
+    // A leader of an earlier version ignores any_owner and compares the team itself.
+    query.set_team(caller.team.empty() ? caller.host : caller.team.str());
+    *request.mutable_query() = std::move(query);
+    send_request(
+        job, std::move(request),
+        [caller, done = std::move(done)](job_outcome outcome, const schema::work_reply& reply) {
+            const schema::job_view& view = reply.job();
+            if (view.has_owner() && !may_access_job(caller, view.owner()))
+                done(job_outcome::missing, schema::work_reply());
+            else
+                done(outcome, reply);
+        });
+}
+
+void job_service::read_results(const job_id& job, const job_caller& caller, std::uint32_t from,
+                               done_function done) {
+    schema::work_query query;
+    query.set_kind(schema::work_query::listed_results);
+    query.set_from(from);
+    send_query(job, caller, std::move(query), std::move(done));
 }
 
-void job_service::read_item(const job_id& job, const team_id& team, const std::string& item,
+void job_service::read_item(const job_id& job, const job_caller& caller, const std::string& item,
                             done_function done) {
-    schema::keeper_request request;
-    request.mutable_query()->set_kind(schema::work_query::item_source);
-    request.mutable_query()->set_job(job.str());
-    request.mutable_query()->set_team(team.str());
-    request.mutable_query()->set_custom_id(item);
-    send_request(job, std::move(request), std::move(done));
+    schema::work_query query;
+    query.set_kind(schema::work_query::item_source);
+    query.set_custom_id(item);
+    send_query(job, caller, std::move(query), std::move(done));
+}
+
+// The command names the job's owner as stored, so that members of all versions apply it alike.
+void job_service::cancel(const job_id& job, const job_caller& caller, done_function done) {
+    schema::work_query query;
+    query.set_kind(schema::work_query::one_job);
+    send_query(
+        job, caller, std::move(query),
+        [this, job, done = std::move(done)](job_outcome outcome, const schema::work_reply& reply) {
+            if (outcome == job_outcome::done)
+                send_cancel(job, reply.job().team(), done);
+            else
+                done(outcome, reply);
+        });
 }
 
-void job_service::cancel(const job_id& job, const team_id& team, done_function done) {
+void job_service::send_cancel(const job_id& job, const std::string& owner, done_function done) {
     schema::keeper_request request;
     schema::job_cancel* cancellation = request.mutable_work()->mutable_cancel();
     cancellation->set_job(job.str());
-    cancellation->set_team(team.str());
+    cancellation->set_team(owner);
     cancellation->set_at(to_unix_ms(wall_now()));
     send_request(job, std::move(request), std::move(done));
 }
--- a/lib/gateway/service.cpp
+++ b/lib/gateway/service.cpp
@@ -248,15 +248,22 @@
     resume_deferred();
 }
 
-caller_identity service::identify(const net::raw_request& request) const {
-    return identify_caller(*routes_, nullptr, request.fields, names_);
+std::optional<job_caller> service::identify_job_caller(const net::raw_request& request,
+                                                       const std::string& host) const {
+    const caller_identity caller = identify_caller(*routes_, nullptr, request.fields, names_);
+    if (!caller.accepted && !has_public_batch_route(*routes_, host))
+        return std::nullopt;
+    return job_caller{routes_, caller.team == nullptr ? team_id() : caller.team->id, host};
 }
 
-bool service::serves_jobs_without_key(const std::string& host) const {
-    const std::vector<const schema::route*> routes = routes_->of_kind(schema::route::batch);
-    return std::any_of(routes.begin(), routes.end(), [&host](const schema::route* route) {
-        return route->needs_no_key() && net::equal_ignoring_case(route->host(), host);
-    });
+schema::job_sender service::sender_of(const net::raw_request& request) const {
+    const caller_identity caller = identify_caller(*routes_, nullptr, request.fields, names_);
+    schema::job_sender sender;
+    if (caller.team != nullptr)
+        sender.set_team(caller.team->id.str());
+    sender.set_key_digest(caller_key_digest(request.fields, names_).str());
+    sender.set_teams_known(routes_->needs_keys());
+    return sender;
 }
 
 void service::on_request(exchange_id id, net::raw_request request) {
--- a/lib/state/job_commands.cpp
+++ b/lib/state/job_commands.cpp
@@ -49,6 +49,7 @@
     job.team = team_id(begin.team());
     job.host = begin.host();
     job.has_team = begin.has_team();
+    job.sender = read_job_sender(begin.sender());
     job.fingerprint = begin.fingerprint();
     job.deadline = begin.deadline();
     job.created = begin.at();
--- a/lib/state/work_image.cpp
+++ b/lib/state/work_image.cpp
@@ -63,6 +63,7 @@
         out->set_team(job.team.str());
         out->set_host(job.host);
         out->set_has_team(job.has_team);
+        write_job_sender(job.sender, *out->mutable_sender());
         out->set_fingerprint(job.fingerprint);
         out->set_deadline(job.deadline);
         out->set_created(job.created);
@@ -148,6 +149,7 @@
     job.team = team_id(in.team());
     job.host = in.host();
     job.has_team = in.has_team();
+    job.sender = read_job_sender(in.sender());
     job.fingerprint = in.fingerprint();
     job.deadline = in.deadline();
     job.created = in.created();
--- a/lib/state/work_query.cpp
+++ b/lib/state/work_query.cpp
@@ -144,7 +144,7 @@
     }
     auto found = jobs_.find(job_id(query.job()));
     const bool visible = found != jobs_.end() && found->second.status != job_status::loading &&
-                         found->second.team.str() == query.team();
+                         (query.any_owner() || found->second.team.str() == query.team());
     if (!visible) {
         reply.set_result(schema::work_reply::missing);
         return reply;
--- a/lib/state/work_state.cpp
+++ b/lib/state/work_state.cpp
@@ -37,6 +37,16 @@
     return "failed";
 }
 
+job_sender read_job_sender(const schema::job_sender& sender) {
+    return {team_id(sender.team()), sender.key_digest(), sender.teams_known()};
+}
+
+void write_job_sender(const job_sender& sender, schema::job_sender& out) {
+    out.set_team(sender.team.str());
+    out.set_key_digest(sender.key_digest);
+    out.set_teams_known(sender.teams_known);
+}
+
 void fill_job_view(const batch_job& job, schema::job_view& view) {
     view.set_job(job.id.str());
     view.set_team(job.team.str());
@@ -44,6 +54,11 @@
     view.set_deadline(job.deadline);
     view.set_created(job.created);
     view.set_ended(job.ended);
+    schema::job_owner* owner = view.mutable_owner();
+    owner->set_team(job.team.str());
+    owner->set_has_team(job.has_team);
+    owner->set_host(job.host);
+    write_job_sender(job.sender, *owner->mutable_sender());
     schema::item_counts* counts = view.mutable_counts();
     counts->set_total(static_cast<std::uint32_t>(job.items.size()));
     counts->set_completed(job.counts.completed);
--- a/lib/teams/team_table.cpp
+++ b/lib/teams/team_table.cpp
@@ -80,7 +80,11 @@
 }
 
 const team* team_table::find_by_key(std::string_view key) const {
-    auto found = by_key_.find(lookup_key(digest_of(key)));
+    return find_by_digest(digest_of(key));
+}
+
+const team* team_table::find_by_digest(const key_digest& digest) const {
+    auto found = by_key_.find(lookup_key(digest));
     return found == by_key_.end() ? nullptr : &teams_[found->second];
 }
 
