Compare a resent batch job by its items, whichever route matches now

The same after the route is renamed, or the longer prefix removed.

Cause: the fingerprint of a job covers the name of the route that matched, which is each item's service. Ruled out: bytes that differ on the way (the same call gets 202 without the new configuration), limits of the route (in no digest).

Change: if the fingerprints differ, the work group computes the one that the resent items have under the route that accepted the job. No stored field changes, so jobs on disk and those from gateways of either version match too.

--- a/include/cassia/state/work_state.h
+++ b/include/cassia/state/work_state.h
@@ -221,6 +221,9 @@
 /// Fills the view of a job that is returned to callers.
 void fill_job_view(const batch_job& job, schema::job_view& view);
 
+/// Fingerprint of a job that is submitted as a whole. It covers the names of its items' services.
+std::string fingerprint_of(const schema::job_items& items);
+
 job_sender read_job_sender(const schema::job_sender& sender);
 void write_job_sender(const job_sender& sender, schema::job_sender& out);
 
--- a/lib/state/job_commands.cpp
+++ b/lib/state/job_commands.cpp
@@ -30,6 +30,18 @@
     return reply;
 }
 
+std::string fingerprint_of(const schema::job_items& items) {
+    return sha256_hex(items.SerializeAsString());
+}
+
+// The items of a forwarded job are stored with the name of the route that accepted it. When they
+// are resent, another route may match.
+static bool is_resent(const batch_job& job, schema::job_items items) {
+    for (schema::item_body& item : *items.mutable_items())
+        item.set_service(job.route);
+    return !job.route.empty() && job.fingerprint == fingerprint_of(items);
+}
+
 schema::work_reply work_state::begin_job(const schema::job_begin& begin) {
     const job_id id(begin.job());
     auto found = jobs_.find(id);
@@ -130,8 +142,11 @@
 // counts, several entries could use up the same remaining quota at once.
 schema::work_reply work_state::submit_job(const schema::job_submit& submit,
                                           const storage::position& position) {
-    const schema::job_begin& begin = submit.begin();
+    schema::job_begin begin = submit.begin();
     auto found = jobs_.find(job_id(begin.job()));
+    if (found != jobs_.end() && begin.fingerprint() != found->second.fingerprint &&
+        is_resent(found->second, submit.items()))
+        begin.set_fingerprint(found->second.fingerprint);
     const bool committed = found != jobs_.end() && found->second.status != job_status::loading;
     std::uint64_t tokens = 0;
     for (const schema::item_body& item : submit.items().items())
