Count an entry as applied only once the state machine has it

Cause: the consensus module counted entries as applied when it handed them out, and is_ready(), may_read() and may_read_since() compare that number. The entries are applied in a later task of the event loop; a request that is dispatched first reads the state without them. Ruled out: an acknowledgement before the quorum has the entry, and a second leader: the stale leader itself returns the version a moment later, and the random test shows it with one leader.

Evidence: the random test of consensus now reads on each member after each message and requires what was acknowledged before.

Changed test: "a leader without a quorum stops serving reads and then steps down" required a read between commit and apply, which is the fault. It now requires that none is served there, and one after the entry is applied. The drivers of the other tests report what they apply.

--- a/include/cassia/consensus/raft_group.h
+++ b/include/cassia/consensus/raft_group.h
@@ -70,6 +70,9 @@
     std::optional<std::uint64_t> propose_members(const member_list& members, instant now);
     /// Reports that all entries up to this one are synced to disk.
     void persisted(std::uint64_t index, term_number term);
+    /// Reports that the state holds the effects of all entries up to this one, which was among the
+    /// committed entries of the actions.
+    void entries_applied(std::uint64_t index);
     /// Removes the log entries up to `index`, for which a durable snapshot exists.
     void compact(std::uint64_t index);
     /// Replaces the log by a snapshot that was received from the leader and loaded.
@@ -100,6 +103,7 @@
     term_number term() const { return vote_.term; }
     vote_state vote() const { return vote_; }
     std::uint64_t commit_index() const { return commit_; }
+    /// Highest index reported by entries_applied(), or covered by a snapshot.
     std::uint64_t applied_index() const { return applied_; }
     const raft_log& log() const { return log_; }
     /// Whether a member has all committed entries; known to the leader only.
@@ -189,8 +193,9 @@
     instant next_transfer_{};   ///< no earlier
     instant no_lease_before_{}; ///< a voter that was asked to take over may lead until then
     std::uint64_t commit_ = 0;
-    std::uint64_t applied_ = 0;
-    std::uint64_t synced_ = 0; ///< highest index synced to this member's disk
+    std::uint64_t collected_ = 0; ///< highest index handed out to be applied
+    std::uint64_t applied_ = 0;   ///< highest index that the state holds
+    std::uint64_t synced_ = 0;    ///< highest index synced to this member's disk
     raft_actions actions_;
 };
 
--- a/lib/consensus/raft_group.cpp
+++ b/lib/consensus/raft_group.cpp
@@ -12,6 +12,7 @@
     : group_(group), self_(self), settings_(settings), vote_(vote), log_(std::move(log)),
       random_(seed) {
     commit_ = log_.base_index();
+    collected_ = log_.base_index();
     applied_ = log_.base_index();
     synced_ = log_.last_index();
     // A restarted member doesn't know when it last received a message from a leader. A leader's
--- a/lib/consensus/raft_replication.cpp
+++ b/lib/consensus/raft_replication.cpp
@@ -240,12 +240,16 @@
 // refers to bodies by their position in the log file.
 void raft_group::collect_committed() {
     const std::uint64_t last = std::min(commit_, synced_);
-    while (applied_ < last) {
-        ++applied_;
-        actions_.committed_entries.push_back(log_.at(applied_));
+    while (collected_ < last) {
+        ++collected_;
+        actions_.committed_entries.push_back(log_.at(collected_));
     }
 }
 
+void raft_group::entries_applied(std::uint64_t index) {
+    applied_ = std::max(applied_, index);
+}
+
 void raft_group::compact(std::uint64_t index) {
     if (index > log_.base_index())
         log_.compact(index);
@@ -255,6 +259,7 @@
     const std::uint64_t index = base.index;
     log_.reset(std::move(base));
     commit_ = index;
+    collected_ = index;
     applied_ = index;
     synced_ = index;
     actions_.new_entries.clear();
--- a/lib/keeper/group_replica.cpp
+++ b/lib/keeper/group_replica.cpp
@@ -195,6 +195,7 @@
     if (entry->kind() == schema::log_entry::command)
         reply = state_machine_.apply(entry->payload(),
                                      positions_[entry->index() - first_position_index_]);
+    raft_->entries_applied(entry->index());
     auto proposal = pending_proposals_.find(entry->index());
     if (proposal == pending_proposals_.end())
         return;
--- a/unittests/consensus/raft_pauses_test.cpp
+++ b/unittests/consensus/raft_pauses_test.cpp
@@ -80,6 +80,8 @@
 private:
     void perform_actions(raft_group& member) {
         raft_actions actions = member.take_actions();
+        for (const log_entry_ptr& entry : actions.committed_entries)
+            member.entries_applied(entry->index());
         for (const log_entry_ptr& entry : actions.new_entries)
             member.persisted(entry->index(), term_number(entry->term()));
         for (auto* messages : {&actions.immediate_messages, &actions.messages_after_sync}) {
--- a/unittests/consensus/raft_random_test.cpp
+++ b/unittests/consensus/raft_random_test.cpp
@@ -1,5 +1,6 @@
 // Raft's safety under random events: whichever messages are lost, delayed or duplicated and
-// whichever members restart, no term has two leaders and all members apply the same entries.
+// whichever members restart, no term has two leaders, all members apply the same entries, and each
+// read sees what was acknowledged before it.
 
 #include "cassia/consensus/raft_group.h"
 #include "cassia/schema/messages.pb.h"
@@ -29,6 +30,9 @@
     bool up = true;
 
     std::vector<raft_actions> unsynced; ///< written but not synced yet
+
+    instant read_arrived{}; ///< of the read that waits for a confirmation; none if 0
+    std::uint64_t acknowledged_before_read = 0;
 };
 
 class cluster {
@@ -70,6 +74,8 @@
         }
     }
 
+    std::uint64_t reads_served() const { return reads_served_; }
+
     std::uint64_t max_applied_index() const {
         std::uint64_t max = 0;
         for (const std::pair<const disk_id, test_member>& member : members_)
@@ -98,6 +104,7 @@
         member.applied.clear();
         member.applied_index = 1;
         member.unsynced.clear();
+        member.read_arrived = instant();
         member.up = true;
     }
 
@@ -145,6 +152,24 @@
             test_member& receiver = members_.at(disk_id(message.to()));
             if (receiver.up)
                 receiver.raft->receive(message, now_);
+            // A request may be served before the actions that the message caused.
+            if (receiver.up)
+                read(receiver);
+        }
+    }
+
+    void read(test_member& member) {
+        if (member.raft->may_read(now_)) {
+            ++reads_served_;
+            REQUIRE(member.applied_index >= acknowledged_);
+        }
+        if (member.read_arrived == instant()) {
+            member.read_arrived = now_;
+            member.acknowledged_before_read = acknowledged_;
+        } else if (member.raft->may_read_since(member.read_arrived)) {
+            ++reads_served_;
+            REQUIRE(member.applied_index >= member.acknowledged_before_read);
+            member.read_arrived = instant();
         }
     }
 
@@ -155,7 +180,10 @@
         send(actions.immediate_messages);
         for (const log_entry_ptr& entry : actions.committed_entries) {
             member.applied_index = entry->index();
+            member.raft->entries_applied(entry->index());
             member.applied.push_back(std::to_string(entry->term()) + ":" + entry->payload());
+            if (member.raft->leads() && entry->term() == member.raft->term().value())
+                acknowledged_ = std::max(acknowledged_, entry->index());
         }
         actions.committed_entries.clear();
         member.unsynced.push_back(std::move(actions));
@@ -210,6 +238,8 @@
     disk_id partitioned_disk_;
     std::uint64_t drop_percent_ = 8;
     std::uint64_t proposals_ = 0;
+    std::uint64_t acknowledged_ = 1; ///< highest index that a proposer was told to be applied
+    std::uint64_t reads_served_ = 0;
 };
 
 constexpr int seeds = 60;
@@ -220,7 +250,8 @@
 
 // Guards against an acknowledged change that is lost, and against members that hold different
 // states: after a crash, a lost message or an unsynced write, a later leader lacks an entry that an
-// earlier one committed.
+// earlier one committed. Likewise against a read that is served before the entries of earlier
+// leaders are applied.
 TEST_CASE("members apply the same entries under faults and make progress after them",
           "[consensus]") {
     const int seed = GENERATE(range(1, seeds + 1));
@@ -235,4 +266,5 @@
         group.step();
     CHECK(group.max_applied_index() > applied_under_faults);
     CHECK(group.all_applied(applied_under_faults));
+    CHECK(group.reads_served() > 0);
 }
--- a/unittests/consensus/raft_rules_test.cpp
+++ b/unittests/consensus/raft_rules_test.cpp
@@ -38,6 +38,11 @@
     return message;
 }
 
+void apply_committed(raft_group& group) {
+    for (const log_entry_ptr& entry : group.take_actions().committed_entries)
+        group.entries_applied(entry->index());
+}
+
 } // namespace
 
 // Guards against a leader that serves reads by its lease while another member already leads: a
@@ -93,6 +98,9 @@
     raft_actions actions = group.take_actions();
     REQUIRE(actions.new_entries.size() == 1);
     group.persisted(2, term_number(actions.new_entries[0]->term()));
+    // A committed entry is no part of the state until it is applied.
+    REQUIRE_FALSE(group.may_read(start + milliseconds(1500)));
+    apply_committed(group);
     REQUIRE(group.may_read(start + milliseconds(1500)));
     member_list extended = group.log().members();
     extended.push_back({disk_id(2), "node-2", "", false});
@@ -219,6 +227,8 @@
         std::vector<schema::raft_message> sent;
         for (auto& member : members_) {
             const raft_actions actions = member.second.take_actions();
+            for (const log_entry_ptr& entry : actions.committed_entries)
+                member.second.entries_applied(entry->index());
             sent.insert(sent.end(), actions.immediate_messages.begin(),
                         actions.immediate_messages.end());
             sent.insert(sent.end(), actions.messages_after_sync.begin(),
@@ -344,6 +354,8 @@
         std::vector<schema::raft_message> sent;
         for (std::pair<const std::uint64_t, raft_group>& member : members) {
             raft_actions actions = member.second.take_actions();
+            for (const log_entry_ptr& entry : actions.committed_entries)
+                member.second.entries_applied(entry->index());
             for (const log_entry_ptr& entry : actions.new_entries)
                 member.second.persisted(entry->index(), term_number(entry->term()));
             sent.insert(sent.end(), actions.immediate_messages.begin(),
--- a/unittests/consensus/raft_slow_disks_test.cpp
+++ b/unittests/consensus/raft_slow_disks_test.cpp
@@ -83,6 +83,8 @@
 
     void perform_actions(member& one) {
         raft_actions actions = one.raft.take_actions();
+        for (const log_entry_ptr& entry : actions.committed_entries)
+            one.raft.entries_applied(entry->index());
         deliver(actions.immediate_messages);
         std::copy(actions.new_entries.begin(), actions.new_entries.end(),
                   std::back_inserter(one.written.entries));
--- a/unittests/keeper/membership_recovery_test.cpp
+++ b/unittests/keeper/membership_recovery_test.cpp
@@ -267,8 +267,10 @@
             return;
         raft_actions actions = keeper.raft->take_actions();
         send(actions.immediate_messages);
-        for (const log_entry_ptr& entry : actions.committed_entries)
+        for (const log_entry_ptr& entry : actions.committed_entries) {
             record_applied(*entry);
+            keeper.raft->entries_applied(entry->index());
+        }
         for (const disk_id member : actions.members_needing_snapshot) {
             const std::uint64_t index = keeper.raft->applied_index();
             transfers_[member] = {
