Responses with an invalid status are malformed

Cause: the parser takes any three digits. Below 200 they counted as an interim response, behind which another one is awaited, above as a final one.

Change: a status outside 100 to 599, and 101, which answers only a request for another protocol, makes the response unreadable, as other malformed ones are.

--- a/lib/net/raw_client.cpp
+++ b/lib/net/raw_client.cpp
@@ -176,6 +176,10 @@
         }
         if (!one.parser->is_header_done())
             return;
+        if (!has_valid_status(*one.parser)) {
+            fail(id, errc::connection_lost, "unreadable answer: invalid status");
+            return;
+        }
         if (is_informational(*one.parser)) {
             one.informational_bytes += used;
             if (!skip_informational(id))
--- a/lib/net/response_reader.cpp
+++ b/lib/net/response_reader.cpp
@@ -11,7 +11,10 @@
 // A request that is sent as the server closes is lost with the connection.
 constexpr milliseconds idle_margin(600);
 constexpr milliseconds most_idle(10000);
+constexpr unsigned first_status = 100;
+constexpr unsigned switching_protocols = 101;
 constexpr unsigned informational_end = 200;
+constexpr unsigned status_end = 600;
 } // namespace
 
 std::unique_ptr<response_parser> make_parser(const raw_request& request) {
@@ -28,6 +31,11 @@
     return parser.get().result_int() < informational_end;
 }
 
+bool has_valid_status(const response_parser& parser) {
+    const unsigned status = parser.get().result_int();
+    return status >= first_status && status < status_end && status != switching_protocols;
+}
+
 static bool holds_status_line(std::string_view text) {
     constexpr std::string_view version = "HTTP/1.";
     constexpr std::size_t digit_and_space = 2;
--- a/lib/net/response_reader.h
+++ b/lib/net/response_reader.h
@@ -20,6 +20,9 @@
 
 std::unique_ptr<response_parser> make_parser(const raw_request& request);
 bool is_informational(const response_parser& parser);
+/// Whether the status is one that a response may have: 100 to 599, and not 101, as no request asks
+/// for another protocol.
+bool has_valid_status(const response_parser& parser);
 /// Whether a value or the reason holds the first line of another response: the start of one that
 /// broke off and the head behind it were read as one head, which says nothing of either.
 bool holds_another_head(const response_parser& parser);
--- a/test/scenarios/response_during_upload.lua
+++ b/test/scenarios/response_during_upload.lua
@@ -1,5 +1,5 @@
--- Guards against a response of a service that is reset during the upload and reaches the caller as
--- a whole one.
+-- Guards against a response of a service that is reset during the upload, or has an invalid status,
+-- and reaches the caller as a whole one.
 fleet({ keepers = 1, entries = 1, engines = 1, services = 1, zones = 1, relayed_services = "yes" })
 
 local upload = '{"n":1,"text":"' .. string.rep("x", 4100000) .. '"}'
@@ -31,5 +31,8 @@
 for _, framing in ipairs({ "Content-Length: 1600", "Transfer-Encoding: chunked" }) do
   expect_failure("HTTP/1.1 200 OK\r\n" .. framing .. "\r\n\r\n" .. part, 1, upload)
 end
+for _, status in ipairs({ "000", "099", "101", "600", "999" }) do
+  expect_failure("HTTP/1.1 " .. status .. " Text\r\nContent-Length: 2\r\n\r\nok", 30, '{"n":1}')
+end
 recover()
 print(calls .. " calls failed")
