--- a/unittests/consensus/raft_random_test.cpp
+++ b/unittests/consensus/raft_random_test.cpp
@@ -238,7 +238,7 @@
     disk_id partitioned_disk_;
     std::uint64_t drop_percent_ = 8;
     std::uint64_t proposals_ = 0;
-    std::uint64_t acknowledged_ = 1; ///< highest index that a proposer was told to be applied
+    std::uint64_t acknowledged_ = 1; ///< highest index acknowledged to its proposer
     std::uint64_t reads_served_ = 0;
 };
 
--- a/unittests/state/job_owner_test.cpp
+++ b/unittests/state/job_owner_test.cpp
@@ -1,4 +1,4 @@
-// Who sent a job is kept with it, and queries tell it to the gateway that asks.
+// The sender of a job is kept with it, and queries return it to the gateway.
 
 #include "cassia/schema/messages.pb.h"
 #include "cassia/state/work_state.h"
